--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission: slots, classes, duplicate detection, deadlines and retry budgets.
--- /dev/null
+++ b/crates/balance/src/lib.rs
@@ -0,0 +1,1 @@
+//! Endpoint choice inside the allowed localities.
--- /dev/null
+++ b/crates/config/src/service.rs
@@ -0,0 +1,31 @@
+//! Services and the localities in which each may be served.
+
+use bitcode::{Decode, Encode};
+use umberpond_model::{Locality, LocalityRule, ServiceName};
+
+/// Public key to which secrets for a service's nodes are sealed (X25519, 32 bytes).
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
+pub struct SealKey(pub [u8; 32]);
+
+/// One service as it is in force.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct Service {
+    /// Name of the service.
+    pub name: ServiceName,
+    /// Localities in which a request to this service may be served. A hard filter, never empty.
+    pub allowed: Vec<LocalityRule>,
+    /// Requests one back end runs at once.
+    pub slots: u32,
+    /// Connections one back end accepts.
+    pub connections: u32,
+    /// Key to which secrets for this service are sealed; absent if it may hold none.
+    pub seal_key: Option<SealKey>,
+}
+
+impl Service {
+    /// Whether a request to this service may be served in `locality`.
+    #[must_use]
+    pub fn allows(&self, locality: &Locality) -> bool {
+        self.allowed.iter().any(|rule| rule.allows(locality))
+    }
+}
--- /dev/null
+++ b/crates/endpoints/src/lib.rs
@@ -0,0 +1,1 @@
+//! Owner-written endpoint state, merge, drain and failure suspicion.
--- /dev/null
+++ b/crates/model/src/names.rs
@@ -0,0 +1,160 @@
+//! Checked names: lower-case letters, digits, `-` and `.`, at most 63 bytes, as in DNS labels.
+
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use bitcode::{Decode, Encode};
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Longest accepted name, in bytes (the limit of one DNS label).
+pub const MAX_NAME_BYTES: usize = 63;
+
+/// A name that breaks the naming rule.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum InvalidName {
+    /// The name holds no character.
+    #[error("a {kind} name must not be empty")]
+    Empty {
+        /// What was being named.
+        kind: &'static str,
+    },
+    /// The name is longer than [`MAX_NAME_BYTES`].
+    #[error("the {kind} name is {length} bytes long; at most {MAX_NAME_BYTES} are allowed")]
+    TooLong {
+        /// What was being named.
+        kind: &'static str,
+        /// Length found, in bytes.
+        length: usize,
+    },
+    /// The name holds a character outside the rule, or starts or ends with `-` or `.`.
+    #[error(
+        "the {kind} name `{name}` may hold only a-z, 0-9, `-` and `.`, and starts and ends with a letter or digit"
+    )]
+    BadCharacter {
+        /// What was being named.
+        kind: &'static str,
+        /// The name as given.
+        name: String,
+    },
+}
+
+fn check(kind: &'static str, name: &str) -> Result<(), InvalidName> {
+    if name.is_empty() {
+        return Err(InvalidName::Empty { kind });
+    }
+    if name.len() > MAX_NAME_BYTES {
+        return Err(InvalidName::TooLong { kind, length: name.len() });
+    }
+    let inner_is_valid = name
+        .bytes()
+        .all(|byte| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-' || byte == b'.');
+    let edge_is_valid = |byte: Option<u8>| byte.is_some_and(|byte| byte.is_ascii_alphanumeric());
+    if inner_is_valid && edge_is_valid(name.bytes().next()) && edge_is_valid(name.bytes().last()) {
+        return Ok(());
+    }
+    Err(InvalidName::BadCharacter { kind, name: name.to_owned() })
+}
+
+macro_rules! checked_name {
+    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Checks `name` against the naming rule.
+            ///
+            /// # Errors
+            /// Returns [`InvalidName`] when the rule is broken.
+            pub fn new(name: &str) -> Result<Self, InvalidName> {
+                check($kind, name)?;
+                Ok(Self(Arc::from(name)))
+            }
+
+            /// The name as text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                formatter.write_str(&self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Debug::fmt(&*self.0, formatter)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = InvalidName;
+
+            fn from_str(name: &str) -> Result<Self, InvalidName> {
+                Self::new(name)
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = InvalidName;
+
+            fn try_from(name: String) -> Result<Self, InvalidName> {
+                Self::new(&name)
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> String {
+                name.0.as_ref().to_owned()
+            }
+        }
+
+        impl std::borrow::Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+    };
+}
+
+checked_name!(
+    /// Name of a bundle: one set of files that is submitted and withdrawn as a whole.
+    BundleName,
+    "bundle"
+);
+checked_name!(
+    /// Name of a service: a group of interchangeable back ends.
+    ServiceName,
+    "service"
+);
+checked_name!(
+    /// Name of a route.
+    RouteName,
+    "route"
+);
+checked_name!(
+    /// Name of a secret; its value is a type of its own and is never printed.
+    SecretName,
+    "secret"
+);
+checked_name!(
+    /// Name of a node. A replacement of a machine may carry the same name with a later incarnation.
+    NodeName,
+    "node"
+);
+checked_name!(
+    /// Name of a region, a group of zones.
+    RegionName,
+    "region"
+);
+checked_name!(
+    /// Name of a zone, unique inside its region.
+    ZoneName,
+    "zone"
+);
--- /dev/null
+++ b/crates/model/src/version.rs
@@ -0,0 +1,71 @@
+//! Positions in the version chain and identities of submissions.
+
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
+
+use bitcode::{Decode, Encode};
+use serde::{Deserialize, Serialize};
+
+/// Position in the one chain of accepted configurations; 0 is the empty configuration.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Version(pub u64);
+
+impl Version {
+    /// The empty configuration that every chain starts from.
+    pub const GENESIS: Self = Self(0);
+
+    /// The version that follows this one.
+    #[must_use]
+    pub const fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl fmt::Display for Version {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}", self.0)
+    }
+}
+
+/// Identity of one submission, chosen at random by the operator's client. Resolves lost answers.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct SubmissionId(pub u128);
+
+impl fmt::Display for SubmissionId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:032x}", self.0)
+    }
+}
+
+impl fmt::Debug for SubmissionId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, formatter)
+    }
+}
+
+impl FromStr for SubmissionId {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        u128::from_str_radix(text, 16).map(Self)
+    }
+}
+
+impl TryFrom<String> for SubmissionId {
+    type Error = ParseIntError;
+
+    fn try_from(text: String) -> Result<Self, ParseIntError> {
+        text.parse()
+    }
+}
+
+impl From<SubmissionId> for String {
+    fn from(id: SubmissionId) -> String {
+        id.to_string()
+    }
+}
--- /dev/null
+++ b/crates/net/src/transport.rs
@@ -0,0 +1,59 @@
+//! The transport trait.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use tokio::io::{AsyncRead, AsyncWrite};
+
+/// A reliable byte stream between two processes.
+pub trait Stream: AsyncRead + AsyncWrite + Send + Unpin + 'static {}
+
+impl<T: AsyncRead + AsyncWrite + Send + Unpin + 'static> Stream for T {}
+
+/// A stream of any transport.
+pub type BoxStream = Box<dyn Stream>;
+
+/// A listener of any transport.
+pub type BoxListener = Box<dyn Listener>;
+
+/// Opens and accepts streams.
+#[async_trait]
+pub trait Network: Send + Sync + 'static {
+    /// Opens a stream to `to`.
+    ///
+    /// # Errors
+    /// Fails as the transport does: refused, unreachable, reset. There is no time limit; the caller sets one.
+    async fn connect(&self, to: SocketAddr) -> io::Result<BoxStream>;
+
+    /// Listens at `at`; port 0 takes any free port.
+    ///
+    /// # Errors
+    /// Fails when the address is taken or not local.
+    async fn listen(&self, at: SocketAddr) -> io::Result<BoxListener>;
+}
+
+/// Accepts streams at one address.
+#[async_trait]
+pub trait Listener: Send + 'static {
+    /// The address listened at.
+    fn local_addr(&self) -> SocketAddr;
+
+    /// Waits for the next stream.
+    ///
+    /// # Errors
+    /// Fails as the transport does. An error concerns one stream; the listener stays usable.
+    async fn accept(&mut self) -> io::Result<(BoxStream, SocketAddr)>;
+}
+
+#[async_trait]
+impl<N: Network + ?Sized> Network for Arc<N> {
+    async fn connect(&self, to: SocketAddr) -> io::Result<BoxStream> {
+        (**self).connect(to).await
+    }
+
+    async fn listen(&self, at: SocketAddr) -> io::Result<BoxListener> {
+        (**self).listen(at).await
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon: actors and tasks that drive the decision cores.
--- /dev/null
+++ b/crates/proxy/src/lib.rs
@@ -0,0 +1,1 @@
+//! The request path: inbound and outbound halves over hyper.
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Numbered events, their catalogue, metrics and log output.
--- /dev/null
+++ b/crates/umberpond/src/main.rs
@@ -0,0 +1,3 @@
+//! The umberpond program.
+
+fn main() {}
--- /dev/null
+++ b/testing/sim/src/lib.rs
@@ -0,0 +1,1 @@
+//! Deterministic simulation: fault schedules, invariant checkers and the scale run.
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,3 @@
+//! Repository tasks.
+
+fn main() {}
