Add the platform stand-in: object API, watches, leases and a lagging machine list

The simulation and the demo need a platform that can be told to fail at the points the design worries about. A generic mock server was ruled out, because it has neither a global revision nor a bounded watch window, and it reads the wall clock. The stand-in serves the object API over the transport trait, keeps all state in ordered maps under one lock, and measures time with tokio alone; the HTTP date header is off, since it reads the wall clock. A lost answer, an outage, a cut or too old watch, lapsed leases and the list's lag are library calls and HTTP calls. An outage in the midst of a delayed request keeps the change from happening.

--- a/testing/standins/src/lib.rs
+++ b/testing/standins/src/lib.rs
@@ -1,1 +1,10 @@
 //! Small stand-ins for the outside: platform, back end and caller.
+//!
+//! Each runs over [`umberpond_net::Network`] and measures time with `tokio::time` alone, so the simulation can run
+//! it over in-memory links on a paused clock. Each can be told to fail, by a library call or over HTTP.
+
+mod http_answer;
+mod http_server;
+pub mod platform;
+
+pub use http_answer::{AnswerBody, BodyCut};
