Add simulated links, a run's history and a checker for each invariant

Cause: proof needs a judge before there is something to judge. SimNetwork puts delay, cut, freeze and kill behind the transport trait on tokio's paused clock; a killed process is an outlaw by generation, so a task that outlives its process can't reach anyone. Ten checkers (the nine promises and the allowed locality) are plain functions over a history. Ruled out: ready-made simulators that the registry does not serve; checkers inside the daemon, which could share its faults. What is not here yet: the cluster, schedules and the program.

--- /dev/null
+++ b/testing/sim/src/checkers/requests.rs
@@ -0,0 +1,100 @@
+//! Checkers of what callers were told against what back ends ran.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use umberpond_model::Millis;
+
+use crate::checkers::{Breach, Invariant, Violation};
+use crate::history::{CallerOutcome, Event, History, RequestKey};
+
+/// Checks that every finished answer is whole and the request's own, and that each request got one end.
+#[must_use]
+pub fn whole_own_answer(history: &History) -> Vec<Violation> {
+    let mut open: BTreeMap<RequestKey, Millis> = BTreeMap::new();
+    let mut violations = Vec::new();
+    let mut report = |at, request, outcome| {
+        let breach = Breach::BadAnswer { request, outcome };
+        violations.push(Violation { invariant: Invariant::WholeOwnAnswer, at, breach });
+    };
+    for recorded in history.events() {
+        match &recorded.event {
+            Event::Sent { request, .. } => {
+                open.insert(*request, recorded.at);
+            }
+            Event::Finished { request, outcome } => {
+                let was_open = open.remove(request).is_some();
+                let is_bad = matches!(outcome, CallerOutcome::Answered { whole, own } if !whole || !own);
+                if is_bad || !was_open {
+                    report(recorded.at, *request, Some(*outcome));
+                }
+            }
+            _ => {}
+        }
+    }
+    for (request, at) in open {
+        report(at, request, None);
+    }
+    violations
+}
+
+/// Checks that no request that was refused as rejected before execution ran, before or after the refusal.
+#[must_use]
+pub fn rejected_did_not_run(history: &History) -> Vec<Violation> {
+    let runs = count_runs(history);
+    let mut violations = Vec::new();
+    for recorded in history.events() {
+        let Event::Finished { request, outcome: CallerOutcome::Rejected } = &recorded.event else { continue };
+        let Some(&runs) = runs.get(request) else { continue };
+        let breach = Breach::RanTooOften { request: *request, runs };
+        violations.push(Violation { invariant: Invariant::RejectedDidNotRun, at: recorded.at, breach });
+    }
+    violations
+}
+
+/// Checks that no request that is not idempotent began to run twice.
+#[must_use]
+pub fn at_most_once(history: &History) -> Vec<Violation> {
+    let idempotent: BTreeSet<RequestKey> = history
+        .events()
+        .filter_map(|recorded| match &recorded.event {
+            Event::Sent { request, idempotent: true, .. } => Some(*request),
+            _ => None,
+        })
+        .collect();
+    let mut runs: BTreeMap<RequestKey, usize> = BTreeMap::new();
+    let mut violations = Vec::new();
+    for recorded in history.events() {
+        let Event::Executed { request, .. } = &recorded.event else { continue };
+        let count = runs.entry(*request).or_default();
+        *count += 1;
+        if *count > 1 && !idempotent.contains(request) {
+            let breach = Breach::RanTooOften { request: *request, runs: *count };
+            violations.push(Violation { invariant: Invariant::AtMostOnce, at: recorded.at, breach });
+        }
+    }
+    violations
+}
+
+/// Checks that requests ran only in localities that their service allows.
+#[must_use]
+pub fn allowed_locality_only(history: &History) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for recorded in history.events() {
+        let Event::Executed { request, node, locality_allowed: false, .. } = &recorded.event else {
+            continue;
+        };
+        let breach = Breach::ServedElsewhere { node: node.clone(), request: *request };
+        violations.push(Violation { invariant: Invariant::AllowedLocalityOnly, at: recorded.at, breach });
+    }
+    violations
+}
+
+fn count_runs(history: &History) -> BTreeMap<RequestKey, usize> {
+    let mut runs = BTreeMap::new();
+    for recorded in history.events() {
+        if let Event::Executed { request, .. } = &recorded.event {
+            *runs.entry(*request).or_default() += 1;
+        }
+    }
+    runs
+}
--- a/testing/sim/src/lib.rs
+++ b/testing/sim/src/lib.rs
@@ -1,1 +1,8 @@
 //! Deterministic simulation: fault schedules, invariant checkers and the scale run.
+//!
+//! The real daemon runs over [`network::SimNetwork`] on tokio's paused clock. What happens is recorded in a
+//! [`history::History`], over which the checkers are plain functions. A seed names a run.
+
+pub mod checkers;
+pub mod history;
+pub mod network;
--- /dev/null
+++ b/testing/sim/src/network/fabric.rs
@@ -0,0 +1,223 @@
+//! State of all hosts, links and listeners.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+use umberpond_model::Millis;
+
+use super::stream::{SimStream, pair};
+
+/// First port given to listeners that ask for any.
+const FIRST_FREE_PORT: u16 = 20_000;
+/// Largest jitter added to each delivery, in microseconds.
+const MAX_JITTER_MICROS: u64 = 200;
+
+type Incoming = mpsc::UnboundedSender<(SimStream, SocketAddr)>;
+
+#[derive(Debug)]
+pub(super) struct Fabric {
+    seed: u64,
+    delay_between: fn(IpAddr, IpAddr) -> Millis,
+    links: BTreeMap<(IpAddr, IpAddr), Arc<LinkState>>,
+    hosts: BTreeMap<IpAddr, HostState>,
+    listeners: BTreeMap<SocketAddr, Incoming>,
+    next_port: u16,
+}
+
+#[derive(Debug, Default)]
+struct HostState {
+    generation: u64,
+    alive: bool,
+    frozen: bool,
+    /// Told once, at the kill, to every stream of this generation.
+    killed: Option<watch::Sender<bool>>,
+}
+
+/// One direction between two hosts.
+#[derive(Debug)]
+pub(super) struct LinkState {
+    blocked: watch::Sender<bool>,
+    cut: Mutex<bool>,
+    delay: Mutex<Duration>,
+    base_delay: Duration,
+    jitter: Mutex<ChaCha8Rng>,
+    bytes: AtomicU64,
+}
+
+impl LinkState {
+    /// Waits for as long as one delivery takes, and for the end of a cut or freeze.
+    pub(super) async fn pass(&self) {
+        tokio::time::sleep(self.draw_delay()).await;
+        self.wait_open().await;
+    }
+
+    /// Waits until the link is neither cut nor frozen.
+    pub(super) async fn wait_open(&self) {
+        let mut blocked = self.blocked.subscribe();
+        // The sender lives in `self`, so waiting can't fail.
+        let _ = blocked.wait_for(|blocked| !blocked).await;
+    }
+
+    pub(super) fn draw_delay(&self) -> Duration {
+        let jitter = self.jitter.lock().random_range(0..=MAX_JITTER_MICROS);
+        *self.delay.lock() + Duration::from_micros(jitter)
+    }
+
+    pub(super) fn delivery_time(&self) -> Instant {
+        Instant::now() + self.draw_delay()
+    }
+
+    pub(super) fn count(&self, bytes: usize) {
+        self.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+}
+
+impl Fabric {
+    pub(super) fn new(seed: u64, delay_between: fn(IpAddr, IpAddr) -> Millis) -> Self {
+        Self {
+            seed,
+            delay_between,
+            links: BTreeMap::new(),
+            hosts: BTreeMap::new(),
+            listeners: BTreeMap::new(),
+            next_port: FIRST_FREE_PORT,
+        }
+    }
+
+    pub(super) fn start_host(&mut self, host: IpAddr) -> u64 {
+        let state = self.hosts.entry(host).or_default();
+        if !state.alive {
+            state.generation += 1;
+            state.alive = true;
+            state.killed = Some(watch::Sender::new(false));
+        }
+        state.generation
+    }
+
+    pub(super) fn kill(&mut self, host: IpAddr) {
+        if let Some(state) = self.hosts.get_mut(&host) {
+            state.alive = false;
+            if let Some(killed) = state.killed.take() {
+                killed.send_replace(true);
+            }
+        }
+        self.listeners.retain(|address, _| address.ip() != host);
+    }
+
+    pub(super) fn set_cut(&mut self, one: IpAddr, other: IpAddr, cut: bool) {
+        for (from, to) in [(one, other), (other, one)] {
+            *self.link(from, to).cut.lock() = cut;
+            self.refresh(from, to);
+        }
+    }
+
+    pub(super) fn set_frozen(&mut self, host: IpAddr, frozen: bool) {
+        self.hosts.entry(host).or_default().frozen = frozen;
+        let touched: Vec<_> =
+            self.links.keys().copied().filter(|(from, to)| *from == host || *to == host).collect();
+        for (from, to) in touched {
+            self.refresh(from, to);
+        }
+    }
+
+    pub(super) fn set_extra_delay(&mut self, from: IpAddr, to: IpAddr, extra: Millis) {
+        let link = self.link(from, to);
+        *link.delay.lock() = link.base_delay + Duration::from_millis(extra.0);
+    }
+
+    pub(super) fn bytes_sent(&self, from: IpAddr, to: IpAddr) -> u64 {
+        self.links.get(&(from, to)).map_or(0, |link| link.bytes.load(Ordering::Relaxed))
+    }
+
+    pub(super) fn link(&mut self, from: IpAddr, to: IpAddr) -> Arc<LinkState> {
+        if let Some(link) = self.links.get(&(from, to)) {
+            return Arc::clone(link);
+        }
+        let base_delay = Duration::from_millis((self.delay_between)(from, to).0);
+        let link = Arc::new(LinkState {
+            blocked: watch::Sender::new(self.is_frozen(from) || self.is_frozen(to)),
+            cut: Mutex::new(false),
+            delay: Mutex::new(base_delay),
+            base_delay,
+            jitter: Mutex::new(ChaCha8Rng::from_seed(self.link_seed(from, to))),
+            bytes: AtomicU64::new(0),
+        });
+        self.links.insert((from, to), Arc::clone(&link));
+        link
+    }
+
+    pub(super) fn open(&mut self, from: IpAddr, generation: u64, to: SocketAddr) -> io::Result<SimStream> {
+        let caller_killed = self.killed_signal(from, generation)?;
+        let callee_generation = self.hosts.get(&to.ip()).map_or(0, |host| host.generation);
+        let Some(incoming) = self.listeners.get(&to).cloned() else {
+            return Err(io::ErrorKind::ConnectionRefused.into());
+        };
+        let callee_killed = self.killed_signal(to.ip(), callee_generation)?;
+        let there = self.link(from, to.ip());
+        let back = self.link(to.ip(), from);
+        let (near, far) = pair(there, back, caller_killed, callee_killed);
+        let peer = SocketAddr::new(from, self.take_port());
+        incoming.send((far, peer)).map_err(|_| io::Error::from(io::ErrorKind::ConnectionRefused))?;
+        Ok(near)
+    }
+
+    pub(super) fn listen(
+        &mut self,
+        generation: u64,
+        at: SocketAddr,
+    ) -> io::Result<(SocketAddr, mpsc::UnboundedReceiver<(SimStream, SocketAddr)>)> {
+        self.killed_signal(at.ip(), generation)?;
+        let port = if at.port() == 0 { self.take_port() } else { at.port() };
+        let address = SocketAddr::new(at.ip(), port);
+        if self.listeners.contains_key(&address) {
+            return Err(io::ErrorKind::AddrInUse.into());
+        }
+        let (sender, receiver) = mpsc::unbounded_channel();
+        self.listeners.insert(address, sender);
+        Ok((address, receiver))
+    }
+
+    pub(super) fn stop_listening(&mut self, address: SocketAddr) {
+        // After a restart the address may belong to the next process already.
+        if self.listeners.get(&address).is_some_and(mpsc::UnboundedSender::is_closed) {
+            self.listeners.remove(&address);
+        }
+    }
+
+    fn killed_signal(&self, host: IpAddr, generation: u64) -> io::Result<watch::Receiver<bool>> {
+        let state = self.hosts.get(&host).filter(|state| state.alive && state.generation == generation);
+        let killed = state.and_then(|state| state.killed.as_ref());
+        killed.map(watch::Sender::subscribe).ok_or_else(|| io::ErrorKind::ConnectionRefused.into())
+    }
+
+    fn refresh(&mut self, from: IpAddr, to: IpAddr) {
+        let frozen = self.is_frozen(from) || self.is_frozen(to);
+        let link = self.link(from, to);
+        let blocked = frozen || *link.cut.lock();
+        link.blocked.send_replace(blocked);
+    }
+
+    fn is_frozen(&self, host: IpAddr) -> bool {
+        self.hosts.get(&host).is_some_and(|state| state.frozen)
+    }
+
+    fn take_port(&mut self) -> u16 {
+        let port = self.next_port;
+        self.next_port = self.next_port.checked_add(1).unwrap_or(FIRST_FREE_PORT);
+        port
+    }
+
+    fn link_seed(&self, from: IpAddr, to: IpAddr) -> [u8; 32] {
+        let name = format!("{} {from} {to}", self.seed);
+        *blake3::hash(name.as_bytes()).as_bytes()
+    }
+}
