--- a/testing/sim/src/checkers/versions.rs
+++ b/testing/sim/src/checkers/versions.rs
@@ -59,10 +59,10 @@
                 }
                 accepted.insert(*version);
             }
-            Event::Activated { node, version, snapshot, expected, .. } => {
-                if !accepted.contains(version) || snapshot != expected {
-                    report(recorded.at, Breach::NotThatVersion { node: node.clone(), version: *version });
-                }
+            Event::Activated { node, version, snapshot, expected, .. }
+                if !accepted.contains(version) || snapshot != expected =>
+            {
+                report(recorded.at, Breach::NotThatVersion { node: node.clone(), version: *version });
             }
             _ => {}
         }
--- a/testing/sim/src/lib.rs
+++ b/testing/sim/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod checkers;
 pub mod history;
 pub mod network;
+pub mod schedule;
--- a/testing/sim/tests/checkers.rs
+++ b/testing/sim/tests/checkers.rs
@@ -57,7 +57,7 @@
 
 #[test]
 fn a_restart_into_an_older_version_is_reported() {
-    let start = vec![(0, accepted(1)), (1, accepted(2)), (2, activated(2))];
+    let start = [(0, accepted(1)), (1, accepted(2)), (2, activated(2))];
     let restarted = [(3, Event::Stopped { node: node() }), (4, Event::Started { node: node() })];
     let with =
         |version| start.iter().cloned().chain(restarted.clone()).chain([(5, activated(version))]).collect();
