--- /dev/null
+++ b/crates/config/src/check/fault.rs
@@ -0,0 +1,104 @@
+//! Faults of bundles: where, what is wrong, and the mend.
+
+use std::fmt;
+
+use miette::Diagnostic;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+use umberpond_model::BundleName;
+
+use super::FaultKind;
+use crate::Origin;
+
+/// Kind of an entry of a bundle.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum EntryKind {
+    /// A region and its zones.
+    Region,
+    /// A service.
+    Service,
+    /// A route.
+    Route,
+    /// A secret.
+    Secret,
+}
+
+impl EntryKind {
+    /// The kind as it is written in a bundle.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Region => "region",
+            Self::Service => "service",
+            Self::Route => "route",
+            Self::Secret => "secret",
+        }
+    }
+}
+
+impl fmt::Display for EntryKind {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.as_str())
+    }
+}
+
+/// The entry in which a fault was found.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct EntryName {
+    /// Kind of the entry.
+    pub kind: EntryKind,
+    /// Its name as written.
+    pub name: String,
+}
+
+impl fmt::Display for EntryName {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{} `{}`", self.kind, self.name)
+    }
+}
+
+/// One fault of a bundle, or of the whole that bundles make together. Never carries a secret value.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Error, Serialize, Deserialize)]
+pub struct Fault {
+    /// Bundle in which the fault lies; absent while a bundle has no name yet.
+    pub bundle: Option<BundleName>,
+    /// File and line.
+    pub origin: Origin,
+    /// Entry in which the fault lies, if it lies in one.
+    pub entry: Option<EntryName>,
+    /// Key of the entry that is at fault, if it is one key.
+    pub key: Option<String>,
+    /// What is wrong.
+    pub kind: FaultKind,
+}
+
+impl Fault {
+    /// A fault of a file that lies in no entry.
+    #[must_use]
+    pub const fn of_file(origin: Origin, kind: FaultKind) -> Self {
+        Self { bundle: None, origin, entry: None, key: None, kind }
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(bundle) = &self.bundle {
+            write!(formatter, "bundle `{bundle}`, ")?;
+        }
+        write!(formatter, "{}: ", self.origin)?;
+        if let Some(entry) = &self.entry {
+            write!(formatter, "{entry}: ")?;
+        }
+        if let Some(key) = &self.key {
+            write!(formatter, "`{key}`: ")?;
+        }
+        fmt::Display::fmt(&self.kind, formatter)
+    }
+}
+
+impl Diagnostic for Fault {
+    fn help<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
+        Some(Box::new(self.kind.mend()))
+    }
+}
--- a/crates/config/src/delta.rs
+++ b/crates/config/src/delta.rs
@@ -5,9 +5,13 @@
 use bitcode::{Decode, Encode};
 use umberpond_model::{RouteName, SecretName, ServiceName};
 
-use crate::{Route, Secret, Service, Snapshot, Topology};
+use crate::encoding::{self, DecodeError};
+use crate::{Entry, Route, Secret, Service, Snapshot, Topology};
 
 /// What changes between two snapshots: a value sets an entry, `None` removes it.
+///
+/// Deltas are taken inside a scope: `between(before.restrict(s), after.restrict(s))` leads a node that holds the
+/// restriction of `before` to the restriction of `after`, and names nothing outside the scope.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Encode, Decode)]
 pub struct Delta {
     /// The new topology, if it changes.
@@ -23,8 +27,14 @@
 impl Delta {
     /// The delta that leads from `before` to `after`. `between(&Snapshot::default(), s)` is a full transfer of `s`.
     #[must_use]
-    pub fn between(_before: &Snapshot, _after: &Snapshot) -> Self {
-        unimplemented!()
+    pub fn between(before: &Snapshot, after: &Snapshot) -> Self {
+        let topology_changes = before.topology != after.topology;
+        Self {
+            topology: topology_changes.then(|| after.topology.clone()),
+            services: changes(&before.services, &after.services),
+            routes: changes(&before.routes, &after.routes),
+            secrets: changes(&before.secrets, &after.secrets),
+        }
     }
 
     /// Whether nothing changes.
@@ -38,7 +48,52 @@
 
     /// The snapshot that results from applying this delta to `before`.
     #[must_use]
-    pub fn apply(&self, _before: &Snapshot) -> Snapshot {
-        unimplemented!()
+    pub fn apply(&self, before: &Snapshot) -> Snapshot {
+        let mut after = before.clone();
+        if let Some(topology) = &self.topology {
+            after.topology.clone_from(topology);
+        }
+        apply_changes(&mut after.services, &self.services);
+        apply_changes(&mut after.routes, &self.routes);
+        apply_changes(&mut after.secrets, &self.secrets);
+        after
+    }
+
+    /// The delta as bytes; [`Delta::from_bytes`] reads it back.
+    #[must_use]
+    pub fn to_bytes(&self) -> Vec<u8> {
+        encoding::encode(self)
+    }
+
+    /// Reads what [`Delta::to_bytes`] wrote.
+    ///
+    /// # Errors
+    /// Returns [`DecodeError`] for an unknown schema or damaged bytes.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, DecodeError> {
+        encoding::decode(bytes)
+    }
+}
+
+fn changes<K: Ord + Clone, T: Clone>(
+    before: &BTreeMap<K, Entry<T>>,
+    after: &BTreeMap<K, Entry<T>>,
+) -> BTreeMap<K, Option<T>> {
+    let removed = before.keys().filter(|name| !after.contains_key(*name)).map(|name| (name.clone(), None));
+    let set = after
+        .iter()
+        .filter(|(name, entry)| before.get(*name) != Some(*entry))
+        .map(|(name, entry)| (name.clone(), Some(T::clone(entry))));
+    removed.chain(set).collect()
+}
+
+fn apply_changes<K: Ord + Clone, T: Clone + Encode>(
+    entries: &mut BTreeMap<K, Entry<T>>,
+    changes: &BTreeMap<K, Option<T>>,
+) {
+    for (name, change) in changes {
+        match change {
+            Some(value) => entries.insert(name.clone(), Entry::new(value.clone())),
+            None => entries.remove(name),
+        };
     }
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -3,18 +3,29 @@
 //! Operators write a *bundle* (a directory of TOML files). All bundles in force are joined, checked as a whole
 //! and compiled into one closed [`Snapshot`]; a node holds the part of it that its [`Scope`] covers.
 
+mod bundle;
+mod check;
+mod closure;
+mod content_hasher;
 mod delta;
+mod encoding;
 mod entry;
+mod origin;
 mod route;
 mod scope;
 mod secret;
 mod service;
 mod snapshot;
 
+pub use bundle::Bundle;
+pub use check::{CheckReport, EntryKind, EntryName, Fault, FaultKind, join};
+pub use closure::ClosureError;
 pub use delta::Delta;
+pub use encoding::DecodeError;
 pub use entry::Entry;
+pub use origin::{Origin, Sourced};
 pub use route::{HeaderCredential, RequestClass, Route};
 pub use scope::Scope;
 pub use secret::{SealedValue, Secret};
-pub use service::{SealKey, Service};
+pub use service::{InvalidSealKey, SEAL_KEY_BYTES, SealKey, Service};
 pub use snapshot::{Snapshot, Topology};
--- /dev/null
+++ b/crates/config/src/origin.rs
@@ -0,0 +1,33 @@
+//! Where an entry was written, for faults that are found later.
+
+use std::fmt;
+
+use bitcode::{Decode, Encode};
+use serde::{Deserialize, Serialize};
+
+/// A file of a bundle and a line in it.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode, Serialize, Deserialize)]
+pub struct Origin {
+    /// File name relative to the bundle's directory.
+    pub file: String,
+    /// Line, counted from 1; 0 stands for the file as a whole.
+    pub line: u32,
+}
+
+impl fmt::Display for Origin {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.line {
+            0 => formatter.write_str(&self.file),
+            line => write!(formatter, "{}:{line}", self.file),
+        }
+    }
+}
+
+/// A value together with the place where it was written. The origin is no part of the snapshot or its hash.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode, Serialize, Deserialize)]
+pub struct Sourced<T> {
+    /// Where the value was written.
+    pub origin: Origin,
+    /// The value.
+    pub value: T,
+}
--- a/crates/config/src/route.rs
+++ b/crates/config/src/route.rs
@@ -23,7 +23,7 @@
 }
 
 /// A request header that the outbound proxy sets from a secret.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Encode, Decode, Serialize, Deserialize)]
 pub struct HeaderCredential {
     /// Lower-case header name.
     pub header: String,
@@ -32,7 +32,7 @@
 }
 
 /// One route as it is in force.
-#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode, Serialize, Deserialize)]
 pub struct Route {
     /// Name of the route.
     pub name: RouteName,
--- a/crates/config/src/scope.rs
+++ b/crates/config/src/scope.rs
@@ -14,3 +14,14 @@
     /// What these services need as callers, and the services themselves.
     Callers(BTreeSet<ServiceName>),
 }
+
+impl Scope {
+    /// Whether `service` is one of the callers that this scope serves.
+    #[must_use]
+    pub fn covers_caller(&self, service: &ServiceName) -> bool {
+        match self {
+            Self::Full => true,
+            Self::Callers(callers) => callers.contains(service),
+        }
+    }
+}
--- a/crates/config/src/snapshot.rs
+++ b/crates/config/src/snapshot.rs
@@ -4,7 +4,9 @@
 
 use umberpond_model::{ContentHash, RegionName, RouteName, SecretName, ServiceName, ZoneName};
 
-use crate::{Entry, Route, Scope, Secret, Service};
+use crate::content_hasher::ContentHasher;
+use crate::encoding::{self, DecodeError};
+use crate::{Delta, Entry, Route, Scope, Secret, Service};
 
 /// Regions and their zones.
 pub type Topology = BTreeMap<RegionName, BTreeSet<ZoneName>>;
@@ -23,15 +25,84 @@
 }
 
 impl Snapshot {
-    /// Hash of the content, equal for equal content however it was reached.
+    /// Hash of the content, equal for equal content however it was reached. Covers the topology and, of each entry,
+    /// the kind, the name and the entry's own hash.
     #[must_use]
     pub fn content_hash(&self) -> ContentHash {
-        unimplemented!()
+        let mut hasher = ContentHasher::new();
+        hasher.topology(&self.topology);
+        hasher.entries("service", &self.services);
+        hasher.entries("route", &self.routes);
+        hasher.entries("secret", &self.secrets);
+        hasher.finish()
     }
 
     /// The part of this snapshot that `scope` covers. Closed if this snapshot is closed.
+    ///
+    /// A secret keeps only the sealed values of services in the scope; a route keeps all its callers.
     #[must_use]
-    pub fn restrict(&self, _scope: &Scope) -> Self {
-        unimplemented!()
+    pub fn restrict(&self, scope: &Scope) -> Self {
+        let Scope::Callers(callers) = scope else {
+            return self.clone();
+        };
+        let routes = self.routes_of(callers);
+        Self {
+            topology: self.topology.clone(),
+            services: self.services_behind(&routes, callers),
+            secrets: self.secrets_used(&routes, callers),
+            routes,
+        }
+    }
+
+    /// The whole content as bytes; [`Snapshot::from_bytes`] reads it back.
+    #[must_use]
+    pub fn to_bytes(&self) -> Vec<u8> {
+        encoding::encode(&Delta::between(&Self::default(), self))
+    }
+
+    /// Reads what [`Snapshot::to_bytes`] wrote.
+    ///
+    /// # Errors
+    /// Returns [`DecodeError`] for an unknown schema or damaged bytes.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, DecodeError> {
+        let content: Delta = encoding::decode(bytes)?;
+        Ok(content.apply(&Self::default()))
+    }
+
+    fn routes_of(&self, callers: &BTreeSet<ServiceName>) -> BTreeMap<RouteName, Entry<Route>> {
+        let is_called = |route: &Route| route.callers.iter().any(|caller| callers.contains(caller));
+        self.routes
+            .iter()
+            .filter(|(_, route)| is_called(route))
+            .map(|(name, route)| (name.clone(), route.clone()))
+            .collect()
+    }
+
+    fn services_behind(
+        &self,
+        routes: &BTreeMap<RouteName, Entry<Route>>,
+        callers: &BTreeSet<ServiceName>,
+    ) -> BTreeMap<ServiceName, Entry<Service>> {
+        let called = routes.values().map(|route| &route.service);
+        let needed: BTreeSet<&ServiceName> = called.chain(callers).collect();
+        needed
+            .into_iter()
+            .filter_map(|name| self.services.get_key_value(name))
+            .map(|(name, service)| (name.clone(), service.clone()))
+            .collect()
+    }
+
+    fn secrets_used(
+        &self,
+        routes: &BTreeMap<RouteName, Entry<Route>>,
+        callers: &BTreeSet<ServiceName>,
+    ) -> BTreeMap<SecretName, Entry<Secret>> {
+        let credentials = routes.values().flat_map(|route| &route.credentials);
+        let needed: BTreeSet<&SecretName> = credentials.map(|credential| &credential.secret).collect();
+        needed
+            .into_iter()
+            .filter_map(|name| self.secrets.get_key_value(name))
+            .map(|(name, secret)| (name.clone(), Entry::new(secret.restrict(callers))))
+            .collect()
     }
 }
--- /dev/null
+++ b/crates/config/tests/support/mod.rs
@@ -0,0 +1,125 @@
+//! Small configurations for tests, made from a seed or by hand.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use umberpond_config::{
+    Bundle, HeaderCredential, Origin, RequestClass, Route, Scope, SealKey, SealedValue, Secret, Service,
+    Snapshot, Sourced, join,
+};
+use umberpond_model::{BundleName, LocalityRule, Millis, ServiceName, ZoneName};
+
+pub fn name<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("test names are valid")
+}
+
+pub fn sourced<T>(file: &str, line: u32, value: T) -> Sourced<T> {
+    Sourced { origin: Origin { file: file.to_owned(), line }, value }
+}
+
+pub fn service(text: &str) -> Service {
+    Service {
+        name: name(text),
+        allowed: vec![LocalityRule { region: name("north"), zone: None }],
+        slots: 20,
+        connections: 130,
+        seal_key: Some(SealKey([7; 32])),
+    }
+}
+
+pub fn secret(text: &str, readers: &[&str]) -> Secret {
+    let sealed = |reader: &&str| (name(reader), SealedValue(format!("sealed for {reader}").into_bytes()));
+    Secret { name: name(text), readers: readers.iter().map(sealed).collect() }
+}
+
+pub fn route(text: &str, service: &str, callers: &[&str], prefix: &str) -> Route {
+    Route {
+        name: name(text),
+        service: name(service),
+        callers: callers.iter().map(|caller| name(caller)).collect(),
+        path_prefix: prefix.to_owned(),
+        methods: BTreeSet::new(),
+        idempotent: false,
+        class: RequestClass::Status,
+        timeout: Millis(2_000),
+        credentials: Vec::new(),
+    }
+}
+
+pub fn with_credential(mut route: Route, secret: &str) -> Route {
+    route.credentials.push(HeaderCredential { header: "authorization".to_owned(), secret: name(secret) });
+    route
+}
+
+/// A bundle with region `north` (zones `a` and `b`) and the given entries, from file `all.toml`.
+pub fn bundle(services: &[&str], routes: Vec<Route>, secrets: Vec<Secret>) -> Bundle {
+    let zones: BTreeSet<ZoneName> = [name("a"), name("b")].into();
+    Bundle {
+        topology: [(name("north"), sourced("all.toml", 1, zones))].into(),
+        ..without_topology(services, routes, secrets)
+    }
+}
+
+pub fn without_topology(services: &[&str], routes: Vec<Route>, secrets: Vec<Secret>) -> Bundle {
+    let line = |kind: u32, index: usize| kind * 100 + u32::try_from(index).expect("few entries");
+    let services = services.iter().enumerate();
+    let routes = routes.into_iter().enumerate();
+    let secrets = secrets.into_iter().enumerate();
+    Bundle {
+        topology: BTreeMap::new(),
+        services: services.map(|(i, s)| (name(s), sourced("all.toml", line(1, i), service(s)))).collect(),
+        routes: routes.map(|(i, r)| (r.name.clone(), sourced("all.toml", line(2, i), r))).collect(),
+        secrets: secrets.map(|(i, s)| (s.name.clone(), sourced("all.toml", line(3, i), s))).collect(),
+    }
+}
+
+pub fn in_force(bundles: Vec<(&str, Bundle)>) -> BTreeMap<BundleName, Arc<Bundle>> {
+    bundles.into_iter().map(|(text, bundle)| (name(text), Arc::new(bundle))).collect()
+}
+
+pub fn scope(callers: &[&str]) -> Scope {
+    Scope::Callers(callers.iter().map(|caller| name(caller)).collect())
+}
+
+/// A closed snapshot made from `seed`; snapshots of neighbouring seeds share many names.
+pub fn random_snapshot(seed: u64) -> Snapshot {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let services = random_names(&mut rng);
+    let secrets: Vec<Secret> = (0..3).map(|i| secret(&format!("key-{i}"), &services)).collect();
+    let routes = (0..rng.random_range(0..12)).map(|index| random_route(&mut rng, index, &services));
+    let bundle = bundle(&services, routes.collect(), secrets);
+    join(&in_force(vec![("all", bundle)])).expect("made closed")
+}
+
+fn random_names(rng: &mut impl Rng) -> Vec<&'static str> {
+    let mut names = vec!["archive", "billing", "solver", "web", "desk", "records"];
+    names.remove(rng.random_range(0..names.len()));
+    names
+}
+
+fn random_route(rng: &mut impl Rng, index: usize, services: &[&str]) -> Route {
+    let target = services[rng.random_range(0..services.len())];
+    let caller = services[rng.random_range(0..services.len())];
+    let second = services[rng.random_range(0..services.len())];
+    let mut route = route(&format!("route-{index}"), target, &[caller, second], &format!("/path-{index}"));
+    route.idempotent = rng.random_bool(0.5);
+    if rng.random_bool(0.5) {
+        return with_credential(route, &format!("key-{}", rng.random_range(0..3)));
+    }
+    route
+}
+
+/// A scope of one to two of the services that [`random_snapshot`] uses.
+pub fn random_scope(seed: u64) -> Scope {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let names = random_names(&mut rng);
+    let callers: BTreeSet<ServiceName> =
+        (0..2).map(|_| name(names[rng.random_range(0..names.len())])).collect();
+    Scope::Callers(callers)
+}
