--- /dev/null
+++ b/crates/platform/src/client.rs
@@ -0,0 +1,167 @@
+//! The client over HTTP/1.1.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use http::{Method, Response, StatusCode};
+use serde::de::DeserializeOwned;
+use umberpond_net::Network;
+
+use crate::exchange::{Exchange, RequestParts, object_version, refusal};
+use crate::watch::open_watch;
+use crate::{
+    ListPage, Object, ObjectKind, ObjectStore, ObjectVersion, PlatformError, PlatformGate, Revision,
+    UnknownCause, WatchError, WatchStream,
+};
+
+/// Time and size limits of a client.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ClientSettings {
+    /// Longest time for one request, its wait at the gate included.
+    pub request_limit: Duration,
+    /// Longest silence of a watch. The platform sends a heartbeat every five seconds.
+    pub heartbeat_limit: Duration,
+    /// Largest object or answer, in bytes.
+    pub max_object_bytes: usize,
+}
+
+impl Default for ClientSettings {
+    fn default() -> Self {
+        Self {
+            request_limit: Duration::from_secs(3),
+            heartbeat_limit: Duration::from_secs(12),
+            max_object_bytes: 16 * 1024 * 1024,
+        }
+    }
+}
+
+/// Client of one platform address. Cheap to clone; all clones share the gate.
+#[derive(Clone)]
+pub struct PlatformClient {
+    pub(crate) exchange: Exchange,
+}
+
+impl fmt::Debug for PlatformClient {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("PlatformClient")
+            .field("address", &self.exchange.address)
+            .finish_non_exhaustive()
+    }
+}
+
+impl PlatformClient {
+    /// A client of the platform at `address` whose requests pass `gate`.
+    #[must_use]
+    pub fn new(
+        network: Arc<dyn Network>,
+        address: SocketAddr,
+        gate: PlatformGate,
+        settings: ClientSettings,
+    ) -> Self {
+        Self { exchange: Exchange { network, address, gate, settings } }
+    }
+}
+
+/// Decodes a JSON answer.
+pub(crate) fn decode_json<T: DeserializeOwned>(body: &Bytes) -> Result<T, PlatformError> {
+    serde_json::from_slice(body).map_err(|_| PlatformError::OutcomeUnknown { cause: UnknownCause::Malformed })
+}
+
+fn object_path(kind: ObjectKind, name: &str) -> String {
+    format!("/v1/objects/{kind}/{name}")
+}
+
+/// The answer to a change: the version that stands after it, or what stood in its way.
+fn changed(response: &Response<Bytes>) -> Result<ObjectVersion, PlatformError> {
+    match response.status() {
+        StatusCode::OK | StatusCode::CREATED => {
+            object_version(response).ok_or(PlatformError::OutcomeUnknown { cause: UnknownCause::Malformed })
+        }
+        StatusCode::CONFLICT => Err(PlatformError::Conflict { standing: object_version(response) }),
+        StatusCode::NOT_FOUND => Err(PlatformError::NotFound),
+        _ => Err(refusal(response)),
+    }
+}
+
+#[async_trait]
+impl ObjectStore for PlatformClient {
+    async fn get(&self, kind: ObjectKind, name: &str) -> Result<Option<Object>, PlatformError> {
+        let request = RequestParts::new(Method::GET, object_path(kind, name)).named(name);
+        let response = self.exchange.run(request).await?;
+        match response.status() {
+            StatusCode::OK => {
+                let version = object_version(&response)
+                    .ok_or(PlatformError::OutcomeUnknown { cause: UnknownCause::Malformed })?;
+                Ok(Some(Object { version, value: response.into_body() }))
+            }
+            StatusCode::NOT_FOUND => Ok(None),
+            _ => Err(refusal(&response)),
+        }
+    }
+
+    async fn list(
+        &self,
+        kind: ObjectKind,
+        after: Option<&str>,
+        limit: usize,
+    ) -> Result<ListPage, PlatformError> {
+        let after = after.unwrap_or_default();
+        let path = format!("/v1/objects/{kind}?after={after}&limit={limit}");
+        let request = RequestParts::new(Method::GET, path).named(after);
+        let response = self.exchange.run(request).await?;
+        match response.status() {
+            StatusCode::OK => decode_json(response.body()),
+            _ => Err(refusal(&response)),
+        }
+    }
+
+    async fn create(
+        &self,
+        kind: ObjectKind,
+        name: &str,
+        value: Bytes,
+    ) -> Result<ObjectVersion, PlatformError> {
+        let request = RequestParts::new(Method::POST, object_path(kind, name)).named(name).body(value);
+        changed(&self.exchange.run(request).await?)
+    }
+
+    async fn put_if(
+        &self,
+        kind: ObjectKind,
+        name: &str,
+        expected: ObjectVersion,
+        value: Bytes,
+    ) -> Result<ObjectVersion, PlatformError> {
+        let request = RequestParts::new(Method::PUT, object_path(kind, name))
+            .named(name)
+            .if_match(expected)
+            .body(value);
+        changed(&self.exchange.run(request).await?)
+    }
+
+    async fn delete(
+        &self,
+        kind: ObjectKind,
+        name: &str,
+        expected: ObjectVersion,
+    ) -> Result<(), PlatformError> {
+        let request =
+            RequestParts::new(Method::DELETE, object_path(kind, name)).named(name).if_match(expected);
+        let response = self.exchange.run(request).await?;
+        match response.status() {
+            StatusCode::OK | StatusCode::NO_CONTENT => Ok(()),
+            StatusCode::CONFLICT => Err(PlatformError::Conflict { standing: object_version(&response) }),
+            StatusCode::NOT_FOUND => Err(PlatformError::NotFound),
+            _ => Err(refusal(&response)),
+        }
+    }
+
+    async fn watch(&self, kind: ObjectKind, after: Revision) -> Result<WatchStream, WatchError> {
+        open_watch(&self.exchange, kind, after).await
+    }
+}
