--- /dev/null
+++ b/crates/proxy/src/settings.rs
@@ -0,0 +1,81 @@
+//! Limits and time limits of the request path.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Limits and time limits of both halves. The defaults suit the sizes of the planned deployments.
+#[derive(Debug, Clone)]
+pub struct ProxySettings {
+    /// Largest request head, in bytes.
+    pub max_head_bytes: usize,
+    /// Most header fields of a request.
+    pub max_headers: usize,
+    /// Longest time from the first byte of a head, or from the connection's start, to the end of that head.
+    pub head_read_timeout: Duration,
+    /// Longest time between two parts of a request body before its sender counts as too slow.
+    pub body_read_timeout: Duration,
+    /// Longest time to open a connection.
+    pub connect_timeout: Duration,
+    /// Most connections to one endpoint.
+    pub connections_per_endpoint: usize,
+    /// Longest time an idle connection is kept for reuse. Shorter than the time a server keeps one open.
+    pub idle_timeout: Duration,
+    /// Most connections that one listener serves at once.
+    pub max_connections: usize,
+    /// Largest body, in bytes, that is kept so that the request can be sent again.
+    pub replay_limit_bytes: usize,
+    /// Most attempts of one request, the first one included.
+    pub max_attempts: u32,
+    /// Time limit of a request with no limit of its own (inbound side, if the deadline header is absent).
+    pub default_timeout: Duration,
+    /// How long a draining listener goes on refusing politely before it closes idle connections.
+    pub drain_grace: Duration,
+}
+
+impl Default for ProxySettings {
+    fn default() -> Self {
+        Self {
+            max_head_bytes: 16 * 1024,
+            max_headers: 64,
+            head_read_timeout: Duration::from_secs(5),
+            body_read_timeout: Duration::from_secs(10),
+            connect_timeout: Duration::from_millis(500),
+            connections_per_endpoint: 32,
+            idle_timeout: Duration::from_secs(30),
+            max_connections: 4_096,
+            replay_limit_bytes: 64 * 1024,
+            max_attempts: 3,
+            default_timeout: Duration::from_secs(10),
+            drain_grace: Duration::from_secs(3),
+        }
+    }
+}
+
+/// The local back end and how it is checked.
+#[derive(Debug, Clone)]
+pub struct BackendSettings {
+    /// Address of the back end.
+    pub address: SocketAddr,
+    /// Time between two health checks.
+    pub check_interval: Duration,
+    /// Longest time a health check may take.
+    pub check_timeout: Duration,
+    /// Failed checks in a row after which the back end counts as not ready.
+    pub failures_to_unready: u32,
+    /// Good checks in a row after which it counts as ready.
+    pub successes_to_ready: u32,
+}
+
+impl BackendSettings {
+    /// The usual check of a back end at `address`.
+    #[must_use]
+    pub const fn at(address: SocketAddr) -> Self {
+        Self {
+            address,
+            check_interval: Duration::from_secs(1),
+            check_timeout: Duration::from_millis(500),
+            failures_to_unready: 3,
+            successes_to_ready: 1,
+        }
+    }
+}
