Add the event catalogue, log output and metrics

The daemon needs numbered events from one catalogue and metrics before its parts can tell anything. A global logger was ruled out: several nodes share one process in the simulation, so each has a Telemetry handle with a logforth logger of its own, or an observer instead.

--- /dev/null
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -0,0 +1,116 @@
+//! The catalogue of events. A number is never used twice, nor for another event once it was published.
+//!
+//! Ranges: 1xxx program, 2xxx configuration and overlay, 3xxx endpoints, 4xxx requests, 5xxx platform.
+
+#[macro_use]
+mod declare;
+
+use std::net::SocketAddr;
+
+use umberpond_model::{BundleName, EndpointStatus, Incarnation, NodeName, SecretName, SubmissionId, Version};
+
+use crate::{CatalogueEntry, Field, FieldValue, Severity};
+
+catalogue! {
+    // Program
+    NodeStarted { node: NodeName, incarnation: Incarnation, program_version: &'static str }
+        = 1001, Info, "node-started", "The process has started; its listeners are about to open.";
+    Listening { listener: &'static str, address: SocketAddr }
+        = 1002, Info, "listening", "A listener is open.";
+    BecameReady { version: Version }
+        = 1003, Info, "became-ready", "A configuration is in force, its version floor is proved and the back end takes work.";
+    BecameUnready { reason: String }
+        = 1004, Warn, "became-unready", "The node is not ready, for the reason given.";
+    DrainStarted { outstanding: u64, timeout_millis: u64 }
+        = 1010, Info, "drain-started", "A planned stop: new work is refused, what is in flight is finished.";
+    DrainFinished { waited_millis: u64 }
+        = 1011, Info, "drain-finished", "Nothing is in flight any more; the process leaves.";
+    DrainTimedOut { cut: u64 }
+        = 1012, Error, "drain-timed-out", "The drain timeout has passed; the requests still in flight are cut.";
+    StoppedAtOnce { cut: u64 }
+        = 1013, Warn, "stopped-at-once", "A second signal: the process leaves at once and cuts what is in flight.";
+    ActorFailed { actor: &'static str, reason: String }
+        = 1014, Error, "actor-failed", "A control actor has ended against plan; the process leaves so that it is started afresh.";
+    AcceptFailed { listener: &'static str, reason: String }
+        = 1015, Warn, "accept-failed", "A connection could not be accepted; the listener stays open.";
+    OperatorRequestRefused { status: u16, reason: String }
+        = 1016, Info, "operator-request-refused", "A request to the admin address was refused.";
+
+    // Configuration and overlay
+    VersionHeld { version: Version }
+        = 2001, Debug, "version-held", "A newer version has arrived; it is not in force yet.";
+    VersionCommitted { version: Version }
+        = 2002, Debug, "version-committed", "A majority of the witnesses holds the version, so it may be put in force.";
+    VersionActivated { version: Version, routes: u64, secrets: u64 }
+        = 2003, Info, "version-activated", "The version is in force on this node.";
+    FloorProved { version: Version }
+        = 2004, Info, "floor-proved", "No version above this one was in force anywhere before the node started.";
+    ActivationFailed { version: Version, reason: String }
+        = 2005, Error, "activation-failed", "The version could not be compiled; what was in force stays in force.";
+    SecretNotOpened { secret: SecretName, reason: String }
+        = 2006, Error, "secret-not-opened", "A secret could not be opened with the node's seal key; routes that need it are refused.";
+    OverlayDecision { decision: String }
+        = 2010, Debug, "overlay-decision", "The overlay has decided something; the recording holds the reason.";
+    RoleGained { role: &'static str }
+        = 2011, Info, "role-gained", "The node has taken a control role.";
+    RoleLost { role: &'static str }
+        = 2012, Info, "role-lost", "The node has given a control role up.";
+    ControlConnected { peer: SocketAddr }
+        = 2013, Debug, "control-connected", "A control connection stands.";
+    ControlConnectFailed { peer: SocketAddr, reason: String }
+        = 2014, Debug, "control-connect-failed", "A control connection could not be made.";
+    ControlDisconnected { reason: String }
+        = 2015, Debug, "control-disconnected", "A control connection has ended.";
+    ControlMessageRefused { reason: String }
+        = 2016, Warn, "control-message-refused", "A peer sent a frame that is no message of this protocol; the connection is closed and nothing changes.";
+    SubmissionAccepted { bundle: BundleName, submission: SubmissionId, version: Version }
+        = 2020, Info, "submission-accepted", "A bundle was accepted and became a version.";
+    SubmissionRefused { bundle: BundleName, submission: SubmissionId, reason: String }
+        = 2021, Info, "submission-refused", "A bundle was refused by the checker or lost against another submission; nothing changed.";
+    SubmissionNotAccepted { bundle: BundleName, submission: SubmissionId, reason: String }
+        = 2022, Warn, "submission-not-accepted", "The platform could not be reached in time; nothing changed.";
+    SubmissionUnknown { bundle: BundleName, submission: SubmissionId }
+        = 2023, Warn, "submission-unknown", "The answer of the platform was lost; the submission is resolved by its identifier.";
+
+    // Endpoints
+    OwnStatusChanged { status: EndpointStatus, sequence: u64 }
+        = 3001, Info, "own-status-changed", "The status of the back end beside this node has changed.";
+    EndpointsChanged { count: u64 }
+        = 3002, Debug, "endpoints-changed", "The endpoint records that this node's callers use have changed.";
+    BackEndUnhealthy { reason: String }
+        = 3003, Warn, "back-end-unhealthy", "The back end failed its health check.";
+    EndpointEjected { endpoint: NodeName }
+        = 3004, Warn, "endpoint-ejected", "An endpoint kept failing and is left out for a while.";
+    EndpointReadmitted { endpoint: NodeName }
+        = 3005, Info, "endpoint-readmitted", "An ejected endpoint takes requests again.";
+
+    // Requests
+    RequestFinished { half: &'static str, outcome: &'static str, status: u16, request: String, micros: u64 }
+        = 4001, Debug, "request-finished", "A request has its final answer.";
+    RequestMalformed { half: &'static str, reason: String }
+        = 4002, Info, "request-malformed", "A request broke the protocol; it was refused and its connection closed.";
+    OutcomeUnknown { half: &'static str, request: String, reason: String }
+        = 4003, Warn, "outcome-unknown", "A request that may not run twice was sent and its answer was lost.";
+    AnswerCut { half: &'static str, request: String }
+        = 4004, Warn, "answer-cut", "An answer broke off; the caller's connection was broken too, so that it can't be taken for whole.";
+    DuplicateRefused { request: String }
+        = 4005, Info, "duplicate-refused", "A request that was admitted before arrived again and was refused.";
+    RetryBudgetSpent { request: String }
+        = 4006, Info, "retry-budget-spent", "A request was not tried again because the retry budget is spent.";
+
+    // Platform
+    LeaseGranted { lease: String }
+        = 5001, Info, "lease-granted", "The node holds a reader lease.";
+    LeaseLost { lease: String }
+        = 5002, Info, "lease-lost", "The reader lease was refused, lost or given back.";
+    PlatformUnavailable { operation: &'static str, reason: String }
+        = 5003, Warn, "platform-unavailable", "The platform did not answer; the node goes on with what it has and tries again with backoff.";
+    PlatformAvailable {}
+        = 5004, Info, "platform-available", "The platform answers again.";
+    WatchStarted { after: u64 }
+        = 5005, Info, "watch-started", "The node watches the head on the platform.";
+    WatchTooOld { oldest: u64 }
+        = 5006, Info, "watch-too-old", "The platform has dropped the watched changes; the whole state is read instead.";
+    ObjectUnreadable { object: String, reason: String }
+        = 5007, Error, "object-unreadable", "An object on the platform can't be understood; nothing is changed by it.";
+}
--- /dev/null
+++ b/crates/telemetry/src/logging.rs
@@ -0,0 +1,69 @@
+//! Log output through `logforth`: one line an event, as text or as JSON, on standard error.
+
+use std::panic::Location;
+
+use logforth::append::Stderr;
+use logforth::core::Logger;
+use logforth::kv::{Key, Value};
+use logforth::layout::{JsonLayout, TextLayout};
+use logforth::record::{Level, LevelFilter, Record};
+use serde::{Deserialize, Serialize};
+
+use crate::{Event, Field, FieldValue, Severity};
+
+/// Name under which all events are logged.
+const LOG_TARGET: &str = "umberpond";
+
+/// Form of the log lines.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LogFormat {
+    /// For people.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// A logger of its own on standard error; nothing global is set.
+pub(crate) fn logger(format: LogFormat, least: Severity) -> Logger {
+    let append = match format {
+        LogFormat::Text => Stderr::default().with_layout(TextLayout::default().no_color()),
+        LogFormat::Json => Stderr::default().with_layout(JsonLayout::default()),
+    };
+    let filter = LevelFilter::MoreSevereEqual(level(least));
+    logforth::core::builder().dispatch(|dispatch| dispatch.filter(filter).append(append)).build()
+}
+
+/// Writes `event`, told at `location`, to `logger`.
+pub(crate) fn log(logger: &Logger, event: &Event, location: &'static Location<'static>) {
+    let fields = event.fields();
+    let mut values = Vec::with_capacity(fields.len() + 2);
+    values.push((Key::new("event"), Value::u64(u64::from(event.number()))));
+    values.push((Key::new("name"), Value::static_str(event.slug())));
+    values.extend(fields.iter().map(key_value));
+    let builder = Record::builder()
+        .level(level(event.severity()))
+        .target_static(LOG_TARGET)
+        .file_static(location.file())
+        .line(Some(location.line()))
+        .key_values(values.as_slice());
+    logger.log(&builder.payload(format_args!("{}", event.meaning())).build());
+}
+
+fn key_value(field: &Field) -> (Key<'_>, Value<'_>) {
+    let value = match &field.value {
+        FieldValue::Number(number) => Value::u64(*number),
+        FieldValue::Text(text) => Value::str(text),
+    };
+    (Key::new(field.name), value)
+}
+
+const fn level(severity: Severity) -> Level {
+    match severity {
+        Severity::Debug => Level::Debug,
+        Severity::Info => Level::Info,
+        Severity::Warn => Level::Warn,
+        Severity::Error => Level::Error,
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/metrics.rs
@@ -0,0 +1,279 @@
+//! Metrics of one node in the Prometheus text format.
+
+use prometheus_client::encoding::{EncodeLabelSet, text};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+
+/// First bucket of the request histogram, in seconds.
+const FIRST_BUCKET_SECONDS: f64 = 0.000_25;
+/// Factor between two buckets.
+const BUCKET_FACTOR: f64 = 2.0;
+/// Number of buckets; the last one ends at about 16 s.
+const BUCKETS: u16 = 17;
+
+/// Direction of control bytes as seen from the node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Direction {
+    /// Received.
+    In,
+    /// Sent.
+    Out,
+}
+
+impl Direction {
+    /// Value of the label.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::In => "in",
+            Self::Out => "out",
+        }
+    }
+}
+
+/// Half of the request path.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Half {
+    /// Towards the node's own back end.
+    Inbound,
+    /// From the node's own callers.
+    Outbound,
+}
+
+impl Half {
+    /// Value of the label.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Inbound => "inbound",
+            Self::Outbound => "outbound",
+        }
+    }
+}
+
+/// How far a version has come on this node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum VersionStage {
+    /// Newest version held.
+    Held,
+    /// Newest version known to be committed.
+    Committed,
+    /// Version in force.
+    Active,
+    /// Proved version floor.
+    Floor,
+}
+
+impl VersionStage {
+    /// Value of the label.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Held => "held",
+            Self::Committed => "committed",
+            Self::Active => "active",
+            Self::Floor => "floor",
+        }
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ControlLabels {
+    direction: &'static str,
+    kind: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ExchangeLabels {
+    half: &'static str,
+    outcome: &'static str,
+    status: u16,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PlatformLabels {
+    operation: &'static str,
+    outcome: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RoleLabels {
+    role: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StageLabels {
+    stage: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct HalfLabels {
+    half: &'static str,
+}
+
+/// Metrics of one node.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    control_bytes: Family<ControlLabels, Counter>,
+    control_messages: Family<ControlLabels, Counter>,
+    control_connections: Gauge,
+    requests: Family<ExchangeLabels, Counter>,
+    request_seconds: Family<HalfLabels, Histogram>,
+    attempts: Counter,
+    versions: Family<StageLabels, Gauge>,
+    roles: Family<RoleLabels, Gauge>,
+    platform_requests: Family<PlatformLabels, Counter>,
+    endpoints: Gauge,
+    ready: Gauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("umberpond"),
+            control_bytes: Family::default(),
+            control_messages: Family::default(),
+            control_connections: Gauge::default(),
+            requests: Family::default(),
+            request_seconds: Family::new_with_constructor(request_histogram),
+            attempts: Counter::default(),
+            versions: Family::default(),
+            roles: Family::default(),
+            platform_requests: Family::default(),
+            endpoints: Gauge::default(),
+            ready: Gauge::default(),
+        };
+        metrics.register_control();
+        metrics.register_requests();
+        metrics
+    }
+}
+
+fn request_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET_SECONDS, BUCKET_FACTOR, BUCKETS))
+}
+
+impl Metrics {
+    fn register_control(&mut self) {
+        let registry = &mut self.registry;
+        registry.register_with_unit(
+            "control",
+            "Bytes of control traffic by direction and kind of message",
+            Unit::Bytes,
+            self.control_bytes.clone(),
+        );
+        registry.register(
+            "control_messages",
+            "Control messages by direction and kind",
+            self.control_messages.clone(),
+        );
+        registry.register(
+            "control_connections",
+            "Open control connections",
+            self.control_connections.clone(),
+        );
+        registry.register("version", "Configuration version by stage", self.versions.clone());
+        registry.register("role", "1 while the node holds the control role", self.roles.clone());
+        registry.register(
+            "platform_requests",
+            "Requests to the platform by operation and outcome",
+            self.platform_requests.clone(),
+        );
+    }
+
+    fn register_requests(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "requests",
+            "Requests with a final answer, by half, outcome and status",
+            self.requests.clone(),
+        );
+        registry.register_with_unit(
+            "request",
+            "Time from the first byte of a request to the end of its answer",
+            Unit::Seconds,
+            self.request_seconds.clone(),
+        );
+        registry.register("attempts", "Attempts sent by the outbound half", self.attempts.clone());
+        registry.register(
+            "endpoints",
+            "Endpoint records in use by this node's callers",
+            self.endpoints.clone(),
+        );
+        registry.register("ready", "1 while the node is ready", self.ready.clone());
+    }
+
+    /// Counts one control message of `bytes` bytes on the wire.
+    pub fn control(&self, direction: Direction, kind: &'static str, bytes: usize) {
+        let labels = ControlLabels { direction: direction.name(), kind };
+        self.control_bytes.get_or_create(&labels).inc_by(bytes as u64);
+        self.control_messages.get_or_create(&labels).inc();
+    }
+
+    /// All control bytes of one direction so far, over the given kinds of message.
+    #[must_use]
+    pub fn control_bytes(&self, direction: Direction, kinds: &[&'static str]) -> u64 {
+        let direction = direction.name();
+        kinds
+            .iter()
+            .map(|kind| self.control_bytes.get_or_create(&ControlLabels { direction, kind }).get())
+            .sum()
+    }
+
+    /// Sets the number of open control connections.
+    pub fn set_control_connections(&self, count: usize) {
+        self.control_connections.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
+    /// Counts a finished request with its outcome (`answered`, `rejected` or `unknown`), the status code of the
+    /// final answer and the seconds it took.
+    pub fn request(&self, half: Half, outcome: &'static str, status: u16, seconds: f64) {
+        let half = half.name();
+        self.requests.get_or_create(&ExchangeLabels { half, outcome, status }).inc();
+        self.request_seconds.get_or_create(&HalfLabels { half }).observe(seconds);
+    }
+
+    /// Counts an attempt of the outbound half.
+    pub fn attempt(&self) {
+        self.attempts.inc();
+    }
+
+    /// Sets the version that has reached `stage`.
+    pub fn set_version(&self, stage: VersionStage, version: umberpond_model::Version) {
+        let value = i64::try_from(version.0).unwrap_or(i64::MAX);
+        self.versions.get_or_create(&StageLabels { stage: stage.name() }).set(value);
+    }
+
+    /// Tells whether the node holds `role`.
+    pub fn set_role(&self, role: &'static str, held: bool) {
+        self.roles.get_or_create(&RoleLabels { role }).set(i64::from(held));
+    }
+
+    /// Counts a request to the platform.
+    pub fn platform_request(&self, operation: &'static str, outcome: &'static str) {
+        self.platform_requests.get_or_create(&PlatformLabels { operation, outcome }).inc();
+    }
+
+    /// Sets the number of endpoint records in use.
+    pub fn set_endpoints(&self, count: usize) {
+        self.endpoints.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
+    /// Tells whether the node is ready.
+    pub fn set_ready(&self, ready: bool) {
+        self.ready.set(i64::from(ready));
+    }
+
+    /// All metrics in the Prometheus text format.
+    #[must_use]
+    pub fn encode(&self) -> String {
+        let mut page = String::new();
+        // Writing to a string can't fail.
+        let _ = text::encode(&mut page, &self.registry);
+        page
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/telemetry.rs
@@ -0,0 +1,94 @@
+//! The handle through which every part of a node tells events and counts.
+
+use std::panic::Location;
+use std::sync::Arc;
+
+use logforth::core::Logger;
+use parking_lot::Mutex;
+
+use crate::{Event, LogFormat, Metrics, Severity, logging};
+
+/// Sees every event of one node, whatever its severity.
+pub trait EventObserver: Send + Sync + 'static {
+    /// Called once an event, in the order in which the events were told.
+    fn observe(&self, event: &Event);
+}
+
+/// Keeps every event in memory; for tests and the simulation.
+#[derive(Debug, Default)]
+pub struct MemoryRecorder {
+    events: Mutex<Vec<Event>>,
+}
+
+impl MemoryRecorder {
+    /// The events so far, oldest first.
+    #[must_use]
+    pub fn events(&self) -> Vec<Event> {
+        self.events.lock().clone()
+    }
+}
+
+impl EventObserver for MemoryRecorder {
+    fn observe(&self, event: &Event) {
+        self.events.lock().push(event.clone());
+    }
+}
+
+/// Events and metrics of one node. Cheap to copy; there is no global state behind it.
+#[derive(Clone)]
+pub struct Telemetry {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    logger: Option<Logger>,
+    observer: Option<Arc<dyn EventObserver>>,
+    metrics: Metrics,
+}
+
+impl Telemetry {
+    /// Events go to standard error, from severity `least` on.
+    #[must_use]
+    pub fn to_log(format: LogFormat, least: Severity) -> Self {
+        Self::new(Some(logging::logger(format, least)), None)
+    }
+
+    /// Events go to `observer` and nowhere else.
+    #[must_use]
+    pub fn to_observer(observer: Arc<dyn EventObserver>) -> Self {
+        Self::new(None, Some(observer))
+    }
+
+    /// Events are dropped; metrics are kept.
+    #[must_use]
+    pub fn silent() -> Self {
+        Self::new(None, None)
+    }
+
+    fn new(logger: Option<Logger>, observer: Option<Arc<dyn EventObserver>>) -> Self {
+        Self { inner: Arc::new(Inner { logger, observer, metrics: Metrics::default() }) }
+    }
+
+    /// Tells `event`.
+    #[track_caller]
+    pub fn emit(&self, event: Event) {
+        if let Some(logger) = &self.inner.logger {
+            logging::log(logger, &event, Location::caller());
+        }
+        if let Some(observer) = &self.inner.observer {
+            observer.observe(&event);
+        }
+    }
+
+    /// The node's metrics.
+    #[must_use]
+    pub fn metrics(&self) -> &Metrics {
+        &self.inner.metrics
+    }
+}
+
+impl std::fmt::Debug for Telemetry {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("Telemetry").finish_non_exhaustive()
+    }
+}
