--- a/testing/standins/src/caller/mod.rs
+++ b/testing/standins/src/caller/mod.rs
@@ -7,6 +7,7 @@
 mod report;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -43,7 +44,8 @@
         let kinds: Vec<_> = self.plan.mix.iter().cloned().map(Arc::new).collect();
         let mut sent_by_kind = vec![0_usize; kinds.len()];
         let started = Instant::now();
-        let end = started + self.plan.duration;
+        let end = started + Duration::from_millis(self.plan.duration_millis);
+        let patience = Duration::from_millis(self.plan.patience_millis);
         let mut due = started + self.plan.gap(&mut rng);
         let mut number = 0_u64;
         let mut calls = JoinSet::new();
@@ -56,7 +58,7 @@
             let key = format!("{}-{number}", self.plan.label);
             let due_millis = u64::try_from((due - started).as_millis()).unwrap_or(u64::MAX);
             let call = Call { kind, key, target, due, due_millis };
-            calls.spawn(numbered(number, call, Arc::clone(&self.connections), self.plan.patience));
+            calls.spawn(numbered(number, call, Arc::clone(&self.connections), patience));
             number += 1;
             due += self.plan.gap(&mut rng);
         }
@@ -75,7 +77,7 @@
     number: u64,
     call: Call,
     connections: Arc<Connections>,
-    patience: std::time::Duration,
+    patience: Duration,
 ) -> NumberedAnswer {
     NumberedAnswer { number, answer: call.make(&connections, patience).await }
 }
--- a/testing/standins/src/caller/plan.rs
+++ b/testing/standins/src/caller/plan.rs
@@ -90,7 +90,8 @@
 }
 
 /// An open-loop load: calls start when their time has come, however long earlier ones take.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct LoadPlan {
     /// Start of each call's key, unique to this caller.
     pub label: String,
@@ -98,10 +99,10 @@
     pub rate: f64,
     /// How they are spaced.
     pub spacing: Spacing,
-    /// For how long calls are started.
-    pub duration: Duration,
-    /// Time after which the caller gives a call up.
-    pub patience: Duration,
+    /// For how long calls are started, in milliseconds.
+    pub duration_millis: u64,
+    /// Time after which the caller gives a call up, in milliseconds.
+    pub patience_millis: u64,
     /// Seed of spacing and mix.
     pub seed: u64,
     /// The kinds of calls.
--- a/testing/standins/src/lib.rs
+++ b/testing/standins/src/lib.rs
@@ -9,6 +9,7 @@
 mod http_answer;
 mod http_server;
 pub mod platform;
+pub mod program;
 mod reconcile;
 
 pub use content::{AnswerContent, Upload};
--- a/testing/standins/tests/caller.rs
+++ b/testing/standins/tests/caller.rs
@@ -49,8 +49,8 @@
         label: "run".to_owned(),
         rate,
         spacing: Spacing::Poisson,
-        duration: Duration::from_secs(10),
-        patience: Duration::from_secs(2),
+        duration_millis: 10_000,
+        patience_millis: 2_000,
         seed: 7,
         mix: vec![kind],
     }
