Add acceptance by one compare-and-swap of the head

Operators race, the platform loses answers, and a delayed request may arrive after its sender gave up. The acceptor therefore rests on one rule: a submission id stands at most once in the chain, and at most one swap of a submission is pending. A pending swap names an object version that is never reused, so either the head still stands there and the same bytes are sent again, or the head has moved and the chain tells. Fencing by leases and by clocks was ruled out. Records list the versions of their page of 64, which bounds the search for an id to one read per page. An id can be abandoned by a version that changes nothing.

--- /dev/null
+++ b/crates/acceptance/src/acceptor.rs
@@ -0,0 +1,211 @@
+//! The acceptor of one node.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::sync::Semaphore;
+use tokio::time::{Instant, timeout_at};
+use umberpond_model::{BundleName, SubmissionId};
+use umberpond_platform::{BackoffSettings, ObjectStore};
+
+use crate::attempt::Attempt;
+use crate::base::BaseCache;
+use crate::chain::{ChainReader, Search};
+use crate::prepare::Request;
+use crate::{
+    Abandonment, Accepted, Change, NotAcceptedReason, Resolution, Step, SubmitError, WitnessCandidates,
+    WitnessProposal, choose_witnesses,
+};
+
+/// Wall-clock time in milliseconds since the Unix epoch. Written into records for people; decides nothing.
+pub type UnixClock = Arc<dyn Fn() -> u64 + Send + Sync>;
+
+/// Limits of an acceptor.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AcceptorSettings {
+    /// Longest time for one submission.
+    pub deadline: Duration,
+    /// Rounds that a submission may lose to others.
+    pub max_tries: u32,
+    /// Submissions under way at once on this node; more are refused at once.
+    pub max_concurrent: usize,
+    /// Largest encoded bundle, in bytes.
+    pub max_bundle_bytes: usize,
+    /// Waits between rounds.
+    pub backoff: BackoffSettings,
+}
+
+impl Default for AcceptorSettings {
+    fn default() -> Self {
+        Self {
+            deadline: Duration::from_secs(10),
+            max_tries: 32,
+            max_concurrent: 8,
+            max_bundle_bytes: 4 * 1024 * 1024,
+            backoff: BackoffSettings { base: Duration::from_millis(20), cap: Duration::from_secs(1) },
+        }
+    }
+}
+
+/// What an acceptor works with.
+#[derive(Clone)]
+pub struct AcceptorContext {
+    /// The platform's objects.
+    pub store: Arc<dyn ObjectStore>,
+    /// The machines from which witnesses are chosen.
+    pub candidates: Arc<dyn WitnessCandidates>,
+    /// Wall clock for the records.
+    pub unix_millis: UnixClock,
+    /// Seed of the jitter.
+    pub seed: u64,
+}
+
+/// What the submissions of one node share.
+pub(crate) struct Shared {
+    pub(crate) chain: ChainReader,
+    pub(crate) candidates: Arc<dyn WitnessCandidates>,
+    pub(crate) unix_millis: UnixClock,
+    pub(crate) settings: AcceptorSettings,
+    pub(crate) rng: Mutex<ChaCha8Rng>,
+    pub(crate) bases: BaseCache,
+    places: Semaphore,
+}
+
+/// Accepts submissions. Cheap to clone; clones share their limits and caches.
+#[derive(Clone)]
+pub struct Acceptor {
+    shared: Arc<Shared>,
+}
+
+impl fmt::Debug for Acceptor {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("Acceptor").field("settings", &self.shared.settings).finish_non_exhaustive()
+    }
+}
+
+/// Wait told to an operator whose submission found no free place.
+const BUSY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+impl Acceptor {
+    /// An acceptor with these limits.
+    #[must_use]
+    pub fn new(context: AcceptorContext, settings: AcceptorSettings) -> Self {
+        let shared = Shared {
+            chain: ChainReader::new(context.store),
+            candidates: context.candidates,
+            unix_millis: context.unix_millis,
+            settings,
+            rng: Mutex::new(ChaCha8Rng::seed_from_u64(context.seed)),
+            bases: BaseCache::default(),
+            places: Semaphore::new(settings.max_concurrent),
+        };
+        Self { shared: Arc::new(shared) }
+    }
+
+    /// The reader that this acceptor uses.
+    #[must_use]
+    pub fn chain(&self) -> &ChainReader {
+        &self.shared.chain
+    }
+
+    /// Submits a change of one bundle. Submitting again with the same id and change is safe at any time and
+    /// answers with the version that the id has, if it has one.
+    ///
+    /// # Errors
+    /// Returns [`SubmitError`]; see there which answers are final.
+    pub async fn submit(
+        &self,
+        submission: SubmissionId,
+        bundle: BundleName,
+        change: Change,
+    ) -> Result<Accepted, SubmitError> {
+        let request = match change {
+            Change::Put(content) => Request::put(bundle, content),
+            Change::Withdraw => Request::Withdraw { name: bundle },
+        };
+        self.check_size(&request)?;
+        self.settle(submission, &request).await
+    }
+
+    /// Gives a submission up, so that it can't be accepted any more, by a version that changes nothing.
+    ///
+    /// # Errors
+    /// Returns [`SubmitError`] as a submission does. After an error the submission may still be accepted.
+    pub async fn abandon(&self, submission: SubmissionId) -> Result<Abandonment, SubmitError> {
+        match self.settle(submission, &Request::Abandon).await {
+            Ok(accepted) => Ok(Abandonment::Abandoned(accepted.version)),
+            Err(SubmitError::IdReused { version }) => Ok(Abandonment::AlreadyAccepted(version)),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Appends a version with new witnesses if the present ones are not what [`choose_witnesses`] chooses.
+    ///
+    /// # Errors
+    /// Returns [`SubmitError`] as a submission does.
+    pub async fn propose_witnesses(&self, submission: SubmissionId) -> Result<WitnessProposal, SubmitError> {
+        if self.witnesses_are_right().await {
+            return Ok(WitnessProposal::Unchanged);
+        }
+        let accepted = self.settle(submission, &Request::Witnesses).await?;
+        Ok(WitnessProposal::Accepted(Box::new(accepted)))
+    }
+
+    /// Whether the head could be read and needs no other witnesses.
+    async fn witnesses_are_right(&self) -> bool {
+        let deadline = Instant::now() + self.shared.settings.deadline;
+        let read = async {
+            let seen = self.shared.chain.read_head().await.ok()??;
+            self.shared.chain.read_record(seen.head.record).await.ok()
+        };
+        let Ok(Some(object)) = timeout_at(deadline, read).await else {
+            return false;
+        };
+        let present = &object.record.witnesses;
+        let chosen = choose_witnesses(&self.shared.candidates.candidates(), present);
+        same_nodes(&chosen, present)
+    }
+
+    /// Looks a submission up in the chain, without changing anything.
+    pub async fn resolve(&self, submission: SubmissionId) -> Resolution {
+        let deadline = Instant::now() + self.shared.settings.deadline;
+        let search = async {
+            let seen = self.shared.chain.read_head().await.ok()??;
+            self.shared.chain.find_submission(&seen.head, submission).await.ok()
+        };
+        match timeout_at(deadline, search).await {
+            Ok(Some(Search::Found { record, .. })) if record.step == Step::Abandon => {
+                Resolution::NotAccepted(record.record.version)
+            }
+            Ok(Some(Search::Found { record, .. })) => Resolution::Accepted(record.record.version),
+            Ok(Some(Search::Absent { .. }) | None) | Err(_) => Resolution::Unknown,
+        }
+    }
+
+    fn check_size(&self, request: &Request) -> Result<(), SubmitError> {
+        let limit = self.shared.settings.max_bundle_bytes;
+        match request {
+            Request::Put { bytes, .. } if bytes.len() > limit => Err(SubmitError::NotAccepted {
+                reason: NotAcceptedReason::TooLarge { bytes: bytes.len(), limit },
+                retry_after: Duration::ZERO,
+            }),
+            _ => Ok(()),
+        }
+    }
+
+    async fn settle(&self, submission: SubmissionId, request: &Request) -> Result<Accepted, SubmitError> {
+        let Ok(_place) = self.shared.places.try_acquire() else {
+            let reason = NotAcceptedReason::Busy;
+            return Err(SubmitError::NotAccepted { reason, retry_after: BUSY_RETRY_AFTER });
+        };
+        Attempt::new(&self.shared, submission, request).run().await
+    }
+}
+
+fn same_nodes(one: &[umberpond_model::NodeName], other: &[umberpond_model::NodeName]) -> bool {
+    one.len() == other.len() && one.iter().all(|node| other.contains(node))
+}
--- /dev/null
+++ b/crates/acceptance/src/chain.rs
@@ -0,0 +1,283 @@
+//! Reading the chain: the head, records, steps, whole configurations, and the search for a submission.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use futures_util::stream::{self, StreamExt, TryStreamExt};
+use umberpond_config::{Bundle, Delta, Snapshot, join};
+use umberpond_model::{BundleName, ContentHash, Head, NodeName, SubmissionId, Version, VersionRecord};
+use umberpond_platform::{ObjectKind, ObjectStore, ObjectVersion};
+
+use crate::content::Content;
+use crate::encoding::decode;
+use crate::{ChainError, Manifest, RecordObject};
+
+/// Name of the one object of kind `head`.
+pub const HEAD_NAME: &str = "head";
+
+/// Content objects that one reader fetches at once. The process's gate limits all of them together.
+const CONCURRENT_READS: usize = 4;
+
+/// Pages that a search for a submission reads at most: 64 pages of 64 versions.
+pub const MAX_SEARCHED_PAGES: usize = 64;
+
+/// The head and the version of its object, which a compare-and-swap names.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeadSeen {
+    /// The head.
+    pub head: Head,
+    /// Version of the head object in this state.
+    pub object_version: ObjectVersion,
+}
+
+/// One accepted version with its change from the version before.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AcceptedStep {
+    /// The record.
+    pub record: VersionRecord,
+    /// Change from the version before.
+    pub delta: Delta,
+}
+
+/// One accepted version with its whole configuration.
+#[derive(Debug, Clone)]
+pub struct WholeConfiguration {
+    /// The record.
+    pub record: VersionRecord,
+    /// Witnesses of the version before; empty at the first version.
+    pub previous_witnesses: Vec<NodeName>,
+    /// The configuration.
+    pub snapshot: Snapshot,
+    /// The bundles it was joined from, by name.
+    pub bundles: BTreeMap<BundleName, Arc<Bundle>>,
+    /// Names and hashes of the bundles.
+    pub manifest: Manifest,
+}
+
+/// Result of a search for a submission.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Search {
+    /// The submission stands in the chain.
+    Found {
+        /// Hash of its record object.
+        hash: ContentHash,
+        /// Its record object.
+        record: Arc<RecordObject>,
+    },
+    /// It stands in none of the versions from `from` to the head.
+    Absent {
+        /// The oldest version that was searched.
+        from: Version,
+    },
+}
+
+/// Reads the chain from an object store. Clones share the cache of records.
+#[derive(Clone)]
+pub struct ChainReader {
+    store: Arc<dyn ObjectStore>,
+    content: Content,
+}
+
+/// Decodes the bytes of the head object.
+///
+/// # Errors
+/// Returns [`ChainError::Head`] for an unknown schema or damaged bytes.
+pub fn decode_head(bytes: &[u8]) -> Result<Head, ChainError> {
+    decode(bytes).map_err(ChainError::Head)
+}
+
+impl ChainReader {
+    /// A reader of the chain in `store`.
+    #[must_use]
+    pub fn new(store: Arc<dyn ObjectStore>) -> Self {
+        Self { content: Content::new(Arc::clone(&store)), store }
+    }
+
+    pub(crate) const fn content(&self) -> &Content {
+        &self.content
+    }
+
+    pub(crate) fn store(&self) -> &dyn ObjectStore {
+        &*self.store
+    }
+
+    /// Reads the head; `None` before the first version.
+    ///
+    /// # Errors
+    /// Returns [`ChainError`] if the platform does not answer or the head can't be decoded.
+    pub async fn read_head(&self) -> Result<Option<HeadSeen>, ChainError> {
+        let Some(object) = self.store.get(ObjectKind::Head, HEAD_NAME).await? else {
+            return Ok(None);
+        };
+        let head = decode_head(&object.value)?;
+        Ok(Some(HeadSeen { head, object_version: object.version }))
+    }
+
+    /// Reads a record object by its hash.
+    ///
+    /// # Errors
+    /// Returns [`ChainError`] if it can't be read.
+    pub async fn read_record(&self, hash: ContentHash) -> Result<Arc<RecordObject>, ChainError> {
+        self.content.record(hash).await
+    }
+
+    /// Reads the record of `version`, searched from `head` backwards, one read per page.
+    ///
+    /// # Errors
+    /// Returns [`ChainError::Missing`] if it has been collected, [`ChainError::Inconsistent`] if `head` does not
+    /// reach it.
+    pub async fn read_record_at(
+        &self,
+        head: &Head,
+        version: Version,
+    ) -> Result<(ContentHash, Arc<RecordObject>), ChainError> {
+        let mut hash = head.record;
+        loop {
+            let record = self.read_record(hash).await?;
+            if record.record.version == version {
+                return Ok((hash, record));
+            }
+            let in_page = record.page.iter().find(|earlier| earlier.version == version);
+            if let Some(earlier) = in_page {
+                return Ok((earlier.record, self.read_record(earlier.record).await?));
+            }
+            hash = record.previous_page.ok_or(ChainError::Inconsistent { version })?;
+        }
+    }
+
+    /// Reads the step that led to `version`.
+    ///
+    /// # Errors
+    /// As [`Self::read_record_at`].
+    pub async fn read_step(&self, head: &Head, version: Version) -> Result<AcceptedStep, ChainError> {
+        let (_, object) = self.read_record_at(head, version).await?;
+        self.step_of(&object).await
+    }
+
+    async fn step_of(&self, object: &RecordObject) -> Result<AcceptedStep, ChainError> {
+        let delta = self.content.delta(object.record.delta).await?;
+        Ok(AcceptedStep { record: object.record.clone(), delta })
+    }
+
+    /// Reads the steps after `held` up to `head`, oldest first.
+    ///
+    /// # Errors
+    /// Returns [`ChainError::Missing`] if a step has been collected; the reader then needs the whole.
+    pub async fn read_steps_after(
+        &self,
+        held: Version,
+        head: &Head,
+    ) -> Result<Vec<AcceptedStep>, ChainError> {
+        let hashes = self.hashes_after(held, head).await?;
+        let steps = stream::iter(hashes)
+            .map(|hash| async move { self.step_of(&*self.read_record(hash).await?).await })
+            .buffered(CONCURRENT_READS)
+            .try_collect::<Vec<_>>()
+            .await?;
+        let follow = steps.iter().zip(held.0 + 1..).all(|(step, version)| step.record.version.0 == version);
+        if !follow {
+            return Err(ChainError::Inconsistent { version: head.version });
+        }
+        Ok(steps)
+    }
+
+    /// Hashes of the records after `held`, oldest first.
+    async fn hashes_after(&self, held: Version, head: &Head) -> Result<Vec<ContentHash>, ChainError> {
+        let mut newest_first = Vec::new();
+        let mut next = (head.version > held).then_some(head.record);
+        while let Some(hash) = next {
+            let record = self.read_record(hash).await?;
+            newest_first.push(hash);
+            let wanted = record.page.iter().rev().filter(|earlier| earlier.version > held);
+            newest_first.extend(wanted.map(|earlier| earlier.record));
+            let oldest = record.page.first().map_or(record.record.version, |earlier| earlier.version);
+            let more = oldest > held.next();
+            next = if more { record.previous_page } else { None };
+        }
+        newest_first.reverse();
+        Ok(newest_first)
+    }
+
+    /// Reads the whole configuration of the version that `record` (a hash) names.
+    ///
+    /// # Errors
+    /// Returns [`ChainError`] if an object can't be read or the bundles do not join to the accepted snapshot.
+    pub async fn read_whole(&self, record: ContentHash) -> Result<WholeConfiguration, ChainError> {
+        self.read_whole_with(record, &BTreeMap::new()).await
+    }
+
+    /// As [`Self::read_whole`], taking bundles from `known` where their hash is the one needed.
+    pub(crate) async fn read_whole_with(
+        &self,
+        record: ContentHash,
+        known: &BTreeMap<ContentHash, Arc<Bundle>>,
+    ) -> Result<WholeConfiguration, ChainError> {
+        let object = self.read_record(record).await?;
+        let version = object.record.version;
+        let manifest = self.content.manifest(object.record.manifest).await?;
+        let bundles = self.read_bundles(&manifest, known).await?;
+        let snapshot = join(&bundles).map_err(|report| ChainError::NotJoined { version, report })?;
+        if snapshot.content_hash() != object.record.snapshot {
+            return Err(ChainError::SnapshotMismatch { version });
+        }
+        let previous_witnesses = match object.record.previous {
+            Some(hash) => self.read_record(hash).await?.record.witnesses.clone(),
+            None => Vec::new(),
+        };
+        Ok(WholeConfiguration {
+            record: object.record.clone(),
+            previous_witnesses,
+            snapshot,
+            bundles,
+            manifest,
+        })
+    }
+
+    async fn read_bundles(
+        &self,
+        manifest: &Manifest,
+        known: &BTreeMap<ContentHash, Arc<Bundle>>,
+    ) -> Result<BTreeMap<BundleName, Arc<Bundle>>, ChainError> {
+        stream::iter(manifest.bundles.clone())
+            .map(|(name, hash)| async move {
+                let bundle = match known.get(&hash) {
+                    Some(bundle) => Arc::clone(bundle),
+                    None => Arc::new(self.content.bundle(hash).await?),
+                };
+                Ok((name, bundle))
+            })
+            .buffered(CONCURRENT_READS)
+            .try_collect()
+            .await
+    }
+
+    /// Searches the chain from `head` backwards for a submission, one read per page, at most
+    /// [`MAX_SEARCHED_PAGES`] pages or to where the chain has been collected.
+    ///
+    /// # Errors
+    /// Returns [`ChainError`] if a record can't be read for another reason than collection.
+    pub async fn find_submission(&self, head: &Head, submission: SubmissionId) -> Result<Search, ChainError> {
+        let mut record = self.read_record(head.record).await?;
+        let mut hash = head.record;
+        for _ in 0..MAX_SEARCHED_PAGES {
+            if record.record.submission == submission {
+                return Ok(Search::Found { hash, record });
+            }
+            let in_page = record.page.iter().find(|earlier| earlier.submission == submission);
+            if let Some(earlier) = in_page {
+                let record = self.read_record(earlier.record).await?;
+                return Ok(Search::Found { hash: earlier.record, record });
+            }
+            let from = record.page.first().map_or(record.record.version, |earlier| earlier.version);
+            let Some(previous) = record.previous_page else {
+                return Ok(Search::Absent { from });
+            };
+            hash = previous;
+            record = match self.read_record(previous).await {
+                Err(ChainError::Missing { .. }) => return Ok(Search::Absent { from }),
+                other => other?,
+            };
+        }
+        Ok(Search::Absent { from: record.record.version.next() })
+    }
+}
--- /dev/null
+++ b/crates/acceptance/src/error.rs
@@ -0,0 +1,71 @@
+//! Failures of reading the chain.
+
+use thiserror::Error;
+use umberpond_config::{CheckReport, DecodeError};
+use umberpond_model::{ContentHash, Version};
+use umberpond_platform::PlatformError;
+
+/// The chain could not be read. Nothing was changed.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum ChainError {
+    /// The platform did not answer.
+    #[error("the platform did not answer")]
+    Platform(#[from] PlatformError),
+    /// The head can't be decoded; a newer program may have written it.
+    #[error("the head can't be decoded")]
+    Head(#[source] DecodeError),
+    /// A content object can't be decoded; a newer program may have written it.
+    #[error("the content object {hash} can't be decoded")]
+    Content {
+        /// Name of the object.
+        hash: ContentHash,
+        /// Why.
+        #[source]
+        source: DecodeError,
+    },
+    /// A content object does not exist (any more). A reader that is this far behind starts again at the head.
+    #[error("the content object {hash} does not exist")]
+    Missing {
+        /// Name of the object.
+        hash: ContentHash,
+    },
+    /// The bytes of a content object do not have the hash that names it.
+    #[error("the content object {hash} is damaged")]
+    Damaged {
+        /// Name of the object.
+        hash: ContentHash,
+    },
+    /// Records do not follow one another as they say.
+    #[error("the record of version {version} does not fit the chain")]
+    Inconsistent {
+        /// The version.
+        version: Version,
+    },
+    /// The bundles of a version do not join; the program that accepted them checks differently.
+    #[error("the bundles of version {version} do not join in this program")]
+    NotJoined {
+        /// The version.
+        version: Version,
+        /// The faults.
+        #[source]
+        report: CheckReport,
+    },
+    /// The bundles of a version join to another snapshot than the one that was accepted.
+    #[error("the snapshot of version {version} differs from the accepted one")]
+    SnapshotMismatch {
+        /// The version.
+        version: Version,
+    },
+}
+
+impl ChainError {
+    /// Whether the same read can succeed later, or after the head is read again.
+    #[must_use]
+    pub const fn is_transient(&self) -> bool {
+        match self {
+            Self::Platform(error) => error.is_transient(),
+            Self::Missing { .. } => true,
+            _ => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/acceptance/src/prepare.rs
@@ -0,0 +1,128 @@
+//! The next version, worked out without any input or output.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use umberpond_config::{Bundle, CheckReport, Delta, join};
+use umberpond_model::{BundleName, ContentHash, Head, NodeName, SubmissionId, Version, VersionRecord};
+
+use crate::base::Base;
+use crate::encoding::encode;
+use crate::{RecordObject, Step};
+
+/// What a submission asks for, with its content encoded once.
+#[derive(Debug, Clone)]
+pub(crate) enum Request {
+    Put { name: BundleName, bundle: Arc<Bundle>, bytes: Bytes, hash: ContentHash },
+    Withdraw { name: BundleName },
+    Witnesses,
+    Abandon,
+}
+
+impl Request {
+    pub(crate) fn put(name: BundleName, bundle: Bundle) -> Self {
+        let bytes = Bytes::from(bundle.to_bytes());
+        let hash = ContentHash::of(&bytes);
+        Self::Put { name, bundle: Arc::new(bundle), bytes, hash }
+    }
+
+    /// The step that the record of the accepted version names.
+    pub(crate) fn step(&self) -> Step {
+        match self {
+            Self::Put { name, hash, .. } => Step::Put { bundle: name.clone(), content: *hash },
+            Self::Withdraw { name } => Step::Withdraw { bundle: name.clone() },
+            Self::Witnesses => Step::Witnesses,
+            Self::Abandon => Step::Abandon,
+        }
+    }
+}
+
+/// Why there is no next version.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum PrepareError {
+    Faulty(CheckReport),
+    NotInForce { bundle: BundleName, version: Version },
+}
+
+/// The next version, ready to be written.
+#[derive(Debug, Clone)]
+pub(crate) struct Prepared {
+    /// Content objects by name, each encoded.
+    pub(crate) objects: Vec<(ContentHash, Bytes)>,
+    /// Bytes of the new head.
+    pub(crate) head: Bytes,
+    /// The version as the base of the one after it.
+    pub(crate) base: Arc<Base>,
+    pub(crate) record: VersionRecord,
+}
+
+/// Facts of one try that come from outside.
+pub(crate) struct Circumstances {
+    pub(crate) submission: SubmissionId,
+    pub(crate) witnesses: Vec<NodeName>,
+    pub(crate) unix_millis: u64,
+}
+
+/// Works out the version after `base`.
+pub(crate) fn prepare(
+    base: &Base,
+    request: &Request,
+    circumstances: Circumstances,
+) -> Result<Prepared, PrepareError> {
+    let mut next = changed(base, request)?;
+    let mut objects = Vec::new();
+    if let Request::Put { bytes, hash, .. } = request {
+        objects.push((*hash, bytes.clone()));
+    }
+    let manifest = add(&mut objects, encode(&next.manifest));
+    let delta = Delta::between(&base.snapshot, &next.snapshot);
+    let delta = add(&mut objects, Bytes::from(delta.to_bytes()));
+    let record = VersionRecord {
+        version: base.version().next(),
+        previous: base.record.as_ref().map(|(hash, _)| *hash),
+        submission: circumstances.submission,
+        manifest,
+        delta,
+        snapshot: next.snapshot.content_hash(),
+        witnesses: circumstances.witnesses,
+        accepted_at_unix_millis: circumstances.unix_millis,
+    };
+    let object = record_object(base, record.clone(), request.step());
+    let hash = add(&mut objects, encode(&object));
+    let head = encode(&Head { version: record.version, record: hash });
+    next.record = Some((hash, Arc::new(object)));
+    Ok(Prepared { objects, head, base: Arc::new(next), record })
+}
+
+/// The bundles, manifest and snapshot after the change; the record is still that of the base.
+fn changed(base: &Base, request: &Request) -> Result<Base, PrepareError> {
+    let mut next = base.clone();
+    match request {
+        Request::Put { name, bundle, hash, .. } => {
+            next.manifest.bundles.insert(name.clone(), *hash);
+            next.bundles.insert(name.clone(), Arc::clone(bundle));
+        }
+        Request::Withdraw { name } => {
+            if next.manifest.bundles.remove(name).is_none() {
+                let bundle = name.clone();
+                return Err(PrepareError::NotInForce { bundle, version: base.version() });
+            }
+            next.bundles.remove(name);
+        }
+        Request::Witnesses | Request::Abandon => return Ok(next),
+    }
+    next.snapshot = join(&next.bundles).map_err(PrepareError::Faulty)?;
+    Ok(next)
+}
+
+fn record_object(base: &Base, record: VersionRecord, step: Step) -> RecordObject {
+    let (page, previous_page) =
+        base.record.as_ref().map(|(hash, object)| object.next_page(*hash)).unwrap_or_default();
+    RecordObject { record, step, page, previous_page }
+}
+
+fn add(objects: &mut Vec<(ContentHash, Bytes)>, bytes: Bytes) -> ContentHash {
+    let hash = ContentHash::of(&bytes);
+    objects.push((hash, bytes));
+    hash
+}
