--- a/crates/overlay/src/interface.rs
+++ b/crates/overlay/src/interface.rs
@@ -4,7 +4,13 @@
 use std::sync::Arc;
 
 use umberpond_config::{Delta, Snapshot};
-use umberpond_model::{EndpointRecord, Member, Nonce, Timestamp, Version, VersionRecord};
+use umberpond_endpoints::LifeCycleError;
+use umberpond_model::{
+    EndpointRecord, Incarnation, Member, Millis, NodeName, Nonce, Timestamp, Version, VersionRecord,
+};
+use umberpond_versions::StepError;
+
+use crate::Role;
 
 /// Number of one control connection, chosen by the driver and never reused in a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -161,7 +167,7 @@
     },
 }
 
-/// A decision and its reason; for logs, status and replay. The core's owner extends this list.
+/// A decision and its reason; for logs, status and replay.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Decision {
     /// A version was put in force.
@@ -169,4 +175,141 @@
         /// The version.
         version: Version,
     },
+    /// The role changed.
+    RoleChanged {
+        /// Role before.
+        from: Role,
+        /// Role from now on.
+        to: Role,
+        /// Why.
+        reason: RoleReason,
+    },
+    /// A parent has accepted this node.
+    Attached {
+        /// The parent.
+        parent: NodeName,
+        /// Hops from this node to a reader.
+        depth: Option<u8>,
+    },
+    /// The connection to the parent is gone.
+    ParentLost {
+        /// The parent.
+        parent: NodeName,
+        /// Why.
+        reason: LossReason,
+    },
+    /// A child was sent the whole configuration in its scope.
+    WholeSent {
+        /// The child.
+        to: NodeName,
+        /// Version of the content.
+        version: Version,
+    },
+    /// A whole transfer was put off, since too many are under way.
+    TransferPutOff {
+        /// The child.
+        child: NodeName,
+        /// When it should ask again.
+        retry_after: Millis,
+    },
+    /// Configuration content was refused; what is held stays.
+    TransferRefused {
+        /// Why.
+        error: StepError,
+    },
+    /// The commit index grew by the word of the witnesses.
+    Committed {
+        /// The new commit index.
+        version: Version,
+    },
+    /// The version floor of this process is proved.
+    FloorProved {
+        /// The floor.
+        floor: Version,
+    },
+    /// A floor round of this reader has ended.
+    FloorRoundEnded {
+        /// The floor found.
+        floor: Version,
+        /// What proved it.
+        by: FloorProofKind,
+    },
+    /// This node doubts another one.
+    Suspected {
+        /// The node.
+        node: NodeName,
+    },
+    /// This node was doubted and has overruled the doubt.
+    SuspicionRefuted {
+        /// Sequence of the overruling record.
+        sequence: u64,
+    },
+    /// A later process runs under this node's name; this one no longer writes its record.
+    Superseded {
+        /// Incarnation of the later process.
+        by: Incarnation,
+    },
+    /// A change of the own record was refused.
+    OwnRecordRefused {
+        /// Why.
+        error: LifeCycleError,
+    },
+    /// A peer speaks another protocol; its connection is closed.
+    ProtocolUnknown {
+        /// The connection.
+        connection: ConnectionId,
+        /// The number it gave.
+        theirs: u16,
+    },
+    /// A message was not understood or not expected; its connection is closed.
+    MessageRefused {
+        /// The connection.
+        connection: ConnectionId,
+        /// Why.
+        reason: MessageFault,
+    },
+}
+
+/// Why a role changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RoleReason {
+    /// The parent, or the node that refused the connection, said so.
+    Told,
+    /// The own view of the zone says so.
+    OwnView,
+    /// The node is a member of the witness set in force, or no longer is.
+    WitnessSet,
+}
+
+/// Why a parent was lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LossReason {
+    /// The connection ended.
+    Disconnected,
+    /// Nothing arrived for the idle timeout.
+    Silent,
+    /// The parent has no way to a reader.
+    Orphaned,
+    /// The tree has a loop.
+    Loop,
+    /// Another parent fits better.
+    Moved,
+}
+
+/// What proved a floor.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FloorProofKind {
+    /// A majority of the witnesses.
+    Witnesses,
+    /// A read of the platform's head.
+    PlatformHead,
+}
+
+/// Why a message was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MessageFault {
+    /// The driver could not decode it.
+    Undecodable,
+    /// It doesn't belong on this connection.
+    Unexpected,
 }
