Test acceptance under lost answers, late requests, races and outages

The acceptor came without tests. Then 400 quickcheck schedules of up to six operators over the in-memory platform, whose histories a plain function checks: one chain, each id at most once in it, each answer true after all late requests have arrived. The checker has a hand-made history for each rule that it can break.

--- /dev/null
+++ b/crates/acceptance/tests/schedules.rs
@@ -0,0 +1,220 @@
+//! Random schedules of operators and faults, and the checker of their histories.
+
+mod support;
+
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
+use support::history::{Answer, History, Link, Violation, check, read_chain};
+use support::{acceptor, name, platform_with_mesh, reader, service};
+use umberpond_acceptance::{Abandonment, Change, SubmitError};
+use umberpond_model::{ContentHash, SubmissionId, Version};
+use umberpond_platform::memory::{Fault, MemoryPlatform, MemoryStore};
+
+const SCHEDULES: u64 = 400;
+const SEED: u64 = 20_261_202;
+
+/// What an operator does when told "unknown".
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Next {
+    Nothing,
+    SubmitAgain,
+    Abandon,
+}
+
+#[derive(Debug, Clone)]
+struct Operator {
+    starts_after_millis: u64,
+    bundle: u8,
+    withdraws: bool,
+    next: Next,
+    /// Faults of the first requests.
+    faults: Vec<u8>,
+}
+
+#[derive(Debug, Clone)]
+struct Schedule {
+    operators: Vec<Operator>,
+    /// When delayed requests arrive.
+    arrivals_millis: Vec<u64>,
+}
+
+impl Arbitrary for Operator {
+    fn arbitrary(random: &mut Gen) -> Self {
+        Self {
+            starts_after_millis: u64::from(u8::arbitrary(random)),
+            bundle: u8::arbitrary(random) % 3,
+            withdraws: u8::arbitrary(random).is_multiple_of(4),
+            next: *random.choose(&[Next::Nothing, Next::SubmitAgain, Next::Abandon]).expect("not empty"),
+            faults: Vec::arbitrary(random),
+        }
+    }
+
+    fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
+        let operator = self.clone();
+        Box::new(self.faults.shrink().map(move |faults| Self { faults, ..operator.clone() }))
+    }
+}
+
+impl Arbitrary for Schedule {
+    fn arbitrary(random: &mut Gen) -> Self {
+        let count = 1 + usize::arbitrary(random) % 6;
+        let operators = (0..count).map(|_| Operator::arbitrary(random)).collect();
+        let arrivals = Vec::<u16>::arbitrary(random);
+        Self { operators, arrivals_millis: arrivals.into_iter().map(u64::from).collect() }
+    }
+
+    fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
+        let arrivals_millis = self.arrivals_millis.clone();
+        let shrunk = self.operators.shrink().filter(|operators| !operators.is_empty());
+        Box::new(shrunk.map(move |operators| Self { operators, arrivals_millis: arrivals_millis.clone() }))
+    }
+}
+
+/// Half of the requests meet a fault; every request takes some time, so that operators interleave.
+fn fault(byte: Option<u8>, index: u64) -> Fault {
+    match byte.unwrap_or(255) % 12 {
+        0 | 1 => Fault::LostAnswer,
+        2 | 3 => Fault::Delayed,
+        4 => Fault::LostRequest,
+        5 => Fault::NotSent,
+        6 => Fault::Refused { retry_after: Some(Duration::from_secs(2)) },
+        7 => Fault::Slow(Duration::from_secs(11)),
+        other => Fault::Slow(Duration::from_millis((u64::from(other) * 7 + index * 3) % 17)),
+    }
+}
+
+fn answer(result: Result<Version, SubmitError>) -> Answer {
+    match result {
+        Ok(version) => Answer::Accepted(version),
+        Err(SubmitError::Abandoned { version }) => Answer::Abandoned(version),
+        Err(SubmitError::Unknown { .. }) => Answer::Unknown,
+        Err(_) => Answer::Refused,
+    }
+}
+
+fn abandonment(result: Result<Abandonment, SubmitError>) -> Answer {
+    match result {
+        Ok(Abandonment::Abandoned(version)) => Answer::Abandoned(version),
+        Ok(Abandonment::AlreadyAccepted(version)) => Answer::Accepted(version),
+        // An abandonment that failed says nothing about the submission.
+        Err(_) => Answer::Unknown,
+    }
+}
+
+async fn operate(store: MemoryStore, id: u64, operator: Operator) -> Vec<(SubmissionId, Answer)> {
+    tokio::time::sleep(Duration::from_millis(operator.starts_after_millis)).await;
+    let faults = operator.faults.clone();
+    store.set_faults(move |note| {
+        let byte = usize::try_from(note.index).ok().and_then(|index| faults.get(index)).copied();
+        fault(byte, note.index + id)
+    });
+    let submission = SubmissionId(id.into());
+    let bundle = format!("bundle-{}", operator.bundle);
+    let slots = u32::try_from(id).expect("small") + 1;
+    let change = match operator.withdraws {
+        true => Change::Withdraw,
+        false => Change::Put(service(&bundle, slots)),
+    };
+    let acceptor_of = |seed| acceptor(store.clone(), seed);
+    let submit = async |seed| {
+        let answered = acceptor_of(seed).submit(submission, name(&bundle), change.clone()).await;
+        answer(answered.map(|accepted| accepted.version))
+    };
+    let mut answers = vec![submit(id).await];
+    if answers[0] == Answer::Unknown {
+        match operator.next {
+            Next::Nothing => {}
+            Next::SubmitAgain => answers.push(submit(id + 100).await),
+            Next::Abandon => answers.push(abandonment(acceptor_of(id + 200).abandon(submission).await)),
+        }
+    }
+    answers.into_iter().map(|answer| (submission, answer)).collect()
+}
+
+async fn arrivals(platform: MemoryPlatform, times_millis: Vec<u64>) {
+    for millis in times_millis {
+        tokio::time::sleep(Duration::from_millis(millis % 3_000)).await;
+        platform.release_delayed();
+    }
+}
+
+async fn run(schedule: Schedule) -> History {
+    let platform = platform_with_mesh().await;
+    let operators = schedule.operators.into_iter().zip(0..);
+    let operators = operators.map(|(operator, id)| operate(platform.client(), id, operator));
+    let arriving = arrivals(platform.clone(), schedule.arrivals_millis);
+    let (calls, ()) = tokio::join!(join_all(operators), arriving);
+    platform.release_delayed();
+    History { calls: calls.concat(), chain: read_chain(&reader(&platform)).await }
+}
+
+fn keeps_the_rules(schedule: Schedule) -> TestResult {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_time().start_paused(true).build().expect("a runtime starts");
+    match check(&runtime.block_on(run(schedule))) {
+        Ok(()) => TestResult::passed(),
+        Err(violation) => TestResult::error(format!("{violation:?}")),
+    }
+}
+
+#[test]
+fn every_answer_is_true_under_random_faults() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(30, SEED))
+        .tests(SCHEDULES)
+        .quickcheck(keeps_the_rules as fn(Schedule) -> TestResult);
+}
+
+/// Two versions and the calls that led to them.
+fn sound_history() -> History {
+    let hash = |number: u64| ContentHash::of(&number.to_be_bytes());
+    let link = |number: u64| Link {
+        version: Version(number),
+        hash: hash(number),
+        previous: (number > 1).then(|| hash(number - 1)),
+        submission: SubmissionId(number.into()),
+        abandons: false,
+        leads_to_snapshot: true,
+    };
+    let calls = vec![
+        (SubmissionId(1), Answer::Accepted(Version(1))),
+        (SubmissionId(2), Answer::Unknown),
+        (SubmissionId(2), Answer::Refused),
+        (SubmissionId(3), Answer::Refused),
+    ];
+    History { calls, chain: vec![link(1), link(2)] }
+}
+
+#[test]
+fn the_checker_finds_each_broken_rule() {
+    assert_eq!(check(&sound_history()), Ok(()));
+    let broken = |change: fn(&mut History)| {
+        let mut history = sound_history();
+        change(&mut history);
+        check(&history)
+    };
+    let id = SubmissionId(1);
+    assert_eq!(broken(|history| history.chain[1].previous = None), Err(Violation::BrokenChain(Version(2))));
+    assert_eq!(
+        broken(|history| history.chain[1].leads_to_snapshot = false),
+        Err(Violation::SnapshotNotReached(Version(2)))
+    );
+    assert_eq!(
+        broken(|history| history.chain[1].submission = SubmissionId(1)),
+        Err(Violation::SubmissionTwice(id))
+    );
+    assert_eq!(
+        broken(|history| history.calls[0].1 = Answer::Accepted(Version(2))),
+        Err(Violation::AcceptedElsewhere(id))
+    );
+    assert_eq!(
+        broken(|history| history.calls[0].1 = Answer::Refused),
+        Err(Violation::RefusedButAccepted(id))
+    );
+    assert_eq!(
+        broken(|history| history.calls[0].1 = Answer::Abandoned(Version(1))),
+        Err(Violation::AbandonedElsewhere(id))
+    );
+}
--- /dev/null
+++ b/crates/acceptance/tests/support/mod.rs
@@ -0,0 +1,104 @@
+//! Small configurations, acceptors over a platform in memory, and the history that a run leaves.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+pub mod history;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use umberpond_acceptance::chain::ChainReader;
+use umberpond_acceptance::{Acceptor, AcceptorContext, AcceptorSettings, Change};
+use umberpond_config::{Bundle, Origin, RequestClass, Route, Service, Sourced};
+use umberpond_model::{BundleName, Locality, LocalityRule, Member, Millis, SubmissionId};
+use umberpond_platform::ObjectKind;
+use umberpond_platform::memory::{Fault, MemoryPlatform, MemoryStore, RequestNote, Verb};
+
+pub fn name<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("test names are valid")
+}
+
+fn sourced<T>(line: u32, value: T) -> Sourced<T> {
+    Sourced { origin: Origin { file: "mesh.toml".to_owned(), line }, value }
+}
+
+/// A bundle with one region and one service in it.
+pub fn mesh() -> Bundle {
+    let mut bundle = service("archive", 20);
+    bundle.topology = BTreeMap::from([(name("north"), sourced(1, BTreeSet::from([name("a")])))]);
+    bundle
+}
+
+/// A bundle with one service in the region of [`mesh`].
+pub fn service(service: &str, slots: u32) -> Bundle {
+    let allowed = vec![LocalityRule { region: name("north"), zone: None }];
+    let value = Service { name: name(service), allowed, slots, connections: 130, seal_key: None };
+    Bundle { services: BTreeMap::from([(name(service), sourced(7, value))]), ..Bundle::default() }
+}
+
+/// A bundle with one route, from and to the same service.
+pub fn route(route: &str, service: &str) -> Bundle {
+    let value = Route {
+        name: name(route),
+        service: name(service),
+        callers: BTreeSet::from([name(service)]),
+        path_prefix: format!("/{route}"),
+        methods: BTreeSet::new(),
+        idempotent: false,
+        class: RequestClass::Status,
+        timeout: Millis(2_000),
+        credentials: Vec::new(),
+    };
+    Bundle { routes: BTreeMap::from([(name(route), sourced(4, value))]), ..Bundle::default() }
+}
+
+pub fn member(node: &str, zone: &str) -> Member {
+    let locality = Locality { region: name("north"), zone: name(zone) };
+    Member { node: name(node), locality, control: ([127, 0, 0, 1], 1).into() }
+}
+
+pub fn acceptor(store: MemoryStore, seed: u64) -> Acceptor {
+    acceptor_with(store, seed, AcceptorSettings::default())
+}
+
+pub fn acceptor_with(store: MemoryStore, seed: u64, settings: AcceptorSettings) -> Acceptor {
+    let candidates = || vec![member("n1", "a"), member("n2", "b"), member("n3", "c")];
+    let unix_millis = Arc::new(|| 1);
+    let context =
+        AcceptorContext { store: Arc::new(store), candidates: Arc::new(candidates), unix_millis, seed };
+    Acceptor::new(context, settings)
+}
+
+pub fn reader(platform: &MemoryPlatform) -> ChainReader {
+    ChainReader::new(Arc::new(platform.client()))
+}
+
+pub const MESH_ID: SubmissionId = SubmissionId(1_000_000);
+
+/// A platform on which the bundle `mesh` is version 1.
+pub async fn platform_with_mesh() -> MemoryPlatform {
+    let platform = MemoryPlatform::new();
+    put(&acceptor(platform.client(), 0), MESH_ID.0, "mesh", mesh()).await;
+    platform
+}
+
+/// Submits a bundle that must be accepted.
+pub async fn put(acceptor: &Acceptor, id: u128, bundle: &str, content: Bundle) -> u64 {
+    let bundle: BundleName = name(bundle);
+    let answer = acceptor.submit(SubmissionId(id), bundle, Change::Put(content)).await;
+    answer.expect("the submission is accepted").version.0
+}
+
+/// Whether a request moves the head.
+pub fn is_swap(note: &RequestNote) -> bool {
+    note.kind == ObjectKind::Head && matches!(note.verb, Verb::Put | Verb::Create)
+}
+
+/// A plan in which the first swap of the head meets `fault`.
+pub fn first_swap(fault: Fault) -> impl FnMut(&RequestNote) -> Fault + Send + 'static {
+    let met = AtomicBool::new(false);
+    move |note| if is_swap(note) && !met.swap(true, Ordering::Relaxed) { fault } else { Fault::None }
+}
