Aim the random schedules at the swap of the head

The cause was in the schedules: faults were drawn for requests in turn, and a swap comes only after six or seven requests without one, so hardly any swap met a fault. The swaps now have a list of faults of their own, half of them followed by an outage longer than the deadline.

--- a/crates/acceptance/tests/acceptance.rs
+++ b/crates/acceptance/tests/acceptance.rs
@@ -147,6 +147,25 @@
     assert_eq!(read_chain(&reader(&platform)).await.len(), 2);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_swap_sent_again_that_surely_failed_does_not_settle_the_first() {
+    let platform = platform_with_mesh().await;
+    let store = platform.client();
+    let mut swaps = 0;
+    store.set_faults(move |note| {
+        swaps += usize::from(is_swap(note));
+        match (is_swap(note), swaps) {
+            (true, 1) => Fault::Delayed,
+            (true, _) => Fault::NotSent,
+            (false, _) => Fault::None,
+        }
+    });
+    let change = Change::Put(service("billing", 4));
+    let answer = acceptor(store, 1).submit(ID, name("billing"), change).await;
+    assert_eq!(answer, Err(SubmitError::Unknown { submission: ID }));
+    assert_eq!(platform.release_delayed(), 1);
+}
+
 /// The platform goes away at each request in turn, in three ways. Whatever the operator is told then is true,
 /// and the same submission succeeds afterwards.
 #[tokio::test(start_paused = true)]
--- a/crates/acceptance/tests/schedules.rs
+++ b/crates/acceptance/tests/schedules.rs
@@ -7,10 +7,11 @@
 use futures_util::future::join_all;
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
 use support::history::{Answer, History, Link, Violation, check, read_chain};
-use support::{acceptor, name, platform_with_mesh, reader, service};
+use support::{acceptor, is_swap, name, platform_with_mesh, reader, service};
+use tokio::time::Instant;
 use umberpond_acceptance::{Abandonment, Change, SubmitError};
 use umberpond_model::{ContentHash, SubmissionId, Version};
-use umberpond_platform::memory::{Fault, MemoryPlatform, MemoryStore};
+use umberpond_platform::memory::{Fault, MemoryPlatform, MemoryStore, RequestNote};
 
 const SCHEDULES: u64 = 400;
 const SEED: u64 = 20_261_202;
@@ -29,8 +30,10 @@
     bundle: u8,
     withdraws: bool,
     next: Next,
-    /// Faults of the first requests.
-    faults: Vec<u8>,
+    /// Faults of the swaps of the head, in turn.
+    swaps: Vec<u8>,
+    /// Faults of all other requests, in turn.
+    others: Vec<u8>,
 }
 
 #[derive(Debug, Clone)]
@@ -47,13 +50,15 @@
             bundle: u8::arbitrary(random) % 3,
             withdraws: u8::arbitrary(random).is_multiple_of(4),
             next: *random.choose(&[Next::Nothing, Next::SubmitAgain, Next::Abandon]).expect("not empty"),
-            faults: Vec::arbitrary(random),
+            swaps: Vec::arbitrary(random),
+            others: Vec::arbitrary(random),
         }
     }
 
     fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
         let operator = self.clone();
-        Box::new(self.faults.shrink().map(move |faults| Self { faults, ..operator.clone() }))
+        let faults = (self.swaps.clone(), self.others.clone()).shrink();
+        Box::new(faults.map(move |(swaps, others)| Self { swaps, others, ..operator.clone() }))
     }
 }
 
@@ -72,19 +77,49 @@
     }
 }
 
-/// Half of the requests meet a fault; every request takes some time, so that operators interleave.
-fn fault(byte: Option<u8>, index: u64) -> Fault {
-    match byte.unwrap_or(255) % 12 {
-        0 | 1 => Fault::LostAnswer,
-        2 | 3 => Fault::Delayed,
-        4 => Fault::LostRequest,
-        5 => Fault::NotSent,
-        6 => Fault::Refused { retry_after: Some(Duration::from_secs(2)) },
-        7 => Fault::Slow(Duration::from_secs(11)),
-        other => Fault::Slow(Duration::from_millis((u64::from(other) * 7 + index * 3) % 17)),
+/// The faults that one operator's requests meet.
+struct Faults {
+    id: u64,
+    swaps: std::vec::IntoIter<u8>,
+    others: std::vec::IntoIter<u8>,
+    /// Until when the platform is out of the operator's reach.
+    down_until: Instant,
+}
+
+impl Faults {
+    fn meet(&mut self, note: &RequestNote) -> Fault {
+        let now = Instant::now();
+        if now < self.down_until {
+            return Fault::NotSent;
+        }
+        // Every request takes some time, so that operators interleave.
+        let slow = Fault::Slow(Duration::from_millis(1 + (self.id * 7 + note.index * 3) % 17));
+        if !is_swap(note) {
+            return match self.others.next().unwrap_or(u8::MAX) % 16 {
+                0 => Fault::LostAnswer,
+                1 => Fault::LostRequest,
+                2 => Fault::Refused { retry_after: Some(Duration::from_secs(1)) },
+                _ => slow,
+            };
+        }
+        let Some(byte) = self.swaps.next() else { return slow };
+        if byte >= 128 {
+            self.down_until = now + OUTAGE;
+        }
+        match byte % 8 {
+            0 | 1 => Fault::Delayed,
+            2 | 3 => Fault::LostAnswer,
+            4 => Fault::LostRequest,
+            5 => Fault::NotSent,
+            6 => Fault::Slow(OUTAGE),
+            _ => slow,
+        }
     }
 }
 
+/// Longer than the deadline of a submission.
+const OUTAGE: Duration = Duration::from_secs(11);
+
 fn answer(result: Result<Version, SubmitError>) -> Answer {
     match result {
         Ok(version) => Answer::Accepted(version),
@@ -105,11 +140,10 @@
 
 async fn operate(store: MemoryStore, id: u64, operator: Operator) -> Vec<(SubmissionId, Answer)> {
     tokio::time::sleep(Duration::from_millis(operator.starts_after_millis)).await;
-    let faults = operator.faults.clone();
-    store.set_faults(move |note| {
-        let byte = usize::try_from(note.index).ok().and_then(|index| faults.get(index)).copied();
-        fault(byte, note.index + id)
-    });
+    let swaps = operator.swaps.clone().into_iter();
+    let others = operator.others.clone().into_iter();
+    let mut faults = Faults { id, swaps, others, down_until: Instant::now() };
+    store.set_faults(move |note| faults.meet(note));
     let submission = SubmissionId(id.into());
     let bundle = format!("bundle-{}", operator.bundle);
     let slots = u32::try_from(id).expect("small") + 1;
@@ -124,6 +158,7 @@
     };
     let mut answers = vec![submit(id).await];
     if answers[0] == Answer::Unknown {
+        tokio::time::sleep(OUTAGE).await;
         match operator.next {
             Next::Nothing => {}
             Next::SubmitAgain => answers.push(submit(id + 100).await),
@@ -135,7 +170,7 @@
 
 async fn arrivals(platform: MemoryPlatform, times_millis: Vec<u64>) {
     for millis in times_millis {
-        tokio::time::sleep(Duration::from_millis(millis % 3_000)).await;
+        tokio::time::sleep(Duration::from_millis(millis % 9_000)).await;
         platform.release_delayed();
     }
 }
