--- /dev/null
+++ b/crates/acceptance/tests/cost.rs
@@ -0,0 +1,43 @@
+//! What an acceptance costs the platform, counted. Run with `--nocapture` for the figures.
+
+mod support;
+
+use support::{acceptor, platform_with_mesh, put, service};
+use umberpond_platform::memory::MemoryPlatform;
+
+/// Versions with that many bundles in force, one service in each.
+async fn grown(bundles: u32) -> MemoryPlatform {
+    let platform = platform_with_mesh().await;
+    let acceptor = acceptor(platform.client(), 1);
+    for number in 1..bundles {
+        let service_name = format!("service-{number}");
+        put(&acceptor, number.into(), &service_name, service(&service_name, 4)).await;
+    }
+    platform
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_acceptance_costs_a_bounded_number_of_requests() {
+    for bundles in [1, 50, 420] {
+        let platform = grown(bundles).await;
+        let store = platform.client();
+        let acceptor = acceptor(store.clone(), 2);
+        put(&acceptor, 10_000, "extra", service("extra", 1)).await;
+        let first = store.counters();
+        put(&acceptor, 10_001, "extra", service("extra", 2)).await;
+        let second = store.counters();
+        let requests = second.total() - first.total();
+        let written = second.bytes_written - first.bytes_written;
+        println!(
+            "bundles {bundles}: first submission on a node {} requests, {} bytes read; next one {requests} \
+             requests, {} bytes read, {written} bytes written",
+            first.total(),
+            first.bytes_read,
+            second.bytes_read - first.bytes_read,
+        );
+        // The head, four content objects and the swap; the search needs no record that is not cached.
+        assert_eq!(requests, 6);
+        // The head, the record, the manifest, its bundles, a record per page, and the six above.
+        assert!(first.total() <= u64::from(bundles) + 2 + u64::from(bundles) / 64 + 2 + 6);
+    }
+}
