Add the scale simulation's driver of hollow nodes

Ruled out: tokio tasks for each node (one event queue is several times cheaper and orders ties by scheduling).

--- a/testing/sim/src/lib.rs
+++ b/testing/sim/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod checkers;
 pub mod history;
 pub mod network;
+pub mod scale;
 pub mod schedule;
