Read bundles from TOML files with every fault in one report, and test the joined whole

Cause: an operator who mends one fault a run gives up on the fifth; and what another bundle still references must not be withdrawn unnoticed.

Change: `BundleSource::load` (a part; others may define what it lacks) and `load_whole` (nothing else is in force) read a directory through the recovering TOML parser, key by key, and run the same checker as `join`; each fault has file, line, what is wrong and the mend, and comes as one miette diagnostic without source excerpts, because an excerpt would print a secret that somebody pasted. Files are bounded, links that lead outside and pipes are not opened. `seal` turns the source into a `Bundle`. Sealed values now carry eight bytes of the hash of their key, so that `join` refuses a service's new key while secrets are still sealed to the old one. `Bundle::from_bytes` checks names, which decoding passes by.

--- a/crates/config/src/bundle.rs
+++ b/crates/config/src/bundle.rs
@@ -32,8 +32,38 @@
     /// Reads what [`Bundle::to_bytes`] wrote. The content may come from anywhere: [`crate::join`] checks it.
     ///
     /// # Errors
-    /// Returns [`DecodeError`] for an unknown schema or damaged bytes.
+    /// Returns [`DecodeError`] for an unknown schema, damaged bytes or a name that breaks the naming rule.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self, DecodeError> {
-        encoding::decode(bytes)
+        let bundle: Self = encoding::decode(bytes)?;
+        // Decoding passes by the constructors that check names.
+        let has_valid_names = bundle.names().all(|name| ServiceName::new(name).is_ok());
+        if has_valid_names { Ok(bundle) } else { Err(DecodeError::InvalidName) }
+    }
+
+    /// Every name in the bundle, defined or referred to. One naming rule holds for all kinds.
+    fn names(&self) -> impl Iterator<Item = &str> {
+        let regions = self.topology.iter().flat_map(|(region, zones)| {
+            let zones = zones.value.iter().map(ZoneName::as_str);
+            zones.chain([region.as_str()])
+        });
+        let services = self.services.iter().flat_map(|(key, service)| {
+            let rules = service.value.allowed.iter();
+            let localities = rules.flat_map(|rule| {
+                let zone = rule.zone.as_ref().map(ZoneName::as_str);
+                zone.into_iter().chain([rule.region.as_str()])
+            });
+            localities.chain([key.as_str(), service.value.name.as_str()])
+        });
+        let routes = self.routes.iter().flat_map(|(key, route)| {
+            let callers = route.value.callers.iter().map(ServiceName::as_str);
+            let secrets = route.value.credentials.iter().map(|credential| credential.secret.as_str());
+            let own = [key.as_str(), route.value.name.as_str(), route.value.service.as_str()];
+            callers.chain(secrets).chain(own)
+        });
+        let secrets = self.secrets.iter().flat_map(|(key, secret)| {
+            let readers = secret.value.readers.keys().map(ServiceName::as_str);
+            readers.chain([key.as_str(), secret.value.name.as_str()])
+        });
+        regions.chain(services).chain(routes).chain(secrets)
     }
 }
--- a/crates/config/src/check/fault.rs
+++ b/crates/config/src/check/fault.rs
@@ -10,6 +10,9 @@
 use super::FaultKind;
 use crate::Origin;
 
+/// Most characters of one part of a fault that are printed.
+const MAX_SHOWN_CHARACTERS: usize = 300;
+
 /// Kind of an entry of a bundle.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -86,17 +89,25 @@
         if let Some(bundle) = &self.bundle {
             write!(formatter, "bundle `{bundle}`, ")?;
         }
-        write!(formatter, "{}: ", self.origin)?;
+        write!(formatter, "{}: ", printable(&self.origin.to_string()))?;
         if let Some(entry) = &self.entry {
-            write!(formatter, "{entry}: ")?;
+            write!(formatter, "{} `{}`: ", entry.kind, printable(&entry.name))?;
         }
         if let Some(key) = &self.key {
-            write!(formatter, "`{key}`: ")?;
+            write!(formatter, "`{}`: ", printable(key))?;
         }
-        fmt::Display::fmt(&self.kind, formatter)
+        formatter.write_str(&printable(&self.kind.to_string()))
     }
 }
 
+/// Text of a file as it may reach a terminal: without control characters and not without end.
+fn printable(text: &str) -> String {
+    let shown = text.chars().take(MAX_SHOWN_CHARACTERS);
+    shown
+        .map(|character| if character.is_control() { char::REPLACEMENT_CHARACTER } else { character })
+        .collect()
+}
+
 impl Diagnostic for Fault {
     fn help<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
         Some(Box::new(self.kind.mend()))
--- a/crates/config/src/check/fault_kind.rs
+++ b/crates/config/src/check/fault_kind.rs
@@ -96,6 +96,8 @@
     CallerNotReader { caller: ServiceName, secret: SecretName },
     #[error("reader `{reader}` has no seal key")]
     ReaderWithoutSealKey { reader: ServiceName },
+    #[error("the value is not sealed to the key that reader `{reader}` has in force")]
+    SealedToOtherKey { reader: ServiceName },
     #[error("matches the same requests of caller `{caller}` as route `{other}`, at {origin}")]
     AmbiguousRoute { caller: ServiceName, other: RouteName, origin: Origin },
 }
@@ -126,6 +128,9 @@
             Self::ReaderWithoutSealKey { reader } => {
                 format!("set `seal_key` of service `{reader}`, or take it from the readers")
             }
+            Self::SealedToOtherKey { reader } => {
+                format!("submit the secret's bundle again, so that it is sealed to the new key of `{reader}`")
+            }
             Self::AmbiguousRoute { other, .. } => {
                 format!("give this route or `{other}` another prefix, other methods or other callers")
             }
--- a/crates/config/src/check/mod.rs
+++ b/crates/config/src/check/mod.rs
@@ -16,7 +16,7 @@
 pub use fault_kind::FaultKind;
 pub use report::CheckReport;
 
-use entries::check_entries;
+pub(crate) use entries::check_entries;
 use whole::Whole;
 
 use crate::{Bundle, Snapshot};
@@ -36,8 +36,16 @@
     }
     let whole = Whole::of(bundles.iter().map(|(name, bundle)| (Some(name), &**bundle)), &mut faults);
     whole.check(&mut faults);
+    whole.check_sealed(&mut faults);
     match CheckReport::of(faults) {
         Some(report) => Err(report),
         None => Ok(whole.snapshot()),
     }
 }
+
+/// Checks the references of one bundle as if no other were in force.
+pub(crate) fn check_alone(bundle: &Bundle) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    Whole::of([(None, bundle)], &mut faults).check(&mut faults);
+    faults
+}
--- a/crates/config/src/check/whole.rs
+++ b/crates/config/src/check/whole.rs
@@ -115,6 +115,19 @@
         }
     }
 
+    /// Checks that each value is sealed to the key that its reader has in force.
+    pub(super) fn check_sealed(&self, faults: &mut Vec<Fault>) {
+        for secret in self.secrets.values() {
+            for (reader, sealed) in &secret.value.readers {
+                let key = self.services.get(reader).and_then(|service| service.value.seal_key);
+                if key.is_some_and(|key| !sealed.is_sealed_to(&key)) {
+                    let kind = FaultKind::SealedToOtherKey { reader: reader.clone() };
+                    faults.push(secret.fault(EntryKind::Secret, secret.value.name.as_str(), "readers", kind));
+                }
+            }
+        }
+    }
+
     fn check_route(&self, route: &Located<'a, Route>, faults: &mut Vec<Fault>) {
         let value = route.value;
         let mut fault = |key: &str, kind| {
--- a/crates/config/src/encoding.rs
+++ b/crates/config/src/encoding.rs
@@ -21,6 +21,9 @@
     /// The schema is known but the bytes don't decode.
     #[error("the object is damaged")]
     Malformed,
+    /// A name in the object breaks the naming rule.
+    #[error("a name in the object breaks the naming rule")]
+    InvalidName,
 }
 
 /// Encodes `value` behind the schema number.
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -19,6 +19,7 @@
 mod secret_value;
 mod service;
 mod snapshot;
+mod source;
 
 pub use bundle::Bundle;
 pub use check::{CheckReport, EntryKind, EntryName, Fault, FaultKind, join};
@@ -35,3 +36,6 @@
 pub use secret_value::SecretValue;
 pub use service::Service;
 pub use snapshot::{Snapshot, Topology};
+pub use source::{
+    BundleSource, MAX_BUNDLE_BYTES, MAX_FILE_BYTES, MAX_FILES, MAX_SECRET_BYTES, SecretSource, ValueSource,
+};
--- a/crates/config/src/sealing.rs
+++ b/crates/config/src/sealing.rs
@@ -15,6 +15,9 @@
 use crate::seal_key::{InvalidSealKey, decode_key, encode_key};
 use crate::{SealKey, SealedValue, SecretValue};
 
+/// Bytes of the key's hash in front of each sealed value.
+const FINGERPRINT_BYTES: usize = 8;
+
 /// Why a value couldn't be sealed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 pub enum SealError {
@@ -71,7 +74,11 @@
     /// # Errors
     /// Returns [`OpenError`] if the value was sealed to another key or as another secret, or was changed.
     pub fn open(&self, name: &SecretName, sealed: &SealedValue) -> Result<SecretValue, OpenError> {
-        let clear = self.0.unseal(&sealed.0).map_err(|_| OpenError::NotForThisKey)?;
+        if !sealed.is_sealed_to(&self.public()) {
+            return Err(OpenError::NotForThisKey);
+        }
+        let boxed = sealed.0.get(FINGERPRINT_BYTES..).ok_or(OpenError::NotForThisKey)?;
+        let clear = self.0.unseal(boxed).map_err(|_| OpenError::NotForThisKey)?;
         let clear = Zeroizing::new(clear);
         let value = clear.strip_prefix(name_prefix(name).as_slice()).ok_or(OpenError::OtherSecret)?;
         Ok(SecretValue::new(value.to_vec()))
@@ -100,7 +107,20 @@
     clear.extend_from_slice(value.expose());
     let public_key = PublicKey::from(key.0);
     let sealed = public_key.seal(&mut RngAdapter(rng), &clear).map_err(|_| SealError::Refused)?;
-    Ok(SealedValue(sealed))
+    Ok(SealedValue([fingerprint(key).as_slice(), &sealed].concat()))
+}
+
+impl SealedValue {
+    /// Whether the value says that it is sealed to `key`. Tells a value that was left behind by a change of the key.
+    #[must_use]
+    pub fn is_sealed_to(&self, key: &SealKey) -> bool {
+        self.0.starts_with(&fingerprint(key))
+    }
+}
+
+fn fingerprint(key: &SealKey) -> [u8; FINGERPRINT_BYTES] {
+    let hash = blake3::hash(&key.0);
+    std::array::from_fn(|index| hash.as_bytes()[index])
 }
 
 /// The name and a zero byte, which no name holds, so that one name can't be the start of another's.
--- /dev/null
+++ b/crates/config/src/source/lines.rs
@@ -0,0 +1,19 @@
+//! Byte offsets to lines.
+
+use std::ops::Range;
+
+/// Starts of the lines of one file.
+pub(super) struct LineIndex(Vec<usize>);
+
+impl LineIndex {
+    pub(super) fn of(text: &str) -> Self {
+        let newlines = text.bytes().enumerate().filter(|(_, byte)| *byte == b'\n');
+        Self(newlines.map(|(offset, _)| offset).collect())
+    }
+
+    /// Line in which `span` starts, counted from 1.
+    pub(super) fn line(&self, span: &Range<usize>) -> u32 {
+        let newlines_before = self.0.partition_point(|newline| *newline < span.start);
+        u32::try_from(newlines_before).map_or(u32::MAX, |line| line.saturating_add(1))
+    }
+}
--- a/crates/config/tests/support/mod.rs
+++ b/crates/config/tests/support/mod.rs
@@ -2,13 +2,13 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use umberpond_config::{
-    Bundle, HeaderCredential, Origin, RequestClass, Route, Scope, SealKey, SealedValue, Secret, Service,
-    Snapshot, Sourced, join,
+    Bundle, HeaderCredential, Origin, RequestClass, Route, Scope, SealKey, SealedValue, Secret, SecretValue,
+    Service, Snapshot, Sourced, join, seal,
 };
 use umberpond_model::{BundleName, LocalityRule, Millis, ServiceName, ZoneName};
 
@@ -34,10 +34,18 @@
 }
 
 pub fn secret(text: &str, readers: &[&str]) -> Secret {
-    let sealed = |reader: &&str| (name(reader), SealedValue(format!("sealed for {reader}").into_bytes()));
+    let sealed = |reader: &&str| (name(reader), sealed_value());
     Secret { name: name(text), readers: readers.iter().map(sealed).collect() }
 }
 
+/// A value sealed to the key that [`service`] gives every service.
+fn sealed_value() -> SealedValue {
+    static SEALED: OnceLock<SealedValue> = OnceLock::new();
+    let value = SecretValue::new(b"clear".to_vec());
+    let rng = &mut ChaCha8Rng::seed_from_u64(1);
+    SEALED.get_or_init(|| seal(&name("token"), &value, &SealKey([7; 32]), rng).expect("seals")).clone()
+}
+
 pub fn route(text: &str, service: &str, callers: &[&str], prefix: &str) -> Route {
     Route {
         name: name(text),
