--- /dev/null
+++ b/crates/config/src/plan/changes.rs
@@ -0,0 +1,40 @@
+//! Names added, removed and changed.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use crate::Entry;
+
+/// What happens to the entries of one kind.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Changes<K> {
+    /// Only in the snapshot after.
+    pub added: Vec<K>,
+    /// Only in the snapshot before.
+    pub removed: Vec<K>,
+    /// In both, with another content.
+    pub changed: Vec<K>,
+}
+
+impl<K> Default for Changes<K> {
+    fn default() -> Self {
+        Self { added: Vec::new(), removed: Vec::new(), changed: Vec::new() }
+    }
+}
+
+impl<K: Ord + Clone> Changes<K> {
+    /// The changes between two sets of entries.
+    pub(super) fn between<T>(before: &BTreeMap<K, Entry<T>>, after: &BTreeMap<K, Entry<T>>) -> Self {
+        let mut changes = Self::default();
+        for (name, entry) in after {
+            match before.get(name) {
+                None => changes.added.push(name.clone()),
+                Some(old) if old != entry => changes.changed.push(name.clone()),
+                Some(_) => {}
+            }
+        }
+        changes.removed.extend(before.keys().filter(|name| !after.contains_key(*name)).cloned());
+        changes
+    }
+}
