Carry a request from the caller to the back end and back

The entry points returned at once. Now the outbound half finds the route, picks an allowed endpoint, sends the request over a pooled connection and verifies that the answer comes from the pick; the inbound half checks its service, locality and state, admits the request and hands it to the back end. Bodies stream both ways. Whether a failed attempt can have run is read off a counter at the stream itself, which is sealed before it is read, and not off the HTTP library's errors, which don't tell a buffered request from a written one. A second reading of each head beside the library's refuses what the library silently mends (two lengths). set_endpoint_status gives way to set_own_record, which also carries the record's sequence.

--- /dev/null
+++ b/crates/proxy/src/inbound/mod.rs
@@ -0,0 +1,111 @@
+//! The inbound half: the gate before the local back end.
+//!
+//! It is the proof of what may run here, whatever the caller's node believes: it refuses work for another service,
+//! for a locality that the service does not allow, for a back end that is not ready, and for a request that it
+//! admitted before. A refusal says `rejected` only where it is known that the request did not run.
+
+mod exchange;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use tokio::time::Instant;
+use umberpond_admission::{
+    Admitted, Attempt, Permit, Refusal as GateRefusal, RefusalReason as GateReason, RequestId,
+};
+use umberpond_model::ServiceName;
+
+use crate::headers::{AttemptHeaders, EndpointHeaders, names};
+use crate::refusal::Refusal;
+use crate::server::{OpenRequest, ProxyBody, Server};
+use crate::{Outcome, ProxyState, RefusalReason, RequestEvent, millis};
+
+/// Answers one request of another node.
+pub(crate) async fn handle(server: &Server, request: Request<Incoming>) -> Response<ProxyBody> {
+    let mut response = answer(server, request).await;
+    let is_draining = server.tracker.is_draining();
+    let report = server.state.endpoint_report(is_draining);
+    let headers = response.headers_mut();
+    EndpointHeaders::write(headers, &server.state.identity, &report);
+    if is_draining {
+        headers.insert(http::header::CONNECTION, http::HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn answer(server: &Server, request: Request<Incoming>) -> Response<ProxyBody> {
+    let started = Instant::now();
+    let in_flight = server.tracker.start();
+    let state = &server.state;
+    let headers = match AttemptHeaders::read(&request) {
+        Ok(headers) => headers,
+        Err(malformed) => {
+            let refusal = Refusal::malformed(malformed);
+            return state.refuse(refusal, None, Some(request.into_body()), Some(in_flight));
+        }
+    };
+    let open = OpenRequest::new(state, headers.attempt.request, started, in_flight);
+    if let Err(reason) = check_place(state, &headers.service, server.tracker.is_draining()) {
+        return open.refuse(Refusal::rejected(reason), Some(request.into_body()));
+    }
+    let deadline = started + std::time::Duration::from_millis(headers.attempt.remaining.0);
+    match admit(state, &headers.attempt, deadline).await {
+        Err(refusal) => open.refuse(refusal, Some(request.into_body())),
+        Ok(permit) => {
+            state.observe(&RequestEvent::Admitted {
+                request: open.request,
+                queued: millis(started.elapsed()),
+            });
+            exchange::run(open, request, permit, deadline).await
+        }
+    }
+}
+
+/// Whether a request for `service` may be served here at all.
+fn check_place(state: &ProxyState, service: &ServiceName, is_draining: bool) -> Result<(), RefusalReason> {
+    if state.identity.service.as_ref() != Some(service) {
+        return Err(RefusalReason::WrongService);
+    }
+    if is_draining {
+        return Err(RefusalReason::Draining);
+    }
+    let table = state.table().ok_or(RefusalReason::NoConfiguration)?;
+    let own = table.service(service.as_str()).ok_or(RefusalReason::NoConfiguration)?;
+    if !own.allows(&state.identity.locality) {
+        return Err(RefusalReason::WrongLocality);
+    }
+    Ok(())
+}
+
+/// Waits for a slot, at most until the deadline.
+async fn admit(state: &ProxyState, attempt: &Attempt, deadline: Instant) -> Result<Permit, Refusal> {
+    let gate = state.gate().ok_or(Refusal::rejected(RefusalReason::NoConfiguration))?;
+    let admitted = gate.admit(state.now(), attempt);
+    match admitted.map_err(|refusal| on_gate_refusal(state, attempt.request, refusal))? {
+        Admitted::Now(permit) => Ok(permit),
+        Admitted::Queued(ticket) => match tokio::time::timeout_at(deadline, ticket).await {
+            Ok(verdict) => verdict.map_err(|refusal| on_gate_refusal(state, attempt.request, refusal)),
+            // The ticket is dropped, so the request never ran.
+            Err(_elapsed) => Err(Refusal::rejected(RefusalReason::Deadline)),
+        },
+    }
+}
+
+fn on_gate_refusal(state: &ProxyState, request: RequestId, refusal: GateRefusal) -> Refusal {
+    let reason = match refusal.reason {
+        GateReason::NotReady => RefusalReason::BackendNotReady,
+        GateReason::Draining => RefusalReason::Draining,
+        GateReason::Overloaded | GateReason::Displaced => RefusalReason::Overload,
+        GateReason::DeadlineTooShort => RefusalReason::Deadline,
+        GateReason::DeadlineTooLong => RefusalReason::Malformed,
+        GateReason::Duplicate | GateReason::TooOld => RefusalReason::Duplicate,
+    };
+    if reason == RefusalReason::Duplicate {
+        state.observe(&RequestEvent::Duplicate { request });
+    }
+    let outcome = if refusal.proves_not_executed() { Outcome::Rejected } else { Outcome::Unknown };
+    let retry_after = std::time::Duration::from_millis(refusal.retry_after.0);
+    Refusal { outcome, ..Refusal::rejected(reason) }.after(retry_after)
+}
+
+/// Headers that the back end may read beside the caller's own.
+const KEPT_FOR_BACKEND: [http::HeaderName; 1] = [names::REQUEST_ID];
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -7,24 +7,27 @@
 //! Every answer carries an [`Outcome`]: *answered*, *rejected* (it is known that the request did not run) or
 //! *unknown*. Nothing here reads a wall clock or an unseeded random source, so the same code runs in simulation.
 
-// The request path itself follows; until then parts of the state are unused.
-#![allow(dead_code)]
-
 mod backend;
 mod clock;
 mod headers;
 mod identity;
+mod inbound;
 mod observer;
+mod outbound;
 mod outcome;
-mod request_id;
+mod random;
+mod refusal;
 mod routing;
 mod serve;
+mod server;
 mod settings;
 mod shutdown;
 mod state;
+mod wire;
 
-pub use backend::BackendHealth;
+pub use backend::{BackendHealth, check_backend};
 pub use clock::ProcessClock;
+pub(crate) use clock::millis;
 pub use headers::names as header_names;
 pub use identity::NodeIdentity;
 pub use observer::{
@@ -32,11 +35,11 @@
     Stage,
 };
 pub use outcome::Outcome;
-pub use request_id::RequestId;
 pub use routing::{
     CompileError, CompiledRoute, CredentialValue, InvalidCredential, NoRoute, RouteMatch, RoutingTable,
 };
-pub use serve::{check_backend, serve_inbound, serve_outbound};
+pub use serve::{serve_inbound, serve_outbound};
 pub use settings::{BackendSettings, ProxySettings};
 pub use shutdown::{DrainHandle, DrainReport, ShutdownPhase, ShutdownSignal, shutdown_channel};
 pub use state::{ProxyEnvironment, ProxyState, StaleVersion};
+pub use umberpond_admission::RequestId;
--- /dev/null
+++ b/crates/proxy/src/server/connection.rs
@@ -0,0 +1,101 @@
+//! One accepted connection.
+
+use std::convert::Infallible;
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::sync::Arc;
+
+use futures_util::future::BoxFuture;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::io::AsyncWriteExt;
+use tokio_util::sync::CancellationToken;
+use umberpond_net::BoxStream;
+
+use super::body::ProxyBody;
+use super::tracker::Tracker;
+use super::watched_stream::{ConnectionWatch, ReadLimits, WatchedStream};
+use crate::refusal::{Refusal, SLOW_HEAD_ANSWER};
+use crate::server::CheckedRequest;
+use crate::{ProxyState, inbound, outbound};
+
+/// Which half of the proxy a listener serves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Half {
+    /// Other nodes call the local back end.
+    Inbound,
+    /// Local callers call other services.
+    Outbound,
+}
+
+/// What all connections of a listener share.
+#[derive(Clone)]
+pub(crate) struct Server {
+    pub(crate) half: Half,
+    pub(crate) state: Arc<ProxyState>,
+    pub(crate) tracker: Arc<Tracker>,
+    /// Cancelled when idle connections are to close.
+    pub(crate) closing: CancellationToken,
+}
+
+impl Server {
+    /// Serves `stream` until its peer or a limit ends it, or until it is idle and the listener closes.
+    pub(crate) async fn serve(self, stream: BoxStream) {
+        let settings = &self.state.settings;
+        let watch = ConnectionWatch::new(settings.max_head_bytes);
+        let limits = ReadLimits { head: settings.head_read_timeout, idle: settings.caller_idle_timeout };
+        let io = TokioIo::new(WatchedStream::new(stream, Arc::clone(&watch), limits));
+        let service = service_fn(|request| self.answer(Arc::clone(&watch), request));
+        let mut connection = Builder::new()
+            .max_headers(settings.max_headers)
+            .max_header_size(settings.max_head_bytes)
+            .header_read_timeout(None)
+            .serve_connection(io, service);
+        let served = poll_fn(|context| connection.poll_without_shutdown(context));
+        let closed_first = {
+            tokio::pin!(served);
+            tokio::select! {
+                biased;
+                _ = &mut served => false,
+                () = self.closing.cancelled() => true,
+            }
+        };
+        if closed_first {
+            Pin::new(&mut connection).graceful_shutdown();
+            let _ = poll_fn(|context| connection.poll_without_shutdown(context)).await;
+        }
+        let mut stream = connection.into_parts().io.into_inner();
+        if watch.was_slow() {
+            let _ = stream.write_all(SLOW_HEAD_ANSWER).await;
+        }
+        let _ = stream.shutdown().await;
+    }
+
+    fn answer(
+        &self,
+        watch: Arc<ConnectionWatch>,
+        request: Request<Incoming>,
+    ) -> BoxFuture<'static, Result<Response<ProxyBody>, Infallible>> {
+        let server = self.clone();
+        Box::pin(async move {
+            watch.set_busy(true);
+            let verdict = watch.next_verdict();
+            let response = match CheckedRequest::check(&request, verdict.as_ref()) {
+                Err(malformed) => {
+                    let in_flight = Some(server.tracker.start());
+                    let refusal = Refusal::malformed(malformed);
+                    server.state.refuse(refusal, None, Some(request.into_body()), in_flight)
+                }
+                Ok(checked) => match server.half {
+                    Half::Inbound => inbound::handle(&server, request).await,
+                    Half::Outbound => outbound::handle(&server, request, checked).await,
+                },
+            };
+            watch.set_busy(false);
+            Ok(response)
+        })
+    }
+}
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -3,6 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use umberpond_admission::{AdmissionSettings, RetryBudgetSettings};
+use umberpond_balance::BalancerSettings;
+
 /// Limits and time limits of both halves. The defaults suit the sizes of the planned deployments.
 #[derive(Debug, Clone)]
 pub struct ProxySettings {
@@ -18,16 +21,23 @@
     pub connect_timeout: Duration,
     /// Most connections to one endpoint.
     pub connections_per_endpoint: usize,
-    /// Longest time an idle connection is kept for reuse. Shorter than the time a server keeps one open.
+    /// Most connections to the local back end.
+    pub backend_connections: usize,
+    /// Longest time a listener keeps a connection without any request. Longer than `idle_timeout`, so that it is
+    /// the calling side that closes and no request meets a closing connection.
+    pub caller_idle_timeout: Duration,
+    /// Longest time an idle connection to an endpoint or to the back end is kept for reuse.
     pub idle_timeout: Duration,
     /// Most connections that one listener serves at once.
     pub max_connections: usize,
     /// Largest body, in bytes, that is kept so that the request can be sent again.
     pub replay_limit_bytes: usize,
-    /// Most attempts of one request, the first one included.
-    pub max_attempts: u32,
-    /// Time limit of a request with no limit of its own (inbound side, if the deadline header is absent).
-    pub default_timeout: Duration,
+    /// How endpoints are chosen.
+    pub balancer: BalancerSettings,
+    /// How many retries the traffic to one service may have.
+    pub retry_budget: RetryBudgetSettings,
+    /// Admission to the local back end; its slots come from the configuration in force.
+    pub admission: AdmissionSettings,
     /// How long a draining listener goes on refusing politely before it closes idle connections.
     pub drain_grace: Duration,
 }
@@ -41,11 +51,14 @@
             body_read_timeout: Duration::from_secs(10),
             connect_timeout: Duration::from_millis(500),
             connections_per_endpoint: 32,
+            backend_connections: 120,
+            caller_idle_timeout: Duration::from_secs(90),
             idle_timeout: Duration::from_secs(30),
             max_connections: 4_096,
             replay_limit_bytes: 64 * 1024,
-            max_attempts: 3,
-            default_timeout: Duration::from_secs(10),
+            balancer: BalancerSettings::default(),
+            retry_budget: RetryBudgetSettings::default(),
+            admission: AdmissionSettings::default(),
             drain_grace: Duration::from_secs(3),
         }
     }
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -1,15 +1,24 @@
 //! What both halves share.
 
-use std::sync::Arc;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, OnceLock};
 
-use arc_swap::ArcSwapOption;
+use arc_swap::{ArcSwap, ArcSwapOption};
+use parking_lot::Mutex;
 use thiserror::Error;
 use tokio::sync::watch;
-use umberpond_model::{EndpointRecord, EndpointStatus, Version};
+use tokio::time::Instant;
+use umberpond_admission::{Admission, AdmissionSettings, GateStatus, GateView, RetryBudget};
+use umberpond_balance::{Balancer, EndpointReport, LoadReport, LocalityFilter};
+use umberpond_model::{EndpointRecord, EndpointStatus, ServiceName, Timestamp, Version};
 use umberpond_net::Network;
 
+use crate::random::RandomShards;
+use crate::wire::{Pool, PoolLimits};
 use crate::{
-    BackendHealth, BackendSettings, NodeIdentity, ProcessClock, ProxySettings, RequestObserver, RoutingTable,
+    BackendHealth, BackendSettings, NodeIdentity, ProcessClock, ProxySettings, RequestEvent, RequestObserver,
+    RoutingTable,
 };
 
 /// What the proxies need from their surroundings.
@@ -24,7 +33,7 @@
     pub observer: Arc<dyn RequestObserver>,
 }
 
-/// A routing table older than the one in force; it was not put in force.
+/// A routing table that is not newer than the one in force; it was not put in force.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 #[error("version {offered} is not newer than version {active}, which is in force")]
 pub struct StaleVersion {
@@ -34,15 +43,35 @@
     pub active: Version,
 }
 
+/// One service that this node calls.
+pub(crate) struct Target {
+    pub(crate) balancer: Balancer,
+    pub(crate) budget: RetryBudget,
+}
+
+/// State of this node's own endpoint by its owner's word.
+#[derive(Debug, Clone, Copy)]
+struct OwnEndpoint {
+    status: EndpointStatus,
+    sequence: Option<u64>,
+}
+
 /// State of the request path of one node, shared by both halves and all their connections.
 pub struct ProxyState {
     pub(crate) identity: NodeIdentity,
     pub(crate) settings: ProxySettings,
-    pub(crate) environment: ProxyEnvironment,
-    pub(crate) table: ArcSwapOption<RoutingTable>,
     pub(crate) backend: Option<BackendSettings>,
-    status: watch::Sender<EndpointStatus>,
-    health: watch::Sender<BackendHealth>,
+    pub(crate) random: RandomShards,
+    pub(crate) nodes: Pool,
+    pub(crate) backend_pool: Pool,
+    pub(crate) health: watch::Sender<BackendHealth>,
+    pub(crate) environment: ProxyEnvironment,
+    table: ArcSwapOption<RoutingTable>,
+    targets: ArcSwap<BTreeMap<ServiceName, Arc<Target>>>,
+    /// Endpoint records as handed in last. The lock is held over every change of table and targets.
+    records: Mutex<Vec<EndpointRecord>>,
+    gate: OnceLock<Admission>,
+    own: ArcSwap<OwnEndpoint>,
 }
 
 impl ProxyState {
@@ -54,27 +83,44 @@
         backend: Option<BackendSettings>,
         environment: ProxyEnvironment,
     ) -> Arc<Self> {
+        let node_limits = PoolLimits {
+            connections: settings.connections_per_endpoint,
+            idle: settings.idle_timeout,
+            connect: settings.connect_timeout,
+        };
+        let backend_limits = PoolLimits { connections: settings.backend_connections, ..node_limits };
+        let network = Arc::clone(&environment.network);
         Arc::new(Self {
             identity,
-            settings,
-            environment,
-            table: ArcSwapOption::empty(),
             backend,
-            status: watch::Sender::new(EndpointStatus::Starting),
+            random: RandomShards::new(environment.seed),
+            nodes: Pool::new(Arc::clone(&network), node_limits),
+            backend_pool: Pool::new(network, backend_limits),
             health: watch::Sender::new(BackendHealth::Starting),
+            environment,
+            settings,
+            table: ArcSwapOption::empty(),
+            targets: ArcSwap::default(),
+            records: Mutex::default(),
+            gate: OnceLock::new(),
+            own: ArcSwap::from_pointee(OwnEndpoint { status: EndpointStatus::Starting, sequence: None }),
         })
     }
 
-    /// Puts a routing table in force, by one swap.
+    /// Puts a routing table in force, by one swap. The endpoints are filtered by its localities first, so no
+    /// request of the new table meets an endpoint that it forbids.
     ///
     /// # Errors
     /// Returns [`StaleVersion`] and changes nothing if the table is not newer than the one in force.
     pub fn activate(&self, table: Arc<RoutingTable>) -> Result<(), StaleVersion> {
+        let records = self.records.lock();
         if let Some(active) = self.active_version()
             && table.version() <= active
         {
             return Err(StaleVersion { offered: table.version(), active });
         }
+        self.update_targets(&table, &records);
+        self.open_gate(&table);
         self.table.store(Some(table));
         Ok(())
     }
@@ -86,18 +132,32 @@
     }
 
     /// Replaces the endpoint records of all services that this node calls.
-    pub fn set_endpoints(&self, _records: &[EndpointRecord]) {}
+    pub fn set_endpoints(&self, records: Vec<EndpointRecord>) {
+        let mut current = self.records.lock();
+        *current = records;
+        if let Some(table) = self.table.load_full() {
+            self.update_targets(&table, &current);
+        }
+        let ready: BTreeSet<SocketAddr> =
+            current.iter().filter(|record| record.takes_new_work()).map(|record| record.inbound).collect();
+        self.nodes.retain(&ready);
+    }
 
-    /// Sets the status that this node's endpoint has by its owner's word: only a ready endpoint admits work.
-    /// The node calls it before it tells anybody else.
-    pub fn set_endpoint_status(&self, status: EndpointStatus) {
-        self.status.send_replace(status);
+    /// Takes in what this node says of its own endpoint: only a ready one admits work. Call it before telling
+    /// anybody else: from its return on nothing new is admitted unless the endpoint is ready.
+    pub fn set_own_record(&self, record: &EndpointRecord) {
+        let _no_activation = self.records.lock();
+        let own = OwnEndpoint { status: record.status, sequence: Some(record.sequence) };
+        self.own.store(Arc::new(own));
+        if let Some(gate) = self.gate.get() {
+            gate.set_status(gate_status(record.status));
+        }
     }
 
     /// Status of this node's endpoint.
     #[must_use]
     pub fn endpoint_status(&self) -> EndpointStatus {
-        *self.status.borrow()
+        self.own.load().status
     }
 
     /// Health of the local back end as the checker sees it.
@@ -105,4 +165,95 @@
     pub fn backend_health(&self) -> watch::Receiver<BackendHealth> {
         self.health.subscribe()
     }
+
+    /// State of the admission gate; absent until a configuration with this node's service is in force.
+    #[must_use]
+    pub fn gate_view(&self) -> Option<GateView> {
+        self.gate.get().map(Admission::view)
+    }
+
+    /// The balancer of a service that this node calls, for status pages.
+    #[must_use]
+    pub fn balancer(&self, service: &str) -> Option<Balancer> {
+        self.targets.load().get(service).map(|target| target.balancer.clone())
+    }
+
+    pub(crate) fn table(&self) -> Option<Arc<RoutingTable>> {
+        self.table.load_full()
+    }
+
+    pub(crate) fn target(&self, service: &ServiceName) -> Option<Arc<Target>> {
+        self.targets.load().get(service).cloned()
+    }
+
+    pub(crate) fn gate(&self) -> Option<&Admission> {
+        self.gate.get()
+    }
+
+    pub(crate) fn now(&self) -> Timestamp {
+        self.environment.clock.now()
+    }
+
+    pub(crate) fn instant(&self, at: Timestamp) -> Instant {
+        self.environment.clock.instant(at)
+    }
+
+    pub(crate) fn observe(&self, event: &RequestEvent<'_>) {
+        self.environment.observer.observe(event);
+    }
+
+    /// What this node's answers say of its endpoint. `is_draining`: the process itself leaves.
+    pub(crate) fn endpoint_report(&self, is_draining: bool) -> EndpointReport {
+        let own = self.own.load();
+        let load = self.gate.get().map(Admission::view).map(|view| LoadReport {
+            outstanding: view.running.saturating_add(u32::try_from(view.queued).unwrap_or(u32::MAX)),
+            slots: view.slots,
+        });
+        let status = if is_draining { EndpointStatus::Draining } else { own.status };
+        let sequence = own.sequence.filter(|_| status == own.status);
+        EndpointReport { incarnation: self.identity.incarnation, sequence, status, load }
+    }
+
+    fn update_targets(&self, table: &RoutingTable, records: &[EndpointRecord]) {
+        let now = self.now();
+        let current = self.targets.load_full();
+        let mut next = BTreeMap::new();
+        for service in table.called_services() {
+            let target = current.get(&service.name).cloned().unwrap_or_else(|| self.new_target(now));
+            let of_service = records.iter().filter(|record| record.service.as_ref() == Some(&service.name));
+            let allowed = LocalityFilter::of(service).allow_all(of_service.cloned());
+            target.balancer.update(now, allowed);
+            next.insert(service.name.clone(), target);
+        }
+        self.targets.store(Arc::new(next));
+    }
+
+    fn new_target(&self, now: Timestamp) -> Arc<Target> {
+        Arc::new(Target {
+            balancer: Balancer::new(self.identity.locality.clone(), self.settings.balancer.clone()),
+            budget: RetryBudget::new(self.settings.retry_budget, now),
+        })
+    }
+
+    /// Makes the gate when the number of slots is first known. It is never replaced, since it remembers what it
+    /// has admitted.
+    fn open_gate(&self, table: &RoutingTable) {
+        let own = self.identity.service.as_ref().and_then(|own| table.service(own.as_str()));
+        let Some(service) = own else { return };
+        let gate = self.gate.get_or_init(|| {
+            // A request in a slot uses one connection, so this bounds the connections to the back end too.
+            let slots = service.slots.min(service.connections);
+            let settings = AdmissionSettings { slots, ..self.settings.admission.clone() };
+            Admission::new(settings, self.now())
+        });
+        gate.set_status(gate_status(self.endpoint_status()));
+    }
+}
+
+const fn gate_status(status: EndpointStatus) -> GateStatus {
+    match status {
+        EndpointStatus::Starting => GateStatus::Starting,
+        EndpointStatus::Ready => GateStatus::Open,
+        EndpointStatus::Draining | EndpointStatus::Gone => GateStatus::Draining,
+    }
 }
