--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -11,11 +11,16 @@
 mod encoding;
 mod entry;
 mod origin;
+mod plan;
 mod route;
 mod scope;
+mod seal_key;
+mod sealing;
 mod secret;
+mod secret_value;
 mod service;
 mod snapshot;
+mod source;
 
 pub use bundle::Bundle;
 pub use check::{CheckReport, EntryKind, EntryName, Fault, FaultKind, join};
@@ -24,8 +29,15 @@
 pub use encoding::DecodeError;
 pub use entry::Entry;
 pub use origin::{Origin, Sourced};
+pub use plan::{AffectedScope, Changes, NewLocalities, Plan, Subject};
 pub use route::{HeaderCredential, RequestClass, Route};
 pub use scope::Scope;
+pub use seal_key::{InvalidSealKey, SEAL_KEY_BYTES, SealKey};
+pub use sealing::{OpenError, SealError, SealKeyPair, seal};
 pub use secret::{SealedValue, Secret};
-pub use service::{InvalidSealKey, SEAL_KEY_BYTES, SealKey, Service};
+pub use secret_value::SecretValue;
+pub use service::Service;
 pub use snapshot::{Snapshot, Topology};
+pub use source::{
+    BundleSource, MAX_BUNDLE_BYTES, MAX_FILE_BYTES, MAX_FILES, MAX_SECRET_BYTES, SecretSource, ValueSource,
+};
