Read a whole configuration from a checkpoint

A reader that has nothing read every bundle in force: counted 435 requests with 420 bundles, and when all readers die at once each of them does so. An acceptor still needs the bundles themselves, to name file and line of a fault: 434 requests for the first submission on a node, 6 for each one after it.

--- a/crates/acceptance/src/base.rs
+++ b/crates/acceptance/src/base.rs
@@ -3,11 +3,12 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use futures_util::stream::{self, StreamExt, TryStreamExt};
 use parking_lot::Mutex;
-use umberpond_config::{Bundle, Snapshot};
+use umberpond_config::{Bundle, Snapshot, join};
 use umberpond_model::{BundleName, ContentHash, Head, Version};
 
-use crate::chain::ChainReader;
+use crate::chain::{CONCURRENT_READS, ChainReader};
 use crate::{ChainError, Manifest, RecordObject};
 
 /// Everything that the next version builds on.
@@ -53,14 +54,7 @@
             return Ok(Arc::clone(base));
         }
         let known = last.map(|base| base.by_hash()).unwrap_or_default();
-        let whole = chain.read_whole_with(head.record, &known).await?;
-        let object = chain.read_record(head.record).await?;
-        let base = Arc::new(Base {
-            record: Some((head.record, object)),
-            manifest: whole.manifest,
-            bundles: whole.bundles,
-            snapshot: whole.snapshot,
-        });
+        let base = Arc::new(read_base(chain, head.record, &known).await?);
         self.store(Arc::clone(&base));
         Ok(base)
     }
@@ -69,3 +63,38 @@
         *self.last.lock() = Some(base);
     }
 }
+
+/// Reads the bundles of the version that `record` names, but for those in `known`, and joins them.
+async fn read_base(
+    chain: &ChainReader,
+    record: ContentHash,
+    known: &BTreeMap<ContentHash, Arc<Bundle>>,
+) -> Result<Base, ChainError> {
+    let object = chain.read_record(record).await?;
+    let version = object.record.version;
+    let manifest = chain.content().manifest(object.record.manifest).await?;
+    let bundles = read_bundles(chain, &manifest, known).await?;
+    let snapshot = join(&bundles).map_err(|report| ChainError::NotJoined { version, report })?;
+    if snapshot.content_hash() != object.record.snapshot {
+        return Err(ChainError::SnapshotMismatch { version });
+    }
+    Ok(Base { record: Some((record, object)), manifest, bundles, snapshot })
+}
+
+async fn read_bundles(
+    chain: &ChainReader,
+    manifest: &Manifest,
+    known: &BTreeMap<ContentHash, Arc<Bundle>>,
+) -> Result<BTreeMap<BundleName, Arc<Bundle>>, ChainError> {
+    stream::iter(manifest.bundles.clone())
+        .map(|(name, hash)| async move {
+            let bundle = match known.get(&hash) {
+                Some(bundle) => Arc::clone(bundle),
+                None => Arc::new(chain.content().bundle(hash).await?),
+            };
+            Ok((name, bundle))
+        })
+        .buffered(CONCURRENT_READS)
+        .try_collect()
+        .await
+}
--- a/crates/acceptance/src/chain.rs
+++ b/crates/acceptance/src/chain.rs
@@ -1,22 +1,21 @@
 //! Reading the chain: the head, records, steps, whole configurations, and the search for a submission.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use futures_util::stream::{self, StreamExt, TryStreamExt};
-use umberpond_config::{Bundle, Delta, Snapshot, join};
-use umberpond_model::{BundleName, ContentHash, Head, NodeName, SubmissionId, Version, VersionRecord};
+use umberpond_config::{Delta, Snapshot};
+use umberpond_model::{ContentHash, Head, NodeName, SubmissionId, Version, VersionRecord};
 use umberpond_platform::{ObjectKind, ObjectStore, ObjectVersion};
 
 use crate::content::Content;
 use crate::encoding::decode;
-use crate::{ChainError, Manifest, RecordObject};
+use crate::{CHECKPOINT_VERSIONS, ChainError, RecordObject};
 
 /// Name of the one object of kind `head`.
 pub const HEAD_NAME: &str = "head";
 
 /// Content objects that one reader fetches at once. The process's gate limits all of them together.
-const CONCURRENT_READS: usize = 4;
+pub(crate) const CONCURRENT_READS: usize = 4;
 
 /// Pages that a search for a submission reads at most: 64 pages of 64 versions.
 pub const MAX_SEARCHED_PAGES: usize = 64;
@@ -48,10 +47,6 @@
     pub previous_witnesses: Vec<NodeName>,
     /// The configuration.
     pub snapshot: Snapshot,
-    /// The bundles it was joined from, by name.
-    pub bundles: BTreeMap<BundleName, Arc<Bundle>>,
-    /// Names and hashes of the bundles.
-    pub manifest: Manifest,
 }
 
 /// Result of a search for a submission.
@@ -198,25 +193,20 @@
         Ok(newest_first)
     }
 
-    /// Reads the whole configuration of the version that `record` (a hash) names.
+    /// Reads the whole configuration of the version that `record` (a hash) names: the checkpoint at or before
+    /// it, and the steps from there.
     ///
     /// # Errors
-    /// Returns [`ChainError`] if an object can't be read or the bundles do not join to the accepted snapshot.
+    /// Returns [`ChainError`] if an object can't be read or the steps do not lead to the accepted snapshot.
     pub async fn read_whole(&self, record: ContentHash) -> Result<WholeConfiguration, ChainError> {
-        self.read_whole_with(record, &BTreeMap::new()).await
-    }
-
-    /// As [`Self::read_whole`], taking bundles from `known` where their hash is the one needed.
-    pub(crate) async fn read_whole_with(
-        &self,
-        record: ContentHash,
-        known: &BTreeMap<ContentHash, Arc<Bundle>>,
-    ) -> Result<WholeConfiguration, ChainError> {
         let object = self.read_record(record).await?;
         let version = object.record.version;
-        let manifest = self.content.manifest(object.record.manifest).await?;
-        let bundles = self.read_bundles(&manifest, known).await?;
-        let snapshot = join(&bundles).map_err(|report| ChainError::NotJoined { version, report })?;
+        let start = Version(version.0 - version.0 % CHECKPOINT_VERSIONS);
+        let mut snapshot = self.read_checkpoint(&object, start).await?;
+        let head = Head { version, record };
+        for step in self.read_steps_after(start, &head).await? {
+            snapshot = step.delta.apply(&snapshot);
+        }
         if snapshot.content_hash() != object.record.snapshot {
             return Err(ChainError::SnapshotMismatch { version });
         }
@@ -224,31 +214,23 @@
             Some(hash) => self.read_record(hash).await?.record.witnesses.clone(),
             None => Vec::new(),
         };
-        Ok(WholeConfiguration {
-            record: object.record.clone(),
-            previous_witnesses,
-            snapshot,
-            bundles,
-            manifest,
-        })
+        Ok(WholeConfiguration { record: object.record.clone(), previous_witnesses, snapshot })
     }
 
-    async fn read_bundles(
-        &self,
-        manifest: &Manifest,
-        known: &BTreeMap<ContentHash, Arc<Bundle>>,
-    ) -> Result<BTreeMap<BundleName, Arc<Bundle>>, ChainError> {
-        stream::iter(manifest.bundles.clone())
-            .map(|(name, hash)| async move {
-                let bundle = match known.get(&hash) {
-                    Some(bundle) => Arc::clone(bundle),
-                    None => Arc::new(self.content.bundle(hash).await?),
-                };
-                Ok((name, bundle))
-            })
-            .buffered(CONCURRENT_READS)
-            .try_collect()
-            .await
+    /// The snapshot of version `start`, which has a checkpoint and lies on the page of `object`.
+    async fn read_checkpoint(&self, object: &RecordObject, start: Version) -> Result<Snapshot, ChainError> {
+        let inconsistent = ChainError::Inconsistent { version: start };
+        if start == Version::GENESIS {
+            return Ok(Snapshot::default());
+        }
+        if object.record.version == start {
+            let hash = object.checkpoint.ok_or(inconsistent)?;
+            return self.content.checkpoint(hash).await;
+        }
+        let earlier = object.page.iter().find(|earlier| earlier.version == start);
+        let earlier = earlier.ok_or_else(|| inconsistent.clone())?;
+        let hash = self.read_record(earlier.record).await?.checkpoint.ok_or(inconsistent)?;
+        self.content.checkpoint(hash).await
     }
 
     /// Searches the chain from `head` backwards for a submission, one read per page, at most
--- a/crates/acceptance/src/collect.rs
+++ b/crates/acceptance/src/collect.rs
@@ -12,6 +12,7 @@
 use umberpond_platform::{ListItem, ObjectKind, ObjectVersion, PlatformError};
 
 use crate::chain::{ChainReader, HeadSeen};
+use crate::objects::has_checkpoint;
 use crate::{ChainError, Step};
 
 /// Fewest versions that can be kept: a reader needs the record before the head's, and a resubmission is
@@ -117,7 +118,7 @@
     Ok(object.map(|object| object.version.min(seen.object_version)))
 }
 
-/// Names of all objects that the kept versions need. Each version changes one bundle at most, so the manifest
+/// Names of all objects that the kept versions need, back to the checkpoint at or before the oldest. Each version changes one bundle at most, so the manifest
 /// of the oldest kept version and the steps after it name every bundle.
 async fn used_objects(
     chain: &ChainReader,
@@ -127,8 +128,8 @@
     let mut used = BTreeSet::new();
     let mut next = Some(seen.head.record);
     let mut oldest_manifest = None;
-    for _ in 0..keep_versions {
-        let Some(hash) = next else { break };
+    let mut kept = 0;
+    while let Some(hash) = next {
         let object = match chain.read_record(hash).await {
             // An earlier collection kept fewer versions.
             Err(ChainError::Missing { .. }) => break,
@@ -137,11 +138,14 @@
         used.insert(hash.to_string());
         used.insert(object.record.manifest.to_string());
         used.insert(object.record.delta.to_string());
+        used.extend(object.checkpoint.map(|hash| hash.to_string()));
         if let Step::Put { content, .. } = &object.step {
             used.insert(content.to_string());
         }
         oldest_manifest = Some(object.record.manifest);
-        next = object.record.previous;
+        kept += 1;
+        let is_last = kept >= keep_versions && has_checkpoint(object.record.version);
+        next = object.record.previous.filter(|_| !is_last);
     }
     if let Some(hash) = oldest_manifest {
         used.extend(bundles_of(chain, hash).await?);
--- a/crates/acceptance/src/content.rs
+++ b/crates/acceptance/src/content.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use parking_lot::Mutex;
-use umberpond_config::{Bundle, DecodeError, Delta};
+use umberpond_config::{Bundle, DecodeError, Delta, Snapshot};
 use umberpond_model::ContentHash;
 use umberpond_platform::{ObjectKind, ObjectStore};
 
@@ -73,6 +73,10 @@
         self.decoded(hash, Delta::from_bytes).await
     }
 
+    pub(crate) async fn checkpoint(&self, hash: ContentHash) -> Result<Snapshot, ChainError> {
+        self.decoded(hash, Snapshot::from_bytes).await
+    }
+
     async fn decoded<T>(
         &self,
         hash: ContentHash,
--- a/crates/acceptance/src/lib.rs
+++ b/crates/acceptance/src/lib.rs
@@ -23,7 +23,7 @@
 pub use collect::{CollectError, CollectReport, CollectSettings, MIN_KEPT_VERSIONS, collect};
 pub use error::ChainError;
 pub use head_watch::{HeadChange, HeadWatch, HeadWatchSettings};
-pub use objects::{EarlierVersion, Manifest, PAGE_VERSIONS, RecordObject, Step};
+pub use objects::{CHECKPOINT_VERSIONS, EarlierVersion, Manifest, PAGE_VERSIONS, RecordObject, Step};
 pub use submission::{
     Abandonment, Accepted, Change, NotAcceptedReason, Resolution, SubmitError, Winner, WitnessProposal,
 };
--- a/crates/acceptance/src/objects.rs
+++ b/crates/acceptance/src/objects.rs
@@ -9,6 +9,11 @@
 /// the last record of the page before, so a search reads one record per page.
 pub const PAGE_VERSIONS: u64 = 64;
 
+/// Versions from one checkpoint to the next. A checkpoint holds a whole snapshot, so that reading a whole
+/// configuration takes one checkpoint and fewer than this many steps, however many bundles there are. Pages begin
+/// at a checkpoint.
+pub const CHECKPOINT_VERSIONS: u64 = 16;
+
 /// Every bundle in force at one version and the hash of its object.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Encode, Decode)]
 pub struct Manifest {
@@ -61,6 +66,14 @@
     pub page: Vec<EarlierVersion>,
     /// Hash of the last record of the page before; absent in the first page.
     pub previous_page: Option<ContentHash>,
+    /// Hash of the object that holds the whole snapshot, at every version that is a multiple of
+    /// [`CHECKPOINT_VERSIONS`].
+    pub checkpoint: Option<ContentHash>,
+}
+
+/// Whether the record of `version` names a checkpoint.
+pub(crate) const fn has_checkpoint(version: Version) -> bool {
+    version.0.is_multiple_of(CHECKPOINT_VERSIONS)
 }
 
 impl RecordObject {
--- a/crates/acceptance/src/prepare.rs
+++ b/crates/acceptance/src/prepare.rs
@@ -8,6 +8,7 @@
 
 use crate::base::Base;
 use crate::encoding::encode;
+use crate::objects::has_checkpoint;
 use crate::{RecordObject, Step};
 
 /// What a submission asks for, with its content encoded once.
@@ -87,7 +88,9 @@
         witnesses: circumstances.witnesses,
         accepted_at_unix_millis: circumstances.unix_millis,
     };
-    let object = record_object(base, record.clone(), request.step());
+    let checkpoint =
+        has_checkpoint(record.version).then(|| add(&mut objects, Bytes::from(next.snapshot.to_bytes())));
+    let object = record_object(base, record.clone(), request.step(), checkpoint);
     let hash = add(&mut objects, encode(&object));
     let head = encode(&Head { version: record.version, record: hash });
     next.record = Some((hash, Arc::new(object)));
@@ -115,10 +118,15 @@
     Ok(next)
 }
 
-fn record_object(base: &Base, record: VersionRecord, step: Step) -> RecordObject {
+fn record_object(
+    base: &Base,
+    record: VersionRecord,
+    step: Step,
+    checkpoint: Option<ContentHash>,
+) -> RecordObject {
     let (page, previous_page) =
         base.record.as_ref().map(|(hash, object)| object.next_page(*hash)).unwrap_or_default();
-    RecordObject { record, step, page, previous_page }
+    RecordObject { record, step, page, previous_page, checkpoint }
 }
 
 fn add(objects: &mut Vec<(ContentHash, Bytes)>, bytes: Bytes) -> ContentHash {
--- a/crates/acceptance/tests/cost.rs
+++ b/crates/acceptance/tests/cost.rs
@@ -2,7 +2,11 @@
 
 mod support;
 
+use std::sync::Arc;
+
 use support::{acceptor, platform_with_mesh, put, service};
+use umberpond_acceptance::CHECKPOINT_VERSIONS;
+use umberpond_acceptance::chain::ChainReader;
 use umberpond_platform::memory::MemoryPlatform;
 
 /// Versions with that many bundles in force, one service in each.
@@ -35,6 +39,17 @@
             first.bytes_read,
             second.bytes_read - first.bytes_read,
         );
+        let cold = platform.client();
+        let chain = ChainReader::new(Arc::new(cold.clone()));
+        let head = chain.read_head().await.expect("reads").expect("stands").head;
+        chain.read_whole(head.record).await.expect("reads");
+        println!(
+            "the whole: {} requests, {} bytes read",
+            cold.counters().total(),
+            cold.counters().bytes_read
+        );
+        // The head, the checkpoint, and a record and a delta for each of fewer than 16 steps.
+        assert!(cold.counters().total() <= 2 + 2 * CHECKPOINT_VERSIONS);
         // The head, four content objects and the swap; the search needs no record that is not cached.
         assert_eq!(requests, 6);
         // The head, the record, the manifest, its bundles, a record per page, and the six above.
