--- a/crates/node/src/activation.rs
+++ b/crates/node/src/activation.rs
@@ -53,10 +53,11 @@
     }
 
     /// Hands the endpoints of the services that local callers use to the request path.
-    pub(crate) fn set_endpoints(&self, records: &[EndpointRecord]) {
+    pub(crate) fn set_endpoints(&self, records: Vec<EndpointRecord>) {
+        let count = records.len();
         self.proxy.set_endpoints(records);
-        self.telemetry.metrics().set_endpoints(records.len());
-        self.telemetry.emit(Event::EndpointsChanged { count: records.len() as u64 });
+        self.telemetry.metrics().set_endpoints(count);
+        self.telemetry.emit(Event::EndpointsChanged { count: count as u64 });
     }
 
     fn failed(&self, version: Version, reason: String) {
--- a/crates/node/src/settings/load.rs
+++ b/crates/node/src/settings/load.rs
@@ -28,7 +28,7 @@
 const GREATEST_CONNECTIONS: u64 = 1_000_000;
 const LEAST_HEAD_BYTES: u64 = 8 * 1024;
 const GREATEST_HEAD_BYTES: u64 = 1024 * 1024;
-const GREATEST_ATTEMPTS: u64 = 10;
+const GREATEST_RETRIES: u64 = 1_000;
 const GREATEST_FAILURES: u64 = 1_000;
 const GREATEST_RECORDING_ENTRIES: u64 = 1_000_000;
 
@@ -219,10 +219,9 @@
             GREATEST_HEAD_BYTES,
             default.head_bytes,
         ),
-        attempts: reader
-            .number("limits.attempts", 1, GREATEST_ATTEMPTS)
-            .and_then(|attempts| u32::try_from(attempts).ok())
-            .unwrap_or(default.attempts),
+        retries_per_thousand: reader
+            .number("limits.retries-per-thousand", 0, GREATEST_RETRIES)
+            .unwrap_or(default.retries_per_thousand),
         connect_timeout: reader
             .duration("limits.connect-timeout", default.connect_timeout)
             .unwrap_or(default.connect_timeout),
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -103,8 +103,8 @@
     pub connections: usize,
     /// Largest request head, in bytes.
     pub head_bytes: usize,
-    /// Most attempts of one request, the first one included.
-    pub attempts: u32,
+    /// Retries allowed per thousand requests.
+    pub retries_per_thousand: u64,
     /// Longest time to open a connection to another node or to the back end.
     pub connect_timeout: Duration,
 }
@@ -114,7 +114,7 @@
         Self {
             connections: 4_096,
             head_bytes: 16 * 1024,
-            attempts: 3,
+            retries_per_thousand: 100,
             connect_timeout: Duration::from_millis(500),
         }
     }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -15,6 +15,7 @@
 use crate::admin::api::{Readiness, ReadinessCondition};
 use crate::environment::Environment;
 use crate::overlay::OverlayMessage;
+use crate::own_status::OwnStatus;
 use crate::platform::KnownMachines;
 use crate::recording::Recording;
 
@@ -40,6 +41,7 @@
     pub(crate) environment: Environment,
     pub(crate) addresses: NodeAddresses,
     pub(crate) proxy: Arc<ProxyState>,
+    pub(crate) own_status: OwnStatus,
     pub(crate) activation: Arc<Activation>,
     pub(crate) overlay: ActorRef<OverlayMessage>,
     pub(crate) client: PlatformClient,
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -10,6 +10,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use umberpond_acceptance::{Acceptor, AcceptorContext, AcceptorSettings};
+use umberpond_admission::RetryBudgetSettings;
 use umberpond_model::{EndpointRecord, EndpointStatus, Member};
 use umberpond_net::BoxListener;
 use umberpond_overlay::OverlayConfig;
@@ -27,7 +28,7 @@
 use crate::environment::{Environment, SeedUse};
 use crate::observer::TelemetryObserver;
 use crate::overlay::{OverlayActor, OverlayArguments, OverlayMessage};
-use crate::own_status;
+use crate::own_status::{self, OwnStatus};
 use crate::platform::{KnownMachines, PlatformActor, PlatformArguments, PlatformMessage};
 use crate::recording::Recording;
 use crate::running::{Actors, RunningNode, Servers};
@@ -159,6 +160,7 @@
         environment: environment.clone(),
         addresses,
         proxy,
+        own_status: OwnStatus::new(own),
         activation,
         overlay,
         client,
@@ -220,8 +222,11 @@
     let settings = ProxySettings {
         max_head_bytes: config.limits.head_bytes,
         max_connections: config.limits.connections,
-        max_attempts: config.limits.attempts,
         connect_timeout: config.limits.connect_timeout,
+        retry_budget: RetryBudgetSettings {
+            retries_per_thousand: config.limits.retries_per_thousand,
+            ..RetryBudgetSettings::default()
+        },
         ..ProxySettings::default()
     };
     let back_end = config.back_end.map(|back_end| BackendSettings {
