Run the whole daemon in simulation under fault schedules

Cause: the promises are about the whole, so the real daemon has to run against the stand-ins on one paused clock. An eleventh checker compares what operators were told with the chain. The version-activated event now names the hash of the content, so that the run can compare it with what it works out itself. Ruled out: polling the nodes (misses versions).

--- a/crates/node/src/activation.rs
+++ b/crates/node/src/activation.rs
@@ -47,9 +47,10 @@
         }
         self.active.send_replace(Some(version));
         self.telemetry.metrics().set_version(VersionStage::Active, version);
+        let content = snapshot.content_hash();
         let routes = snapshot.routes.len() as u64;
         let secrets = opened.len() as u64;
-        self.telemetry.emit(Event::VersionActivated { version, routes, secrets });
+        self.telemetry.emit(Event::VersionActivated { version, content, routes, secrets });
     }
 
     /// Hands the endpoints of the services that local callers use to the request path.
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -7,7 +7,9 @@
 
 use std::net::SocketAddr;
 
-use umberpond_model::{BundleName, EndpointStatus, Incarnation, NodeName, SecretName, SubmissionId, Version};
+use umberpond_model::{
+    BundleName, ContentHash, EndpointStatus, Incarnation, NodeName, SecretName, SubmissionId, Version,
+};
 
 use crate::{CatalogueEntry, Field, FieldValue, Severity};
 
@@ -41,7 +43,7 @@
         = 2001, Debug, "version-held", "A newer version has arrived; it is not in force yet.";
     VersionCommitted { version: Version }
         = 2002, Debug, "version-committed", "A majority of the witnesses holds the version, so it may be put in force.";
-    VersionActivated { version: Version, routes: u64, secrets: u64 }
+    VersionActivated { version: Version, content: ContentHash, routes: u64, secrets: u64 }
         = 2003, Info, "version-activated", "The version is in force on this node.";
     FloorProved { version: Version }
         = 2004, Info, "floor-proved", "No version above this one was in force anywhere before the node started.";
--- a/crates/telemetry/src/entry.rs
+++ b/crates/telemetry/src/entry.rs
@@ -5,8 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 use umberpond_model::{
-    BundleName, EndpointStatus, Incarnation, Locality, NodeName, SecretName, ServiceName, SubmissionId,
-    Version,
+    BundleName, ContentHash, EndpointStatus, Incarnation, Locality, NodeName, SecretName, ServiceName,
+    SubmissionId, Version,
 };
 
 /// How much an event matters to an operator.
@@ -99,7 +99,17 @@
 }
 
 numeric_field!(u16, u32, u64);
-text_field!(String, SocketAddr, BundleName, Locality, NodeName, SecretName, ServiceName, SubmissionId);
+text_field!(
+    String,
+    SocketAddr,
+    BundleName,
+    ContentHash,
+    Locality,
+    NodeName,
+    SecretName,
+    ServiceName,
+    SubmissionId
+);
 
 impl From<&&'static str> for FieldValue {
     fn from(value: &&'static str) -> Self {
--- a/testing/sim/src/checkers/mod.rs
+++ b/testing/sim/src/checkers/mod.rs
@@ -3,17 +3,19 @@
 mod convergence;
 mod lifecycle;
 mod requests;
+mod submissions;
 mod versions;
 
 use std::fmt;
 
-use umberpond_model::{Millis, NodeName, Version};
+use umberpond_model::{Millis, NodeName, SubmissionId, Version};
 
-use crate::history::{History, RequestKey};
+use crate::history::{CallerOutcome, History, RequestKey, SubmissionClaim};
 
 pub use convergence::{CONVERGENCE_LIMIT, in_force_within_seconds};
 pub use lifecycle::{DRAIN_LIMIT, leaving_back_end_gets_no_new_work, planned_stop_cuts_nothing};
 pub use requests::{allowed_locality_only, at_most_once, rejected_did_not_run, whole_own_answer};
+pub use submissions::submission_told_true;
 pub use versions::{never_applied_in_part, never_back, no_dangling_reference};
 
 /// The invariants, in the order of the promises they stand for.
@@ -39,11 +41,13 @@
     InForceWithinSeconds,
     /// A request is served only in a locality that its service allows.
     AllowedLocalityOnly,
+    /// What an operator was told of a submission is true.
+    SubmissionToldTrue,
 }
 
 impl Invariant {
     /// All invariants.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::NeverBack,
         Self::NoDanglingReference,
         Self::NeverAppliedInPart,
@@ -54,6 +58,7 @@
         Self::PlannedStopCutsNothing,
         Self::InForceWithinSeconds,
         Self::AllowedLocalityOnly,
+        Self::SubmissionToldTrue,
     ];
 
     /// Name on the command line and in reports.
@@ -70,6 +75,7 @@
             Self::PlannedStopCutsNothing => "planned-stop-cuts-nothing",
             Self::InForceWithinSeconds => "in-force-within-seconds",
             Self::AllowedLocalityOnly => "allowed-locality-only",
+            Self::SubmissionToldTrue => "submission-told-true",
         }
     }
 
@@ -87,6 +93,7 @@
             Self::PlannedStopCutsNothing => planned_stop_cuts_nothing(history),
             Self::InForceWithinSeconds => in_force_within_seconds(history),
             Self::AllowedLocalityOnly => allowed_locality_only(history),
+            Self::SubmissionToldTrue => submission_told_true(history),
         }
     }
 }
@@ -146,7 +153,7 @@
         /// The request.
         request: RequestKey,
         /// What the caller was told, if anything.
-        outcome: Option<crate::history::CallerOutcome>,
+        outcome: Option<CallerOutcome>,
     },
     /// A request ran although it was refused as not run, or ran more often than it may.
     RanTooOften {
@@ -178,6 +185,13 @@
         /// Version in force, if any.
         found: Option<Version>,
     },
+    /// An operator was told what is not so.
+    ToldWrong {
+        /// The submission.
+        submission: SubmissionId,
+        /// What was said.
+        claim: SubmissionClaim,
+    },
     /// A request was served where its service does not allow it.
     ServedElsewhere {
         /// Node beside the back end.
--- /dev/null
+++ b/testing/sim/src/cluster/run.rs
@@ -0,0 +1,232 @@
+//! One run: a seed and its schedule in, a history and a verdict out.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::Mutex;
+use tokio::time::{Instant, sleep};
+use umberpond_model::{ContentHash, Millis, SubmissionId, Version};
+use umberpond_standins::platform::{FaultChange, Machine, Platform};
+
+use super::callers;
+use super::chain::{Chain, dangling_references, no_content};
+use super::faults::Cluster;
+use super::layout::{self, Place};
+use super::observer::{Activation, Recorder};
+use super::operators::{Operator, Submission};
+use super::process::{NodeSlot, Surroundings};
+use crate::checkers::{Invariant, Violation};
+use crate::history::{Event, History, Recorded};
+use crate::network::SimNetwork;
+use crate::schedule::Schedule;
+
+/// Virtual time before the first fault: nodes start, the first bundle comes in force.
+pub const WARM_UP: Millis = Millis(15_000);
+/// Virtual time after the last fault; above the convergence limit.
+const SETTLE: Millis = Millis(14_000);
+/// When the first bundle is submitted.
+const FIRST_SUBMISSION: Millis = Millis(4_000);
+/// Time between two ordinary submissions.
+const SUBMISSION_INTERVAL: Millis = Millis(2_500);
+/// No ordinary submission begins this close to the end of the faults.
+const LAST_SUBMISSION_BEFORE_END: Millis = Millis(1_000);
+/// Time between two looks at the platform's head.
+const HEAD_LOOK: Duration = Duration::from_millis(1);
+/// Lag of the platform's machine list.
+const MACHINE_LAG_MILLIS: u64 = 3_000;
+/// Time after the load ends in which the last requests end.
+const LOAD_TAIL: Millis = Millis(9_000);
+
+/// What to run.
+#[derive(Debug, Clone)]
+pub struct RunOptions {
+    /// Name of the run.
+    pub seed: u64,
+    /// Faults, counted from the end of the warm-up.
+    pub schedule: Schedule,
+}
+
+/// What a run gave.
+#[derive(Debug)]
+pub struct RunReport {
+    /// The history over which the checkers run.
+    pub history: History,
+    /// Digest of the history and the trace; equal for equal runs.
+    pub digest: ContentHash,
+    /// The trace, for people.
+    pub trace: Vec<String>,
+    /// Breaches by invariant.
+    pub violations: BTreeMap<Invariant, Vec<Violation>>,
+}
+
+/// Runs one seed to its end, on a runtime of its own with a paused clock.
+///
+/// # Panics
+/// If the runtime can't be built or a stand-in can't start, which would void the verdict.
+#[must_use]
+pub fn run(options: &RunOptions) -> RunReport {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime without I/O can be built");
+    runtime.block_on(run_inside(options))
+}
+
+async fn run_inside(options: &RunOptions) -> RunReport {
+    let cluster = Arc::new(build(options.seed).await);
+    let recorder = cluster.surroundings.recorder.clone();
+    for place in &cluster.places {
+        cluster.start(place.number).await;
+    }
+    let watcher = tokio::spawn(watch_head(Arc::clone(&cluster)));
+    let end_of_faults = Millis(WARM_UP.0 + options.schedule.end().0);
+    let operators = tokio::spawn(submit_regularly(Arc::clone(&cluster), end_of_faults));
+    sleep(Duration::from_millis(WARM_UP.0)).await;
+
+    let calls_begun_at = recorder.now();
+    let edge = cluster.places.last().expect("the layout has an edge");
+    let load_time = Millis(options.schedule.end().0 + SETTLE.0 - LOAD_TAIL.0);
+    let caller_network = cluster.surroundings.host(layout::CALLER_HOST);
+    let calls = callers::start(caller_network, edge, options.seed, load_time);
+    let faults =
+        options.schedule.faults.iter().map(|fault| tokio::spawn(Arc::clone(&cluster).carry_out(*fault)));
+    for fault in faults.collect::<Vec<_>>() {
+        fault.await.expect("a fault is carried out");
+    }
+    recorder.record(Event::FaultsEnded);
+    let answers = calls.await.expect("callers end by themselves").answers;
+    operators.await.expect("operators end by themselves");
+    sleep(Duration::from_millis(SETTLE.0)).await;
+    recorder.record(Event::RunEnded);
+    watcher.abort();
+
+    let mut events = callers::history_of_answers(calls_begun_at, &answers);
+    for slot in &cluster.slots {
+        let slot = slot.lock().await;
+        if let Some(back_end) = &slot.back_end {
+            // Back ends start with the run.
+            events.extend(callers::history_of_ledger(Millis(0), &slot.place, &back_end.ledger()));
+        }
+    }
+    let chain = Chain::read(cluster.surroundings.host(layout::OPERATOR_HOST)).await;
+    judge(&cluster.places, &recorder, &chain, events)
+}
+
+async fn build(seed: u64) -> Cluster {
+    let network = SimNetwork::new(seed, layout::delay_between);
+    let platform_network = network.host(layout::PLATFORM_HOST);
+    let platform = Platform::start(&*platform_network, layout::PLATFORM).await;
+    let platform = platform.expect("a fresh address can be listened at");
+    let machine_lag_millis = Some(MACHINE_LAG_MILLIS);
+    platform.change_faults(&FaultChange { machine_lag_millis, ..FaultChange::default() });
+    let places = layout::places();
+    platform.set_machines(places.iter().map(machine).collect());
+    let recorder = Recorder::new();
+    let operator = Operator { network: network.host(layout::OPERATOR_HOST), recorder: recorder.clone() };
+    let surroundings = Surroundings { network, seed, recorder, begun: Instant::now() };
+    let mut slots = Vec::new();
+    for place in &places {
+        slots.push(Mutex::new(NodeSlot::new(place.clone(), &surroundings).await));
+    }
+    Cluster { surroundings, platform, slots, places, operator }
+}
+
+fn machine(place: &Place) -> Machine {
+    let locality = place.locality();
+    Machine {
+        node: place.node.to_string(),
+        region: locality.region.to_string(),
+        zone: locality.zone.to_string(),
+        control: place.control(),
+        leaving: false,
+    }
+}
+
+/// Notes each version when the head moves to it.
+async fn watch_head(cluster: Arc<Cluster>) {
+    let mut seen = Version::GENESIS;
+    loop {
+        let head = cluster.platform.object("head", "head");
+        let version = head.and_then(|object| umberpond_acceptance::chain::decode_head(&object.bytes).ok());
+        if let Some(head) = version.filter(|head| head.version > seen) {
+            seen = head.version;
+            cluster.surroundings.recorder.head_moved(seen);
+        }
+        sleep(HEAD_LOOK).await;
+    }
+}
+
+async fn submit_regularly(cluster: Arc<Cluster>, until: Millis) {
+    sleep(Duration::from_millis(FIRST_SUBMISSION.0)).await;
+    let admins = cluster.admins();
+    let first = Submission {
+        id: SubmissionId(1),
+        bundle: layout::base_bundle_name(),
+        content: layout::base_bundle(),
+    };
+    cluster.operator.submit(admins[0], &admins, first).await;
+    let mut pending = Vec::new();
+    let mut number = 0;
+    while cluster.surroundings.recorder.now().0 + LAST_SUBMISSION_BEFORE_END.0 < until.0 {
+        number += 1;
+        pending.push(tokio::spawn(submit_changes(cluster.operator.clone(), admins.clone(), number, 0)));
+        sleep(Duration::from_millis(SUBMISSION_INTERVAL.0)).await;
+    }
+    for submission in pending {
+        submission.await.expect("an operator ends by itself");
+    }
+}
+
+/// Submits one small change through the node that `number` chooses. `salt` tells apart changes of equal number.
+pub(super) async fn submit_changes(operator: Operator, admins: Vec<SocketAddr>, number: u64, salt: u64) {
+    let content = layout::extra_bundle(number);
+    let bundle = layout::extra_bundle_name(number);
+    let id = SubmissionId(u128::from(number) << 64 | u128::from(salt) << 8 | 2);
+    let through = usize::try_from(number).unwrap_or(0) % admins.len();
+    operator.submit(admins[through], &admins, Submission { id, bundle, content }).await;
+}
+
+fn judge(places: &[Place], recorder: &Recorder, chain: &Chain, mut events: Vec<Recorded>) -> RunReport {
+    let record = recorder.take();
+    events.extend(record.events);
+    events.extend(accepted(chain, &record.head_moves));
+    events.extend(record.activations.iter().map(|activation| activated(places, chain, activation)));
+    let history = History::from_recorded(events);
+    let violations = Invariant::ALL
+        .into_iter()
+        .map(|invariant| (invariant, invariant.check(&history)))
+        .filter(|(_, violations)| !violations.is_empty())
+        .collect();
+    let trace_digest = ContentHash::of(record.trace.join("\n").as_bytes());
+    let digest = ContentHash::of(format!("{} {trace_digest}", history.digest()).as_bytes());
+    RunReport { history, digest, trace: record.trace, violations }
+}
+
+/// The versions of the chain, each at the time at which the head was first seen there or beyond.
+fn accepted(chain: &Chain, head_moves: &[(Millis, Version)]) -> Vec<Recorded> {
+    let at = |version: Version| {
+        let first = head_moves.iter().find(|(_, head)| *head >= version);
+        first.map_or(Millis(0), |(at, _)| *at)
+    };
+    let accepted = chain.versions().map(|(version, content)| Recorded {
+        at: at(version),
+        event: Event::Accepted { version, submission: content.submission },
+    });
+    accepted.collect()
+}
+
+fn activated(places: &[Place], chain: &Chain, activation: &Activation) -> Recorded {
+    let expected = chain.expected(activation.version, &places[activation.place].service);
+    let event = Event::Activated {
+        node: activation.node.clone(),
+        incarnation: activation.incarnation,
+        version: activation.version,
+        snapshot: activation.content,
+        expected: expected.as_ref().map_or_else(no_content, umberpond_config::Snapshot::content_hash),
+        dangling_references: expected.as_ref().map_or(0, dangling_references),
+    };
+    Recorded { at: activation.at, event }
+}
--- a/testing/sim/src/history.rs
+++ b/testing/sim/src/history.rs
@@ -26,6 +26,17 @@
     Cut,
 }
 
+/// What an operator was told of a submission, at last.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SubmissionClaim {
+    /// It became this version.
+    Accepted(Version),
+    /// It did not become a version and never will.
+    NotAccepted,
+    /// Nobody could tell.
+    Unknown,
+}
+
 /// One thing that happened.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Event {
@@ -36,6 +47,13 @@
         /// The submission that became it.
         submission: SubmissionId,
     },
+    /// An operator got the last word on a submission.
+    SubmissionTold {
+        /// The submission.
+        submission: SubmissionId,
+        /// What was said.
+        claim: SubmissionClaim,
+    },
     /// A node put a configuration in force.
     Activated {
         /// The node.
@@ -125,6 +143,13 @@
 }
 
 impl History {
+    /// A history of events from several recorders, brought in the order of time; ties stay as they are.
+    #[must_use]
+    pub fn from_recorded(mut events: Vec<Recorded>) -> Self {
+        events.sort_by_key(|recorded| recorded.at);
+        Self { events }
+    }
+
     /// Adds an event. Events are added in the order of time.
     pub fn record(&mut self, at: Millis, event: Event) {
         self.events.push(Recorded { at, event });
--- a/testing/sim/src/lib.rs
+++ b/testing/sim/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`history::History`], over which the checkers are plain functions. A seed names a run.
 
 pub mod checkers;
+pub mod cluster;
 pub mod history;
 pub mod network;
 pub mod scale;
--- a/testing/sim/tests/checkers.rs
+++ b/testing/sim/tests/checkers.rs
@@ -4,7 +4,7 @@
     ContentHash, Incarnation, Locality, Millis, NodeName, ServiceName, SubmissionId, Version,
 };
 use umberpond_sim::checkers::Invariant;
-use umberpond_sim::history::{CallerOutcome, Event, History, RequestKey};
+use umberpond_sim::history::{CallerOutcome, Event, History, RequestKey, SubmissionClaim};
 
 fn node() -> NodeName {
     NodeName::new("billing-1").unwrap()
@@ -163,6 +163,17 @@
     assert_only_breaks(Invariant::AllowedLocalityOnly, vec![(0, executed(true))], vec![(0, executed(false))]);
 }
 
+#[test]
+fn an_operator_who_was_told_wrong_is_reported() {
+    let told = |claim| Event::SubmissionTold { submission: SubmissionId(1), claim };
+    let with = |claim| vec![(0, accepted(1)), (1, told(claim))];
+    let good = with(SubmissionClaim::Accepted(Version(1)));
+    assert_only_breaks(Invariant::SubmissionToldTrue, good.clone(), with(SubmissionClaim::NotAccepted));
+    assert_only_breaks(Invariant::SubmissionToldTrue, good, with(SubmissionClaim::Accepted(Version(2))));
+    let lost = vec![(0, told(SubmissionClaim::Accepted(Version(1))))];
+    assert_only_breaks(Invariant::SubmissionToldTrue, with(SubmissionClaim::Unknown), lost);
+}
+
 #[test]
 fn the_digest_tells_histories_apart() {
     let first = history(vec![(0, accepted(1))]);
