--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use http::{Method, Response, StatusCode};
 use serde::de::DeserializeOwned;
+use umberpond_model::NodeName;
 use umberpond_net::Network;
 
 use crate::exchange::{Exchange, RequestParts, object_version, refusal};
@@ -63,7 +64,14 @@
         gate: PlatformGate,
         settings: ClientSettings,
     ) -> Self {
-        Self { exchange: Exchange { network, address, gate, settings } }
+        Self { exchange: Exchange { network, address, gate, settings, node: None } }
+    }
+
+    /// Names the node in every request, so that the platform can count its readers.
+    #[must_use]
+    pub fn named(mut self, node: NodeName) -> Self {
+        self.exchange.node = Some(node);
+        self
     }
 }
 
--- a/crates/platform/src/exchange.rs
+++ b/crates/platform/src/exchange.rs
@@ -12,6 +12,7 @@
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use tokio::time::{Instant, timeout_at};
+use umberpond_model::NodeName;
 use umberpond_net::{
     BoxListener, BoxStream, HttpClientError, HttpExchange, Network, collect_body, is_over_limit, send_request,
 };
@@ -21,6 +22,9 @@
 /// Header that carries an object's version.
 const OBJECT_VERSION: &str = "object-version";
 
+/// Header that names the node that asks.
+const NODE: &str = "umberpond-node";
+
 /// Where requests go and under which limits.
 #[derive(Clone)]
 pub(crate) struct Exchange {
@@ -28,6 +32,7 @@
     pub(crate) address: SocketAddr,
     pub(crate) gate: PlatformGate,
     pub(crate) settings: ClientSettings,
+    pub(crate) node: Option<NodeName>,
 }
 
 /// A request before it has a connection.
@@ -61,13 +66,20 @@
         self
     }
 
-    fn build(self, address: SocketAddr) -> Result<Request<Full<Bytes>>, PlatformError> {
+    fn build(
+        self,
+        address: SocketAddr,
+        node: Option<&NodeName>,
+    ) -> Result<Request<Full<Bytes>>, PlatformError> {
         let unusable = || PlatformError::NotSent { cause: NotSentCause::UnusableName };
         if !self.name_is_usable {
             return Err(unusable());
         }
         let mut builder =
             Request::builder().method(self.method).uri(self.path).header(HOST, address.to_string());
+        if let Some(node) = node {
+            builder = builder.header(NODE, node.as_str());
+        }
         if let Some(expected) = self.expected {
             builder = builder.header(IF_MATCH, expected.0);
         }
@@ -96,7 +108,7 @@
         parts: RequestParts,
         deadline: Instant,
     ) -> Result<HttpExchange, PlatformError> {
-        let request = parts.build(self.address)?;
+        let request = parts.build(self.address, self.node.as_ref())?;
         let network = ConnectNoted::new(Arc::clone(&self.network));
         match timeout_at(deadline, send_request(&network, self.address, request)).await {
             Ok(Ok(exchange)) => Ok(exchange),
