Take a submission again with other sealed bytes for the same one

An operator who submits again after "unknown" seals the secrets again, and sealing is random, so the bundle's bytes differ. The acceptor compared content hashes and would have answered "id used before" instead of the version. It now compares the bundle and whether it is put or withdrawn; the content that arrived first counts. Also the future of HeadWatch::next can now be spawned: it held a reference to the watch, which is not Sync, across its reads; the head watch's test follows the head in a task of its own, which does not compile without the change.

--- a/crates/acceptance/src/acceptor.rs
+++ b/crates/acceptance/src/acceptor.rs
@@ -112,8 +112,8 @@
         &self.shared.chain
     }
 
-    /// Submits a change of one bundle. Submitting again with the same id and change is safe at any time and
-    /// answers with the version that the id has, if it has one.
+    /// Submits a change of one bundle. Submitting again with the same id is safe at any time and answers with
+    /// the version that the id has, if it has one; the content of the first submission that arrived counts.
     ///
     /// # Errors
     /// Returns [`SubmitError`]; see there which answers are final.
--- a/crates/acceptance/src/attempt.rs
+++ b/crates/acceptance/src/attempt.rs
@@ -171,7 +171,7 @@
     /// The submission stands in the chain: for this request, or for another.
     fn found(&self, object: &RecordObject) -> Result<Box<Accepted>, SubmitError> {
         let version = object.record.version;
-        if object.step == self.request.step() {
+        if object.step.is_same_request(&self.request.step()) {
             return Ok(Box::new(Accepted { version, record: object.record.clone() }));
         }
         match object.step {
--- a/crates/acceptance/src/head_watch.rs
+++ b/crates/acceptance/src/head_watch.rs
@@ -106,7 +106,7 @@
     /// One piece of work: read what is newer, open the watch, or wait for it.
     async fn proceed(&mut self) -> Result<(), ChainError> {
         if let Some(head) = self.newer.clone() {
-            self.queue = self.read_up_to(&head).await?;
+            self.queue = read_up_to(&self.chain, self.held, &head, self.settings.max_steps).await?;
             self.newer = None;
             self.unreadable = None;
             self.recovered();
@@ -128,7 +128,7 @@
         let seen = self.chain.read_head().await?;
         let after = match &seen {
             Some(seen) => seen.object_version.revision(),
-            None => self.revision_without_head().await?,
+            None => revision_without_head(&self.chain).await?,
         };
         // A window that has passed already is met by reading the head again, as any other failure is.
         let watch = self.chain.store().watch(ObjectKind::Head, after).await;
@@ -145,10 +145,6 @@
         Ok(())
     }
 
-    async fn revision_without_head(&self) -> Result<Revision, ChainError> {
-        Ok(self.chain.store().list(ObjectKind::Head, None, 1).await?.revision)
-    }
-
     fn see(&mut self, event: &WatchEvent) -> Result<(), ChainError> {
         if event.name == HEAD_NAME
             && let Some(bytes) = &event.value
@@ -164,19 +160,6 @@
         }
     }
 
-    async fn read_up_to(&self, head: &Head) -> Result<VecDeque<HeadChange>, ChainError> {
-        let gap = head.version.0 - self.held.0;
-        if gap <= self.settings.max_steps {
-            match self.chain.read_steps_after(self.held, head).await {
-                // The steps have been collected.
-                Err(ChainError::Missing { .. }) => {}
-                steps => return Ok(steps?.into_iter().map(Box::new).map(HeadChange::Step).collect()),
-            }
-        }
-        let whole = self.chain.read_whole(head.record).await?;
-        Ok(VecDeque::from([HeadChange::Whole(Box::new(whole))]))
-    }
-
     fn fail(&mut self, error: ChainError) {
         if !error.is_transient() {
             // Waiting does not help; the next head may.
@@ -210,3 +193,27 @@
         self.retry_at = Some(Instant::now() + self.backoff.next_wait(&mut self.rng, None));
     }
 }
+
+// The awaiting parts below take the reader and not the watch, which can't be shared between threads; so the
+// future of `HeadWatch::next` can be spawned.
+
+async fn revision_without_head(chain: &ChainReader) -> Result<Revision, ChainError> {
+    Ok(chain.store().list(ObjectKind::Head, None, 1).await?.revision)
+}
+
+async fn read_up_to(
+    chain: &ChainReader,
+    held: Version,
+    head: &Head,
+    max_steps: u64,
+) -> Result<VecDeque<HeadChange>, ChainError> {
+    if head.version.0 - held.0 <= max_steps {
+        match chain.read_steps_after(held, head).await {
+            // The steps have been collected.
+            Err(ChainError::Missing { .. }) => {}
+            steps => return Ok(steps?.into_iter().map(Box::new).map(HeadChange::Step).collect()),
+        }
+    }
+    let whole = chain.read_whole(head.record).await?;
+    Ok(VecDeque::from([HeadChange::Whole(Box::new(whole))]))
+}
--- a/crates/acceptance/src/objects.rs
+++ b/crates/acceptance/src/objects.rs
@@ -43,6 +43,18 @@
     Abandon,
 }
 
+impl Step {
+    /// Whether both ask for the same thing of the same bundle. The content is not compared: an operator who
+    /// submits again seals the secrets again, and sealed values differ each time.
+    #[must_use]
+    pub fn is_same_request(&self, other: &Self) -> bool {
+        match (self, other) {
+            (Self::Put { bundle, .. }, Self::Put { bundle: same, .. }) => bundle == same,
+            (one, other) => one == other,
+        }
+    }
+}
+
 /// A version before the one whose record names it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
 pub struct EarlierVersion {
--- a/crates/acceptance/src/submission.rs
+++ b/crates/acceptance/src/submission.rs
@@ -90,7 +90,7 @@
         #[source]
         report: CheckReport,
     },
-    /// The id stands in the chain for another change.
+    /// The id stands in the chain for another bundle, or for putting where this one withdraws, or the reverse.
     #[error("the submission id was used before, for version {version}")]
     IdReused {
         /// The version that has the id.
--- a/crates/acceptance/tests/head_watch.rs
+++ b/crates/acceptance/tests/head_watch.rs
@@ -51,7 +51,12 @@
     follow(&mut watch, &mut snapshot, 2, 4).await;
     platform.cut_watches();
     grow(&platform, 5..=70).await;
-    follow(&mut watch, &mut snapshot, 5, 70).await;
+    // A daemon follows the head in a task of its own.
+    let following = tokio::spawn(async move {
+        follow(&mut watch, &mut snapshot, 5, 70).await;
+        (watch, snapshot)
+    });
+    let (mut watch, mut snapshot) = following.await.expect("the task ends");
     platform.keep_changes(2);
     grow(&platform, 71..=140).await;
     follow(&mut watch, &mut snapshot, 71, 140).await;
