Match every answer to its request by id, and drop what does not match

Answers were matched to requests by their connection alone: an inbound half's word about another request, left over on a connection or crossed, was believed. The new test gives the caller's node an answer under another id and failed first: 'crossed answered: left (200, answered) right (502, unknown)'. Now the inbound half repeats the request's id in its answers and the outbound half counts any word (answered, rejected or unknown) only under its own id; a rejection of another request would otherwise allow a second run. A second new test shows that a back end's doubled answer does not reach the next request; the HTTP library's idle check already held that.

--- a/crates/proxy/src/headers/endpoint.rs
+++ b/crates/proxy/src/headers/endpoint.rs
@@ -12,6 +12,8 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct EndpointHeaders {
     pub(crate) outcome: Outcome,
+    /// The request that is answered, as text.
+    pub(crate) request: String,
     pub(crate) served_by: String,
     pub(crate) locality: String,
     pub(crate) report: EndpointReport,
@@ -36,6 +38,7 @@
         };
         Some(Self {
             outcome: Outcome::from_header(headers.get(names::OUTCOME)?)?,
+            request: text(&names::REQUEST_ID)?.to_owned(),
             served_by: text(&names::SERVED_BY)?.to_owned(),
             locality: text(&names::LOCALITY)?.to_owned(),
             report,
--- a/crates/proxy/src/inbound/mod.rs
+++ b/crates/proxy/src/inbound/mod.rs
@@ -21,11 +21,15 @@
 
 /// Answers one request of another node.
 pub(crate) async fn handle(server: &Server, request: Request<Incoming>) -> Response<ProxyBody> {
+    let request_id = request.headers().get(names::REQUEST_ID).cloned();
     let mut response = answer(server, request).await;
     let is_draining = server.tracker.is_draining();
     let report = server.state.endpoint_report(is_draining);
     let headers = response.headers_mut();
     EndpointHeaders::write(headers, &server.state.identity, &report);
+    if let Some(request_id) = request_id {
+        headers.insert(names::REQUEST_ID, request_id);
+    }
     if is_draining {
         headers.insert(http::header::CONNECTION, http::HeaderValue::from_static("close"));
     }
--- a/crates/proxy/src/outbound/attempt.rs
+++ b/crates/proxy/src/outbound/attempt.rs
@@ -4,7 +4,7 @@
 
 use http::{Request, response};
 use tokio::time::Instant;
-use umberpond_admission::AttemptStage;
+use umberpond_admission::{AttemptStage, RequestId};
 use umberpond_balance::{EndpointReport, Observation, Picked, RequestResult};
 
 use crate::headers::{EndpointHeaders, names, retry_after};
@@ -47,6 +47,7 @@
 pub(super) async fn send(
     state: &ProxyState,
     picked: &Picked,
+    id: RequestId,
     request: Request<AttemptBody>,
     deadline: Instant,
 ) -> (Ended, Spent) {
@@ -64,7 +65,7 @@
     let result = Exchange::run(lease, request, deadline).await;
     let spent = Spent { connecting, waiting: began_waiting.elapsed() };
     let ended = match result {
-        Ok(exchange) => on_head(exchange, picked, spent).await,
+        Ok(exchange) => on_head(exchange, picked, id, spent).await,
         Err(failure) => broken(failure, spent),
     };
     (ended, spent)
@@ -84,10 +85,10 @@
     Ended::Failed(Failed { for_retry, stage: failed.stage, failure: failed.failure, observation, reason })
 }
 
-/// Judges the head of an answer. An answer counts only if it comes from the very endpoint that was picked, in the
-/// locality that was allowed. A rejection needs no such proof: whoever received the request says that it did not
-/// run it.
-async fn on_head(exchange: Exchange, picked: &Picked, spent: Spent) -> Ended {
+/// Judges the head of an answer. Whatever it says counts only if it is about this very request. An answer also has
+/// to come from the endpoint that was picked, in the locality that was allowed; a rejection need not: whoever
+/// received the request says that it did not run it.
+async fn on_head(exchange: Exchange, picked: &Picked, id: RequestId, spent: Spent) -> Ended {
     let Exchange { head, body } = exchange;
     let failed = |for_retry, failure, result, report, reason| {
         let observation = observation(result, spent, report);
@@ -95,8 +96,9 @@
     };
     let wrong = AttemptFailure::WrongAnswer;
     let exhausted = RefusalReason::AttemptsExhausted;
-    let Some(origin) = EndpointHeaders::read(&head.headers).filter(|_| !head.status.is_informational())
-    else {
+    let is_own =
+        |origin: &EndpointHeaders| origin.request == id.to_string() && !head.status.is_informational();
+    let Some(origin) = EndpointHeaders::read(&head.headers).filter(is_own) else {
         return failed(AttemptStage::Written, wrong, RequestResult::Failed, None, exhausted);
     };
     let report = Some(origin.report);
--- a/crates/proxy/src/outbound/attempts.rs
+++ b/crates/proxy/src/outbound/attempts.rs
@@ -137,7 +137,7 @@
         }
         let request = self.request(number);
         let deadline = state.instant(self.deadline.at());
-        attempt::send(state, picked, request, deadline).await
+        attempt::send(state, picked, self.open.request, request, deadline).await
     }
 
     fn request(&self, number: u32) -> Request<AttemptBody> {
--- a/crates/proxy/src/wire/pool.rs
+++ b/crates/proxy/src/wire/pool.rs
@@ -12,6 +12,9 @@
 
 use super::connection::Connection;
 
+/// Longest wait for a kept connection to be usable; after it another one is taken.
+const REUSE_TIME: Duration = Duration::from_millis(5);
+
 /// Limits of a pool.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct PoolLimits {
@@ -69,7 +72,8 @@
         let in_use = Arc::clone(&endpoint.in_use);
         let permit = in_use.acquire_owned().await.map_err(|_| NotConnected)?;
         while let Some(mut connection) = endpoint.take_idle(self.limits.idle) {
-            if connection.sender.ready().await.is_ok() {
+            let ready = tokio::time::timeout(REUSE_TIME, connection.sender.ready());
+            if matches!(ready.await, Ok(Ok(()))) {
                 return Ok(Lease { connection, endpoint, _permit: permit });
             }
         }
--- a/crates/proxy/tests/reuse.rs
+++ b/crates/proxy/tests/reuse.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use support::mesh::{backend_at, inbound_at, settle};
-use support::peer::response;
+use support::peer::{OWN_ID, inbound_answer, origin, response};
 use support::{MemoryNetwork, MeshBuilder, Peer, Step, get, post};
 
 #[tokio::test(start_paused = true)]
@@ -42,6 +42,32 @@
     assert_eq!(backend.cancelled(), 1, "and that cancels the request");
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_doubled_answer_is_never_given_to_the_next_request() {
+    let network = MemoryNetwork::new();
+    let doubled = [response(200, "", "first"), response(200, "", "stale")].concat();
+    let script = vec![Step::Run { wait: Duration::ZERO, answer: doubled }, Step::ok("second")];
+    Peer::start(&network, backend_at(0), script);
+    let mesh = MeshBuilder::default().build(&network).await;
+    assert_eq!(post(&network, mesh.entry(), "/buy/gift", "", b"1").await.text(), "first");
+    assert_eq!(post(&network, mesh.entry(), "/buy/gift", "", b"2").await.text(), "second");
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_another_request_was_told_counts_for_nothing() {
+    for outcome in ["answered", "rejected", "unknown"] {
+        let network = MemoryNetwork::new();
+        let crossed = inbound_answer(200, outcome, &origin(0, "a"), "of another");
+        let crossed = String::from_utf8(crossed).unwrap().replace(OWN_ID, &"0".repeat(32)).into_bytes();
+        let peer =
+            Peer::start(&network, inbound_at(0), vec![Step::Run { wait: Duration::ZERO, answer: crossed }]);
+        let mesh = MeshBuilder { real_inbound: false, ..MeshBuilder::default() }.build(&network).await;
+        let told = post(&network, mesh.entry(), "/buy/gift", "", b"1").await;
+        assert_eq!((told.status, told.outcome()), (502, "unknown"), "crossed `{outcome}`");
+        assert_eq!(peer.ran().len(), 1);
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_connection_with_an_unfinished_upload_is_not_used_again() {
     let network = MemoryNetwork::new();
--- a/crates/proxy/tests/support/peer.rs
+++ b/crates/proxy/tests/support/peer.rs
@@ -39,6 +39,23 @@
     }
 }
 
+/// Stands for the request's id in scripted answers.
+pub const OWN_ID: &str = "@@@@@@@@@@@@@@@@@@@@@@@@@@@@@@@@";
+
+impl Step {
+    fn with_id(self, id: &str) -> Self {
+        let replace = |bytes: Vec<u8>| match String::from_utf8(bytes) {
+            Ok(text) => text.replace(OWN_ID, id).into_bytes(),
+            Err(error) => error.into_bytes(),
+        };
+        match self {
+            Self::Run { wait, answer } => Self::Run { wait, answer: replace(answer) },
+            Self::RunThenCut(answer) => Self::RunThenCut(replace(answer)),
+            other => other,
+        }
+    }
+}
+
 /// The bytes of a whole answer; `extra` are whole header lines.
 pub fn response(status: u16, extra: &str, body: &str) -> Vec<u8> {
     let length = body.len();
@@ -131,8 +148,9 @@
                 self.script.lock().push(step);
                 return;
             };
+            let id = received.header("umberpond-request-id").unwrap_or_default().to_owned();
             self.log.lock().ran.push(Received { connection, ..received });
-            if !self.act(&mut stream, step).await {
+            if !self.act(&mut stream, step.with_id(&id)).await {
                 return;
             }
         }
@@ -241,7 +259,8 @@
 /// An inbound proxy's answer from server node 0, as a scripted peer gives it; `extra` are whole header lines.
 pub fn inbound_answer(status: u16, outcome: &str, extra: &str, body: &str) -> Vec<u8> {
     let own = format!(
-        "umberpond-outcome: {outcome}\r\numberpond-incarnation: 1\r\numberpond-endpoint-status: ready\r\n{extra}"
+        "umberpond-outcome: {outcome}\r\numberpond-incarnation: 1\r\numberpond-endpoint-status: ready\r\n\
+         umberpond-request-id: {OWN_ID}\r\n{extra}"
     );
     response(status, &own, body)
 }
