Count and tell what the request path does

The observer of the request path counted attempts only. Its events carry no half of the path, so a label for it was ruled out; requests are counted by outcome with the status code or the reason of the refusal, exchanges that broke off by cause, and times go to one histogram. Events of debug severity are not even made when nobody sees them, since the observer runs on the request path.

--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -87,18 +87,20 @@
         = 3005, Info, "endpoint-readmitted", "An ejected endpoint takes requests again.";
 
     // Requests
-    RequestFinished { half: &'static str, outcome: &'static str, status: u16, request: String, micros: u64 }
-        = 4001, Debug, "request-finished", "A request has its final answer.";
-    RequestMalformed { half: &'static str, reason: String }
-        = 4002, Info, "request-malformed", "A request broke the protocol; it was refused and its connection closed.";
-    OutcomeUnknown { half: &'static str, request: String, reason: String }
-        = 4003, Warn, "outcome-unknown", "A request that may not run twice was sent and its answer was lost.";
-    AnswerCut { half: &'static str, request: String }
+    RequestAnswered { request: String, status: u16, micros: u64 }
+        = 4001, Debug, "request-answered", "The head of the back end's answer was passed on.";
+    RequestRefused { request: String, reason: &'static str }
+        = 4002, Debug, "request-refused", "A request was refused; it did not run.";
+    OutcomeUnknown { request: String, reason: &'static str }
+        = 4003, Warn, "outcome-unknown", "A request was sent and its answer was lost: it may have run.";
+    AnswerCut { request: String, reason: &'static str }
         = 4004, Warn, "answer-cut", "An answer broke off; the caller's connection was broken too, so that it can't be taken for whole.";
     DuplicateRefused { request: String }
         = 4005, Info, "duplicate-refused", "A request that was admitted before arrived again and was refused.";
-    RetryBudgetSpent { request: String }
-        = 4006, Info, "retry-budget-spent", "A request was not tried again because the retry budget is spent.";
+    AttemptFailed { request: String, attempt: u32, stage: &'static str, failure: &'static str }
+        = 4006, Debug, "attempt-failed", "One attempt of a request failed; the reason decides whether there is another.";
+    RequestRetried { request: String, attempt: u32, reason: &'static str }
+        = 4007, Debug, "request-retried", "A request is sent again, for a reason that makes it safe.";
 
     // Platform
     LeaseGranted { lease: String }
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -1,8 +1,9 @@
 //! Metrics of one node in the Prometheus text format.
 
+use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use prometheus_client::encoding::{EncodeLabelSet, text};
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -36,26 +37,6 @@
     }
 }
 
-/// Half of the request path.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Half {
-    /// Towards the node's own back end.
-    Inbound,
-    /// From the node's own callers.
-    Outbound,
-}
-
-impl Half {
-    /// Value of the label.
-    #[must_use]
-    pub const fn name(self) -> &'static str {
-        match self {
-            Self::Inbound => "inbound",
-            Self::Outbound => "outbound",
-        }
-    }
-}
-
 /// How far a version has come on this node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum VersionStage {
@@ -89,10 +70,9 @@
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct ExchangeLabels {
-    half: &'static str,
+struct RequestLabels {
     outcome: &'static str,
-    status: u16,
+    detail: RequestDetail,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -111,11 +91,6 @@
     stage: &'static str,
 }
 
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct HalfLabels {
-    half: &'static str,
-}
-
 /// Control bytes over all kinds of message.
 #[derive(Debug, Default)]
 struct ControlTotals {
@@ -132,6 +107,29 @@
     }
 }
 
+/// What a request's outcome goes with.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum RequestDetail {
+    /// Status code of the back end's answer.
+    Status(u16),
+    /// Why the proxies answered themselves.
+    Reason(&'static str),
+}
+
+impl EncodeLabelValue for RequestDetail {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> Result<(), fmt::Error> {
+        match self {
+            Self::Status(status) => EncodeLabelValue::encode(status, encoder),
+            Self::Reason(reason) => EncodeLabelValue::encode(reason, encoder),
+        }
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CutLabels {
+    reason: &'static str,
+}
+
 /// Metrics of one node.
 #[derive(Debug)]
 pub struct Metrics {
@@ -140,8 +138,9 @@
     control_totals: ControlTotals,
     control_messages: Family<ControlLabels, Counter>,
     control_connections: Gauge,
-    requests: Family<ExchangeLabels, Counter>,
-    request_seconds: Family<HalfLabels, Histogram>,
+    requests: Family<RequestLabels, Counter>,
+    request_seconds: Histogram,
+    cuts: Family<CutLabels, Counter>,
     attempts: Counter,
     versions: Family<StageLabels, Gauge>,
     roles: Family<RoleLabels, Gauge>,
@@ -159,7 +158,8 @@
             control_messages: Family::default(),
             control_connections: Gauge::default(),
             requests: Family::default(),
-            request_seconds: Family::new_with_constructor(request_histogram),
+            request_seconds: request_histogram(),
+            cuts: Family::default(),
             attempts: Counter::default(),
             versions: Family::default(),
             roles: Family::default(),
@@ -209,15 +209,16 @@
         let registry = &mut self.registry;
         registry.register(
             "requests",
-            "Requests with a final answer, by half, outcome and status",
+            "Requests with a final answer, by outcome and status or reason",
             self.requests.clone(),
         );
         registry.register_with_unit(
             "request",
-            "Time from the first byte of a request to the end of its answer",
+            "Time from the head of a request to the end of its answer",
             Unit::Seconds,
             self.request_seconds.clone(),
         );
+        registry.register("cuts", "Exchanges that broke off after the head of the answer", self.cuts.clone());
         registry.register("attempts", "Attempts sent by the outbound half", self.attempts.clone());
         registry.register(
             "endpoints",
@@ -246,12 +247,20 @@
         self.control_connections.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
-    /// Counts a finished request with its outcome (`answered`, `rejected` or `unknown`), the status code of the
-    /// final answer and the seconds it took.
-    pub fn request(&self, half: Half, outcome: &'static str, status: u16, seconds: f64) {
-        let half = half.name();
-        self.requests.get_or_create(&ExchangeLabels { half, outcome, status }).inc();
-        self.request_seconds.get_or_create(&HalfLabels { half }).observe(seconds);
+    /// Counts a request that has its final answer: `answered` with its status code, `rejected` or `unknown` with
+    /// the reason.
+    pub fn request(&self, outcome: &'static str, detail: RequestDetail) {
+        self.requests.get_or_create(&RequestLabels { outcome, detail }).inc();
+    }
+
+    /// Notes the time from a request's head to the end of its answer.
+    pub fn request_time(&self, seconds: f64) {
+        self.request_seconds.observe(seconds);
+    }
+
+    /// Counts an exchange that broke off after the head of its answer.
+    pub fn cut(&self, reason: &'static str) {
+        self.cuts.get_or_create(&CutLabels { reason }).inc();
     }
 
     /// Counts an attempt of the outbound half.
--- a/crates/telemetry/src/telemetry.rs
+++ b/crates/telemetry/src/telemetry.rs
@@ -42,6 +42,7 @@
 
 struct Inner {
     logger: Option<Logger>,
+    least: Severity,
     observer: Option<Arc<dyn EventObserver>>,
     metrics: Metrics,
 }
@@ -50,23 +51,30 @@
     /// Events go to standard error, from severity `least` on.
     #[must_use]
     pub fn to_log(format: LogFormat, least: Severity) -> Self {
-        Self::new(Some(logging::logger(format, least)), None)
+        Self::new(Some(logging::logger(format, least)), least, None)
     }
 
     /// Events go to `observer` and nowhere else.
     #[must_use]
     pub fn to_observer(observer: Arc<dyn EventObserver>) -> Self {
-        Self::new(None, Some(observer))
+        Self::new(None, Severity::Debug, Some(observer))
     }
 
     /// Events are dropped; metrics are kept.
     #[must_use]
     pub fn silent() -> Self {
-        Self::new(None, None)
+        Self::new(None, Severity::Error, None)
     }
 
-    fn new(logger: Option<Logger>, observer: Option<Arc<dyn EventObserver>>) -> Self {
-        Self { inner: Arc::new(Inner { logger, observer, metrics: Metrics::default() }) }
+    fn new(logger: Option<Logger>, least: Severity, observer: Option<Arc<dyn EventObserver>>) -> Self {
+        Self { inner: Arc::new(Inner { logger, least, observer, metrics: Metrics::default() }) }
+    }
+
+    /// Whether anybody sees events of this severity. Saves the request path the making of events that nobody sees.
+    #[must_use]
+    pub fn is_enabled(&self, severity: Severity) -> bool {
+        let is_logged = self.inner.logger.is_some() && severity >= self.inner.least;
+        is_logged || self.inner.observer.is_some()
     }
 
     /// Tells `event`.
