Add the command line

Operators had no program to drive a node with. Each subcommand stands in a file of its own with its settings, over one xflags grammar, and tells how it ended by a documented exit code: a refusal that changed nothing, a try that can be repeated, and an outcome that is unknown are different codes, since scripts must not take one for another. A node that is no reader points to one for progress.

--- a/crates/node/src/admin/api.rs
+++ b/crates/node/src/admin/api.rs
@@ -1,9 +1,10 @@
 //! The bodies of the operator API, as JSON. The command line reads them back.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
-use umberpond_config::{CheckReport, SealKey};
+use umberpond_config::{Bundle, CheckReport, SealKey};
 use umberpond_model::{
     BundleName, EndpointStatus, Incarnation, Locality, NodeName, ServiceName, SubmissionId, Version,
 };
@@ -195,6 +196,15 @@
     pub seal_key: SealKey,
 }
 
+/// The newest accepted configuration, secrets sealed.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Configuration {
+    /// Its version.
+    pub version: Version,
+    /// The bundles in force.
+    pub bundles: BTreeMap<BundleName, Bundle>,
+}
+
 /// A reader's admin address, kept on the platform so that other nodes can point operators there.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReaderAddress {
--- a/crates/node/src/admin/bundles.rs
+++ b/crates/node/src/admin/bundles.rs
@@ -1,15 +1,15 @@
 //! Submitting, withdrawing and resolving.
 
-use std::sync::Arc;
-
 use bytes::Bytes;
 use http::StatusCode;
-use umberpond_acceptance::{Change, Resolution, SubmitError};
-use umberpond_config::{Bundle, Snapshot};
+use umberpond_acceptance::chain::WholeConfiguration;
+use umberpond_acceptance::{ChainError, Change, Resolution, SubmitError};
+use umberpond_config::Bundle;
 use umberpond_model::{BundleName, SubmissionId};
 use umberpond_telemetry::Event;
 
 use super::api::{ServiceSealKey, SubmissionName, SubmissionResult};
+use super::configuration;
 use super::server::Answer;
 use crate::shared::NodeShared;
 
@@ -110,36 +110,36 @@
 }
 
 /// The newest accepted configuration, read from the platform.
-async fn newest(shared: &NodeShared) -> Result<Option<Arc<Snapshot>>, umberpond_acceptance::ChainError> {
+async fn newest(shared: &NodeShared) -> Result<Option<WholeConfiguration>, ChainError> {
     let chain = shared.acceptor.chain();
     let Some(seen) = chain.read_head().await? else { return Ok(None) };
-    let whole = chain.read_whole(seen.head.record).await?;
-    Ok(Some(Arc::new(whole.snapshot)))
+    chain.read_whole(seen.head.record).await.map(Some)
+}
+
+fn unavailable(error: &ChainError) -> Answer {
+    Answer::refusal(StatusCode::SERVICE_UNAVAILABLE, error.to_string()).retry_after(UNKNOWN_RETRY_SECONDS)
 }
 
 /// Public seal keys of all services, to which operators seal secrets.
 pub(super) async fn seal_keys(shared: &NodeShared) -> Answer {
-    match newest(shared).await {
-        Ok(snapshot) => {
-            let snapshot = snapshot.unwrap_or_default();
-            let keys: Vec<ServiceSealKey> = snapshot
-                .services
-                .values()
-                .filter_map(|service| {
-                    let seal_key = service.seal_key?;
-                    Some(ServiceSealKey { service: service.name.clone(), seal_key })
-                })
-                .collect();
-            Answer::json(StatusCode::OK, &keys)
-        }
-        Err(error) => Answer::refusal(StatusCode::SERVICE_UNAVAILABLE, error.to_string()),
-    }
+    let services = match newest(shared).await {
+        Ok(whole) => whole.map(|whole| whole.snapshot.services).unwrap_or_default(),
+        Err(error) => return unavailable(&error),
+    };
+    let keys: Vec<ServiceSealKey> = services
+        .values()
+        .filter_map(|service| {
+            let seal_key = service.seal_key?;
+            Some(ServiceSealKey { service: service.name.clone(), seal_key })
+        })
+        .collect();
+    Answer::json(StatusCode::OK, &keys)
 }
 
 /// The newest accepted configuration, secrets sealed, for `umberpond plan`.
 pub(super) async fn configuration(shared: &NodeShared) -> Answer {
-    match newest(shared).await {
-        Ok(snapshot) => Answer::bytes(snapshot.unwrap_or_default().to_bytes()),
-        Err(error) => Answer::refusal(StatusCode::SERVICE_UNAVAILABLE, error.to_string()),
+    match configuration::read(shared).await {
+        Ok(configuration) => Answer::json(StatusCode::OK, &configuration),
+        Err(error) => unavailable(&error),
     }
 }
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod api;
 mod bundles;
+mod configuration;
 mod routes;
 mod server;
 mod status;
--- a/crates/node/src/overlay/message_kind.rs
+++ b/crates/node/src/overlay/message_kind.rs
@@ -3,7 +3,7 @@
 use umberpond_overlay::PeerMessage;
 
 /// Name of the kind of `message`.
-pub(super) const fn message_kind(message: &PeerMessage) -> &'static str {
+pub(crate) const fn message_kind(message: &PeerMessage) -> &'static str {
     match message {
         PeerMessage::Hello(_) => "hello",
         PeerMessage::Welcome(_) => "welcome",
--- a/crates/node/src/recording/format.rs
+++ b/crates/node/src/recording/format.rs
@@ -15,6 +15,8 @@
 };
 use umberpond_overlay::{OverlayConfig, PeerMessage};
 
+use crate::overlay::message_kind;
+
 /// Number of this format.
 const SCHEMA: u8 = 1;
 
@@ -152,6 +154,20 @@
         }
     }
 
+    /// One line about the input, without the content of configurations.
+    #[must_use]
+    pub fn summary(&self) -> String {
+        match self {
+            Self::Received { connection, message } => {
+                format!("received over connection {connection}: {}", message_kind(message))
+            }
+            Self::VersionAccepted { record, .. } => format!("the platform tells version {}", record.version),
+            Self::Whole { record, .. } => format!("the platform tells version {} whole", record.version),
+            Self::OwnRecord(record) => format!("the back end is {:?}", record.status),
+            other => format!("{other:?}"),
+        }
+    }
+
     /// The input as the core takes it.
     pub(super) fn into_input(self) -> Input<PeerMessage> {
         match self {
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -11,7 +11,7 @@
 use tokio::task::JoinHandle;
 use umberpond_acceptance::{Acceptor, AcceptorContext, AcceptorSettings};
 use umberpond_admission::RetryBudgetSettings;
-use umberpond_model::{EndpointRecord, EndpointStatus, Member};
+use umberpond_model::{EndpointRecord, EndpointStatus};
 use umberpond_net::BoxListener;
 use umberpond_overlay::OverlayConfig;
 use umberpond_platform::{ClientSettings, GateLimits, PlatformClient, PlatformGate};
@@ -154,7 +154,7 @@
     let (overlay, overlay_task) = Actor::spawn(None, OverlayActor, arguments).await?;
     let client = platform_client(&config, environment);
     let machines = Arc::new(KnownMachines::default());
-    let acceptor = acceptor(&client, environment, &machines, &own);
+    let acceptor = acceptor(&client, environment, &machines);
     let shared = Arc::new(NodeShared {
         config,
         environment: environment.clone(),
@@ -249,30 +249,18 @@
     PlatformClient::new(network, config.platform, gate, ClientSettings::default())
 }
 
-fn acceptor(
-    client: &PlatformClient,
-    environment: &Environment,
-    machines: &Arc<KnownMachines>,
-    own: &EndpointRecord,
-) -> Acceptor {
+fn acceptor(client: &PlatformClient, environment: &Environment, machines: &Arc<KnownMachines>) -> Acceptor {
     let machines = Arc::clone(machines);
-    let own = Member { node: own.node.clone(), locality: own.locality.clone(), control: own.control };
     let clock = environment.clone();
     let context = AcceptorContext {
         store: Arc::new(client.clone()),
-        candidates: Arc::new(move || witness_candidates(&machines, &own)),
+        candidates: Arc::new(move || machines.staying()),
         unix_millis: Arc::new(move || clock.unix_millis()),
         seed: environment.seed_for(SeedUse::Acceptance),
     };
     Acceptor::new(context, AcceptorSettings::default())
 }
 
-/// The machines that stay; this node alone while the platform lists none.
-fn witness_candidates(machines: &KnownMachines, own: &Member) -> Vec<Member> {
-    let staying = machines.staying();
-    if staying.is_empty() { vec![own.clone()] } else { staying }
-}
-
 /// Starts the servers.
 fn serve(
     listeners: Listeners,
--- /dev/null
+++ b/crates/umberpond/src/cli/sealing.rs
@@ -0,0 +1,22 @@
+//! Seals the secrets of a bundle on the operator's machine. Clear values go nowhere else.
+
+use std::collections::BTreeMap;
+use std::os::unix::ffi::OsStringExt;
+
+use umberpond_config::{Bundle, BundleSource, CheckReport, SealKey, SecretValue};
+use umberpond_model::ServiceName;
+
+/// Seals the secrets of `source` to the keys of its own services and to `keys`.
+///
+/// # Errors
+/// Returns a fault for each reader without a key and each value that is absent or unfit.
+pub(super) fn seal(
+    source: &BundleSource,
+    keys: &BTreeMap<ServiceName, SealKey>,
+) -> Result<Bundle, CheckReport> {
+    source.seal(keys, from_environment, &mut rand::rng())
+}
+
+fn from_environment(variable: &str) -> Option<SecretValue> {
+    std::env::var_os(variable).map(|value| SecretValue::new(value.into_vec()))
+}
--- /dev/null
+++ b/crates/umberpond/src/cli/submission.rs
@@ -0,0 +1,143 @@
+//! `umberpond submission`: what became of a submission. Also the printing of results that `apply` shares.
+
+use bytes::Bytes;
+use http::{Method, Response};
+use serde::Serialize;
+use umberpond_model::{SubmissionId, Version};
+use umberpond_node::admin::api::{Progress, SubmissionResult};
+
+use super::admin_client::{AdminClient, AdminError};
+use super::flags;
+use super::output::Format;
+use super::{Exit, runtime};
+
+/// Settings of `umberpond submission`.
+pub(super) struct SubmissionSettings {
+    id: String,
+    client: AdminClient,
+    format: Format,
+}
+
+impl From<flags::Submission> for SubmissionSettings {
+    fn from(flags: flags::Submission) -> Self {
+        let client = AdminClient::new(flags.node);
+        Self { id: flags.id, client, format: Format::from_flag(flags.json) }
+    }
+}
+
+/// Asks the node.
+pub(super) fn run(settings: &SubmissionSettings) -> Exit {
+    let Ok(submission) = settings.id.parse::<SubmissionId>() else {
+        eprintln!("`{}` is no submission identifier: it has up to 32 hex digits", settings.id);
+        return Exit::Usage;
+    };
+    runtime::block_on(async {
+        let path = format!("/v1/submissions/{submission}");
+        let answer = settings.client.send(Method::GET, &path, Bytes::new()).await;
+        match answer.and_then(|answer| read_result(&settings.client, &answer)) {
+            Ok(result) => tell(settings.format, SubmissionOutput { result, progress: None }),
+            Err(error) => {
+                eprintln!("{:?}", miette::Report::new(error));
+                Exit::Unreachable
+            }
+        }
+    })
+}
+
+/// What `apply`, `withdraw` and `submission` print.
+#[derive(Debug, Clone, Serialize)]
+pub(super) struct SubmissionOutput {
+    /// Result of the submission.
+    #[serde(flatten)]
+    pub(super) result: SubmissionResult,
+    /// How far the version had come at the end of `--wait`.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) progress: Option<Progress>,
+}
+
+/// Reads the result of a submission, whatever the status code that goes with it.
+pub(super) fn read_result(
+    client: &AdminClient,
+    answer: &Response<Bytes>,
+) -> Result<SubmissionResult, AdminError> {
+    client.read(answer).map_err(|_| client.refused(answer))
+}
+
+/// Prints a result and tells the exit code that goes with it.
+pub(super) fn tell(format: Format, output: SubmissionOutput) -> Exit {
+    let exit = exit_of(&output);
+    format.print(&output, |output| text_of(&output.result));
+    exit
+}
+
+const fn exit_of(output: &SubmissionOutput) -> Exit {
+    match (&output.result, &output.progress) {
+        (SubmissionResult::Accepted { .. }, Some(progress)) if !progress.everywhere => Exit::NotInForce,
+        (SubmissionResult::Accepted { .. }, _) => Exit::Ok,
+        (SubmissionResult::Invalid { .. } | SubmissionResult::Conflict { .. }, _) => Exit::Refused,
+        (SubmissionResult::NotAccepted { .. }, _) => Exit::NotAccepted,
+        (SubmissionResult::Unknown { .. }, _) => Exit::Unknown,
+    }
+}
+
+fn text_of(result: &SubmissionResult) -> String {
+    match result {
+        SubmissionResult::Accepted { version, submission } => {
+            format!("accepted as version {version} (submission {submission})")
+        }
+        SubmissionResult::Invalid { report, .. } => {
+            format!("refused, nothing changed\n{:?}", miette::Report::new(report.clone()))
+        }
+        SubmissionResult::Conflict { reason, winner, report, .. } => {
+            conflict_text(reason, *winner, report.as_ref())
+        }
+        SubmissionResult::NotAccepted { reason, retry_after_millis, .. } => {
+            format!("not accepted, nothing changed: {reason}; try again after {retry_after_millis} ms")
+        }
+        SubmissionResult::Unknown { submission } => {
+            format!("unknown: ask again with `umberpond submission {submission}`")
+        }
+    }
+}
+
+fn conflict_text(
+    reason: &str,
+    winner: Option<Version>,
+    report: Option<&umberpond_config::CheckReport>,
+) -> String {
+    let mut text = format!("conflict, nothing changed: {reason}");
+    if let Some(winner) = winner {
+        text.push_str(&format!("\nversion {winner} won"));
+    }
+    if let Some(report) = report {
+        text.push_str(&format!("\n{:?}", miette::Report::new(report.clone())));
+    }
+    text
+}
+
+/// The submission named by a flag, or a new one; `None` if the flag is faulty.
+pub(super) fn submission_id(flag: Option<&str>) -> Option<SubmissionId> {
+    match flag {
+        Some(text) => text.parse().ok(),
+        None => Some(SubmissionId(rand::random())),
+    }
+}
+
+/// Prints a failed request for a change and tells the exit code that goes with it.
+pub(super) fn tell_failure(format: Format, submission: SubmissionId, error: AdminError) -> Exit {
+    match error {
+        AdminError::Broken { .. } | AdminError::TimedOut { .. } => {
+            eprintln!("{:?}", miette::Report::new(error));
+            let result = SubmissionResult::Unknown { submission };
+            tell(format, SubmissionOutput { result, progress: None })
+        }
+        AdminError::NotReached { .. } | AdminError::NotUnderstood { .. } => {
+            eprintln!("{:?}", miette::Report::new(error));
+            Exit::Unreachable
+        }
+        AdminError::Refused { .. } => {
+            eprintln!("{:?}", miette::Report::new(error));
+            Exit::Refused
+        }
+    }
+}
--- a/crates/umberpond/src/main.rs
+++ b/crates/umberpond/src/main.rs
@@ -1,3 +1,9 @@
-//! The umberpond program.
+//! The umberpond program: `umberpond --help` lists its subcommands.
 
-fn main() {}
+mod cli;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cli::main().into()
+}
