Carry versions from the platform to every node by derived roles

Until now the overlay was only its types. This adds the core: members are ranked by rendezvous hashing, the first ranks read the platform, the next form levels of relays, and each node attaches to a parent and fails over to a standby with full jitter. Steps and the commit index flow down in batches; a relay cuts each step down to the scope of a child and says only "unchanged" where a version touches nothing of it. Witnesses, commit checks, floor questions, endpoint records, suspicion and progress reports are in, and so far tried only as far as this test needs them.

Readers, relays and witnesses failing isn't tried yet.

--- a/crates/overlay/src/config.rs
+++ b/crates/overlay/src/config.rs
@@ -56,6 +56,8 @@
     pub summary_interval: Millis,
     /// A floor question without an answer is asked again after this time.
     pub floor_retry: Millis,
+    /// Least time between the beginnings of two floor rounds of a reader; questions that come between are joined.
+    pub floor_round_interval: Millis,
     /// A floor round that the witnesses haven't ended asks the platform after this time.
     pub floor_round_timeout: Millis,
     /// Mean time between two comparisons of endpoint digests with a random reader.
@@ -88,12 +90,13 @@
             report_interval: Millis(1_000),
             summary_interval: Millis(2_000),
             floor_retry: Millis(2_000),
+            floor_round_interval: Millis(250),
             floor_round_timeout: Millis(700),
             anti_entropy: Millis(10_000),
             pull_delay: Millis(200),
             transfer_retry: Millis(500),
             transfer_timeout: Millis(10_000),
-            lease_retry: Millis(10_000),
+            lease_retry: Millis(3_000),
             forget_after: Millis(600_000),
         }
     }
--- a/crates/overlay/src/lib.rs
+++ b/crates/overlay/src/lib.rs
@@ -3,14 +3,19 @@
 //! [`interface`] is the whole boundary between the core and whatever drives it: the daemon over TCP, the
 //! full-stack simulation, and the scale simulation with thousands of hollow nodes in one process.
 
+mod backoff;
+mod chain;
 mod config;
+mod directory;
 
 pub mod interface;
 mod message;
 mod node;
+mod plan;
 
 mod report;
 mod role;
+mod scoped_view;
 mod status;
 
 pub use config::{Limits, OverlayConfig, Timing};
--- a/crates/overlay/src/message.rs
+++ b/crates/overlay/src/message.rs
@@ -39,7 +39,9 @@
         /// Commit index.
         committed: Version,
     },
-    /// The receiver has taken in this many updates since the last acknowledgement.
+    /// A child goes to another parent; it isn't lost.
+    Leaving,
+    /// The sender has taken in this many updates since the last acknowledgement.
     Acknowledge {
         /// Count of updates.
         updates: u32,
@@ -111,6 +113,8 @@
     Peer {
         /// Role of the sender.
         role: Role,
+        /// Whether the sender knows the receiver as a witness.
+        to_witness: bool,
     },
 }
 
@@ -238,6 +242,22 @@
     pub previous: Vec<NodeName>,
 }
 
+impl WitnessSets {
+    /// A short name of a witness set.
+    #[must_use]
+    pub fn identify(witnesses: &[NodeName]) -> u64 {
+        let mut bytes = [0; 8];
+        bytes.copy_from_slice(&ContentHash::of(&bitcode::encode(witnesses)).as_bytes()[..8]);
+        u64::from_le_bytes(bytes)
+    }
+
+    /// The set of that name, if it is one of the two.
+    #[must_use]
+    pub fn named(&self, set: u64) -> Option<&Vec<NodeName>> {
+        [&self.current, &self.previous].into_iter().find(|witnesses| Self::identify(witnesses) == set)
+    }
+}
+
 /// What a reader tells the other readers.
 #[derive(Debug, Clone, PartialEq, Encode, Decode)]
 pub struct ReaderState {
@@ -247,6 +267,8 @@
     pub committed: Version,
     /// Role of the sender.
     pub role: Role,
+    /// Whether it watches the platform; if not, it must be told of new versions at once.
+    pub watches: bool,
 }
 
 /// Progress of all nodes below one reader.
@@ -269,7 +291,7 @@
     pub message: CompactWitnessMessage,
 }
 
-/// A [`umberpond_versions::WitnessMessage`] in few bytes: the witness set is named by the version that brought it.
+/// A [`umberpond_versions::WitnessMessage`] in few bytes: the witness set is named by a hash.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub enum CompactWitnessMessage {
     /// The sender holds a version.
@@ -297,8 +319,8 @@
     pub incarnation: Incarnation,
     /// Newest version that it holds.
     pub version: Version,
-    /// Version that brought the witness set of that version.
-    pub set_since: Version,
+    /// [`WitnessSets::identify`] of the witness set of that version.
+    pub set: u64,
     /// That set, if it was asked for.
     pub witnesses: Option<Vec<NodeName>>,
 }
