--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -7,7 +7,9 @@
 
 use std::net::SocketAddr;
 
-use umberpond_model::{BundleName, EndpointStatus, Incarnation, NodeName, SecretName, SubmissionId, Version};
+use umberpond_model::{
+    BundleName, ContentHash, EndpointStatus, Incarnation, NodeName, SecretName, SubmissionId, Version,
+};
 
 use crate::{CatalogueEntry, Field, FieldValue, Severity};
 
@@ -21,7 +23,7 @@
         = 1003, Info, "became-ready", "A configuration is in force, its version floor is proved and the back end takes work.";
     BecameUnready { reason: String }
         = 1004, Warn, "became-unready", "The node is not ready, for the reason given.";
-    DrainStarted { outstanding: u64, timeout_millis: u64 }
+    DrainStarted { timeout_millis: u64 }
         = 1010, Info, "drain-started", "A planned stop: new work is refused, what is in flight is finished.";
     DrainFinished { waited_millis: u64 }
         = 1011, Info, "drain-finished", "Nothing is in flight any more; the process leaves.";
@@ -41,7 +43,7 @@
         = 2001, Debug, "version-held", "A newer version has arrived; it is not in force yet.";
     VersionCommitted { version: Version }
         = 2002, Debug, "version-committed", "A majority of the witnesses holds the version, so it may be put in force.";
-    VersionActivated { version: Version, routes: u64, secrets: u64 }
+    VersionActivated { version: Version, content: ContentHash, routes: u64, secrets: u64 }
         = 2003, Info, "version-activated", "The version is in force on this node.";
     FloorProved { version: Version }
         = 2004, Info, "floor-proved", "No version above this one was in force anywhere before the node started.";
@@ -63,6 +65,8 @@
         = 2015, Debug, "control-disconnected", "A control connection has ended.";
     ControlMessageRefused { reason: String }
         = 2016, Warn, "control-message-refused", "A peer sent a frame that is no message of this protocol; the connection is closed and nothing changes.";
+    Superseded { by: Incarnation }
+        = 2017, Error, "superseded", "A later process runs under this node's name; this one no longer tells anything about its back end.";
     SubmissionAccepted { bundle: BundleName, submission: SubmissionId, version: Version }
         = 2020, Info, "submission-accepted", "A bundle was accepted and became a version.";
     SubmissionRefused { bundle: BundleName, submission: SubmissionId, reason: String }
@@ -73,7 +77,7 @@
         = 2023, Warn, "submission-unknown", "The answer of the platform was lost; the submission is resolved by its identifier.";
 
     // Endpoints
-    OwnStatusChanged { status: EndpointStatus, sequence: u64 }
+    OwnStatusChanged { status: EndpointStatus }
         = 3001, Info, "own-status-changed", "The status of the back end beside this node has changed.";
     EndpointsChanged { count: u64 }
         = 3002, Debug, "endpoints-changed", "The endpoint records that this node's callers use have changed.";
@@ -85,18 +89,20 @@
         = 3005, Info, "endpoint-readmitted", "An ejected endpoint takes requests again.";
 
     // Requests
-    RequestFinished { half: &'static str, outcome: &'static str, status: u16, request: String, micros: u64 }
-        = 4001, Debug, "request-finished", "A request has its final answer.";
-    RequestMalformed { half: &'static str, reason: String }
-        = 4002, Info, "request-malformed", "A request broke the protocol; it was refused and its connection closed.";
-    OutcomeUnknown { half: &'static str, request: String, reason: String }
-        = 4003, Warn, "outcome-unknown", "A request that may not run twice was sent and its answer was lost.";
-    AnswerCut { half: &'static str, request: String }
+    RequestAnswered { request: String, status: u16, micros: u64 }
+        = 4001, Debug, "request-answered", "The head of the back end's answer was passed on.";
+    RequestRefused { request: String, reason: &'static str }
+        = 4002, Debug, "request-refused", "A request was refused; it did not run.";
+    OutcomeUnknown { request: String, reason: &'static str }
+        = 4003, Warn, "outcome-unknown", "A request was sent and its answer was lost: it may have run.";
+    AnswerCut { request: String, reason: &'static str }
         = 4004, Warn, "answer-cut", "An answer broke off; the caller's connection was broken too, so that it can't be taken for whole.";
     DuplicateRefused { request: String }
         = 4005, Info, "duplicate-refused", "A request that was admitted before arrived again and was refused.";
-    RetryBudgetSpent { request: String }
-        = 4006, Info, "retry-budget-spent", "A request was not tried again because the retry budget is spent.";
+    AttemptFailed { request: String, attempt: u32, stage: &'static str, failure: &'static str }
+        = 4006, Debug, "attempt-failed", "One attempt of a request failed; the reason decides whether there is another.";
+    RequestRetried { request: String, attempt: u32, reason: &'static str }
+        = 4007, Debug, "request-retried", "A request is sent again, for a reason that makes it safe.";
 
     // Platform
     LeaseGranted { lease: String }
