--- a/xtask/src/demo/node.rs
+++ b/xtask/src/demo/node.rs
@@ -59,7 +59,7 @@
         }
         let text = settings_file(&placement, &surroundings)?;
         let path = scratch.write(&format!("{}.toml", placement.name), text)?;
-        let arguments = ["node".to_owned(), "--settings".to_owned(), path.display().to_string()];
+        let arguments = ["node".to_owned(), "--config".to_owned(), path.display().to_string()];
         let mut process = ChildProcess::start(placement.name, program, &arguments, scratch)?;
         let mut listeners = OpenListeners::default();
         let addresses = process.wait_for_line(START_LIMIT, |line| listeners.read(line)).await?;
--- a/xtask/src/demo/operator.rs
+++ b/xtask/src/demo/operator.rs
@@ -72,7 +72,7 @@
         "apply".to_owned(),
         submission.bundle.to_owned(),
         submission.folder.display().to_string(),
-        "--admin".to_owned(),
+        "--node".to_owned(),
         through.addresses.admin.to_string(),
         "--wait".to_owned(),
         WAIT.to_owned(),
