--- a/testing/sim/src/scale/measure.rs
+++ b/testing/sim/src/scale/measure.rs
@@ -211,6 +211,7 @@
         PeerMessage::Witness(_) => "witness",
         PeerMessage::Digests(_) => "digests",
         PeerMessage::Positions(_) => "positions",
+        PeerMessage::Leaving => "leaving",
         PeerMessage::Heartbeat { .. } => "heartbeat",
         PeerMessage::Synced => "synced",
         PeerMessage::Unknown => "unknown",
