Test the commit rule, the floor and the store, and keep a check until its target

Cause: a check before a commit ended with the first version that its replies confirmed, so that replies still on their way no longer counted and a change of witnesses waited for one more check. Found by the new test:

test a_change_of_witnesses_needs_both_majorities ... FAILED left: Version(2) right: Version(4)

A check now runs until the version that its statements allow is committed. Ruled out: counting late replies of an ended check, since a reply must belong to the question that it confirms. After the change:

test a_change_of_witnesses_needs_both_majorities ... ok

The closure check in this crate is gone; the configuration crate's own one is used, and its cause is carried in the refusal.

--- a/crates/versions/src/commit.rs
+++ b/crates/versions/src/commit.rs
@@ -42,6 +42,8 @@
 #[derive(Debug, Clone)]
 struct Check {
     nonce: Nonce,
+    /// Version that the statements allow; the check ends when it is committed.
+    target: Version,
     stated: BTreeMap<NodeName, Statement>,
     confirmed: BTreeMap<NodeName, Version>,
 }
@@ -144,8 +146,7 @@
     /// Whether the holds received satisfy the rule for a newer version, and no check runs.
     #[must_use]
     pub fn needs_check(&self) -> bool {
-        let candidate = self.sets.committed(self.committed, |node| self.held_by(node));
-        self.check.is_none() && candidate > self.committed
+        self.check.is_none() && self.candidate() > self.committed
     }
 
     /// Begins a check, if one is needed; returns the witnesses to which [`crate::WitnessMessage::Query`] goes.
@@ -159,7 +160,8 @@
             .filter_map(|node| Some((node.clone(), *self.statements.get(node)?)))
             .collect();
         let asked = stated.keys().cloned().collect();
-        self.check = Some(Check { nonce, stated, confirmed: BTreeMap::new() });
+        let target = self.candidate();
+        self.check = Some(Check { nonce, target, stated, confirmed: BTreeMap::new() });
         asked
     }
 
@@ -176,7 +178,6 @@
         if confirmed <= self.committed {
             return None;
         }
-        self.check = None;
         self.raise(confirmed);
         Some(confirmed)
     }
@@ -186,6 +187,11 @@
         self.check = None;
     }
 
+    /// Highest version that the statements allow to commit.
+    fn candidate(&self) -> Version {
+        self.sets.committed(self.committed, |node| self.held_by(node))
+    }
+
     fn commit_without_witnesses(&mut self) {
         let committed = self.sets.committed(self.committed, |_| None);
         self.raise(committed);
@@ -194,5 +200,6 @@
     fn raise(&mut self, version: Version) {
         self.committed = self.committed.max(version);
         self.sets.forget_before(self.committed);
+        self.check.take_if(|check| check.target <= version);
     }
 }
--- a/crates/versions/src/lib.rs
+++ b/crates/versions/src/lib.rs
@@ -16,7 +16,6 @@
 
 mod answer;
 mod batch;
-mod closure;
 mod commit;
 mod floor;
 mod history;
--- a/crates/versions/src/step.rs
+++ b/crates/versions/src/step.rs
@@ -2,7 +2,7 @@
 
 use bitcode::{Decode, Encode};
 use thiserror::Error;
-use umberpond_config::{Delta, Snapshot};
+use umberpond_config::{ClosureError, Delta, Snapshot};
 use umberpond_model::{ContentHash, Version};
 
 /// A whole snapshot, restricted to the receiver's scope.
@@ -30,7 +30,7 @@
 }
 
 /// Why a transfer was refused. Nothing has changed when one of these is returned.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum StepError {
     /// The delta builds on a version that this node doesn't hold.
     #[error("the delta builds on version {from}, but {held:?} is held")]
@@ -50,11 +50,14 @@
         /// Hash of the result.
         found: ContentHash,
     },
-    /// A route of the result points at a service or secret that the result lacks.
-    #[error("version {to} is not closed: a route points at something that it lacks")]
+    /// Something in the result refers to what the result lacks.
+    #[error("version {to} is not closed")]
     NotClosed {
         /// Version that was to result.
         to: Version,
+        /// The dangling reference.
+        #[source]
+        cause: ClosureError,
     },
     /// The transfer leads to nothing newer than what is held or in force.
     #[error("version {to} is not newer than version {held}")]
--- a/crates/versions/src/store.rs
+++ b/crates/versions/src/store.rs
@@ -15,7 +15,6 @@
 use umberpond_config::{Delta, Scope, Snapshot};
 use umberpond_model::{ContentHash, Version};
 
-use crate::closure::is_closed;
 use crate::history::History;
 use crate::{ComposedStep, StepError, Whole};
 
@@ -114,7 +113,7 @@
     /// [`StepError::HashMismatch`] and [`StepError::NotClosed`] if the content isn't sound.
     pub fn on_whole(&mut self, whole: Whole) -> Result<(), StepError> {
         self.check_newer(whole.version)?;
-        check_content(whole.version, whole.hash, &whole.snapshot)?;
+        self.check_content(whole.version, whole.hash, &whole.snapshot)?;
         self.hold(whole.version, Arc::new(whole.snapshot));
         Ok(())
     }
@@ -221,7 +220,7 @@
             return Err(StepError::Gap { held: self.held(), from });
         };
         let result = delta.apply(base);
-        check_content(to, expected_hash, &result)?;
+        self.check_content(to, expected_hash, &result)?;
         self.hold(to, Arc::new(result));
         Ok(())
     }
@@ -263,15 +262,17 @@
             self.waiting.remove(&version);
         }
     }
-}
 
-fn check_content(to: Version, expected: ContentHash, snapshot: &Snapshot) -> Result<(), StepError> {
-    let found = snapshot.content_hash();
-    if found != expected {
-        return Err(StepError::HashMismatch { to, expected, found });
-    }
-    if !is_closed(snapshot) {
-        return Err(StepError::NotClosed { to });
+    fn check_content(
+        &self,
+        to: Version,
+        expected: ContentHash,
+        snapshot: &Snapshot,
+    ) -> Result<(), StepError> {
+        let found = snapshot.content_hash();
+        if found != expected {
+            return Err(StepError::HashMismatch { to, expected, found });
+        }
+        snapshot.check_closed_for(&self.scope).map_err(|cause| StepError::NotClosed { to, cause })
     }
-    Ok(())
 }
--- /dev/null
+++ b/crates/versions/tests/floor_options/faults.rs
@@ -0,0 +1,58 @@
+//! Fault schedules made from a seed.
+
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+use crate::world::{NODES, READERS};
+
+/// Faults end here, in milliseconds; the platform is up and all links work from then on.
+pub const FAULTS_END: u64 = 12_000;
+
+#[derive(Debug, Clone)]
+pub enum Fault {
+    PlatformDown(bool),
+    /// The processes of these nodes end together and start again.
+    Herd(Vec<usize>),
+    /// A reader stops for a while and then goes on, unaware.
+    Pause {
+        reader: usize,
+        until: u64,
+    },
+    /// These readers reach each other and their children, but neither the platform nor other readers.
+    Cut {
+        readers: Vec<usize>,
+        until: u64,
+    },
+}
+
+/// The faults of one run, with their times.
+pub fn schedule(rng: &mut ChaCha8Rng) -> Vec<(u64, Fault)> {
+    let outage = rng.random_range(1_000..6_000);
+    let outage_end = rng.random_range(outage + 500..FAULTS_END);
+    let mut faults = vec![(outage, Fault::PlatformDown(true)), (outage_end, Fault::PlatformDown(false))];
+    for _ in 0..rng.random_range(3..7) {
+        faults.push((rng.random_range(1_000..FAULTS_END), herd(rng)));
+    }
+    for _ in 0..rng.random_range(1..4) {
+        let at = rng.random_range(500..FAULTS_END - 100);
+        let until = (at + rng.random_range(100..4_000)).min(FAULTS_END);
+        faults.push((at, Fault::Pause { reader: rng.random_range(0..READERS), until }));
+    }
+    for _ in 0..rng.random_range(3..8) {
+        let reader = rng.random_range(0..READERS);
+        faults.push((rng.random_range(1_000..FAULTS_END), Fault::Herd(vec![reader])));
+    }
+    for _ in 0..rng.random_range(2..6) {
+        let at = rng.random_range(500..FAULTS_END - 100);
+        let until = (at + rng.random_range(300..5_000)).min(FAULTS_END);
+        let readers = (0..READERS).filter(|_| rng.random_bool(0.4)).collect();
+        faults.push((at, Fault::Cut { readers, until }));
+    }
+    faults
+}
+
+fn herd(rng: &mut ChaCha8Rng) -> Fault {
+    const SHARES: [f64; 4] = [0.1, 0.3, 0.6, 1.0];
+    let share = SHARES[rng.random_range(0..SHARES.len())];
+    Fault::Herd((0..NODES).filter(|_| rng.random_bool(share)).collect())
+}
