Tell followers of every service that an endpoint has left

Cause: a row remembered only the one service before the present one. A name that moved over two services between two reads of the changes stayed with followers of the first.

A row now keeps all services of its earlier records; names move rarely, so that the set stays small. Ruled out: a position for each service, which costs memory for every row.

--- a/crates/endpoints/src/table.rs
+++ b/crates/endpoints/src/table.rs
@@ -59,9 +59,9 @@
 #[derive(Debug, Clone)]
 struct Row {
     record: EndpointRecord,
-    /// Service of the record before, if a replacement under the same name serves another one. Those interested in
-    /// the former service must hear that its endpoint went away.
-    former_service: Option<ServiceName>,
+    /// Services of earlier records, if replacements under the same name serve others. Those interested in a former
+    /// service must hear that its endpoint went away, also when they were told of none of the changes between.
+    former_services: BTreeSet<ServiceName>,
     changed_at: u64,
     changed: Timestamp,
 }
@@ -185,11 +185,7 @@
     }
 
     fn put(&mut self, now: Timestamp, record: EndpointRecord) {
-        let former = self.take(&record.node);
-        let former_service = former.and_then(|row| match row.record.service {
-            service if service == record.service => row.former_service,
-            service => service,
-        });
+        let former_services = self.take(&record.node).map(Row::into_services).unwrap_or_default();
         self.position += 1;
         self.changes.insert(self.position, record.node.clone());
         if let Some(service) = &record.service {
@@ -198,7 +194,7 @@
         if counts(&record) {
             self.digests.entry(record.locality.clone()).or_default().add(&record);
         }
-        let row = Row { record, former_service, changed_at: self.position, changed: now };
+        let row = Row { record, former_services, changed_at: self.position, changed: now };
         self.rows.insert(row.record.node.clone(), row);
     }
 
@@ -234,9 +230,13 @@
 }
 
 impl Row {
+    fn into_services(mut self) -> BTreeSet<ServiceName> {
+        self.former_services.extend(self.record.service);
+        self.former_services
+    }
+
     fn is_covered_by(&self, interest: &Interest) -> bool {
-        let covers_former =
-            self.former_service.as_ref().is_some_and(|service| interest.covers(Some(service)));
+        let covers_former = self.former_services.iter().any(|service| interest.covers(Some(service)));
         covers_former || interest.covers(self.record.service.as_ref())
     }
 
