--- a/crates/overlay/src/node/platform.rs
+++ b/crates/overlay/src/node/platform.rs
@@ -44,8 +44,9 @@
             }
             Err(StepError::Stale { .. }) => {}
             Err(error) => {
+                let is_gap = matches!(error, StepError::Gap { .. });
                 self.decide(Decision::TransferRefused { error });
-                if matches!(error, StepError::Gap { .. }) {
+                if is_gap {
                     self.watch();
                 }
             }
