Weigh load reports against what is typical, and keep the duplicate window whole

A report now only repels: the work of others is a running mean that fades towards what is typical of all endpoints, and the typical value follows high reports faster than low ones.

The window dropped its oldest when full, so that a copy which was under way longer than its entry was kept could run again. It now keeps every arrival for at least the longest deadline and turns new ones away when it can't.

Ruled out: a tree of weighted rendezvous groups for keyed picks.

--- a/crates/admission/src/refusal.rs
+++ b/crates/admission/src/refusal.rs
@@ -30,6 +30,9 @@
     /// The request was first sent before the time since which this gate remembers everything.
     #[error("the request is older than the duplicate window")]
     TooOld,
+    /// The duplicate window is full of recent requests, so this one could not be remembered.
+    #[error("the duplicate window is full")]
+    WindowFull,
 }
 
 /// A refusal, told at once.
@@ -44,9 +47,11 @@
 
 impl Refusal {
     /// Whether it is known that the request did not run, so that it may be called "rejected before execution".
-    /// A duplicate's first arrival may have run, and so may a forgotten one's.
+    /// A duplicate's first arrival may have run, and so may a forgotten one's; and a refusal that isn't remembered can't
+    /// keep a late copy from running.
     #[must_use]
     pub const fn proves_not_executed(&self) -> bool {
-        !matches!(self.reason, RefusalReason::Duplicate | RefusalReason::TooOld)
+        use RefusalReason::{Duplicate, TooOld, WindowFull};
+        !matches!(self.reason, Duplicate | TooOld | WindowFull)
     }
 }
--- a/crates/admission/src/seen.rs
+++ b/crates/admission/src/seen.rs
@@ -29,12 +29,23 @@
     seen_at: Timestamp,
 }
 
-/// Remembers identifiers for a time. When a shard is full, its oldest go before their time.
+/// Remembers identifiers for a time. When a shard is full, those older than a guaranteed time go early; younger
+/// ones never do, and new identifiers are turned away instead.
 #[derive(Debug)]
 pub(crate) struct SeenTable {
     shards: Vec<Mutex<Shard>>,
-    window: Millis,
-    capacity: usize,
+    limits: Limits,
+}
+
+/// How much is remembered for how long.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Limits {
+    /// Longest time that an identifier is remembered.
+    pub(crate) window: Millis,
+    /// Shortest time that an identifier is remembered.
+    pub(crate) guaranteed: Millis,
+    /// Identifiers remembered at most.
+    pub(crate) capacity: usize,
 }
 
 /// One shard. The map is only looked up by identifier, never iterated.
@@ -54,14 +65,17 @@
     Repeated,
     /// An earlier arrival may have been forgotten.
     Forgotten,
+    /// The arrival can't be remembered, so it must not run.
+    Full,
 }
 
 impl SeenTable {
     /// An empty memory that is complete since `started`.
-    pub(crate) fn new(started: Timestamp, window: Millis, capacity: usize) -> Self {
+    pub(crate) fn new(started: Timestamp, limits: Limits) -> Self {
         let shard = || Shard { by_id: HashMap::new(), by_age: VecDeque::new(), complete_since: started };
         let shards = (0..SHARDS).map(|_| Mutex::new(shard())).collect();
-        Self { shards, window, capacity: capacity.div_ceil(SHARDS).max(1) }
+        let capacity = limits.capacity.div_ceil(SHARDS).max(1);
+        Self { shards, limits: Limits { capacity, ..limits } }
     }
 
     /// Remembers `arrival` under `id` if it may run. `first_sent` is absent if it lies before this process's clock
@@ -75,13 +89,16 @@
         may_follow: impl FnOnce(Seen) -> bool,
     ) -> Claim {
         let mut shard = self.shard(id).lock();
-        shard.forget(now, self.window, self.capacity);
+        shard.forget(now, &self.limits);
         match shard.by_id.get(&id) {
             Some(seen) if !may_follow(*seen) => return Claim::Repeated,
             Some(_) => {}
             None if first_sent.is_none_or(|sent| sent < shard.complete_since) => return Claim::Forgotten,
             None => {}
         }
+        if shard.by_age.len() >= self.limits.capacity {
+            return Claim::Full;
+        }
         shard.by_id.insert(id, Seen { arrival, refused: false, seen_at: now });
         shard.by_age.push_back((now, id));
         Claim::First
@@ -109,11 +126,12 @@
 }
 
 impl Shard {
-    /// Makes room for one more, and drops what is older than the window.
-    fn forget(&mut self, now: Timestamp, window: Millis, capacity: usize) {
+    /// Drops what is older than the window, and, if there is no room, what is older than the guaranteed time.
+    fn forget(&mut self, now: Timestamp, limits: &Limits) {
         while let Some((seen_at, id)) = self.by_age.front().copied() {
-            let is_expired = now.since(seen_at) >= window;
-            if !is_expired && self.by_age.len() < capacity {
+            let is_full = self.by_age.len() >= limits.capacity;
+            let kept_for = if is_full { limits.guaranteed } else { limits.window };
+            if now.since(seen_at) < kept_for {
                 return;
             }
             self.by_age.pop_front();
--- a/crates/admission/src/settings.rs
+++ b/crates/admission/src/settings.rs
@@ -15,12 +15,11 @@
     pub longest_wait: Millis,
     /// Shortest `retry_after` that is told.
     pub retry_after: Millis,
-    /// How long an arrival is remembered. Twice [`LONGEST_DEADLINE`], so that a copy that comes when its first arrival
-    /// is forgotten has been under way for at least one whole deadline after its caller gave up.
+    /// How long an arrival is remembered: at least [`LONGEST_DEADLINE`], which is also kept when memory is short.
     pub window: Millis,
-    /// Non-idempotent requests that are remembered at most (about 110 bytes each).
+    /// Non-idempotent requests that are remembered at most. The default lasts for 1,092 a second.
     pub remembered_requests: usize,
-    /// Idempotency keys that are remembered at most (about 110 bytes each).
+    /// Idempotency keys that are remembered at most. The default lasts for 546 a second.
     pub remembered_keys: usize,
     /// Whether the number of slots shrinks when the back end sheds or slows.
     pub adaptive: bool,
--- a/crates/admission/src/window.rs
+++ b/crates/admission/src/window.rs
@@ -1,8 +1,13 @@
 //! The duplicate window: at most one arrival of a non-idempotent request is let through.
+//!
+//! Every arrival, admitted or refused, is remembered for at least [`LONGEST_DEADLINE`] and normally for twice that. An
+//! arrival that can't be remembered is not let through. So no request runs twice at one gate as long as no copy of an
+//! attempt arrives more than [`LONGEST_DEADLINE`] after the first, or outlives the process that its connection
+//! led to. An attempt that was itself *sent* late is covered without that bound: it states its request's age.
 
 use umberpond_model::{Millis, Timestamp};
 
-use crate::seen::{Arrival, Claim, Seen, SeenTable};
+use crate::seen::{Arrival, Claim, Limits, Seen, SeenTable};
 use crate::{AdmissionSettings, Attempt, KeyDigest, LONGEST_DEADLINE, RefusalReason};
 
 /// Remembers the request ids and idempotency keys of non-idempotent requests.
@@ -28,11 +33,11 @@
 
 impl DuplicateWindow {
     pub(crate) fn new(started: Timestamp, settings: &AdmissionSettings) -> Self {
-        let window = settings.window.max(Millis(2 * LONGEST_DEADLINE.0));
-        Self {
-            requests: SeenTable::new(started, window, settings.remembered_requests),
-            keys: SeenTable::new(started, window, settings.remembered_keys),
-        }
+        let table = |capacity| {
+            let window = settings.window.max(LONGEST_DEADLINE);
+            SeenTable::new(started, Limits { window, guaranteed: LONGEST_DEADLINE, capacity })
+        };
+        Self { requests: table(settings.remembered_requests), keys: table(settings.remembered_keys) }
     }
 
     /// Lets an arrival through if it is the first that may run, and remembers it.
@@ -45,11 +50,9 @@
         }
         let arrival = Arrival { request: attempt.request, attempt: attempt.number };
         self.claim_request(now, arrival, attempt.age)?;
-        if let Some(key) = attempt.key
-            && !self.claim_key(now, arrival, key)
-        {
-            self.requests.mark_refused(arrival.request.0, arrival);
-            return Err(RefusalReason::Duplicate);
+        if let Some(key) = attempt.key {
+            self.claim_key(now, arrival, key)
+                .inspect_err(|_| self.requests.mark_refused(arrival.request.0, arrival))?;
         }
         Ok(Held::Request { arrival, key: attempt.key })
     }
@@ -71,17 +74,21 @@
     fn claim_request(&self, now: Timestamp, arrival: Arrival, age: Millis) -> Result<(), RefusalReason> {
         let first_sent = now.0.checked_sub(age.0).map(Timestamp);
         let may_follow = |seen: Seen| seen.refused && arrival.attempt > seen.arrival.attempt;
-        match self.requests.claim(now, arrival.request.0, arrival, first_sent, may_follow) {
-            Claim::First => Ok(()),
-            Claim::Repeated => Err(RefusalReason::Duplicate),
-            Claim::Forgotten => Err(RefusalReason::TooOld),
-        }
+        verdict(self.requests.claim(now, arrival.request.0, arrival, first_sent, may_follow))
     }
 
     /// A key has no age of its own, so a forgotten key counts as new.
-    fn claim_key(&self, now: Timestamp, arrival: Arrival, key: KeyDigest) -> bool {
+    fn claim_key(&self, now: Timestamp, arrival: Arrival, key: KeyDigest) -> Result<(), RefusalReason> {
         let always_new = Some(Timestamp(u64::MAX));
-        let claim = self.keys.claim(now, key.value(), arrival, always_new, |seen| seen.refused);
-        claim == Claim::First
+        verdict(self.keys.claim(now, key.value(), arrival, always_new, |seen| seen.refused))
+    }
+}
+
+const fn verdict(claim: Claim) -> Result<(), RefusalReason> {
+    match claim {
+        Claim::First => Ok(()),
+        Claim::Repeated => Err(RefusalReason::Duplicate),
+        Claim::Forgotten => Err(RefusalReason::TooOld),
+        Claim::Full => Err(RefusalReason::WindowFull),
     }
 }
--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -11,7 +11,8 @@
 
 use crate::choice::{Candidate, Choice};
 use crate::endpoint::{Availability, Change, Endpoint};
-use crate::rendezvous::{hash_bytes, rank};
+use crate::load::TypicalLoad;
+use crate::rendezvous::{KeyedEndpoints, hash_bytes};
 use crate::spill::{SpillState, Tier};
 use crate::{AllowedEndpoint, BalancerSettings, EndpointReport, Observation, Picked};
 
@@ -55,6 +56,7 @@
     members: Mutex<Members>,
     pick_set: RwLock<Arc<PickSet>>,
     spill: [SpillState; Tier::COUNT],
+    typical: TypicalLoad,
     cursor: AtomicUsize,
     next_rebuild: AtomicU64,
     next_latency_check: AtomicU64,
@@ -72,7 +74,7 @@
     /// Ready endpoints that are not ejected, by distance.
     tiers: [Vec<Arc<Endpoint>>; Tier::COUNT],
     /// Ready endpoints of the own region (of all if it has none), ejected ones included, for keyed picks.
-    keyed: Vec<Arc<Endpoint>>,
+    keyed: KeyedEndpoints,
 }
 
 impl Balancer {
@@ -85,6 +87,7 @@
             members: Mutex::default(),
             pick_set: RwLock::default(),
             spill: Default::default(),
+            typical: TypicalLoad::default(),
             cursor: AtomicUsize::new(0),
             next_rebuild: AtomicU64::new(u64::MAX),
             next_latency_check: AtomicU64::new(0),
@@ -130,13 +133,7 @@
     ) -> Result<Picked, NoEndpoint> {
         self.shared.rebuild_if_due(now);
         let set = self.shared.current();
-        let key = hash_bytes(key);
-        let endpoint = set
-            .keyed
-            .iter()
-            .filter(|endpoint| !excluded.contains(&endpoint.node))
-            .max_by_key(|endpoint| rank(endpoint.hash, key))
-            .ok_or_else(|| set.reason())?;
+        let endpoint = set.keyed.choose(hash_bytes(key), excluded).ok_or_else(|| set.reason())?;
         Ok(Picked::new(Arc::clone(&self.shared), Arc::clone(endpoint)))
     }
 
@@ -181,7 +178,8 @@
         rng: &mut R,
         excluded: &[NodeName],
     ) -> Option<Arc<Endpoint>> {
-        let choice = Choice { now, excluded, settings: &self.settings, cursor: &self.cursor };
+        let Self { settings, typical, cursor, .. } = self;
+        let choice = Choice { now, excluded, settings, typical, cursor };
         let mut best: Option<Candidate<'_>> = None;
         for (tier, spill) in set.tiers.iter().zip(&self.spill) {
             let Some(candidate) = choice.among(tier, rng) else { continue };
@@ -252,7 +250,7 @@
         let is_near = |endpoint: &Endpoint| endpoint.locality.region == self.own.region;
         let has_near = all.iter().any(|endpoint| is_near(endpoint));
         let keyed = all.into_iter().filter(|endpoint| !has_near || is_near(endpoint));
-        set.keyed = keyed.cloned().collect();
+        set.keyed = KeyedEndpoints::new(keyed.cloned().collect());
         set
     }
 
@@ -270,13 +268,13 @@
     }
 
     pub(crate) fn on_report(&self, now: Timestamp, endpoint: &Endpoint, report: &EndpointReport) {
-        if endpoint.on_report(now, report, &self.settings) == Change::Readiness {
+        if endpoint.on_report(now, report, &self.typical, &self.settings) == Change::Readiness {
             self.rebuild(now, &self.members.lock());
         }
     }
 
     pub(crate) fn on_result(&self, now: Timestamp, endpoint: &Arc<Endpoint>, observation: &Observation) {
-        if endpoint.on_result(now, observation, &self.settings) == Change::WantsEjection {
+        if endpoint.on_result(now, observation, &self.typical, &self.settings) == Change::WantsEjection {
             self.eject(now, &[Arc::clone(endpoint)]);
         }
         self.check_latencies_if_due(now);
--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -7,6 +7,7 @@
 use umberpond_model::{NodeName, Timestamp};
 
 use crate::endpoint::{Endpoint, Score};
+use crate::load::TypicalLoad;
 use crate::{BalancerSettings, Strategy};
 
 /// Draws made before the whole tier is looked through.
@@ -25,6 +26,7 @@
     pub(crate) now: Timestamp,
     pub(crate) excluded: &'a [NodeName],
     pub(crate) settings: &'a BalancerSettings,
+    pub(crate) typical: &'a TypicalLoad,
     pub(crate) cursor: &'a AtomicUsize,
 }
 
@@ -101,7 +103,7 @@
         if self.excluded.contains(&endpoint.node) {
             return None;
         }
-        let score = endpoint.score(self.now, self.settings)?;
+        let score = endpoint.score(self.now, self.typical, self.settings)?;
         Some(Candidate { endpoint, score })
     }
 }
--- a/crates/balance/src/endpoint.rs
+++ b/crates/balance/src/endpoint.rs
@@ -9,7 +9,7 @@
 };
 
 use crate::health::{Health, Phase};
-use crate::load::ReportedLoad;
+use crate::load::{ReportedLoad, TypicalLoad};
 use crate::rendezvous::node_hash;
 use crate::{BalancerSettings, EndpointReport, Observation, RequestResult};
 
@@ -137,14 +137,19 @@
     }
 
     /// Compares the endpoint with others; absent while a probe is already under way.
-    pub(crate) fn score(&self, now: Timestamp, settings: &BalancerSettings) -> Option<Score> {
+    pub(crate) fn score(
+        &self,
+        now: Timestamp,
+        typical: &TypicalLoad,
+        settings: &BalancerSettings,
+    ) -> Option<Score> {
         let own = self.outstanding();
         let state = self.state.lock();
         if state.health.phase() == Phase::Probing && own > 0 {
             return None;
         }
         let slots = f64::from(state.load.slots(settings));
-        let load = state.load.estimate(now, own, settings);
+        let load = state.load.estimate(now, own, typical, settings);
         let warmth = state.warmth(now, settings);
         Some(Score { cost: (load + 1.0) / (slots * warmth), utilisation: load / slots, warmth })
     }
@@ -182,6 +187,7 @@
         &self,
         now: Timestamp,
         report: &EndpointReport,
+        typical: &TypicalLoad,
         settings: &BalancerSettings,
     ) -> Change {
         if report.incarnation != self.incarnation {
@@ -190,7 +196,7 @@
         let own = self.outstanding();
         let mut state = self.state.lock();
         if let Some(load) = report.load {
-            state.load.on_report(now, load, own, settings);
+            state.load.on_report(now, load, own, typical, settings);
         }
         state.on_status(report.status, report.sequence)
     }
@@ -200,6 +206,7 @@
         &self,
         now: Timestamp,
         observation: &Observation,
+        typical: &TypicalLoad,
         settings: &BalancerSettings,
     ) -> Change {
         let own = self.outstanding();
@@ -212,7 +219,7 @@
                 Change::None
             }
             RequestResult::Rejected => {
-                state.load.on_rejected(now, own, settings);
+                state.load.on_rejected(now, own, typical, settings);
                 Change::None
             }
             RequestResult::Failed if state.health.on_failed(settings) => Change::WantsEjection,
--- a/crates/balance/src/load.rs
+++ b/crates/balance/src/load.rs
@@ -1,13 +1,48 @@
-//! Estimated load of one endpoint: own outstanding requests, plus what it reported of others, fading with age.
+//! Estimated load of one endpoint: own outstanding requests, plus what others are thought to have there.
+//!
+//! Reports are noisy and old when they are used. So the work of others is a running mean of the reports, and with
+//! the age of the last one it moves towards what is typical of all endpoints: an endpoint that nothing fresh is known
+//! of counts as an ordinary one, not as an idle one.
+
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use umberpond_model::{Millis, Timestamp};
 
 use crate::{BalancerSettings, LoadReport};
 
-/// What is remembered of the last load report.
+/// Weight of the newest report in the running mean of one endpoint.
+const REPORT_GAIN: f64 = 0.3;
+/// Weight of the newest report in the running mean of all endpoints.
+const TYPICAL_GAIN: f64 = 1.0 / 64.0;
+/// A report above the mean pulls this many times as hard as one below, so that an endpoint which always reports too
+/// little can't make all the honest ones look busier than usual.
+const UPWARD_PULL: f64 = 8.0;
+
+/// Work of others at a typical endpoint of the service, in shares of its slots.
+///
+/// Updates may be lost between threads, which costs only smoothness.
+#[derive(Debug, Default)]
+pub(crate) struct TypicalLoad(AtomicU64);
+
+impl TypicalLoad {
+    /// Takes in the work of others at one endpoint.
+    fn on_report(&self, share: f64) {
+        let before = self.share();
+        let pull = if share > before { UPWARD_PULL } else { 1.0 };
+        self.0.store((before + (share - before) * pull * TYPICAL_GAIN).to_bits(), Ordering::Relaxed);
+    }
+
+    /// Work of others in shares of an endpoint's slots.
+    pub(crate) fn share(&self) -> f64 {
+        f64::from_bits(self.0.load(Ordering::Relaxed))
+    }
+}
+
+/// What is remembered of the load reports of one endpoint.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct ReportedLoad {
-    others: f64,
+    /// Running mean of the work of others; absent while no report is trusted.
+    others: Option<f64>,
     at: Timestamp,
     slots: Option<u32>,
     distrusted_until: Timestamp,
@@ -22,6 +57,7 @@
         now: Timestamp,
         report: LoadReport,
         own: u32,
+        typical: &TypicalLoad,
         settings: &BalancerSettings,
     ) {
         if report.slots > 0 {
@@ -33,23 +69,41 @@
         if now < self.distrusted_until {
             return;
         }
-        self.others = f64::from(report.outstanding.saturating_sub(own));
+        let others = f64::from(report.outstanding.saturating_sub(own));
+        let before = self.others.unwrap_or(others);
+        self.others = Some(before + (others - before) * REPORT_GAIN);
         self.at = now;
+        typical.on_report(others / f64::from(self.slots(settings)));
     }
 
     /// A refusal shows that the endpoint is full, whatever it reported.
-    pub(crate) fn on_rejected(&mut self, now: Timestamp, own: u32, settings: &BalancerSettings) {
+    pub(crate) fn on_rejected(
+        &mut self,
+        now: Timestamp,
+        own: u32,
+        typical: &TypicalLoad,
+        settings: &BalancerSettings,
+    ) {
         let slots = self.slots(settings);
-        if self.estimate(now, own, settings) < f64::from(slots) / 2.0 {
+        if self.estimate(now, own, typical, settings) < f64::from(slots) / 2.0 {
             self.distrust(now, settings);
         }
-        self.others = f64::from(slots.saturating_sub(own));
+        self.others = Some(f64::from(slots.saturating_sub(own)));
         self.at = now;
     }
 
-    /// Requests the endpoint is thought to hold: own ones fully, others' by the age of the report.
-    pub(crate) fn estimate(&self, now: Timestamp, own: u32, settings: &BalancerSettings) -> f64 {
-        f64::from(own) + self.others * weight_at(now.since(self.at), settings.report_half_life)
+    /// Requests the endpoint is thought to hold.
+    pub(crate) fn estimate(
+        &self,
+        now: Timestamp,
+        own: u32,
+        typical: &TypicalLoad,
+        settings: &BalancerSettings,
+    ) -> f64 {
+        let typical = typical.share() * f64::from(self.slots(settings));
+        let weight = weight_at(now.since(self.at), settings.report_half_life);
+        let others = self.others.map_or(typical, |others| typical + (others - typical).max(0.0) * weight);
+        f64::from(own) + others
     }
 
     /// Requests the endpoint runs at once.
@@ -59,7 +113,7 @@
 
     fn distrust(&mut self, now: Timestamp, settings: &BalancerSettings) {
         self.distrusted_until = now + settings.distrust_time;
-        self.others = 0.0;
+        self.others = None;
     }
 }
 
--- a/crates/balance/src/settings.rs
+++ b/crates/balance/src/settings.rs
@@ -58,7 +58,7 @@
         Self {
             strategy: Strategy::PowerOfTwoChoices,
             slots: 10,
-            report_half_life: Millis(250),
+            report_half_life: Millis(500),
             distrust_time: Millis(10_000),
             spill_start: 0.8,
             spill_stop: 0.6,
