Count what the duplicate window holds without its locks

The proxy asks for the gate's view with every answer, to report its load, and the view went through the locks of 32 shards only to count entries. A request that the full window can't remember is refused as outside the window rather than by a reason of its own, since the proxy tells both the same way and the meaning is the same: the gate can't tell that the request is new. Ruled out: to leave the count out of the view, which status pages show.

--- a/crates/admission/benches/decisions.rs
+++ b/crates/admission/benches/decisions.rs
@@ -24,6 +24,8 @@
     let gate = open_gate(AdmissionSettings::default());
     group.bench_function("idempotent", |bencher| bencher.iter(|| black_box(gate.admit(NOW, &idempotent))));
 
+    group.bench_function("view", |bencher| bencher.iter(|| black_box(gate.view())));
+
     let mut count = 0_u64;
     // One a millisecond: the window holds as many as it can, and each new one makes an old one go.
     let mut next = |key| {
--- a/crates/admission/src/refusal.rs
+++ b/crates/admission/src/refusal.rs
@@ -27,12 +27,10 @@
     /// The request, or another with the same key, was admitted here before or is waiting here.
     #[error("the request was admitted here already")]
     Duplicate,
-    /// The request was first sent before the time since which this gate remembers everything.
-    #[error("the request is older than the duplicate window")]
+    /// The gate can't tell that the request is new: it was first sent before the time since which the gate remembers
+    /// everything, or the duplicate window is full of recent requests, so that this one can't be remembered.
+    #[error("the request is outside what the duplicate window holds")]
     TooOld,
-    /// The duplicate window is full of recent requests, so this one could not be remembered.
-    #[error("the duplicate window is full")]
-    WindowFull,
 }
 
 /// A refusal, told at once.
@@ -51,7 +49,6 @@
     /// keep a late copy from running.
     #[must_use]
     pub const fn proves_not_executed(&self) -> bool {
-        use RefusalReason::{Duplicate, TooOld, WindowFull};
-        !matches!(self.reason, Duplicate | TooOld | WindowFull)
+        !matches!(self.reason, RefusalReason::Duplicate | RefusalReason::TooOld)
     }
 }
--- a/crates/admission/src/seen.rs
+++ b/crates/admission/src/seen.rs
@@ -1,6 +1,7 @@
 //! A sharded, bounded memory of identifiers, in order of arrival.
 
 use std::collections::{HashMap, VecDeque};
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use parking_lot::Mutex;
 use umberpond_model::{Millis, Timestamp};
@@ -35,6 +36,8 @@
 pub(crate) struct SeenTable {
     shards: Vec<Mutex<Shard>>,
     limits: Limits,
+    /// Identifiers in all shards, kept apart so that a status page takes no lock.
+    remembered: AtomicUsize,
 }
 
 /// How much is remembered for how long.
@@ -75,7 +78,7 @@
         let shard = || Shard { by_id: HashMap::new(), by_age: VecDeque::new(), complete_since: started };
         let shards = (0..SHARDS).map(|_| Mutex::new(shard())).collect();
         let capacity = limits.capacity.div_ceil(SHARDS).max(1);
-        Self { shards, limits: Limits { capacity, ..limits } }
+        Self { shards, limits: Limits { capacity, ..limits }, remembered: AtomicUsize::new(0) }
     }
 
     /// Remembers `arrival` under `id` if it may run. `first_sent` is absent if it lies before this process's clock
@@ -89,7 +92,8 @@
         may_follow: impl FnOnce(Seen) -> bool,
     ) -> Claim {
         let mut shard = self.shard(id).lock();
-        shard.forget(now, &self.limits);
+        let forgotten = shard.forget(now, &self.limits);
+        self.remembered.fetch_sub(forgotten, Ordering::Relaxed);
         match shard.by_id.get(&id) {
             Some(seen) if !may_follow(*seen) => return Claim::Repeated,
             Some(_) => {}
@@ -99,7 +103,9 @@
         if shard.by_age.len() >= self.limits.capacity {
             return Claim::Full;
         }
-        shard.by_id.insert(id, Seen { arrival, refused: false, seen_at: now });
+        if shard.by_id.insert(id, Seen { arrival, refused: false, seen_at: now }).is_none() {
+            self.remembered.fetch_add(1, Ordering::Relaxed);
+        }
         shard.by_age.push_back((now, id));
         Claim::First
     }
@@ -115,7 +121,7 @@
 
     /// Identifiers remembered now.
     pub(crate) fn len(&self) -> usize {
-        self.shards.iter().map(|shard| shard.lock().by_id.len()).sum()
+        self.remembered.load(Ordering::Relaxed)
     }
 
     /// Identifiers come from a random generator or a hash, so their low bits spread evenly.
@@ -126,13 +132,15 @@
 }
 
 impl Shard {
-    /// Drops what is older than the window, and, if there is no room, what is older than the guaranteed time.
-    fn forget(&mut self, now: Timestamp, limits: &Limits) {
+    /// Drops what is older than the window, and, if there is no room, what is older than the guaranteed time. Returns
+    /// how many identifiers went.
+    fn forget(&mut self, now: Timestamp, limits: &Limits) -> usize {
+        let before = self.by_id.len();
         while let Some((seen_at, id)) = self.by_age.front().copied() {
             let is_full = self.by_age.len() >= limits.capacity;
             let kept_for = if is_full { limits.guaranteed } else { limits.window };
             if now.since(seen_at) < kept_for {
-                return;
+                break;
             }
             self.by_age.pop_front();
             if self.by_id.get(&id).is_some_and(|seen| seen.seen_at == seen_at) {
@@ -140,5 +148,6 @@
             }
             self.complete_since = self.complete_since.max(seen_at + Millis(1));
         }
+        before - self.by_id.len()
     }
 }
--- a/crates/admission/src/window.rs
+++ b/crates/admission/src/window.rs
@@ -88,7 +88,6 @@
     match claim {
         Claim::First => Ok(()),
         Claim::Repeated => Err(RefusalReason::Duplicate),
-        Claim::Forgotten => Err(RefusalReason::TooOld),
-        Claim::Full => Err(RefusalReason::WindowFull),
+        Claim::Forgotten | Claim::Full => Err(RefusalReason::TooOld),
     }
 }
