Hear load reports while own requests are on their way

A report below the caller's own outstanding work silenced the endpoint's reports for ten seconds. But requests sent a moment ago are not at the endpoint yet when it reports, so busy callers silenced honest endpoints. The new test fails with the rule as it was ("assertion `left == right` failed: 3 held") and passes with the new one: only a report far below the own work counts.

The typical value now follows high reports sixteen times as fast as low ones instead of eight.

--- a/crates/balance/src/load.rs
+++ b/crates/balance/src/load.rs
@@ -12,11 +12,13 @@
 
 /// Weight of the newest report in the running mean of one endpoint.
 const REPORT_GAIN: f64 = 0.3;
+/// Own requests that may be on their way to an endpoint without being a sign of anything.
+const ON_THE_WAY: u32 = 3;
 /// Weight of the newest report in the running mean of all endpoints.
 const TYPICAL_GAIN: f64 = 1.0 / 64.0;
 /// A report above the mean pulls this many times as hard as one below, so that an endpoint which always reports too
 /// little can't make all the honest ones look busier than usual.
-const UPWARD_PULL: f64 = 8.0;
+const UPWARD_PULL: f64 = 16.0;
 
 /// Work of others at a typical endpoint of the service, in shares of its slots.
 ///
@@ -51,7 +53,8 @@
 impl ReportedLoad {
     /// Takes a report in. `own` is this node's outstanding work at the endpoint, the answered request included.
     ///
-    /// A report below `own` contradicts what is known here, so it and the following ones are ignored for a while.
+    /// A report far below `own` contradicts what is known here, so it and the following ones are ignored for a while.
+    /// Not any report below it: requests that are still on their way are not at the endpoint yet.
     pub(crate) fn on_report(
         &mut self,
         now: Timestamp,
@@ -63,7 +66,7 @@
         if report.slots > 0 {
             self.slots = Some(report.slots);
         }
-        if report.outstanding < own {
+        if report.outstanding < own.saturating_sub(ON_THE_WAY) / 2 {
             self.distrust(now, settings);
         }
         if now < self.distrusted_until {
--- a/crates/balance/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -133,3 +133,16 @@
         }
     }
 }
+
+#[test]
+fn requests_on_their_way_do_not_silence_reports_but_a_clear_contradiction_does() {
+    for (held, hears_reports) in [(3, true), (20, false)] {
+        let balancer = balancer(2, BalancerSettings::default());
+        let _own: Vec<_> = (0..held).map(|_| pick_node(&balancer, 0)).collect();
+        let _even: Vec<_> = (0..held).map(|_| pick_node(&balancer, 1)).collect();
+        pick_node(&balancer, 0).finish(NOW, answered_with_load(1));
+        pick_node(&balancer, 0).finish(NOW, answered_with_load(100));
+        let avoids_it = nodes_met(&balancer, NOW, 50) == [node(1)].into();
+        assert_eq!(avoids_it, hears_reports, "{held} held");
+    }
+}
