Keep the overlay whole when readers, relays, zones and the platform fail

The new tests induce what the overlay exists for: readers and relays that die or stand still, a zone restarting with the platform away, all connections ending at once, a machine list that lags, zones cut off. The first run of them failed in several ways, each mended here:

- a change of interest was dropped while a connection was being opened, and the interest told to a node that then refused counted as told to the parent ("436 callers are wrong");
- a doubt about a node reached its new parent before the node did, and was never shown to it ("20 callers are wrong");
- a node redirected by leaves of other zones ran between them ("isn't in force ... node-2-003, Witness");

Nodes without a parent no longer hand out roles; one that is asked becomes a reader for a while, collects the members, and then gives the roles by rank.

--- a/crates/overlay/src/directory.rs
+++ b/crates/overlay/src/directory.rs
@@ -3,7 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use umberpond_endpoints::{EndpointTable, MergeOutcome};
-use umberpond_model::{EndpointRecord, EndpointStatus, Locality, Member, NodeName, ServiceName, Timestamp};
+use umberpond_model::{
+    EndpointRecord, EndpointStatus, Locality, Member, NodeName, RecordOrder, ServiceName, Timestamp,
+};
 
 use crate::interface::Machine;
 use crate::plan::{ZonePlan, rank};
@@ -101,6 +103,12 @@
         self.ranks.as_ref().and_then(|ranks| ranks.get(&self.locality)).map_or(0, BTreeSet::len)
     }
 
+    /// Live members of the own zone and the positions of their records.
+    pub(crate) fn zone_members(&self) -> BTreeMap<NodeName, RecordOrder> {
+        let live = self.table.of_zone(&self.locality).filter(|record| is_live(record));
+        live.map(|record| (record.node.clone(), record.order())).collect()
+    }
+
     /// Tree of a zone by the records known here.
     pub(crate) fn plan(&self, locality: &Locality, limits: &Limits) -> ZonePlan {
         let Some(members) = self.ranks.as_ref().and_then(|ranks| ranks.get(locality)) else {
--- a/crates/overlay/src/lib.rs
+++ b/crates/overlay/src/lib.rs
@@ -21,8 +21,8 @@
 pub use config::{Limits, OverlayConfig, Timing};
 pub use message::{
     Attach, CompactAnswer, CompactWitnessMessage, Held, Hello, Interest, PROTOCOL, PeerMessage, Placement,
-    Purpose, ReaderState, ReaderSummary, RecordPosition, Refusal, RoutedWitnessMessage, Transfer, Update,
-    Welcome, WitnessSets, ZonePositions,
+    Present, Purpose, ReaderState, ReaderSummary, RecordPosition, Refusal, RoutedWitnessMessage, Transfer,
+    Update, Welcome, WitnessSets, ZonePositions,
 };
 pub use node::OverlayNode;
 pub use report::{LagReason, Laggard, Report, VersionCount};
--- a/crates/overlay/src/message.rs
+++ b/crates/overlay/src/message.rs
@@ -78,6 +78,13 @@
     },
     /// A message of the witness protocol; readers pass it on to a witness that the sender isn't connected to.
     Witness(Arc<RoutedWitnessMessage>),
+    /// Asks all nodes below to say that they are there; readers of one zone ask each other too.
+    RollCall {
+        /// Number of the roll call.
+        nonce: Nonce,
+    },
+    /// Answers [`PeerMessage::RollCall`]; every node with children answers for itself and for them.
+    Present(Arc<Present>),
     /// All records that the child asked for have been sent.
     Synced,
     /// Digests of the endpoint records of each zone, for comparison.
@@ -280,6 +287,15 @@
     pub report: Arc<Report>,
 }
 
+/// Nodes that are attached.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct Present {
+    /// Number of the roll call.
+    pub nonce: Nonce,
+    /// The nodes.
+    pub nodes: Vec<NodeName>,
+}
+
 /// A message of the witness protocol with its way.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub struct RoutedWitnessMessage {
--- a/crates/overlay/src/node/children.rs
+++ b/crates/overlay/src/node/children.rs
@@ -10,6 +10,7 @@
 use super::records::Source;
 use super::state::{Child, TransferState};
 use crate::chain::Sent;
+use crate::directory::member_of;
 use crate::interface::{ConnectionId, LossReason, MessageFault};
 use crate::plan::ZonePlan;
 use crate::{Attach, ChildStatus, Interest, PeerMessage, Placement, Refusal, Report, Role, Welcome};
@@ -23,7 +24,7 @@
         if is_orphan || self.is_hub() {
             self.merge_record(record, Source::Child(connection));
         }
-        let placement = self.placement_for(record);
+        let placement = self.placement_for(record, attach.role);
         if let Some(refusal) = self.attach_refusal(record, attach, &placement) {
             self.refuse(connection, refusal);
             return;
@@ -44,7 +45,7 @@
         if self.is_hub() && is_own_zone && !is_parent && !is_full {
             return None;
         }
-        let is_undecided = self.parent.attached.is_none() && !self.is_hub() && !self.may_appoint_itself();
+        let is_undecided = self.parent.attached.is_none() && !self.is_hub();
         if is_undecided || (placement.parents.is_empty() && placement.role != Role::Reader) {
             return Some(Refusal::NotYetKnown);
         }
@@ -75,8 +76,13 @@
         self.set_link_state(connection, LinkState::Child);
         self.suspicion.on_seen(&record.node);
         let resync = self.directory.digest(&attach.interest) != attach.endpoint_digest;
-        let pending = if resync { self.directory.covered(&attach.interest) } else { Vec::new() };
+        let mut pending = if resync { self.directory.covered(&attach.interest) } else { Vec::new() };
         let sent = attach.held.map_or(Sent::Nothing, Sent::Claimed);
+        let known = self.directory.table().get(&record.node);
+        let is_doubted = known.is_some_and(|known| known.order() > record.order());
+        if is_doubted {
+            pending.push(record.node.clone());
+        }
         let child = Child {
             node: record.node.clone(),
             role: attach.role,
@@ -85,7 +91,7 @@
             sent,
             sent_committed: Version::GENESIS,
             sent_sets: Version::GENESIS,
-            pending: pending.into_iter().filter(|node| *node != record.node).collect(),
+            pending: pending.into_iter().filter(|node| *node != record.node || is_doubted).collect(),
             syncing: true,
             next_flush: self.now,
             transfer: TransferState::Idle,
@@ -126,6 +132,7 @@
             PeerMessage::Witness(routed) => self.on_witness_message(connection, &routed),
             PeerMessage::Digests(digests) => self.on_digests(connection, &digests),
             PeerMessage::Positions(positions) => self.on_positions(connection, &positions),
+            PeerMessage::Present(present) => self.on_present(&present),
             PeerMessage::Leaving => self.close(connection, LossReason::Moved),
             PeerMessage::Heartbeat { .. } => {}
             _ => self.refuse_message(connection, MessageFault::Unexpected),
@@ -150,10 +157,13 @@
     }
 
     /// Role of another node and the parents that it may attach to, as seen here.
-    pub(super) fn placement_for(&mut self, record: &EndpointRecord) -> Placement {
+    pub(super) fn placement_for(&mut self, record: &EndpointRecord, present: Role) -> Placement {
         let is_own_zone = record.locality == self.own.record().locality;
         if !self.is_hub() && self.parent.attached.is_some() {
-            return self.second_hand_placement(is_own_zone);
+            return self.second_hand_placement(is_own_zone, present);
+        }
+        if is_own_zone && self.collects_members() {
+            return self.provisional_placement(present);
         }
         let plan = if is_own_zone {
             self.zone_plan()
@@ -163,11 +173,22 @@
         self.planned_placement(&plan, &record.node, &record.locality)
     }
 
-    /// What a leaf can tell: its own candidates, or the readers of its zone.
-    fn second_hand_placement(&self, is_own_zone: bool) -> Placement {
+    /// Whether this node became a reader so recently that its view of the zone may lack members.
+    fn collects_members(&self) -> bool {
+        self.is_reader() && self.now < self.role.collecting_until
+    }
+
+    /// Until the view is complete, a child keeps its role and stays.
+    fn provisional_placement(&self, present: Role) -> Placement {
+        let own = member_of(self.own.record());
+        Placement { role: present, parents: vec![own], readers: Vec::new() }
+    }
+
+    /// What a leaf can tell: its own candidates, or the readers of its zone. It knows nothing of roles.
+    fn second_hand_placement(&self, is_own_zone: bool, present: Role) -> Placement {
         let own = &self.parent.placement;
         let parents = if is_own_zone { own.parents.clone() } else { own.readers.clone() };
-        Placement { role: Role::Leaf, parents, readers: own.readers.clone() }
+        Placement { role: present, parents, readers: own.readers.clone() }
     }
 
     pub(super) fn planned_placement(
--- a/crates/overlay/src/node/mod.rs
+++ b/crates/overlay/src/node/mod.rs
@@ -8,6 +8,7 @@
 mod parent;
 mod peers;
 mod platform;
+mod presence;
 mod progress;
 mod records;
 mod repair;
--- a/crates/overlay/src/node/parent.rs
+++ b/crates/overlay/src/node/parent.rs
@@ -15,6 +15,9 @@
 /// Bound of the random wait before the standby is tried: enough to spread the children of a dead parent.
 const FAILOVER_JITTER: Millis = Millis(100);
 
+/// Redirections that are followed at once; further ones wait like failures.
+const MAX_QUICK_REDIRECTS: u32 = 4;
+
 /// Hinted members tried before the seeds.
 const MAX_HINTED: usize = 4;
 
@@ -51,8 +54,12 @@
     /// Owners whose records are to be sent up.
     pub(super) pending: BTreeSet<NodeName>,
     pub(super) next_flush: Timestamp,
-    /// What was last asked for.
+    /// Records that the parent was asked for.
     pub(super) interest: Interest,
+    /// Records that the node that is being tried was asked for.
+    attempt_interest: Interest,
+    /// Times that this node was sent elsewhere since it last had a parent.
+    redirects: u32,
     /// Records received since all of them were announced; the others are dropped in the end.
     pub(super) resync: Option<BTreeSet<NodeName>>,
     /// When to ask again for a transfer that was put off.
@@ -167,7 +174,7 @@
     pub(super) fn attach_request(&mut self) -> Attach {
         let interest = self.own_interest();
         let endpoint_digest = self.directory.digest(&interest);
-        self.parent.interest = interest.clone();
+        self.parent.attempt_interest = interest.clone();
         Attach {
             role: self.role.current,
             scope: self.chain.store().scope().clone(),
@@ -216,17 +223,24 @@
         self.close(connection, LossReason::Moved);
     }
 
+    /// Follows a redirection, unless it leads out of the zone while a way inside is known.
     fn on_sent_elsewhere(&mut self, placement: &Placement, from: Option<SocketAddr>) {
+        let own_zone = &self.own.record().locality;
+        let is_inside = placement.parents.iter().all(|member| member.locality == *own_zone);
+        let is_useful = is_inside || self.parent.placement.parents.is_empty();
         let is_new = self.parent.placement.parents != placement.parents;
-        self.take_placement(placement);
-        if is_new {
+        if is_useful {
+            self.take_placement(placement);
+        }
+        if is_useful && is_new && self.parent.redirects < MAX_QUICK_REDIRECTS {
+            self.parent.redirects += 1;
             self.parent.cursor = 0;
-            self.back_off();
-        } else {
-            self.parent.attempt = from;
-            if let Some(to) = from {
-                self.on_attach_failed(to, true);
-            }
+            self.parent.retry_at = self.now + jitter(&mut self.rng, FAILOVER_JITTER);
+            return;
+        }
+        self.parent.attempt = from;
+        if let Some(to) = from {
+            self.on_attach_failed(to, true);
         }
     }
 
@@ -258,6 +272,8 @@
 
     pub(super) fn on_welcome(&mut self, connection: ConnectionId, welcome: &Welcome) {
         self.parent.attempt = None;
+        self.parent.interest = std::mem::take(&mut self.parent.attempt_interest);
+        self.parent.redirects = 0;
         if let Some(former) = self.parent.attached.take() {
             self.send(former.connection, PeerMessage::Leaving);
             self.close(former.connection, LossReason::Moved);
@@ -351,6 +367,7 @@
             PeerMessage::Witness(routed) => self.on_witness_message(connection, &routed),
             PeerMessage::Digests(digests) => self.on_digests(connection, &digests),
             PeerMessage::Positions(positions) => self.on_positions(connection, &positions),
+            PeerMessage::RollCall { nonce } => self.on_roll_call(connection, nonce),
             PeerMessage::Synced => self.on_synced(),
             PeerMessage::Heartbeat { depth } => self.on_parent_depth(depth),
             PeerMessage::Refuse(refusal) => self.on_dismissed(connection, refusal),
--- a/crates/overlay/src/node/peers.rs
+++ b/crates/overlay/src/node/peers.rs
@@ -114,7 +114,7 @@
             self.merge_record(record, Source::Peer(connection));
         }
         if !self.is_reader() && !to_witness {
-            let placement = self.placement_for(record);
+            let placement = self.placement_for(record, role);
             self.refuse(connection, Refusal::Elsewhere(Arc::new(self.with_readers(placement))));
             return;
         }
@@ -145,10 +145,15 @@
             self.refuse(connection, Refusal::Duplicate);
             return true;
         }
-        self.close(present, LossReason::Moved);
+        self.replace_link(present);
         false
     }
 
+    fn replace_link(&mut self, present: ConnectionId) {
+        self.send(present, PeerMessage::Leaving);
+        self.close(present, LossReason::Moved);
+    }
+
     pub(super) fn on_peer_answer(&mut self, connection: ConnectionId, hello: &Hello) {
         let Purpose::Peer { role, .. } = hello.purpose else {
             self.refuse_message(connection, MessageFault::Unexpected);
@@ -161,7 +166,7 @@
             return;
         }
         if let Some(present) = self.peer_connection(node) {
-            self.close(present, LossReason::Moved);
+            self.replace_link(present);
         }
         self.merge_record(&hello.record, Source::Peer(connection));
         self.add_peer(connection, &hello.record, role, true);
@@ -233,9 +238,11 @@
             PeerMessage::Witness(routed) => self.on_witness_message(connection, &routed),
             PeerMessage::Digests(digests) => self.on_digests(connection, &digests),
             PeerMessage::Positions(positions) => self.on_positions(connection, &positions),
-            PeerMessage::Heartbeat { .. } | PeerMessage::Leaving => {}
+            PeerMessage::RollCall { nonce } => self.on_roll_call(connection, nonce),
+            PeerMessage::Present(present) => self.on_present(&present),
+            PeerMessage::Heartbeat { .. } => {}
             // Both sides may have connected at once; the other one keeps its own connection.
-            PeerMessage::Refuse(_) => self.close(connection, LossReason::Moved),
+            PeerMessage::Refuse(_) | PeerMessage::Leaving => self.close(connection, LossReason::Moved),
             _ => self.refuse_message(connection, MessageFault::Unexpected),
         }
     }
@@ -413,6 +420,7 @@
             .map(|(connection, _)| *connection)
             .collect();
         for connection in useless {
+            self.send(connection, PeerMessage::Leaving);
             self.close(connection, LossReason::Moved);
         }
     }
--- a/crates/overlay/src/node/progress.rs
+++ b/crates/overlay/src/node/progress.rs
@@ -133,6 +133,11 @@
         Some(Laggard { node: child.node.clone(), held, active, reason })
     }
 
+    /// Progress of one zone, at a reader.
+    pub(super) fn zone_report(&self, locality: &Locality) -> Report {
+        self.zone_reports().remove(locality).unwrap_or_default()
+    }
+
     /// Progress of each zone, at a reader.
     pub(super) fn zone_reports(&self) -> BTreeMap<Locality, Report> {
         let mut zones: BTreeMap<Locality, Report> = BTreeMap::new();
--- a/crates/overlay/src/node/records.rs
+++ b/crates/overlay/src/node/records.rs
@@ -186,9 +186,9 @@
         if !self.records.interest_due || self.is_reader() {
             return;
         }
-        self.records.interest_due = false;
         let Some(attached) = &self.parent.attached else { return };
         let connection = attached.connection;
+        self.records.interest_due = false;
         let interest = self.own_interest();
         if interest == self.parent.interest {
             return;
--- a/crates/overlay/src/node/roles.rs
+++ b/crates/overlay/src/node/roles.rs
@@ -19,6 +19,9 @@
 /// A reader that got no lease steps down after this time, once its successors are known.
 const SPARE_READER_WAIT: Millis = Millis(2_000);
 
+/// A new reader gives no roles for this time, since it doesn't know all members yet.
+const COLLECT_MEMBERS: Millis = Millis(2_000);
+
 /// A promotion waits at most this long for the records of the zone.
 const ZONE_SYNC_TIMEOUT: Millis = Millis(3_000);
 
@@ -72,6 +75,10 @@
         if self.parent.attached.is_some() || !self.may_appoint_itself() {
             return self.told_role();
         }
+        if !self.is_hub() {
+            // It collects the members as a reader first; their ranks then say who the readers are.
+            return Some((Role::Reader, RoleReason::OwnView));
+        }
         let plan = self.zone_plan();
         let own = self.own.record().clone();
         let placement = self.planned_placement(&plan, &own.node, &own.locality);
@@ -92,6 +99,9 @@
 
     /// A reader steps down only for others that it is linked to and that are readers already.
     fn reader_wants(&mut self) -> Option<Role> {
+        if self.now < self.role.collecting_until {
+            return None;
+        }
         let plan = self.zone_plan();
         let own = self.own.record().clone();
         let planned = self.planned_placement(&plan, &own.node, &own.locality);
@@ -195,6 +205,8 @@
         self.reader = Some(Box::new(duty));
         self.parent.orphan_since = None;
         self.parent.pending.clear();
+        self.role.collecting_until = self.now + COLLECT_MEMBERS;
+        self.role.next_placements = self.role.collecting_until;
         self.role.dialled = false;
         self.on_floor_way_changed();
         self.feed_tracker();
--- a/crates/overlay/src/node/state.rs
+++ b/crates/overlay/src/node/state.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use umberpond_config::Scope;
-use umberpond_model::{Locality, NodeName, Timestamp, Version};
+use umberpond_model::{Locality, NodeName, Nonce, RecordOrder, Timestamp, Version};
 use umberpond_versions::CommitTracker;
 
 use crate::chain::Sent;
@@ -27,6 +27,8 @@
     /// Whether children may need another placement, and when to look.
     pub(super) placements_due: bool,
     pub(super) next_placements: Timestamp,
+    /// Until when a new reader only collects members.
+    pub(super) collecting_until: Timestamp,
     /// Whether this node's own view of the zone was asked for by others while it had no parent.
     pub(super) dialled: bool,
 }
@@ -112,10 +114,30 @@
     pub(super) next_summary: Timestamp,
     /// Last change of a record of each zone.
     pub(super) zone_changed: BTreeMap<Locality, Timestamp>,
+    /// Search for members that no longer exist.
+    pub(super) roll_call: RollCallState,
     /// Progress below each reader, by zone.
     pub(super) summaries: BTreeMap<(Locality, NodeName), Arc<Report>>,
 }
 
+/// A reader's search for members that are attached nowhere.
+#[derive(Debug, Default)]
+pub(super) struct RollCallState {
+    /// Since when fewer nodes are attached than known as live.
+    pub(super) missing_since: Option<Timestamp>,
+    pub(super) next_look: Timestamp,
+    pub(super) running: Option<RunningRollCall>,
+}
+
+/// A roll call that waits for answers.
+#[derive(Debug)]
+pub(super) struct RunningRollCall {
+    pub(super) nonce: Nonce,
+    pub(super) began: Timestamp,
+    /// Live members when it began, and their positions.
+    pub(super) expected: BTreeMap<NodeName, RecordOrder>,
+}
+
 /// Plan of the own zone, computed anew after a change.
 #[derive(Debug, Default)]
 pub(super) struct CachedPlan {
--- a/crates/overlay/src/node/timers.rs
+++ b/crates/overlay/src/node/timers.rs
@@ -56,6 +56,7 @@
         self.pull_from_peers();
         self.compare_with_random_reader();
         self.tend_commit_check();
+        self.tend_roll_call();
     }
 
     /// Asks for the next wake-up, if it isn't asked for already.
@@ -85,6 +86,7 @@
             self.next_peer_work(),
             self.next_child_work(),
             self.next_report_work(),
+            self.next_roll_call_work(),
             self.parent.transfer_retry_at,
             up.map(|_| self.parent.next_flush),
             lease.map(|reader| reader.lease_retry_at),
--- a/crates/overlay/src/plan.rs
+++ b/crates/overlay/src/plan.rs
@@ -80,7 +80,11 @@
     pub(crate) fn parents_of(&self, node: &NodeName, role: Role) -> Vec<NodeName> {
         match role {
             Role::Reader => Vec::new(),
-            Role::Witness => self.by_preference(node, self.readers.iter()),
+            Role::Witness => {
+                let mut parents = self.by_preference(node, self.readers.iter());
+                parents.extend(self.by_preference(node, self.levels.iter().flatten()));
+                parents
+            }
             Role::Relay => self.relay_parents(node),
             Role::Leaf if self.levels.is_empty() => self.by_preference(node, self.readers.iter()),
             Role::Leaf => self.by_preference(node, self.levels.iter().flatten()),
--- a/crates/overlay/tests/support/mod.rs
+++ b/crates/overlay/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod checks;
 pub mod content;
 pub mod platform;
+pub mod scenario;
 pub mod world;
 
 pub use world::{World, WorldSettings};
--- a/crates/overlay/tests/support/world.rs
+++ b/crates/overlay/tests/support/world.rs
@@ -378,6 +378,17 @@
         }
     }
 
+    /// Prints what mistaken callers know, if `OVERLAY_TRACE` is set.
+    pub fn trace_records(&self, wrong: &[(NodeName, NodeName)]) {
+        if std::env::var_os("OVERLAY_TRACE").is_none() {
+            return;
+        }
+        for (caller, target) in wrong {
+            let known = self.nodes[caller].known.get(target);
+            eprintln!("{caller} knows {known:?} of {target}, which is {:?}", self.nodes[target].record);
+        }
+    }
+
     pub fn trace_digest(&self) -> String {
         self.trace.finalize().to_hex().to_string()
     }
