Mend the links between readers after faults, found by random schedules

Readers that doubted each other wrongly no longer ranked, so none dialled the other; spare readers of a zone weren't linked to each other; and a comparison of digests right after a connection was skipped since changes were still arriving. Readers now go on trying suspected members of a high rank, tell each other of the readers of their zone, pass records on inside it while it has spare readers, and compare again after a skipped comparison.

--- a/crates/overlay/src/directory.rs
+++ b/crates/overlay/src/directory.rs
@@ -21,6 +21,8 @@
     table: EndpointTable,
     /// Live members by zone in the order of their ranks; kept only where ranks are needed.
     ranks: Option<BTreeMap<Locality, BTreeSet<RankKey>>>,
+    /// Suspected members, likewise; they take no role, but readers go on trying to reach them.
+    suspected: BTreeMap<Locality, BTreeSet<RankKey>>,
     /// Members named by the machine list or by a parent, without a record here.
     hints: BTreeMap<NodeName, Member>,
     /// Nodes that the machine list shows as leaving.
@@ -34,6 +36,7 @@
             locality,
             table: EndpointTable::new(),
             ranks: Some(BTreeMap::new()),
+            suspected: BTreeMap::new(),
             hints: BTreeMap::new(),
             leaving: BTreeSet::new(),
         }
@@ -64,6 +67,7 @@
     pub(crate) fn set_ranking(&mut self, wanted: bool) {
         if !wanted {
             self.ranks = None;
+            self.suspected.clear();
         } else if self.ranks.is_none() {
             self.ranks = Some(BTreeMap::new());
             let records: Vec<EndpointRecord> = self.table.records().cloned().collect();
@@ -124,18 +128,22 @@
         ranked.chain(hinted).collect::<BTreeSet<_>>().into_iter().cloned().collect()
     }
 
-    /// Members of a zone in the order of their ranks, hinted ones included: whom a reader should try there.
+    /// Members of a zone whom a reader should try there, in the order of their ranks: the first live ones, and
+    /// hinted or suspected ones of a rank before theirs.
     pub(crate) fn likely_readers(&self, locality: &Locality, count: usize) -> Vec<Member> {
         let ranked = self.ranks.as_ref().and_then(|ranks| ranks.get(locality)).into_iter().flatten();
-        let known = ranked.take(count).map(|(draining, rank, node)| (*draining, *rank, node.clone()));
+        let live: Vec<RankKey> = ranked.take(count).cloned().collect();
+        let last = live.last().filter(|_| live.len() == count).cloned();
+        let suspected = self.suspected.get(locality).into_iter().flatten().cloned();
         let hinted = self
             .hints
             .values()
             .filter(|member| member.locality == *locality)
             .map(|member| (false, rank(&member.node, locality), member.node.clone()));
-        let mut candidates: Vec<RankKey> = known.chain(hinted).collect();
+        let others = suspected.chain(hinted).filter(|key| last.as_ref().is_none_or(|last| key < last));
+        let mut candidates: Vec<RankKey> = live.iter().cloned().chain(others).collect();
         candidates.sort_unstable();
-        candidates.into_iter().take(count).filter_map(|(_, _, node)| self.member(&node)).collect()
+        candidates.into_iter().filter_map(|(_, _, node)| self.member(&node)).collect()
     }
 
     /// Forgets a hint that led nowhere.
@@ -180,29 +188,42 @@
         for record in kept {
             self.table.merge(now, record);
         }
-        if self.ranks.take().is_some() {
+        if self.ranks.is_some() {
+            self.set_ranking(false);
             self.set_ranking(true);
         }
     }
 
     fn update_rank(&mut self, before: Option<&EndpointRecord>, after: &EndpointRecord) -> bool {
         let Some(ranks) = &mut self.ranks else { return false };
-        let old_key = before.filter(|record| is_live(record)).map(rank_key);
-        let new_key = is_live(after).then(|| rank_key(after));
-        let moved = before.is_some_and(|record| record.locality != after.locality);
-        if old_key == new_key && !moved {
-            return false;
-        }
-        if let (Some(record), Some(key)) = (before, old_key)
-            && let Some(members) = ranks.get_mut(&record.locality)
-        {
-            members.remove(&key);
-        }
-        if let Some(key) = new_key {
-            ranks.entry(after.locality.clone()).or_default().insert(key);
-        }
-        true
+        replace_key(&mut self.suspected, before, after, is_suspected);
+        replace_key(ranks, before, after, is_live)
+    }
+}
+
+/// Brings one ranking up to a changed record; tells whether it changed.
+fn replace_key(
+    ranks: &mut BTreeMap<Locality, BTreeSet<RankKey>>,
+    before: Option<&EndpointRecord>,
+    after: &EndpointRecord,
+    belongs: fn(&EndpointRecord) -> bool,
+) -> bool {
+    let place =
+        |record: &EndpointRecord| belongs(record).then(|| (record.locality.clone(), rank_key(record)));
+    let old = before.and_then(place);
+    let new = place(after);
+    if old == new {
+        return false;
+    }
+    if let Some((locality, key)) = old
+        && let Some(members) = ranks.get_mut(&locality)
+    {
+        members.remove(&key);
+    }
+    if let Some((locality, key)) = new {
+        ranks.entry(locality).or_default().insert(key);
     }
+    true
 }
 
 /// What merging a record did.
@@ -217,6 +238,10 @@
     record.status != EndpointStatus::Gone && !record.suspect
 }
 
+fn is_suspected(record: &EndpointRecord) -> bool {
+    record.status != EndpointStatus::Gone && record.suspect
+}
+
 /// The owner of a record as a member.
 pub(crate) fn member_of(record: &EndpointRecord) -> Member {
     Member { node: record.node.clone(), locality: record.locality.clone(), control: record.control }
--- a/crates/overlay/src/message.rs
+++ b/crates/overlay/src/message.rs
@@ -62,6 +62,8 @@
     Summary(Arc<ReaderSummary>),
     /// What a reader holds, for the other readers.
     ReaderState(Arc<ReaderState>),
+    /// Readers of the sender's zone that it is linked to, for the other readers of that zone.
+    Colleagues(Arc<Vec<Member>>),
     /// Asks for a proof of the version floor.
     FloorQuestion {
         /// Number of the question.
--- a/crates/overlay/src/node/peers.rs
+++ b/crates/overlay/src/node/peers.rs
@@ -17,14 +17,21 @@
 /// Time between two looks for readers and witnesses without a link.
 const SEARCH_INTERVAL: Millis = Millis(1_000);
 
+/// A reader of the own zone that another one told of is tried for this long.
+const TRY_COLLEAGUES: Millis = Millis(15_000);
+
 /// A node that turned out not to be a reader isn't tried again for this long.
 const NOT_A_READER: Millis = Millis(10_000);
 
 /// Time between two tries of the seeds, to find zones that nothing is known of.
 const SEED_INTERVAL: Millis = Millis(30_000);
 
-/// Members of a zone that are considered when its readers are looked for.
-const CONSIDERED: usize = 8;
+/// Members of a zone that are considered when its readers are looked for: its two readers and those that may become
+/// readers next.
+const CONSIDERED: usize = 4;
+
+/// Members of a zone to which links are kept up: its two readers, and room for two that are doubted wrongly.
+const TRIED: usize = 4;
 
 impl OverlayNode {
     /// Connects to readers of all zones and to witnesses where there is no link.
@@ -36,6 +43,7 @@
         }
         reader.next_peer_search = now + SEARCH_INTERVAL;
         reader.not_readers.retain(|_, until| *until > now);
+        reader.colleagues.retain(|_, (_, until)| *until > now);
         let is_seed_time = now >= reader.next_seed_search;
         if is_seed_time {
             reader.next_seed_search = now + SEED_INTERVAL;
@@ -69,17 +77,51 @@
             let readers = likely
                 .into_iter()
                 .filter(|member| !reader.not_readers.contains_key(&member.node))
-                .take(self.config.limits.readers_per_zone);
+                .take(TRIED);
             wanted.extend(readers.filter(is_open));
         }
         let sets = self.chain.sets();
         let witnesses = sets.current.iter().chain(&sets.previous);
         wanted.extend(witnesses.filter_map(|node| self.directory.member(node)).filter(is_open));
+        wanted.extend(reader.colleagues.values().map(|(member, _)| member.clone()).filter(is_open));
         wanted.sort();
         wanted.dedup();
         wanted
     }
 
+    /// Links to the other readers of the own zone.
+    pub(super) fn colleagues(&self) -> Vec<ConnectionId> {
+        let own_zone = &self.own.record().locality;
+        let is_colleague = |peer: &Peer| peer.role == Role::Reader && peer.locality == *own_zone;
+        let colleagues = self.peers.iter().filter(|(_, peer)| is_colleague(peer));
+        colleagues.map(|(connection, _)| *connection).collect()
+    }
+
+    /// Tells the readers of the own zone of each other, so that spare ones are linked too.
+    pub(super) fn tell_colleagues(&mut self) {
+        let connections = self.colleagues();
+        let nodes = connections.iter().filter_map(|connection| self.peers.get(connection));
+        let members: Vec<Member> = nodes.filter_map(|peer| self.directory.member(&peer.node)).collect();
+        let Some(reader) = &mut self.reader else { return };
+        if members == reader.colleagues_told {
+            return;
+        }
+        reader.colleagues_told = members.clone();
+        let message = PeerMessage::Colleagues(Arc::new(members));
+        for connection in connections {
+            self.send(connection, message.clone());
+        }
+    }
+
+    fn on_colleagues(&mut self, members: &[Member]) {
+        let own = self.own.record().node.clone();
+        let until = self.now + TRY_COLLEAGUES;
+        let Some(reader) = &mut self.reader else { return };
+        for member in members.iter().filter(|member| member.node != own) {
+            reader.colleagues.insert(member.node.clone(), (member.clone(), until));
+        }
+    }
+
     pub(super) fn has_peer(&self, node: &NodeName) -> bool {
         self.peers.values().any(|peer| peer.node == *node)
     }
@@ -206,6 +248,7 @@
             state: None,
             told: None,
             told_at: self.now,
+            compare_at: None,
             pull_at: None,
             transfer: TransferState::Idle,
         };
@@ -238,6 +281,7 @@
             PeerMessage::Witness(routed) => self.on_witness_message(connection, &routed),
             PeerMessage::Digests(digests) => self.on_digests(connection, &digests),
             PeerMessage::Positions(positions) => self.on_positions(connection, &positions),
+            PeerMessage::Colleagues(members) => self.on_colleagues(&members),
             PeerMessage::RollCall { nonce } => self.on_roll_call(connection, nonce),
             PeerMessage::Present(present) => self.on_present(&present),
             PeerMessage::Heartbeat { .. } => {}
@@ -430,7 +474,7 @@
         let state = self.reader_state();
         let states = self.peers.values().filter_map(|peer| self.state_due(peer, &state));
         let records = self.peers.iter().filter_map(|(connection, peer)| self.records_due(*connection, peer));
-        let pulls = self.peers.values().filter_map(|peer| peer.pull_at);
+        let pulls = self.peers.values().flat_map(|peer| [peer.pull_at, peer.compare_at]).flatten();
         let reader = self.reader.as_ref();
         let searches = reader
             .map(|reader| reader.next_peer_search.min(reader.next_anti_entropy).min(reader.next_summary));
--- a/crates/overlay/src/node/presence.rs
+++ b/crates/overlay/src/node/presence.rs
@@ -19,6 +19,13 @@
 /// Time for the answers to come.
 const ANSWER_TIME: Millis = Millis(2_000);
 
+/// At most one member in so many is suspected by one roll call: if more seem absent, the fault may be on this side,
+/// and the next roll call will tell.
+const MAX_ABSENT_SHARE: usize = 8;
+
+/// So many members may be suspected by one roll call in a small zone.
+const MIN_ABSENT: usize = 8;
+
 /// Least time between two looks at the counts.
 const LOOK_INTERVAL: Millis = Millis(1_000);
 
@@ -52,10 +59,20 @@
         if colleagues.into_iter().any(|peer| peer.node < own.node) {
             return false;
         }
+        if self.now < self.role.collecting_until || !self.planned_readers_are_linked() {
+            return false;
+        }
         let counted = self.zone_report(&own.locality).nodes() as usize;
         counted < self.directory.zone_size()
     }
 
+    /// Whether all that should be readers of the zone answer here; otherwise nodes below them would be missed.
+    fn planned_readers_are_linked(&self) -> bool {
+        let own = &self.own.record().node;
+        let plan = &self.role.plan.plan;
+        plan.readers().iter().all(|reader| reader == own || self.has_peer(reader))
+    }
+
     fn begin_roll_call(&mut self) {
         let nonce = self.nonce();
         let expected = self.directory.zone_members();
@@ -63,14 +80,7 @@
         if let Some(reader) = &mut self.reader {
             reader.roll_call.running = Some(running);
         }
-        let own_zone = self.own.record().locality.clone();
-        let colleagues: Vec<ConnectionId> = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| peer.role == Role::Reader && peer.locality == own_zone)
-            .map(|(connection, _)| *connection)
-            .collect();
-        for connection in colleagues {
+        for connection in self.colleagues() {
             self.send(connection, PeerMessage::RollCall { nonce });
         }
         self.call_children(nonce);
@@ -145,8 +155,9 @@
             .filter(|(node, order)| self.is_unchanged(node, **order))
             .map(|(node, _)| node.clone())
             .collect();
-        for node in absent {
-            self.suspect(&node);
+        let limit = (self.directory.zone_size() / MAX_ABSENT_SHARE).max(MIN_ABSENT);
+        for node in absent.iter().take(limit) {
+            self.suspect(node);
         }
     }
 
--- a/crates/overlay/src/node/records.rs
+++ b/crates/overlay/src/node/records.rs
@@ -8,7 +8,7 @@
 use super::OverlayNode;
 use crate::directory::covers;
 use crate::interface::{ConnectionId, Decision, Output};
-use crate::{Interest, PeerMessage};
+use crate::{Interest, PeerMessage, Role};
 
 /// Where a record came from; it isn't sent back there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -120,9 +120,22 @@
                 child.pending.insert(node.clone());
             }
         }
+        self.pass_on_to_readers(node, source);
+    }
+
+    /// Readers tell all readers what their own zone says. What a reader tells them they pass on inside their zone,
+    /// and only while it has spare readers: those aren't linked to all others.
+    fn pass_on_to_readers(&mut self, node: &NodeName, source: Source) {
+        if !self.is_reader() {
+            return;
+        }
+        let own_zone = self.own.record().locality.clone();
+        let colleagues = self.colleagues().len();
         let is_from_peer = matches!(source, Source::Peer(_));
-        if self.is_reader() && !is_from_peer {
-            for peer in self.peers.values_mut().filter(|peer| peer.role == crate::Role::Reader) {
+        for (connection, peer) in &mut self.peers {
+            let is_colleague = peer.locality == own_zone && colleagues >= self.config.limits.readers_per_zone;
+            let is_told = peer.role == Role::Reader && (!is_from_peer || is_colleague);
+            if is_told && source != Source::Peer(*connection) {
                 peer.pending.insert(node.clone());
             }
         }
--- a/crates/overlay/src/node/repair.rs
+++ b/crates/overlay/src/node/repair.rs
@@ -7,12 +7,16 @@
 use umberpond_model::{EndpointRecord, Locality, Millis, NodeName, RecordOrder};
 
 use super::{OverlayNode, share};
+use crate::backoff::jitter;
 use crate::interface::ConnectionId;
 use crate::{PeerMessage, RecordPosition, Role, Update, ZonePositions};
 
 /// A zone in which a record changed this recently is left out of the comparison: the change is still on its way.
 const SETTLE_TIME: Millis = Millis(2_000);
 
+/// Records that may well be on their way between two readers; a larger difference is repaired at once.
+const ON_THEIR_WAY: u32 = 4;
+
 impl OverlayNode {
     /// Compares the records of the own zone with a parent or a relay below.
     pub(super) fn send_zone_digest(&mut self, connection: ConnectionId) {
@@ -44,25 +48,56 @@
             .filter(|(_, peer)| peer.role == Role::Reader)
             .map(|(connection, _)| *connection)
             .collect();
-        if !readers.is_empty() {
-            let chosen = crate::backoff::jitter(&mut self.rng, Millis(readers.len() as u64));
-            self.send_all_digests(readers[chosen.0 as usize]);
+        // Every other time a reader of the own zone, so that the two agree sooner.
+        let colleagues = self.colleagues();
+        let is_colleagues_turn = jitter(&mut self.rng, Millis(2)) == Millis(0) && !colleagues.is_empty();
+        let candidates = if is_colleagues_turn { colleagues } else { readers };
+        if !candidates.is_empty() {
+            let chosen = jitter(&mut self.rng, Millis(candidates.len() as u64));
+            self.send_all_digests(candidates[chosen.0 as usize]);
+        }
+    }
+
+    /// Compares again with those where a change was still on its way the last time.
+    pub(super) fn compare_again(&mut self) {
+        let now = self.now;
+        let mut due = Vec::new();
+        for (connection, peer) in &mut self.peers {
+            if peer.compare_at.is_some_and(|at| now >= at) {
+                peer.compare_at = None;
+                due.push(*connection);
+            }
+        }
+        for connection in due {
+            self.send_all_digests(connection);
         }
     }
 
     pub(super) fn on_digests(&mut self, connection: ConnectionId, theirs: &BTreeMap<Locality, ZoneDigest>) {
         let ours = self.directory.table().digests();
-        let differs = |zone: &Locality, digest: &ZoneDigest| {
-            ours.get(zone).copied().unwrap_or_default() != *digest && self.is_settled(zone)
-        };
-        let differing: Vec<Locality> = theirs
-            .iter()
-            .filter(|(zone, digest)| differs(zone, digest))
-            .map(|(zone, _)| zone.clone())
-            .collect();
+        let mut differing = Vec::new();
+        let mut is_unsettled = false;
+        for (zone, digest) in theirs {
+            let own = ours.get(zone).copied().unwrap_or_default();
+            if own == *digest {
+                continue;
+            }
+            let is_large = own.count().abs_diff(digest.count()) > ON_THEIR_WAY;
+            if is_large || self.is_settled(zone) {
+                differing.push(zone.clone());
+            } else {
+                is_unsettled = true;
+            }
+        }
         for zone in differing {
             self.send_positions(connection, zone, true);
         }
+        if is_unsettled {
+            let at = self.jittered(SETTLE_TIME) + SETTLE_TIME;
+            if let Some(peer) = self.peers.get_mut(&connection) {
+                peer.compare_at = Some(at);
+            }
+        }
     }
 
     fn is_settled(&self, zone: &Locality) -> bool {
--- a/crates/overlay/src/node/state.rs
+++ b/crates/overlay/src/node/state.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use umberpond_config::Scope;
-use umberpond_model::{Locality, NodeName, Nonce, RecordOrder, Timestamp, Version};
+use umberpond_model::{Locality, Member, NodeName, Nonce, RecordOrder, Timestamp, Version};
 use umberpond_versions::CommitTracker;
 
 use crate::chain::Sent;
@@ -87,6 +87,8 @@
     /// What was said to it last.
     pub(super) told: Option<ReaderState>,
     pub(super) told_at: Timestamp,
+    /// When to compare digests with it again.
+    pub(super) compare_at: Option<Timestamp>,
     /// When to ask it for the versions that it has and this node lacks.
     pub(super) pull_at: Option<Timestamp>,
     /// Whole transfer to it.
@@ -108,6 +110,10 @@
     pub(super) check_wanted_since: Option<Timestamp>,
     /// Nodes that turned out not to be readers, and until when not to try them again.
     pub(super) not_readers: BTreeMap<NodeName, Timestamp>,
+    /// Other readers of the own zone as told by its readers, and until when they are tried.
+    pub(super) colleagues: BTreeMap<NodeName, (Member, Timestamp)>,
+    /// Readers of the own zone that the others were told of.
+    pub(super) colleagues_told: Vec<Member>,
     pub(super) next_peer_search: Timestamp,
     pub(super) next_seed_search: Timestamp,
     pub(super) next_anti_entropy: Timestamp,
--- a/crates/overlay/src/node/timers.rs
+++ b/crates/overlay/src/node/timers.rs
@@ -53,8 +53,10 @@
         }
         self.tend_lease();
         self.search_peers();
+        self.tell_colleagues();
         self.pull_from_peers();
         self.compare_with_random_reader();
+        self.compare_again();
         self.tend_commit_check();
         self.tend_roll_call();
     }
--- a/crates/overlay/tests/checkers.rs
+++ b/crates/overlay/tests/checkers.rs
@@ -15,8 +15,8 @@
 
 #[test]
 fn a_step_back_is_found_also_across_a_restart() {
-    let mut history = History::default();
-    history.activations = vec![activation(1, 1, 4, 0), activation(2, 2, 5, 0)];
+    let activations = vec![activation(1, 1, 4, 0), activation(2, 2, 5, 0)];
+    let mut history = History { activations, ..History::default() };
     assert_eq!(never_back(&history), []);
     history.activations.push(activation(3, 3, 3, 0));
     let expected = Violation::WentBack { node: node_name(0, 0), from: Version(5), to: Version(3) };
@@ -27,7 +27,7 @@
 fn a_dangling_route_and_a_version_that_nobody_accepted_are_found() {
     let mut history = History::default();
     history.accepted.insert(Version(1), Timestamp(0));
-    history.activations = vec![activation(1, 1, 1, 0)];
+    history.activations.push(activation(1, 1, 1, 0));
     assert_eq!(sound(&history), []);
     history.activations.push(activation(2, 1, 1, 2));
     history.activations.push(activation(3, 1, 2, 0));
--- a/crates/overlay/tests/support/world.rs
+++ b/crates/overlay/tests/support/world.rs
@@ -204,6 +204,8 @@
         node.record.sequence = 0;
         node.record.status = EndpointStatus::Ready;
         node.known.clear();
+        node.frozen = false;
+        node.waiting.clear();
         let callers = BTreeSet::from([content::service_name(node.service)]);
         let mut config = OverlayConfig::new(seeds, callers);
         config.limits = limits;
