Show the driver's leases apart by incarnation

The fault lay in the test's platform: the lapse of a lease that a killed process had held also took the lease and the watch of its restarted successor, which had got them meanwhile, and no reader was told. Leases there now belong to one incarnation. No check was changed.

--- a/crates/overlay/tests/support/platform.rs
+++ b/crates/overlay/tests/support/platform.rs
@@ -19,7 +19,8 @@
     pub cut: BTreeSet<Locality>,
     pub chain: Vec<(VersionRecord, Arc<Snapshot>, Arc<AcceptedVersion>)>,
     pub machines: Arc<Vec<Machine>>,
-    leases: BTreeMap<Locality, BTreeSet<NodeName>>,
+    /// Holders by zone, with the incarnation that holds.
+    leases: BTreeMap<Locality, BTreeMap<NodeName, u64>>,
     /// Watching nodes and the version told last.
     pub watches: BTreeMap<NodeName, Version>,
     pub requests: u64,
@@ -53,7 +54,7 @@
     pub fn handle(
         &mut self,
         now: Timestamp,
-        node: &NodeName,
+        (node, incarnation): (&NodeName, u64),
         zone: &Locality,
         request: PlatformRequest,
     ) -> Vec<PlatformEvent> {
@@ -62,14 +63,14 @@
         match request {
             PlatformRequest::AcquireReaderLease => {
                 let holders = self.leases.entry(zone.clone()).or_default();
-                if holders.len() < LEASES_PER_ZONE || holders.contains(node) {
-                    holders.insert(node.clone());
+                if holders.len() < LEASES_PER_ZONE || holders.contains_key(node) {
+                    holders.insert(node.clone(), incarnation);
                     return vec![PlatformEvent::LeaseGranted];
                 }
                 vec![PlatformEvent::LeaseLost]
             }
             PlatformRequest::ReleaseReaderLease => {
-                self.release(node);
+                self.release(node, incarnation);
                 Vec::new()
             }
             PlatformRequest::Watch { after } => {
@@ -107,11 +108,17 @@
         }
     }
 
-    /// The leases and watches of a node lapse.
-    pub fn release(&mut self, node: &NodeName) {
+    /// The leases and watches of one incarnation of a node lapse.
+    pub fn release(&mut self, node: &NodeName, incarnation: u64) {
+        let mut is_newer = false;
         for holders in self.leases.values_mut() {
-            holders.remove(node);
+            is_newer |= holders.get(node).is_some_and(|holder| *holder > incarnation);
+            if holders.get(node) == Some(&incarnation) {
+                holders.remove(node);
+            }
+        }
+        if !is_newer {
+            self.watches.remove(node);
         }
-        self.watches.remove(node);
     }
 }
--- a/crates/overlay/tests/support/world.rs
+++ b/crates/overlay/tests/support/world.rs
@@ -30,6 +30,8 @@
     pub seeds_per_zone: usize,
     /// Encodes and decodes every message, and counts its bytes.
     pub encode: bool,
+    /// Hashes everything that nodes ask for, to compare runs.
+    pub trace: bool,
     pub limits: umberpond_overlay::Limits,
 }
 
@@ -42,6 +44,7 @@
             services: 12,
             seeds_per_zone: 2,
             encode: true,
+            trace: true,
             limits: umberpond_overlay::Limits::default(),
         }
     }
@@ -421,7 +424,7 @@
             Event::Lapse { node, incarnation } => {
                 let current = &self.nodes[&node];
                 if current.core.is_none() || current.incarnation != incarnation {
-                    self.platform.release(&node);
+                    self.platform.release(&node, incarnation);
                 }
             }
         }
@@ -431,7 +434,7 @@
         let zone = self.nodes[node].locality.clone();
         let incarnation = self.nodes[node].incarnation;
         if self.platform.is_reachable(&zone) {
-            let events = self.platform.handle(self.now, node, &zone, request);
+            let events = self.platform.handle(self.now, (node, incarnation), &zone, request);
             self.answer_platform(node, events);
             return;
         }
@@ -556,6 +559,9 @@
     }
 
     fn note(&mut self, name: &NodeName, output: &Output<PeerMessage>) {
+        if !self.settings.trace {
+            return;
+        }
         self.trace.update(format!("{} {name} {output:?}\n", self.now.0).as_bytes());
     }
 
