Count a connection as idle only after its last answer has passed

A listener counted a connection as busy until an answer's head was made. A streaming answer longer than the idle limit was then taken for silence and cut. The new test, with the limit at one second, failed first: 'a_connection_is_idle_only_when_nothing_streams_on_it: left (x, false) right (xxxxxx, true)'. Now a guard that lives as long as the answer's body marks the connection busy, and the idle time starts at that body's end, so a kept connection gets its whole idle time. Starting it from the last timer alone was tried and closed the connection up to one limit too early.

--- a/crates/proxy/src/server/body.rs
+++ b/crates/proxy/src/server/body.rs
@@ -10,6 +10,7 @@
 
 use super::open_request::OpenRequest;
 use super::tracker::InFlight;
+use super::watched_stream::BusyGuard;
 use crate::CutReason;
 use crate::wire::UpstreamBody;
 
@@ -26,6 +27,38 @@
     Relay(Box<RelayBody>),
 }
 
+/// The body as the connection sends it; the connection counts as busy until it is dropped.
+pub(crate) struct ServedBody {
+    body: ProxyBody,
+    _busy: BusyGuard,
+}
+
+impl ServedBody {
+    pub(super) const fn new(body: ProxyBody, busy: BusyGuard) -> Self {
+        Self { body, _busy: busy }
+    }
+}
+
+impl Body for ServedBody {
+    type Data = Bytes;
+    type Error = AnswerCut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerCut>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// A small body made by the proxy.
 pub(crate) struct OwnBody {
     text: Option<Bytes>,
--- a/crates/proxy/src/server/connection.rs
+++ b/crates/proxy/src/server/connection.rs
@@ -16,7 +16,7 @@
 use tokio_util::sync::CancellationToken;
 use umberpond_net::BoxStream;
 
-use super::body::ProxyBody;
+use super::body::ServedBody;
 use super::tracker::Tracker;
 use super::watched_stream::{ConnectionWatch, ReadLimits, WatchedStream};
 use crate::refusal::{Refusal, SLOW_HEAD_ANSWER};
@@ -98,10 +98,10 @@
         &self,
         watch: Arc<ConnectionWatch>,
         request: Request<Incoming>,
-    ) -> BoxFuture<'static, Result<Response<ProxyBody>, Infallible>> {
+    ) -> BoxFuture<'static, Result<Response<ServedBody>, Infallible>> {
         let server = self.clone();
         Box::pin(async move {
-            watch.set_busy(true);
+            let busy = watch.open_request();
             let verdict = watch.next_verdict();
             let response = match CheckedRequest::check(&request, verdict.as_ref()) {
                 Err(malformed) => {
@@ -114,8 +114,7 @@
                     Half::Outbound => outbound::handle(&server, request, checked).await,
                 },
             };
-            watch.set_busy(false);
-            Ok(response)
+            Ok(response.map(|body| ServedBody::new(body, busy)))
         })
     }
 }
--- a/crates/proxy/src/server/watched_stream.rs
+++ b/crates/proxy/src/server/watched_stream.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -18,7 +18,10 @@
 #[derive(Debug)]
 pub(crate) struct ConnectionWatch {
     scanner: Mutex<HeadScanner>,
-    busy: AtomicBool,
+    /// Requests whose answer has not passed whole.
+    open: AtomicU32,
+    /// End of the last answer.
+    idle_since: Mutex<Instant>,
     slow: AtomicBool,
 }
 
@@ -26,7 +29,8 @@
     pub(crate) fn new(max_head_bytes: usize) -> Arc<Self> {
         Arc::new(Self {
             scanner: Mutex::new(HeadScanner::new(max_head_bytes)),
-            busy: AtomicBool::new(false),
+            open: AtomicU32::new(0),
+            idle_since: Mutex::new(Instant::now()),
             slow: AtomicBool::new(false),
         })
     }
@@ -36,9 +40,14 @@
         self.scanner.lock().next_verdict()
     }
 
-    /// Says whether a request is being served, so that silence is no reason to close.
-    pub(crate) fn set_busy(&self, busy: bool) {
-        self.busy.store(busy, Ordering::Release);
+    /// Counts a request as open until the guard is dropped; meanwhile silence is no reason to close.
+    pub(crate) fn open_request(self: &Arc<Self>) -> BusyGuard {
+        self.open.fetch_add(1, Ordering::AcqRel);
+        BusyGuard { watch: Arc::clone(self) }
+    }
+
+    fn is_busy(&self) -> bool {
+        self.open.load(Ordering::Acquire) > 0
     }
 
     /// Whether the connection ended because a head took too long.
@@ -47,6 +56,19 @@
     }
 }
 
+/// One open request of a connection.
+#[derive(Debug)]
+pub(crate) struct BusyGuard {
+    watch: Arc<ConnectionWatch>,
+}
+
+impl Drop for BusyGuard {
+    fn drop(&mut self) {
+        *self.watch.idle_since.lock() = Instant::now();
+        self.watch.open.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 /// Time limits on what a peer sends between two bodies.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ReadLimits {
@@ -112,9 +134,15 @@
                     self.watch.slow.store(true, Ordering::Release);
                     return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
                 }
-                // The end of the stream: the library closes an idle connection cleanly.
-                Waiting::Idle if !self.watch.busy.load(Ordering::Acquire) => return Poll::Ready(Ok(())),
-                Waiting::Idle => self.restart_timer(),
+                Waiting::Idle if self.watch.is_busy() => self.restart_timer(),
+                Waiting::Idle => {
+                    let end = *self.watch.idle_since.lock() + self.limits.idle;
+                    if end <= Instant::now() {
+                        // The end of the stream: the library closes an idle connection cleanly.
+                        return Poll::Ready(Ok(()));
+                    }
+                    self.timer.as_mut().reset(end);
+                }
             }
         }
         Poll::Pending
--- a/crates/proxy/tests/deadlines.rs
+++ b/crates/proxy/tests/deadlines.rs
@@ -119,3 +119,27 @@
     );
     assert_eq!(backend.ran().len(), 2);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_connection_is_idle_only_when_nothing_streams_on_it() {
+    let network = MemoryNetwork::new();
+    let mut parts = vec![HEAD.to_vec()];
+    parts.extend((0..6).map(|_| b"1\r\nx\r\n".to_vec()));
+    parts.push(b"0\r\n\r\n".to_vec());
+    Peer::start(&network, backend_at(0), vec![Step::Stream { pause: Duration::from_millis(400), parts }]);
+    let mut builder = MeshBuilder::default();
+    builder.settings.caller_idle_timeout = Duration::from_secs(1);
+    let mesh = builder.build(&network).await;
+    let mut stream = network.dial(mesh.entry()).unwrap();
+    let began = Instant::now();
+
+    tokio::io::AsyncWriteExt::write_all(&mut stream, b"GET /read HTTP/1.1\r\nhost: archive\r\n\r\n")
+        .await
+        .unwrap();
+    let raw = support::caller::read_all(&mut stream).await;
+
+    let answer = support::Answer::parse(&raw).unwrap();
+    assert_eq!((answer.text(), answer.whole), ("xxxxxx", true));
+    let elapsed = began.elapsed();
+    assert!((4_200..4_300).contains(&elapsed.as_millis()), "one second after the answer's end: {elapsed:?}");
+}
