Forward a body in chunks whatever the method

The smuggling property was not seeded and failed in some runs: 'ran [GET /read, body []], but sent was [] for GET /read ... transfer-encoding: chunked 3'. Left to itself the HTTP library sends no body of unknown length with GET or HEAD, so a GET in chunks arrived as a whole request without its body, also when the body was broken. A new test shows it for whole bodies: 'a_body_in_chunks_is_forwarded_with_any_method: GET left Err(body []) right Ok(1)'. Now the forwarded request says itself that its body comes in chunks.

--- a/crates/proxy/src/headers/mod.rs
+++ b/crates/proxy/src/headers/mod.rs
@@ -9,7 +9,8 @@
 pub(crate) use endpoint::{EndpointHeaders, retry_after};
 
 use http::Uri;
-use http::header::{self, HeaderMap, HeaderName};
+use http::header::{self, HeaderMap, HeaderName, HeaderValue};
+use http_body::Body;
 
 /// Prefix of every internal header.
 const INTERNAL_PREFIX: &str = "umberpond-";
@@ -67,6 +68,14 @@
     headers
 }
 
+/// Says how the body of a forwarded request is framed. Left to itself, the HTTP library drops a body of unknown
+/// length if the method is GET or HEAD.
+pub(crate) fn set_framing<B: Body>(headers: &mut HeaderMap, body: &B) {
+    if !body.is_end_stream() && body.size_hint().exact().is_none() {
+        headers.insert(header::TRANSFER_ENCODING, HeaderValue::from_static("chunked"));
+    }
+}
+
 /// The target of a forwarded request: path and query only.
 #[must_use]
 pub(crate) fn origin_form(uri: &Uri) -> Uri {
--- a/crates/proxy/src/inbound/exchange.rs
+++ b/crates/proxy/src/inbound/exchange.rs
@@ -67,7 +67,9 @@
     headers.extend(kept.into_iter().map(|(name, value)| (Some(name), value)));
     let remaining = deadline.saturating_duration_since(Instant::now());
     headers::set_number(&mut headers, names::DEADLINE, millis(remaining).0);
-    let mut request = Request::new(body.next_attempt());
+    let body = body.next_attempt();
+    headers::set_framing(&mut headers, &body);
+    let mut request = Request::new(body);
     *request.method_mut() = parts.method;
     *request.uri_mut() = headers::origin_form(&parts.uri);
     *request.headers_mut() = headers;
--- a/crates/proxy/src/outbound/attempts.rs
+++ b/crates/proxy/src/outbound/attempts.rs
@@ -157,11 +157,14 @@
             caller: state.identity.node.clone(),
             attempt,
         };
-        let mut request = Request::new(self.body.next_attempt());
+        let body = self.body.next_attempt();
+        let mut fields = self.parts.headers.clone();
+        own.write(&mut fields);
+        headers::set_framing(&mut fields, &body);
+        let mut request = Request::new(body);
         *request.method_mut() = self.parts.method.clone();
         *request.uri_mut() = headers::origin_form(&self.parts.uri);
-        *request.headers_mut() = self.parts.headers.clone();
-        own.write(request.headers_mut());
+        *request.headers_mut() = fields;
         request
     }
 
--- a/crates/proxy/tests/deadlines.rs
+++ b/crates/proxy/tests/deadlines.rs
@@ -77,7 +77,7 @@
 async fn an_answer_that_streams_past_the_deadline_is_cut_visibly() {
     let network = MemoryNetwork::new();
     let parts = vec![HEAD.to_vec(), b"3\r\nabc\r\n".to_vec(), b"0\r\n\r\n".to_vec()];
-    let stream = Step::Stream { pause: Duration::from_millis(100), parts };
+    let stream = Step::Stream { pause: Duration::from_millis(100), parts, closes: false };
     Peer::start(&network, backend_at(0), vec![stream]);
     let mesh = MeshBuilder::default().build(&network).await;
 
@@ -126,7 +126,11 @@
     let mut parts = vec![HEAD.to_vec()];
     parts.extend((0..6).map(|_| b"1\r\nx\r\n".to_vec()));
     parts.push(b"0\r\n\r\n".to_vec());
-    Peer::start(&network, backend_at(0), vec![Step::Stream { pause: Duration::from_millis(400), parts }]);
+    Peer::start(
+        &network,
+        backend_at(0),
+        vec![Step::Stream { pause: Duration::from_millis(400), parts, closes: false }],
+    );
     let mut builder = MeshBuilder::default();
     builder.settings.caller_idle_timeout = Duration::from_secs(1);
     let mesh = builder.build(&network).await;
--- a/crates/proxy/tests/drain.rs
+++ b/crates/proxy/tests/drain.rs
@@ -13,7 +13,7 @@
 fn slow_answer() -> Step {
     let mut parts = vec![b"HTTP/1.1 200 X\r\ncontent-length: 9\r\n\r\n".to_vec()];
     parts.extend((0..9).map(|number| vec![b'0' + number]));
-    Step::Stream { pause: Duration::from_millis(200), parts }
+    Step::Stream { pause: Duration::from_millis(200), parts, closes: false }
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/proxy/tests/process_death.rs
+++ b/crates/proxy/tests/process_death.rs
@@ -140,3 +140,31 @@
     assert_eq!(answer.header("retry-after"), Some("2"));
     assert_eq!(first.ran().len() + second.ran().len(), 1);
 }
+
+/// A whole answer with a length, and one in chunks.
+fn whole_answers() -> [Vec<u8>; 2] {
+    let chunked = "HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n\r\n4\r\nthe \r\n5\r\ngrid!\r\n0\r\n\r\n";
+    [response(200, "", "the grid!"), chunked.as_bytes().to_vec()]
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_answer_cut_at_any_byte_is_cut_for_the_caller() {
+    for answer in whole_answers() {
+        for length in 0..=answer.len() {
+            let network = MemoryNetwork::new();
+            let split = length / 2;
+            let parts = vec![answer[..split].to_vec(), answer[split..length].to_vec()];
+            let pause = std::time::Duration::from_millis(5);
+            let backend =
+                Peer::start(&network, backend_at(0), vec![Step::Stream { pause, parts, closes: true }]);
+            let mesh = MeshBuilder::default().build(&network).await;
+
+            let told = post(&network, mesh.entry(), "/buy/gift", "", b"one").await;
+
+            let looks_whole = told.status == 200 && told.whole;
+            assert_eq!(looks_whole, length == answer.len(), "cut after {length} bytes: {told:?}");
+            assert!(matches!(told.outcome(), "answered" | "unknown"), "cut after {length} bytes: {told:?}");
+            assert_eq!(backend.ran().len(), 1);
+        }
+    }
+}
--- a/crates/proxy/tests/reuse.rs
+++ b/crates/proxy/tests/reuse.rs
@@ -95,6 +95,7 @@
             b"abc".to_vec(),
             b"def".to_vec(),
         ],
+        closes: false,
     };
     let backend = Peer::start(&network, backend_at(0), vec![slow, Step::ok("whole")]);
     let mesh = MeshBuilder::default().build(&network).await;
--- a/crates/proxy/tests/smuggling.rs
+++ b/crates/proxy/tests/smuggling.rs
@@ -204,8 +204,11 @@
     runtime.enable_all().start_paused(true).build().unwrap().block_on(holds(bytes))
 }
 
-/// Runs of the property; about a third of them forward something.
-const RUNS: u64 = 1_000;
+/// Runs of the property with each seed.
+const RUNS: u64 = 500;
+/// Seed 19 found that the body of a GET in chunks was dropped on the way.
+const SEEDS: [u64; 4] = [1, 2, 3, 19];
+const GENERATOR_SIZE: usize = 100;
 
 #[test]
 fn whatever_is_sent_is_forwarded_once_or_not_at_all() {
@@ -215,7 +218,10 @@
             Err(fault) => TestResult::error(format!("{fault} for {:?}", String::from_utf8_lossy(&bytes.0))),
         }
     }
-    QuickCheck::new().tests(RUNS).quickcheck(property as fn(Bytes) -> TestResult);
+    for seed in SEEDS {
+        let generator = Gen::from_size_and_seed(GENERATOR_SIZE, seed);
+        QuickCheck::new().rng(generator).tests(RUNS).quickcheck(property as fn(Bytes) -> TestResult);
+    }
 }
 
 #[test]
@@ -225,3 +231,13 @@
         GET /read/3 HTTP/1.1\r\nhost: archive\r\n\r\n";
     assert_eq!(run(two.as_bytes()), Ok(3));
 }
+
+#[test]
+fn a_body_in_chunks_is_forwarded_with_any_method() {
+    for method in ["GET", "DELETE", "POST"] {
+        let request = format!(
+            "{method} /buy/1 HTTP/1.1\r\nhost: archive\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+        );
+        assert_eq!(run(request.as_bytes()), Ok(1), "{method}");
+    }
+}
--- a/crates/proxy/tests/support/peer.rs
+++ b/crates/proxy/tests/support/peer.rs
@@ -22,8 +22,8 @@
     Run { wait: Duration, answer: Vec<u8> },
     /// Runs it, writes these bytes, then closes.
     RunThenCut(Vec<u8>),
-    /// Runs it and writes the parts with this pause before each.
-    Stream { pause: Duration, parts: Vec<Vec<u8>> },
+    /// Runs it, writes the parts with this pause before each, and then closes or goes on.
+    Stream { pause: Duration, parts: Vec<Vec<u8>>, closes: bool },
     /// Reads only the head, answers, and goes on without reading the body.
     AnswerEarly(Vec<u8>),
 }
@@ -170,13 +170,13 @@
                 let _ = stream.write_all(&bytes).await;
                 false
             }
-            Step::Stream { pause, parts } => {
+            Step::Stream { pause, parts, closes } => {
                 for part in parts {
                     if !self.wait(stream, pause).await || stream.write_all(&part).await.is_err() {
                         return false;
                     }
                 }
-                true
+                !closes
             }
             Step::AnswerEarly(answer) => stream.write_all(&answer).await.is_ok(),
         }
