Carry a request through real processes, and keep endpoints that did not change

The whole-path test starts two nodes beside back ends and an edge as processes, applies a bundle, waits until it is in force everywhere, calls through the edge, and stops one node while an answer streams. Its first run failed:

assertion `left == right` failed: Response { status: 503, ... "umberpond-reason": "no-endpoint" ... }

The overlay tells only the records that have changed, and the node handed these to the request path as if they were all, so one record of a node that left took every other endpoint away. The node now keeps the records and hands over the whole set; gone ones are removed.

--- a/crates/node/src/activation.rs
+++ b/crates/node/src/activation.rs
@@ -3,9 +3,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use parking_lot::Mutex;
 use tokio::sync::watch;
 use umberpond_config::{SealKeyPair, Snapshot};
-use umberpond_model::{EndpointRecord, SecretName, ServiceName, Version};
+use umberpond_model::{EndpointRecord, EndpointStatus, NodeName, SecretName, ServiceName, Version};
 use umberpond_proxy::{CredentialValue, ProxyState, RoutingTable};
 use umberpond_telemetry::{Event, Telemetry, VersionStage};
 
@@ -16,6 +17,8 @@
     seal_key: Option<Arc<SealKeyPair>>,
     telemetry: Telemetry,
     active: watch::Sender<Option<Version>>,
+    /// Records of the services that local callers use; the overlay tells only what changes.
+    records: Mutex<BTreeMap<NodeName, EndpointRecord>>,
 }
 
 impl Activation {
@@ -26,7 +29,14 @@
         seal_key: Option<Arc<SealKeyPair>>,
         telemetry: Telemetry,
     ) -> Self {
-        Self { proxy, service, seal_key, telemetry, active: watch::Sender::new(None) }
+        Self {
+            proxy,
+            service,
+            seal_key,
+            telemetry,
+            active: watch::Sender::new(None),
+            records: Mutex::default(),
+        }
     }
 
     /// Version in force.
@@ -52,12 +62,19 @@
         self.telemetry.emit(Event::VersionActivated { version, routes, secrets });
     }
 
-    /// Hands the endpoints of the services that local callers use to the request path.
-    pub(crate) fn set_endpoints(&self, records: Vec<EndpointRecord>) {
-        let count = records.len();
-        self.proxy.set_endpoints(records);
-        self.telemetry.metrics().set_endpoints(count);
-        self.telemetry.emit(Event::EndpointsChanged { count: count as u64 });
+    /// Takes the records that have changed and hands all of them to the request path.
+    pub(crate) fn endpoints_changed(&self, changed: Vec<EndpointRecord>) {
+        let mut records = self.records.lock();
+        self.telemetry.emit(Event::EndpointsChanged { count: changed.len() as u64 });
+        for record in changed {
+            if record.status == EndpointStatus::Gone {
+                records.remove(&record.node);
+            } else {
+                records.insert(record.node.clone(), record);
+            }
+        }
+        self.telemetry.metrics().set_endpoints(records.len());
+        self.proxy.set_endpoints(records.values().cloned().collect());
     }
 
     fn failed(&self, version: Version, reason: String) {
--- a/crates/node/src/overlay/message_kind.rs
+++ b/crates/node/src/overlay/message_kind.rs
@@ -25,6 +25,7 @@
         PeerMessage::Positions(_) => "positions",
         PeerMessage::Heartbeat { .. } => "heartbeat",
         PeerMessage::Synced => "synced",
+        PeerMessage::Leaving => "leaving",
         PeerMessage::Unknown => "unknown",
     }
 }
--- a/crates/node/src/overlay/outputs.rs
+++ b/crates/node/src/overlay/outputs.rs
@@ -24,7 +24,7 @@
                 }
             }
             Output::Activate { version, snapshot } => self.activation.activate(version, &snapshot),
-            Output::Endpoints(records) => self.activation.set_endpoints(records),
+            Output::Endpoints(records) => self.activation.endpoints_changed(records),
             Output::WakeAt(at) => {
                 let instant = self.environment.clock().instant(at);
                 self.wake.set(instant, &self.context.actor);
--- a/crates/umberpond/tests/whole_path.rs
+++ b/crates/umberpond/tests/whole_path.rs
@@ -131,7 +131,7 @@
          seal_key = \"{shop_key}\"\n\
          [[secret]]\nname = \"token\"\nreaders = [\"shop\"]\nenvironment = \"STORE_TOKEN\"\n\
          [[route]]\nname = \"pages\"\nservice = \"web\"\ncallers = [\"shop\"]\npath_prefix = \"/work\"\n\
-         class = \"status\"\nidempotent = true\ntimeout = \"5s\"\n\
+         class = \"status\"\nidempotent = true\ntimeout_millis = 5000\n\
          credentials = [{{ header = \"authorization\", secret = \"token\" }}]\n"
     );
     fs::create_dir_all(directory).expect("the bundle's directory can be made");
