--- a/crates/node/src/admin/bundles.rs
+++ b/crates/node/src/admin/bundles.rs
@@ -3,9 +3,9 @@
 use bytes::Bytes;
 use http::StatusCode;
 use umberpond_acceptance::chain::WholeConfiguration;
-use umberpond_acceptance::{ChainError, Change, Resolution, SubmitError};
+use umberpond_acceptance::{Abandonment, ChainError, Change, Resolution, SubmitError};
 use umberpond_config::Bundle;
-use umberpond_model::{BundleName, SubmissionId};
+use umberpond_model::{BundleName, SubmissionId, Version};
 use umberpond_telemetry::Event;
 
 use super::api::{ServiceSealKey, SubmissionName, SubmissionResult};
@@ -100,15 +100,31 @@
         Resolution::Accepted(version) => {
             Answer::json(StatusCode::OK, &SubmissionResult::Accepted { submission, version })
         }
-        Resolution::NotAccepted(version) => {
-            let reason = format!("it was given up at version {version}");
-            let result = SubmissionResult::NotAccepted { submission, retry_after_millis: 0, reason };
-            Answer::json(StatusCode::OK, &result)
-        }
+        Resolution::NotAccepted(version) => given_up(submission, version),
         Resolution::Unknown => unknown(submission),
     }
 }
 
+/// Gives a submission up for good, unless it was accepted before.
+pub(super) async fn abandon(shared: &NodeShared, submission: SubmissionId) -> Answer {
+    match shared.acceptor.abandon(submission).await {
+        Ok(Abandonment::AlreadyAccepted(version)) => {
+            Answer::json(StatusCode::OK, &SubmissionResult::Accepted { submission, version })
+        }
+        Ok(Abandonment::Abandoned(version)) => given_up(submission, version),
+        Err(SubmitError::NotAccepted { retry_after, .. }) => {
+            unknown(submission).retry_after(retry_after.as_secs().max(UNKNOWN_RETRY_SECONDS))
+        }
+        Err(_) => unknown(submission),
+    }
+}
+
+fn given_up(submission: SubmissionId, version: Version) -> Answer {
+    let reason = format!("it was given up at version {version}");
+    let result = SubmissionResult::NotAccepted { submission, retry_after_millis: 0, reason };
+    Answer::json(StatusCode::OK, &result)
+}
+
 /// The newest accepted configuration, read from the platform.
 async fn newest(shared: &NodeShared) -> Result<Option<WholeConfiguration>, ChainError> {
     let chain = shared.acceptor.chain();
--- a/crates/node/src/admin/routes.rs
+++ b/crates/node/src/admin/routes.rs
@@ -36,6 +36,7 @@
             (&Method::GET, ["v1", "configuration"]) => bundles::configuration(&self.shared).await,
             (&Method::GET, ["v1", "recording"]) => Answer::bytes(self.shared.recording.export()),
             (&Method::GET, ["v1", "submissions", id]) => self.resolve(id).await,
+            (&Method::DELETE, ["v1", "submissions", id]) => self.abandon(id).await,
             (&Method::PUT, ["v1", "bundles", name]) => self.submit(head, name, Some(body)).await,
             (&Method::DELETE, ["v1", "bundles", name]) => self.submit(head, name, None).await,
             (_, ["livez" | "readyz" | "metrics"])
@@ -68,6 +69,13 @@
         }
     }
 
+    async fn abandon(&self, id: &str) -> Answer {
+        match id.parse() {
+            Ok(submission) => bundles::abandon(&self.shared, submission).await,
+            Err(_) => Answer::refusal(StatusCode::BAD_REQUEST, NOT_AN_ID),
+        }
+    }
+
     async fn submit(&self, head: &Parts, name: &str, body: Option<Bytes>) -> Answer {
         let bundle = match BundleName::new(name) {
             Ok(bundle) => bundle,
--- a/crates/node/src/admin/server.rs
+++ b/crates/node/src/admin/server.rs
@@ -33,8 +33,8 @@
 /// Largest request head, in bytes.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 
-/// Largest request body, in bytes: a bundle with room to spare.
-const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+/// Largest request body, in bytes: the largest bundle that is accepted, with room to spare.
+const MAX_BODY_BYTES: usize = 5 * 1024 * 1024;
 
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
--- a/crates/umberpond/src/cli/flags.rs
+++ b/crates/umberpond/src/cli/flags.rs
@@ -96,6 +96,8 @@
         cmd submission {
             /// Its identifier, as `apply` printed it.
             required id: String
+            /// Give it up for good, unless it was accepted before.
+            optional --abandon
             /// Admin address of a node.
             optional --node address: SocketAddr
             /// Print the result as JSON.
--- a/crates/umberpond/src/cli/mod.rs
+++ b/crates/umberpond/src/cli/mod.rs
@@ -5,6 +5,7 @@
 mod check;
 mod exit;
 mod flags;
+mod help;
 mod keygen;
 mod node;
 mod output;
@@ -25,7 +26,8 @@
     let flags = match flags::Umberpond::from_env() {
         Ok(flags) => flags,
         Err(error) if error.is_help() => {
-            println!("{error}");
+            let subcommand = std::env::args().nth(1);
+            output::print_line(&help::help_for(&error.to_string(), subcommand.as_deref()));
             return Exit::Ok;
         }
         Err(error) => {
--- a/crates/umberpond/src/cli/output.rs
+++ b/crates/umberpond/src/cli/output.rs
@@ -1,5 +1,7 @@
 //! Prints results: as JSON on standard output, or as text.
 
+use std::io::Write;
+
 use serde::Serialize;
 
 /// Form of a result.
@@ -19,7 +21,7 @@
     /// Prints `result`, as JSON or as the text that `text` makes of it.
     pub(super) fn print<T: Serialize>(self, result: &T, text: impl FnOnce(&T) -> String) {
         match self {
-            Self::Text => println!("{}", text(result)),
+            Self::Text => print_line(&text(result)),
             Self::Json => print_json(result),
         }
     }
@@ -36,10 +38,15 @@
     }
 }
 
+/// Prints a text and the end of its line. Whoever read standard output may have gone, which is no failure.
+pub(super) fn print_line(text: &str) {
+    let _ = writeln!(std::io::stdout(), "{text}");
+}
+
 /// Prints one line of JSON.
 pub(super) fn print_json(result: &impl Serialize) {
     match serde_json::to_string(result) {
-        Ok(line) => println!("{line}"),
+        Ok(line) => print_line(&line),
         Err(error) => eprintln!("the result can't be written as JSON: {error}"),
     }
 }
--- a/crates/umberpond/src/cli/replay.rs
+++ b/crates/umberpond/src/cli/replay.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 use umberpond_node::recording::{RecordingFile, Replay, ReplayStep};
 
-use super::output::{Format, print_json};
+use super::output::{Format, print_json, print_line};
 use super::{Exit, flags};
 
 /// Settings of `umberpond replay`.
@@ -45,12 +45,12 @@
             print_json(self);
             return;
         }
-        println!("{:>10} ms  {}", self.at_millis, self.input);
+        print_line(&format!("{:>10} ms  {}", self.at_millis, self.input));
         for decision in &self.decisions {
-            println!("               -> {decision}");
+            print_line(&format!("               -> {decision}"));
         }
         if !self.agrees {
-            println!("               !! the daemon decided otherwise");
+            print_line("               !! the daemon decided otherwise");
         }
     }
 }
@@ -77,7 +77,8 @@
 fn replay(recording: RecordingFile, settings: &ReplaySettings) -> Exit {
     if settings.format == Format::Text {
         let end = if recording.is_truncated { "; it was full, so later inputs are missing" } else { "" };
-        println!("{}: {} inputs{end}", recording.header.node(), recording.entries.len());
+        let count = recording.entries.len();
+        print_line(&format!("{}: {count} inputs{end}", recording.header.node()));
     }
     let mut disagreements = 0;
     for step in Replay::new(recording) {
--- a/crates/umberpond/src/cli/submission.rs
+++ b/crates/umberpond/src/cli/submission.rs
@@ -14,6 +14,7 @@
 /// Settings of `umberpond submission`.
 pub(super) struct SubmissionSettings {
     id: String,
+    method: Method,
     client: AdminClient,
     format: Format,
 }
@@ -21,7 +22,8 @@
 impl From<flags::Submission> for SubmissionSettings {
     fn from(flags: flags::Submission) -> Self {
         let client = AdminClient::new(flags.node);
-        Self { id: flags.id, client, format: Format::from_flag(flags.json) }
+        let method = if flags.abandon { Method::DELETE } else { Method::GET };
+        Self { id: flags.id, method, client, format: Format::from_flag(flags.json) }
     }
 }
 
@@ -33,7 +35,7 @@
     };
     runtime::block_on(async {
         let path = format!("/v1/submissions/{submission}");
-        let answer = settings.client.send(Method::GET, &path, Bytes::new()).await;
+        let answer = settings.client.send(settings.method.clone(), &path, Bytes::new()).await;
         match answer.and_then(|answer| read_result(&settings.client, &answer)) {
             Ok(result) => tell(settings.format, SubmissionOutput { result, progress: None }),
             Err(error) => {
--- a/crates/umberpond/tests/commands.rs
+++ b/crates/umberpond/tests/commands.rs
@@ -13,7 +13,9 @@
     {
         let help = umberpond(&[command, "--help"]).await;
         assert_eq!(help.status.code(), Some(0), "{command}");
-        assert!(!help.stdout.is_empty(), "{command}");
+        let text = String::from_utf8(help.stdout).expect("text");
+        assert!(text.starts_with(&format!("umberpond {command}\n")), "{text}");
+        assert_eq!(text.matches("umberpond keygen\n").count(), usize::from(command == "keygen"), "{text}");
     }
     assert_eq!(umberpond(&["--help"]).await.status.code(), Some(0));
     assert_eq!(umberpond(&["nonsense"]).await.status.code(), Some(2));
@@ -21,6 +23,20 @@
     assert_eq!(umberpond(&["submission", "not-hex"]).await.status.code(), Some(2));
 }
 
+#[tokio::test]
+async fn every_flag_of_the_node_is_in_the_operators_page() {
+    let page = fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/OPERATING.md"))
+        .expect("the page can be read");
+    let help = umberpond(&["node", "--help"]).await;
+    let help = String::from_utf8(help.stdout).expect("text");
+    let words = help.split_whitespace().map(|word| word.trim_end_matches([',', '.']));
+    let flags: Vec<&str> = words.filter(|word| word.starts_with("--") && *word != "--help").collect();
+    assert!(flags.len() > 15, "{flags:?}");
+    for flag in flags {
+        assert!(page.contains(&format!("`{flag}`")), "{flag} is missing in docs/OPERATING.md");
+    }
+}
+
 #[tokio::test]
 async fn keygen_prints_the_public_key_only_and_overwrites_nothing() {
     let file = directory("keygen").join("private.key");
--- a/crates/umberpond/tests/operations.rs
+++ b/crates/umberpond/tests/operations.rs
@@ -41,6 +41,12 @@
     assert_eq!(plan.status.code(), Some(0), "{plan:?}");
     assert!(json(&plan)["routes"].is_object());
 
+    let abandoned = umberpond(&["submission", "abc", "--abandon", "--node", &admin, "--json"]).await;
+    assert_eq!((abandoned.status.code(), &json(&abandoned)["result"]), (Some(3), &"not-accepted".into()));
+    let late = ["apply", "store", path(&bundle), "--submission", "abc", "--node", &admin, "--json"];
+    let late = umberpond_with(&late, &environment).await;
+    assert_eq!(late.status.code(), Some(1), "what was given up is never accepted: {late:?}");
+
     // What is not in force can't be withdrawn.
     let refused = umberpond(&["withdraw", "ghost", "--node", &admin, "--json"]).await;
     assert_eq!((refused.status.code(), &json(&refused)["result"]), (Some(1), &"conflict".into()));
