--- a/crates/overlay/tests/support/world.rs
+++ b/crates/overlay/tests/support/world.rs
@@ -204,6 +204,8 @@
         node.record.sequence = 0;
         node.record.status = EndpointStatus::Ready;
         node.known.clear();
+        node.frozen = false;
+        node.waiting.clear();
         let callers = BTreeSet::from([content::service_name(node.service)]);
         let mut config = OverlayConfig::new(seeds, callers);
         config.limits = limits;
@@ -378,6 +380,17 @@
         }
     }
 
+    /// Prints what mistaken callers know, if `OVERLAY_TRACE` is set.
+    pub fn trace_records(&self, wrong: &[(NodeName, NodeName)]) {
+        if std::env::var_os("OVERLAY_TRACE").is_none() {
+            return;
+        }
+        for (caller, target) in wrong {
+            let known = self.nodes[caller].known.get(target);
+            eprintln!("{caller} knows {known:?} of {target}, which is {:?}", self.nodes[target].record);
+        }
+    }
+
     pub fn trace_digest(&self) -> String {
         self.trace.finalize().to_hex().to_string()
     }
