--- a/crates/admission/src/refusal.rs
+++ b/crates/admission/src/refusal.rs
@@ -27,8 +27,9 @@
     /// The request, or another with the same key, was admitted here before or is waiting here.
     #[error("the request was admitted here already")]
     Duplicate,
-    /// The request was first sent before the time since which this gate remembers everything.
-    #[error("the request is older than the duplicate window")]
+    /// The gate can't tell that the request is new: it was first sent before the time since which the gate remembers
+    /// everything, or the duplicate window is full of recent requests, so that this one can't be remembered.
+    #[error("the request is outside what the duplicate window holds")]
     TooOld,
 }
 
@@ -44,7 +45,8 @@
 
 impl Refusal {
     /// Whether it is known that the request did not run, so that it may be called "rejected before execution".
-    /// A duplicate's first arrival may have run, and so may a forgotten one's.
+    /// A duplicate's first arrival may have run, and so may a forgotten one's; and a refusal that isn't remembered can't
+    /// keep a late copy from running.
     #[must_use]
     pub const fn proves_not_executed(&self) -> bool {
         !matches!(self.reason, RefusalReason::Duplicate | RefusalReason::TooOld)
