Name the overlay's newer messages in one place

The daemon's table is now public and the simulation uses it. Ruled out: a wildcard arm, which would hide the next new message.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,6 +20,7 @@
 mod tasks;
 
 pub use environment::Environment;
+pub use overlay::message_kind;
 pub use running::RunningNode;
 pub use settings::NodeConfig;
 pub use shared::NodeAddresses;
--- a/crates/node/src/overlay/message_kind.rs
+++ b/crates/node/src/overlay/message_kind.rs
@@ -3,7 +3,8 @@
 use umberpond_overlay::PeerMessage;
 
 /// Name of the kind of `message`.
-pub(crate) const fn message_kind(message: &PeerMessage) -> &'static str {
+#[must_use]
+pub const fn message_kind(message: &PeerMessage) -> &'static str {
     match message {
         PeerMessage::Hello(_) => "hello",
         PeerMessage::Welcome(_) => "welcome",
@@ -25,6 +26,9 @@
         PeerMessage::Positions(_) => "positions",
         PeerMessage::Heartbeat { .. } => "heartbeat",
         PeerMessage::Synced => "synced",
+        PeerMessage::Colleagues(_) => "colleagues",
+        PeerMessage::RollCall { .. } => "roll-call",
+        PeerMessage::Present(_) => "present",
         PeerMessage::Leaving => "leaving",
         PeerMessage::Unknown => "unknown",
     }
--- a/crates/node/src/overlay/mod.rs
+++ b/crates/node/src/overlay/mod.rs
@@ -20,7 +20,7 @@
 use umberpond_overlay::{OverlayStatus, PeerMessage};
 
 pub(crate) use actor::{OverlayActor, OverlayArguments};
-pub(crate) use message_kind::message_kind;
+pub use message_kind::message_kind;
 
 use crate::platform::PlatformMessage;
 
--- a/testing/sim/src/scale/measure.rs
+++ b/testing/sim/src/scale/measure.rs
@@ -5,6 +5,7 @@
 
 use hdrhistogram::Histogram;
 use umberpond_model::{EndpointRecord, EndpointStatus, Incarnation, Millis, NodeName, Timestamp, Version};
+use umberpond_node::message_kind;
 use umberpond_overlay::{PeerMessage, Update};
 
 use super::hollow::{ByteMeter, HollowNode};
@@ -164,7 +165,7 @@
     }
 
     pub(super) fn sent(&mut self, message: &PeerMessage, bytes: u64) {
-        let count = self.messages.entry(kind_of(message)).or_default();
+        let count = self.messages.entry(message_kind(message)).or_default();
         count.messages += 1;
         count.bytes += bytes;
     }
@@ -188,32 +189,3 @@
 fn encoded_size(message: &PeerMessage) -> u64 {
     bitcode::encode(message).len() as u64
 }
-
-/// Name of a message's kind.
-fn kind_of(message: &PeerMessage) -> &'static str {
-    match message {
-        PeerMessage::Hello(_) => "hello",
-        PeerMessage::Welcome(_) => "welcome",
-        PeerMessage::Refuse(_) => "refuse",
-        PeerMessage::Placement(_) => "placement",
-        PeerMessage::Interest(_) => "interest",
-        PeerMessage::Update(update) if update.transfer.is_none() => "update-endpoints",
-        PeerMessage::Update(_) => "update-transfer",
-        PeerMessage::Advance { .. } => "advance",
-        PeerMessage::Acknowledge { .. } => "acknowledge",
-        PeerMessage::RequestTransfer { .. } => "request-transfer",
-        PeerMessage::Busy { .. } => "busy",
-        PeerMessage::Report(_) => "report",
-        PeerMessage::Summary(_) => "summary",
-        PeerMessage::ReaderState(_) => "reader-state",
-        PeerMessage::FloorQuestion { .. } => "floor-question",
-        PeerMessage::FloorProof { .. } => "floor-proof",
-        PeerMessage::Witness(_) => "witness",
-        PeerMessage::Digests(_) => "digests",
-        PeerMessage::Positions(_) => "positions",
-        PeerMessage::Leaving => "leaving",
-        PeerMessage::Heartbeat { .. } => "heartbeat",
-        PeerMessage::Synced => "synced",
-        PeerMessage::Unknown => "unknown",
-    }
-}
