--- a/testing/sim/src/cluster/run.rs
+++ b/testing/sim/src/cluster/run.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::runtime::Builder;
 use tokio::sync::Mutex;
 use tokio::time::{Instant, sleep};
 use umberpond_model::{ContentHash, Millis, SubmissionId, Version};
@@ -36,6 +37,8 @@
 const HEAD_LOOK: Duration = Duration::from_millis(1);
 /// Lag of the platform's machine list.
 const MACHINE_LAG_MILLIS: u64 = 3_000;
+/// Load of a run without faults.
+const SHORTEST_LOAD: Millis = Millis(10_000);
 /// Time after the load ends in which the last requests end.
 const LOAD_TAIL: Millis = Millis(9_000);
 
@@ -67,11 +70,12 @@
 /// If the runtime can't be built or a stand-in can't start, which would void the verdict.
 #[must_use]
 pub fn run(options: &RunOptions) -> RunReport {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_time()
-        .start_paused(true)
-        .build()
-        .expect("a runtime without I/O can be built");
+    let mut builder = Builder::new_current_thread();
+    builder.enable_time().start_paused(true);
+    // tokio draws which waiter of a watch is woken first; without this those draws are not the seed's.
+    #[cfg(tokio_unstable)]
+    builder.rng_seed(tokio::runtime::RngSeed::from_bytes(&options.seed.to_le_bytes()));
+    let runtime = builder.build().expect("a runtime without I/O can be built");
     runtime.block_on(run_inside(options))
 }
 
@@ -88,7 +92,7 @@
 
     let calls_begun_at = recorder.now();
     let edge = cluster.places.last().expect("the layout has an edge");
-    let load_time = Millis(options.schedule.end().0 + SETTLE.0 - LOAD_TAIL.0);
+    let load_time = Millis(options.schedule.end().0.max(SHORTEST_LOAD.0) + SETTLE.0 - LOAD_TAIL.0);
     let caller_network = cluster.surroundings.host(layout::CALLER_HOST);
     let calls = callers::start(caller_network, edge, options.seed, load_time);
     let faults =
--- a/testing/sim/src/network/stream.rs
+++ b/testing/sim/src/network/stream.rs
@@ -65,8 +65,8 @@
     write_link: Arc<LinkState>,
     delivery: Option<Pin<Box<Sleep>>>,
     opening: Option<Waiting>,
-    killed: watch::Receiver<bool>,
     killed_signal: Waiting,
+    is_reset: bool,
 }
 
 impl std::fmt::Debug for SimStream {
@@ -103,7 +103,7 @@
         delivery: None,
         opening: None,
         killed_signal: either_killed(&caller_killed, &callee_killed),
-        killed: caller_killed.clone(),
+        is_reset: false,
     };
     let far = SimStream {
         read: forth_pipe,
@@ -113,7 +113,7 @@
         delivery: None,
         opening: None,
         killed_signal: either_killed(&callee_killed, &caller_killed),
-        killed: callee_killed,
+        is_reset: false,
     };
     (near, far)
 }
@@ -121,7 +121,9 @@
 impl SimStream {
     /// Whether either side's process was killed.
     fn poll_reset(&mut self, context: &mut Context<'_>) -> bool {
-        *self.killed.borrow() || self.killed_signal.as_mut().poll(context).is_ready()
+        // A future must not be polled again once it has ended.
+        self.is_reset = self.is_reset || self.killed_signal.as_mut().poll(context).is_ready();
+        self.is_reset
     }
 
     /// Waits for the front chunk's time of delivery and for an open link.
