Name the new messages of the overlay in metrics

The overlay's links between readers brought three kinds of message, and the table of their names, which is exhaustive on purpose so that no kind is counted under a wrong name, no longer compiled (error E0004). The three are named. A catch-all arm was ruled out, since it would hide the next one.

--- a/crates/node/src/overlay/message_kind.rs
+++ b/crates/node/src/overlay/message_kind.rs
@@ -26,6 +26,9 @@
         PeerMessage::Heartbeat { .. } => "heartbeat",
         PeerMessage::Synced => "synced",
         PeerMessage::Leaving => "leaving",
+        PeerMessage::Colleagues(_) => "colleagues",
+        PeerMessage::RollCall { .. } => "roll-call",
+        PeerMessage::Present(_) => "present",
         PeerMessage::Unknown => "unknown",
     }
 }
