--- a/crates/node/src/overlay/message_kind.rs
+++ b/crates/node/src/overlay/message_kind.rs
@@ -30,9 +30,6 @@
         PeerMessage::RollCall { .. } => "roll-call",
         PeerMessage::Present(_) => "present",
         PeerMessage::Leaving => "leaving",
-        PeerMessage::Colleagues(_) => "colleagues",
-        PeerMessage::RollCall { .. } => "roll-call",
-        PeerMessage::Present(_) => "present",
         PeerMessage::Unknown => "unknown",
     }
 }
--- a/crates/node/src/platform/head_reads.rs
+++ b/crates/node/src/platform/head_reads.rs
@@ -10,11 +10,12 @@
 use umberpond_acceptance::chain::HeadSeen;
 use umberpond_model::{Nonce, Version};
 use umberpond_overlay::interface::PlatformEvent;
-use umberpond_platform::{Backoff, BackoffSettings};
+use umberpond_platform::Backoff;
 use umberpond_telemetry::Event;
 
 use super::PlatformMessage;
 use super::actor::PlatformContext;
+use super::backoff::PLATFORM_BACKOFF;
 
 /// Questions kept while the platform does not answer; the oldest are dropped, since the overlay asks again.
 const MAX_QUESTIONS: usize = 64;
@@ -37,7 +38,7 @@
             waiting: VecDeque::new(),
             asked: VecDeque::new(),
             task: None,
-            backoff: Backoff::new(BackoffSettings::default()),
+            backoff: Backoff::new(PLATFORM_BACKOFF),
         }
     }
 
--- a/crates/node/src/platform/lease.rs
+++ b/crates/node/src/platform/lease.rs
@@ -6,10 +6,11 @@
 use tokio::time::{Instant, sleep, sleep_until};
 use umberpond_model::{Locality, NodeName};
 use umberpond_overlay::interface::PlatformEvent;
-use umberpond_platform::{Backoff, BackoffSettings, LeaseAnswer, PlatformError};
+use umberpond_platform::{Backoff, LeaseAnswer, PlatformError};
 use umberpond_telemetry::Event;
 
 use super::actor::PlatformContext;
+use super::backoff::PLATFORM_BACKOFF;
 use super::{maintenance, reader_address};
 use crate::admin::api::ReaderAddress;
 
@@ -45,7 +46,7 @@
 
 /// Acquires one of the zone's leases and renews it until it is refused or lapses. Ends with `LeaseLost`.
 pub(super) async fn hold(context: PlatformContext, lease: ReaderLease, mut rng: ChaCha8Rng) {
-    let mut backoff = Backoff::new(BackoffSettings::default());
+    let mut backoff = Backoff::new(PLATFORM_BACKOFF);
     let held = loop {
         match acquire_any(&context, &lease).await {
             Ok(held) => break held,
--- a/crates/node/src/platform/machines.rs
+++ b/crates/node/src/platform/machines.rs
@@ -9,12 +9,11 @@
 use tokio::time::sleep;
 use umberpond_model::Member;
 use umberpond_overlay::interface::{Machine, PlatformEvent};
-use umberpond_platform::{
-    Backoff, BackoffSettings, MachineEntry, ObjectKind, ObjectStore, PlatformClient, Revision,
-};
+use umberpond_platform::{Backoff, MachineEntry, ObjectKind, ObjectStore, PlatformClient, Revision};
 use umberpond_telemetry::Event;
 
 use super::actor::PlatformContext;
+use super::backoff::PLATFORM_BACKOFF;
 
 /// Time in which several changes of the list become one read.
 const SETTLE_TIME: Duration = Duration::from_millis(500);
@@ -47,7 +46,7 @@
 
 /// Tells the overlay the machine list and each change of it, until the task is ended.
 pub(super) async fn follow(context: PlatformContext, mut rng: ChaCha8Rng) {
-    let mut backoff = Backoff::new(BackoffSettings::default());
+    let mut backoff = Backoff::new(PLATFORM_BACKOFF);
     loop {
         if follow_once(&context).await.is_some() {
             backoff.reset();
--- a/crates/node/src/platform/mod.rs
+++ b/crates/node/src/platform/mod.rs
@@ -4,6 +4,7 @@
 //! learns; the actor starts and ends these tasks.
 
 mod actor;
+mod backoff;
 mod head_reads;
 mod lease;
 mod machines;
