Change the witness set only after its last change is committed

An acceptor chose witnesses anew at each version, whether or not the last change was committed; and a whole transfer named the set of the version just before as the previous one, which after one more version is the present set.

Now each record carries the version that changed the set last and the set before that change, copied forward, so that a reader needs one record and no walk. The acceptor asks its node for the commit index and keeps the set until that version is reached; `propose_witnesses` says so with an answer of its own. A walk back along the chain was ruled out, since the last change may be collected or thousands of versions away. The node hands in the version in force, which is never above the commit index. The test of the head watch that demanded the present set as the previous one held the wrong rule; it now demands the true previous set (none) and the version of the last change.

The tests of overlay, sim and node were compiled, not run.

--- a/crates/acceptance/src/acceptor.rs
+++ b/crates/acceptance/src/acceptor.rs
@@ -9,13 +9,14 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::sync::Semaphore;
 use tokio::time::{Instant, timeout_at};
-use umberpond_model::{BundleName, SubmissionId};
+use umberpond_model::{BundleName, NodeName, SubmissionId, Version};
 use umberpond_platform::{BackoffSettings, ObjectStore};
 
 use crate::attempt::Attempt;
 use crate::base::BaseCache;
 use crate::chain::{ChainReader, Search};
 use crate::prepare::Request;
+use crate::witness_history::WitnessHistory;
 use crate::{
     Abandonment, Accepted, Change, NotAcceptedReason, Resolution, Step, SubmitError, WitnessCandidates,
     WitnessProposal, choose_witnesses,
@@ -24,6 +25,9 @@
 /// Wall-clock time in milliseconds since the Unix epoch. Written into records for people; decides nothing.
 pub type UnixClock = Arc<dyn Fn() -> u64 + Send + Sync>;
 
+/// The commit index as far as this node knows it. It may lag behind, but must never be ahead of the truth.
+pub type CommitIndex = Arc<dyn Fn() -> Version + Send + Sync>;
+
 /// Limits of an acceptor.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AcceptorSettings {
@@ -58,6 +62,9 @@
     pub store: Arc<dyn ObjectStore>,
     /// The machines from which witnesses are chosen.
     pub candidates: Arc<dyn WitnessCandidates>,
+    /// The commit index known here. While it is lower than the version that changed the witness set last, the
+    /// set stays as it is; a value that lags delays a change and does no other harm.
+    pub commit_index: CommitIndex,
     /// Wall clock for the records.
     pub unix_millis: UnixClock,
     /// Seed of the jitter.
@@ -68,6 +75,7 @@
 pub(crate) struct Shared {
     pub(crate) chain: ChainReader,
     pub(crate) candidates: Arc<dyn WitnessCandidates>,
+    pub(crate) commit_index: CommitIndex,
     pub(crate) unix_millis: UnixClock,
     pub(crate) settings: AcceptorSettings,
     pub(crate) rng: Mutex<ChaCha8Rng>,
@@ -75,6 +83,17 @@
     places: Semaphore,
 }
 
+impl Shared {
+    /// The witnesses of the version after the one that `history` speaks of.
+    pub(crate) fn next_witnesses(&self, history: &WitnessHistory) -> Vec<NodeName> {
+        if history.may_change((self.commit_index)()) {
+            choose_witnesses(&self.candidates.candidates(), &history.current)
+        } else {
+            history.current.clone()
+        }
+    }
+}
+
 /// Accepts submissions. Cheap to clone; clones share their limits and caches.
 #[derive(Clone)]
 pub struct Acceptor {
@@ -97,6 +116,7 @@
         let shared = Shared {
             chain: ChainReader::new(context.store),
             candidates: context.candidates,
+            commit_index: context.commit_index,
             unix_millis: context.unix_millis,
             settings,
             rng: Mutex::new(ChaCha8Rng::seed_from_u64(context.seed)),
@@ -143,31 +163,34 @@
         }
     }
 
-    /// Appends a version with new witnesses if the present ones are not what [`choose_witnesses`] chooses.
+    /// Appends a version with new witnesses if the present ones are not what [`choose_witnesses`] chooses, and
+    /// the version that changed them last is committed.
     ///
     /// # Errors
     /// Returns [`SubmitError`] as a submission does.
     pub async fn propose_witnesses(&self, submission: SubmissionId) -> Result<WitnessProposal, SubmitError> {
-        if self.witnesses_are_right().await {
-            return Ok(WitnessProposal::Unchanged);
+        if let Some(history) = self.read_witnesses().await {
+            let chosen = choose_witnesses(&self.shared.candidates.candidates(), &history.current);
+            if chosen == history.current {
+                return Ok(WitnessProposal::Unchanged);
+            }
+            if !history.may_change((self.shared.commit_index)()) {
+                return Ok(WitnessProposal::LastChangeNotCommitted(history.since));
+            }
         }
         let accepted = self.settle(submission, &Request::Witnesses).await?;
         Ok(WitnessProposal::Accepted(Box::new(accepted)))
     }
 
-    /// Whether the head could be read and needs no other witnesses.
-    async fn witnesses_are_right(&self) -> bool {
+    /// The witnesses of the head; `None` if it can't be read within the deadline.
+    async fn read_witnesses(&self) -> Option<WitnessHistory> {
         let deadline = Instant::now() + self.shared.settings.deadline;
         let read = async {
             let seen = self.shared.chain.read_head().await.ok()??;
             self.shared.chain.read_record(seen.head.record).await.ok()
         };
-        let Ok(Some(object)) = timeout_at(deadline, read).await else {
-            return false;
-        };
-        let present = &object.record.witnesses;
-        let chosen = choose_witnesses(&self.shared.candidates.candidates(), present);
-        same_nodes(&chosen, present)
+        let object = timeout_at(deadline, read).await.ok()??;
+        Some(WitnessHistory::of(Some(&object.record)))
     }
 
     /// Looks a submission up in the chain, without changing anything.
@@ -205,7 +228,3 @@
         Attempt::new(&self.shared, submission, request).run().await
     }
 }
-
-fn same_nodes(one: &[umberpond_model::NodeName], other: &[umberpond_model::NodeName]) -> bool {
-    one.len() == other.len() && one.iter().all(|node| other.contains(node))
-}
--- a/crates/acceptance/src/attempt.rs
+++ b/crates/acceptance/src/attempt.rs
@@ -25,9 +25,8 @@
 use crate::chain::{HeadSeen, Search};
 use crate::prepare::{Circumstances, PrepareError, Prepared, Request, prepare};
 use crate::swap::{swap_head, write_content};
-use crate::{
-    Accepted, ChainError, NotAcceptedReason, RecordObject, Step, SubmitError, Winner, choose_witnesses,
-};
+use crate::witness_history::WitnessHistory;
+use crate::{Accepted, ChainError, NotAcceptedReason, RecordObject, Step, SubmitError, Winner};
 
 /// Wait told to the operator where the platform names none.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -200,8 +199,9 @@
     }
 
     fn prepare(&self, base: &Base) -> Result<Prepared, SubmitError> {
-        let previous = base.record.as_ref().map(|(_, object)| object.record.witnesses.as_slice());
-        let witnesses = choose_witnesses(&self.shared.candidates.candidates(), previous.unwrap_or_default());
+        let history = WitnessHistory::of(base.record.as_ref().map(|(_, object)| &object.record));
+        let chosen = self.shared.next_witnesses(&history);
+        let witnesses = history.followed_by(base.version().next(), chosen);
         let unix_millis = (self.shared.unix_millis)();
         let circumstances = Circumstances { submission: self.submission, witnesses, unix_millis };
         prepare(base, self.request, circumstances).map_err(|error| match error {
--- a/crates/acceptance/src/chain.rs
+++ b/crates/acceptance/src/chain.rs
@@ -43,7 +43,7 @@
 pub struct WholeConfiguration {
     /// The record.
     pub record: VersionRecord,
-    /// Witnesses of the version before; empty at the first version.
+    /// The last witness set that differs from the record's own; empty if none does. Copied from the record.
     pub previous_witnesses: Vec<NodeName>,
     /// The configuration.
     pub snapshot: Snapshot,
@@ -210,10 +210,7 @@
         if snapshot.content_hash() != object.record.snapshot {
             return Err(ChainError::SnapshotMismatch { version });
         }
-        let previous_witnesses = match object.record.previous {
-            Some(hash) => self.read_record(hash).await?.record.witnesses.clone(),
-            None => Vec::new(),
-        };
+        let previous_witnesses = object.record.previous_witnesses.clone();
         Ok(WholeConfiguration { record: object.record.clone(), previous_witnesses, snapshot })
     }
 
--- a/crates/acceptance/src/lib.rs
+++ b/crates/acceptance/src/lib.rs
@@ -17,9 +17,10 @@
 mod prepare;
 mod submission;
 mod swap;
+mod witness_history;
 mod witnesses;
 
-pub use acceptor::{Acceptor, AcceptorContext, AcceptorSettings, UnixClock};
+pub use acceptor::{Acceptor, AcceptorContext, AcceptorSettings, CommitIndex, UnixClock};
 pub use collect::{CollectError, CollectReport, CollectSettings, MIN_KEPT_VERSIONS, collect};
 pub use error::ChainError;
 pub use head_watch::{HeadChange, HeadWatch, HeadWatchSettings};
--- a/crates/acceptance/src/prepare.rs
+++ b/crates/acceptance/src/prepare.rs
@@ -4,11 +4,12 @@
 
 use bytes::Bytes;
 use umberpond_config::{Bundle, CheckReport, Delta, join};
-use umberpond_model::{BundleName, ContentHash, Head, NodeName, SubmissionId, Version, VersionRecord};
+use umberpond_model::{BundleName, ContentHash, Head, SubmissionId, Version, VersionRecord};
 
 use crate::base::Base;
 use crate::encoding::encode;
 use crate::objects::has_checkpoint;
+use crate::witness_history::WitnessHistory;
 use crate::{RecordObject, Step};
 
 /// What a submission asks for, with its content encoded once.
@@ -60,7 +61,7 @@
 /// Facts of one try that come from outside.
 pub(crate) struct Circumstances {
     pub(crate) submission: SubmissionId,
-    pub(crate) witnesses: Vec<NodeName>,
+    pub(crate) witnesses: WitnessHistory,
     pub(crate) unix_millis: u64,
 }
 
@@ -85,7 +86,9 @@
         manifest,
         delta,
         snapshot: next.snapshot.content_hash(),
-        witnesses: circumstances.witnesses,
+        witnesses: circumstances.witnesses.current,
+        witnesses_since: circumstances.witnesses.since,
+        previous_witnesses: circumstances.witnesses.previous,
         accepted_at_unix_millis: circumstances.unix_millis,
     };
     let checkpoint =
--- a/crates/acceptance/src/submission.rs
+++ b/crates/acceptance/src/submission.rs
@@ -144,6 +144,8 @@
 pub enum WitnessProposal {
     /// The witnesses are right as they are.
     Unchanged,
+    /// The witnesses should change, but this version changed them last and is not known here to be committed.
+    LastChangeNotCommitted(Version),
     /// A version with new witnesses was accepted.
     Accepted(Box<Accepted>),
 }
--- a/crates/acceptance/tests/head_watch.rs
+++ b/crates/acceptance/tests/head_watch.rs
@@ -75,7 +75,9 @@
         let mut watch = watch(platform.client(), held + 1);
         let HeadChange::Whole(whole) = watch.next().await else { panic!("not the whole") };
         assert_eq!(whole.record.version, Version(102));
-        assert_eq!(whole.previous_witnesses, whole.record.witnesses);
+        // The set has been the same since version 1; before that there was none.
+        assert_eq!(whole.previous_witnesses, []);
+        assert_eq!(whole.record.witnesses_since, Version(1));
         let nothing_more = timeout(Duration::from_secs(60), watch.next()).await;
         assert!(nothing_more.is_err());
     }
--- a/crates/acceptance/tests/over_http.rs
+++ b/crates/acceptance/tests/over_http.rs
@@ -8,6 +8,7 @@
 use support::{member, mesh, put, service};
 use umberpond_acceptance::chain::ChainReader;
 use umberpond_acceptance::{Acceptor, AcceptorContext, AcceptorSettings};
+use umberpond_model::Version;
 use umberpond_net::{Network, TcpNetwork};
 use umberpond_platform::{ClientSettings, GateLimits, ObjectStore, PlatformClient, PlatformGate};
 use umberpond_standins::platform::{FaultChange, Platform};
@@ -24,6 +25,7 @@
     let context = AcceptorContext {
         store: Arc::clone(&store),
         candidates: Arc::new(|| vec![member("n1", "a")]),
+        commit_index: Arc::new(|| Version::GENESIS),
         unix_millis: Arc::new(|| 1),
         seed: 1,
     };
--- a/crates/acceptance/tests/support/mod.rs
+++ b/crates/acceptance/tests/support/mod.rs
@@ -10,7 +10,7 @@
 use umberpond_acceptance::chain::ChainReader;
 use umberpond_acceptance::{Acceptor, AcceptorContext, AcceptorSettings, Change};
 use umberpond_config::{Bundle, Origin, RequestClass, Route, Service, Sourced};
-use umberpond_model::{BundleName, Locality, LocalityRule, Member, Millis, SubmissionId};
+use umberpond_model::{BundleName, Locality, LocalityRule, Member, Millis, SubmissionId, Version};
 use umberpond_platform::ObjectKind;
 use umberpond_platform::memory::{Fault, MemoryPlatform, MemoryStore, RequestNote, Verb};
 
@@ -66,9 +66,10 @@
 
 pub fn acceptor_with(store: MemoryStore, seed: u64, settings: AcceptorSettings) -> Acceptor {
     let candidates = || vec![member("n1", "a"), member("n2", "b"), member("n3", "c")];
+    let commit_index = Arc::new(|| Version(u64::MAX));
     let unix_millis = Arc::new(|| 1);
-    let context =
-        AcceptorContext { store: Arc::new(store), candidates: Arc::new(candidates), unix_millis, seed };
+    let candidates = Arc::new(candidates);
+    let context = AcceptorContext { store: Arc::new(store), candidates, commit_index, unix_millis, seed };
     Acceptor::new(context, settings)
 }
 
--- a/crates/acceptance/tests/witnesses.rs
+++ b/crates/acceptance/tests/witnesses.rs
@@ -4,13 +4,17 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
+use parking_lot::Mutex;
 use quickcheck::quickcheck;
-use support::{member, name, platform_with_mesh, reader};
+use support::{member, name, platform_with_mesh, put, reader, service};
+use umberpond_acceptance::chain::WholeConfiguration;
 use umberpond_acceptance::{
     Acceptor, AcceptorContext, AcceptorSettings, MAX_WITNESSES, WitnessProposal, choose_witnesses,
 };
-use umberpond_model::{Member, NodeName, SubmissionId};
+use umberpond_model::{Member, NodeName, SubmissionId, Version};
+use umberpond_platform::memory::MemoryPlatform;
 
 /// At most 40 nodes in at most 20 zones.
 fn members(zones: &[u8]) -> Vec<Member> {
@@ -57,28 +61,115 @@
     assert_eq!((chosen.len(), zones.len()), (15, 15));
 }
 
-#[tokio::test(start_paused = true)]
-async fn a_lost_witness_is_replaced_by_a_version_without_another_change() {
-    let platform = platform_with_mesh().await;
-    let proposer = |candidates: Vec<Member>| {
+/// Where the candidates and the commit index are what the test says at the moment.
+struct Cluster {
+    platform: MemoryPlatform,
+    candidates: Arc<Mutex<Vec<Member>>>,
+    commit_index: Arc<AtomicU64>,
+}
+
+impl Cluster {
+    /// The mesh is version 1, with witnesses n1, n2, n3.
+    async fn new() -> Self {
+        let platform = platform_with_mesh().await;
+        let cluster = Self { platform, candidates: Arc::default(), commit_index: Arc::default() };
+        cluster.has(["n1", "n2", "n3"]);
+        cluster
+    }
+
+    /// Only these nodes are left, one in each zone.
+    fn has(&self, nodes: [&str; 3]) {
+        let zones = nodes.iter().zip(["a", "b", "c"]);
+        *self.candidates.lock() = zones.map(|(node, zone)| member(node, zone)).collect();
+    }
+
+    fn commit(&self, version: u64) {
+        self.commit_index.store(version, Ordering::Relaxed);
+    }
+
+    fn acceptor(&self) -> Acceptor {
+        let candidates = Arc::clone(&self.candidates);
+        let commit_index = Arc::clone(&self.commit_index);
         let context = AcceptorContext {
-            store: Arc::new(platform.client()),
-            candidates: Arc::new(move || candidates.clone()),
+            store: Arc::new(self.platform.client()),
+            candidates: Arc::new(move || candidates.lock().clone()),
+            commit_index: Arc::new(move || Version(commit_index.load(Ordering::Relaxed))),
             unix_millis: Arc::new(|| 2),
             seed: 1,
         };
         Acceptor::new(context, AcceptorSettings::default())
-    };
-    let all = vec![member("n1", "a"), member("n2", "b"), member("n3", "c")];
-    let unchanged = proposer(all.clone()).propose_witnesses(SubmissionId(2)).await;
-    assert_eq!(unchanged, Ok(WitnessProposal::Unchanged));
-    let replaced = vec![member("n1", "a"), member("n2", "b"), member("n4", "c")];
-    let answer = proposer(replaced).propose_witnesses(SubmissionId(3)).await;
-    let Ok(WitnessProposal::Accepted(accepted)) = answer else { panic!("not accepted: {answer:?}") };
-    assert_eq!(accepted.record.witnesses, [name("n1"), name("n2"), name("n4")]);
-    let chain = reader(&platform);
+    }
+
+    async fn propose(&self, id: u128) -> WitnessProposal {
+        self.acceptor().propose_witnesses(SubmissionId(id)).await.expect("the platform answers")
+    }
+
+    /// An ordinary submission.
+    async fn put(&self, id: u32) {
+        put(&self.acceptor(), id.into(), "billing", service("billing", id)).await;
+    }
+
+    /// The head, read by a node that knows nothing of the chain before.
+    async fn whole(&self) -> WholeConfiguration {
+        let chain = reader(&self.platform);
+        let head = chain.read_head().await.expect("reads").expect("stands").head;
+        chain.read_whole(head.record).await.expect("reads")
+    }
+
+    async fn witnesses(&self) -> Vec<NodeName> {
+        self.whole().await.record.witnesses
+    }
+}
+
+fn nodes(names: [&str; 3]) -> Vec<NodeName> {
+    names.into_iter().map(name).collect()
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lost_witness_is_replaced_by_a_version_without_another_change() {
+    let cluster = Cluster::new().await;
+    cluster.commit(1);
+    assert_eq!(cluster.propose(2).await, WitnessProposal::Unchanged);
+    cluster.has(["n1", "n2", "n4"]);
+    let answer = cluster.propose(3).await;
+    let WitnessProposal::Accepted(accepted) = answer else { panic!("not accepted: {answer:?}") };
+    assert_eq!(accepted.record.witnesses, nodes(["n1", "n2", "n4"]));
+    let chain = reader(&cluster.platform);
     let head = chain.read_head().await.expect("reads").expect("stands").head;
     assert!(chain.read_step(&head, accepted.version).await.expect("reads").delta.is_empty());
-    let whole = chain.read_whole(head.record).await.expect("reads");
-    assert_eq!(whole.previous_witnesses, [name("n1"), name("n2"), name("n3")]);
+    assert_eq!(cluster.whole().await.previous_witnesses, nodes(["n1", "n2", "n3"]));
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_set_changes_only_once_its_last_change_is_committed() {
+    let cluster = Cluster::new().await;
+    cluster.has(["n1", "n2", "n4"]);
+    cluster.put(2).await;
+    assert_eq!(cluster.witnesses().await, nodes(["n1", "n2", "n3"]), "version 1 is not committed");
+    cluster.commit(1);
+    cluster.put(3).await;
+    assert_eq!(cluster.witnesses().await, nodes(["n1", "n2", "n4"]));
+    cluster.has(["n1", "n5", "n4"]);
+    cluster.commit(2);
+    cluster.put(4).await;
+    assert_eq!(cluster.witnesses().await, nodes(["n1", "n2", "n4"]), "version 3 is not committed");
+    assert_eq!(cluster.propose(5).await, WitnessProposal::LastChangeNotCommitted(Version(3)));
+    assert_eq!(cluster.whole().await.record.version, Version(4), "nothing was proposed");
+    cluster.commit(3);
+    assert!(matches!(cluster.propose(5).await, WitnessProposal::Accepted(_)));
+    assert_eq!(cluster.witnesses().await, nodes(["n1", "n4", "n5"]));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_reader_of_the_whole_gets_the_last_set_that_differed_however_long_ago() {
+    let cluster = Cluster::new().await;
+    cluster.commit(1);
+    assert_eq!(cluster.whole().await.previous_witnesses, Vec::<NodeName>::new());
+    cluster.has(["n1", "n2", "n4"]);
+    for id in 2..150 {
+        cluster.put(id).await;
+        assert_eq!(cluster.whole().await.previous_witnesses, nodes(["n1", "n2", "n3"]), "version {id}");
+    }
+    let record = cluster.whole().await.record;
+    assert_eq!((record.version, record.witnesses_since), (Version(149), Version(2)));
 }
--- a/crates/model/src/record.rs
+++ b/crates/model/src/record.rs
@@ -23,6 +23,10 @@
     /// Witnesses from this version on. A version may be activated once a majority of its own witnesses and a
     /// majority of the witnesses of the version before hold it.
     pub witnesses: Vec<NodeName>,
+    /// The version that changed the witness set last, this one included; [`Version::GENESIS`] if none did.
+    pub witnesses_since: Version,
+    /// The witness set before that change, so the last one that differs from `witnesses`; empty if none did.
+    pub previous_witnesses: Vec<NodeName>,
     /// Wall-clock time of acceptance, in milliseconds since the Unix epoch. For people and measurements only.
     pub accepted_at_unix_millis: u64,
 }
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -11,7 +11,7 @@
 use tokio::task::JoinHandle;
 use umberpond_acceptance::{Acceptor, AcceptorContext, AcceptorSettings};
 use umberpond_admission::RetryBudgetSettings;
-use umberpond_model::{EndpointRecord, EndpointStatus};
+use umberpond_model::{EndpointRecord, EndpointStatus, Version};
 use umberpond_net::BoxListener;
 use umberpond_overlay::OverlayConfig;
 use umberpond_platform::{ClientSettings, GateLimits, PlatformClient, PlatformGate};
@@ -154,7 +154,7 @@
     let (overlay, overlay_task) = Actor::spawn(None, OverlayActor, arguments).await?;
     let client = platform_client(&config, environment);
     let machines = Arc::new(KnownMachines::default());
-    let acceptor = acceptor(&client, environment, &machines);
+    let acceptor = acceptor(&client, environment, &machines, &activation);
     let shared = Arc::new(NodeShared {
         config,
         environment: environment.clone(),
@@ -249,12 +249,20 @@
     PlatformClient::new(network, config.platform, gate, ClientSettings::default())
 }
 
-fn acceptor(client: &PlatformClient, environment: &Environment, machines: &Arc<KnownMachines>) -> Acceptor {
+fn acceptor(
+    client: &PlatformClient,
+    environment: &Environment,
+    machines: &Arc<KnownMachines>,
+    activation: &Activation,
+) -> Acceptor {
+    // A version in force is committed, so this never runs ahead of the commit index.
+    let active = activation.active();
     let machines = Arc::clone(machines);
     let clock = environment.clone();
     let context = AcceptorContext {
         store: Arc::new(client.clone()),
         candidates: Arc::new(move || machines.staying()),
+        commit_index: Arc::new(move || active.borrow().unwrap_or(Version::GENESIS)),
         unix_millis: Arc::new(move || clock.unix_millis()),
         seed: environment.seed_for(SeedUse::Acceptance),
     };
--- a/crates/overlay/src/interface.rs
+++ b/crates/overlay/src/interface.rs
@@ -96,7 +96,8 @@
 pub struct WholeVersion {
     /// The durable record.
     pub record: VersionRecord,
-    /// Witnesses of the version before, needed for the quorum rule; empty at the first version.
+    /// The last witness set that differs from the record's own, needed for the commit rule; a copy of
+    /// [`VersionRecord::previous_witnesses`]. Empty if the set never changed since the first version.
     pub previous_witnesses: Vec<umberpond_model::NodeName>,
     /// The whole configuration.
     pub snapshot: Snapshot,
--- a/crates/overlay/tests/support/content.rs
+++ b/crates/overlay/tests/support/content.rs
@@ -67,7 +67,14 @@
     after
 }
 
-pub fn record(version: Version, snapshot: &Snapshot, witnesses: &[NodeName]) -> VersionRecord {
+/// The record that follows `before`.
+pub fn record(before: Option<&VersionRecord>, snapshot: &Snapshot, witnesses: &[NodeName]) -> VersionRecord {
+    let version = before.map_or(Version(1), |record| record.version.next());
+    let (witnesses_since, previous_witnesses) = match before {
+        Some(last) if last.witnesses == witnesses => (last.witnesses_since, last.previous_witnesses.clone()),
+        Some(last) => (version, last.witnesses.clone()),
+        None => (version, Vec::new()),
+    };
     let placeholder = ContentHash::of(&version.0.to_le_bytes());
     VersionRecord {
         version,
@@ -77,6 +84,8 @@
         delta: placeholder,
         snapshot: snapshot.content_hash(),
         witnesses: witnesses.to_vec(),
+        witnesses_since,
+        previous_witnesses,
         accepted_at_unix_millis: 0,
     }
 }
--- a/crates/overlay/tests/support/platform.rs
+++ b/crates/overlay/tests/support/platform.rs
@@ -42,7 +42,7 @@
             Version(1) => content::first_snapshot(services, zones),
             _ => content::next_snapshot(&before, version, zones),
         };
-        let record = content::record(version, &after, witnesses);
+        let record = content::record(self.chain.last().map(|(record, _, _)| record), &after, witnesses);
         let delta = Delta::between(&before, &after);
         let accepted = Arc::new(AcceptedVersion { record: record.clone(), delta });
         self.chain.push((record, Arc::new(after), accepted));
@@ -99,10 +99,9 @@
 
     fn whole(&self) -> WholeVersion {
         let (record, snapshot, _) = self.chain.last().unwrap();
-        let different = self.chain.iter().rev().find(|(other, _, _)| other.witnesses != record.witnesses);
         WholeVersion {
             record: record.clone(),
-            previous_witnesses: different.map_or(Vec::new(), |(other, _, _)| other.witnesses.clone()),
+            previous_witnesses: record.previous_witnesses.clone(),
             snapshot: snapshot.as_ref().clone(),
         }
     }
--- a/testing/sim/src/scale/course.rs
+++ b/testing/sim/src/scale/course.rs
@@ -121,7 +121,7 @@
             }
             return first_in_zone.into_values().collect();
         }
-        let is_settled = self.measurement.lowest_commit() >= self.workload.witnesses_since;
+        let is_settled = self.measurement.lowest_commit() >= self.workload.witnesses_since();
         let lost = current.iter().position(|name| !self.runs(name));
         let (true, Some(lost)) = (is_settled, lost) else { return current };
         let zone = self.nodes.iter().find(|node| node.record.node == current[lost]).map(|node| node.zone);
--- a/testing/sim/src/scale/outputs.rs
+++ b/testing/sim/src/scale/outputs.rs
@@ -193,8 +193,8 @@
     fn answer_whole(&mut self, process: Process) {
         let Some(record) = self.workload.record.clone() else { return };
         let whole = WholeVersion {
+            previous_witnesses: record.previous_witnesses.clone(),
             record,
-            previous_witnesses: self.workload.previous_witnesses.clone(),
             snapshot: self.workload.snapshot.as_ref().clone(),
         };
         self.answer(process, PlatformEvent::Whole(Arc::new(whole)));
--- a/testing/sim/src/scale/workload.rs
+++ b/testing/sim/src/scale/workload.rs
@@ -58,10 +58,6 @@
     pub snapshot: Arc<Snapshot>,
     /// Newest record, if any.
     pub record: Option<VersionRecord>,
-    /// Witnesses before the newest change of the witness set.
-    pub previous_witnesses: Vec<NodeName>,
-    /// Version that changed the witness set last.
-    pub witnesses_since: Version,
     routes: Vec<RouteName>,
 }
 
@@ -82,13 +78,13 @@
             add_service(&mut snapshot, number, services, &allowed);
         }
         let routes = snapshot.routes.keys().cloned().collect();
-        Self {
-            snapshot: Arc::new(snapshot),
-            record: None,
-            previous_witnesses: Vec::new(),
-            witnesses_since: Version::GENESIS,
-            routes,
-        }
+        Self { snapshot: Arc::new(snapshot), record: None, routes }
+    }
+
+    /// The version that changed the witness set last.
+    #[must_use]
+    pub fn witnesses_since(&self) -> Version {
+        self.record.as_ref().map_or(Version::GENESIS, |record| record.witnesses_since)
     }
 
     /// Accepts the next version: the first one brings everything, each later one changes one route.
@@ -107,11 +103,13 @@
         }
         let delta = Delta::between(&before, &self.snapshot);
         let version = self.record.as_ref().map_or(Version(1), |record| record.version.next());
-        let old_witnesses = self.record.as_ref().map(|record| record.witnesses.clone()).unwrap_or_default();
-        if old_witnesses != witnesses {
-            self.previous_witnesses = old_witnesses;
-            self.witnesses_since = version;
-        }
+        let (witnesses_since, previous_witnesses) = match &self.record {
+            None => (version, Vec::new()),
+            Some(last) if last.witnesses == witnesses => {
+                (last.witnesses_since, last.previous_witnesses.clone())
+            }
+            Some(last) => (version, last.witnesses.clone()),
+        };
         let record = VersionRecord {
             version,
             previous: None,
@@ -120,6 +118,8 @@
             delta: ContentHash::of(b"delta"),
             snapshot: self.snapshot.content_hash(),
             witnesses,
+            witnesses_since,
+            previous_witnesses,
             accepted_at_unix_millis: now.0,
         };
         self.record = Some(record.clone());
