--- a/crates/acceptance/src/acceptor.rs
+++ b/crates/acceptance/src/acceptor.rs
@@ -16,10 +16,11 @@
 use crate::base::BaseCache;
 use crate::chain::{ChainReader, Search};
 use crate::prepare::Request;
+use crate::replacement::plan;
 use crate::witness_history::WitnessHistory;
 use crate::{
-    Abandonment, Accepted, Change, NotAcceptedReason, Resolution, Step, SubmitError, WitnessCandidates,
-    WitnessProposal, choose_witnesses,
+    AbandonError, Abandonment, Accepted, Change, NotAcceptedReason, ReplacementPlan, ReplacementRefusal,
+    Resolution, Step, SubmitError, WitnessCandidates, WitnessProposal, WitnessReplacement, choose_witnesses,
 };
 
 /// Wall-clock time in milliseconds since the Unix epoch. Written into records for people; decides nothing.
@@ -92,6 +93,15 @@
             history.current.clone()
         }
     }
+
+    /// Works out an operator's replacement of lost witnesses.
+    pub(crate) fn plan_replacement(
+        &self,
+        history: &WitnessHistory,
+        replacement: &WitnessReplacement,
+    ) -> Result<ReplacementPlan, ReplacementRefusal> {
+        plan(history, (self.commit_index)(), &self.candidates.candidates(), replacement)
+    }
 }
 
 /// Accepts submissions. Cheap to clone; clones share their limits and caches.
@@ -154,15 +164,43 @@
     /// Gives a submission up, so that it can't be accepted any more, by a version that changes nothing.
     ///
     /// # Errors
-    /// Returns [`SubmitError`] as a submission does. After an error the submission may still be accepted.
-    pub async fn abandon(&self, submission: SubmissionId) -> Result<Abandonment, SubmitError> {
+    /// Returns [`AbandonError`]; the submission may then still be accepted.
+    pub async fn abandon(&self, submission: SubmissionId) -> Result<Abandonment, AbandonError> {
         match self.settle(submission, &Request::Abandon).await {
-            Ok(accepted) => Ok(Abandonment::Abandoned(accepted.version)),
+            Ok(Accepted { version, .. }) | Err(SubmitError::Abandoned { version }) => {
+                Ok(Abandonment::Abandoned(version))
+            }
             Err(SubmitError::IdReused { version }) => Ok(Abandonment::AlreadyAccepted(version)),
-            Err(error) => Err(error),
+            Err(SubmitError::NotAccepted { reason, retry_after }) => {
+                Err(AbandonError::NotAbandoned { reason, retry_after })
+            }
+            // The others speak of bundles and witnesses, which an abandonment leaves alone.
+            Err(
+                SubmitError::Unknown { .. }
+                | SubmitError::Invalid(_)
+                | SubmitError::NotInForce { .. }
+                | SubmitError::Conflict { .. }
+                | SubmitError::Replacement(_),
+            ) => Err(AbandonError::Unknown { submission }),
         }
     }
 
+    /// Replaces witnesses that have ended for good and took the majority of a set with them, by a version without
+    /// any other change. Refuses unless it is forced for the set that the operator has seen.
+    ///
+    /// The risk, if a witness named as lost still runs: see `docs/design/0024-lost-witness-majority.md`.
+    ///
+    /// # Errors
+    /// Returns [`SubmitError::Replacement`] with the reason, or with the plan if it was not forced; otherwise
+    /// [`SubmitError`] as a submission does.
+    pub async fn replace_witnesses(
+        &self,
+        submission: SubmissionId,
+        replacement: WitnessReplacement,
+    ) -> Result<Accepted, SubmitError> {
+        self.settle(submission, &Request::ReplaceWitnesses(replacement)).await
+    }
+
     /// Appends a version with new witnesses if the present ones are not what [`choose_witnesses`] chooses, and
     /// the version that changed them last is committed.
     ///
--- a/crates/acceptance/src/attempt.rs
+++ b/crates/acceptance/src/attempt.rs
@@ -200,8 +200,7 @@
 
     fn prepare(&self, base: &Base) -> Result<Prepared, SubmitError> {
         let history = WitnessHistory::of(base.record.as_ref().map(|(_, object)| &object.record));
-        let chosen = self.shared.next_witnesses(&history);
-        let witnesses = history.followed_by(base.version().next(), chosen);
+        let witnesses = self.next_witnesses(history, base.version().next())?;
         let unix_millis = (self.shared.unix_millis)();
         let circumstances = Circumstances { submission: self.submission, witnesses, unix_millis };
         prepare(base, self.request, circumstances).map_err(|error| match error {
@@ -210,6 +209,20 @@
         })
     }
 
+    /// The witnesses of the next version, `version`.
+    fn next_witnesses(
+        &self,
+        history: WitnessHistory,
+        version: Version,
+    ) -> Result<WitnessHistory, SubmitError> {
+        let Request::ReplaceWitnesses(replacement) = self.request else {
+            let chosen = self.shared.next_witnesses(&history);
+            return Ok(history.followed_by(version, chosen));
+        };
+        let plan = self.shared.plan_replacement(&history, replacement)?;
+        Ok(WitnessHistory { current: plan.witnesses, since: version, previous: plan.previous_witnesses })
+    }
+
     /// A fault that appeared since the submission passed the check comes from whoever won in between.
     fn faulty(&self, base: &Base, report: CheckReport) -> SubmitError {
         let newest = base.record.as_ref().map(|(_, object)| &object.record);
--- a/crates/acceptance/src/prepare.rs
+++ b/crates/acceptance/src/prepare.rs
@@ -10,7 +10,7 @@
 use crate::encoding::encode;
 use crate::objects::has_checkpoint;
 use crate::witness_history::WitnessHistory;
-use crate::{RecordObject, Step};
+use crate::{RecordObject, Step, WitnessReplacement};
 
 /// What a submission asks for, with its content encoded once.
 #[derive(Debug, Clone)]
@@ -19,6 +19,7 @@
     Withdraw { name: BundleName },
     Witnesses,
     Abandon,
+    ReplaceWitnesses(WitnessReplacement),
 }
 
 impl Request {
@@ -35,6 +36,9 @@
             Self::Withdraw { name } => Step::Withdraw { bundle: name.clone() },
             Self::Witnesses => Step::Witnesses,
             Self::Abandon => Step::Abandon,
+            Self::ReplaceWitnesses(replacement) => {
+                Step::ReplaceWitnesses { lost: replacement.lost.iter().cloned().collect() }
+            }
         }
     }
 }
@@ -115,7 +119,7 @@
             }
             next.bundles.remove(name);
         }
-        Request::Witnesses | Request::Abandon => return Ok(next),
+        Request::Witnesses | Request::Abandon | Request::ReplaceWitnesses(_) => return Ok(next),
     }
     next.snapshot = join(&next.bundles).map_err(PrepareError::Faulty)?;
     Ok(next)
--- a/crates/acceptance/src/submission.rs
+++ b/crates/acceptance/src/submission.rs
@@ -6,7 +6,7 @@
 use umberpond_config::{Bundle, CheckReport};
 use umberpond_model::{BundleName, SubmissionId, Version, VersionRecord};
 
-use crate::ChainError;
+use crate::{ChainError, ReplacementRefusal};
 
 /// What a submission does with the bundle that it names.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -102,6 +102,9 @@
         /// The version that records it.
         version: Version,
     },
+    /// The witnesses were not replaced.
+    #[error("the witnesses were not replaced: {0}")]
+    Replacement(#[from] ReplacementRefusal),
     /// Nothing was accepted.
     #[error("not accepted: {reason}")]
     NotAccepted {
@@ -139,6 +142,26 @@
     AlreadyAccepted(Version),
 }
 
+/// An abandonment that failed. It says nothing of the submission, which may be accepted or may yet be; ask again
+/// with the same id.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum AbandonError {
+    /// The abandonment is not in the chain, and nothing will come of this call.
+    #[error("not abandoned: {reason}")]
+    NotAbandoned {
+        /// Why.
+        reason: NotAcceptedReason,
+        /// When to try again.
+        retry_after: Duration,
+    },
+    /// The abandonment may be in the chain, or may yet be.
+    #[error("whether submission {submission} is abandoned is unknown")]
+    Unknown {
+        /// The id to ask with.
+        submission: SubmissionId,
+    },
+}
+
 /// Outcome of a proposal to replace lost witnesses.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum WitnessProposal {
--- a/crates/acceptance/tests/schedules.rs
+++ b/crates/acceptance/tests/schedules.rs
@@ -9,7 +9,7 @@
 use support::history::{Answer, History, Link, Violation, check, read_chain};
 use support::{acceptor, is_swap, name, platform_with_mesh, reader, service};
 use tokio::time::Instant;
-use umberpond_acceptance::{Abandonment, Change, SubmitError};
+use umberpond_acceptance::{AbandonError, Abandonment, Change, SubmitError};
 use umberpond_model::{ContentHash, SubmissionId, Version};
 use umberpond_platform::memory::{Fault, MemoryPlatform, MemoryStore, RequestNote};
 
@@ -129,7 +129,7 @@
     }
 }
 
-fn abandonment(result: Result<Abandonment, SubmitError>) -> Answer {
+fn abandonment(result: Result<Abandonment, AbandonError>) -> Answer {
     match result {
         Ok(Abandonment::Abandoned(version)) => Answer::Abandoned(version),
         Ok(Abandonment::AlreadyAccepted(version)) => Answer::Accepted(version),
--- a/crates/acceptance/tests/witnesses.rs
+++ b/crates/acceptance/tests/witnesses.rs
@@ -11,7 +11,8 @@
 use support::{member, name, platform_with_mesh, put, reader, service};
 use umberpond_acceptance::chain::WholeConfiguration;
 use umberpond_acceptance::{
-    Acceptor, AcceptorContext, AcceptorSettings, MAX_WITNESSES, WitnessProposal, choose_witnesses,
+    Accepted, Acceptor, AcceptorContext, AcceptorSettings, MAX_WITNESSES, ReplacementRefusal, Step,
+    SubmitError, WitnessProposal, WitnessReplacement, choose_witnesses,
 };
 use umberpond_model::{Member, NodeName, SubmissionId, Version};
 use umberpond_platform::memory::MemoryPlatform;
@@ -173,3 +174,86 @@
     let record = cluster.whole().await.record;
     assert_eq!((record.version, record.witnesses_since), (Version(149), Version(2)));
 }
+
+/// A replacement of these witnesses, forced for the set that `forced_for` named.
+fn replacement(lost: &[&str], forced_for: Option<u64>) -> WitnessReplacement {
+    let lost = lost.iter().map(|node| name(node)).collect();
+    WitnessReplacement { lost, forced_for: forced_for.map(Version) }
+}
+
+impl Cluster {
+    async fn replace(
+        &self,
+        id: u128,
+        lost: &[&str],
+        forced_for: Option<u64>,
+    ) -> Result<Accepted, ReplacementRefusal> {
+        let replacement = replacement(lost, forced_for);
+        match self.acceptor().replace_witnesses(SubmissionId(id), replacement).await {
+            Err(SubmitError::Replacement(refusal)) => Err(refusal),
+            other => Ok(other.expect("the platform answers")),
+        }
+    }
+
+    /// Version 1 has witnesses n1, n2, n3; version 2 changes them to n1, n4, n5.
+    async fn with_two_sets() -> Self {
+        let cluster = Self::new().await;
+        cluster.commit(1);
+        cluster.has(["n1", "n4", "n5"]);
+        cluster.put(2).await;
+        cluster
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn witnesses_are_replaced_only_if_forced_for_the_set_seen_and_a_majority_is_lost() {
+    let cluster = Cluster::new().await;
+    cluster.commit(1);
+    assert_eq!(cluster.replace(2, &["n1"], Some(1)).await, Err(ReplacementRefusal::MajorityRemains));
+    let stranger = ReplacementRefusal::NotWitnesses { nodes: vec![name("n9")] };
+    assert_eq!(cluster.replace(2, &["n1", "n2", "n9"], Some(1)).await, Err(stranger));
+    cluster.has(["n4", "n2", "n3"]);
+    for forced_for in [None, Some(7)] {
+        let refused = cluster.replace(2, &["n1", "n2"], forced_for).await;
+        let Err(ReplacementRefusal::NotForced { plan }) = refused else { panic!("{refused:?}") };
+        assert_eq!((plan.witnesses_since, plan.still_listed), (Version(1), vec![name("n2")]));
+    }
+    assert_eq!(cluster.whole().await.record.version, Version(1));
+    let accepted = cluster.replace(2, &["n1", "n2"], Some(1)).await.expect("is forced");
+    assert!(!accepted.record.witnesses.iter().any(|node| ["n1", "n2"].contains(&node.as_str())));
+    assert_eq!(accepted.record.previous_witnesses, []);
+    assert_eq!(accepted.record.witnesses_since, Version(2));
+    assert_eq!(cluster.replace(2, &["n1", "n2"], Some(1)).await, Ok(accepted), "the same id again");
+    let chain = reader(&cluster.platform);
+    let head = chain.read_head().await.expect("reads").expect("stands").head;
+    let step = chain.read_record(head.record).await.expect("reads").step.clone();
+    assert_eq!(step, Step::ReplaceWitnesses { lost: vec![name("n1"), name("n2")] });
+    cluster.has(["n6", "n7", "n8"]);
+    assert_eq!(cluster.propose(3).await, WitnessProposal::LastChangeNotCommitted(Version(2)));
+}
+
+/// While a change of the set isn't committed, both sets are in play. Each that keeps its majority keeps its say.
+#[tokio::test(start_paused = true)]
+async fn a_replacement_asks_each_set_that_can_still_answer() {
+    let cluster = Cluster::with_two_sets().await;
+    let only_present = cluster.replace(3, &["n4", "n5"], Some(2)).await.expect("is forced").record;
+    assert_eq!(only_present.previous_witnesses, nodes(["n1", "n2", "n3"]));
+    assert!(!only_present.witnesses.iter().any(|node| ["n4", "n5"].contains(&node.as_str())));
+
+    let cluster = Cluster::with_two_sets().await;
+    cluster.has(["n6", "n7", "n8"]);
+    let only_previous = cluster.replace(3, &["n2", "n3"], Some(2)).await.expect("is forced").record;
+    assert_eq!(only_previous.witnesses, nodes(["n1", "n4", "n5"]), "the present set stays");
+    assert_eq!(only_previous.previous_witnesses, []);
+
+    let cluster = Cluster::with_two_sets().await;
+    cluster.has(["n6", "n7", "n8"]);
+    let both = cluster.replace(3, &["n1", "n2", "n4"], Some(2)).await.expect("is forced").record;
+    assert_eq!((both.witnesses, both.previous_witnesses), (nodes(["n6", "n7", "n8"]), Vec::new()));
+
+    // Once the change is committed, the set before it has no say and is no one's business.
+    let cluster = Cluster::with_two_sets().await;
+    cluster.commit(2);
+    let stranger = ReplacementRefusal::NotWitnesses { nodes: vec![name("n2"), name("n3")] };
+    assert_eq!(cluster.replace(3, &["n2", "n3"], Some(2)).await, Err(stranger));
+}
--- a/crates/model/src/record.rs
+++ b/crates/model/src/record.rs
@@ -26,6 +26,7 @@
     /// The version that changed the witness set last, this one included; [`Version::GENESIS`] if none did.
     pub witnesses_since: Version,
     /// The witness set before that change, so the last one that differs from `witnesses`; empty if none did.
+    /// After an operator's replacement of lost witnesses: the set that still has a say, empty if none has.
     pub previous_witnesses: Vec<NodeName>,
     /// Wall-clock time of acceptance, in milliseconds since the Unix epoch. For people and measurements only.
     pub accepted_at_unix_millis: u64,
