Model the operator's replacement of lost witnesses, and the risk when they still run

The model of the version floor gets a schedule in which a majority of the newest witness set ends for good while the platform is up, and an operator replaces it by the rule of acceptance; nodes restart before and after, also in an outage. A variant in which those named as lost are only cut off together must regress, and does: that is the risk that the operator takes.

The previous sets are now kept beside the chain, copied forward as records do, in place of a walk; random draws are as before.

--- a/crates/versions/tests/floor_options/faults.rs
+++ b/crates/versions/tests/floor_options/faults.rs
@@ -23,6 +23,10 @@
         readers: Vec<usize>,
         until: u64,
     },
+    /// A majority of the newest witness set ends for good.
+    LoseMajority,
+    /// An operator replaces the lost witnesses.
+    ReplaceWitnesses,
 }
 
 /// A long outage of the platform, in which one zone restarts: its reader and all its nodes.
@@ -63,6 +67,34 @@
     faults
 }
 
+/// A majority of the witnesses is lost for good while the platform is up, an operator replaces them, and nodes
+/// restart before and after, also in an outage of the platform.
+pub fn lost_majority(rng: &mut ChaCha8Rng) -> Vec<(u64, Fault)> {
+    let lost = rng.random_range(1_500..3_000);
+    let mut faults = vec![
+        (lost, Fault::LoseMajority),
+        (lost + rng.random_range(0..2_000), Fault::ReplaceWitnesses),
+        (rng.random_range(5_500..7_000), Fault::PlatformDown(true)),
+        (rng.random_range(7_500..FAULTS_END), Fault::PlatformDown(false)),
+    ];
+    for _ in 0..rng.random_range(4..9) {
+        faults.push((rng.random_range(1_000..FAULTS_END), herd(rng)));
+    }
+    for _ in 0..rng.random_range(1..4) {
+        let at = rng.random_range(500..FAULTS_END - 100);
+        let until = (at + rng.random_range(100..4_000)).min(FAULTS_END);
+        faults.push((at, Fault::Pause { reader: rng.random_range(0..READERS), until }));
+    }
+    faults
+}
+
+/// The same without the operator.
+pub fn lost_majority_left_alone(rng: &mut ChaCha8Rng) -> Vec<(u64, Fault)> {
+    let mut faults = lost_majority(rng);
+    faults.retain(|(_, fault)| !matches!(fault, Fault::ReplaceWitnesses));
+    faults
+}
+
 fn herd(rng: &mut ChaCha8Rng) -> Fault {
     const SHARES: [f64; 4] = [0.1, 0.3, 0.6, 1.0];
     let share = SHARES[rng.random_range(0..SHARES.len())];
--- a/crates/versions/tests/floor_options/main.rs
+++ b/crates/versions/tests/floor_options/main.rs
@@ -8,9 +8,10 @@
 mod world;
 
 use checker::{Entry, Event, Regression, first_regression, unready_times};
-use faults::{everything, zone_restart_in_outage};
+use faults::{everything, lost_majority, lost_majority_left_alone, zone_restart_in_outage};
+use node::Node;
 use umberpond_model::Version;
-use world::{END, FloorOption, Purpose, Schedule, Variant, run};
+use world::{END, FloorOption, Purpose, Schedule, Variant, World, run};
 
 const OPTIONS: [(&str, FloorOption); 4] = [
     ("none: trust the parent", FloorOption::TrustParent),
@@ -58,8 +59,7 @@
 fn all_nodes_reach_the_head_after_the_faults() {
     for seed in 0..SEEDS {
         let (world, nodes) = run(FloorOption::Witnesses(Variant::Sound), everything, seed);
-        let late: Vec<usize> =
-            nodes.iter().filter(|node| node.active != Some(world.head())).map(|node| node.me).collect();
+        let late = late_nodes(&world, &nodes);
         assert!(late.is_empty(), "seed {seed}: nodes {late:?} aren't at version {}", world.head());
     }
 }
@@ -87,6 +87,33 @@
     }
 }
 
+/// Nodes that run and don't have the newest version in force at the end.
+fn late_nodes(world: &World, nodes: &[Node]) -> Vec<usize> {
+    let live = nodes.iter().filter(|node| !world.is_gone(node.me));
+    live.filter(|node| node.active != Some(world.head())).map(|node| node.me).collect()
+}
+
+#[test]
+fn an_operator_replaces_a_lost_majority_and_nothing_regresses() {
+    let option = FloorOption::Witnesses(Variant::Sound);
+    for seed in 0..SEEDS {
+        let (world, nodes) = run(option, lost_majority, seed);
+        assert!(world.is_replaced(), "seed {seed}");
+        assert_eq!(first_regression(&world.history), None, "seed {seed}");
+        assert_eq!(late_nodes(&world, &nodes), Vec::<usize>::new(), "seed {seed}: not at {}", world.head());
+        let (world, nodes) = run(option, lost_majority_left_alone, seed);
+        assert!(!late_nodes(&world, &nodes).is_empty(), "seed {seed}: no operator is needed");
+    }
+}
+
+/// The risk that the operator takes: a majority named as lost that is only cut off goes on proving old floors.
+#[test]
+fn a_majority_wrongly_named_as_lost_can_regress() {
+    let option = FloorOption::Witnesses(Variant::LostStillRun);
+    let regresses = |seed| first_regression(&run(option, lost_majority, seed).0.history).is_some();
+    assert!((0..MUTANT_SEEDS).any(regresses), "no regression in {MUTANT_SEEDS} seeds");
+}
+
 /// Milliseconds that nodes were unready, over some seeds of a schedule; sorted.
 fn unready(option: FloorOption, schedule: Schedule, seeds: u64) -> Vec<u64> {
     let mut times: Vec<u64> =
--- a/crates/versions/tests/floor_options/node.rs
+++ b/crates/versions/tests/floor_options/node.rs
@@ -59,6 +59,7 @@
     }
 
     pub fn on_tick(&mut self, world: &mut World) {
+        self.parent = world.live_reader(self.parent);
         let source = if self.reader.is_some() { world.rng.random_range(0..READERS) } else { self.parent };
         world.send(Purpose::Spread, self.me, source, Message::Sync { held: self.held });
         if self.floor.is_none() {
@@ -218,7 +219,7 @@
         let set = world.witnesses_of(held).to_vec();
         if variant == Variant::NewSetOnly {
             self.tracker.on_base(held, &set, &[]);
-        } else if self.tracker.on_record(held, &set).is_err() {
+        } else if world.starts_over_at(held) || self.tracker.on_record(held, &set).is_err() {
             let previous = match variant {
                 Variant::SetJustBefore => world.witnesses_of(Version(held.0.saturating_sub(1))).to_vec(),
                 _ => world.previous_set(held).to_vec(),
--- a/crates/versions/tests/floor_options/world.rs
+++ b/crates/versions/tests/floor_options/world.rs
@@ -1,6 +1,6 @@
 //! A tiny discrete-event model: a platform, readers that may be witnesses, and nodes below them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -48,6 +48,8 @@
     ChangesUngated,
     /// A reader that starts at a whole transfer takes the set of the version just before as the previous one.
     SetJustBefore,
+    /// Witnesses that an operator names as lost are only cut off.
+    LostStillRun,
 }
 
 #[derive(Debug, Clone)]
@@ -120,6 +122,12 @@
     cut_until: [u64; NODES],
     paused_until: [u64; NODES],
     changed_set_at: Version,
+    /// The set that each version names as the one before, as records do.
+    previous_sets: Vec<Vec<NodeName>>,
+    /// Readers that the operator says have ended for good.
+    lost: BTreeSet<usize>,
+    /// The version by which the operator replaced lost witnesses.
+    replaced_at: Option<Version>,
     queue: BTreeMap<(u64, u64), Happening>,
     queued: u64,
 }
@@ -148,6 +156,9 @@
             cut_until: [0; NODES],
             paused_until: [0; NODES],
             changed_set_at: Version::GENESIS,
+            previous_sets: vec![Vec::new()],
+            lost: BTreeSet::new(),
+            replaced_at: None,
             queue: BTreeMap::new(),
             queued: 0,
         }
@@ -161,11 +172,28 @@
         &self.chain[version.0 as usize]
     }
 
-    /// The last set before `version` that differed from the set of `version`.
+    /// The set that the record of `version` names as the previous one.
     pub fn previous_set(&self, version: Version) -> &[NodeName] {
-        let own = self.witnesses_of(version);
-        let before = &self.chain[..version.0 as usize];
-        before.iter().rev().find(|set| *set != own).map_or(own, Vec::as_slice)
+        &self.previous_sets[version.0 as usize]
+    }
+
+    /// Whether commit starts over at `version`, by an operator's replacement of witnesses.
+    pub fn starts_over_at(&self, version: Version) -> bool {
+        self.replaced_at == Some(version)
+    }
+
+    /// The reader to turn to in place of `reader`: itself, unless its process has ended for good.
+    pub fn live_reader(&self, reader: usize) -> usize {
+        let order = (0..READERS).map(|step| (reader + step) % READERS);
+        order.clone().find(|reader| !self.is_gone(*reader)).unwrap_or(reader)
+    }
+
+    pub fn is_replaced(&self) -> bool {
+        self.replaced_at.is_some()
+    }
+
+    pub fn is_gone(&self, node: usize) -> bool {
+        self.lost.contains(&node) && self.option != FloorOption::Witnesses(Variant::LostStillRun)
     }
 
     pub fn is_up(&self, node: usize) -> bool {
@@ -224,10 +252,20 @@
             || self.option == FloorOption::Witnesses(Variant::ChangesUngated);
         let changes = set.is_empty() || (may_change && self.rng.random_bool(0.2));
         let set = if changes { self.choose_witnesses() } else { set };
-        if set != *self.chain.last().unwrap() {
+        let unchanged = set == *self.chain.last().unwrap();
+        let previous = if unchanged { &self.previous_sets } else { &self.chain };
+        let previous = previous.last().unwrap().clone();
+        if !unchanged {
             self.changed_set_at = version;
         }
+        self.append(set, previous);
+    }
+
+    /// Appends a version and tells the readers that the platform reaches.
+    fn append(&mut self, set: Vec<NodeName>, previous: Vec<NodeName>) {
         self.chain.push(set);
+        self.previous_sets.push(previous);
+        let version = self.head();
         let committed = Version::GENESIS;
         for reader in 0..READERS {
             if !self.is_cut(reader) {
@@ -237,22 +275,61 @@
     }
 
     fn choose_witnesses(&mut self) -> Vec<NodeName> {
-        let mut readers: Vec<usize> = (0..READERS).collect();
+        let mut readers: Vec<usize> = (0..READERS).filter(|reader| !self.lost.contains(reader)).collect();
         while readers.len() > WITNESSES {
             readers.remove(self.rng.random_range(0..readers.len()));
         }
         readers.into_iter().map(name).collect()
     }
 
+    /// A majority of the newest set ends for good.
+    fn lose_majority(&mut self) {
+        let set = self.chain.last().unwrap();
+        self.lost = set.iter().take(set.len() / 2 + 1).map(index).collect();
+        for reader in self.lost.clone() {
+            if self.is_gone(reader) {
+                self.processes[reader] += 1;
+                self.paused_until[reader] = u64::MAX;
+            } else {
+                self.cut_until[reader] = FAULTS_END;
+            }
+        }
+    }
+
+    /// The operator replaces the lost witnesses, by the rule of acceptance: of the present set, and the one before
+    /// it while the change isn't committed, each keeps its say unless it has lost its majority.
+    fn replace_witnesses(&mut self) {
+        let present = self.chain.last().unwrap().clone();
+        let is_settled = self.committed_anywhere >= self.changed_set_at;
+        let previous = if is_settled { Vec::new() } else { self.previous_sets.last().unwrap().clone() };
+        let (present_lost, previous_lost) = (self.has_lost(&present), self.has_lost(&previous));
+        if !present_lost && !previous_lost {
+            return;
+        }
+        let set = if present_lost { self.choose_witnesses() } else { present };
+        let keeps_say = if previous_lost { Vec::new() } else { previous };
+        self.changed_set_at = self.head().next();
+        self.replaced_at = Some(self.changed_set_at);
+        self.append(set, keeps_say);
+    }
+
+    fn has_lost(&self, set: &[NodeName]) -> bool {
+        let remaining = set.iter().filter(|node| !self.lost.contains(&index(node))).count();
+        !set.is_empty() && remaining * 2 <= set.len()
+    }
+
     fn on_fault(&mut self, fault: Fault, nodes: &mut [Node]) {
         match fault {
             Fault::PlatformDown(down) => self.platform_down = down,
+            Fault::Pause { reader, .. } if self.is_gone(reader) => {}
             Fault::Pause { reader, until } => self.paused_until[reader] = until,
+            Fault::LoseMajority => self.lose_majority(),
+            Fault::ReplaceWitnesses => self.replace_witnesses(),
             Fault::Cut { readers, until } => {
                 readers.iter().for_each(|reader| self.cut_until[*reader] = until)
             }
             Fault::Herd(herd) => {
-                for node in herd {
+                for node in herd.into_iter().filter(|node| !self.is_gone(*node)).collect::<Vec<_>>() {
                     self.restarts += 1;
                     self.processes[node] += 1;
                     self.paused_until[node] = self.now + self.rng.random_range(20..200);
