--- a/crates/acceptance/src/prepare.rs
+++ b/crates/acceptance/src/prepare.rs
@@ -4,12 +4,13 @@
 
 use bytes::Bytes;
 use umberpond_config::{Bundle, CheckReport, Delta, join};
-use umberpond_model::{BundleName, ContentHash, Head, NodeName, SubmissionId, Version, VersionRecord};
+use umberpond_model::{BundleName, ContentHash, Head, SubmissionId, Version, VersionRecord};
 
 use crate::base::Base;
 use crate::encoding::encode;
 use crate::objects::has_checkpoint;
-use crate::{RecordObject, Step};
+use crate::witness_history::WitnessHistory;
+use crate::{RecordObject, Step, WitnessReplacement};
 
 /// What a submission asks for, with its content encoded once.
 #[derive(Debug, Clone)]
@@ -18,6 +19,7 @@
     Withdraw { name: BundleName },
     Witnesses,
     Abandon,
+    ReplaceWitnesses(WitnessReplacement),
 }
 
 impl Request {
@@ -34,6 +36,9 @@
             Self::Withdraw { name } => Step::Withdraw { bundle: name.clone() },
             Self::Witnesses => Step::Witnesses,
             Self::Abandon => Step::Abandon,
+            Self::ReplaceWitnesses(replacement) => {
+                Step::ReplaceWitnesses { lost: replacement.lost.iter().cloned().collect() }
+            }
         }
     }
 }
@@ -60,7 +65,7 @@
 /// Facts of one try that come from outside.
 pub(crate) struct Circumstances {
     pub(crate) submission: SubmissionId,
-    pub(crate) witnesses: Vec<NodeName>,
+    pub(crate) witnesses: WitnessHistory,
     pub(crate) unix_millis: u64,
 }
 
@@ -85,7 +90,9 @@
         manifest,
         delta,
         snapshot: next.snapshot.content_hash(),
-        witnesses: circumstances.witnesses,
+        witnesses: circumstances.witnesses.current,
+        witnesses_since: circumstances.witnesses.since,
+        previous_witnesses: circumstances.witnesses.previous,
         accepted_at_unix_millis: circumstances.unix_millis,
     };
     let checkpoint =
@@ -112,7 +119,7 @@
             }
             next.bundles.remove(name);
         }
-        Request::Witnesses | Request::Abandon => return Ok(next),
+        Request::Witnesses | Request::Abandon | Request::ReplaceWitnesses(_) => return Ok(next),
     }
     next.snapshot = join(&next.bundles).map_err(PrepareError::Faulty)?;
     Ok(next)
