Take the typed result of an abandonment and of a put-off witness change in the daemon

Abandoning that is not known to have happened stays unknown to the operator; a put-off change is left to the next round.

--- a/crates/node/src/admin/bundles.rs
+++ b/crates/node/src/admin/bundles.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use http::StatusCode;
 use umberpond_acceptance::chain::WholeConfiguration;
-use umberpond_acceptance::{Abandonment, ChainError, Change, Resolution, SubmitError};
+use umberpond_acceptance::{AbandonError, Abandonment, ChainError, Change, Resolution, SubmitError};
 use umberpond_config::Bundle;
 use umberpond_model::{BundleName, SubmissionId, Version};
 use umberpond_telemetry::Event;
@@ -112,10 +112,10 @@
             Answer::json(StatusCode::OK, &SubmissionResult::Accepted { submission, version })
         }
         Ok(Abandonment::Abandoned(version)) => given_up(submission, version),
-        Err(SubmitError::NotAccepted { retry_after, .. }) => {
+        Err(AbandonError::NotAbandoned { retry_after, .. }) => {
             unknown(submission).retry_after(retry_after.as_secs().max(UNKNOWN_RETRY_SECONDS))
         }
-        Err(_) => unknown(submission),
+        Err(AbandonError::Unknown { .. }) => unknown(submission),
     }
 }
 
--- a/crates/node/src/platform/maintenance.rs
+++ b/crates/node/src/platform/maintenance.rs
@@ -38,7 +38,8 @@
 async fn replace_witnesses(context: &PlatformContext, rng: &mut ChaCha8Rng) {
     let submission = SubmissionId(rng.random());
     match context.acceptor.propose_witnesses(submission).await {
-        Ok(WitnessProposal::Unchanged) => {}
+        // A change waits until the last one is committed; the next round asks again.
+        Ok(WitnessProposal::Unchanged | WitnessProposal::LastChangeNotCommitted(_)) => {}
         Ok(WitnessProposal::Accepted(accepted)) => {
             context.telemetry.emit(Event::WitnessesReplaced { version: accepted.version });
         }
