Count the cores' decisions in a scale run

Cause: a run of 90 calm nodes sent 3,144 hellos in 20 s and nothing in the report said why. Decisions are now counted by name. Ruled out by the count: role changes (1) and lost parents (3); what is left are the links between readers. The count costs a formatted string a decision, which the run can bear.

--- a/testing/sim/src/scale/measure.rs
+++ b/testing/sim/src/scale/measure.rs
@@ -6,6 +6,7 @@
 use hdrhistogram::Histogram;
 use umberpond_model::{EndpointRecord, EndpointStatus, Incarnation, Millis, NodeName, Timestamp, Version};
 use umberpond_node::message_kind;
+use umberpond_overlay::interface::Decision;
 use umberpond_overlay::{PeerMessage, Update};
 
 use super::hollow::{ByteMeter, HollowNode};
@@ -32,8 +33,8 @@
 pub struct Measurement {
     /// Events handled.
     pub events: u64,
-    /// Decisions told.
-    pub decisions: u64,
+    /// Decisions told, by name.
+    pub decisions: BTreeMap<String, u64>,
     /// Versions accepted in the measured time.
     pub versions: u64,
     /// Time from acceptance until in force, one value for each version and node, in milliseconds.
@@ -66,7 +67,7 @@
             || Histogram::new_with_bounds(1, LONGEST_MILLIS, DIGITS).expect("constant bounds are valid");
         Self {
             events: 0,
-            decisions: 0,
+            decisions: BTreeMap::new(),
             versions: 0,
             convergence: histogram(),
             drain_spread: histogram(),
@@ -91,6 +92,7 @@
     pub(super) fn begin(&mut self, nodes: &mut [HollowNode], platform: &PlatformModel) {
         self.begun = true;
         self.messages.clear();
+        self.decisions.clear();
         self.requests_before = platform.requests;
         self.readers_before = platform.most_readers;
         for node in nodes {
@@ -140,6 +142,12 @@
         }
     }
 
+    pub(super) fn decided(&mut self, decision: &Decision) {
+        let text = format!("{decision:?}");
+        let name = text.split([' ', '{']).next().unwrap_or_default();
+        *self.decisions.entry(name.to_owned()).or_default() += 1;
+    }
+
     pub(super) fn drain_began(&mut self, now: Timestamp, record: &EndpointRecord) {
         self.draining.insert(record.node.clone(), (record.incarnation, now));
     }
--- a/testing/sim/src/scale/outputs.rs
+++ b/testing/sim/src/scale/outputs.rs
@@ -43,7 +43,7 @@
             }
             Output::Endpoints(records) => self.measurement.endpoints_learnt(self.now, &records),
             Output::WakeAt(at) => self.wake_at(process, at),
-            Output::Decision(_) => self.measurement.decisions += 1,
+            Output::Decision(decision) => self.measurement.decided(&decision),
         }
     }
 
--- a/testing/sim/src/scale/report.rs
+++ b/testing/sim/src/scale/report.rs
@@ -70,6 +70,8 @@
     pub recovery_millis: Option<u64>,
     /// Messages by kind.
     pub messages: BTreeMap<&'static str, MessageCount>,
+    /// Decisions of the cores by name.
+    pub decisions: BTreeMap<String, u64>,
     /// Events handled, warm-up included.
     pub events: u64,
 }
@@ -97,6 +99,7 @@
             lagging_at_end: measurement.lagging_at_end,
             recovery_millis: measurement.recovery.map(|recovery| recovery.0),
             messages: measurement.messages.clone(),
+            decisions: measurement.decisions.clone(),
             events: measurement.events,
         }
     }
@@ -153,6 +156,9 @@
         for (kind, count) in &self.messages {
             writeln!(formatter, "  {kind:<26} {} messages, {} bytes", count.messages, count.bytes)?;
         }
+        for (name, count) in &self.decisions {
+            writeln!(formatter, "  {name:<26} {count} decisions")?;
+        }
         Ok(())
     }
 }
