--- a/crates/overlay/src/node/content.rs
+++ b/crates/overlay/src/node/content.rs
@@ -63,6 +63,7 @@
         self.progress.report_due = true;
         self.progress.newest_since = Some(self.now);
         self.parent.transfer_retry_at = None;
+        self.feed_tracker();
         self.feed_round();
         self.feed_witness();
         self.update_own_interest();
--- a/crates/overlay/src/node/peers.rs
+++ b/crates/overlay/src/node/peers.rs
@@ -44,6 +44,8 @@
         reader.next_peer_search = now + SEARCH_INTERVAL;
         reader.not_readers.retain(|_, until| *until > now);
         reader.colleagues.retain(|_, (_, until)| *until > now);
+        self.tell_colleagues();
+        let Some(reader) = &mut self.reader else { return };
         let is_seed_time = now >= reader.next_seed_search;
         if is_seed_time {
             reader.next_seed_search = now + SEED_INTERVAL;
@@ -253,6 +255,7 @@
             transfer: TransferState::Idle,
         };
         self.peers.insert(connection, peer);
+        self.schedule.peers_changed = true;
         if self.is_reader() && role == Role::Reader {
             self.send_all_digests(connection);
         }
@@ -297,6 +300,9 @@
         let delay = if watches { self.config.timing.pull_delay } else { Millis(0) };
         let pull_at = self.now + delay;
         let Some(peer) = self.peers.get_mut(&connection) else { return };
+        if peer.role != state.role {
+            self.schedule.peers_changed = true;
+        }
         peer.role = state.role;
         if behind && peer.pull_at.is_none() {
             peer.pull_at = Some(pull_at);
--- a/crates/overlay/src/node/roles.rs
+++ b/crates/overlay/src/node/roles.rs
@@ -181,7 +181,7 @@
             let interest = self.own_interest();
             self.drop_uncovered(&interest);
         }
-        self.drop_useless_peers();
+        self.schedule.peers_changed = true;
         self.update_own_interest();
         self.feed_witness();
     }
--- a/crates/overlay/src/node/timers.rs
+++ b/crates/overlay/src/node/timers.rs
@@ -14,6 +14,10 @@
     pub(super) started: bool,
     /// Depth that the children were told last.
     pub(super) depth_told: Option<u8>,
+    /// Whether a link to a peer may have become useless.
+    pub(super) peers_changed: bool,
+    /// Whether the witnesses may hold enough for a higher commit index.
+    pub(super) holds_changed: bool,
     wake_asked: Option<Timestamp>,
 }
 
@@ -45,7 +49,7 @@
     }
 
     fn tend_reader(&mut self) {
-        if !self.peers.is_empty() {
+        if std::mem::take(&mut self.schedule.peers_changed) {
             self.drop_useless_peers();
         }
         if !self.is_reader() {
@@ -53,7 +57,6 @@
         }
         self.tend_lease();
         self.search_peers();
-        self.tell_colleagues();
         self.pull_from_peers();
         self.compare_with_random_reader();
         self.compare_again();
--- a/crates/overlay/src/node/witnesses.rs
+++ b/crates/overlay/src/node/witnesses.rs
@@ -37,6 +37,7 @@
         self.feed_round();
         self.feed_witness();
         self.role.placements_due = true;
+        self.schedule.peers_changed = true;
     }
 
     /// A reader takes this node for a witness; it takes part as soon as it holds the record that says so.
@@ -118,6 +119,7 @@
         let Some(WitnessMessage::Hold(answer)) = statement else { return };
         if let Some(reader) = &mut self.reader {
             reader.tracker.on_hold(&answer);
+            self.schedule.holds_changed = true;
         }
         let hold = CompactWitnessMessage::Hold(self.compact(&answer, false));
         for connection in self.commit_readers() {
@@ -245,6 +247,7 @@
         let Some(answer) = self.expand(from, answer) else { return };
         if let Some(reader) = &mut self.reader {
             reader.tracker.on_hold(&answer);
+            self.schedule.holds_changed = true;
         }
     }
 
@@ -253,6 +256,7 @@
         let statement = self.witness.as_mut().and_then(|duty| duty.core.on_reply(nonce, answer));
         self.spread_hold(statement);
         self.on_round_reply(nonce, answer);
+        self.schedule.holds_changed = true;
         let Some(reader) = &mut self.reader else { return };
         if let Some(version) = reader.tracker.on_reply(nonce, answer) {
             reader.check_since = None;
@@ -279,15 +283,18 @@
             }
         }
         let committed = tracker.committed();
+        self.schedule.holds_changed = true;
         self.on_commit_index(committed);
     }
 
     /// Checks the commit index with the witnesses where their holds allow a higher one.
     pub(super) fn tend_commit_check(&mut self) {
-        self.feed_tracker();
-        let delay = self.check_delay();
         let now = self.now;
         let Some(reader) = &mut self.reader else { return };
+        let waits = reader.check_since.is_some() || reader.check_wanted_since.is_some();
+        if !waits && !std::mem::take(&mut self.schedule.holds_changed) {
+            return;
+        }
         if reader.check_since.is_some_and(|since| now.since(since) >= CHECK_TIMEOUT) {
             reader.tracker.abandon_check();
             reader.check_since = None;
@@ -297,6 +304,7 @@
             return;
         }
         let wanted_since = *reader.check_wanted_since.get_or_insert(now);
+        let delay = self.check_delay();
         if now.since(wanted_since) >= delay {
             self.begin_commit_check();
         }
