Take a version in at the cost of the change

Cause: a node that holds everything copied three maps, hashed every entry's name and checked every reference for each version, and a restriction looked at every route.

Ruled out: a hash over a trie of the names, because a fixed two-level set is simpler and as fast at this size; a scan of the routes for what refers to a changed secret, because it costs the whole again.

Change: `Entries`, a persistent map (imbl) that keeps its hash in 64 buckets and, for routes, an index by service, caller and secret. `TouchedScopes` and `VersionStore::view` carry a scope's view over the steps that don't touch it. The content hash has a new domain: hashes differ from those of earlier programs. The wire format stays.

Tests: the kept hash against scratch, the verdict on a delta against the full check, restrictions against their definition, views against restrictions; a set that forgets a bucket is caught.

--- a/crates/config/examples/measure.rs
+++ b/crates/config/examples/measure.rs
@@ -12,7 +12,7 @@
 use rand_chacha::ChaCha20Rng;
 use umberpond_config::{
     Bundle, BundleSource, CheckReport, Delta, HeaderCredential, Origin, Plan, RequestClass, Route, Scope,
-    SealKey, Secret, SecretValue, Service, Snapshot, Sourced, join, seal,
+    SealKey, Secret, SecretValue, Service, Snapshot, Sourced, TouchedScopes, join, seal,
 };
 use umberpond_model::{BundleName, LocalityRule, Millis, ServiceName};
 
@@ -144,13 +144,17 @@
 
     println!("{SERVICES} services, {ROUTES} routes, {SECRETS} secrets, {BUNDLES} bundles, {ROUNDS} rounds");
     measure("join (checks everything, compiles)", || join(&bundles));
-    measure("content hash, whole", || before.content_hash());
+    measure_first_hash(&join(&bundles)?);
+    measure("content hash, whole, as kept", || before.content_hash());
     measure("delta between two wholes", || Delta::between(&before, &after));
     measure("acceptance: join, hash, delta", || {
         let joined = join(&bundles).expect("closed");
         (joined.content_hash(), Delta::between(&before, &joined))
     });
     measure("restrict to one caller", || before.restrict(&scope));
+    measure("restrict to one caller, hash", || before.restrict(&scope).content_hash());
+    measure("whom a delta touches", || TouchedScopes::of(&delta, &before, &after));
+    measure("closure of the whole", || after.check_closed_for(&Scope::Full));
     measure("whole node: apply, hash, closure", || activate(&delta, &before, &Scope::Full));
     measure("scoped node: apply, hash, closure", || activate(&scoped, &part, &scope));
     measure("encode whole", || before.to_bytes());
@@ -172,13 +176,20 @@
     measure_examples()
 }
 
+/// What a node does with a delta on a base that it has checked before.
 fn activate(delta: &Delta, held: &Snapshot, scope: &Scope) -> Snapshot {
     let after = delta.apply(held);
     black_box(after.content_hash());
-    after.check_closed_for(scope).expect("closed");
+    after.check_delta(delta, scope).expect("closed");
     after
 }
 
+fn measure_first_hash(snapshot: &Snapshot) {
+    let start = Instant::now();
+    black_box(snapshot.content_hash());
+    println!("content hash, whole, from scratch: {} us, one round", start.elapsed().as_micros());
+}
+
 fn measure_plan(before: &Snapshot, after: &Snapshot) {
     let start = Instant::now();
     let plan = Plan::between(before, after);
--- a/crates/config/src/check/whole.rs
+++ b/crates/config/src/check/whole.rs
@@ -7,7 +7,7 @@
 
 use super::routes::check_ambiguity;
 use super::{EntryKind, EntryName, Fault, FaultKind};
-use crate::{Bundle, Entry, Origin, Route, Secret, Service, Snapshot, Sourced};
+use crate::{Bundle, Entries, Entry, Origin, Record, Route, Secret, Service, Snapshot, Sourced};
 
 /// An entry with the bundle, file and line that define it.
 pub(super) struct Located<'a, T> {
@@ -178,8 +178,6 @@
     }
 }
 
-fn compile<K: Ord + Clone, T: Clone + bitcode::Encode>(
-    entries: &BTreeMap<&K, Located<'_, T>>,
-) -> BTreeMap<K, Entry<T>> {
+fn compile<T: Record>(entries: &BTreeMap<&T::Name, Located<'_, T>>) -> Entries<T> {
     entries.iter().map(|(name, entry)| ((*name).clone(), Entry::new(entry.value.clone()))).collect()
 }
--- a/crates/config/src/closure.rs
+++ b/crates/config/src/closure.rs
@@ -5,7 +5,7 @@
 use thiserror::Error;
 use umberpond_model::{RegionName, RouteName, SecretName, ServiceName, ZoneName};
 
-use crate::{Route, Scope, Service, Snapshot};
+use crate::{Delta, Route, Scope, Service, Snapshot};
 
 /// The first dangling reference found in a snapshot.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
@@ -62,10 +62,7 @@
     /// # Errors
     /// Returns the first dangling reference, in the order services, routes.
     pub fn check_closed(&self) -> Result<(), ClosureError> {
-        for (key, service) in &self.services {
-            check_name(key.as_str(), service.name.as_str())?;
-            self.check_localities(service)?;
-        }
+        self.check_services()?;
         for (key, secret) in &self.secrets {
             check_name(key.as_str(), secret.name.as_str())?;
         }
@@ -76,6 +73,50 @@
         Ok(())
     }
 
+    /// As [`Snapshot::check_closed_for`], for what `delta` made of a snapshot that was closed for `scope`: looks only at
+    /// what changed, and at the routes that refer to what was changed or removed.
+    ///
+    /// # Errors
+    /// Returns a dangling reference or a secret that a caller can't open, if the full check would return any.
+    pub fn check_delta(&self, delta: &Delta, scope: &Scope) -> Result<(), ClosureError> {
+        self.check_changed_services(delta)?;
+        for key in delta.secrets.keys() {
+            if let Some(secret) = self.secrets.get(key) {
+                check_name(key.as_str(), secret.name.as_str())?;
+            }
+        }
+        for name in self.routes_to_check(delta) {
+            let Some(route) = self.routes.get(name) else { continue };
+            check_name(name.as_str(), route.name.as_str())?;
+            self.check_route(route)?;
+            self.check_callers(route, scope)?;
+        }
+        Ok(())
+    }
+
+    /// A changed topology concerns every service, and no route.
+    fn check_changed_services(&self, delta: &Delta) -> Result<(), ClosureError> {
+        if delta.topology.is_some() {
+            return self.check_services();
+        }
+        for key in delta.services.keys() {
+            if let Some(service) = self.services.get(key) {
+                check_name(key.as_str(), service.name.as_str())?;
+                self.check_localities(service)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Changed routes, those that point at removed services, and those that use changed or removed secrets.
+    fn routes_to_check<'a>(&'a self, delta: &'a Delta) -> BTreeSet<&'a RouteName> {
+        let index = self.routes.index();
+        let removed = delta.services.iter().filter(|(_, service)| service.is_none());
+        let of_services = removed.flat_map(|(name, _)| index.to_service(name));
+        let of_secrets = delta.secrets.keys().flat_map(|name| index.with_secret(name));
+        delta.routes.keys().chain(of_services).chain(of_secrets).collect()
+    }
+
     /// As [`Snapshot::check_closed`], and checks that each caller inside `scope` has a sealed value of each secret
     /// of the routes that it calls.
     ///
@@ -84,9 +125,25 @@
     pub fn check_closed_for(&self, scope: &Scope) -> Result<(), ClosureError> {
         self.check_closed()?;
         for route in self.routes.values() {
-            for caller in route.callers.iter().filter(|caller| scope.covers_caller(caller)) {
-                self.check_sealed(route, caller)?;
-            }
+            self.check_callers(route, scope)?;
+        }
+        Ok(())
+    }
+
+    fn check_services(&self) -> Result<(), ClosureError> {
+        for (key, service) in &self.services {
+            check_name(key.as_str(), service.name.as_str())?;
+            self.check_localities(service)?;
+        }
+        Ok(())
+    }
+
+    fn check_callers(&self, route: &Route, scope: &Scope) -> Result<(), ClosureError> {
+        if route.credentials.is_empty() {
+            return Ok(());
+        }
+        for caller in route.callers.iter().filter(|caller| scope.covers_caller(caller)) {
+            self.check_sealed(route, caller)?;
         }
         Ok(())
     }
--- a/crates/config/src/content_hasher.rs
+++ b/crates/config/src/content_hasher.rs
@@ -1,19 +1,15 @@
-//! The hash of a snapshot's content. Every part is preceded by its length, so that no two contents share an input.
-
-use std::borrow::Borrow;
-use std::collections::BTreeMap;
+//! The hash of a snapshot's content. Every part has a fixed size or is preceded by its length, so that no two contents
+//! share an input.
 
 use umberpond_model::ContentHash;
 
-use crate::{Entry, Topology};
+use crate::Topology;
+use crate::entries::{Entries, Record};
 
 /// Domain separation from every other use of BLAKE3; changes with the meaning of the hash.
-const DOMAIN: &str = "umberpond 2026 snapshot content 1";
+const DOMAIN: &str = "umberpond 2026 snapshot content 2";
 
 /// Collects the content of one snapshot in its fixed order.
-///
-/// The input is gathered and hashed in one piece: BLAKE3 works on several chunks at once then, and is
-/// several times slower when it is fed name by name (figures in design note 0012).
 pub(crate) struct ContentHasher(Vec<u8>);
 
 impl ContentHasher {
@@ -32,13 +28,10 @@
         }
     }
 
-    pub(crate) fn entries<K: Borrow<str>, T>(&mut self, kind: &str, entries: &BTreeMap<K, Entry<T>>) {
+    pub(crate) fn entries<T: Record>(&mut self, kind: &str, entries: &Entries<T>) {
         self.text(kind);
         self.count(entries.len());
-        for (name, entry) in entries {
-            self.text(name.borrow());
-            self.0.extend_from_slice(entry.hash().as_bytes());
-        }
+        self.0.extend_from_slice(entries.hash().as_bytes());
     }
 
     pub(crate) fn finish(self) -> ContentHash {
--- a/crates/config/src/delta.rs
+++ b/crates/config/src/delta.rs
@@ -6,7 +6,7 @@
 use umberpond_model::{RouteName, SecretName, ServiceName};
 
 use crate::encoding::{self, DecodeError};
-use crate::{Entry, Route, Secret, Service, Snapshot, Topology};
+use crate::{Entries, Entry, Record, Route, Secret, Service, Snapshot, Topology};
 
 /// What changes between two snapshots: a value sets an entry, `None` removes it.
 ///
@@ -74,26 +74,16 @@
     }
 }
 
-fn changes<K: Ord + Clone, T: Clone>(
-    before: &BTreeMap<K, Entry<T>>,
-    after: &BTreeMap<K, Entry<T>>,
-) -> BTreeMap<K, Option<T>> {
-    let removed = before.keys().filter(|name| !after.contains_key(*name)).map(|name| (name.clone(), None));
-    let set = after
-        .iter()
-        .filter(|(name, entry)| before.get(*name) != Some(*entry))
-        .map(|(name, entry)| (name.clone(), Some(T::clone(entry))));
-    removed.chain(set).collect()
+fn changes<T: Record>(before: &Entries<T>, after: &Entries<T>) -> BTreeMap<T::Name, Option<T>> {
+    let changes = before.changes_to(after);
+    changes.map(|(name, entry)| (name.clone(), entry.map(|entry| T::clone(entry)))).collect()
 }
 
-fn apply_changes<K: Ord + Clone, T: Clone + Encode>(
-    entries: &mut BTreeMap<K, Entry<T>>,
-    changes: &BTreeMap<K, Option<T>>,
-) {
+fn apply_changes<T: Record>(entries: &mut Entries<T>, changes: &BTreeMap<T::Name, Option<T>>) {
     for (name, change) in changes {
         match change {
             Some(value) => entries.insert(name.clone(), Entry::new(value.clone())),
-            None => entries.remove(name),
+            None => entries.remove::<T::Name>(name),
         };
     }
 }
--- /dev/null
+++ b/crates/config/src/entries.rs
@@ -0,0 +1,215 @@
+//! The entries of one kind: a persistent ordered map that keeps its hash and its index.
+
+use std::borrow::Borrow;
+use std::fmt::{self, Debug};
+use std::ops::Index;
+
+use bitcode::Encode;
+use imbl::OrdMap;
+use imbl::ordmap::DiffItem;
+use umberpond_model::{ContentHash, RouteName, SecretName, ServiceName};
+
+use crate::content_set::{ContentSet, leaf};
+use crate::route_index::RouteIndex;
+use crate::{Entry, Route, Secret, Service};
+
+/// A kind of entry.
+pub trait Record: Clone + Encode {
+    /// Name under which entries of this kind stand.
+    type Name: Clone + Ord + Borrow<str> + Debug;
+    /// What is found by other means than the name.
+    type Index: RecordIndex<Self>;
+}
+
+/// An index that follows the changes of a map.
+pub trait RecordIndex<T: Record>: Clone + Default + Debug {
+    /// Takes in that `new` stands in the place of `old` under `name`.
+    fn replace(&mut self, name: &T::Name, old: Option<&T>, new: Option<&T>);
+}
+
+/// The index of a kind that is only found by name.
+#[derive(Debug, Clone, Default)]
+pub struct NoIndex;
+
+impl<T: Record> RecordIndex<T> for NoIndex {
+    fn replace(&mut self, _name: &T::Name, _old: Option<&T>, _new: Option<&T>) {}
+}
+
+impl Record for Service {
+    type Name = ServiceName;
+    type Index = NoIndex;
+}
+
+impl Record for Route {
+    type Name = RouteName;
+    type Index = RouteIndex;
+}
+
+impl Record for Secret {
+    type Name = SecretName;
+    type Index = NoIndex;
+}
+
+/// Entries by name, in the order of the names. Copies share their content: a copy costs the same whatever the size, a
+/// change the logarithm of the size.
+#[derive(Clone)]
+pub struct Entries<T: Record> {
+    map: OrdMap<T::Name, Entry<T>>,
+    content: ContentSet,
+    index: T::Index,
+}
+
+impl<T: Record> Entries<T> {
+    /// The entry called `name`.
+    #[must_use]
+    pub fn get<Q: Ord + ?Sized>(&self, name: &Q) -> Option<&Entry<T>>
+    where
+        T::Name: Borrow<Q>,
+    {
+        self.map.get(name)
+    }
+
+    /// The entry called `name` and the name as the map holds it.
+    #[must_use]
+    pub fn get_key_value<Q: Ord + ?Sized>(&self, name: &Q) -> Option<(&T::Name, &Entry<T>)>
+    where
+        T::Name: Borrow<Q>,
+    {
+        self.map.get_key_value(name)
+    }
+
+    /// Whether there is an entry called `name`.
+    #[must_use]
+    pub fn contains_key<Q: Ord + ?Sized>(&self, name: &Q) -> bool
+    where
+        T::Name: Borrow<Q>,
+    {
+        self.map.contains_key(name)
+    }
+
+    /// Count of entries.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.map.len()
+    }
+
+    /// Whether there is no entry.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.map.is_empty()
+    }
+
+    /// Names and entries, in the order of the names.
+    pub fn iter(&self) -> imbl::ordmap::Iter<'_, T::Name, Entry<T>, imbl::shared_ptr::DefaultSharedPtr> {
+        self.map.iter()
+    }
+
+    /// Names in order.
+    pub fn keys(&self) -> impl Iterator<Item = &T::Name> {
+        self.map.keys()
+    }
+
+    /// Entries, in the order of their names.
+    pub fn values(&self) -> impl Iterator<Item = &Entry<T>> {
+        self.map.values()
+    }
+
+    /// Sets the entry called `name`; returns the one in whose place it stands.
+    pub fn insert(&mut self, name: T::Name, entry: Entry<T>) -> Option<Entry<T>> {
+        let new_leaf = leaf(text::<T>(&name), entry.hash());
+        let old = self.map.insert(name.clone(), entry.clone());
+        if let Some(old) = &old {
+            self.content.remove(leaf(text::<T>(&name), old.hash()));
+        }
+        self.content.insert(new_leaf);
+        self.index.replace(&name, old.as_deref(), Some(&entry));
+        old
+    }
+
+    /// Removes the entry called `name` and returns it.
+    pub fn remove<Q: Ord + ?Sized>(&mut self, name: &Q) -> Option<Entry<T>>
+    where
+        T::Name: Borrow<Q>,
+    {
+        let (name, old) = self.map.remove_with_key(name)?;
+        self.content.remove(leaf(text::<T>(&name), old.hash()));
+        self.index.replace(&name, Some(&old), None);
+        Some(old)
+    }
+
+    /// What stands otherwise in `after`: the new entry, or none where it is removed. Costs in proportion to what the
+    /// two don't share.
+    pub(crate) fn changes_to<'a>(
+        &'a self,
+        after: &'a Self,
+    ) -> impl Iterator<Item = (&'a T::Name, Option<&'a Entry<T>>)> {
+        self.map.diff(&after.map).map(|item| match item {
+            DiffItem::Add(name, entry) => (name, Some(entry)),
+            DiffItem::Update { new: (name, entry), .. } => (name, Some(entry)),
+            DiffItem::Remove(name, _) => (name, None),
+        })
+    }
+
+    /// Hash over names and entries.
+    pub(crate) fn hash(&self) -> ContentHash {
+        self.content.hash()
+    }
+
+    pub(crate) const fn index(&self) -> &T::Index {
+        &self.index
+    }
+}
+
+fn text<T: Record>(name: &T::Name) -> &str {
+    name.borrow()
+}
+
+impl<T: Record> Default for Entries<T> {
+    fn default() -> Self {
+        Self { map: OrdMap::new(), content: ContentSet::default(), index: T::Index::default() }
+    }
+}
+
+impl<T: Record> PartialEq for Entries<T> {
+    fn eq(&self, other: &Self) -> bool {
+        self.map == other.map
+    }
+}
+
+impl<T: Record> Eq for Entries<T> {}
+
+impl<T: Record + Debug> Debug for Entries<T> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_map().entries(self.iter()).finish()
+    }
+}
+
+impl<T: Record> FromIterator<(T::Name, Entry<T>)> for Entries<T> {
+    fn from_iter<I: IntoIterator<Item = (T::Name, Entry<T>)>>(entries: I) -> Self {
+        let mut collected = Self::default();
+        for (name, entry) in entries {
+            collected.insert(name, entry);
+        }
+        collected
+    }
+}
+
+impl<'a, T: Record> IntoIterator for &'a Entries<T> {
+    type Item = (&'a T::Name, &'a Entry<T>);
+    type IntoIter = imbl::ordmap::Iter<'a, T::Name, Entry<T>, imbl::shared_ptr::DefaultSharedPtr>;
+
+    fn into_iter(self) -> Self::IntoIter {
+        self.iter()
+    }
+}
+
+impl<T: Record, Q: Ord + ?Sized> Index<&Q> for Entries<T>
+where
+    T::Name: Borrow<Q>,
+{
+    type Output = Entry<T>;
+
+    fn index(&self, name: &Q) -> &Entry<T> {
+        &self.map[name]
+    }
+}
--- a/crates/config/src/plan/changes.rs
+++ b/crates/config/src/plan/changes.rs
@@ -1,10 +1,8 @@
 //! Names added, removed and changed.
 
-use std::collections::BTreeMap;
-
 use serde::Serialize;
 
-use crate::Entry;
+use crate::{Entries, Record};
 
 /// What happens to the entries of one kind.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
@@ -25,7 +23,7 @@
 
 impl<K: Ord + Clone> Changes<K> {
     /// The changes between two sets of entries.
-    pub(super) fn between<T>(before: &BTreeMap<K, Entry<T>>, after: &BTreeMap<K, Entry<T>>) -> Self {
+    pub(super) fn between<T: Record<Name = K>>(before: &Entries<T>, after: &Entries<T>) -> Self {
         let mut changes = Self::default();
         for (name, entry) in after {
             match before.get(name) {
--- a/crates/config/src/snapshot.rs
+++ b/crates/config/src/snapshot.rs
@@ -6,22 +6,22 @@
 
 use crate::content_hasher::ContentHasher;
 use crate::encoding::{self, DecodeError};
-use crate::{Delta, Entry, Route, Scope, Secret, Service};
+use crate::{Delta, Entries, Entry, Route, Scope, Secret, Service};
 
 /// Regions and their zones.
 pub type Topology = BTreeMap<RegionName, BTreeSet<ZoneName>>;
 
-/// One configuration, whole or restricted to a scope. Copies share their entries.
+/// One configuration, whole or restricted to a scope. Copies share their content.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Snapshot {
     /// Regions and zones that exist.
     pub topology: Topology,
     /// Services by name.
-    pub services: BTreeMap<ServiceName, Entry<Service>>,
+    pub services: Entries<Service>,
     /// Routes by name.
-    pub routes: BTreeMap<RouteName, Entry<Route>>,
+    pub routes: Entries<Route>,
     /// Secrets by name.
-    pub secrets: BTreeMap<SecretName, Entry<Secret>>,
+    pub secrets: Entries<Secret>,
 }
 
 impl Snapshot {
@@ -69,20 +69,13 @@
         Ok(content.apply(&Self::default()))
     }
 
-    fn routes_of(&self, callers: &BTreeSet<ServiceName>) -> BTreeMap<RouteName, Entry<Route>> {
-        let is_called = |route: &Route| route.callers.iter().any(|caller| callers.contains(caller));
-        self.routes
-            .iter()
-            .filter(|(_, route)| is_called(route))
-            .map(|(name, route)| (name.clone(), route.clone()))
-            .collect()
+    fn routes_of(&self, callers: &BTreeSet<ServiceName>) -> Entries<Route> {
+        let called = callers.iter().flat_map(|caller| self.routes.index().of_caller(caller));
+        let names: BTreeSet<&RouteName> = called.collect();
+        names.into_iter().map(|name| (name.clone(), self.routes[name].clone())).collect()
     }
 
-    fn services_behind(
-        &self,
-        routes: &BTreeMap<RouteName, Entry<Route>>,
-        callers: &BTreeSet<ServiceName>,
-    ) -> BTreeMap<ServiceName, Entry<Service>> {
+    fn services_behind(&self, routes: &Entries<Route>, callers: &BTreeSet<ServiceName>) -> Entries<Service> {
         let called = routes.values().map(|route| &route.service);
         let needed: BTreeSet<&ServiceName> = called.chain(callers).collect();
         needed
@@ -92,11 +85,7 @@
             .collect()
     }
 
-    fn secrets_used(
-        &self,
-        routes: &BTreeMap<RouteName, Entry<Route>>,
-        callers: &BTreeSet<ServiceName>,
-    ) -> BTreeMap<SecretName, Entry<Secret>> {
+    fn secrets_used(&self, routes: &Entries<Route>, callers: &BTreeSet<ServiceName>) -> Entries<Secret> {
         let credentials = routes.values().flat_map(|route| &route.credentials);
         let needed: BTreeSet<&SecretName> = credentials.map(|credential| &credential.secret).collect();
         needed
--- /dev/null
+++ b/crates/config/src/touched.rs
@@ -0,0 +1,51 @@
+//! Whose part of the configuration a delta changes.
+
+use std::collections::BTreeSet;
+
+use umberpond_model::{RouteName, ServiceName};
+
+use crate::{Delta, Scope, Snapshot};
+
+/// Scopes whose restriction a delta may change. Of every other scope the restriction, and with it the hash, stays.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum TouchedScopes {
+    /// Every scope: the topology changes.
+    All,
+    /// The whole, and scopes with one of these callers.
+    Callers(BTreeSet<ServiceName>),
+}
+
+impl TouchedScopes {
+    /// The scopes that `delta` touches on its way from `before` to `after`, both whole.
+    #[must_use]
+    pub fn of(delta: &Delta, before: &Snapshot, after: &Snapshot) -> Self {
+        if delta.topology.is_some() {
+            return Self::All;
+        }
+        let mut callers: BTreeSet<ServiceName> = delta.services.keys().cloned().collect();
+        for snapshot in [before, after] {
+            for name in routes_concerned(delta, snapshot) {
+                let route = snapshot.routes.get(name);
+                callers.extend(route.into_iter().flat_map(|route| route.callers.iter().cloned()));
+            }
+        }
+        Self::Callers(callers)
+    }
+
+    /// Whether the delta may change what `scope` covers.
+    #[must_use]
+    pub fn contains(&self, scope: &Scope) -> bool {
+        match (self, scope) {
+            (Self::All, _) | (_, Scope::Full) => true,
+            (Self::Callers(touched), Scope::Callers(callers)) => !touched.is_disjoint(callers),
+        }
+    }
+}
+
+/// Changed routes, and the routes of `snapshot` that refer to changed services or secrets.
+fn routes_concerned<'a>(delta: &'a Delta, snapshot: &'a Snapshot) -> BTreeSet<&'a RouteName> {
+    let index = snapshot.routes.index();
+    let of_services = delta.services.keys().flat_map(|name| index.to_service(name));
+    let of_secrets = delta.secrets.keys().flat_map(|name| index.with_secret(name));
+    delta.routes.keys().chain(of_services).chain(of_secrets).collect()
+}
--- a/crates/proxy/src/routing/table.rs
+++ b/crates/proxy/src/routing/table.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderName, HeaderValue, Method};
 use thiserror::Error;
-use umberpond_config::{Entry, RequestClass, Service};
+use umberpond_config::{Entries, RequestClass, Service};
 use umberpond_model::{Millis, RouteName, ServiceName, Version};
 
 /// One route, ready for use.
@@ -114,14 +114,14 @@
 #[derive(Debug, Clone)]
 pub struct RoutingTable {
     version: Version,
-    services: BTreeMap<ServiceName, Entry<Service>>,
+    services: Entries<Service>,
     routes: BTreeMap<ServiceName, ServiceRoutes>,
 }
 
 impl RoutingTable {
     pub(crate) const fn new(
         version: Version,
-        services: BTreeMap<ServiceName, Entry<Service>>,
+        services: Entries<Service>,
         routes: BTreeMap<ServiceName, ServiceRoutes>,
     ) -> Self {
         Self { version, services, routes }
--- a/crates/versions/src/history.rs
+++ b/crates/versions/src/history.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use umberpond_config::{Delta, Scope, Snapshot};
+use umberpond_config::{Delta, Scope, Snapshot, TouchedScopes};
 use umberpond_model::Version;
 
 use crate::ComposedStep;
+use crate::scoped_view::{ScopedView, ScopedViews};
 
 /// Most recent versions that a relay keeps. At ten times the average rate of 0.6 changes a second this spans
 /// about 20 seconds; a child that is further behind takes a whole transfer.
@@ -20,6 +21,7 @@
 pub(crate) struct History {
     snapshots: BTreeMap<Version, Arc<Snapshot>>,
     composed: BTreeMap<(Version, Scope), Arc<ComposedStep>>,
+    views: ScopedViews,
 }
 
 impl History {
@@ -32,10 +34,18 @@
         }
     }
 
+    /// Notes the delta that leads from the newest snapshot to the one that is pushed next.
+    pub(crate) fn on_delta(&mut self, from: Version, to: Version, delta: &Delta, after: &Snapshot) {
+        if let Some(before) = self.snapshots.get(&from) {
+            self.views.on_step(from, to, TouchedScopes::of(delta, before, after));
+        }
+    }
+
     /// Forgets everything.
     pub(crate) fn clear(&mut self) {
         self.snapshots.clear();
         self.composed.clear();
+        self.views.clear();
     }
 
     /// The snapshot of `version`, if it is still kept.
@@ -43,6 +53,12 @@
         self.snapshots.get(&version)
     }
 
+    /// The snapshot of `version` as `scope` sees it, if it is still kept.
+    pub(crate) fn view(&mut self, scope: &Scope, version: Version) -> Option<ScopedView> {
+        let content = self.snapshots.get(&version)?;
+        Some(self.views.get(scope, version, content))
+    }
+
     /// One delta from `from` to the newest version, as `scope` sees it.
     pub(crate) fn step_from(&mut self, from: Version, scope: &Scope) -> Option<Arc<ComposedStep>> {
         let key = (from, scope.clone());
@@ -56,15 +72,18 @@
         Some(step)
     }
 
-    fn compose(&self, from: Version, scope: &Scope) -> Option<ComposedStep> {
-        let before = self.snapshots.get(&from)?;
-        let (to, after) = self.snapshots.last_key_value()?;
-        if *to <= from {
+    fn compose(&mut self, from: Version, scope: &Scope) -> Option<ComposedStep> {
+        let to = *self.snapshots.last_key_value()?.0;
+        if to <= from || !self.snapshots.contains_key(&from) {
             return None;
         }
-        let before = before.restrict(scope);
-        let after = after.restrict(scope);
-        let delta = Delta::between(&before, &after);
-        Some(ComposedStep { from, to: *to, delta, hash: after.content_hash() })
+        if self.views.is_untouched(scope, from, to) {
+            let hash = self.view(scope, to)?.hash;
+            return Some(ComposedStep { from, to, delta: Delta::default(), hash });
+        }
+        let before = self.view(scope, from)?;
+        let after = self.view(scope, to)?;
+        let delta = Delta::between(&before.snapshot, &after.snapshot);
+        Some(ComposedStep { from, to, delta, hash: after.hash })
     }
 }
--- a/crates/versions/src/store.rs
+++ b/crates/versions/src/store.rs
@@ -16,7 +16,7 @@
 use umberpond_model::{ContentHash, Version};
 
 use crate::history::History;
-use crate::{ComposedStep, StepError, Whole};
+use crate::{ComposedStep, ScopedView, StepError, Whole};
 
 /// Most snapshots that wait for their commit, the newest included.
 const MAX_WAITING: usize = 32;
@@ -113,7 +113,9 @@
     /// [`StepError::HashMismatch`] and [`StepError::NotClosed`] if the content isn't sound.
     pub fn on_whole(&mut self, whole: Whole) -> Result<(), StepError> {
         self.check_newer(whole.version)?;
-        self.check_content(whole.version, whole.hash, &whole.snapshot)?;
+        check_hash(whole.version, whole.hash, &whole.snapshot)?;
+        let closed = whole.snapshot.check_closed_for(&self.scope);
+        closed.map_err(|cause| StepError::NotClosed { to: whole.version, cause })?;
         self.hold(whole.version, Arc::new(whole.snapshot));
         Ok(())
     }
@@ -177,6 +179,12 @@
         self.history.step_from(from, scope)
     }
 
+    /// The content of `version` as a child in `scope` sees it, with its hash. Costs next to nothing where no step
+    /// since the last look touched the scope. None if `version` is no longer kept, or if this store isn't a relay's.
+    pub fn view(&mut self, scope: &Scope, version: Version) -> Option<ScopedView> {
+        self.history.view(scope, version)
+    }
+
     /// The newest held version as a whole transfer for a child in `scope`. None if nothing is held, or if this
     /// store isn't a relay's.
     #[must_use]
@@ -220,7 +228,13 @@
             return Err(StepError::Gap { held: self.held(), from });
         };
         let result = delta.apply(base);
-        self.check_content(to, expected_hash, &result)?;
+        check_hash(to, expected_hash, &result)?;
+        // The base is closed: nothing is held that isn't.
+        let closed = result.check_delta(delta, &self.scope);
+        closed.map_err(|cause| StepError::NotClosed { to, cause })?;
+        if self.scope == Scope::Full {
+            self.history.on_delta(from, to, delta, &result);
+        }
         self.hold(to, Arc::new(result));
         Ok(())
     }
@@ -262,17 +276,9 @@
             self.waiting.remove(&version);
         }
     }
+}
 
-    fn check_content(
-        &self,
-        to: Version,
-        expected: ContentHash,
-        snapshot: &Snapshot,
-    ) -> Result<(), StepError> {
-        let found = snapshot.content_hash();
-        if found != expected {
-            return Err(StepError::HashMismatch { to, expected, found });
-        }
-        snapshot.check_closed_for(&self.scope).map_err(|cause| StepError::NotClosed { to, cause })
-    }
+fn check_hash(to: Version, expected: ContentHash, snapshot: &Snapshot) -> Result<(), StepError> {
+    let found = snapshot.content_hash();
+    if found == expected { Ok(()) } else { Err(StepError::HashMismatch { to, expected, found }) }
 }
--- a/crates/versions/tests/store.rs
+++ b/crates/versions/tests/store.rs
@@ -189,8 +189,23 @@
         child.on_whole(whole(from, &leaf_scope())).unwrap();
         let step = relay.step_from(Version(from), &leaf_scope()).unwrap();
         child.on_composed(&step).unwrap();
+        let view = relay.view(&leaf_scope(), Version(last)).unwrap();
+        assert_eq!(view.hash, whole(last, &leaf_scope()).hash);
+        assert_eq!(*view.snapshot, whole(last, &leaf_scope()).snapshot);
         child.held() == Some(Version(last)) && relay.step_from(Version(last), &leaf_scope()).is_none()
     }
+
+    /// Looks at one scope now and then, so that its view is carried over untouched steps and made anew after others.
+    fn a_kept_view_is_the_restriction_at_every_look(looks: Vec<bool>) -> bool {
+        let scope = Scope::Callers(BTreeSet::from([service_name(0)]));
+        let mut relay = relay(1, 2);
+        looks.into_iter().zip(2..).all(|(look, from)| {
+            relay.on_composed(&step(from, from + 1, &Scope::Full)).unwrap();
+            let expected = whole(from + 1, &scope);
+            let view = look.then(|| relay.view(&scope, Version(from + 1)).unwrap());
+            view.is_none_or(|view| view.hash == expected.hash && *view.snapshot == expected.snapshot)
+        })
+    }
 }
 
 fn relay(first: u64, last: u64) -> VersionStore {
