--- a/crates/node/src/platform/lease.rs
+++ b/crates/node/src/platform/lease.rs
@@ -6,11 +6,12 @@
 use tokio::time::{Instant, sleep, sleep_until};
 use umberpond_model::{Locality, NodeName};
 use umberpond_overlay::interface::PlatformEvent;
-use umberpond_platform::{Backoff, BackoffSettings, LeaseAnswer, PlatformError};
+use umberpond_platform::{Backoff, LeaseAnswer, PlatformError};
 use umberpond_telemetry::Event;
 
 use super::actor::PlatformContext;
-use super::reader_address;
+use super::backoff::PLATFORM_BACKOFF;
+use super::{maintenance, reader_address};
 use crate::admin::api::ReaderAddress;
 
 /// Leases of one zone: one for each of its readers.
@@ -45,7 +46,7 @@
 
 /// Acquires one of the zone's leases and renews it until it is refused or lapses. Ends with `LeaseLost`.
 pub(super) async fn hold(context: PlatformContext, lease: ReaderLease, mut rng: ChaCha8Rng) {
-    let mut backoff = Backoff::new(BackoffSettings::default());
+    let mut backoff = Backoff::new(PLATFORM_BACKOFF);
     let held = loop {
         match acquire_any(&context, &lease).await {
             Ok(held) => break held,
@@ -60,7 +61,18 @@
     context.telemetry.emit(Event::LeaseGranted { lease: held.name.to_owned() });
     context.tell(PlatformEvent::LeaseGranted);
     reader_address::publish(&context, held.name, &lease.address).await;
-    keep(&context, &lease, &mut held).await;
+    let is_first = lease.names.first().is_some_and(|first| first == held.name);
+    let maintenance = async {
+        if is_first {
+            maintenance::maintain(&context, rng).await;
+        }
+        std::future::pending::<()>().await;
+    };
+    tokio::select! {
+        biased;
+        () = keep(&context, &lease, &mut held) => {}
+        () = maintenance => {}
+    }
     context.telemetry.emit(Event::LeaseLost { lease: held.name.to_owned() });
     context.tell(PlatformEvent::LeaseLost);
 }
--- a/crates/node/src/platform/mod.rs
+++ b/crates/node/src/platform/mod.rs
@@ -4,9 +4,11 @@
 //! learns; the actor starts and ends these tasks.
 
 mod actor;
+mod backoff;
 mod head_reads;
 mod lease;
 mod machines;
+mod maintenance;
 mod reader_address;
 mod watch;
 
