Merge the doubled parts of the acceptance tests

No assertion was changed or removed; the test over HTTP now takes the common context (three candidates, everything committed) where it had one candidate, since it looks at lost answers only.

--- a/crates/acceptance/tests/collection.rs
+++ b/crates/acceptance/tests/collection.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use support::history::read_chain;
-use support::{acceptor, is_swap, name, platform_with_mesh, put, reader, service};
+use support::{acceptor, grow, is_swap, name, platform_with_mesh, put, read_head, reader, service};
 use umberpond_acceptance::chain::ChainReader;
 use umberpond_acceptance::{
     ChainError, Change, CollectError, CollectReport, CollectSettings, MIN_KEPT_VERSIONS, collect,
@@ -16,14 +16,6 @@
 
 const SETTINGS: CollectSettings = CollectSettings { keep_versions: MIN_KEPT_VERSIONS, grace_versions: 8 };
 
-/// Appends versions that each replace the one bundle `billing`.
-async fn grow(platform: &MemoryPlatform, versions: std::ops::RangeInclusive<u32>) {
-    let acceptor = acceptor(platform.client(), 1);
-    for version in versions {
-        put(&acceptor, version.into(), "billing", service("billing", version)).await;
-    }
-}
-
 async fn collect_now(platform: &MemoryPlatform) -> CollectReport {
     collect(&reader(platform), SETTINGS).await.expect("the collection ends")
 }
@@ -42,7 +34,7 @@
     assert_eq!(platform.objects(ObjectKind::Content).len(), before - report.deleted);
     assert_eq!(collect_now(&platform).await.deleted, 0);
     let chain = reader(&platform);
-    let head = chain.read_head().await.expect("reads").expect("stands").head;
+    let head = read_head(&platform).await;
     assert_eq!(chain.read_steps_after(Version(36), &head).await.map(|steps| steps.len()), Ok(64));
     assert!(chain.read_whole(head.record).await.is_ok());
     // The search for a submission ends where the chain was collected, and a new one is accepted.
@@ -53,7 +45,7 @@
 async fn a_slow_reader_keeps_its_content_for_as_long_as_the_versions_are_kept() {
     let platform = platform_with_mesh().await;
     grow(&platform, 2..=80).await;
-    let head = reader(&platform).read_head().await.expect("reads").expect("stands").head;
+    let head = read_head(&platform).await;
     let slow = platform.client();
     slow.set_faults(|_| Fault::Slow(Duration::from_secs(60)));
     let slow_reader = ChainReader::new(std::sync::Arc::new(slow));
@@ -93,7 +85,7 @@
         assert_eq!(submitted.expect("accepted").version, Version(101));
         assert!(collected.expect("the collection ends").deleted > 0);
         let chain = reader(&platform);
-        let head = chain.read_head().await.expect("reads").expect("stands").head;
+        let head = read_head(&platform).await;
         let whole = chain.read_whole(head.record).await.expect("nothing in force was deleted");
         assert_eq!(whole.snapshot.services[&name::<ServiceName>("billing")].slots, 5);
         // A node that has read nothing yet finds every bundle.
@@ -112,11 +104,7 @@
     grow(&platform, 101..=120).await;
     collect_now(&platform).await;
     assert!(!platform.objects(ObjectKind::Content).contains_key("00"));
-    assert_eq!(read_kept(&platform).await, Version(120));
-}
-
-async fn read_kept(platform: &MemoryPlatform) -> Version {
-    reader(platform).read_head().await.expect("reads").expect("stands").head.version
+    assert_eq!(read_head(&platform).await.version, Version(120));
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/acceptance/tests/head_watch.rs
+++ b/crates/acceptance/tests/head_watch.rs
@@ -7,7 +7,7 @@
 
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
-use support::{acceptor, platform_with_mesh, put, reader, service};
+use support::{grow, platform_with_mesh, read_head, reader};
 use tokio::time::timeout;
 use umberpond_acceptance::chain::ChainReader;
 use umberpond_acceptance::{
@@ -18,13 +18,6 @@
 use umberpond_platform::memory::{Fault, MemoryPlatform, MemoryStore};
 use umberpond_platform::{ObjectKind, ObjectStore};
 
-async fn grow(platform: &MemoryPlatform, versions: std::ops::RangeInclusive<u32>) {
-    let acceptor = acceptor(platform.client(), 1);
-    for version in versions {
-        put(&acceptor, version.into(), "billing", service("billing", version)).await;
-    }
-}
-
 fn watch(store: MemoryStore, held: u64) -> HeadWatch {
     let chain = ChainReader::new(Arc::new(store));
     let settings = HeadWatchSettings { max_steps: 100, ..HeadWatchSettings::default() };
@@ -103,9 +96,8 @@
 }
 
 async fn first_record(platform: &MemoryPlatform) -> umberpond_model::ContentHash {
-    let chain = reader(platform);
-    let head = chain.read_head().await.expect("reads").expect("stands").head;
-    chain.read_record_at(&head, Version(1)).await.expect("reads").0
+    let head = read_head(platform).await;
+    reader(platform).read_record_at(&head, Version(1)).await.expect("reads").0
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/acceptance/tests/over_http.rs
+++ b/crates/acceptance/tests/over_http.rs
@@ -5,12 +5,11 @@
 use std::sync::Arc;
 
 use support::history::read_chain;
-use support::{member, mesh, put, service};
+use support::{context, mesh, put, service};
 use umberpond_acceptance::chain::ChainReader;
-use umberpond_acceptance::{Acceptor, AcceptorContext, AcceptorSettings};
-use umberpond_model::Version;
+use umberpond_acceptance::{Acceptor, AcceptorSettings};
 use umberpond_net::{Network, TcpNetwork};
-use umberpond_platform::{ClientSettings, GateLimits, ObjectStore, PlatformClient, PlatformGate};
+use umberpond_platform::{ClientSettings, GateLimits, PlatformClient, PlatformGate};
 use umberpond_standins::platform::{FaultChange, Platform};
 
 /// Each submission loses the answers of one more of its changes than the one before: of none, of one content
@@ -21,15 +20,7 @@
     let platform = Platform::start(&*network, ([127, 0, 0, 1], 0).into()).await.expect("listens");
     let gate = PlatformGate::new(GateLimits::default());
     let client = PlatformClient::new(network, platform.address(), gate, ClientSettings::default());
-    let store: Arc<dyn ObjectStore> = Arc::new(client);
-    let context = AcceptorContext {
-        store: Arc::clone(&store),
-        candidates: Arc::new(|| vec![member("n1", "a")]),
-        commit_index: Arc::new(|| Version::GENESIS),
-        unix_millis: Arc::new(|| 1),
-        seed: 1,
-    };
-    let acceptor = Acceptor::new(context, AcceptorSettings::default());
+    let acceptor = Acceptor::new(context(client.clone(), 1), AcceptorSettings::default());
     assert_eq!(put(&acceptor, 1, "mesh", mesh()).await, 1);
     for lost in 0..=6 {
         let lose_answers = Some(lost);
@@ -37,7 +28,7 @@
         let version = put(&acceptor, u128::from(lost) + 2, "billing", service("billing", 4)).await;
         assert_eq!(version, lost + 2);
     }
-    let chain = read_chain(&ChainReader::new(store)).await;
+    let chain = read_chain(&ChainReader::new(Arc::new(client))).await;
     assert_eq!(chain.len(), 8);
     assert!(chain.iter().all(|link| link.leads_to_snapshot));
 }
--- a/crates/acceptance/tests/support/mod.rs
+++ b/crates/acceptance/tests/support/mod.rs
@@ -4,15 +4,16 @@
 pub mod history;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use umberpond_acceptance::chain::ChainReader;
 use umberpond_acceptance::{Acceptor, AcceptorContext, AcceptorSettings, Change};
 use umberpond_config::{Bundle, Origin, RequestClass, Route, Service, Sourced};
-use umberpond_model::{BundleName, Locality, LocalityRule, Member, Millis, SubmissionId, Version};
-use umberpond_platform::ObjectKind;
+use umberpond_model::{BundleName, Head, Locality, LocalityRule, Member, Millis, SubmissionId, Version};
 use umberpond_platform::memory::{Fault, MemoryPlatform, MemoryStore, RequestNote, Verb};
+use umberpond_platform::{ObjectKind, ObjectStore};
 
 pub fn name<T: std::str::FromStr>(text: &str) -> T
 where
@@ -60,17 +61,36 @@
     Member { node: name(node), locality, control: ([127, 0, 0, 1], 1).into() }
 }
 
+/// Three machines in three zones; everything is committed.
+pub fn context(store: impl ObjectStore, seed: u64) -> AcceptorContext {
+    AcceptorContext {
+        store: Arc::new(store),
+        candidates: Arc::new(|| vec![member("n1", "a"), member("n2", "b"), member("n3", "c")]),
+        commit_index: Arc::new(|| Version(u64::MAX)),
+        unix_millis: Arc::new(|| 1),
+        seed,
+    }
+}
+
 pub fn acceptor(store: MemoryStore, seed: u64) -> Acceptor {
     acceptor_with(store, seed, AcceptorSettings::default())
 }
 
 pub fn acceptor_with(store: MemoryStore, seed: u64, settings: AcceptorSettings) -> Acceptor {
-    let candidates = || vec![member("n1", "a"), member("n2", "b"), member("n3", "c")];
-    let commit_index = Arc::new(|| Version(u64::MAX));
-    let unix_millis = Arc::new(|| 1);
-    let candidates = Arc::new(candidates);
-    let context = AcceptorContext { store: Arc::new(store), candidates, commit_index, unix_millis, seed };
-    Acceptor::new(context, settings)
+    Acceptor::new(context(store, seed), settings)
+}
+
+/// The head, as a new reader sees it.
+pub async fn read_head(platform: &MemoryPlatform) -> Head {
+    reader(platform).read_head().await.expect("the head reads").expect("the head stands").head
+}
+
+/// Appends versions that each replace the one bundle `billing`.
+pub async fn grow(platform: &MemoryPlatform, versions: RangeInclusive<u32>) {
+    let acceptor = acceptor(platform.client(), 1);
+    for version in versions {
+        put(&acceptor, version.into(), "billing", service("billing", version)).await;
+    }
 }
 
 pub fn reader(platform: &MemoryPlatform) -> ChainReader {
--- a/crates/acceptance/tests/witnesses.rs
+++ b/crates/acceptance/tests/witnesses.rs
@@ -8,7 +8,7 @@
 
 use parking_lot::Mutex;
 use quickcheck::quickcheck;
-use support::{member, name, platform_with_mesh, put, reader, service};
+use support::{context, member, name, platform_with_mesh, put, read_head, reader, service};
 use umberpond_acceptance::chain::WholeConfiguration;
 use umberpond_acceptance::{
     Accepted, Acceptor, AcceptorContext, AcceptorSettings, MAX_WITNESSES, ReplacementRefusal, Step,
@@ -92,11 +92,9 @@
         let candidates = Arc::clone(&self.candidates);
         let commit_index = Arc::clone(&self.commit_index);
         let context = AcceptorContext {
-            store: Arc::new(self.platform.client()),
             candidates: Arc::new(move || candidates.lock().clone()),
             commit_index: Arc::new(move || Version(commit_index.load(Ordering::Relaxed))),
-            unix_millis: Arc::new(|| 2),
-            seed: 1,
+            ..context(self.platform.client(), 1)
         };
         Acceptor::new(context, AcceptorSettings::default())
     }
@@ -112,9 +110,8 @@
 
     /// The head, read by a node that knows nothing of the chain before.
     async fn whole(&self) -> WholeConfiguration {
-        let chain = reader(&self.platform);
-        let head = chain.read_head().await.expect("reads").expect("stands").head;
-        chain.read_whole(head.record).await.expect("reads")
+        let head = read_head(&self.platform).await;
+        reader(&self.platform).read_whole(head.record).await.expect("reads")
     }
 
     async fn witnesses(&self) -> Vec<NodeName> {
@@ -136,7 +133,7 @@
     let WitnessProposal::Accepted(accepted) = answer else { panic!("not accepted: {answer:?}") };
     assert_eq!(accepted.record.witnesses, nodes(["n1", "n2", "n4"]));
     let chain = reader(&cluster.platform);
-    let head = chain.read_head().await.expect("reads").expect("stands").head;
+    let head = read_head(&cluster.platform).await;
     assert!(chain.read_step(&head, accepted.version).await.expect("reads").delta.is_empty());
     assert_eq!(cluster.whole().await.previous_witnesses, nodes(["n1", "n2", "n3"]));
 }
@@ -225,7 +222,7 @@
     assert_eq!(accepted.record.witnesses_since, Version(2));
     assert_eq!(cluster.replace(2, &["n1", "n2"], Some(1)).await, Ok(accepted), "the same id again");
     let chain = reader(&cluster.platform);
-    let head = chain.read_head().await.expect("reads").expect("stands").head;
+    let head = read_head(&cluster.platform).await;
     let step = chain.read_record(head.record).await.expect("reads").step.clone();
     assert_eq!(step, Step::ReplaceWitnesses { lost: vec![name("n1"), name("n2")] });
     cluster.has(["n6", "n7", "n8"]);
