--- a/crates/acceptance/src/replacement.rs
+++ b/crates/acceptance/src/replacement.rs
@@ -15,8 +15,8 @@
 /// What an operator asks for.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WitnessReplacement {
-    /// Witnesses of which no process runs any more, and none that was started before this command can go on. A
-    /// process that is started under such a name later is no danger.
+    /// Witnesses of which no process runs any more or can go on, and none is started before the new version is
+    /// accepted. A process that is started under such a name after that is no danger.
     pub lost: BTreeSet<NodeName>,
     /// [`ReplacementPlan::witnesses_since`] of the plan that the operator has seen and takes the risk of. Without
     /// it nothing is changed, and the refusal carries the plan.
