Keep exactly one of two crossed links between readers

Two readers that connect to each other at once, 40 ms apart, each accepted the other's link, then each replaced it by its own when its own was answered, and told the other to drop the link it had just kept: both links died, and the search, which ticks each second on both sides, began again. Ruled out by the count of decisions: role changes and lost parents. Now the side that gets an answer applies the rule of the side that accepts: the link made by the lower name stays.

--- a/crates/overlay/src/node/peers.rs
+++ b/crates/overlay/src/node/peers.rs
@@ -210,6 +210,14 @@
             return;
         }
         if let Some(present) = self.peer_connection(node) {
+            let other_is_lower = *node < self.own.record().node;
+            let present_was_accepted = self.peers.get(&present).is_some_and(|peer| !peer.dialled);
+            if other_is_lower && present_was_accepted {
+                // The other node applies the same rule, so that exactly one of two crossed links stays.
+                self.set_link_state(connection, LinkState::Incoming);
+                self.refuse(connection, Refusal::Duplicate);
+                return;
+            }
             self.replace_link(present);
         }
         self.merge_record(&hello.record, Source::Peer(connection));
