Let draining members keep their rank

Ranking draining members last was meant to move roles away before a node leaves. In the run of 3,000 nodes it moved them with every draining back end instead, and the transfers after each change made the busiest relay send 8,747 B/s over ten seconds, above its bound of 8 KB/s. Hysteresis alone was ruled out: a back end that drains does so for good.

Draining now changes no rank. The 20 tests of the crate pass.

--- a/crates/overlay/src/directory.rs
+++ b/crates/overlay/src/directory.rs
@@ -11,8 +11,8 @@
 use crate::plan::{ZonePlan, rank};
 use crate::{Interest, Limits};
 
-/// Order of a member: those that drain come last, so that roles move away before they leave.
-type RankKey = (bool, u64, NodeName);
+/// Order of a member.
+type RankKey = (u64, NodeName);
 
 /// What a node knows of other nodes.
 #[derive(Debug)]
@@ -118,7 +118,7 @@
         let Some(members) = self.ranks.as_ref().and_then(|ranks| ranks.get(locality)) else {
             return ZonePlan::default();
         };
-        ZonePlan::new(members.iter().map(|(_, _, node)| node), members.len(), limits)
+        ZonePlan::new(members.iter().map(|(_, node)| node), members.len(), limits)
     }
 
     /// Zones of which a member is known.
@@ -139,11 +139,11 @@
             .hints
             .values()
             .filter(|member| member.locality == *locality)
-            .map(|member| (false, rank(&member.node, locality), member.node.clone()));
+            .map(|member| (rank(&member.node, locality), member.node.clone()));
         let others = suspected.chain(hinted).filter(|key| last.as_ref().is_none_or(|last| key < last));
         let mut candidates: Vec<RankKey> = live.iter().cloned().chain(others).collect();
         candidates.sort_unstable();
-        candidates.into_iter().filter_map(|(_, _, node)| self.member(&node)).collect()
+        candidates.into_iter().filter_map(|(_, node)| self.member(&node)).collect()
     }
 
     /// Forgets a hint that led nowhere.
@@ -254,6 +254,5 @@
 }
 
 fn rank_key(record: &EndpointRecord) -> RankKey {
-    let drains = record.status == EndpointStatus::Draining;
-    (drains, rank(&record.node, &record.locality), record.node.clone())
+    (rank(&record.node, &record.locality), record.node.clone())
 }
