--- a/crates/versions/src/lib.rs
+++ b/crates/versions/src/lib.rs
@@ -16,11 +16,11 @@
 
 mod answer;
 mod batch;
-mod closure;
 mod commit;
 mod floor;
 mod history;
 mod quorum;
+mod scoped_view;
 mod step;
 mod store;
 mod witness;
@@ -31,6 +31,7 @@
 pub use commit::{CommitTracker, RecordGap};
 pub use floor::{FloorRound, RoundState};
 pub use quorum::{has_majority, majority};
+pub use scoped_view::ScopedView;
 pub use step::{ComposedStep, StepError, Whole};
 pub use store::{Resize, VersionStore};
 pub use witness::{Witness, WitnessState};
