--- a/crates/overlay/src/node/parent.rs
+++ b/crates/overlay/src/node/parent.rs
@@ -6,20 +6,14 @@
 use umberpond_model::{Millis, NodeName, Timestamp};
 
 use super::OverlayNode;
-use super::links::{DialPurpose, LinkState};
+use super::links::LinkState;
 use super::records::Source;
-use crate::backoff::{full_jitter, jitter};
+use crate::backoff::jitter;
 use crate::interface::{ConnectionId, Decision, LossReason, MessageFault};
 use crate::{Attach, Interest, PeerMessage, Placement, Refusal, Role, Welcome};
 
 /// Bound of the random wait before the standby is tried: enough to spread the children of a dead parent.
-const FAILOVER_JITTER: Millis = Millis(100);
-
-/// Redirections that are followed at once; further ones wait like failures.
-const MAX_QUICK_REDIRECTS: u32 = 4;
-
-/// Hinted members tried before the seeds.
-const MAX_HINTED: usize = 4;
+pub(super) const FAILOVER_JITTER: Millis = Millis(100);
 
 /// The parent of this node.
 #[derive(Debug)]
@@ -40,8 +34,8 @@
     pub(super) attempt: Option<SocketAddr>,
     pub(super) attempt_since: Timestamp,
     pub(super) placement: Placement,
-    cursor: usize,
-    failures: u32,
+    pub(super) cursor: usize,
+    pub(super) failures: u32,
     pub(super) retry_at: Timestamp,
     /// Since when the node has no parent.
     pub(super) orphan_since: Option<Timestamp>,
@@ -57,9 +51,9 @@
     /// Records that the parent was asked for.
     pub(super) interest: Interest,
     /// Records that the node that is being tried was asked for.
-    attempt_interest: Interest,
+    pub(super) attempt_interest: Interest,
     /// Times that this node was sent elsewhere since it last had a parent.
-    redirects: u32,
+    pub(super) redirects: u32,
     /// Records received since all of them were announced; the others are dropped in the end.
     pub(super) resync: Option<BTreeSet<NodeName>>,
     /// When to ask again for a transfer that was put off.
@@ -117,59 +111,6 @@
         unfit_since.is_some_and(|since| self.now.since(since) >= self.config.timing.demote_after)
     }
 
-    fn dial_next_candidate(&mut self) {
-        let candidates = self.parent_candidates();
-        if candidates.is_empty() {
-            self.end_round();
-            return;
-        }
-        let to = candidates[self.parent.cursor.min(candidates.len() - 1)];
-        if self.dial(to, DialPurpose::Attach) {
-            self.parent.attempt = Some(to);
-            self.parent.attempt_since = self.now;
-        } else {
-            self.advance_cursor();
-        }
-    }
-
-    /// Addresses to try, best first; while attached, only those that fit better.
-    fn parent_candidates(&self) -> Vec<SocketAddr> {
-        let own = self.own.record().control;
-        let placement = &self.parent.placement;
-        let mut members: Vec<SocketAddr> = placement.parents.iter().map(|member| member.control).collect();
-        if self.parent.attached.is_none() {
-            members.extend(placement.readers.iter().map(|member| member.control));
-            let hinted = self.directory.hinted_in_zone();
-            members.extend(hinted.iter().take(MAX_HINTED).map(|member| member.control));
-            members.extend(self.config.seeds.iter().copied());
-        }
-        let mut seen = BTreeSet::new();
-        members.retain(|address| *address != own && seen.insert(*address));
-        members
-    }
-
-    fn advance_cursor(&mut self) {
-        self.parent.cursor += 1;
-        if self.parent.cursor >= self.parent_candidates().len() {
-            self.end_round();
-        } else {
-            self.parent.retry_at = self.now + jitter(&mut self.rng, FAILOVER_JITTER);
-        }
-    }
-
-    fn end_round(&mut self) {
-        self.parent.cursor = 0;
-        self.parent.rounds += 1;
-        self.back_off();
-    }
-
-    fn back_off(&mut self) {
-        let timing = &self.config.timing;
-        let wait = full_jitter(&mut self.rng, self.parent.failures, timing.backoff_base, timing.backoff_cap);
-        self.parent.failures += 1;
-        self.parent.retry_at = self.now + wait;
-    }
-
     /// What this node tells a parent that it wants to attach to.
     pub(super) fn attach_request(&mut self) -> Attach {
         let interest = self.own_interest();
@@ -184,66 +125,6 @@
         }
     }
 
-    pub(super) fn on_attach_failed(&mut self, to: SocketAddr, answered: bool) {
-        if self.parent.attempt != Some(to) {
-            return;
-        }
-        self.parent.attempt = None;
-        self.parent.answered |= answered;
-        self.note_unreachable(to);
-        self.advance_cursor();
-    }
-
-    /// A parent that can't be reached may be dead; the others of the zone should know.
-    fn note_unreachable(&mut self, to: SocketAddr) {
-        if !self.is_hub() {
-            return;
-        }
-        let member = self.parent.placement.parents.iter().find(|member| member.control == to).cloned();
-        let record = member.and_then(|member| self.directory.table().get(&member.node).cloned());
-        if let Some(record) = record {
-            self.suspicion.on_lost(self.now, &record);
-        }
-    }
-
-    /// An attempt ended after the connection stood.
-    pub(super) fn on_attempt_ended(&mut self, _connection: ConnectionId) {
-        if let Some(to) = self.parent.attempt {
-            self.on_attach_failed(to, false);
-        }
-    }
-
-    pub(super) fn on_attach_refused(&mut self, connection: ConnectionId, refusal: Refusal) {
-        let to = self.parent.attempt.take();
-        self.parent.answered = true;
-        match refusal {
-            Refusal::Elsewhere(placement) => self.on_sent_elsewhere(&placement, to),
-            Refusal::Protocol { .. } | Refusal::NotYetKnown | Refusal::Duplicate => self.advance_cursor(),
-        }
-        self.close(connection, LossReason::Moved);
-    }
-
-    /// Follows a redirection, unless it leads out of the zone while a way inside is known.
-    fn on_sent_elsewhere(&mut self, placement: &Placement, from: Option<SocketAddr>) {
-        let own_zone = &self.own.record().locality;
-        let is_inside = placement.parents.iter().all(|member| member.locality == *own_zone);
-        let is_useful = is_inside || self.parent.placement.parents.is_empty();
-        let is_new = self.parent.placement.parents != placement.parents;
-        if is_useful {
-            self.take_placement(placement);
-        }
-        if is_useful && is_new && self.parent.redirects < MAX_QUICK_REDIRECTS {
-            self.parent.redirects += 1;
-            self.parent.cursor = 0;
-            self.parent.retry_at = self.now + jitter(&mut self.rng, FAILOVER_JITTER);
-            return;
-        }
-        self.parent.attempt = from;
-        if let Some(to) = from {
-            self.on_attach_failed(to, true);
-        }
-    }
-
     /// Takes the word of a node that sees more of the zone.
     pub(super) fn take_placement(&mut self, placement: &Placement) {
         for member in placement.parents.iter().chain(&placement.readers) {
--- a/crates/overlay/tests/support/mod.rs
+++ b/crates/overlay/tests/support/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod checks;
 pub mod content;
+pub mod control;
 pub mod platform;
 pub mod scenario;
 pub mod world;
--- a/crates/overlay/tests/support/world.rs
+++ b/crates/overlay/tests/support/world.rs
@@ -17,9 +17,6 @@
 use super::content;
 use super::platform::Platform;
 
-/// Time after which a lease of a node that is gone or cut off lapses.
-const LEASE_LAPSE: Millis = Millis(5_000);
-
 #[derive(Debug, Clone)]
 pub struct WorldSettings {
     pub seed: u64,
@@ -63,22 +60,22 @@
     pub bytes_sent: u64,
     pub messages_sent: u64,
     pub wholes_sent: Vec<Timestamp>,
-    incarnation: u64,
-    wake: u64,
-    frozen: bool,
-    waiting: VecDeque<Input<PeerMessage>>,
+    pub(super) incarnation: u64,
+    pub(super) wake: u64,
+    pub(super) frozen: bool,
+    pub(super) waiting: VecDeque<Input<PeerMessage>>,
 }
 
 #[derive(Debug, Clone)]
-struct Pipe {
-    ends: [(NodeName, u64); 2],
+pub(super) struct Pipe {
+    pub(super) ends: [(NodeName, u64); 2],
     ids: [ConnectionId; 2],
     latest: [Timestamp; 2],
-    open: bool,
+    pub(super) open: bool,
 }
 
 #[derive(Debug)]
-enum Event {
+pub(super) enum Event {
     Connect { from: NodeName, incarnation: u64, to: SocketAddr },
     Deliver { to: NodeName, incarnation: u64, input: Box<Input<PeerMessage>> },
     Wake { node: NodeName, incarnation: u64, number: u64 },
@@ -96,8 +93,8 @@
     /// Pairs of zones without a way between them.
     pub cut: BTreeSet<(Locality, Locality)>,
     by_address: BTreeMap<SocketAddr, NodeName>,
-    pipes: BTreeMap<ConnectionId, usize>,
-    all_pipes: Vec<Pipe>,
+    pub(super) pipes: BTreeMap<ConnectionId, usize>,
+    pub(super) all_pipes: Vec<Pipe>,
     queue: BTreeMap<(Timestamp, u64), Event>,
     next_event: u64,
     next_connection: u64,
@@ -222,59 +219,6 @@
         zones.flat_map(numbers).map(|name| self.nodes[&name].address).collect()
     }
 
-    /// The process ends at once; its peers see their connections end.
-    pub fn kill(&mut self, name: &NodeName) {
-        let node = self.nodes.get_mut(name).unwrap();
-        node.core = None;
-        node.frozen = false;
-        node.waiting.clear();
-        let incarnation = node.incarnation;
-        self.push(LEASE_LAPSE, Event::Lapse { node: name.clone(), incarnation });
-        let connections: Vec<ConnectionId> = self
-            .pipes
-            .iter()
-            .filter(|(_, pipe)| {
-                let pipe = &self.all_pipes[**pipe];
-                pipe.open && pipe.ends.iter().any(|(end, _)| end == name)
-            })
-            .map(|(connection, _)| *connection)
-            .collect();
-        for connection in connections {
-            self.end_pipe(connection, Some(name));
-        }
-    }
-
-    /// The process stands still; what arrives waits.
-    pub fn freeze(&mut self, name: &NodeName) {
-        self.nodes.get_mut(name).unwrap().frozen = true;
-    }
-
-    pub fn thaw(&mut self, name: &NodeName) {
-        let node = self.nodes.get_mut(name).unwrap();
-        node.frozen = false;
-        let waiting: Vec<Input<PeerMessage>> = node.waiting.drain(..).collect();
-        for input in waiting {
-            self.input(name, input);
-        }
-        self.input(name, Input::Wake);
-    }
-
-    /// Ends all connections of a node without ending its process.
-    pub fn reset_connections(&mut self, name: &NodeName) {
-        let ended: Vec<ConnectionId> = self
-            .pipes
-            .iter()
-            .filter(|(_, pipe)| {
-                let pipe = &self.all_pipes[**pipe];
-                pipe.open && pipe.ends.iter().any(|(end, _)| end == name)
-            })
-            .map(|(connection, _)| *connection)
-            .collect();
-        for connection in ended {
-            self.end_pipe(connection, None);
-        }
-    }
-
     pub fn accept(&mut self, witnesses: &[NodeName]) -> Version {
         let version = self.platform.accept(self.settings.services, self.settings.zones, witnesses);
         self.history.accepted.insert(version, self.now);
@@ -307,29 +251,6 @@
         }
     }
 
-    /// Zones that can't reach each other, both ways.
-    pub fn cut_zone(&mut self, zone: &Locality) {
-        let others: BTreeSet<Locality> = self.nodes.values().map(|node| node.locality.clone()).collect();
-        for other in others.into_iter().filter(|other| other != zone) {
-            self.cut.insert((zone.clone(), other.clone()));
-            self.cut.insert((other, zone.clone()));
-        }
-    }
-
-    pub fn heal(&mut self) {
-        self.cut.clear();
-    }
-
-    /// The back end beside a node changes.
-    pub fn set_status(&mut self, name: &NodeName, status: EndpointStatus) {
-        let node = self.nodes.get_mut(name).unwrap();
-        node.record.status = status;
-        node.record.sequence += 1;
-        let record = node.record.clone();
-        self.history.statuses.push((self.now, name.clone(), status));
-        self.input(name, Input::OwnRecord(record));
-    }
-
     pub fn run_for(&mut self, duration: Millis) {
         let end = self.now + duration;
         while let Some(((time, _), _)) = self.queue.first_key_value() {
@@ -356,44 +277,6 @@
         Some(self.now.since(start))
     }
 
-    /// Prints where every node stands and what was decided, if `OVERLAY_TRACE` is set.
-    pub fn trace_state(&self) {
-        if std::env::var_os("OVERLAY_TRACE").is_none() {
-            return;
-        }
-        for (time, node, decision) in &self.decisions {
-            eprintln!("{} {node} {decision:?}", time.0);
-        }
-        for (node, core) in self.live() {
-            let status = core.status();
-            eprintln!(
-                "{} {} {:?} depth {:?} parent {:?} children {} peers {} held {:?} active {:?} committed {} floor {:?}",
-                self.now.0,
-                node.name,
-                status.role,
-                status.depth,
-                status.parent,
-                status.children.len(),
-                status.peers.len(),
-                status.held,
-                status.active,
-                status.committed,
-                status.floor,
-            );
-        }
-    }
-
-    /// Prints what mistaken callers know, if `OVERLAY_TRACE` is set.
-    pub fn trace_records(&self, wrong: &[(NodeName, NodeName)]) {
-        if std::env::var_os("OVERLAY_TRACE").is_none() {
-            return;
-        }
-        for (caller, target) in wrong {
-            let known = self.nodes[caller].known.get(target);
-            eprintln!("{caller} knows {known:?} of {target}, which is {:?}", self.nodes[target].record);
-        }
-    }
-
     pub fn trace_digest(&self) -> String {
         self.trace.finalize().to_hex().to_string()
     }
@@ -475,7 +358,7 @@
         self.input(from, Input::Connected { connection: ids[0], to });
     }
 
-    fn end_pipe(&mut self, connection: ConnectionId, by: Option<&NodeName>) {
+    pub(super) fn end_pipe(&mut self, connection: ConnectionId, by: Option<&NodeName>) {
         let Some(index) = self.pipes.get(&connection).copied() else { return };
         let pipe = self.all_pipes[index].clone();
         if !pipe.open {
@@ -543,7 +426,7 @@
         decoded
     }
 
-    fn input(&mut self, name: &NodeName, input: Input<PeerMessage>) {
+    pub(super) fn input(&mut self, name: &NodeName, input: Input<PeerMessage>) {
         let now = self.now;
         let node = self.nodes.get_mut(name).unwrap();
         if node.frozen {
@@ -601,7 +484,7 @@
         Millis(low + self.rng.next_u64() % (high - low + 1))
     }
 
-    fn push(&mut self, after: Millis, event: Event) {
+    pub(super) fn push(&mut self, after: Millis, event: Event) {
         self.push_at(self.now + after, event);
     }
 
