Add hollow nodes and the scale run with real processes

Cause: convergence, bytes and memory of many nodes were known from virtual time only, where the model decides what a message and a connection cost. Ruled out: a driver of its own for hollow nodes (it would copy connections, wake-ups and the whole conversation with the platform, and then drift from them), and one process a node (2,000 daemons don't fit the limits of a machine). Change: `ControlNode` in crates/node starts the daemon's own overlay and platform actors without a request path; testing/hollow runs many of them in one process and counts bytes and activations; `cargo xtask scale` runs real nodes, back ends, platform and hollow processes, changes routes through the operator API, kills some of them, and measures by log, metrics and /proc.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 mod activation;
 pub mod admin;
 mod control_listener;
+mod control_node;
 mod environment;
 mod observer;
 mod overlay;
@@ -19,6 +20,7 @@
 mod start;
 mod tasks;
 
+pub use control_node::ControlNode;
 pub use environment::Environment;
 pub use running::RunningNode;
 pub use settings::NodeConfig;
--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -103,7 +103,7 @@
         Self { overlay, platform, ends }
     }
 
-    fn kill(&self) {
+    pub(crate) fn kill(&self) {
         self.overlay.kill();
         self.platform.kill();
         for (_, task) in self.ends.lock().iter() {
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -90,7 +90,7 @@
     }
 }
 
-async fn listen(
+pub(crate) async fn listen(
     environment: &Environment,
     listener: &'static str,
     address: SocketAddr,
@@ -126,7 +126,7 @@
 }
 
 /// Starts the actors.
-async fn start_control(
+pub(crate) async fn start_control(
     config: NodeConfig,
     environment: &Environment,
     addresses: NodeAddresses,
--- a/xtask/src/demo/http.rs
+++ b/xtask/src/demo/http.rs
@@ -64,7 +64,11 @@
         self.expect_success(response).map(|_| ())
     }
 
-    async fn send(&self, method: Method, path: &str, body: Bytes) -> Result<Response<Bytes>, XtaskError> {
+    /// Sends a request, whatever the status code of the answer.
+    ///
+    /// # Errors
+    /// Fails when no whole answer comes in time.
+    pub async fn send(&self, method: Method, path: &str, body: Bytes) -> Result<Response<Bytes>, XtaskError> {
         let request = Request::builder()
             .method(method)
             .uri(path)
--- a/xtask/src/demo/mod.rs
+++ b/xtask/src/demo/mod.rs
@@ -1,14 +1,14 @@
 //! `cargo xtask demo`: a small mesh of processes on loopback, from the first bundle to the last planned stop.
 
 mod bundle;
-mod http;
+pub mod http;
 mod layout;
 mod load;
 mod mesh;
 mod metrics;
 mod node;
 mod operator;
-mod programs;
+pub mod programs;
 mod scenario;
 mod settings;
 mod standins;
@@ -85,7 +85,7 @@
 }
 
 /// Ends with an error at SIGINT or SIGTERM; dropping the demo then ends every child.
-async fn wait_for_interrupt() -> XtaskError {
+pub async fn wait_for_interrupt() -> XtaskError {
     let receivers = (signal(SignalKind::interrupt()), signal(SignalKind::terminate()));
     let (Ok(mut interrupt), Ok(mut terminate)) = receivers else {
         return XtaskError::TimedOut { condition: "signals can be received" };
--- a/xtask/src/error.rs
+++ b/xtask/src/error.rs
@@ -99,6 +99,17 @@
     /// A name breaks the naming rule.
     #[error("bad name")]
     Name(#[from] InvalidName),
+    /// A place, plan or report of hollow nodes can't be used.
+    #[error("the hollow nodes can't be planned")]
+    Hollow(#[from] umberpond_hollow::HollowError),
+    /// The operator API did not accept a change.
+    #[error("{through} did not accept the change: {answer}")]
+    NotAccepted {
+        /// Name of the node that was asked.
+        through: String,
+        /// Its answer.
+        answer: String,
+    },
     /// A condition did not come about in time.
     #[error("gave up waiting until {condition}")]
     TimedOut {
--- a/xtask/src/flags.rs
+++ b/xtask/src/flags.rs
@@ -15,6 +15,25 @@
             /// Keep the log files, also after success.
             optional --keep-logs
         }
+
+        /// Builds everything, starts real nodes and hollow ones on loopback, changes the configuration while some
+        /// of them are killed, and measures them from outside.
+        cmd scale {
+            /// Real nodes, each a process with a back end (60).
+            optional --real count: usize
+            /// Hollow nodes (2000).
+            optional --hollow count: usize
+            /// Measured seconds (60).
+            optional --seconds seconds: u64
+            /// Changes of configuration a second, on average (1).
+            optional --changes rate: f64
+            /// Hollow nodes of one process (250).
+            optional --per-process count: usize
+            /// Also write every figure to this file, as JSON.
+            optional --json file: PathBuf
+            /// Keep the log files, also after success.
+            optional --keep-logs
+        }
     }
 }
 // generated start
@@ -28,6 +47,7 @@
 #[derive(Debug)]
 pub enum XtaskCmd {
     Demo(Demo),
+    Scale(Scale),
 }
 
 #[derive(Debug)]
@@ -36,6 +56,17 @@
     pub keep_logs: bool,
 }
 
+#[derive(Debug)]
+pub struct Scale {
+    pub real: Option<usize>,
+    pub hollow: Option<usize>,
+    pub seconds: Option<u64>,
+    pub changes: Option<f64>,
+    pub per_process: Option<usize>,
+    pub json: Option<PathBuf>,
+    pub keep_logs: bool,
+}
+
 impl Xtask {
     #[allow(dead_code)]
     pub fn from_env_or_exit() -> Self {
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,9 +1,10 @@
-//! Repository tasks: `cargo xtask demo`.
+//! Repository tasks: `cargo xtask demo` and `cargo xtask scale`.
 
 mod demo;
 mod error;
 mod flags;
 mod report;
+mod scale;
 mod supervise;
 
 use std::process::ExitCode;
@@ -16,6 +17,7 @@
     let flags = Xtask::from_env_or_exit();
     let result = match flags.subcommand {
         XtaskCmd::Demo(options) => demo::run(&options).await,
+        XtaskCmd::Scale(options) => scale::run(&options).await,
     };
     match result {
         Ok(code) => code,
--- /dev/null
+++ b/xtask/src/scale/real_node.rs
@@ -0,0 +1,196 @@
+//! One real node: the daemon as a child process, watched by its log, its metrics and `/proc`.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use serde::Deserialize;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+use umberpond_hollow::{Activation, Place, Places, ProcessUsage, Sample, unix_millis};
+
+use super::settings::{Surroundings, settings_file};
+use crate::demo::http::Peer;
+use crate::error::XtaskError;
+use crate::supervise::{ChildProcess, ScratchDirectory};
+
+/// Longest time until all listeners of a node are open; many start at once.
+const START_LIMIT: Duration = Duration::from_secs(20);
+
+/// Longest time for a planned stop; one that takes longer is killed.
+const STOP_LIMIT: Duration = Duration::from_secs(15);
+
+/// Time for which one look at the log waits.
+const WATCH_LIMIT: Duration = Duration::from_secs(3_600);
+
+/// Numbers of the events of the log that are read.
+const LISTENING_EVENT: u64 = 1002;
+const ACTIVATED_EVENT: u64 = 2003;
+
+/// A running real node.
+#[derive(Debug)]
+pub struct RealNode {
+    /// Its number.
+    pub number: usize,
+    /// Its name and zone.
+    pub place: Place,
+    /// Where other nodes reach it.
+    pub control: SocketAddr,
+    admin: SocketAddr,
+    id: u32,
+    activations: Arc<Mutex<Vec<Activation>>>,
+    end: oneshot::Sender<HowToEnd>,
+    task: JoinHandle<Result<(), XtaskError>>,
+}
+
+/// How a node is to end.
+#[derive(Debug, Clone, Copy)]
+pub enum HowToEnd {
+    /// SIGTERM, and time to drain.
+    Planned,
+    /// SIGKILL.
+    Killed,
+}
+
+impl RealNode {
+    /// Starts a node, waits until it listens, and watches its log from then on.
+    ///
+    /// # Errors
+    /// Fails when the node can't be started or does not listen in time.
+    pub async fn start(
+        program: &Path,
+        places: &Places,
+        number: usize,
+        surroundings: Surroundings<'_>,
+        scratch: &ScratchDirectory,
+    ) -> Result<Self, XtaskError> {
+        let place = places.place(number)?;
+        let name = place.node.to_string();
+        let path = scratch.write(&format!("{name}.toml"), settings_file(places, &place, surroundings)?)?;
+        let arguments = ["node".to_owned(), "--config".to_owned(), path.display().to_string()];
+        let mut process = ChildProcess::start(&name, program, &arguments, scratch)?;
+        let mut listeners = OpenListeners::default();
+        let (admin, control) = process.wait_for_line(START_LIMIT, |line| listeners.read(line)).await?;
+        let ended = || XtaskError::NotReady { name, log: process.log().to_owned() };
+        let id = process.id().ok_or_else(ended)?;
+        let activations = Arc::new(Mutex::new(Vec::new()));
+        let (end, ordered) = oneshot::channel();
+        let task = tokio::spawn(watch(process, Arc::clone(&activations), ordered));
+        Ok(Self { number, place, control, admin, id, activations, end, task })
+    }
+
+    /// Its admin address.
+    pub fn admin(&self) -> Peer<'_> {
+        Peer { name: self.place.node.as_str(), address: self.admin }
+    }
+
+    /// Versions that came in force, oldest first, by the time at which its log told so.
+    pub fn activations(&self) -> Vec<Activation> {
+        self.activations.lock().clone()
+    }
+
+    /// Newest version in force.
+    pub fn newest(&self) -> u64 {
+        self.activations.lock().last().map_or(0, |last| last.version)
+    }
+
+    /// Its process and its control bytes now.
+    ///
+    /// # Errors
+    /// Fails when the process is gone or does not answer.
+    pub async fn sample(&self) -> Result<Sample, XtaskError> {
+        let usage = ProcessUsage::of(self.id);
+        let usage = usage.map_err(XtaskError::file(format!("/proc/{}", self.id)))?;
+        let metrics = self.admin().get_text("/metrics").await?;
+        let control_bytes = vec![control_bytes(&metrics)];
+        Ok(Sample { at_unix_millis: unix_millis(), usage, control_bytes })
+    }
+
+    /// Ends the process and waits for its end.
+    ///
+    /// # Errors
+    /// Fails when it can't be signalled.
+    pub async fn end(self, how: HowToEnd) -> Result<(), XtaskError> {
+        // A watcher that is gone has ended the process already.
+        let _ = self.end.send(how);
+        self.task.await.unwrap_or(Ok(()))
+    }
+}
+
+/// Notes activations until the node is to end. Dropping the order kills the process.
+async fn watch(
+    mut process: ChildProcess,
+    activations: Arc<Mutex<Vec<Activation>>>,
+    mut ordered: oneshot::Receiver<HowToEnd>,
+) -> Result<(), XtaskError> {
+    loop {
+        let activated = tokio::select! {
+            biased;
+            how = &mut ordered => return end(&mut process, how.unwrap_or(HowToEnd::Killed)).await,
+            activated = process.wait_for_line(WATCH_LIMIT, activated_version) => activated?,
+        };
+        activations.lock().push(Activation { version: activated, at_unix_millis: unix_millis() });
+    }
+}
+
+async fn end(process: &mut ChildProcess, how: HowToEnd) -> Result<(), XtaskError> {
+    match how {
+        HowToEnd::Planned => process.terminate()?,
+        HowToEnd::Killed => process.kill()?,
+    }
+    process.wait_for_end(STOP_LIMIT).await.map(|_| ())
+}
+
+/// A line of a JSON log.
+#[derive(Deserialize)]
+struct LogLine {
+    kvs: LogFields,
+}
+
+#[derive(Deserialize)]
+struct LogFields {
+    event: u64,
+    #[serde(default)]
+    listener: String,
+    #[serde(default)]
+    address: String,
+    #[serde(default)]
+    version: u64,
+}
+
+fn activated_version(line: &str) -> Option<u64> {
+    let line: LogLine = serde_json::from_str(line).ok()?;
+    (line.kvs.event == ACTIVATED_EVENT).then_some(line.kvs.version)
+}
+
+/// The listeners that a node's log has told of.
+#[derive(Default)]
+struct OpenListeners {
+    admin: Option<SocketAddr>,
+    control: Option<SocketAddr>,
+}
+
+impl OpenListeners {
+    /// Reads a line of the log; tells the admin and the control address once both are known.
+    fn read(&mut self, line: &str) -> Option<(SocketAddr, SocketAddr)> {
+        let line: LogLine = serde_json::from_str(line).ok()?;
+        if line.kvs.event != LISTENING_EVENT {
+            return None;
+        }
+        let address = line.kvs.address.parse().ok();
+        match line.kvs.listener.as_str() {
+            "admin" => self.admin = address,
+            "control" => self.control = address,
+            _ => {}
+        }
+        Some((self.admin?, self.control?))
+    }
+}
+
+/// Sum of the control bytes in a page of metrics, both directions.
+fn control_bytes(metrics: &str) -> u64 {
+    let lines = metrics.lines().filter(|line| line.starts_with("umberpond_control_bytes_total{"));
+    lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).sum()
+}
