--- a/crates/admission/src/seen.rs
+++ b/crates/admission/src/seen.rs
@@ -1,6 +1,7 @@
 //! A sharded, bounded memory of identifiers, in order of arrival.
 
 use std::collections::{HashMap, VecDeque};
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use parking_lot::Mutex;
 use umberpond_model::{Millis, Timestamp};
@@ -29,12 +30,25 @@
     seen_at: Timestamp,
 }
 
-/// Remembers identifiers for a time. When a shard is full, its oldest go before their time.
+/// Remembers identifiers for a time. When a shard is full, those older than a guaranteed time go early; younger
+/// ones never do, and new identifiers are turned away instead.
 #[derive(Debug)]
 pub(crate) struct SeenTable {
     shards: Vec<Mutex<Shard>>,
-    window: Millis,
-    capacity: usize,
+    limits: Limits,
+    /// Identifiers in all shards, kept apart so that a status page takes no lock.
+    remembered: AtomicUsize,
+}
+
+/// How much is remembered for how long.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Limits {
+    /// Longest time that an identifier is remembered.
+    pub(crate) window: Millis,
+    /// Shortest time that an identifier is remembered.
+    pub(crate) guaranteed: Millis,
+    /// Identifiers remembered at most.
+    pub(crate) capacity: usize,
 }
 
 /// One shard. The map is only looked up by identifier, never iterated.
@@ -54,14 +68,17 @@
     Repeated,
     /// An earlier arrival may have been forgotten.
     Forgotten,
+    /// The arrival can't be remembered, so it must not run.
+    Full,
 }
 
 impl SeenTable {
     /// An empty memory that is complete since `started`.
-    pub(crate) fn new(started: Timestamp, window: Millis, capacity: usize) -> Self {
+    pub(crate) fn new(started: Timestamp, limits: Limits) -> Self {
         let shard = || Shard { by_id: HashMap::new(), by_age: VecDeque::new(), complete_since: started };
         let shards = (0..SHARDS).map(|_| Mutex::new(shard())).collect();
-        Self { shards, window, capacity: capacity.div_ceil(SHARDS).max(1) }
+        let capacity = limits.capacity.div_ceil(SHARDS).max(1);
+        Self { shards, limits: Limits { capacity, ..limits }, remembered: AtomicUsize::new(0) }
     }
 
     /// Remembers `arrival` under `id` if it may run. `first_sent` is absent if it lies before this process's clock
@@ -75,14 +92,20 @@
         may_follow: impl FnOnce(Seen) -> bool,
     ) -> Claim {
         let mut shard = self.shard(id).lock();
-        shard.forget(now, self.window, self.capacity);
+        let forgotten = shard.forget(now, &self.limits);
+        self.remembered.fetch_sub(forgotten, Ordering::Relaxed);
         match shard.by_id.get(&id) {
             Some(seen) if !may_follow(*seen) => return Claim::Repeated,
             Some(_) => {}
             None if first_sent.is_none_or(|sent| sent < shard.complete_since) => return Claim::Forgotten,
             None => {}
         }
-        shard.by_id.insert(id, Seen { arrival, refused: false, seen_at: now });
+        if shard.by_age.len() >= self.limits.capacity {
+            return Claim::Full;
+        }
+        if shard.by_id.insert(id, Seen { arrival, refused: false, seen_at: now }).is_none() {
+            self.remembered.fetch_add(1, Ordering::Relaxed);
+        }
         shard.by_age.push_back((now, id));
         Claim::First
     }
@@ -98,7 +121,7 @@
 
     /// Identifiers remembered now.
     pub(crate) fn len(&self) -> usize {
-        self.shards.iter().map(|shard| shard.lock().by_id.len()).sum()
+        self.remembered.load(Ordering::Relaxed)
     }
 
     /// Identifiers come from a random generator or a hash, so their low bits spread evenly.
@@ -109,12 +132,15 @@
 }
 
 impl Shard {
-    /// Makes room for one more, and drops what is older than the window.
-    fn forget(&mut self, now: Timestamp, window: Millis, capacity: usize) {
+    /// Drops what is older than the window, and, if there is no room, what is older than the guaranteed time. Returns
+    /// how many identifiers went.
+    fn forget(&mut self, now: Timestamp, limits: &Limits) -> usize {
+        let before = self.by_id.len();
         while let Some((seen_at, id)) = self.by_age.front().copied() {
-            let is_expired = now.since(seen_at) >= window;
-            if !is_expired && self.by_age.len() < capacity {
-                return;
+            let is_full = self.by_age.len() >= limits.capacity;
+            let kept_for = if is_full { limits.guaranteed } else { limits.window };
+            if now.since(seen_at) < kept_for {
+                break;
             }
             self.by_age.pop_front();
             if self.by_id.get(&id).is_some_and(|seen| seen.seen_at == seen_at) {
@@ -122,5 +148,6 @@
             }
             self.complete_since = self.complete_since.max(seen_at + Millis(1));
         }
+        before - self.by_id.len()
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,6 +22,7 @@
 
 pub use control_node::ControlNode;
 pub use environment::Environment;
+pub use overlay::message_kind;
 pub use running::RunningNode;
 pub use settings::NodeConfig;
 pub use shared::NodeAddresses;
--- a/crates/overlay/tests/support/world.rs
+++ b/crates/overlay/tests/support/world.rs
@@ -30,6 +30,8 @@
     pub seeds_per_zone: usize,
     /// Encodes and decodes every message, and counts its bytes.
     pub encode: bool,
+    /// Hashes everything that nodes ask for, to compare runs.
+    pub trace: bool,
     pub limits: umberpond_overlay::Limits,
 }
 
@@ -42,6 +44,7 @@
             services: 12,
             seeds_per_zone: 2,
             encode: true,
+            trace: true,
             limits: umberpond_overlay::Limits::default(),
         }
     }
@@ -204,6 +207,8 @@
         node.record.sequence = 0;
         node.record.status = EndpointStatus::Ready;
         node.known.clear();
+        node.frozen = false;
+        node.waiting.clear();
         let callers = BTreeSet::from([content::service_name(node.service)]);
         let mut config = OverlayConfig::new(seeds, callers);
         config.limits = limits;
@@ -378,6 +383,17 @@
         }
     }
 
+    /// Prints what mistaken callers know, if `OVERLAY_TRACE` is set.
+    pub fn trace_records(&self, wrong: &[(NodeName, NodeName)]) {
+        if std::env::var_os("OVERLAY_TRACE").is_none() {
+            return;
+        }
+        for (caller, target) in wrong {
+            let known = self.nodes[caller].known.get(target);
+            eprintln!("{caller} knows {known:?} of {target}, which is {:?}", self.nodes[target].record);
+        }
+    }
+
     pub fn trace_digest(&self) -> String {
         self.trace.finalize().to_hex().to_string()
     }
@@ -408,7 +424,7 @@
             Event::Lapse { node, incarnation } => {
                 let current = &self.nodes[&node];
                 if current.core.is_none() || current.incarnation != incarnation {
-                    self.platform.release(&node);
+                    self.platform.release(&node, incarnation);
                 }
             }
         }
@@ -418,7 +434,7 @@
         let zone = self.nodes[node].locality.clone();
         let incarnation = self.nodes[node].incarnation;
         if self.platform.is_reachable(&zone) {
-            let events = self.platform.handle(self.now, node, &zone, request);
+            let events = self.platform.handle(self.now, (node, incarnation), &zone, request);
             self.answer_platform(node, events);
             return;
         }
@@ -543,6 +559,9 @@
     }
 
     fn note(&mut self, name: &NodeName, output: &Output<PeerMessage>) {
+        if !self.settings.trace {
+            return;
+        }
         self.trace.update(format!("{} {name} {output:?}\n", self.now.0).as_bytes());
     }
 
