--- a/xtask/src/error.rs
+++ b/xtask/src/error.rs
@@ -46,6 +46,14 @@
         /// Its log file.
         log: PathBuf,
     },
+    /// A process stopped telling its progress.
+    #[error("{name} told no progress any more; its log is {log}", log = log.display())]
+    NoProgress {
+        /// Name of the process.
+        name: String,
+        /// Its log file.
+        log: PathBuf,
+    },
     /// A process did not end in time.
     #[error("{name} did not end in time; its log is {log}", log = log.display())]
     NotEnded {
--- a/xtask/src/flags.rs
+++ b/xtask/src/flags.rs
@@ -23,11 +23,13 @@
             optional --real count: usize
             /// Hollow nodes (2000).
             optional --hollow count: usize
+            /// Seconds over which the hollow nodes start (5).
+            optional --start-seconds seconds: u64
             /// Measured seconds (60).
             optional --seconds seconds: u64
             /// Changes of configuration a second, on average (1).
             optional --changes rate: f64
-            /// Hollow nodes of one process (250).
+            /// Hollow nodes of one process (100).
             optional --per-process count: usize
             /// Also write every figure to this file, as JSON.
             optional --json file: PathBuf
@@ -60,6 +62,7 @@
 pub struct Scale {
     pub real: Option<usize>,
     pub hollow: Option<usize>,
+    pub start_seconds: Option<u64>,
     pub seconds: Option<u64>,
     pub changes: Option<f64>,
     pub per_process: Option<usize>,
--- a/xtask/src/scale/fleet.rs
+++ b/xtask/src/scale/fleet.rs
@@ -111,12 +111,20 @@
         let seen = tokio::select! {
             biased;
             how = &mut ordered => return end(&mut process, how.unwrap_or(HowToEnd::Killed)).await,
-            seen = process.wait_for_line(PROGRESS_LIMIT, read) => seen?,
+            seen = process.wait_for_line(PROGRESS_LIMIT, read) => seen.map_err(no_progress)?,
         };
         *progress.lock() = seen;
     }
 }
 
+/// A process without a line of progress has ended or hangs.
+fn no_progress(error: XtaskError) -> XtaskError {
+    match error {
+        XtaskError::NotReady { name, log } => XtaskError::NoProgress { name, log },
+        other => other,
+    }
+}
+
 async fn end(process: &mut ChildProcess, how: HowToEnd) -> Result<(), XtaskError> {
     match how {
         HowToEnd::Planned => {
--- a/xtask/src/scale/mesh.rs
+++ b/xtask/src/scale/mesh.rs
@@ -17,8 +17,8 @@
 use crate::error::XtaskError;
 use crate::supervise::ScratchDirectory;
 
-/// Time over which the hollow nodes of one process start.
-const FLEET_START: Duration = Duration::from_secs(5);
+/// Milliseconds of a second.
+const SECOND_MILLIS: u64 = 1_000;
 
 /// Time between two looks at the nodes.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -211,7 +211,7 @@
             places: self.size.places,
             platform: self.platform.address,
             seeds: self.seeds.clone(),
-            start_millis: u64::try_from(FLEET_START.as_millis()).unwrap_or(u64::MAX),
+            start_millis: self.size.start_seconds * SECOND_MILLIS,
         }
     }
 }
--- a/xtask/src/scale/report.rs
+++ b/xtask/src/scale/report.rs
@@ -37,7 +37,12 @@
     pub killed_real: usize,
     /// Hollow nodes that were killed, all of one process.
     pub killed_hollow: usize,
-    /// Most distinct readers of the platform in any ten seconds, start included.
+    /// Nodes that hold a reader lease at the end of the measured time.
+    pub lease_holders: usize,
+    /// Watches open at the platform at the end of the measured time; a reader has two.
+    pub open_watches: u64,
+    /// Most distinct readers of the platform in any ten seconds, start included; told apart by the name that they
+    /// give, or else by their address, so that daemons that give no name count as one.
     pub greatest_readers: u64,
     /// Platform requests of the measured time, by kind and verb.
     pub platform_requests: BTreeMap<String, u64>,
@@ -85,8 +90,8 @@
         let requests: u64 = self.platform_requests.values().sum();
         writeln!(
             formatter,
-            "{:<30} most readers {}, {requests} requests in the measured time",
-            "platform", self.greatest_readers
+            "{:<30} {} lease holders, {} open watches, {} readers by name or address, {requests} requests",
+            "platform", self.lease_holders, self.open_watches, self.greatest_readers
         )?;
         for (name, count) in &self.platform_requests {
             writeln!(formatter, "  {name:<28} {count}")?;
--- a/xtask/src/scale/size.rs
+++ b/xtask/src/scale/size.rs
@@ -18,7 +18,8 @@
 const DEFAULT_HOLLOW: usize = 2_000;
 const DEFAULT_SECONDS: u64 = 60;
 const DEFAULT_CHANGES_PER_SECOND: f64 = 1.0;
-const DEFAULT_PER_PROCESS: usize = 250;
+const DEFAULT_PER_PROCESS: usize = 100;
+const DEFAULT_START_SECONDS: u64 = 5;
 
 /// Real nodes killed in the run: one in this many, at least one.
 const REAL_PER_KILL: usize = 20;
@@ -32,6 +33,8 @@
     pub hollow: usize,
     /// Hollow nodes of one process.
     pub per_process: usize,
+    /// Seconds over which the hollow nodes start.
+    pub start_seconds: u64,
     /// Measured seconds.
     pub seconds: u64,
     /// Changes a second, on average.
@@ -51,6 +54,7 @@
             real,
             hollow,
             per_process: options.per_process.unwrap_or(DEFAULT_PER_PROCESS).max(1),
+            start_seconds: options.start_seconds.unwrap_or(DEFAULT_START_SECONDS),
             seconds: options.seconds.unwrap_or(DEFAULT_SECONDS),
             changes_per_second: options.changes.unwrap_or(DEFAULT_CHANGES_PER_SECOND),
             places: Places { regions: REGIONS.min(zones), zones, services },
