--- a/xtask/src/error.rs
+++ b/xtask/src/error.rs
@@ -46,6 +46,14 @@
         /// Its log file.
         log: PathBuf,
     },
+    /// A process stopped telling its progress.
+    #[error("{name} told no progress any more; its log is {log}", log = log.display())]
+    NoProgress {
+        /// Name of the process.
+        name: String,
+        /// Its log file.
+        log: PathBuf,
+    },
     /// A process did not end in time.
     #[error("{name} did not end in time; its log is {log}", log = log.display())]
     NotEnded {
@@ -99,6 +107,17 @@
     /// A name breaks the naming rule.
     #[error("bad name")]
     Name(#[from] InvalidName),
+    /// A place, plan or report of hollow nodes can't be used.
+    #[error("the hollow nodes can't be planned")]
+    Hollow(#[from] umberpond_hollow::HollowError),
+    /// The operator API did not accept a change.
+    #[error("{through} did not accept the change: {answer}")]
+    NotAccepted {
+        /// Name of the node that was asked.
+        through: String,
+        /// Its answer.
+        answer: String,
+    },
     /// A condition did not come about in time.
     #[error("gave up waiting until {condition}")]
     TimedOut {
