Shrink the slots only when the back end itself sheds

Cause: the adaptive limit compared a recent mean service time with a usual one. Four 400 ms streams among 5 ms calls look the same as a back end that slows, so the slots fell although nothing waited. The new test failed first:

a_mix_of_short_calls_and_long_streams_keeps_its_slots ... FAILED assertion `left == right` failed: after call 300 left: 7 right: 10

and passes now (gate.rs: 11 passed). Weighed and dropped: means by route or class (a route mixes lengths too), and the queueing share (the gate does not see the back end's own queue). A request of which nothing was written to the back end ended as "shed" and so shrank the slots too; it now ends as NotSent, which is still remembered as refused.

--- a/crates/admission/src/concurrency.rs
+++ b/crates/admission/src/concurrency.rs
@@ -1,4 +1,6 @@
-//! Adaptive number of slots: additive increase, multiplicative decrease when the back end sheds or slows.
+//! Adaptive number of slots: additive increase, multiplicative decrease when the back end sheds.
+//!
+//! Service times don't shrink it: a mix of short calls and long streams looks the same as a back end that slows.
 
 use std::time::Duration;
 
@@ -8,12 +10,8 @@
 const DECREASE: f64 = 0.7;
 /// Shortest time between two decreases, so that one burst of refusals counts once.
 const DECREASE_INTERVAL: Millis = Millis(100);
-/// The back end counts as slow when its recent mean is this many times its usual mean.
-const SLOW_FACTOR: f64 = 3.0;
 /// Weight of the newest service time in the recent mean.
 const RECENT_GAIN: f64 = 1.0 / 8.0;
-/// Weight of the newest service time in the usual mean.
-const USUAL_GAIN: f64 = 1.0 / 256.0;
 
 /// Number of requests that the back end is given at once.
 #[derive(Debug)]
@@ -22,21 +20,20 @@
     adaptive: bool,
     limit: f64,
     recent_seconds: f64,
-    usual_seconds: f64,
     decreased_at: Option<Timestamp>,
 }
 
 impl ConcurrencyLimit {
     pub(crate) fn new(slots: u32, adaptive: bool) -> Self {
         let most = slots.max(1);
-        Self {
-            most,
-            adaptive,
-            limit: f64::from(most),
-            recent_seconds: 0.0,
-            usual_seconds: 0.0,
-            decreased_at: None,
-        }
+        Self { most, adaptive, limit: f64::from(most), recent_seconds: 0.0, decreased_at: None }
+    }
+
+    /// Takes up another configured number; the share of it that is given out stays.
+    pub(crate) fn set_most(&mut self, slots: u32) {
+        let most = slots.max(1);
+        self.limit *= f64::from(most) / f64::from(self.most);
+        self.most = most;
     }
 
     /// Slots given out now, at least one.
@@ -51,19 +48,13 @@
     }
 
     /// A request was served in `service_time`.
-    pub(crate) fn on_served(&mut self, now: Timestamp, service_time: Duration) {
+    pub(crate) fn on_served(&mut self, service_time: Duration) {
         let seconds = service_time.as_secs_f64();
-        if self.usual_seconds == 0.0 {
-            self.usual_seconds = seconds;
+        if self.recent_seconds == 0.0 {
             self.recent_seconds = seconds;
         }
         self.recent_seconds += (seconds - self.recent_seconds) * RECENT_GAIN;
-        self.usual_seconds += (seconds - self.usual_seconds) * USUAL_GAIN;
-        if self.recent_seconds > self.usual_seconds * SLOW_FACTOR {
-            self.decrease(now);
-        } else {
-            self.limit = (self.limit + 1.0 / self.limit).min(f64::from(self.most));
-        }
+        self.limit = (self.limit + 1.0 / self.limit).min(f64::from(self.most));
     }
 
     /// The back end refused a request although it had a slot.
--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -43,7 +43,7 @@
     pub running: u32,
     /// Requests that wait for a slot.
     pub queued: usize,
-    /// Slots given out now; below the configured number when the back end sheds or slows.
+    /// Slots given out now; below the configured number when the back end sheds.
     pub slots: u32,
     /// Requests and keys in the duplicate window.
     pub remembered: usize,
@@ -95,6 +95,22 @@
         self.shared.set_status(status);
     }
 
+    /// Takes up another number of slots. What runs goes on, also beyond a smaller number; what is remembered stays.
+    pub fn set_slots(&self, slots: u32) {
+        self.shared.set_slots(slots);
+    }
+
+    /// Refuses one arrival for a reason outside the gate, and remembers that: a copy of it never runs here.
+    ///
+    /// # Errors
+    /// Returns a [`Refusal`] that is no proof if the request may have run here before, or can't be remembered.
+    pub fn refuse(&self, now: Timestamp, attempt: &Attempt) -> Result<(), Refusal> {
+        let claimed = self.shared.window.claim(now, attempt);
+        let held = claimed.map_err(|reason| self.shared.window_refusal(reason))?;
+        self.shared.window.refuse(held);
+        Ok(())
+    }
+
     /// Decides on one arrival at once.
     ///
     /// # Errors
@@ -158,6 +174,14 @@
         }
     }
 
+    fn set_slots(&self, slots: u32) {
+        let mut state = self.state.lock();
+        state.limit.set_most(slots);
+        let wakers = self.hand_out(&mut state);
+        drop(state);
+        wakers.into_iter().for_each(Waker::wake);
+    }
+
     /// Gives one slot back and hands free slots to the queue.
     pub(crate) fn release(&self, now: Option<Timestamp>, completion: Completion) {
         let mut state = self.state.lock();
@@ -165,9 +189,9 @@
         state.running -= 1;
         let at = state.now;
         match completion {
-            Completion::Served { service_time } => state.limit.on_served(at, service_time),
+            Completion::Served { service_time } => state.limit.on_served(service_time),
             Completion::Shed => state.limit.on_shed(at),
-            Completion::Broken => {}
+            Completion::NotSent | Completion::Broken => {}
         }
         let wakers = self.hand_out(&mut state);
         drop(state);
--- a/crates/admission/src/permit.rs
+++ b/crates/admission/src/permit.rs
@@ -18,6 +18,8 @@
     },
     /// The back end refused before execution, so a later attempt of the request may be admitted.
     Shed,
+    /// Nothing was written to the back end, so a later attempt may be admitted. Says nothing of its load.
+    NotSent,
     /// The exchange broke, or its caller went away; the request may have run.
     Broken,
 }
@@ -46,7 +48,7 @@
     /// Gives the slot back and learns from how the request ended. Dropping counts as [`Completion::Broken`].
     pub fn finish(mut self, now: Timestamp, completion: Completion) {
         self.is_finished = true;
-        if completion == Completion::Shed {
+        if matches!(completion, Completion::Shed | Completion::NotSent) {
             self.shared.window.refuse(self.held);
         }
         self.shared.release(Some(now), completion);
--- a/crates/admission/src/settings.rs
+++ b/crates/admission/src/settings.rs
@@ -21,7 +21,7 @@
     pub remembered_requests: usize,
     /// Idempotency keys that are remembered at most. The default lasts for 546 a second.
     pub remembered_keys: usize,
-    /// Whether the number of slots shrinks when the back end sheds or slows.
+    /// Whether the number of slots shrinks when the back end sheds.
     pub adaptive: bool,
 }
 
--- a/crates/admission/tests/gate.rs
+++ b/crates/admission/tests/gate.rs
@@ -166,3 +166,28 @@
     }
     assert_eq!(gate.view().slots, 10);
 }
+
+#[test]
+fn a_mix_of_short_calls_and_long_streams_keeps_its_slots() {
+    const STREAM: Completion = Completion::Served { service_time: Duration::from_millis(400) };
+    const SHORT: Completion = Completion::Served { service_time: Duration::from_millis(5) };
+    let gate = open_gate(settings(10, 10));
+    // Short calls alone, then bursts of streams among them: different work, not a back end that slows.
+    let mut now = NOW;
+    for id in 0..2_000 {
+        let completion = if id >= 300 && id % 20 < 4 { STREAM } else { SHORT };
+        now = now + Millis(20);
+        admitted(&gate, now, &attempt(id, Status)).finish(now, completion);
+        assert_eq!(gate.view().slots, 10, "after call {id}");
+    }
+}
+
+#[test]
+fn a_back_end_that_could_not_be_reached_is_not_one_that_sheds() {
+    let gate = open_gate(settings(10, 10));
+    let lost = Attempt { number: 1, ..attempt(7, Transaction) };
+    admitted(&gate, NOW, &lost).finish(NOW, Completion::NotSent);
+    assert_eq!(gate.view().slots, 10);
+    assert_eq!(refused(&gate, NOW, &lost).reason, RefusalReason::Duplicate, "a copy of it stays refused");
+    let _next = admitted(&gate, NOW, &Attempt { number: 2, ..lost });
+}
--- a/crates/proxy/src/inbound/exchange.rs
+++ b/crates/proxy/src/inbound/exchange.rs
@@ -115,7 +115,7 @@
     let ExchangeFailure { stage, failure } = failed;
     let event = RequestEvent::AttemptFailed { request: open.request, attempt: ONLY_ATTEMPT, stage, failure };
     open.state.observe(&event);
-    let completion = if failed.nothing_written() { Completion::Shed } else { Completion::Broken };
+    let completion = if failed.nothing_written() { Completion::NotSent } else { Completion::Broken };
     permit.finish(open.state.now(), completion);
     body.close();
     let reason = match (body.fault(), failure) {
