Keep one gate from the start and give it every refusal and new slots

The gate was made with the first configuration and never changed. So a change of a service's slots needed a restart, and a refusal made before the gate (no configuration, wrong locality) said "rejected" without being remembered: the caller's node may then send the next attempt to another gate, while a late copy of the refused attempt could still be admitted here once the configuration allowed it. The other way round, a copy of a request that had run was called rejected after the locality was taken away.

The gate now exists from the process's start, takes new slots at each activation, and is told of refusals outside it. Refusals for another service are left out: a process never changes its service.

--- a/crates/proxy/src/inbound/mod.rs
+++ b/crates/proxy/src/inbound/mod.rs
@@ -49,7 +49,7 @@
     };
     let open = OpenRequest::new(state, headers.attempt.request, started, in_flight);
     if let Err(reason) = check_place(state, &headers.service, server.tracker.is_draining()) {
-        return open.refuse(Refusal::rejected(reason));
+        return open.refuse(refuse_outside_gate(state, &headers.attempt, reason));
     }
     let deadline = started + std::time::Duration::from_millis(headers.attempt.remaining.0);
     match admit(state, &headers.attempt, deadline).await {
@@ -80,6 +80,18 @@
     Ok(())
 }
 
+/// A refusal made before the gate decides. The gate remembers it, so that a copy of the request never runs here after
+/// the caller's node has sent it elsewhere; and it knows whether the request ran here before.
+fn refuse_outside_gate(state: &ProxyState, attempt: &Attempt, reason: RefusalReason) -> Refusal {
+    // A node's service never changes, so no copy of a request for another one can run here.
+    let gate = state.gate().filter(|_| reason != RefusalReason::WrongService);
+    let Some(gate) = gate else { return Refusal::rejected(reason) };
+    match gate.refuse(state.now(), attempt) {
+        Ok(()) => Refusal::rejected(reason),
+        Err(refusal) => on_gate_refusal(state, attempt.request, refusal),
+    }
+}
+
 /// Waits for a slot, at most until the deadline.
 async fn admit(state: &ProxyState, attempt: &Attempt, deadline: Instant) -> Result<Permit, Refusal> {
     let gate = state.gate().ok_or(Refusal::rejected(RefusalReason::NoConfiguration))?;
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -2,14 +2,14 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::{Arc, OnceLock};
+use std::sync::Arc;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use parking_lot::Mutex;
 use thiserror::Error;
 use tokio::sync::watch;
 use tokio::time::Instant;
-use umberpond_admission::{Admission, AdmissionSettings, GateStatus, GateView, RetryBudget};
+use umberpond_admission::{Admission, GateStatus, GateView, RetryBudget};
 use umberpond_balance::{Balancer, EndpointReport, LoadReport, LocalityFilter};
 use umberpond_model::{EndpointRecord, EndpointStatus, ServiceName, Timestamp, Version};
 use umberpond_net::Network;
@@ -70,7 +70,8 @@
     targets: ArcSwap<BTreeMap<ServiceName, Arc<Target>>>,
     /// Endpoint records as handed in last. The lock is held over every change of table and targets.
     records: Mutex<Vec<EndpointRecord>>,
-    gate: OnceLock<Admission>,
+    /// The gate before the back end, there from the start so that it remembers every refusal; absent at an edge.
+    gate: Option<Admission>,
     own: ArcSwap<OwnEndpoint>,
 }
 
@@ -90,6 +91,10 @@
         };
         let backend_limits = PoolLimits { connections: settings.backend_connections, ..node_limits };
         let network = Arc::clone(&environment.network);
+        let gate = identity
+            .service
+            .as_ref()
+            .map(|_own| Admission::new(settings.admission.clone(), environment.clock.now()));
         Arc::new(Self {
             identity,
             backend,
@@ -102,7 +107,7 @@
             table: ArcSwapOption::empty(),
             targets: ArcSwap::default(),
             records: Mutex::default(),
-            gate: OnceLock::new(),
+            gate,
             own: ArcSwap::from_pointee(OwnEndpoint { status: EndpointStatus::Starting, sequence: None }),
         })
     }
@@ -120,7 +125,7 @@
             return Err(StaleVersion { offered: table.version(), active });
         }
         self.update_targets(&table, &records);
-        self.open_gate(&table);
+        self.update_gate(&table);
         self.table.store(Some(table));
         Ok(())
     }
@@ -149,7 +154,7 @@
         let _no_activation = self.records.lock();
         let own = OwnEndpoint { status: record.status, sequence: Some(record.sequence) };
         self.own.store(Arc::new(own));
-        if let Some(gate) = self.gate.get() {
+        if let Some(gate) = &self.gate {
             gate.set_status(gate_status(record.status));
         }
     }
@@ -166,10 +171,10 @@
         self.health.subscribe()
     }
 
-    /// State of the admission gate; absent until a configuration with this node's service is in force.
+    /// State of the admission gate; absent at an edge.
     #[must_use]
     pub fn gate_view(&self) -> Option<GateView> {
-        self.gate.get().map(Admission::view)
+        self.gate.as_ref().map(Admission::view)
     }
 
     /// The balancer of a service that this node calls, for status pages.
@@ -187,7 +192,7 @@
     }
 
     pub(crate) fn gate(&self) -> Option<&Admission> {
-        self.gate.get()
+        self.gate.as_ref()
     }
 
     pub(crate) fn now(&self) -> Timestamp {
@@ -205,7 +210,7 @@
     /// What this node's answers say of its endpoint. `is_draining`: the process itself leaves.
     pub(crate) fn endpoint_report(&self, is_draining: bool) -> EndpointReport {
         let own = self.own.load();
-        let load = self.gate.get().map(Admission::view).map(|view| LoadReport {
+        let load = self.gate.as_ref().map(Admission::view).map(|view| LoadReport {
             outstanding: view.running.saturating_add(u32::try_from(view.queued).unwrap_or(u32::MAX)),
             slots: view.slots,
         });
@@ -235,18 +240,13 @@
         })
     }
 
-    /// Makes the gate when the number of slots is first known. It is never replaced, since it remembers what it
-    /// has admitted.
-    fn open_gate(&self, table: &RoutingTable) {
+    /// Gives the gate the slots of the configuration. It is never replaced, since it remembers what it has admitted.
+    fn update_gate(&self, table: &RoutingTable) {
         let own = self.identity.service.as_ref().and_then(|own| table.service(own.as_str()));
-        let Some(service) = own else { return };
-        let gate = self.gate.get_or_init(|| {
+        if let (Some(gate), Some(service)) = (&self.gate, own) {
             // A request in a slot uses one connection, so this bounds the connections to the back end too.
-            let slots = service.slots.min(service.connections);
-            let settings = AdmissionSettings { slots, ..self.settings.admission.clone() };
-            Admission::new(settings, self.now())
-        });
-        gate.set_status(gate_status(self.endpoint_status()));
+            gate.set_slots(service.slots.min(service.connections));
+        }
     }
 }
 
--- a/crates/proxy/tests/support/mesh.rs
+++ b/crates/proxy/tests/support/mesh.rs
@@ -97,6 +97,8 @@
     pub allowed: Vec<LocalityRule>,
     /// Localities in which the servers' own snapshots allow it.
     pub allowed_at_servers: Vec<LocalityRule>,
+    /// Whether the servers' nodes have a configuration from the start.
+    pub servers_have_configuration: bool,
     /// Whether the inbound proxies run; if not, tests put scripted peers in their place.
     pub real_inbound: bool,
 }
@@ -111,6 +113,7 @@
             settings: ProxySettings::default(),
             allowed: north.clone(),
             allowed_at_servers: north,
+            servers_have_configuration: true,
             real_inbound: true,
         }
     }
@@ -211,7 +214,9 @@
         };
         let backend = BackendSettings::at(backend_at(index));
         let state = self.state(identity, Some(backend), network, events);
-        state.activate(Arc::new(self.table(1, &self.allowed_at_servers, &BTreeSet::new()))).unwrap();
+        if self.servers_have_configuration {
+            state.activate(Arc::new(self.table(1, &self.allowed_at_servers, &BTreeSet::new()))).unwrap();
+        }
         state.set_own_record(&record(index, EndpointStatus::Ready, 1));
         let listener = network.listen(inbound_at(index)).await.unwrap();
         let (drain, shutdown) = shutdown_channel();
