Judge an endpoint by the answers that it breaks off

A cut answer only dropped the guard of its endpoint, without an observation. So an endpoint that sends a head and then breaks off was never ejected, and its earlier failures in a row stayed as they were. The new test failed first:

an_endpoint_whose_answers_are_cut_is_ejected ... "archive-0" ... pickable: true, ejected_until: None ...] after 21 cuts

and passes now. A cut by the endpoint is a failure like a missing answer. Weighed: counting a cut at the deadline too; a stream that is meant to flow until its deadline would then eject healthy endpoints, so that says nothing, like a caller that left. What remains open by this choice: an endpoint that stalls after each head is cut at the deadline and is not ejected for it.

--- a/crates/proxy/src/server/open_request.rs
+++ b/crates/proxy/src/server/open_request.rs
@@ -5,7 +5,7 @@
 use http::{Response, response};
 use tokio::time::Instant;
 use umberpond_admission::{Completion, Permit, RequestId};
-use umberpond_balance::{Observation, Picked};
+use umberpond_balance::{Observation, Picked, RequestResult};
 
 use super::body::{ProxyBody, RelayBody};
 use super::tracker::InFlight;
@@ -82,9 +82,15 @@
         }
     }
 
-    /// The answer was cut.
+    /// The answer was cut. Only an endpoint that broke it off is judged by it: at the deadline the answer may have
+    /// been flowing as it should.
     pub(super) fn cut(mut self, reason: CutReason) {
         self.in_flight = None;
+        if let (CutReason::UpstreamCut, Some(Held::Picked(picked, observation))) = (reason, self.held.take())
+        {
+            let failed = Observation { result: RequestResult::Failed, ..observation };
+            picked.finish(self.state.now(), failed);
+        }
         self.state.observe(&RequestEvent::Cut { request: self.request, reason });
     }
 }
