Say that the connection closes when an upload was not read

The HTTP library closes a connection whose request was not read to its end, and it does so after an answer without `connection: close`. An answer given early, such as a refusal of an upload, therefore left its caller with a connection that looked kept; the next request on it met the close and got no answer. The new test failed first:

an_answer_before_the_end_of_the_upload_says_that_its_connection_closes ... FAILED assertion `left == right` failed: 100 of 60000 bytes were sent left: false right: true

The body now tells whether its end was read, and an answer that leaves before says that its connection closes. Ruled out: reading the rest of a refused upload, which would let a caller hold a refused request open. Now reuse.rs: 9 passed; all tests of the three crates pass.

--- a/crates/proxy/src/inbound/exchange.rs
+++ b/crates/proxy/src/inbound/exchange.rs
@@ -2,14 +2,13 @@
 
 use http::header::HeaderMap;
 use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
 use tokio::time::Instant;
 use umberpond_admission::{Completion, Permit};
 
 use super::KEPT_FOR_BACKEND;
 use crate::headers::{self, names};
 use crate::refusal::Refusal;
-use crate::server::{Held, OpenRequest, ProxyBody};
+use crate::server::{CallerBody, Held, OpenRequest, ProxyBody};
 use crate::wire::{BodyFault, Exchange, ExchangeFailure, RequestBody};
 use crate::{AttemptFailure, Outcome, Phases, RefusalReason, RequestEvent, Stage, millis};
 
@@ -20,7 +19,7 @@
 /// back end, which cancels the request there.
 pub(super) async fn run(
     open: OpenRequest,
-    request: Request<Incoming>,
+    request: Request<CallerBody>,
     permit: Permit,
     deadline: Instant,
 ) -> Response<ProxyBody> {
--- a/crates/proxy/src/inbound/mod.rs
+++ b/crates/proxy/src/inbound/mod.rs
@@ -7,7 +7,6 @@
 mod exchange;
 
 use http::{Request, Response};
-use hyper::body::Incoming;
 use tokio::time::Instant;
 use umberpond_admission::{
     Admitted, Attempt, Permit, Refusal as GateRefusal, RefusalReason as GateReason, RequestId,
@@ -16,11 +15,11 @@
 
 use crate::headers::{AttemptHeaders, EndpointHeaders, names};
 use crate::refusal::Refusal;
-use crate::server::{OpenRequest, ProxyBody, Server};
+use crate::server::{CallerBody, OpenRequest, ProxyBody, Server};
 use crate::{Outcome, ProxyState, RefusalReason, RequestEvent, millis};
 
 /// Answers one request of another node.
-pub(crate) async fn handle(server: &Server, request: Request<Incoming>) -> Response<ProxyBody> {
+pub(crate) async fn handle(server: &Server, request: Request<CallerBody>) -> Response<ProxyBody> {
     let request_id = request.headers().get(names::REQUEST_ID).cloned();
     let mut response = answer(server, request).await;
     let is_draining = server.tracker.is_draining();
@@ -36,7 +35,7 @@
     response
 }
 
-async fn answer(server: &Server, request: Request<Incoming>) -> Response<ProxyBody> {
+async fn answer(server: &Server, request: Request<CallerBody>) -> Response<ProxyBody> {
     let started = Instant::now();
     let in_flight = server.tracker.start();
     let state = &server.state;
--- a/crates/proxy/src/outbound/mod.rs
+++ b/crates/proxy/src/outbound/mod.rs
@@ -4,21 +4,20 @@
 mod attempts;
 
 use http::{HeaderValue, Request, Response, header};
-use hyper::body::Incoming;
 use tokio::time::Instant;
 use umberpond_admission::{Deadline, RequestId};
 
 use crate::headers::names;
 use crate::refusal::Refusal;
 use crate::routing::NoRoute;
-use crate::server::{CheckedRequest, InFlight, Malformed, OpenRequest, ProxyBody, Server};
+use crate::server::{CallerBody, CheckedRequest, InFlight, Malformed, OpenRequest, ProxyBody, Server};
 use crate::wire::{BodyFault, RequestBody};
 use crate::{ProxyState, RefusalReason, RequestEvent};
 
 /// Answers one request of a local caller.
 pub(crate) async fn handle(
     server: &Server,
-    request: Request<Incoming>,
+    request: Request<CallerBody>,
     checked: CheckedRequest,
 ) -> Response<ProxyBody> {
     let in_flight = server.tracker.start();
@@ -36,7 +35,7 @@
 
 async fn answer(
     state: &std::sync::Arc<ProxyState>,
-    request: Request<Incoming>,
+    request: Request<CallerBody>,
     checked: &CheckedRequest,
     in_flight: InFlight,
     is_draining: bool,
@@ -75,7 +74,7 @@
 
 fn read_deadline(
     state: &ProxyState,
-    request: &Request<Incoming>,
+    request: &Request<CallerBody>,
     timeout: umberpond_model::Millis,
 ) -> Result<Deadline, Malformed> {
     const UNREADABLE: Malformed = Malformed::InternalHeader("umberpond-deadline");
--- a/crates/proxy/src/server/connection.rs
+++ b/crates/proxy/src/server/connection.rs
@@ -4,10 +4,11 @@
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
@@ -17,6 +18,7 @@
 use umberpond_net::BoxStream;
 
 use super::body::ServedBody;
+use super::caller_body::CallerBody;
 use super::tracker::Tracker;
 use super::watched_stream::{ConnectionWatch, ReadLimits, WatchedStream};
 use crate::refusal::{Refusal, SLOW_HEAD_ANSWER};
@@ -103,7 +105,9 @@
         Box::pin(async move {
             let busy = watch.open_request();
             let verdict = watch.next_verdict();
-            let response = match CheckedRequest::check(&request, verdict.as_ref()) {
+            let request = request.map(CallerBody::new);
+            let was_read = request.body().was_read();
+            let mut response = match CheckedRequest::check(&request, verdict.as_ref()) {
                 Err(malformed) => {
                     let in_flight = Some(server.tracker.start());
                     let refusal = Refusal::malformed(malformed);
@@ -114,6 +118,9 @@
                     Half::Outbound => outbound::handle(&server, request, checked).await,
                 },
             };
+            if !was_read.load(Ordering::Acquire) {
+                response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+            }
             Ok(response.map(|body| ServedBody::new(body, busy)))
         })
     }
--- a/crates/proxy/src/wire/attempt_body.rs
+++ b/crates/proxy/src/wire/attempt_body.rs
@@ -14,6 +14,8 @@
 use thiserror::Error;
 use tokio::time::Sleep;
 
+use crate::server::CallerBody;
+
 /// Why a request's body could not be read to its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 pub(crate) enum BodyFault {
@@ -37,7 +39,7 @@
 
 struct Source {
     /// The caller's body; taken away once no attempt follows.
-    incoming: Option<Incoming>,
+    incoming: Option<CallerBody>,
     /// Total length, where the caller declared one.
     total: Option<u64>,
     kept: Vec<Bytes>,
@@ -53,7 +55,7 @@
 
 impl RequestBody {
     /// Wraps a body; at most `keep_limit` bytes of it are kept, and its sender must deliver a part each `pace`.
-    pub(crate) fn new(incoming: Incoming, keep_limit: usize, pace: Duration) -> Self {
+    pub(crate) fn new(incoming: CallerBody, keep_limit: usize, pace: Duration) -> Self {
         let total = incoming.size_hint().exact();
         let ended = incoming.is_end_stream();
         let source = Source {
--- a/crates/proxy/tests/reuse.rs
+++ b/crates/proxy/tests/reuse.rs
@@ -6,7 +6,8 @@
 
 use support::mesh::{backend_at, inbound_at, settle};
 use support::peer::{OWN_ID, inbound_answer, origin, response};
-use support::{MemoryNetwork, MeshBuilder, Peer, Step, get, post};
+use support::{Answer, MemoryNetwork, MeshBuilder, Peer, Step, get, post};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 #[tokio::test(start_paused = true)]
 async fn a_connection_serves_again_after_a_whole_exchange_until_it_is_idle_too_long() {
@@ -134,3 +135,25 @@
         assert_eq!((told.status, told.outcome()), (502, "unknown"));
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn an_answer_before_the_end_of_the_upload_says_that_its_connection_closes() {
+    let network = MemoryNetwork::new();
+    let mesh = MeshBuilder { servers: 0, ..MeshBuilder::default() }.build(&network).await;
+    let head =
+        |length: usize| format!("POST /buy/a HTTP/1.1\r\nhost: archive\r\ncontent-length: {length}\r\n\r\n");
+    for (length, sent, closes) in [(60_000, 100, true), (100, 100, false), (0, 0, false)] {
+        let mut stream = network.dial(mesh.entry()).unwrap();
+        stream.write_all(head(length).as_bytes()).await.unwrap();
+        stream.write_all(&vec![b'x'; sent]).await.unwrap();
+        let mut raw = vec![0; 4_096];
+        let count = stream.read(&mut raw).await.unwrap();
+        let refused = Answer::parse(&raw[..count]).unwrap();
+        assert_eq!((refused.status, refused.outcome()), (503, "rejected"));
+        assert_eq!(refused.header("connection").is_some(), closes, "{sent} of {length} bytes were sent");
+        stream.write_all(head(0).as_bytes()).await.unwrap();
+        let next =
+            tokio::time::timeout(Duration::from_secs(1), stream.read(&mut raw)).await.unwrap().unwrap();
+        assert_eq!(next == 0, closes, "an answer on a connection that stays, else its end");
+    }
+}
