--- a/crates/proxy/src/inbound/exchange.rs
+++ b/crates/proxy/src/inbound/exchange.rs
@@ -2,14 +2,13 @@
 
 use http::header::HeaderMap;
 use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
 use tokio::time::Instant;
 use umberpond_admission::{Completion, Permit};
 
 use super::KEPT_FOR_BACKEND;
 use crate::headers::{self, names};
 use crate::refusal::Refusal;
-use crate::server::{Held, OpenRequest, ProxyBody};
+use crate::server::{CallerBody, Held, OpenRequest, ProxyBody};
 use crate::wire::{BodyFault, Exchange, ExchangeFailure, RequestBody};
 use crate::{AttemptFailure, Outcome, Phases, RefusalReason, RequestEvent, Stage, millis};
 
@@ -20,7 +19,7 @@
 /// back end, which cancels the request there.
 pub(super) async fn run(
     open: OpenRequest,
-    request: Request<Incoming>,
+    request: Request<CallerBody>,
     permit: Permit,
     deadline: Instant,
 ) -> Response<ProxyBody> {
@@ -115,7 +114,7 @@
     let ExchangeFailure { stage, failure } = failed;
     let event = RequestEvent::AttemptFailed { request: open.request, attempt: ONLY_ATTEMPT, stage, failure };
     open.state.observe(&event);
-    let completion = if failed.nothing_written() { Completion::Shed } else { Completion::Broken };
+    let completion = if failed.nothing_written() { Completion::NotSent } else { Completion::Broken };
     permit.finish(open.state.now(), completion);
     body.close();
     let reason = match (body.fault(), failure) {
