Take changes of the machine list from the watch instead of reading the list again

Cause: a scale run with real processes counted 662 reads of the machine list in 30 s. Each event of the watch led to a read of the whole list half a second later, and each submission to another one. The list of the planned size is close to a megabyte, so one restart a minute would cost each reader more than the whole budget for control, and 0.6 submissions a second half a megabyte a second. The watch carries the entry, so it is applied; changes within half a second are told as one; a node that submits reads the list only if what it knows is a minute old. Ruled out: a longer pause before the read, which only makes the cost rarer. Also the daemon's client now names its node, as the platform counts readers by that name. Two tests of applying changes pass; requests are not counted anew here.

--- a/crates/node/src/admin/bundles.rs
+++ b/crates/node/src/admin/bundles.rs
@@ -30,7 +30,7 @@
         Some(Err(error)) => return Answer::refusal(StatusCode::BAD_REQUEST, error.to_string()),
         None => Change::Withdraw,
     };
-    shared.machines.refresh(&shared.client).await;
+    shared.machines.refresh_if_old(&shared.client).await;
     let result = shared.acceptor.submit(submission, bundle.clone(), change).await;
     let name = SubmissionName { bundle, submission };
     match result {
--- a/crates/node/src/platform/machines.rs
+++ b/crates/node/src/platform/machines.rs
@@ -1,46 +1,89 @@
 //! The machine list: followed by readers, read once by a node that accepts a submission.
 
+#[cfg(test)]
+mod tests;
+
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use futures_util::StreamExt;
 use parking_lot::Mutex;
 use rand_chacha::ChaCha8Rng;
-use tokio::time::sleep;
-use umberpond_model::Member;
+use tokio::time::{Instant, sleep, timeout_at};
+use umberpond_model::{Member, NodeName};
 use umberpond_overlay::interface::{Machine, PlatformEvent};
-use umberpond_platform::{Backoff, MachineEntry, ObjectKind, ObjectStore, PlatformClient, Revision};
+use umberpond_platform::{
+    Backoff, MachineEntry, ObjectKind, ObjectStore, PlatformClient, Revision, WatchEvent,
+};
 use umberpond_telemetry::Event;
 
 use super::actor::PlatformContext;
 use super::backoff::PLATFORM_BACKOFF;
 
-/// Time in which several changes of the list become one read.
+/// Time in which several changes of the list are told as one.
 const SETTLE_TIME: Duration = Duration::from_millis(500);
 
-/// The machine list as this node read it last. A hint that lags.
+/// A node that doesn't follow the list reads it again for a submission only when it is older than this: the whole
+/// list of the planned size is close to a megabyte.
+const LONGEST_AGE: Duration = Duration::from_secs(60);
+
+/// The machine list as this node knows it. A hint that lags.
 #[derive(Debug, Default)]
 pub(crate) struct KnownMachines {
-    entries: Mutex<Vec<MachineEntry>>,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    entries: BTreeMap<NodeName, MachineEntry>,
+    /// When the list was last known to be as new as the platform's.
+    known_at: Option<Instant>,
 }
 
 impl KnownMachines {
     /// Machines that are not leaving.
     pub(crate) fn staying(&self) -> Vec<Member> {
-        let entries = self.entries.lock();
-        entries.iter().filter(|entry| !entry.leaving).map(MachineEntry::member).collect()
+        let state = self.state.lock();
+        state.entries.values().filter(|entry| !entry.leaving).map(MachineEntry::member).collect()
+    }
+
+    /// Reads the list unless it is known well enough; what is known stays if the platform does not answer.
+    pub(crate) async fn refresh_if_old(&self, client: &PlatformClient) {
+        let is_recent = self.state.lock().known_at.is_some_and(|at| at.elapsed() < LONGEST_AGE);
+        if !is_recent {
+            self.refresh(client).await;
+        }
     }
 
     /// Reads the list; what is known stays if the platform does not answer.
-    pub(crate) async fn refresh(&self, client: &PlatformClient) -> Option<Revision> {
+    async fn refresh(&self, client: &PlatformClient) -> Option<Revision> {
         let list = client.machines().await.ok()?;
-        *self.entries.lock() = list.machines;
+        let entries = list.machines.into_iter().map(|entry| (entry.node.clone(), entry)).collect();
+        *self.state.lock() = State { entries, known_at: Some(Instant::now()) };
         Some(list.revision)
     }
 
+    /// Takes one change of the list. `None` if it can't be read; then the list must be read whole.
+    fn apply(&self, event: &WatchEvent) -> Option<()> {
+        let name = NodeName::new(&event.name).ok()?;
+        let entry = match &event.value {
+            Some(value) => Some(MachineEntry::from_json(value)?),
+            None => None,
+        };
+        let mut state = self.state.lock();
+        match entry {
+            Some(entry) => state.entries.insert(name, entry),
+            None => state.entries.remove(&name),
+        };
+        state.known_at = Some(Instant::now());
+        Some(())
+    }
+
     fn as_machines(&self) -> Vec<Machine> {
-        let entries = self.entries.lock();
-        entries.iter().map(|entry| Machine { member: entry.member(), leaving: entry.leaving }).collect()
+        let state = self.state.lock();
+        let machine = |entry: &MachineEntry| Machine { member: entry.member(), leaving: entry.leaving };
+        state.entries.values().map(machine).collect()
     }
 }
 
@@ -65,9 +108,12 @@
     };
     tell(context);
     let Ok(mut changes) = context.client.watch(ObjectKind::Machines, revision).await else { return Some(()) };
-    while let Some(Ok(_)) = changes.next().await {
-        sleep(SETTLE_TIME).await;
-        context.machines.refresh(&context.client).await?;
+    while let Some(Ok(event)) = changes.next().await {
+        context.machines.apply(&event)?;
+        let settled_at = Instant::now() + SETTLE_TIME;
+        while let Ok(Some(Ok(event))) = timeout_at(settled_at, changes.next()).await {
+            context.machines.apply(&event)?;
+        }
         tell(context);
     }
     Some(())
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -246,7 +246,7 @@
 fn platform_client(config: &NodeConfig, environment: &Environment) -> PlatformClient {
     let gate = PlatformGate::new(GateLimits::default());
     let network = Arc::clone(&environment.network);
-    PlatformClient::new(network, config.platform, gate, ClientSettings::default())
+    PlatformClient::new(network, config.platform, gate, ClientSettings::default()).named(config.node.clone())
 }
 
 fn acceptor(
--- a/crates/platform/src/machines.rs
+++ b/crates/platform/src/machines.rs
@@ -27,6 +27,12 @@
 }
 
 impl MachineEntry {
+    /// Reads the entry that a watch of [`crate::ObjectKind::Machines`] carries; `None` if it is none.
+    #[must_use]
+    pub fn from_json(bytes: &[u8]) -> Option<Self> {
+        serde_json::from_slice(bytes).ok()
+    }
+
     /// The node as a possible peer.
     #[must_use]
     pub fn member(&self) -> Member {
@@ -38,7 +44,7 @@
 /// The whole list.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 pub struct MachineList {
-    /// Revision of the list; a watch of [`crate::ObjectKind::Machines`] after it tells when to read again.
+    /// Revision of the list; a watch of [`crate::ObjectKind::Machines`] after it tells each change.
     pub revision: Revision,
     /// The machines.
     pub machines: Vec<MachineEntry>,
