Tell a scale run's figures by role

Bytes and the core's own time are now added up by the role held at the end; resident memory is the process's.

--- a/testing/sim/src/scale/hollow.rs
+++ b/testing/sim/src/scale/hollow.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
 
 use umberpond_model::{
     EndpointRecord, EndpointStatus, Incarnation, Locality, Member, Millis, NodeName, Timestamp, Version,
@@ -70,6 +71,8 @@
     pub measured_after: Version,
     /// Control bytes.
     pub bytes: ByteMeter,
+    /// Real time spent in the core; no figure of the run's outcome rests on it.
+    pub core_time: Duration,
 }
 
 /// Address of node `number`.
@@ -127,6 +130,7 @@
             highest_active: Version::GENESIS,
             measured_after: Version::GENESIS,
             bytes: ByteMeter::default(),
+            core_time: Duration::ZERO,
         }
     }
 
--- a/testing/sim/src/scale/measure.rs
+++ b/testing/sim/src/scale/measure.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use hdrhistogram::Histogram;
 use umberpond_model::{EndpointRecord, EndpointStatus, Incarnation, Millis, NodeName, Timestamp, Version};
@@ -97,6 +98,7 @@
         self.readers_before = platform.most_readers;
         for node in nodes {
             node.bytes = ByteMeter::default();
+            node.core_time = Duration::ZERO;
         }
     }
 
--- a/testing/sim/src/scale/mod.rs
+++ b/testing/sim/src/scale/mod.rs
@@ -11,12 +11,14 @@
 mod platform;
 mod queue;
 mod report;
+mod roles;
 mod scenario;
 mod workload;
 mod world;
 
 pub use measure::Measurement;
 pub use report::{ScaleReport, plot};
+pub use roles::RoleFigures;
 pub use scenario::{Scenario, Storm};
 pub use world::World;
 
--- a/testing/sim/src/scale/report.rs
+++ b/testing/sim/src/scale/report.rs
@@ -8,9 +8,11 @@
 use plotters::prelude::*;
 use serde::Serialize;
 use thiserror::Error;
+use umberpond_overlay::Role;
 
 use super::hollow::BYTES_WINDOW;
 use super::measure::MessageCount;
+use super::roles::{RoleFigures, by_role};
 use super::scenario::Scenario;
 use super::world::World;
 
@@ -68,6 +70,10 @@
     pub lagging_at_end: u64,
     /// Time from the end of the storm until in force everywhere, in milliseconds.
     pub recovery_millis: Option<u64>,
+    /// Figures by role.
+    pub roles: BTreeMap<Role, RoleFigures>,
+    /// Resident memory of the whole run at its end, in bytes; 0 where the system doesn't tell.
+    pub resident_bytes: u64,
     /// Messages by kind.
     pub messages: BTreeMap<&'static str, MessageCount>,
     /// Decisions of the cores by name.
@@ -98,6 +104,8 @@
             went_back: measurement.went_back,
             lagging_at_end: measurement.lagging_at_end,
             recovery_millis: measurement.recovery.map(|recovery| recovery.0),
+            roles: by_role(&world.nodes, measured_seconds),
+            resident_bytes: resident_bytes(),
             messages: measurement.messages.clone(),
             decisions: measurement.decisions.clone(),
             events: measurement.events,
@@ -153,6 +161,18 @@
             "{:<28} {} went back, {} lagging at the end, {} versions, {} events",
             "checks", self.went_back, self.lagging_at_end, self.versions, self.events
         )?;
+        for (role, figures) in &self.roles {
+            writeln!(
+                formatter,
+                "  {:<26} {} nodes, mean {:.0} B/s, busiest 10 s {:.0} B/s, core {:.0} us/s",
+                format!("{role:?}"),
+                figures.nodes,
+                figures.mean_bytes_per_second,
+                figures.busiest_bytes_per_second,
+                figures.core_micros_per_second
+            )?;
+        }
+        writeln!(formatter, "  resident memory of the run   {} KiB", self.resident_bytes / BYTES_PER_KIB)?;
         for (kind, count) in &self.messages {
             writeln!(formatter, "  {kind:<26} {} messages, {} bytes", count.messages, count.bytes)?;
         }
@@ -163,6 +183,16 @@
     }
 }
 
+const BYTES_PER_KIB: u64 = 1_024;
+const BYTES_PER_PAGE: u64 = 4_096;
+
+/// Resident memory of this process, from the second field of `/proc/self/statm`, in bytes.
+fn resident_bytes() -> u64 {
+    let statistics = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statistics.split(' ').nth(1).and_then(|pages| pages.parse::<u64>().ok());
+    pages.unwrap_or(0) * BYTES_PER_PAGE
+}
+
 /// A plot that could not be drawn.
 #[derive(Debug, Error)]
 #[error("the plot could not be drawn: {reason}")]
--- a/testing/sim/src/scale/world.rs
+++ b/testing/sim/src/scale/world.rs
@@ -1,6 +1,7 @@
 //! The world of a scale run: nodes, connections, the platform and the event loop.
 
 use std::net::SocketAddr;
+use std::time::Instant;
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -230,8 +231,11 @@
         if !self.is_running(process) {
             return;
         }
-        let Some(core) = self.nodes[process.0].core.as_mut() else { return };
+        let node = &mut self.nodes[process.0];
+        let Some(core) = node.core.as_mut() else { return };
+        let begun = Instant::now();
         let outputs = core.on(self.now, input);
+        node.core_time += begun.elapsed();
         for output in outputs {
             self.carry_out(process, output);
         }
