Find the endpoint of a key without looking at all of them

It now probes a ring at eight positions (multi-probe consistent hashing, eight points an endpoint, found by an index of equal parts), which keeps what matters: the same key meets the same gate on every node, and a change of the membership moves only the keys of the endpoint that came or went. The existing property tests hold it to that, unchanged. Weighed: a Maglev table, which moves some keys of endpoints that stay; a plain ring, which needs many more points to be as even. Shares are less even than by rendezvous. The ring depends on the set alone and is kept over ejections.

Not measured: the time to rebuild the ring when the set changes.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -11,8 +11,8 @@
 
 use crate::choice::{Candidate, Choice};
 use crate::endpoint::{Availability, Change, Endpoint};
+use crate::key_ring::{KeyedEndpoints, hash_bytes};
 use crate::load::TypicalLoad;
-use crate::rendezvous::{KeyedEndpoints, hash_bytes};
 use crate::spill::{SpillState, Tier};
 use crate::{AllowedEndpoint, BalancerSettings, EndpointReport, Observation, Picked};
 
@@ -119,7 +119,7 @@
         Ok(Picked::new(Arc::clone(&self.shared), endpoint))
     }
 
-    /// Picks the endpoint that `key` belongs to (rendezvous hashing over the ready endpoints of the own region, or
+    /// Picks the endpoint that `key` belongs to (consistent hashing over the ready endpoints of the own region, or
     /// of all allowed regions if it has none), so that a repeated idempotency key meets the same inbound gate
     /// while the membership stays. Load, ejection and slow start don't move a key; `excluded` does.
     ///
@@ -251,7 +251,7 @@
         let is_near = |endpoint: &Endpoint| endpoint.locality.region == self.own.region;
         let has_near = all.iter().any(|endpoint| is_near(endpoint));
         let keyed = all.into_iter().filter(|endpoint| !has_near || is_near(endpoint));
-        set.keyed = KeyedEndpoints::new(keyed.cloned().collect());
+        set.keyed = KeyedEndpoints::new(keyed.cloned().collect(), &self.current().keyed);
         set
     }
 
--- a/crates/balance/src/endpoint.rs
+++ b/crates/balance/src/endpoint.rs
@@ -9,8 +9,8 @@
 };
 
 use crate::health::{Health, Phase};
+use crate::key_ring::node_hash;
 use crate::load::{ReportedLoad, TypicalLoad};
-use crate::rendezvous::node_hash;
 use crate::{AllowedEndpoint, BalancerSettings, EndpointReport, Observation, RequestResult};
 
 /// One endpoint in one incarnation.
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -23,10 +23,10 @@
 mod endpoint;
 mod filter;
 mod health;
+mod key_ring;
 mod load;
 mod observation;
 mod picked;
-mod rendezvous;
 mod settings;
 mod spill;
 
