Let the simulation reach stale majorities, dying back ends and doubled requests

Added kinds: back-end-death, slow-back-end, lapsed-lease, late-lost-answers, doubled-requests, stale-machines, and stale-majority (one zone falls behind, the next restarts without memory and reaches only that one). One fault in three hits the place of the one before. A planned stop no longer keeps other faults off its node. Callers repeat their own keys. A twelfth checker asks that requests are answered from 10 s after the last fault on; secrets that a node could not open now count as dangling.

--- a/testing/sim/src/checkers/mod.rs
+++ b/testing/sim/src/checkers/mod.rs
@@ -14,7 +14,10 @@
 
 pub use convergence::{CONVERGENCE_LIMIT, in_force_within_seconds};
 pub use lifecycle::{DRAIN_LIMIT, leaving_back_end_gets_no_new_work, planned_stop_cuts_nothing};
-pub use requests::{allowed_locality_only, at_most_once, rejected_did_not_run, whole_own_answer};
+pub use requests::{
+    allowed_locality_only, at_most_once, one_run_a_caller_key, rejected_did_not_run, serving_after_faults,
+    whole_own_answer,
+};
 pub use submissions::submission_told_true;
 pub use versions::{never_applied_in_part, never_back, no_dangling_reference};
 
@@ -43,11 +46,13 @@
     AllowedLocalityOnly,
     /// What an operator was told of a submission is true.
     SubmissionToldTrue,
+    /// Within seconds of the end of the last fault every request is answered.
+    ServingAfterFaults,
 }
 
 impl Invariant {
     /// All invariants.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 12] = [
         Self::NeverBack,
         Self::NoDanglingReference,
         Self::NeverAppliedInPart,
@@ -59,6 +64,7 @@
         Self::InForceWithinSeconds,
         Self::AllowedLocalityOnly,
         Self::SubmissionToldTrue,
+        Self::ServingAfterFaults,
     ];
 
     /// Name on the command line and in reports.
@@ -76,6 +82,7 @@
             Self::InForceWithinSeconds => "in-force-within-seconds",
             Self::AllowedLocalityOnly => "allowed-locality-only",
             Self::SubmissionToldTrue => "submission-told-true",
+            Self::ServingAfterFaults => "serving-after-faults",
         }
     }
 
@@ -88,12 +95,13 @@
             Self::NeverAppliedInPart => never_applied_in_part(history),
             Self::WholeOwnAnswer => whole_own_answer(history),
             Self::RejectedDidNotRun => rejected_did_not_run(history),
-            Self::AtMostOnce => at_most_once(history),
+            Self::AtMostOnce => [at_most_once(history), one_run_a_caller_key(history)].concat(),
             Self::LeavingGetsNoNewWork => leaving_back_end_gets_no_new_work(history),
             Self::PlannedStopCutsNothing => planned_stop_cuts_nothing(history),
             Self::InForceWithinSeconds => in_force_within_seconds(history),
             Self::AllowedLocalityOnly => allowed_locality_only(history),
             Self::SubmissionToldTrue => submission_told_true(history),
+            Self::ServingAfterFaults => serving_after_faults(history),
         }
     }
 }
@@ -162,6 +170,20 @@
         /// How often it ran.
         runs: usize,
     },
+    /// A node let two requests of one caller's key run.
+    CallerKeyRanTwice {
+        /// The node.
+        node: NodeName,
+        /// The later request.
+        request: RequestKey,
+    },
+    /// A request was not answered although every fault was long over.
+    NotServed {
+        /// The request.
+        request: RequestKey,
+        /// What the caller was told.
+        outcome: CallerOutcome,
+    },
     /// A back end got new work although it was leaving.
     NewWorkWhileLeaving {
         /// Node beside the back end.
--- a/testing/sim/src/checkers/requests.rs
+++ b/testing/sim/src/checkers/requests.rs
@@ -2,10 +2,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use umberpond_model::Millis;
+use umberpond_model::{Millis, NodeName};
 
+use crate::checkers::CONVERGENCE_LIMIT;
 use crate::checkers::{Breach, Invariant, Violation};
-use crate::history::{CallerOutcome, Event, History, RequestKey};
+use crate::history::{CallerKey, CallerOutcome, Event, History, RequestKey};
 
 /// Checks that every finished answer is whole and the request's own, and that each request got one end.
 #[must_use]
@@ -75,6 +76,55 @@
     violations
 }
 
+/// Checks that no node admitted two requests of one caller's key in the life of one process.
+#[must_use]
+pub fn one_run_a_caller_key(history: &History) -> Vec<Violation> {
+    let mut ran: BTreeSet<(&NodeName, CallerKey)> = BTreeSet::new();
+    let mut violations = Vec::new();
+    for recorded in history.events() {
+        match &recorded.event {
+            Event::Started { node } => ran.retain(|(ran_on, _)| *ran_on != node),
+            Event::Executed { request, node, caller_key: Some(key), .. } if !ran.insert((node, *key)) => {
+                let breach = Breach::CallerKeyRanTwice { node: node.clone(), request: *request };
+                violations.push(Violation { invariant: Invariant::AtMostOnce, at: recorded.at, breach });
+            }
+            _ => {}
+        }
+    }
+    violations
+}
+
+/// Checks that every request sent [`CONVERGENCE_LIMIT`] after the end of the last fault or later is answered, but for
+/// those that repeat an earlier one.
+#[must_use]
+pub fn serving_after_faults(history: &History) -> Vec<Violation> {
+    let mut faults_over_at = None;
+    let mut due: BTreeSet<RequestKey> = BTreeSet::new();
+    let mut violations = Vec::new();
+    for recorded in history.events() {
+        match &recorded.event {
+            Event::FaultsEnded => faults_over_at = Some(recorded.at),
+            Event::Sent { request, repeats: false, .. }
+                if faults_over_at.is_some_and(|over| recorded.at.0 > over.0 + CONVERGENCE_LIMIT.0) =>
+            {
+                due.insert(*request);
+            }
+            Event::Finished { request, outcome }
+                if due.contains(request) && !matches!(outcome, CallerOutcome::Answered { .. }) =>
+            {
+                let breach = Breach::NotServed { request: *request, outcome: *outcome };
+                violations.push(Violation {
+                    invariant: Invariant::ServingAfterFaults,
+                    at: recorded.at,
+                    breach,
+                });
+            }
+            _ => {}
+        }
+    }
+    violations
+}
+
 /// Checks that requests ran only in localities that their service allows.
 #[must_use]
 pub fn allowed_locality_only(history: &History) -> Vec<Violation> {
--- a/testing/sim/src/cluster/chain.rs
+++ b/testing/sim/src/cluster/chain.rs
@@ -69,6 +69,15 @@
     ContentHash::of(b"no such version")
 }
 
+/// Count of the secrets that a node of `service` must be able to open.
+#[must_use]
+pub fn needed_secrets(snapshot: &Snapshot, service: &ServiceName) -> usize {
+    let called = snapshot.routes.values().filter(|route| route.callers.contains(service));
+    let secrets: BTreeSet<_> =
+        called.flat_map(|route| &route.credentials).map(|credential| &credential.secret).collect();
+    secrets.len()
+}
+
 /// References to services and secrets that `snapshot` lacks, counted without the daemon's own closure check.
 #[must_use]
 pub fn dangling_references(snapshot: &Snapshot) -> usize {
--- a/testing/sim/src/cluster/faults.rs
+++ b/testing/sim/src/cluster/faults.rs
@@ -7,7 +7,7 @@
 use tokio::sync::Mutex;
 use tokio::time::sleep;
 use umberpond_model::Millis;
-use umberpond_standins::platform::{FaultChange, Platform};
+use umberpond_standins::platform::{FaultChange, Machine, Platform};
 
 use super::layout::{self, Place};
 use super::operators::Operator;
@@ -20,8 +20,22 @@
 const SLOW_PLATFORM_MILLIS: u64 = 1_500;
 /// Delay added to one direction of a link whose messages cross.
 const CROSSING_DELAY: Millis = Millis(700);
+/// Lag of the platform's machine list.
+pub const MACHINE_LAG_MILLIS: u64 = 3_000;
 /// Answers lost by one fault.
 const LOST_ANSWERS: u64 = 3;
+/// Time added to each request of a slow back end: some still end within their time limit, some don't.
+const SLOW_BACK_END_MILLIS: u64 = 1_800;
+/// Delay of a platform whose answers are lost too: the change takes effect half of it later.
+const LATE_ANSWERS_MILLIS: u64 = 4_000;
+/// Lag of a machine list that is far behind.
+const STALE_MACHINES_MILLIS: u64 = 8_000;
+/// Time in which the cut-off zone falls behind, above the time between two versions.
+const FALLING_BEHIND: Duration = Duration::from_secs(6);
+/// Time between the end of a zone's processes and their restart beside the zone that is behind.
+const RESTART_PAUSE: Duration = Duration::from_millis(200);
+/// How much later the second copy of a doubled request comes.
+const DOUBLED_AFTER: Millis = Millis(60);
 /// Operators that race.
 const RACING_OPERATORS: u64 = 3;
 
@@ -101,6 +115,30 @@
             }
             FaultKind::CrossedUpdates => self.cross(fault, CROSSING_DELAY),
             FaultKind::PlannedStop => self.stop_by_plan(self.node_of(fault)).await,
+            FaultKind::BackEndDeath => {
+                self.slots[self.node_of(fault)].lock().await.kill_back_end(&self.surroundings);
+            }
+            FaultKind::SlowBackEnd => self.slow_back_end(fault, SLOW_BACK_END_MILLIS).await,
+            FaultKind::LapsedLease => {
+                let place = &self.places[self.node_of(fault)];
+                self.mark_faulty(std::slice::from_ref(place));
+                network.freeze(place.host());
+                self.change_platform(FaultChange { lapse_leases: true, ..FaultChange::default() });
+            }
+            FaultKind::LateLostAnswers => self.change_platform(FaultChange {
+                delay_millis: Some(LATE_ANSWERS_MILLIS),
+                lose_answers: Some(u64::MAX),
+                ..FaultChange::default()
+            }),
+            FaultKind::StaleMajority => self.begin_stale_majority(fault).await,
+            FaultKind::DoubledRequests => {
+                network.double(self.places[self.node_of(fault)].inbound(), Some(DOUBLED_AFTER));
+            }
+            FaultKind::StaleMachines => {
+                let machine_lag_millis = Some(STALE_MACHINES_MILLIS);
+                self.change_platform(FaultChange { machine_lag_millis, ..FaultChange::default() });
+                self.list_machines(Some(self.node_of(fault)));
+            }
         }
     }
 
@@ -114,7 +152,29 @@
                 }
             }
             FaultKind::CutZone => self.for_each_cut_link(fault, |one, other| network.mend(one, other)),
-            FaultKind::Freeze => network.thaw(self.places[self.node_of(fault)].host()),
+            FaultKind::StaleMajority => {
+                for zone in [fault, in_next_zone(fault)] {
+                    self.for_each_cut_link(zone, |one, other| network.mend(one, other));
+                }
+            }
+            FaultKind::BackEndDeath => {
+                self.slots[self.node_of(fault)].lock().await.start_back_end(&self.surroundings).await;
+            }
+            FaultKind::SlowBackEnd => self.slow_back_end(fault, 0).await,
+            FaultKind::DoubledRequests => network.double(self.places[self.node_of(fault)].inbound(), None),
+            FaultKind::StaleMachines => {
+                let machine_lag_millis = Some(MACHINE_LAG_MILLIS);
+                self.change_platform(FaultChange { machine_lag_millis, ..FaultChange::default() });
+                self.list_machines(None);
+            }
+            FaultKind::LateLostAnswers => self.change_platform(FaultChange {
+                delay_millis: Some(0),
+                lose_answers: Some(0),
+                ..FaultChange::default()
+            }),
+            FaultKind::Freeze | FaultKind::LapsedLease => {
+                network.thaw(self.places[self.node_of(fault)].host())
+            }
             FaultKind::PlatformDown => {
                 self.change_platform(FaultChange { down: Some(false), ..FaultChange::default() });
             }
@@ -138,19 +198,56 @@
         self.slots[number].lock().await.kill(&self.surroundings);
     }
 
+    /// The slot stays free while the node drains, so that other faults can hit it then.
     async fn stop_by_plan(&self, number: usize) {
-        let mut slot = self.slots[number].lock().await;
-        let Some(running) = slot.running.clone() else { return };
-        let node = slot.place.node.clone();
+        let slot = &self.slots[number];
+        let Some((running, generation)) = slot.lock().await.process() else { return };
+        let node = self.places[number].node.clone();
         self.surroundings.recorder.record(Event::DrainBegan { node: node.clone() });
         let report = running.drain().await;
         self.surroundings.recorder.trace(&format!("{node}: drained, {report:?}"));
+        let mut slot = slot.lock().await;
+        if slot.process().is_none_or(|(_, current)| current != generation) {
+            return;
+        }
         slot.running = None;
         self.surroundings.network.kill(slot.place.host());
         self.surroundings.recorder.record(Event::PlannedStopEnded { node: node.clone() });
         self.surroundings.recorder.record(Event::Stopped { node });
     }
 
+    async fn begin_stale_majority(&self, fault: Fault) {
+        let network = &self.surroundings.network;
+        let restarted = in_next_zone(fault);
+        self.mark_faulty(&self.in_zone(fault));
+        self.for_each_cut_link(fault, |one, other| network.cut(one, other));
+        sleep(FALLING_BEHIND).await;
+        self.for_each_cut_link(restarted, |one, other| network.cut(one, other));
+        for behind in self.in_zone(fault) {
+            for place in self.in_zone(restarted) {
+                network.mend(behind.host(), place.host());
+            }
+        }
+        for place in self.in_zone(restarted) {
+            self.kill(place.number).await;
+        }
+        sleep(RESTART_PAUSE).await;
+        for place in self.in_zone(restarted) {
+            self.start(place.number).await;
+        }
+    }
+
+    async fn slow_back_end(&self, fault: Fault, delay_millis: u64) {
+        let slot = self.slots[self.node_of(fault)].lock().await;
+        slot.slow_back_end(&self.surroundings, delay_millis);
+    }
+
+    /// Puts all nodes into the machine list, one of them as leaving.
+    pub fn list_machines(&self, leaving: Option<usize>) {
+        let machines = self.places.iter().map(|place| machine(place, leaving == Some(place.number)));
+        self.platform.set_machines(machines.collect());
+    }
+
     fn change_platform(&self, change: FaultChange) {
         self.platform.change_faults(&change);
     }
@@ -191,3 +288,19 @@
         }
     }
 }
+
+/// The same fault at the zone after its own.
+const fn in_next_zone(fault: Fault) -> Fault {
+    Fault { place: fault.place % layout::ZONES + 1, ..fault }
+}
+
+fn machine(place: &Place, leaving: bool) -> Machine {
+    let locality = place.locality();
+    Machine {
+        node: place.node.to_string(),
+        region: locality.region.to_string(),
+        zone: locality.zone.to_string(),
+        control: place.control(),
+        leaving,
+    }
+}
--- a/testing/sim/src/cluster/observer.rs
+++ b/testing/sim/src/cluster/observer.rs
@@ -22,6 +22,8 @@
     pub version: Version,
     /// Hash of what is in force.
     pub content: ContentHash,
+    /// Secrets that the node could open.
+    pub secrets: usize,
     /// When.
     pub at: Millis,
 }
@@ -103,13 +105,14 @@
 impl EventObserver for ProcessObserver {
     fn observe(&self, event: &NodeEvent) {
         self.recorder.trace(&format!("{}: {event:?}", self.node));
-        if let NodeEvent::VersionActivated { version, content, .. } = event {
+        if let NodeEvent::VersionActivated { version, content, secrets, .. } = event {
             let activation = Activation {
                 place: self.place,
                 node: self.node.clone(),
                 incarnation: self.incarnation,
                 version: *version,
                 content: *content,
+                secrets: usize::try_from(*secrets).unwrap_or(usize::MAX),
                 at: self.recorder.now(),
             };
             self.recorder.inner.lock().activations.push(activation);
--- a/testing/sim/src/cluster/process.rs
+++ b/testing/sim/src/cluster/process.rs
@@ -5,13 +5,13 @@
 
 use tokio::time::Instant;
 use umberpond_config::Topology;
-use umberpond_model::Incarnation;
+use umberpond_model::{Incarnation, Millis};
 use umberpond_net::Network;
 use umberpond_node::settings::{
     AdvertisedAddresses, BackEndConfig, Limits, ListenAddresses, LogConfig, NodeConfig,
 };
 use umberpond_node::{Environment, Node, RunningNode};
-use umberpond_standins::backend::{Backend, BackendSettings};
+use umberpond_standins::backend::{Backend, BackendSettings, FaultChange, Ledger};
 use umberpond_telemetry::Telemetry;
 
 use super::layout::{self, Place};
@@ -26,18 +26,26 @@
 /// Longest time that a planned stop waits for requests in flight; the longest request takes less.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(8);
 /// Service time of a back end.
-const SERVICE_TIME: Duration = Duration::from_millis(20);
+const SERVICE_TIME: Duration = Duration::from_millis(60);
 /// Decisions kept for replay.
 const RECORDING_ENTRIES: usize = 16;
 
+/// A back end and the time at which it began.
+struct RunningBackEnd {
+    begun_at: Millis,
+    back_end: Backend,
+}
+
 /// One node of the cluster with its back end.
 pub struct NodeSlot {
     /// Who and where.
     pub place: Place,
     /// The running process, if any.
     pub running: Option<Arc<RunningNode>>,
-    /// The back end; it lives as long as the run.
-    pub back_end: Option<Backend>,
+    /// The back end, while it runs.
+    back_end: Option<RunningBackEnd>,
+    /// Ledgers of back ends that died, with the time at which each began.
+    past_ledgers: Vec<(Millis, Ledger)>,
     generation: u64,
 }
 
@@ -71,23 +79,57 @@
     /// # Panics
     /// If the back end can't listen, which the simulated network never refuses at a fresh address.
     pub async fn new(place: Place, surroundings: &Surroundings) -> Self {
-        let back_end = if place.is_edge {
-            None
-        } else {
-            let network = surroundings.host(place.back_end_host());
-            let settings = BackendSettings {
-                name: place.node.to_string(),
-                service: place.service.clone(),
-                locality: place.locality(),
-                slots: u64::from(layout::SLOTS),
-                service_time: SERVICE_TIME,
-                cold_start: Duration::ZERO,
-                warm_up: Duration::ZERO,
-            };
-            let started = Backend::start(&*network, place.back_end(), settings).await;
-            Some(started.expect("a fresh address can be listened at"))
+        let mut slot = Self { place, running: None, back_end: None, past_ledgers: Vec::new(), generation: 0 };
+        slot.start_back_end(surroundings).await;
+        slot
+    }
+
+    /// Starts the back end without memory, unless it runs or the node has none.
+    ///
+    /// # Panics
+    /// If the back end can't listen, which the simulated network never refuses at a fresh address.
+    pub async fn start_back_end(&mut self, surroundings: &Surroundings) {
+        if self.place.is_edge || self.back_end.is_some() {
+            return;
+        }
+        let place = &self.place;
+        let network = surroundings.host(place.back_end_host());
+        let settings = BackendSettings {
+            name: place.node.to_string(),
+            service: place.service.clone(),
+            locality: place.locality(),
+            slots: u64::from(layout::SLOTS),
+            service_time: SERVICE_TIME,
+            cold_start: Duration::ZERO,
+            warm_up: Duration::ZERO,
         };
-        Self { place, running: None, back_end, generation: 0 }
+        let begun_at = surroundings.recorder.now();
+        let started = Backend::start(&*network, place.back_end(), settings).await;
+        let back_end = started.expect("a fresh address can be listened at");
+        self.back_end = Some(RunningBackEnd { begun_at, back_end });
+    }
+
+    /// Ends the back end in the middle of its work; its node is marked as hit by a fault.
+    pub fn kill_back_end(&mut self, surroundings: &Surroundings) {
+        let Some(RunningBackEnd { begun_at, back_end }) = self.back_end.take() else { return };
+        surroundings.recorder.record(Event::FaultBegan { node: self.place.node.clone() });
+        surroundings.network.kill(self.place.back_end_host());
+        self.past_ledgers.push((begun_at, back_end.ledger()));
+    }
+
+    /// Changes the time that the back end adds to each request; its node is marked as hit by a fault.
+    pub fn slow_back_end(&self, surroundings: &Surroundings, delay_millis: u64) {
+        let Some(running) = &self.back_end else { return };
+        surroundings.recorder.record(Event::FaultBegan { node: self.place.node.clone() });
+        running
+            .back_end
+            .change_faults(&FaultChange { delay_millis: Some(delay_millis), ..FaultChange::default() });
+    }
+
+    /// What all back ends of this node ran, each with the time at which it began.
+    pub fn ledgers(&self) -> impl Iterator<Item = (Millis, Ledger)> + '_ {
+        let running = self.back_end.iter().map(|running| (running.begun_at, running.back_end.ledger()));
+        self.past_ledgers.iter().cloned().chain(running)
     }
 
     /// Starts a process without memory, unless one runs.
@@ -119,6 +161,11 @@
         }
     }
 
+    /// The running process and its number among the processes of this node.
+    pub fn process(&self) -> Option<(Arc<RunningNode>, u64)> {
+        self.running.clone().map(|running| (running, self.generation))
+    }
+
     /// Ends the process as a kill would: nothing of it reaches anybody from here on.
     pub fn kill(&mut self, surroundings: &Surroundings) {
         if let Some(running) = self.running.take() {
--- a/testing/sim/src/cluster/run.rs
+++ b/testing/sim/src/cluster/run.rs
@@ -9,24 +9,26 @@
 use tokio::sync::Mutex;
 use tokio::time::{Instant, sleep};
 use umberpond_model::{ContentHash, Millis, SubmissionId, Version};
-use umberpond_standins::platform::{FaultChange, Machine, Platform};
+use umberpond_standins::platform::{FaultChange, Platform};
 
-use super::callers;
-use super::chain::{Chain, dangling_references, no_content};
-use super::faults::Cluster;
+use super::callers::{self, Callers};
+use super::chain::{Chain, dangling_references, needed_secrets, no_content};
+use super::faults::{Cluster, MACHINE_LAG_MILLIS};
 use super::layout::{self, Place};
 use super::observer::{Activation, Recorder};
 use super::operators::{Operator, Submission};
 use super::process::{NodeSlot, Surroundings};
-use crate::checkers::{Invariant, Violation};
+use crate::checkers::{CONVERGENCE_LIMIT, Invariant, Violation};
 use crate::history::{Event, History, Recorded};
 use crate::network::SimNetwork;
 use crate::schedule::Schedule;
 
 /// Virtual time before the first fault: nodes start, the first bundle comes in force.
 pub const WARM_UP: Millis = Millis(15_000);
-/// Virtual time after the last fault; above the convergence limit.
-const SETTLE: Millis = Millis(14_000);
+/// Load goes on for this long after the last fault: above the convergence limit, so that serving is seen too.
+const LOAD_AFTER_FAULTS: Millis = Millis(CONVERGENCE_LIMIT.0 + 3_000);
+/// Virtual time after the last request and the last word to an operator.
+const SETTLE: Millis = Millis(3_000);
 /// When the first bundle is submitted.
 const FIRST_SUBMISSION: Millis = Millis(4_000);
 /// Time between two ordinary submissions.
@@ -35,12 +37,8 @@
 const LAST_SUBMISSION_BEFORE_END: Millis = Millis(1_000);
 /// Time between two looks at the platform's head.
 const HEAD_LOOK: Duration = Duration::from_millis(1);
-/// Lag of the platform's machine list.
-const MACHINE_LAG_MILLIS: u64 = 3_000;
 /// Load of a run without faults.
 const SHORTEST_LOAD: Millis = Millis(10_000);
-/// Time after the load ends in which the last requests end.
-const LOAD_TAIL: Millis = Millis(9_000);
 
 /// What to run.
 #[derive(Debug, Clone)]
@@ -92,27 +90,26 @@
 
     let calls_begun_at = recorder.now();
     let edge = cluster.places.last().expect("the layout has an edge");
-    let load_time = Millis(options.schedule.end().0.max(SHORTEST_LOAD.0) + SETTLE.0 - LOAD_TAIL.0);
+    let load_time = Millis(options.schedule.end().0.max(SHORTEST_LOAD.0) + LOAD_AFTER_FAULTS.0);
     let caller_network = cluster.surroundings.host(layout::CALLER_HOST);
-    let calls = callers::start(caller_network, edge, options.seed, load_time);
+    let calls = Callers::start(&caller_network, edge, options.seed, calls_begun_at, load_time);
     let faults =
         options.schedule.faults.iter().map(|fault| tokio::spawn(Arc::clone(&cluster).carry_out(*fault)));
     for fault in faults.collect::<Vec<_>>() {
         fault.await.expect("a fault is carried out");
     }
     recorder.record(Event::FaultsEnded);
-    let answers = calls.await.expect("callers end by themselves").answers;
+    let answers = calls.finish().await;
     operators.await.expect("operators end by themselves");
     sleep(Duration::from_millis(SETTLE.0)).await;
     recorder.record(Event::RunEnded);
     watcher.abort();
 
-    let mut events = callers::history_of_answers(calls_begun_at, &answers);
+    let mut events: Vec<Recorded> = answers.iter().flat_map(callers::history_of_answers).collect();
     for slot in &cluster.slots {
         let slot = slot.lock().await;
-        if let Some(back_end) = &slot.back_end {
-            // Back ends start with the run.
-            events.extend(callers::history_of_ledger(Millis(0), &slot.place, &back_end.ledger()));
+        for (begun_at, ledger) in slot.ledgers() {
+            events.extend(callers::history_of_ledger(begun_at, &slot.place, &ledger));
         }
     }
     let chain = Chain::read(cluster.surroundings.host(layout::OPERATOR_HOST)).await;
@@ -127,7 +124,6 @@
     let machine_lag_millis = Some(MACHINE_LAG_MILLIS);
     platform.change_faults(&FaultChange { machine_lag_millis, ..FaultChange::default() });
     let places = layout::places();
-    platform.set_machines(places.iter().map(machine).collect());
     let recorder = Recorder::new();
     let operator = Operator { network: network.host(layout::OPERATOR_HOST), recorder: recorder.clone() };
     let surroundings = Surroundings { network, seed, recorder, begun: Instant::now() };
@@ -135,18 +131,9 @@
     for place in &places {
         slots.push(Mutex::new(NodeSlot::new(place.clone(), &surroundings).await));
     }
-    Cluster { surroundings, platform, slots, places, operator }
-}
-
-fn machine(place: &Place) -> Machine {
-    let locality = place.locality();
-    Machine {
-        node: place.node.to_string(),
-        region: locality.region.to_string(),
-        zone: locality.zone.to_string(),
-        control: place.control(),
-        leaving: false,
-    }
+    let cluster = Cluster { surroundings, platform, slots, places, operator };
+    cluster.list_machines(None);
+    cluster
 }
 
 /// Notes each version when the head moves to it.
@@ -230,7 +217,10 @@
         version: activation.version,
         snapshot: activation.content,
         expected: expected.as_ref().map_or_else(no_content, umberpond_config::Snapshot::content_hash),
-        dangling_references: expected.as_ref().map_or(0, dangling_references),
+        dangling_references: expected.as_ref().map_or(0, |expected| {
+            let not_opened = needed_secrets(expected, &places[activation.place].service);
+            dangling_references(expected) + not_opened.saturating_sub(activation.secrets)
+        }),
     };
     Recorded { at: activation.at, event }
 }
--- a/testing/sim/src/history.rs
+++ b/testing/sim/src/history.rs
@@ -8,6 +8,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestKey(pub u64);
 
+/// A caller's own key; requests that repeat one another carry the same one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallerKey(pub u64);
+
 /// What the caller was told at the end of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallerOutcome {
@@ -77,6 +81,8 @@
         service: ServiceName,
         /// Whether it may run more than once.
         idempotent: bool,
+        /// Whether the caller repeats an earlier request under the same key, so that a refusal is the right answer.
+        repeats: bool,
     },
     /// A back end began to run a request.
     Executed {
@@ -86,6 +92,8 @@
         node: NodeName,
         /// Where the back end runs.
         locality: Locality,
+        /// The caller's own key, if the request carries one.
+        caller_key: Option<CallerKey>,
         /// Whether the service allowed that locality in some version that the caller's node could hold.
         locality_allowed: bool,
     },
--- a/testing/sim/src/network/fabric.rs
+++ b/testing/sim/src/network/fabric.rs
@@ -30,6 +30,8 @@
     links: BTreeMap<(IpAddr, IpAddr), Arc<LinkState>>,
     hosts: BTreeMap<IpAddr, HostState>,
     listeners: BTreeMap<SocketAddr, Incoming>,
+    /// Addresses at which streams arrive twice, and how much later the second one is.
+    doubled: BTreeMap<SocketAddr, Duration>,
     next_port: u16,
 }
 
@@ -89,6 +91,7 @@
             links: BTreeMap::new(),
             hosts: BTreeMap::new(),
             listeners: BTreeMap::new(),
+            doubled: BTreeMap::new(),
             next_port: FIRST_FREE_PORT,
         }
     }
@@ -134,6 +137,13 @@
         *link.delay.lock() = link.base_delay + Duration::from_millis(extra.0);
     }
 
+    pub(super) fn set_doubled(&mut self, address: SocketAddr, later: Option<Millis>) {
+        match later {
+            Some(later) => self.doubled.insert(address, Duration::from_millis(later.0)),
+            None => self.doubled.remove(&address),
+        };
+    }
+
     pub(super) fn bytes_sent(&self, from: IpAddr, to: IpAddr) -> u64 {
         self.links.get(&(from, to)).map_or(0, |link| link.bytes.load(Ordering::Relaxed))
     }
@@ -164,9 +174,17 @@
         let callee_killed = self.killed_signal(to.ip(), callee_generation)?;
         let there = self.link(from, to.ip());
         let back = self.link(to.ip(), from);
-        let (near, far) = pair(there, back, caller_killed, callee_killed);
+        let (mut near, far) =
+            pair(Arc::clone(&there), Arc::clone(&back), caller_killed.clone(), callee_killed.clone());
         let peer = SocketAddr::new(from, self.take_port());
-        incoming.send((far, peer)).map_err(|_| io::Error::from(io::ErrorKind::ConnectionRefused))?;
+        let refused = |_| io::Error::from(io::ErrorKind::ConnectionRefused);
+        incoming.send((far, peer)).map_err(refused)?;
+        if let Some(later) = self.doubled.get(&to).copied() {
+            let (copy, far) = pair(there, back, caller_killed, callee_killed);
+            let peer = SocketAddr::new(from, self.take_port());
+            incoming.send((far, peer)).map_err(refused)?;
+            near.double_over(copy, later);
+        }
         Ok(near)
     }
 
--- a/testing/sim/src/network/mod.rs
+++ b/testing/sim/src/network/mod.rs
@@ -71,6 +71,12 @@
         self.fabric.lock().set_extra_delay(from, to, extra);
     }
 
+    /// Lets every stream that is opened to `address` from now on arrive twice: what is written to it also goes over a
+    /// second stream, later by the given time, whose answers nobody sees. `None` ends it.
+    pub fn double(&self, address: SocketAddr, later: Option<Millis>) {
+        self.fabric.lock().set_doubled(address, later);
+    }
+
     /// Bytes written so far from `from` to `to`.
     #[must_use]
     pub fn bytes_sent(&self, from: IpAddr, to: IpAddr) -> u64 {
--- a/testing/sim/src/network/stream.rs
+++ b/testing/sim/src/network/stream.rs
@@ -6,6 +6,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, Waker};
+use std::time::Duration;
 
 use bytes::{Buf, Bytes};
 use parking_lot::Mutex;
@@ -29,6 +30,8 @@
     ended: bool,
     /// The reader is gone: writing is in vain.
     unread: bool,
+    /// What is written disappears: the reading end is the copy of a doubled stream.
+    discarding: bool,
     reader: Option<Waker>,
     writer: Option<Waker>,
 }
@@ -42,6 +45,9 @@
 
 impl Pipe {
     fn push(&mut self, deliver_at: Instant, bytes: Bytes) {
+        if self.discarding {
+            return;
+        }
         // A transport keeps order: nothing overtakes inside one stream.
         let deliver_at = self.last_delivery.map_or(deliver_at, |last| last.max(deliver_at));
         self.last_delivery = Some(deliver_at);
@@ -67,6 +73,13 @@
     opening: Option<Waiting>,
     killed_signal: Waiting,
     is_reset: bool,
+    copy: Option<SecondStream>,
+}
+
+/// A second stream that gets all that is written to the first, later.
+struct SecondStream {
+    stream: Box<SimStream>,
+    later: Duration,
 }
 
 impl std::fmt::Debug for SimStream {
@@ -104,6 +117,7 @@
         opening: None,
         killed_signal: either_killed(&caller_killed, &callee_killed),
         is_reset: false,
+        copy: None,
     };
     let far = SimStream {
         read: forth_pipe,
@@ -114,11 +128,18 @@
         opening: None,
         killed_signal: either_killed(&callee_killed, &caller_killed),
         is_reset: false,
+        copy: None,
     };
     (near, far)
 }
 
 impl SimStream {
+    /// Lets all that is written from here on go over `stream` too, later; what comes back over it disappears.
+    pub(super) fn double_over(&mut self, stream: SimStream, later: Duration) {
+        stream.read.lock().discarding = true;
+        self.copy = Some(SecondStream { stream: Box::new(stream), later });
+    }
+
     /// Whether either side's process was killed.
     fn poll_reset(&mut self, context: &mut Context<'_>) -> bool {
         // A future must not be polled again once it has ended.
@@ -208,8 +229,13 @@
         }
         let count = bytes.len().min(room);
         if count > 0 {
-            pipe.push(self.write_link.delivery_time(), Bytes::copy_from_slice(&bytes[..count]));
+            let written = Bytes::copy_from_slice(&bytes[..count]);
+            let delivery_time = self.write_link.delivery_time();
+            pipe.push(delivery_time, written.clone());
             self.write_link.count(count);
+            if let Some(copy) = &self.copy {
+                copy.stream.write.lock().push(delivery_time + copy.later, written);
+            }
         }
         Poll::Ready(Ok(count))
     }
@@ -231,6 +257,10 @@
             pipe.ended = true;
             pipe.push(self.write_link.delivery_time(), Bytes::new());
         }
+        drop(pipe);
+        if let Some(copy) = &self.copy {
+            copy.stream.end_writing();
+        }
     }
 }
 
--- a/testing/sim/src/schedule.rs
+++ b/testing/sim/src/schedule.rs
@@ -13,6 +13,8 @@
 /// Shortest and longest time a fault lasts.
 const MIN_DURATION: Millis = Millis(500);
 const MAX_DURATION: Millis = Millis(12_000);
+/// One fault in so many hits the place of the fault drawn before it, so that two meet on one node.
+const SAME_PLACE_ONE_IN: usize = 3;
 
 /// What a fault does. Places are numbers that the cluster takes modulo its count of nodes or zones.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
@@ -40,11 +42,26 @@
     CrossedUpdates,
     /// One node is told to leave, and is started anew at the end of the fault.
     PlannedStop,
+    /// One back end dies in the middle of its work and is started anew at the end of the fault.
+    BackEndDeath,
+    /// One back end answers late.
+    SlowBackEnd,
+    /// One process is frozen and every reader lease lapses meanwhile; it goes on unaware.
+    LapsedLease,
+    /// The platform is slow, carries out changes late, and the answers are lost.
+    LateLostAnswers,
+    /// Every request to one node's inbound listener arrives a second time, late.
+    DoubledRequests,
+    /// The machine list calls one live node leaving, and lags far behind.
+    StaleMachines,
+    /// A zone falls behind while it is cut off. Then the next zone restarts without memory and reaches only the
+    /// zone that is behind: together they hold most witnesses, and neither knows the newest version.
+    StaleMajority,
 }
 
 impl FaultKind {
     /// All kinds.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 18] = [
         Self::Kill,
         Self::HerdRestart,
         Self::CutZone,
@@ -56,6 +73,13 @@
         Self::OperatorRace,
         Self::CrossedUpdates,
         Self::PlannedStop,
+        Self::BackEndDeath,
+        Self::SlowBackEnd,
+        Self::LapsedLease,
+        Self::LateLostAnswers,
+        Self::DoubledRequests,
+        Self::StaleMachines,
+        Self::StaleMajority,
     ];
 
     /// Name on the command line and in reports.
@@ -73,6 +97,13 @@
             Self::OperatorRace => "operator-race",
             Self::CrossedUpdates => "crossed-updates",
             Self::PlannedStop => "planned-stop",
+            Self::BackEndDeath => "back-end-death",
+            Self::SlowBackEnd => "slow-back-end",
+            Self::LapsedLease => "lapsed-lease",
+            Self::LateLostAnswers => "late-lost-answers",
+            Self::DoubledRequests => "doubled-requests",
+            Self::StaleMachines => "stale-machines",
+            Self::StaleMajority => "stale-majority",
         }
     }
 }
@@ -122,7 +153,15 @@
     pub fn from_seed(seed: u64, kinds: &[FaultKind]) -> Self {
         let mut generator = Gen::from_size_and_seed(MAX_FAULTS, seed);
         let count = 1 + usize::arbitrary(&mut generator) % MAX_FAULTS;
-        let mut faults: Vec<Fault> = (0..count).map(|_| Fault::draw(&mut generator, kinds)).collect();
+        let mut faults: Vec<Fault> = Vec::with_capacity(count);
+        for _ in 0..count {
+            let mut fault = Fault::draw(&mut generator, kinds);
+            let meets_former = usize::arbitrary(&mut generator) % SAME_PLACE_ONE_IN == 0;
+            if let Some(former) = faults.last().filter(|_| meets_former) {
+                fault.place = former.place;
+            }
+            faults.push(fault);
+        }
         faults.sort_by_key(|fault| fault.at);
         Self { faults }
     }
--- a/testing/sim/tests/checkers.rs
+++ b/testing/sim/tests/checkers.rs
@@ -4,7 +4,7 @@
     ContentHash, Incarnation, Locality, Millis, NodeName, ServiceName, SubmissionId, Version,
 };
 use umberpond_sim::checkers::Invariant;
-use umberpond_sim::history::{CallerOutcome, Event, History, RequestKey, SubmissionClaim};
+use umberpond_sim::history::{CallerKey, CallerOutcome, Event, History, RequestKey, SubmissionClaim};
 
 fn node() -> NodeName {
     NodeName::new("billing-1").unwrap()
@@ -35,12 +35,17 @@
 }
 
 fn sent(idempotent: bool) -> Event {
-    Event::Sent { request: RequestKey(7), service: ServiceName::new("billing").unwrap(), idempotent }
+    Event::Sent {
+        request: RequestKey(7),
+        service: ServiceName::new("billing").unwrap(),
+        idempotent,
+        repeats: false,
+    }
 }
 
 fn executed(locality_allowed: bool) -> Event {
     let locality: Locality = serde_json::from_str(r#"{"region":"eu-north","zone":"hall-a"}"#).unwrap();
-    Event::Executed { request: RequestKey(7), node: node(), locality, locality_allowed }
+    Event::Executed { request: RequestKey(7), node: node(), locality, caller_key: None, locality_allowed }
 }
 
 fn finished(outcome: CallerOutcome) -> Event {
@@ -121,6 +126,30 @@
     assert_only_breaks(Invariant::AtMostOnce, runs(true), runs(false));
 }
 
+#[test]
+fn a_second_run_of_a_caller_key_in_one_process_is_reported() {
+    let keyed = |number| {
+        let mut run = executed(true);
+        if let Event::Executed { request, caller_key, .. } = &mut run {
+            *request = RequestKey(number);
+            *caller_key = Some(CallerKey(1));
+        }
+        run
+    };
+    let restarted = Event::Started { node: node() };
+    let good = vec![(0, keyed(1)), (1, restarted), (2, keyed(2))];
+    assert_only_breaks(Invariant::AtMostOnce, good, vec![(0, keyed(1)), (2, keyed(2))]);
+}
+
+#[test]
+fn a_request_refused_long_after_the_last_fault_is_reported() {
+    let with =
+        |at| vec![(0, Event::FaultsEnded), (at, sent(true)), (at + 1, finished(CallerOutcome::Rejected))];
+    assert_only_breaks(Invariant::ServingAfterFaults, with(10_000), with(10_001));
+    let answered = vec![(0, Event::FaultsEnded), (10_001, sent(true)), (10_002, finished(GOOD))];
+    assert_only_breaks(Invariant::ServingAfterFaults, answered, with(10_001));
+}
+
 #[test]
 fn new_work_for_a_leaving_back_end_is_reported() {
     let with = |at| vec![(0, Event::DrainBegan { node: node() }), (at, executed(true))];
--- a/testing/sim/tests/determinism.rs
+++ b/testing/sim/tests/determinism.rs
@@ -7,15 +7,18 @@
 
 /// A seed whose schedule holds several kinds of fault.
 const SEED: u64 = 3;
+/// A seed run with herd restarts only: whole zones start at one moment, which wakes most tasks at once.
+const HERD_SEED: u64 = 1;
 
-fn digest_here() -> String {
-    let schedule = Schedule::from_seed(SEED, &FaultKind::ALL);
-    run(&RunOptions { seed: SEED, schedule }).digest.to_string()
+fn digest_here(seed: u64, kinds: &[FaultKind]) -> String {
+    let schedule = Schedule::from_seed(seed, kinds);
+    run(&RunOptions { seed, schedule }).digest.to_string()
 }
 
-fn digest_of_another_process() -> String {
+fn digest_of_another_process(seed: u64, kinds: &[FaultKind]) -> String {
+    let names: Vec<&str> = kinds.iter().map(|kind| kind.name()).collect();
     let output = Command::new(env!("CARGO_BIN_EXE_umberpond-sim"))
-        .args(["replay", "--seed", &SEED.to_string()])
+        .args(["replay", "--seed", &seed.to_string(), "--fault", &names.join(",")])
         .output()
         .expect("the program of this package runs");
     let text = String::from_utf8_lossy(&output.stdout);
@@ -25,14 +28,23 @@
 
 #[test]
 fn the_same_seed_gives_the_same_digest() {
-    let first = digest_here();
-    assert_eq!(first, digest_here(), "twice in one process");
-    assert_eq!(first, digest_of_another_process(), "in another process");
-    assert_eq!(first, digest_of_another_process(), "in a third process");
+    assert_same_digests(SEED, &FaultKind::ALL);
+}
+
+#[test]
+fn the_same_seed_of_herd_restarts_gives_the_same_digest() {
+    assert_same_digests(HERD_SEED, &[FaultKind::HerdRestart]);
+}
+
+#[track_caller]
+fn assert_same_digests(seed: u64, kinds: &[FaultKind]) {
+    let first = digest_here(seed, kinds);
+    assert_eq!(first, digest_here(seed, kinds), "twice in one process");
+    assert_eq!(first, digest_of_another_process(seed, kinds), "in another process");
+    assert_eq!(first, digest_of_another_process(seed, kinds), "in a third process");
 }
 
 #[test]
 fn another_seed_gives_another_digest() {
-    let schedule = Schedule::from_seed(SEED + 1, &FaultKind::ALL);
-    assert_ne!(digest_here(), run(&RunOptions { seed: SEED + 1, schedule }).digest.to_string());
+    assert_ne!(digest_here(SEED, &FaultKind::ALL), digest_here(SEED + 1, &FaultKind::ALL));
 }
--- a/testing/sim/tests/invariants.rs
+++ b/testing/sim/tests/invariants.rs
@@ -1,5 +1,9 @@
 //! A fixed set of seeds, the same on every machine: no invariant breaks, and the runs are not empty.
 
+use std::num::NonZero;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+
 use umberpond_sim::cluster::{RunOptions, RunReport, run};
 use umberpond_sim::history::{CallerOutcome, Event};
 use umberpond_sim::schedule::{FaultKind, Schedule};
@@ -20,24 +24,36 @@
     assert!(violations.is_empty(), "seed {seed}, faults {kinds:?}: {violations:#?}");
 }
 
+/// Runs all cases, several at a time. Each run has a runtime of its own, so the verdicts don't depend on that.
+fn assert_all_hold(cases: &[(u64, &[FaultKind])]) {
+    let next = AtomicUsize::new(0);
+    let threads = thread::available_parallelism().map_or(1, NonZero::get);
+    thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| {
+                while let Some((seed, kinds)) = cases.get(next.fetch_add(1, Ordering::Relaxed)) {
+                    assert_holds(*seed, kinds);
+                }
+            });
+        }
+    });
+}
+
 fn count(report: &RunReport, wanted: impl Fn(&Event) -> bool) -> usize {
     report.history.events().filter(|recorded| wanted(&recorded.event)).count()
 }
 
 #[test]
 fn mixed_faults_break_no_invariant() {
-    for seed in MIXED_SEEDS {
-        assert_holds(seed, &FaultKind::ALL);
-    }
+    let cases: Vec<(u64, &[FaultKind])> = MIXED_SEEDS.map(|seed| (seed, &FaultKind::ALL[..])).collect();
+    assert_all_hold(&cases);
 }
 
 #[test]
 fn each_kind_of_fault_alone_breaks_no_invariant() {
-    for kind in FaultKind::ALL {
-        for seed in SEEDS_FOR_EACH_KIND {
-            assert_holds(seed, &[kind]);
-        }
-    }
+    let alone = |kind| SEEDS_FOR_EACH_KIND.map(move |seed| (seed, std::slice::from_ref(kind)));
+    let cases: Vec<(u64, &[FaultKind])> = FaultKind::ALL.iter().flat_map(alone).collect();
+    assert_all_hold(&cases);
 }
 
 #[test]
