Read manifests in the schema that acceptance writes

`umberpond plan` failed against any mesh with a version in force: the admin API decodes the manifest by itself with schema number 1, and acceptance has written schema 2 since the records name their previous witnesses. Ruled out: damage on the platform, since the content hash agreed, and the collection, which had deleted nothing.

The number still stands in two places; a reading of manifests by `ChainReader` would end that.

--- a/crates/node/src/admin/configuration.rs
+++ b/crates/node/src/admin/configuration.rs
@@ -12,8 +12,8 @@
 use super::api::Configuration;
 use crate::shared::NodeShared;
 
-/// Schema number in front of the manifest's bytes.
-const MANIFEST_SCHEMA: u8 = 1;
+/// Schema number in front of the manifest's bytes, as `umberpond_acceptance` writes it.
+const MANIFEST_SCHEMA: u8 = 2;
 
 /// Bundles read at once.
 const CONCURRENT_READS: usize = 4;
