Drive the chores of a reader by their own state machine

The daemon had a loop of its own that proposed witnesses every 30 to 90 s in each zone and collected after 60 rounds, under no lease but the zone's. `Chores` decides both now: a collection an hour over all readers under the lease `collect`, and a proposal only when a witness was neither listed nor connected for 30 s and the last change is committed. The head's record comes from the watch; a reader that held the head before it became one reads it, since the watch tells it nothing.

The acceptor was given the version in force as commit index, which lags where activation fails. It is now the overlay's own, kept by the overlay actor when it decides a commit, puts a version in force or tells its status; a submission asks for the status first. Ruled out: working the status out after each input, which builds all zone reports at readers.

Test: one of three nodes collects soon after the first version, and no other within the next look. With the old loop it waits for an hour. Replacement of a lost witness by the daemon takes 30 s and more and has no test through processes.

--- a/crates/node/src/admin/bundles.rs
+++ b/crates/node/src/admin/bundles.rs
@@ -30,7 +30,7 @@
         Some(Err(error)) => return Answer::refusal(StatusCode::BAD_REQUEST, error.to_string()),
         None => Change::Withdraw,
     };
-    shared.machines.refresh(&shared.client).await;
+    prepare(shared).await;
     let result = shared.acceptor.submit(submission, bundle.clone(), change).await;
     let name = SubmissionName { bundle, submission };
     match result {
@@ -47,6 +47,13 @@
     }
 }
 
+/// Brings up to date what the acceptor chooses witnesses by: the machine list and the commit index.
+pub(super) async fn prepare(shared: &NodeShared) {
+    shared.machines.refresh(&shared.client).await;
+    // An overlay that does not answer leaves the commit index lagging, which is safe.
+    let _ = shared.overlay_status().await;
+}
+
 fn refused(shared: &NodeShared, name: SubmissionName, error: SubmitError) -> Answer {
     let SubmissionName { bundle, submission } = name;
     let reason = error.to_string();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod activation;
 pub mod admin;
+mod commit_index;
 mod control_listener;
 mod control_node;
 mod environment;
--- a/crates/node/src/overlay/actor.rs
+++ b/crates/node/src/overlay/actor.rs
@@ -13,6 +13,7 @@
 use super::connection::{self, ConnectionContext, ConnectionState};
 use super::wake::WakeTimer;
 use crate::activation::Activation;
+use crate::commit_index::KnownCommitIndex;
 use crate::environment::{Environment, SeedUse};
 use crate::platform::PlatformMessage;
 use crate::recording::Recording;
@@ -32,6 +33,7 @@
     pub(crate) tasks: TaskGroup,
     pub(crate) activation: Arc<Activation>,
     pub(crate) recording: Arc<Recording>,
+    pub(crate) commit_index: Arc<KnownCommitIndex>,
 }
 
 /// State of the actor.
@@ -45,6 +47,7 @@
     pub(super) wake: WakeTimer,
     pub(super) activation: Arc<Activation>,
     pub(super) recording: Arc<Recording>,
+    pub(super) commit_index: Arc<KnownCommitIndex>,
     pub(super) platform: Option<ActorRef<PlatformMessage>>,
 }
 
@@ -75,6 +78,7 @@
             wake: WakeTimer::default(),
             activation: arguments.activation,
             recording: arguments.recording,
+            commit_index: arguments.commit_index,
             platform: None,
         })
     }
@@ -112,8 +116,10 @@
             }
             OverlayMessage::OwnStatus(status) => self.set_own_status(status),
             OverlayMessage::Status(reply) => {
+                let status = self.core.status();
+                self.commit_index.raise(status.committed);
                 // Whoever asked may have given up.
-                let _ = reply.send(Arc::new(self.core.status()));
+                let _ = reply.send(Arc::new(status));
             }
         }
     }
--- a/crates/node/src/overlay/outputs.rs
+++ b/crates/node/src/overlay/outputs.rs
@@ -23,7 +23,11 @@
                     let _ = platform.send_message(PlatformMessage::Request(request));
                 }
             }
-            Output::Activate { version, snapshot } => self.activation.activate(version, &snapshot),
+            Output::Activate { version, snapshot } => {
+                // Only what is committed is put in force.
+                self.commit_index.raise(version);
+                self.activation.activate(version, &snapshot);
+            }
             Output::Endpoints(records) => self.activation.endpoints_changed(records),
             Output::WakeAt(at) => {
                 let instant = self.environment.clock().instant(at);
@@ -68,6 +72,7 @@
                 telemetry.emit(Event::RoleGained { role: role_name(*to) });
             }
             Decision::Committed { version } => {
+                self.commit_index.raise(*version);
                 metrics.set_version(VersionStage::Committed, *version);
                 telemetry.emit(Event::VersionCommitted { version: *version });
             }
--- a/crates/node/src/platform/actor.rs
+++ b/crates/node/src/platform/actor.rs
@@ -5,10 +5,11 @@
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use tokio::sync::watch as channel;
 use tokio::task::AbortHandle;
 use umberpond_acceptance::Acceptor;
 use umberpond_acceptance::chain::ChainReader;
-use umberpond_model::{Locality, NodeName, Version};
+use umberpond_model::{Locality, NodeName, Version, VersionRecord};
 use umberpond_overlay::interface::{PlatformEvent, PlatformRequest};
 use umberpond_platform::PlatformClient;
 use umberpond_telemetry::Telemetry;
@@ -44,6 +45,9 @@
     pub(super) overlay: ActorRef<OverlayMessage>,
     pub(super) telemetry: Telemetry,
     pub(super) machines: Arc<KnownMachines>,
+    pub(super) environment: Environment,
+    /// Record of the newest version that this node has seen on the platform.
+    pub(super) newest_record: Arc<channel::Sender<Option<VersionRecord>>>,
 }
 
 impl PlatformContext {
@@ -52,6 +56,17 @@
         self.acceptor.chain().clone()
     }
 
+    /// Keeps the record of a version, unless a newer one is known.
+    pub(super) fn note_record(&self, record: &VersionRecord) {
+        self.newest_record.send_if_modified(|newest| {
+            let is_newer = newest.as_ref().is_none_or(|newest| newest.version < record.version);
+            if is_newer {
+                *newest = Some(record.clone());
+            }
+            is_newer
+        });
+    }
+
     /// Tells the overlay actor what the platform said. An actor that is gone needs no telling.
     pub(super) fn tell(&self, event: PlatformEvent) {
         let _ = self.overlay.send_message(OverlayMessage::Platform(event));
@@ -114,6 +129,8 @@
             overlay: arguments.overlay,
             telemetry: arguments.environment.telemetry.clone(),
             machines: arguments.machines,
+            environment: arguments.environment,
+            newest_record: Arc::new(channel::Sender::new(None)),
         };
         let lease = ReaderLease::new(arguments.node, &arguments.locality, arguments.reader_address);
         Ok(PlatformState {
--- a/crates/node/src/platform/lease.rs
+++ b/crates/node/src/platform/lease.rs
@@ -61,17 +61,10 @@
     context.telemetry.emit(Event::LeaseGranted { lease: held.name.to_owned() });
     context.tell(PlatformEvent::LeaseGranted);
     reader_address::publish(&context, held.name, &lease.address).await;
-    let is_first = lease.names.first().is_some_and(|first| first == held.name);
-    let maintenance = async {
-        if is_first {
-            maintenance::maintain(&context, rng).await;
-        }
-        std::future::pending::<()>().await;
-    };
     tokio::select! {
         biased;
         () = keep(&context, &lease, &mut held) => {}
-        () = maintenance => {}
+        () = maintenance::maintain(&context, &lease.holder, rng) => {}
     }
     context.telemetry.emit(Event::LeaseLost { lease: held.name.to_owned() });
     context.tell(PlatformEvent::LeaseLost);
--- a/crates/node/src/platform/watch.rs
+++ b/crates/node/src/platform/watch.rs
@@ -19,8 +19,14 @@
     let mut watch = HeadWatch::new(context.chain(), after, settings, rng);
     loop {
         match watch.next().await {
-            HeadChange::Step(step) => context.tell(PlatformEvent::Accepted(Arc::new(accepted(*step)))),
-            HeadChange::Whole(read) => context.tell(PlatformEvent::Whole(Arc::new(whole(*read)))),
+            HeadChange::Step(step) => {
+                context.note_record(&step.record);
+                context.tell(PlatformEvent::Accepted(Arc::new(accepted(*step))));
+            }
+            HeadChange::Whole(read) => {
+                context.note_record(&read.record);
+                context.tell(PlatformEvent::Whole(Arc::new(whole(*read))));
+            }
             HeadChange::Unavailable => {
                 context.telemetry.metrics().platform_request("watch-head", "failed");
                 let reason = "no answer".to_owned();
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -70,6 +70,11 @@
 
     /// State of the overlay core; `None` if the actor does not answer in time.
     pub(crate) async fn overlay_status(&self) -> Option<Arc<OverlayStatus>> {
-        ractor::call_t!(self.overlay, OverlayMessage::Status, STATUS_TIMEOUT_MILLIS).ok()
+        overlay_status(&self.overlay).await
     }
 }
+
+/// State of the overlay core; `None` if the actor does not answer in time. The commit index is up to date after it.
+pub(crate) async fn overlay_status(overlay: &ActorRef<OverlayMessage>) -> Option<Arc<OverlayStatus>> {
+    ractor::call_t!(overlay, OverlayMessage::Status, STATUS_TIMEOUT_MILLIS).ok()
+}
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -11,7 +11,7 @@
 use tokio::task::JoinHandle;
 use umberpond_acceptance::{Acceptor, AcceptorContext, AcceptorSettings};
 use umberpond_admission::RetryBudgetSettings;
-use umberpond_model::{EndpointRecord, EndpointStatus, Version};
+use umberpond_model::{EndpointRecord, EndpointStatus};
 use umberpond_net::BoxListener;
 use umberpond_overlay::OverlayConfig;
 use umberpond_platform::{ClientSettings, GateLimits, PlatformClient, PlatformGate};
@@ -24,6 +24,7 @@
 use crate::NodeConfig;
 use crate::activation::Activation;
 use crate::admin::{self, Routes, api::ReaderAddress};
+use crate::commit_index::KnownCommitIndex;
 use crate::control_listener;
 use crate::environment::{Environment, SeedUse};
 use crate::observer::TelemetryObserver;
@@ -143,6 +144,7 @@
         config.seal_key.clone(),
         environment.telemetry.clone(),
     ));
+    let commit_index = Arc::new(KnownCommitIndex::default());
     let arguments = OverlayArguments {
         config: overlay_config,
         own: own.clone(),
@@ -150,11 +152,12 @@
         tasks: tasks.clone(),
         activation: Arc::clone(&activation),
         recording: Arc::clone(&recording),
+        commit_index: Arc::clone(&commit_index),
     };
     let (overlay, overlay_task) = Actor::spawn(None, OverlayActor, arguments).await?;
     let client = platform_client(&config, environment);
     let machines = Arc::new(KnownMachines::default());
-    let acceptor = acceptor(&client, environment, &machines, &activation);
+    let acceptor = acceptor(&client, environment, &machines, commit_index);
     let shared = Arc::new(NodeShared {
         config,
         environment: environment.clone(),
@@ -253,16 +256,14 @@
     client: &PlatformClient,
     environment: &Environment,
     machines: &Arc<KnownMachines>,
-    activation: &Activation,
+    commit_index: Arc<KnownCommitIndex>,
 ) -> Acceptor {
-    // A version in force is committed, so this never runs ahead of the commit index.
-    let active = activation.active();
     let machines = Arc::clone(machines);
     let clock = environment.clone();
     let context = AcceptorContext {
         store: Arc::new(client.clone()),
         candidates: Arc::new(move || machines.staying()),
-        commit_index: Arc::new(move || active.borrow().unwrap_or(Version::GENESIS)),
+        commit_index: Arc::new(move || commit_index.get()),
         unix_millis: Arc::new(move || clock.unix_millis()),
         seed: environment.seed_for(SeedUse::Acceptance),
     };
--- a/crates/umberpond/tests/operations.rs
+++ b/crates/umberpond/tests/operations.rs
@@ -109,6 +109,21 @@
         .await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn one_reader_collects_soon_after_the_first_version_and_no_other_for_an_hour() {
+    let mesh = Mesh::start("collection").await;
+    mesh.apply().await;
+    let collectors = || {
+        let nodes = mesh.nodes.iter().chain([&mesh.edge]);
+        nodes.filter(|node| node.has_logged("objects-collected")).count()
+    };
+    until_or("a reader has collected", || async { collectors() > 0 }, || mesh.logs()).await;
+    // Every reader looks at its chores within five seconds.
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    assert_eq!(collectors(), 1, "{}", mesh.logs());
+    assert!(mesh.platform.counters().lease_holders.contains_key("collect"), "the lease is kept for the hour");
+}
+
 /// Sends `bytes`, reads until the other side closes or a short while passes.
 async fn throw(address: SocketAddr, bytes: &[u8]) {
     let exchange = async {
