--- a/crates/node/src/admin/bundles.rs
+++ b/crates/node/src/admin/bundles.rs
@@ -49,7 +49,7 @@
 
 /// Brings up to date what the acceptor chooses witnesses by: the machine list and the commit index.
 pub(super) async fn prepare(shared: &NodeShared) {
-    shared.machines.refresh(&shared.client).await;
+    shared.machines.refresh_if_old(&shared.client).await;
     // An overlay that does not answer leaves the commit index lagging, which is safe.
     let _ = shared.overlay_status().await;
 }
