Take the witness sets of a version from its record

A reader worked the set before a change out from the set that it knew itself, and took the version of a whole configuration for the one that changed the set. After an operator's replacement of a set whose majority is lost for good the record says that the set before has no say; a live reader still asked it for the commit rule, so that nothing was committed any more. Restarted readers were not hit, which hid it. Ruled out: the rule of the tracker, which starts over at a record whose previous set is not the one it knows.

Now `witnesses`, `witnesses_since` and `previous_witnesses` are copied from the record. Since `since` is exact, a newer set is told by it alone; before, a replacement that leaves the current set as it is was not passed on.

--- a/crates/overlay/src/chain.rs
+++ b/crates/overlay/src/chain.rs
@@ -1,10 +1,13 @@
 //! Configuration content held by a node, and what its children need of it.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use umberpond_config::{Delta, Scope, Snapshot};
-use umberpond_model::{ContentHash, NodeName, ServiceName, Version};
+use umberpond_model::{ContentHash, NodeName, ServiceName, Version, VersionRecord};
 use umberpond_versions::{ComposedStep, Resize, StepError, VersionStore, Whole};
 
 use crate::interface::{AcceptedVersion, WholeVersion};
@@ -130,13 +133,7 @@
             let delta = accepted.delta.clone();
             self.on_step(&ComposedStep { from, to: record.version, delta, hash: record.snapshot })?;
         }
-        if self.sets.current != record.witnesses {
-            self.sets = Arc::new(WitnessSets {
-                since: record.version,
-                current: record.witnesses.clone(),
-                previous: self.sets.current.clone(),
-            });
-        }
+        self.take_sets(record);
         Ok(())
     }
 
@@ -144,16 +141,23 @@
     pub(crate) fn on_whole_version(&mut self, whole: &WholeVersion) -> Result<(), StepError> {
         let record = &whole.record;
         self.take_whole(record.version, whole.snapshot.clone(), record.snapshot)?;
-        if self.sets.current != record.witnesses {
-            self.sets = Arc::new(WitnessSets {
-                since: record.version,
-                current: record.witnesses.clone(),
-                previous: whole.previous_witnesses.clone(),
-            });
-        }
+        self.take_sets(record);
         Ok(())
     }
 
+    /// Takes the witness sets from a record. They are not worked out from the sets known before: after an operator's
+    /// replacement of lost witnesses the set before may have no say, and that is only in the record.
+    fn take_sets(&mut self, record: &VersionRecord) {
+        let sets = WitnessSets {
+            since: record.witnesses_since,
+            current: record.witnesses.clone(),
+            previous: record.previous_witnesses.clone(),
+        };
+        if *self.sets != sets {
+            self.sets = Arc::new(sets);
+        }
+    }
+
     /// Takes content of another node in.
     pub(crate) fn on_transfer(&mut self, transfer: &Transfer) -> Result<(), StepError> {
         match transfer {
@@ -174,7 +178,7 @@
 
     /// Takes newer witness sets in. Tells whether they were newer.
     pub(crate) fn on_sets(&mut self, sets: &Arc<WitnessSets>) -> bool {
-        let is_newer = sets.since > self.sets.since && sets.current != self.sets.current;
+        let is_newer = sets.since > self.sets.since;
         if is_newer {
             self.sets = Arc::clone(sets);
         }
--- a/crates/overlay/tests/support/platform.rs
+++ b/crates/overlay/tests/support/platform.rs
@@ -44,10 +44,25 @@
             _ => content::next_snapshot(&before, version, zones),
         };
         let record = content::record(self.chain.last().map(|(record, _, _)| record), &after, witnesses);
-        let delta = Delta::between(&before, &after);
+        self.append(record, &before, after);
+        version
+    }
+
+    /// An operator's replacement of a set whose majority is lost for good: the set before has no say any more.
+    pub fn replace_witnesses(&mut self, witnesses: &[NodeName]) -> Version {
+        let (last, snapshot, _) = self.chain.last().expect("only a chain that has begun has witnesses");
+        let before = Arc::clone(snapshot);
+        let mut record = content::record(Some(last), &before, witnesses);
+        record.previous_witnesses = Vec::new();
+        let version = record.version;
+        self.append(record, &before, before.as_ref().clone());
+        version
+    }
+
+    fn append(&mut self, record: VersionRecord, before: &Snapshot, after: Snapshot) {
+        let delta = Delta::between(before, &after);
         let accepted = Arc::new(AcceptedVersion { record: record.clone(), delta });
         self.chain.push((record, Arc::new(after), accepted));
-        version
     }
 
     /// Answers of a request that reaches the platform.
--- a/crates/overlay/tests/support/world.rs
+++ b/crates/overlay/tests/support/world.rs
@@ -226,6 +226,13 @@
         version
     }
 
+    pub fn replace_witnesses(&mut self, witnesses: &[NodeName]) -> Version {
+        let version = self.platform.replace_witnesses(witnesses);
+        self.history.accepted.insert(version, self.now);
+        self.tell_watchers();
+        version
+    }
+
     pub fn platform_back(&mut self) {
         self.platform.down = false;
         self.tell_watchers();
