Serve nobody from content that was held in a narrower scope

Cause: a leaf that becomes a reader drops what waits but keeps its own narrow version in force; while the newest whole one wasn't committed, children were served from the version in force, so their content was cut from the reader's own slice, with a hash that agreed with it. Ruled out: whole_for and step_from of the store, which refuse a narrow store; the chain went around them. The store now remembers the scope in which the version in force was held, and the chain offers it only in that scope.

--- a/crates/overlay/src/chain.rs
+++ b/crates/overlay/src/chain.rs
@@ -218,7 +218,12 @@
         if self.store.snapshot_at(committed).is_some() {
             return Some(committed);
         }
-        self.store.active()
+        self.active_in_scope()
+    }
+
+    /// Version in force, if others may be served from it: after a change of scope its content lacks what they need.
+    fn active_in_scope(&self) -> Option<Version> {
+        self.store.active().filter(|_| self.store.active_is_in_scope())
     }
 
     /// What brings a child in `scope` from what it holds to `target`; none if it is there already.
@@ -273,7 +278,7 @@
         if let Some(snapshot) = self.store.snapshot_at(version) {
             return Some(Arc::clone(snapshot));
         }
-        let active = self.store.active().filter(|active| *active == version);
+        let active = self.active_in_scope().filter(|active| *active == version);
         active.and_then(|_| self.store.active_snapshot().cloned())
     }
 
--- a/crates/versions/src/store.rs
+++ b/crates/versions/src/store.rs
@@ -39,6 +39,8 @@
     /// Held snapshots above the one in force, and always the newest one.
     waiting: BTreeMap<Version, Arc<Snapshot>>,
     active: Option<(Version, Arc<Snapshot>)>,
+    /// Scope in which the version in force was held when it was put in force.
+    active_scope: Scope,
     committed: Version,
     floor: Option<Version>,
     history: History,
@@ -49,6 +51,7 @@
     #[must_use]
     pub fn new(scope: Scope) -> Self {
         Self {
+            active_scope: scope.clone(),
             scope,
             waiting: BTreeMap::new(),
             active: None,
@@ -82,6 +85,13 @@
         self.active.as_ref().map(|(_, snapshot)| snapshot)
     }
 
+    /// Whether the snapshot in force covers the scope in which the store holds now. After a change of scope it
+    /// doesn't, and nothing may be cut from it for others.
+    #[must_use]
+    pub fn active_is_in_scope(&self) -> bool {
+        self.active_scope == self.scope
+    }
+
     /// Commit index, as far as it is known here.
     #[must_use]
     pub const fn committed(&self) -> Version {
@@ -163,6 +173,7 @@
         }
         let activation = (*version, Arc::clone(snapshot));
         self.active = Some(activation.clone());
+        self.active_scope = self.scope.clone();
         self.drop_settled();
         Some(activation)
     }
