Ask once for content over a connection until it comes

A question over a connection now stays open for the retry time or until content is taken in. Ruled out: a limit at the parent, which would also slow the first answer. Why the parent kept to an older base than the child had told is not established; the amplification is gone, that cause is not.

--- a/crates/overlay/src/node/content.rs
+++ b/crates/overlay/src/node/content.rs
@@ -8,7 +8,7 @@
 use super::OverlayNode;
 use super::records::Source;
 use crate::interface::{ConnectionId, Decision, Output};
-use crate::{PeerMessage, Transfer, Update, WitnessSets};
+use crate::{Transfer, Update, WitnessSets};
 
 impl OverlayNode {
     pub(super) fn on_update(&mut self, connection: ConnectionId, update: &Update, source: Source) {
@@ -43,6 +43,7 @@
     /// version held after a gap, and whole after a mismatch. Otherwise the next version brings the next try.
     fn after_transfer(&mut self, connection: ConnectionId, taken: Result<(), StepError>, is_whole: bool) {
         let Err(error) = taken else {
+            self.transfer_came(connection);
             self.after_content_changed();
             return;
         };
@@ -54,7 +55,7 @@
         };
         self.decide(Decision::TransferRefused { error });
         if let Some(held) = held {
-            self.send(connection, PeerMessage::RequestTransfer { held });
+            self.ask_for_transfer(connection, held);
         }
     }
 
--- a/crates/overlay/src/node/links.rs
+++ b/crates/overlay/src/node/links.rs
@@ -6,7 +6,7 @@
 
 use super::OverlayNode;
 use crate::interface::{ConnectionId, Decision, LossReason, MessageFault, Output};
-use crate::{Hello, PROTOCOL, PeerMessage, Purpose, Refusal, Role};
+use crate::{Held, Hello, PROTOCOL, PeerMessage, Purpose, Refusal, Role};
 
 /// What a connection that this node makes is for.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -41,6 +41,8 @@
     pub(super) sent: Timestamp,
     /// Updates sent and not yet acknowledged.
     pub(super) unacknowledged: u32,
+    /// When content was asked for over this connection; no second question goes out until it comes or is overdue.
+    pub(super) asked: Option<Timestamp>,
     /// Updates received and not yet acknowledged, and since when.
     pub(super) owed: u32,
     pub(super) owed_since: Timestamp,
@@ -188,8 +190,16 @@
 
     fn add_link(&mut self, connection: ConnectionId, state: LinkState) {
         let now = self.now;
-        let link =
-            Link { state, opened: now, heard: now, sent: now, unacknowledged: 0, owed: 0, owed_since: now };
+        let link = Link {
+            state,
+            opened: now,
+            heard: now,
+            sent: now,
+            unacknowledged: 0,
+            asked: None,
+            owed: 0,
+            owed_since: now,
+        };
         self.links.insert(connection, link);
     }
 
@@ -231,6 +241,25 @@
         }
     }
 
+    /// Asks for content, unless a question over this connection is still open.
+    pub(super) fn ask_for_transfer(&mut self, connection: ConnectionId, held: Option<Held>) {
+        let now = self.now;
+        let overdue = self.config.timing.transfer_retry;
+        let Some(link) = self.links.get_mut(&connection) else { return };
+        if link.asked.is_some_and(|at| now.since(at) < overdue) {
+            return;
+        }
+        link.asked = Some(now);
+        self.send(connection, PeerMessage::RequestTransfer { held });
+    }
+
+    /// Notes that the content asked for has come.
+    pub(super) fn transfer_came(&mut self, connection: ConnectionId) {
+        if let Some(link) = self.links.get_mut(&connection) {
+            link.asked = None;
+        }
+    }
+
     fn acknowledge(&mut self, connection: ConnectionId) {
         let Some(link) = self.links.get_mut(&connection) else { return };
         let updates = std::mem::take(&mut link.owed);
