Stop trying nodes that are known not to be readers

Every reader tried the first four members of each zone again every 10 s, refused or not. Now it looks beyond the first two only while a reader of the zone has no link, and remembers a refusal for 300 s: a new reader connects to the others by itself. A node that couldn't be reached is still tried again after 5 s, and a link clears the memory.

A reader asked to be woken every 5 ms once a summary time had passed with nothing to say; the time counts only when it has. A reader asks for a lease only after it has collected the members, and one that is not of the first ranks 10 s later; it gives back only what it asked for.

`cargo test -p umberpond-overlay`: all pass, the deaths of readers among them.

--- a/crates/overlay/src/config.rs
+++ b/crates/overlay/src/config.rs
@@ -52,8 +52,11 @@
     pub demote_after: Millis,
     /// Least time between two progress reports to the parent.
     pub report_interval: Millis,
-    /// Least time between two progress summaries to other readers.
+    /// Least time between two progress summaries to other readers of the own zone.
     pub summary_interval: Millis,
+    /// Least time between two progress summaries to readers of other zones. What they show of this zone is late by
+    /// up to this and `summary_interval`, never ahead.
+    pub far_summary_interval: Millis,
     /// A floor question without an answer is asked again after this time.
     pub floor_retry: Millis,
     /// Least time between the beginnings of two floor rounds of a reader; questions that come between are joined.
@@ -89,6 +92,7 @@
             demote_after: Millis(10_000),
             report_interval: Millis(1_000),
             summary_interval: Millis(2_000),
+            far_summary_interval: Millis(5_000),
             floor_retry: Millis(2_000),
             floor_round_interval: Millis(250),
             floor_round_timeout: Millis(700),
--- a/crates/overlay/src/node/peers.rs
+++ b/crates/overlay/src/node/peers.rs
@@ -1,9 +1,10 @@
 //! Links between readers of all zones, and from readers to the witnesses.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use umberpond_model::{EndpointRecord, Member, Millis, NodeName, Timestamp};
+use umberpond_model::{EndpointRecord, Locality, Member, Millis, NodeName, Timestamp};
 
 use super::OverlayNode;
 use super::links::{DialPurpose, LinkState};
@@ -18,8 +19,12 @@
 /// A reader of the own zone that another one told of is tried for this long.
 const TRY_COLLEAGUES: Millis = Millis(15_000);
 
-/// A node that turned out not to be a reader isn't tried again for this long.
-const NOT_A_READER: Millis = Millis(10_000);
+/// A node that turned out not to be a reader isn't tried again for this long. Long, since a new reader connects to
+/// the others by itself.
+const NOT_A_READER: Millis = Millis(300_000);
+
+/// A node that couldn't be reached isn't tried again for this long.
+const UNREACHABLE: Millis = Millis(5_000);
 
 /// Time between two tries of the seeds, to find zones that nothing is known of.
 const SEED_INTERVAL: Millis = Millis(30_000);
@@ -70,10 +75,12 @@
     fn wanted_peers(&self) -> Vec<Member> {
         let Some(reader) = &self.reader else { return Vec::new() };
         let own = &self.own.record().node;
-        let is_open = |member: &Member| member.node != *own && !self.has_peer(&member.node);
+        let linked: BTreeSet<&NodeName> = self.peers.values().map(|peer| &peer.node).collect();
+        let is_open = |member: &Member| member.node != *own && !linked.contains(&member.node);
         let mut wanted: Vec<Member> = Vec::new();
         for zone in self.directory.zones() {
-            let likely = self.directory.likely_readers(&zone, CONSIDERED);
+            let considered = self.considered(&zone);
+            let likely = self.directory.likely_readers(&zone, considered);
             let readers = likely
                 .into_iter()
                 .filter(|member| !reader.not_readers.contains_key(&member.node))
@@ -89,6 +96,15 @@
         wanted
     }
 
+    /// Live members of a zone to look at: its readers, and the next ones only while a reader is missing.
+    fn considered(&self, zone: &Locality) -> usize {
+        let wanted = self.config.limits.readers_per_zone;
+        let is_there = |peer: &&Peer| peer.role == Role::Reader && peer.locality == *zone;
+        let own = usize::from(self.own.record().locality == *zone);
+        let linked = self.peers.values().filter(is_there).count() + own;
+        if linked >= wanted { wanted } else { CONSIDERED }
+    }
+
     /// Links to the other readers of the own zone.
     pub(super) fn colleagues(&self) -> Vec<ConnectionId> {
         let own_zone = &self.own.record().locality;
@@ -132,7 +148,7 @@
     }
 
     pub(super) fn on_peer_unreachable(&mut self, member: &Member) {
-        let until = self.now + Millis(NOT_A_READER.0 / 2);
+        let until = self.now + UNREACHABLE;
         if let Some(reader) = &mut self.reader {
             reader.not_readers.insert(member.node.clone(), until);
         }
@@ -251,7 +267,7 @@
             locality: record.locality.clone(),
             role,
             dialled,
-            pending: std::collections::BTreeSet::new(),
+            pending: BTreeSet::new(),
             next_flush: self.now,
             state: None,
             told: None,
@@ -261,6 +277,9 @@
             transfer: TransferState::Idle,
         };
         self.peers.insert(connection, peer);
+        if let Some(reader) = &mut self.reader {
+            reader.not_readers.remove(&record.node);
+        }
         self.schedule.peers_changed = true;
         if self.is_reader() && role == Role::Reader {
             self.send_all_digests(connection);
@@ -322,12 +341,12 @@
     /// When peers next need something.
     pub(super) fn next_peer_work(&self) -> Option<Timestamp> {
         let state = self.reader_state();
-        let states = self.peers.values().filter_map(|peer| self.state_due(peer, &state));
+        let feeds_others = self.feeds_readers_without_watch();
+        let states = self.peers.values().filter_map(|peer| self.state_due(peer, &state, feeds_others));
         let records = self.peers.iter().filter_map(|(connection, peer)| self.records_due(*connection, peer));
         let pulls = self.peers.values().flat_map(|peer| [peer.pull_at, peer.compare_at]).flatten();
         let reader = self.reader.as_ref();
-        let searches = reader
-            .map(|reader| reader.next_peer_search.min(reader.next_anti_entropy).min(reader.next_summary));
+        let searches = reader.map(|reader| reader.next_peer_search.min(reader.next_anti_entropy));
         states.chain(records).chain(pulls).chain(searches).min()
     }
 }
--- a/crates/overlay/src/node/platform.rs
+++ b/crates/overlay/src/node/platform.rs
@@ -6,10 +6,25 @@
 use umberpond_versions::StepError;
 
 use super::OverlayNode;
+use super::state::ReaderDuty;
 use crate::WitnessSets;
 use crate::interface::{Decision, Output, PlatformEvent, PlatformRequest};
 
+/// A reader that isn't among the first ranks of its zone asks for a lease only if it is still a reader after this
+/// time; at a first start many nodes are readers for a moment.
+const SPARE_LEASE_WAIT: Millis = Millis(10_000);
+
+/// Least time between two looks whether such a reader is among the first ranks now.
+const SPARE_LEASE_LOOK: Millis = Millis(250);
+
 impl OverlayNode {
+    /// Whether this reader isn't one of its zone's readers by its own view.
+    fn is_spare(&mut self) -> bool {
+        let plan = self.zone_plan();
+        let own = &self.own.record().node;
+        !plan.readers().iter().any(|reader| reader == own)
+    }
+
     pub(super) fn on_platform(&mut self, event: PlatformEvent) {
         let is_answer = !matches!(event, PlatformEvent::Unavailable);
         if let Some(reader) = &mut self.reader {
@@ -81,8 +96,19 @@
     pub(super) fn tend_lease(&mut self) {
         let again = self.now + Millis(self.config.timing.lease_retry.0 * 10);
         let now = self.now;
-        let Some(reader) = &mut self.reader else { return };
-        if !reader.has_lease && now >= reader.lease_retry_at {
+        let is_due = |reader: &ReaderDuty| !reader.has_lease && now >= reader.lease_retry_at;
+        if !self.reader.as_deref().is_some_and(is_due) {
+            return;
+        }
+        if self.is_spare() && now < self.role.collecting_until + SPARE_LEASE_WAIT {
+            let at = self.jittered(self.config.timing.lease_retry);
+            if let Some(reader) = &mut self.reader {
+                reader.lease_retry_at = at + SPARE_LEASE_LOOK;
+            }
+            return;
+        }
+        if let Some(reader) = &mut self.reader {
+            reader.lease_asked = true;
             reader.lease_retry_at = again;
             self.out.push(Output::Platform(PlatformRequest::AcquireReaderLease));
         }
--- a/crates/overlay/src/node/progress.rs
+++ b/crates/overlay/src/node/progress.rs
@@ -6,7 +6,7 @@
 use umberpond_model::{Locality, Millis, Timestamp, Version};
 
 use super::OverlayNode;
-use super::state::{Child, TransferState};
+use super::state::{Child, Peer, TransferState};
 use crate::interface::ConnectionId;
 use crate::{LagReason, Laggard, PeerMessage, ReaderSummary, Report, Role};
 
@@ -50,25 +50,32 @@
     fn share_summary(&mut self) {
         let interval = self.config.timing.summary_interval;
         let now = self.now;
+        let far_interval = self.config.timing.far_summary_interval;
         let Some(reader) = &mut self.reader else { return };
-        if now < reader.next_summary || !self.progress.report_due {
+        let is_news = self.progress.report_due || reader.far_summary_due;
+        if now < reader.next_summary || !is_news {
             return;
         }
         reader.next_summary = now + interval;
         self.progress.report_due = false;
         let report = self.current_report();
-        if self.progress.reported.as_ref() == Some(&report) {
-            return;
-        }
+        let is_changed = self.progress.reported.as_ref() != Some(&report);
         self.progress.reported = Some(report.clone());
+        let Some(reader) = &mut self.reader else { return };
+        reader.far_summary_due |= is_changed;
+        let is_far_time = reader.far_summary_due && now >= reader.next_far_summary;
+        if is_far_time {
+            reader.far_summary_due = false;
+            reader.next_far_summary = now + far_interval;
+        }
         let locality = self.own.record().locality.clone();
+        let is_told = |peer: &Peer| {
+            let is_near = peer.locality == locality;
+            peer.role == Role::Reader && if is_near { is_changed } else { is_far_time }
+        };
+        let told = self.peers.iter().filter(|(_, peer)| is_told(peer));
+        let readers: Vec<ConnectionId> = told.map(|(connection, _)| *connection).collect();
         let message = PeerMessage::Summary(Arc::new(ReaderSummary { locality, report: Arc::new(report) }));
-        let readers: Vec<ConnectionId> = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| peer.role == Role::Reader)
-            .map(|(connection, _)| *connection)
-            .collect();
         for connection in readers {
             self.send(connection, message.clone());
         }
@@ -160,12 +167,13 @@
 
     /// When a report is next due.
     pub(super) fn next_report_work(&self) -> Option<Timestamp> {
-        let is_due = self.progress.report_due && (self.is_reader() || self.parent.attached.is_some());
-        if !is_due {
-            return None;
-        }
-        let summary = self.reader.as_ref().map(|reader| reader.next_summary);
-        Some(summary.unwrap_or(self.progress.next_report))
+        let Some(reader) = &self.reader else {
+            let is_due = self.progress.report_due && self.parent.attached.is_some();
+            return is_due.then_some(self.progress.next_report);
+        };
+        let near = self.progress.report_due.then_some(reader.next_summary);
+        let far = reader.far_summary_due.then(|| reader.next_far_summary.max(reader.next_summary));
+        near.into_iter().chain(far).min()
     }
 }
 
--- a/crates/overlay/src/node/roles.rs
+++ b/crates/overlay/src/node/roles.rs
@@ -195,7 +195,7 @@
 
     fn enter_reader_role(&mut self) {
         let duty = ReaderDuty {
-            lease_retry_at: self.now,
+            lease_retry_at: self.now + COLLECT_MEMBERS,
             next_peer_search: self.now,
             next_seed_search: self.now,
             next_anti_entropy: self.jittered(self.config.timing.anti_entropy),
@@ -218,8 +218,10 @@
         let placement = self.planned_placement(&plan, &own.node, &own.locality);
         self.parent.placement = placement;
         self.role.told = None;
-        self.reader = None;
-        self.out.push(Output::Platform(PlatformRequest::ReleaseReaderLease));
+        let was_asked = self.reader.take().is_some_and(|reader| reader.lease_asked);
+        if was_asked {
+            self.out.push(Output::Platform(PlatformRequest::ReleaseReaderLease));
+        }
         self.on_floor_way_changed();
     }
 
--- a/crates/overlay/src/node/state.rs
+++ b/crates/overlay/src/node/state.rs
@@ -100,6 +100,8 @@
 pub(super) struct ReaderDuty {
     pub(super) has_lease: bool,
     pub(super) lease_retry_at: Timestamp,
+    /// Whether the platform was asked for the lease since this node became a reader.
+    pub(super) lease_asked: bool,
     pub(super) platform_available: Option<bool>,
     pub(super) tracker: CommitTracker,
     /// Commit index that this reader worked out itself; it tells all others of it at once.
@@ -118,6 +120,9 @@
     pub(super) next_seed_search: Timestamp,
     pub(super) next_anti_entropy: Timestamp,
     pub(super) next_summary: Timestamp,
+    pub(super) next_far_summary: Timestamp,
+    /// Whether readers of other zones lack the newest summary.
+    pub(super) far_summary_due: bool,
     /// Last change of a record of each zone.
     pub(super) zone_changed: BTreeMap<Locality, Timestamp>,
     /// Search for members that no longer exist.
