Offer the replacement of lost witnesses to operators

`Acceptor::replace_witnesses` could be reached by no operator, so a majority of witnesses that ended for good stopped every later version. Without force, or forced for another set than the present one, nothing changes: the answer carries the plan of the typed refusal, the command prints it with the risk and the command that takes it, and exits with 1. Event 2019 tells a refusal.

Tests by the command line against the stand-in platform, two of three witnesses killed: `lost_majority_is_replaced_only_if_forced` passes.

--- a/crates/node/src/admin/api.rs
+++ b/crates/node/src/admin/api.rs
@@ -1,9 +1,10 @@
 //! The bodies of the operator API, as JSON. The command line reads them back.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
+use umberpond_acceptance::ReplacementPlan;
 use umberpond_config::{Bundle, CheckReport, SealKey};
 use umberpond_model::{
     BundleName, EndpointStatus, Incarnation, Locality, NodeName, ServiceName, SubmissionId, Version,
@@ -39,6 +40,13 @@
         /// Faults that the two have together.
         report: Option<CheckReport>,
     },
+    /// Lost witnesses are replaced only if it is forced for the set that this plan names. Nothing changed.
+    NotForced {
+        /// The submission.
+        submission: SubmissionId,
+        /// What the replacement would do.
+        plan: WitnessPlan,
+    },
     /// Nothing changed, and nothing will by this submission.
     NotAccepted {
         /// The submission.
@@ -55,6 +63,36 @@
     },
 }
 
+/// Body of a request to replace lost witnesses.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ReplacementRequest {
+    /// Witnesses of which no process runs or can go on.
+    pub lost: BTreeSet<NodeName>,
+    /// [`WitnessPlan::witnesses_since`] of the plan that the operator has seen and takes the risk of.
+    pub forced_for: Option<Version>,
+}
+
+/// What a replacement of lost witnesses would do.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WitnessPlan {
+    /// The version that changed the present set last; the replacement is forced for it.
+    pub witnesses_since: Version,
+    /// Nodes named as lost that are on the machine list.
+    pub still_listed: Vec<NodeName>,
+    /// The witnesses from the new version on.
+    pub witnesses: Vec<NodeName>,
+    /// The set of which a majority must hold the new version too; empty if no other set is needed.
+    pub previous_witnesses: Vec<NodeName>,
+}
+
+impl From<ReplacementPlan> for WitnessPlan {
+    fn from(plan: ReplacementPlan) -> Self {
+        let ReplacementPlan { witnesses_since, still_listed, witnesses, previous_witnesses } = plan;
+        Self { witnesses_since, still_listed, witnesses, previous_witnesses }
+    }
+}
+
 /// A request that the operator API refused.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refusal {
--- a/crates/node/src/admin/bundles.rs
+++ b/crates/node/src/admin/bundles.rs
@@ -3,7 +3,9 @@
 use bytes::Bytes;
 use http::StatusCode;
 use umberpond_acceptance::chain::WholeConfiguration;
-use umberpond_acceptance::{AbandonError, Abandonment, ChainError, Change, Resolution, SubmitError};
+use umberpond_acceptance::{
+    AbandonError, Abandonment, ChainError, Change, ReplacementRefusal, Resolution, SubmitError,
+};
 use umberpond_config::Bundle;
 use umberpond_model::{BundleName, SubmissionId, Version};
 use umberpond_telemetry::Event;
@@ -57,21 +59,26 @@
 fn refused(shared: &NodeShared, name: SubmissionName, error: SubmitError) -> Answer {
     let SubmissionName { bundle, submission } = name;
     let reason = error.to_string();
-    let telemetry = &shared.environment.telemetry;
+    shared.environment.telemetry.emit(match error {
+        SubmitError::Unknown { .. } => Event::SubmissionUnknown { bundle, submission },
+        SubmitError::NotAccepted { .. } => Event::SubmissionNotAccepted { bundle, submission, reason },
+        _ => Event::SubmissionRefused { bundle, submission, reason },
+    });
+    answer(submission, error)
+}
+
+/// The answer to a submission that this call did not get accepted.
+pub(super) fn answer(submission: SubmissionId, error: SubmitError) -> Answer {
+    let reason = error.to_string();
     match error {
-        SubmitError::Unknown { .. } => {
-            telemetry.emit(Event::SubmissionUnknown { bundle, submission });
-            unknown(submission)
-        }
+        SubmitError::Unknown { .. } => unknown(submission),
         SubmitError::NotAccepted { retry_after, .. } => {
-            telemetry.emit(Event::SubmissionNotAccepted { bundle, submission, reason: reason.clone() });
             let retry_after_millis = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
             let result = SubmissionResult::NotAccepted { submission, retry_after_millis, reason };
             Answer::json(StatusCode::SERVICE_UNAVAILABLE, &result)
                 .retry_after(retry_after_millis.div_ceil(MILLIS_PER_SECOND))
         }
         other => {
-            telemetry.emit(Event::SubmissionRefused { bundle, submission, reason: reason.clone() });
             let (status, result) = refusal(submission, reason, other);
             Answer::json(status, &result)
         }
@@ -89,6 +96,9 @@
             let result = SubmissionResult::Conflict { submission, winner, reason, report: Some(report) };
             (StatusCode::CONFLICT, result)
         }
+        SubmitError::Replacement(ReplacementRefusal::NotForced { plan }) => {
+            (StatusCode::CONFLICT, SubmissionResult::NotForced { submission, plan: (*plan).into() })
+        }
         _ => {
             let result = SubmissionResult::Conflict { submission, winner: None, reason, report: None };
             (StatusCode::CONFLICT, result)
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -6,6 +6,7 @@
 mod routes;
 mod server;
 mod status;
+mod witnesses;
 
 pub(crate) use routes::Routes;
 pub(crate) use server::serve;
--- a/crates/node/src/admin/routes.rs
+++ b/crates/node/src/admin/routes.rs
@@ -10,6 +10,7 @@
 use super::bundles;
 use super::server::Answer;
 use super::status;
+use super::witnesses;
 use crate::environment::Environment;
 use crate::shared::NodeShared;
 use crate::tasks::TaskGroup;
@@ -39,9 +40,11 @@
             (&Method::DELETE, ["v1", "submissions", id]) => self.abandon(id).await,
             (&Method::PUT, ["v1", "bundles", name]) => self.submit(head, name, Some(body)).await,
             (&Method::DELETE, ["v1", "bundles", name]) => self.submit(head, name, None).await,
+            (&Method::POST, ["v1", "witnesses", "replace"]) => self.replace_witnesses(head, &body).await,
             (_, ["livez" | "readyz" | "metrics"])
             | (_, ["v1", "status" | "seal-keys" | "configuration" | "recording"])
-            | (_, ["v1", "versions" | "submissions" | "bundles", _]) => Answer::refusal(
+            | (_, ["v1", "versions" | "submissions" | "bundles", _])
+            | (_, ["v1", "witnesses", "replace"]) => Answer::refusal(
                 StatusCode::METHOD_NOT_ALLOWED,
                 format!("{} is not allowed here", head.method),
             ),
@@ -86,6 +89,13 @@
             None => Answer::refusal(StatusCode::BAD_REQUEST, NOT_AN_ID),
         }
     }
+
+    async fn replace_witnesses(&self, head: &Parts, body: &Bytes) -> Answer {
+        match submission_id(head) {
+            Some(submission) => witnesses::replace(&self.shared, submission, body).await,
+            None => Answer::refusal(StatusCode::BAD_REQUEST, NOT_AN_ID),
+        }
+    }
 }
 
 const NOT_AN_ID: &str = "a submission is named by up to 32 hex digits, as in `?submission=…`";
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -68,7 +68,9 @@
     Superseded { by: Incarnation }
         = 2017, Error, "superseded", "A later process runs under this node's name; this one no longer tells anything about its back end.";
     WitnessesReplaced { version: Version }
-        = 2018, Info, "witnesses-replaced", "Machines that were witnesses have left; a version with others was accepted.";
+        = 2018, Info, "witnesses-replaced", "Machines that were witnesses have left or were given up by an operator; a version with others was accepted.";
+    WitnessReplacementRefused { submission: SubmissionId, reason: String }
+        = 2019, Warn, "witness-replacement-refused", "An operator's replacement of lost witnesses was not accepted, or not forced yet.";
     SubmissionAccepted { bundle: BundleName, submission: SubmissionId, version: Version }
         = 2020, Info, "submission-accepted", "A bundle was accepted and became a version.";
     SubmissionRefused { bundle: BundleName, submission: SubmissionId, reason: String }
--- a/crates/umberpond/src/cli/flags.rs
+++ b/crates/umberpond/src/cli/flags.rs
@@ -103,6 +103,21 @@
             /// Print the result as JSON.
             optional --json
         }
+        /// Replace witnesses of which a majority has ended for good. Tells the plan and its risk unless it is forced.
+        ///
+        /// Read docs/OPERATING.md, "When a majority of witnesses is lost", first: stop the machines, then force.
+        cmd replace-witnesses {
+            /// Name of a lost witness, or several separated by commas.
+            repeated --lost names: String
+            /// Take the risk of the plan that names this version.
+            optional --force-version number: u64
+            /// Replace under this identifier again, to settle an unknown outcome.
+            optional --submission id: String
+            /// Admin address of a node.
+            optional --node address: SocketAddr
+            /// Print the result as JSON.
+            optional --json
+        }
         /// Check bundles without a node: each directory, and all of them together as the whole.
         cmd check {
             /// Directories of bundles; each one's last part is the bundle's name.
--- a/crates/umberpond/tests/support/mod.rs
+++ b/crates/umberpond/tests/support/mod.rs
@@ -154,6 +154,12 @@
         assert!(status.success());
     }
 
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
     /// Waits for the process to leave.
     pub async fn left(&mut self) -> ExitStatus {
         let deadline = Instant::now() + LIMIT;
@@ -184,8 +190,7 @@
 
 impl Drop for NodeProcess {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
     }
 }
 
