Ask the platform only as a reader that is likely to stay one

At a first start many nodes are readers for a moment and read the platform's head for the version floor. Now a reader reads it for a floor only after it has collected the members, and 10 s later if it isn't among the first ranks of its zone, as it is for leases.

`cargo test -p umberpond-overlay`: all passed, run in two parts.

--- a/crates/overlay/src/node/floor.rs
+++ b/crates/overlay/src/node/floor.rs
@@ -141,9 +141,9 @@
 
     /// Asks the platform where the witnesses don't answer, and asks again what got lost.
     fn continue_round(&mut self) {
-        let Some(round) = &mut self.floor.round else { return };
-        let nonce = round.nonce();
         let timing = self.config.timing;
+        let may_ask_platform = self.now >= self.platform_allowed_at();
+        let Some(round) = &mut self.floor.round else { return };
         let has_no_witnesses = self.chain.sets().current.is_empty();
         let is_late = self.now.since(self.floor.any.began) >= timing.floor_round_timeout;
         if !has_no_witnesses && !is_late {
@@ -151,7 +151,8 @@
         }
         let is_head_due =
             self.floor.head_asked.is_none_or(|asked| self.now.since(asked) >= timing.floor_retry);
-        if is_head_due {
+        if is_head_due && may_ask_platform {
+            let nonce = round.nonce();
             round.ask_again();
             self.floor.head_asked = Some(self.now);
             self.out.push(Output::Platform(PlatformRequest::ReadHeadVersion { nonce }));
@@ -237,7 +238,7 @@
         }
         let round = self.floor.round.as_ref().map(|_| match self.floor.head_asked {
             Some(asked) => asked + timing.floor_retry,
-            None => self.floor.any.began + timing.floor_round_timeout,
+            None => (self.floor.any.began + timing.floor_round_timeout).max(self.platform_allowed_at()),
         });
         let next = self.floor.any.batcher.needs_round().then_some(self.floor.next_round);
         let any = if self.is_reader() { round.or(next) } else { retry(&self.floor.any) };
--- a/crates/overlay/src/node/peers.rs
+++ b/crates/overlay/src/node/peers.rs
@@ -19,9 +19,9 @@
 /// A reader of the own zone that another one told of is tried for this long.
 const TRY_COLLEAGUES: Millis = Millis(15_000);
 
-/// A node that turned out not to be a reader isn't tried again for this long. Long, since a new reader connects to
-/// the others by itself.
-const NOT_A_READER: Millis = Millis(300_000);
+/// A node that turned out not to be a reader isn't tried again for this long. Much longer, and readers that doubt
+/// each other wrongly meet too late.
+const NOT_A_READER: Millis = Millis(10_000);
 
 /// A node that couldn't be reached isn't tried again for this long.
 const UNREACHABLE: Millis = Millis(5_000);
@@ -341,8 +341,7 @@
     /// When peers next need something.
     pub(super) fn next_peer_work(&self) -> Option<Timestamp> {
         let state = self.reader_state();
-        let feeds_others = self.feeds_readers_without_watch();
-        let states = self.peers.values().filter_map(|peer| self.state_due(peer, &state, feeds_others));
+        let states = self.peers.values().filter_map(|peer| self.state_due(peer, &state));
         let records = self.peers.iter().filter_map(|(connection, peer)| self.records_due(*connection, peer));
         let pulls = self.peers.values().flat_map(|peer| [peer.pull_at, peer.compare_at]).flatten();
         let reader = self.reader.as_ref();
--- a/crates/overlay/src/node/platform.rs
+++ b/crates/overlay/src/node/platform.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use umberpond_model::{Millis, Version};
+use umberpond_model::{Millis, Timestamp, Version};
 use umberpond_versions::StepError;
 
 use super::OverlayNode;
@@ -10,7 +10,7 @@
 use crate::WitnessSets;
 use crate::interface::{Decision, Output, PlatformEvent, PlatformRequest};
 
-/// A reader that isn't among the first ranks of its zone asks for a lease only if it is still a reader after this
+/// A reader that isn't among the first ranks of its zone asks the platform only if it is still a reader after this
 /// time; at a first start many nodes are readers for a moment.
 const SPARE_LEASE_WAIT: Millis = Millis(10_000);
 
@@ -18,11 +18,13 @@
 const SPARE_LEASE_LOOK: Millis = Millis(250);
 
 impl OverlayNode {
-    /// Whether this reader isn't one of its zone's readers by its own view.
-    fn is_spare(&mut self) -> bool {
-        let plan = self.zone_plan();
+    /// When this reader may first ask the platform for anything: when it has collected the members, and later if it
+    /// isn't one of its zone's readers by its own view.
+    pub(super) fn platform_allowed_at(&self) -> Timestamp {
         let own = &self.own.record().node;
-        !plan.readers().iter().any(|reader| reader == own)
+        let is_spare = !self.role.plan.plan.readers().iter().any(|reader| reader == own);
+        let wait = if is_spare { SPARE_LEASE_WAIT } else { Millis(0) };
+        self.role.collecting_until + wait
     }
 
     pub(super) fn on_platform(&mut self, event: PlatformEvent) {
@@ -100,7 +102,7 @@
         if !self.reader.as_deref().is_some_and(is_due) {
             return;
         }
-        if self.is_spare() && now < self.role.collecting_until + SPARE_LEASE_WAIT {
+        if now < self.platform_allowed_at() {
             let at = self.jittered(self.config.timing.lease_retry);
             if let Some(reader) = &mut self.reader {
                 reader.lease_retry_at = at + SPARE_LEASE_LOOK;
--- a/crates/overlay/src/node/reader_state.rs
+++ b/crates/overlay/src/node/reader_state.rs
@@ -12,9 +12,6 @@
 use crate::interface::ConnectionId;
 use crate::{Held, PeerMessage, ReaderState, Role, Transfer, Update};
 
-/// Watching readers that tell readers without a watch of every version at once.
-const FEEDING_READERS: usize = 3;
-
 impl OverlayNode {
     pub(super) fn on_reader_state(&mut self, connection: ConnectionId, state: Arc<ReaderState>) {
         let behind = self.chain.held_version() < state.held;
@@ -115,12 +112,7 @@
 
     /// When a peer must be told the state: at once of a commit index that was worked out here or of a new role.
     /// Everything else it learns from its origin too; it is repeated late, in case that link is cut.
-    pub(super) fn state_due(
-        &self,
-        peer: &Peer,
-        state: &ReaderState,
-        feeds_others: bool,
-    ) -> Option<Timestamp> {
+    pub(super) fn state_due(&self, peer: &Peer, state: &ReaderState) -> Option<Timestamp> {
         let Some(told) = &peer.told else { return Some(peer.next_flush) };
         if told == state {
             return None;
@@ -130,8 +122,7 @@
             .state
             .as_ref()
             .is_some_and(|theirs| theirs.role == Role::Reader && !theirs.watches && theirs.held < state.held);
-        let is_fed = feeds_others || peer.locality == self.own.record().locality;
-        let is_news = depends_on_peers && is_fed && told.held < state.held;
+        let is_news = depends_on_peers && told.held < state.held;
         if told.role != state.role || told.watches != state.watches || told.committed < own_commit || is_news
         {
             return Some(peer.next_flush);
@@ -139,14 +130,6 @@
         Some(peer.told_at + self.config.timing.heartbeat)
     }
 
-    /// Whether this reader tells readers of other zones that don't watch the platform of every version at once. The
-    /// watching readers of the lowest names do; one would do, so that some may fail.
-    pub(super) fn feeds_readers_without_watch(&self) -> bool {
-        let own = &self.own.record().node;
-        let watches = |peer: &&Peer| peer.state.as_ref().is_some_and(|state| state.watches);
-        self.peers.values().filter(watches).filter(|peer| peer.node < *own).count() < FEEDING_READERS
-    }
-
     pub(super) fn records_due(&self, connection: ConnectionId, peer: &Peer) -> Option<Timestamp> {
         let is_due = !peer.pending.is_empty() && self.window_is_open(connection);
         is_due.then_some(peer.next_flush)
@@ -155,13 +138,12 @@
     /// Tells the other readers what has changed.
     pub(super) fn flush_peers(&mut self) {
         let state = self.reader_state();
-        let feeds_others = self.feeds_readers_without_watch();
         let now = self.now;
         let is_due = |due: Option<Timestamp>| due.is_some_and(|due| now >= due);
         let mut told = Vec::new();
         let mut fed = Vec::new();
         for (connection, peer) in &self.peers {
-            if is_due(self.state_due(peer, &state, feeds_others)) {
+            if is_due(self.state_due(peer, &state)) {
                 told.push(*connection);
             }
             if is_due(self.records_due(*connection, peer)) {
