--- a/crates/umberpond/src/cli/progress.rs
+++ b/crates/umberpond/src/cli/progress.rs
@@ -10,7 +10,7 @@
 use super::output::Format;
 
 /// Time between two questions.
-const POLL_INTERVAL: Duration = Duration::from_millis(200);
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Asks until `version` is in force everywhere or `limit` has passed; tells the last answer, if there was one.
 pub(super) async fn wait(
