--- a/testing/sim/src/cluster/operators.rs
+++ b/testing/sim/src/cluster/operators.rs
@@ -86,6 +86,7 @@
         SubmissionResult::Unknown { .. } => SubmissionClaim::Unknown,
         SubmissionResult::Invalid { .. }
         | SubmissionResult::Conflict { .. }
-        | SubmissionResult::NotAccepted { .. } => SubmissionClaim::NotAccepted,
+        | SubmissionResult::NotAccepted { .. }
+        | SubmissionResult::NotForced { .. } => SubmissionClaim::NotAccepted,
     }
 }
