--- a/crates/overlay/src/node/peers.rs
+++ b/crates/overlay/src/node/peers.rs
@@ -10,7 +10,6 @@
 use super::links::{DialPurpose, LinkState};
 use super::records::Source;
 use super::state::{Peer, TransferState};
-use crate::directory::is_live;
 use crate::interface::{ConnectionId, LossReason, MessageFault};
 use crate::{Hello, PeerMessage, Placement, Purpose, Refusal, Role};
 
@@ -60,22 +59,15 @@
         }
     }
 
-    /// Tries the seeds that may lead to a zone without a linked reader: those that aren't known as live members of a
-    /// zone with one.
     fn dial_seeds(&mut self) {
-        let is_reader = |peer: &&Peer| peer.role == Role::Reader;
-        let linked_zones: BTreeSet<&Locality> =
-            self.peers.values().filter(is_reader).map(|peer| &peer.locality).collect();
-        let reached: BTreeSet<SocketAddr> = self
-            .directory
-            .table()
-            .records()
-            .filter(|record| is_live(record) && linked_zones.contains(&record.locality))
-            .map(|record| record.control)
+        let linked: Vec<SocketAddr> = self
+            .peers
+            .values()
+            .filter_map(|peer| self.directory.member(&peer.node))
+            .map(|member| member.control)
             .collect();
-        let seeds = self.config.seeds.iter().copied();
-        let unreached: Vec<SocketAddr> = seeds.filter(|seed| !reached.contains(seed)).collect();
-        for seed in unreached {
+        let seeds: Vec<SocketAddr> = self.config.seeds.clone();
+        for seed in seeds.into_iter().filter(|seed| !linked.contains(seed)) {
             self.dial(seed, DialPurpose::Peer(None));
         }
     }
