--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -16,7 +16,8 @@
 pub use hash::ContentHash;
 pub use locality::{Locality, LocalityRule};
 pub use names::{
-    BundleName, InvalidName, NodeName, RegionName, RouteName, SecretName, ServiceName, ZoneName,
+    BundleName, InvalidName, MAX_NAME_BYTES, NodeName, RegionName, RouteName, SecretName, ServiceName,
+    ZoneName,
 };
 pub use overlay::{Member, Nonce};
 pub use record::{Head, VersionRecord};
--- a/testing/sim/src/scale/mod.rs
+++ b/testing/sim/src/scale/mod.rs
@@ -16,8 +16,8 @@
 mod workload;
 mod world;
 
-pub use measure::Measurement;
-pub use report::{ScaleReport, plot};
+pub use measure::{CONVERGENCE_LIMIT, Measurement};
+pub use report::{PlotError, ScaleReport, plot};
 pub use roles::RoleFigures;
 pub use scenario::{Scenario, Storm};
 pub use world::World;
