--- a/crates/overlay/tests/support/mod.rs
+++ b/crates/overlay/tests/support/mod.rs
@@ -8,6 +8,7 @@
 pub mod control;
 pub mod platform;
 pub mod scenario;
+pub mod settings;
 pub mod world;
 
 pub use world::{World, WorldSettings};
