Read a node's log lines in one place

Cause: the demo and the scale run each had their own copy of the log line, its fields, the number of the listening event and its reading; a change of the log's form would have had to be made twice. One module reads lines now. Ruled out: a dependency on the daemon's catalogue, which xtask should only meet from outside. The scale run was not run again.

--- a/xtask/src/demo/node.rs
+++ b/xtask/src/demo/node.rs
@@ -4,20 +4,16 @@
 use std::path::Path;
 use std::time::Duration;
 
-use serde::Deserialize;
-
 use super::http::Peer;
 use super::layout::Placement;
 use super::settings::{Surroundings, seal_key, settings_file};
 use crate::error::XtaskError;
+use crate::node_log::{self, OpenListener};
 use crate::supervise::{ChildProcess, ScratchDirectory};
 
 /// Longest time until all listeners of a node are open.
 const START_LIMIT: Duration = Duration::from_secs(10);
 
-/// Number of the event that tells of an open listener.
-const LISTENING_EVENT: u64 = 1002;
-
 /// Where a node listens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NodeAddresses {
@@ -88,21 +84,6 @@
     }
 }
 
-/// A line of a JSON log.
-#[derive(Deserialize)]
-struct LogLine {
-    kvs: LogFields,
-}
-
-#[derive(Deserialize)]
-struct LogFields {
-    event: u64,
-    #[serde(default)]
-    listener: String,
-    #[serde(default)]
-    address: String,
-}
-
 /// The listeners that a node's log has told of.
 #[derive(Default)]
 struct OpenListeners {
@@ -114,12 +95,8 @@
 impl OpenListeners {
     /// Reads a line of the log; tells the addresses once all are known.
     fn read(&mut self, line: &str) -> Option<NodeAddresses> {
-        let line: LogLine = serde_json::from_str(line).ok()?;
-        if line.kvs.event != LISTENING_EVENT {
-            return None;
-        }
-        let address = line.kvs.address.parse().ok();
-        match line.kvs.listener.as_str() {
+        let OpenListener { name, address } = node_log::open_listener(line)?;
+        match name.as_str() {
             "outbound" => self.outbound = address,
             "admin" => self.admin = address,
             "control" => self.control = address,
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -3,6 +3,7 @@
 mod demo;
 mod error;
 mod flags;
+mod node_log;
 mod report;
 mod scale;
 mod supervise;
--- a/xtask/src/scale/real_node.rs
+++ b/xtask/src/scale/real_node.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use serde::Deserialize;
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 use umberpond_hollow::{Activation, Place, Places, ProcessUsage, Sample, unix_millis};
@@ -14,6 +13,7 @@
 use super::settings::{Surroundings, settings_file};
 use crate::demo::http::Peer;
 use crate::error::XtaskError;
+use crate::node_log::{self, OpenListener};
 use crate::supervise::{ChildProcess, ScratchDirectory};
 
 /// Longest time until all listeners of a node are open; many start at once.
@@ -25,8 +25,7 @@
 /// Time for which one look at the log waits.
 const WATCH_LIMIT: Duration = Duration::from_secs(3_600);
 
-/// Numbers of the events of the log that are read.
-const LISTENING_EVENT: u64 = 1002;
+/// Number of the event that tells of a version in force.
 const ACTIVATED_EVENT: u64 = 2003;
 
 /// A running real node.
@@ -143,26 +142,9 @@
     process.wait_for_end(STOP_LIMIT).await.map(|_| ())
 }
 
-/// A line of a JSON log.
-#[derive(Deserialize)]
-struct LogLine {
-    kvs: LogFields,
-}
-
-#[derive(Deserialize)]
-struct LogFields {
-    event: u64,
-    #[serde(default)]
-    listener: String,
-    #[serde(default)]
-    address: String,
-    #[serde(default)]
-    version: u64,
-}
-
 fn activated_version(line: &str) -> Option<u64> {
-    let line: LogLine = serde_json::from_str(line).ok()?;
-    (line.kvs.event == ACTIVATED_EVENT).then_some(line.kvs.version)
+    let fields = node_log::parse(line)?;
+    (fields.event == ACTIVATED_EVENT).then_some(fields.version)
 }
 
 /// The listeners that a node's log has told of.
@@ -175,12 +157,8 @@
 impl OpenListeners {
     /// Reads a line of the log; tells the admin and the control address once both are known.
     fn read(&mut self, line: &str) -> Option<(SocketAddr, SocketAddr)> {
-        let line: LogLine = serde_json::from_str(line).ok()?;
-        if line.kvs.event != LISTENING_EVENT {
-            return None;
-        }
-        let address = line.kvs.address.parse().ok();
-        match line.kvs.listener.as_str() {
+        let OpenListener { name, address } = node_log::open_listener(line)?;
+        match name.as_str() {
             "admin" => self.admin = address,
             "control" => self.control = address,
             _ => {}
