--- a/testing/standins/src/caller/answer.rs
+++ b/testing/standins/src/caller/answer.rs
@@ -15,9 +15,9 @@
     Rejected,
     /// Nobody could say whether the call ran.
     Unknown,
-    /// An answer began and broke off.
+    /// An answer began and broke off, and the caller could see that it did.
     Truncated,
-    /// A whole answer came, but not the one to this call.
+    /// An answer ended cleanly, but was not the whole answer to this call.
     WrongAnswer,
 }
 
--- a/testing/standins/src/reconcile.rs
+++ b/testing/standins/src/reconcile.rs
@@ -22,9 +22,9 @@
     RejectedButRan,
     /// The caller got an answer that no back end's ledger accounts for.
     AnsweredButNotRun,
-    /// An answer broke off, or ended too early.
+    /// An answer broke off.
     Truncated,
-    /// A whole answer came, but not the one to the call.
+    /// An answer ended cleanly, but was not the whole answer to the call.
     WrongAnswer,
     /// It ran in a locality that its service does not allow.
     DisallowedLocality,
@@ -63,9 +63,9 @@
     pub rejected: u64,
     /// Calls of which nobody could say whether they ran.
     pub unknown: u64,
-    /// Answers that broke off or ended too early.
+    /// Answers that broke off.
     pub truncated: u64,
-    /// Answers to another call.
+    /// Answers that ended cleanly and were not the whole answer to their call.
     pub wrong_answers: u64,
     /// Calls that may not be repeated and ran more than once.
     pub ran_twice: u64,
--- /dev/null
+++ b/xtask/src/demo/settings.rs
@@ -0,0 +1,127 @@
+//! The settings file of one node.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::Serialize;
+
+use super::layout::{ANY_PORT, Placement, REGION, ZONES};
+use crate::error::XtaskError;
+
+/// Private halves of the test keys of RFC 7748, section 6.1, whose public halves the example bundle names.
+const SEAL_KEYS: [(&str, &str); 2] = [
+    ("web", "77076d0a7318a57d3c16c17251b26645df4c2f87ebc0992ab177fba51db92c2a"),
+    ("billing", "5dab087e624a8a4b79e17f8b83800ee66f3bb1292618b6fd1c2f8b27ff88e0eb"),
+];
+
+/// Private seal key of a service, as the content of its file.
+pub fn seal_key(service: &str) -> Option<&'static str> {
+    SEAL_KEYS.iter().find(|(owner, _)| *owner == service).map(|(_, key)| *key)
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct SettingsFile<'a> {
+    node: NodeTable<'a>,
+    localities: BTreeMap<&'a str, &'a [&'a str]>,
+    listen: ListenTable,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    back_end: Option<BackEndTable>,
+    platform: AddressTable,
+    overlay: OverlayTable<'a>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    secrets: Option<SecretsTable<'a>>,
+    log: LogTable,
+    drain: DrainTable,
+}
+
+#[derive(Serialize)]
+struct NodeTable<'a> {
+    name: &'a str,
+    service: &'a str,
+    edge: bool,
+    region: &'a str,
+    zone: &'a str,
+}
+
+#[derive(Serialize)]
+struct ListenTable {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    inbound: Option<SocketAddr>,
+    outbound: SocketAddr,
+    admin: SocketAddr,
+    control: SocketAddr,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct BackEndTable {
+    address: SocketAddr,
+    check_interval: &'static str,
+}
+
+#[derive(Serialize)]
+struct AddressTable {
+    address: SocketAddr,
+}
+
+#[derive(Serialize)]
+struct OverlayTable<'a> {
+    seeds: &'a [SocketAddr],
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct SecretsTable<'a> {
+    seal_key_file: &'a str,
+}
+
+#[derive(Serialize)]
+struct LogTable {
+    format: &'static str,
+    level: &'static str,
+}
+
+#[derive(Serialize)]
+struct DrainTable {
+    timeout: &'static str,
+}
+
+/// What the settings of a node depend on beside its placement.
+#[derive(Debug, Clone, Copy)]
+pub struct Surroundings<'a> {
+    /// The platform's object API.
+    pub platform: SocketAddr,
+    /// The back end beside the node; absent at an edge.
+    pub back_end: Option<SocketAddr>,
+    /// Control addresses of nodes that run already.
+    pub seeds: &'a [SocketAddr],
+    /// File with the service's private seal key, if it has one.
+    pub seal_key_file: Option<&'a str>,
+}
+
+/// The settings file of a node, as TOML.
+///
+/// # Errors
+/// Never, in fact: every value has a form in TOML.
+pub fn settings_file(placement: &Placement, surroundings: &Surroundings<'_>) -> Result<String, XtaskError> {
+    let inbound = (!placement.is_edge).then_some(ANY_PORT);
+    let file = SettingsFile {
+        node: NodeTable {
+            name: placement.name,
+            service: placement.service,
+            edge: placement.is_edge,
+            region: REGION,
+            zone: placement.zone,
+        },
+        localities: BTreeMap::from([(REGION, ZONES.as_slice())]),
+        listen: ListenTable { inbound, outbound: ANY_PORT, admin: ANY_PORT, control: ANY_PORT },
+        back_end: surroundings.back_end.map(|address| BackEndTable { address, check_interval: "200ms" }),
+        platform: AddressTable { address: surroundings.platform },
+        overlay: OverlayTable { seeds: surroundings.seeds },
+        secrets: surroundings.seal_key_file.map(|seal_key_file| SecretsTable { seal_key_file }),
+        log: LogTable { format: "json", level: "info" },
+        drain: DrainTable { timeout: "10s" },
+    };
+    Ok(toml::to_string(&file)?)
+}
--- /dev/null
+++ b/xtask/src/demo/standins.rs
@@ -0,0 +1,148 @@
+//! The stand-ins of the demo as child processes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use umberpond_standins::backend::Ledger;
+use umberpond_standins::caller::{CallerReport, LoadPlan};
+use umberpond_standins::platform::{CounterReport, Machine};
+use umberpond_standins::program::ReadyLine;
+
+use super::http::Peer;
+use super::layout::{Placement, REGION};
+use super::programs::Programs;
+use crate::error::XtaskError;
+use crate::supervise::{ChildProcess, ScratchDirectory};
+
+/// Longest time until a stand-in listens.
+const START_LIMIT: Duration = Duration::from_secs(5);
+
+/// Time after which a stand-in ends by itself, should nobody end it.
+const LIFETIME_SECONDS: &str = "180";
+
+/// Service time of the back ends, in milliseconds.
+const SERVICE_MILLIS: &str = "2";
+
+/// Longest time that a caller takes beyond its plan.
+const CALLER_GRACE: Duration = Duration::from_secs(10);
+
+/// A running stand-in server.
+#[derive(Debug)]
+pub struct Standin {
+    /// Its process.
+    pub process: ChildProcess,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+impl Standin {
+    /// Starts the platform.
+    ///
+    /// # Errors
+    /// Fails when it does not get ready.
+    pub async fn platform(programs: &Programs, scratch: &ScratchDirectory) -> Result<Self, XtaskError> {
+        let arguments = ["--seconds", LIFETIME_SECONDS].map(str::to_owned);
+        Self::ready(ChildProcess::start("platform", &programs.platform, &arguments, scratch)?).await
+    }
+
+    /// Starts the back end of a node.
+    ///
+    /// # Errors
+    /// Fails when it does not get ready.
+    pub async fn back_end(
+        programs: &Programs,
+        placement: &Placement,
+        scratch: &ScratchDirectory,
+    ) -> Result<Self, XtaskError> {
+        let flags = [
+            ("--name", placement.name),
+            ("--service", placement.service),
+            ("--region", REGION),
+            ("--zone", placement.zone),
+            ("--service-millis", SERVICE_MILLIS),
+            ("--seconds", LIFETIME_SECONDS),
+        ];
+        let arguments: Vec<String> =
+            flags.iter().flat_map(|(flag, value)| [(*flag).to_owned(), (*value).to_owned()]).collect();
+        let name = format!("{}-back-end", placement.name);
+        Self::ready(ChildProcess::start(&name, &programs.backend, &arguments, scratch)?).await
+    }
+
+    /// Its HTTP address.
+    #[must_use]
+    pub fn peer(&self) -> Peer<'_> {
+        Peer { name: self.process.name(), address: self.address }
+    }
+
+    /// What a back end truly ran.
+    ///
+    /// # Errors
+    /// Fails when it does not answer.
+    pub async fn ledger(&self) -> Result<Ledger, XtaskError> {
+        self.peer().get_json("/standin/ledger").await
+    }
+
+    /// What the platform was asked.
+    ///
+    /// # Errors
+    /// Fails when it does not answer.
+    pub async fn counters(&self) -> Result<CounterReport, XtaskError> {
+        self.peer().get_json("/standin/counters").await
+    }
+
+    /// Sets the platform's machine list.
+    ///
+    /// # Errors
+    /// Fails when it does not answer.
+    pub async fn set_machines(&self, machines: &[Machine]) -> Result<(), XtaskError> {
+        self.peer().put("/standin/machines", serde_json::to_vec(machines)?).await
+    }
+
+    async fn ready(mut process: ChildProcess) -> Result<Self, XtaskError> {
+        let read = |line: &str| serde_json::from_str::<ReadyLine>(line).ok();
+        let ready = process.wait_for_line(START_LIMIT, read).await?;
+        Ok(Self { process, address: ready.address })
+    }
+}
+
+/// A caller at work.
+#[derive(Debug)]
+pub struct RunningCaller {
+    process: ChildProcess,
+    report: std::path::PathBuf,
+    limit: Duration,
+}
+
+impl RunningCaller {
+    /// Starts a caller and waits until its first call is under way.
+    ///
+    /// # Errors
+    /// Fails when it does not start.
+    pub async fn start(
+        programs: &Programs,
+        plan: &LoadPlan,
+        scratch: &ScratchDirectory,
+    ) -> Result<Self, XtaskError> {
+        let name = format!("caller-{}", plan.label);
+        let plan_file = scratch.write(&format!("{name}-plan.json"), serde_json::to_vec(plan)?)?;
+        let report = scratch.file(&format!("{name}-report.json"));
+        let flags = [("--plan", &plan_file), ("--report", &report)];
+        let mut arguments: Vec<String> =
+            flags.iter().flat_map(|(flag, path)| [(*flag).to_owned(), path.display().to_string()]).collect();
+        arguments.extend(["--seconds".to_owned(), LIFETIME_SECONDS.to_owned()]);
+        let mut process = ChildProcess::start(&name, &programs.caller, &arguments, scratch)?;
+        process.wait_for_line(START_LIMIT, |line| line.contains("\"started\"").then_some(())).await?;
+        let limit = Duration::from_millis(plan.duration_millis) + CALLER_GRACE;
+        Ok(Self { process, report, limit })
+    }
+
+    /// Waits until all calls have ended and reads the record of their answers.
+    ///
+    /// # Errors
+    /// Fails when the caller does not end well in time.
+    pub async fn finish(mut self) -> Result<CallerReport, XtaskError> {
+        self.process.wait_for_success(self.limit).await?;
+        let text = std::fs::read(&self.report).map_err(XtaskError::file(&self.report))?;
+        Ok(serde_json::from_slice(&text)?)
+    }
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,3 +1,36 @@
-//! Repository tasks.
+//! Repository tasks: `cargo xtask demo`.
 
-fn main() {}
+mod demo;
+mod error;
+mod flags;
+mod report;
+mod supervise;
+
+use std::process::ExitCode;
+
+use error::XtaskError;
+use flags::{Xtask, XtaskCmd};
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let flags = Xtask::from_env_or_exit();
+    let result = match flags.subcommand {
+        XtaskCmd::Demo(options) => demo::run(&options).await,
+    };
+    match result {
+        Ok(code) => code,
+        Err(error) => {
+            print_error(&error);
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn print_error(error: &XtaskError) {
+    eprintln!("error: {error}");
+    let mut cause = std::error::Error::source(error);
+    while let Some(inner) = cause {
+        eprintln!("  caused by: {inner}");
+        cause = inner.source();
+    }
+}
