--- a/crates/node/src/overlay/message_kind.rs
+++ b/crates/node/src/overlay/message_kind.rs
@@ -23,7 +23,6 @@
         PeerMessage::Witness(_) => "witness",
         PeerMessage::Digests(_) => "digests",
         PeerMessage::Positions(_) => "positions",
-        PeerMessage::Leaving => "leaving",
         PeerMessage::Heartbeat { .. } => "heartbeat",
         PeerMessage::Synced => "synced",
         PeerMessage::Leaving => "leaving",
--- a/crates/node/src/platform/actor.rs
+++ b/crates/node/src/platform/actor.rs
@@ -6,6 +6,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use tokio::task::AbortHandle;
+use umberpond_acceptance::Acceptor;
 use umberpond_acceptance::chain::ChainReader;
 use umberpond_model::{Locality, NodeName, Version};
 use umberpond_overlay::interface::{PlatformEvent, PlatformRequest};
@@ -26,7 +27,7 @@
 /// What the actor starts with.
 pub(crate) struct PlatformArguments {
     pub(crate) client: PlatformClient,
-    pub(crate) chain: ChainReader,
+    pub(crate) acceptor: Acceptor,
     pub(crate) overlay: ActorRef<OverlayMessage>,
     pub(crate) environment: Environment,
     pub(crate) node: NodeName,
@@ -39,13 +40,18 @@
 #[derive(Clone)]
 pub(super) struct PlatformContext {
     pub(super) client: PlatformClient,
-    pub(super) chain: ChainReader,
+    pub(super) acceptor: Acceptor,
     pub(super) overlay: ActorRef<OverlayMessage>,
     pub(super) telemetry: Telemetry,
     pub(super) machines: Arc<KnownMachines>,
 }
 
 impl PlatformContext {
+    /// Reader of the version chain.
+    pub(super) fn chain(&self) -> ChainReader {
+        self.acceptor.chain().clone()
+    }
+
     /// Tells the overlay actor what the platform said. An actor that is gone needs no telling.
     pub(super) fn tell(&self, event: PlatformEvent) {
         let _ = self.overlay.send_message(OverlayMessage::Platform(event));
@@ -104,7 +110,7 @@
         let rng = ChaCha8Rng::seed_from_u64(arguments.environment.seed_for(SeedUse::Platform));
         let context = PlatformContext {
             client: arguments.client,
-            chain: arguments.chain,
+            acceptor: arguments.acceptor,
             overlay: arguments.overlay,
             telemetry: arguments.environment.telemetry.clone(),
             machines: arguments.machines,
--- a/crates/node/src/platform/head_reads.rs
+++ b/crates/node/src/platform/head_reads.rs
@@ -54,7 +54,7 @@
 
     fn read(&mut self) {
         self.asked = std::mem::take(&mut self.waiting);
-        let chain = self.context.chain.clone();
+        let chain = self.context.chain();
         let actor = self.actor.clone();
         let read = async move {
             let result = chain.read_head().await;
--- a/crates/node/src/platform/lease.rs
+++ b/crates/node/src/platform/lease.rs
@@ -10,7 +10,7 @@
 use umberpond_telemetry::Event;
 
 use super::actor::PlatformContext;
-use super::reader_address;
+use super::{maintenance, reader_address};
 use crate::admin::api::ReaderAddress;
 
 /// Leases of one zone: one for each of its readers.
@@ -60,7 +60,18 @@
     context.telemetry.emit(Event::LeaseGranted { lease: held.name.to_owned() });
     context.tell(PlatformEvent::LeaseGranted);
     reader_address::publish(&context, held.name, &lease.address).await;
-    keep(&context, &lease, &mut held).await;
+    let is_first = lease.names.first().is_some_and(|first| first == held.name);
+    let maintenance = async {
+        if is_first {
+            maintenance::maintain(&context, rng).await;
+        }
+        std::future::pending::<()>().await;
+    };
+    tokio::select! {
+        biased;
+        () = keep(&context, &lease, &mut held) => {}
+        () = maintenance => {}
+    }
     context.telemetry.emit(Event::LeaseLost { lease: held.name.to_owned() });
     context.tell(PlatformEvent::LeaseLost);
 }
--- a/crates/node/src/platform/mod.rs
+++ b/crates/node/src/platform/mod.rs
@@ -7,6 +7,7 @@
 mod head_reads;
 mod lease;
 mod machines;
+mod maintenance;
 mod reader_address;
 mod watch;
 
--- a/crates/node/src/platform/watch.rs
+++ b/crates/node/src/platform/watch.rs
@@ -44,7 +44,7 @@
     /// Reads the head, then watches it until the watch ends.
     async fn follow_once(&mut self, backoff: &mut Backoff) -> Result<(), ChainError> {
         let context = self.context.clone();
-        let seen = context.chain.read_head().await?;
+        let seen = context.chain().read_head().await?;
         let revision = match &seen {
             Some(seen) => seen.object_version.revision(),
             None => revision_without_head(&context).await?,
@@ -66,7 +66,7 @@
 
     /// Tells every version up to `head`.
     async fn catch_up(&mut self, head: &Head) -> Result<(), ChainError> {
-        let chain = self.context.chain.clone();
+        let chain = self.context.chain();
         if head.version <= self.told {
             return Ok(());
         }
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -182,7 +182,7 @@
     let admin = shared.config.advertise.admin.unwrap_or(shared.addresses.admin);
     let arguments = PlatformArguments {
         client: shared.client.clone(),
-        chain: shared.acceptor.chain().clone(),
+        acceptor: shared.acceptor.clone(),
         overlay: shared.overlay.clone(),
         environment: shared.environment.clone(),
         node: shared.config.node.clone(),
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -67,6 +67,8 @@
         = 2016, Warn, "control-message-refused", "A peer sent a frame that is no message of this protocol; the connection is closed and nothing changes.";
     Superseded { by: Incarnation }
         = 2017, Error, "superseded", "A later process runs under this node's name; this one no longer tells anything about its back end.";
+    WitnessesReplaced { version: Version }
+        = 2018, Info, "witnesses-replaced", "Machines that were witnesses have left; a version with others was accepted.";
     SubmissionAccepted { bundle: BundleName, submission: SubmissionId, version: Version }
         = 2020, Info, "submission-accepted", "A bundle was accepted and became a version.";
     SubmissionRefused { bundle: BundleName, submission: SubmissionId, reason: String }
@@ -119,4 +121,6 @@
         = 5006, Info, "watch-too-old", "The platform has dropped the watched changes; the whole state is read instead.";
     ObjectUnreadable { object: String, reason: String }
         = 5007, Error, "object-unreadable", "An object on the platform can't be understood; nothing is changed by it.";
+    ObjectsCollected { deleted: u64 }
+        = 5008, Info, "objects-collected", "Objects of versions that are no longer kept were deleted from the platform.";
 }
--- /dev/null
+++ b/crates/umberpond/tests/operations.rs
@@ -0,0 +1,146 @@
+//! What operators meet besides the straight path: questions, refusals, outages, hostile input and a hurried stop.
+
+mod support;
+
+use std::fs;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use support::mesh::{CLEAR, Mesh, path};
+use support::{json, umberpond, umberpond_with, until_or};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout};
+use umberpond_standins::platform::FaultChange;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_get_answers_refusals_and_a_bounded_wait() {
+    let mesh = Mesh::start("operations").await;
+    let applied = mesh.apply().await;
+    let submission = applied["submission"].as_str().expect("an identifier").to_owned();
+    let admin = mesh.admin();
+    let bundle = mesh.directory.join("store");
+    let environment = [("STORE_TOKEN", CLEAR)];
+
+    let resolved = umberpond(&["submission", &submission, "--node", &admin, "--json"]).await;
+    assert_eq!((resolved.status.code(), json(&resolved)["version"].as_u64()), (Some(0), Some(1)));
+
+    let repeated = umberpond_with(
+        &["apply", "store", path(&bundle), "--submission", &submission, "--node", &admin, "--json"],
+        &environment,
+    )
+    .await;
+    assert_eq!(json(&repeated)["version"], 1, "the same submission is no second version: {repeated:?}");
+
+    let status = json(&umberpond(&["status", "--node", &admin, "--json"]).await);
+    assert_eq!(status["versions"]["active"], 1);
+    assert_eq!(status["readiness"]["ready"], true);
+
+    let plan =
+        umberpond_with(&["plan", "store", path(&bundle), "--node", &admin, "--json"], &environment).await;
+    assert_eq!(plan.status.code(), Some(0), "{plan:?}");
+    assert!(json(&plan)["routes"].is_object());
+
+    // What is not in force can't be withdrawn.
+    let refused = umberpond(&["withdraw", "ghost", "--node", &admin, "--json"]).await;
+    assert_eq!((refused.status.code(), &json(&refused)["result"]), (Some(1), &"conflict".into()));
+
+    mesh.platform.change_faults(&FaultChange { down: Some(true), ..FaultChange::default() });
+    let asked = Instant::now();
+    let not_accepted = umberpond(&["withdraw", "store", "--node", &admin, "--json"]).await;
+    assert!(matches!(not_accepted.status.code(), Some(3 | 4)), "{not_accepted:?}");
+    assert!(asked.elapsed() < Duration::from_secs(20), "the answer comes within a bounded time");
+    assert_eq!(mesh.call("/work/page").await.expect("an answer").status(), 200, "requests go on");
+    mesh.platform.change_faults(&FaultChange { down: Some(false), ..FaultChange::default() });
+
+    let withdrawn = umberpond(&["withdraw", "store", "--wait", "15s", "--node", &admin, "--json"]).await;
+    assert_eq!(withdrawn.status.code(), Some(0), "{withdrawn:?}\n{}", mesh.logs());
+    assert_eq!(mesh.call("/work/page").await.expect("an answer").status(), 404);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn recording_of_a_live_node_replays_to_the_same_decisions() {
+    let mesh = Mesh::start("recording").await;
+    mesh.apply().await;
+    for (index, node) in mesh.nodes.iter().chain([&mesh.edge]).enumerate() {
+        let recording = node.admin("/v1/recording").await;
+        let file = mesh.directory.join(format!("recording-{index}"));
+        fs::write(&file, recording.body()).expect("the recording can be written");
+        let replayed = umberpond(&["replay", path(&file), "--decisions"]).await;
+        let text = String::from_utf8_lossy(&replayed.stdout);
+        assert_eq!(replayed.status.code(), Some(0), "{text}");
+        assert!(text.contains("Activated { version: Version(1) }"), "{text}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn second_signal_leaves_at_once_and_says_what_it_cut() {
+    let mut mesh = Mesh::start("second-signal").await;
+    mesh.apply().await;
+    mesh.edge.ready().await;
+    until_or(
+        "requests pass",
+        || async { mesh.call("/work/page").await.is_some_and(|answer| answer.status() == 200) },
+        || mesh.logs(),
+    )
+    .await;
+
+    let edge = mesh.edge.address("outbound");
+    let mut caller = TcpStream::connect(edge).await.expect("the edge takes connections");
+    let request = "GET /work/long?bytes=100000&stream_millis=4000 HTTP/1.1\r\nhost: web\r\n\r\n";
+    caller.write_all(request.as_bytes()).await.expect("the request is written");
+    let mut head = [0; 64];
+    caller.read_exact(&mut head).await.expect("the answer begins");
+
+    mesh.edge.terminate();
+    until_or("the drain begins", || async { mesh.edge.has_logged("drain-started") }, || mesh.edge.log())
+        .await;
+    mesh.edge.terminate();
+    let left = Instant::now();
+    assert_eq!(mesh.edge.left().await.code(), Some(7), "{}", mesh.edge.log());
+    assert!(left.elapsed() < Duration::from_secs(2), "it does not wait for the answer");
+    until_or("the cut is told", || async { mesh.edge.has_logged("stopped-at-once") }, || mesh.edge.log())
+        .await;
+}
+
+/// Sends `bytes`, reads until the other side closes or a short while passes.
+async fn throw(address: SocketAddr, bytes: &[u8]) {
+    let exchange = async {
+        let Ok(mut stream) = TcpStream::connect(address).await else { return };
+        // The other side may close before all is written.
+        let _ = stream.write_all(bytes).await;
+        let _ = stream.read(&mut [0; 256]).await;
+    };
+    let _ = timeout(Duration::from_secs(1), exchange).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn hostile_bytes_at_every_port_change_nothing() {
+    let mesh = Mesh::start("hostile").await;
+    mesh.apply().await;
+    let node = &mesh.nodes[0];
+    node.ready().await;
+    let oversized_head = format!("GET / HTTP/1.1\r\nhost: web\r\nx: {}\r\n\r\n", "y".repeat(200_000));
+    let hostile: Vec<Vec<u8>> = vec![
+        b"\xff\xff\xff\xff\xff\xff\xff\xff".to_vec(),
+        [0u8, 0, 0, 200].iter().copied().chain([7; 200]).collect(),
+        b"GET /work/x HTTP/1.1\r\nhost: web\r\ncontent-length: 5\r\ncontent-length: 6\r\n\r\nhello".to_vec(),
+        b"POST /work/x HTTP/1.1\r\nhost: web\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n".to_vec(),
+        b"PUT /v1/bundles/store?submission=1 HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\n\x01\xff\xff\xff".to_vec(),
+        b"PUT /v1/bundles/store?submission=2 HTTP/1.1\r\nhost: a\r\ncontent-length: 99999999\r\n\r\nx".to_vec(),
+        b"GET /v1/versions/not-a-number HTTP/1.1\r\nhost: a\r\n\r\n".to_vec(),
+        oversized_head.into_bytes(),
+        b"GET / HT".to_vec(),
+    ];
+    for listener in ["inbound", "outbound", "admin", "control"] {
+        let throws = hostile.iter().map(|bytes| throw(node.address(listener), bytes));
+        futures_util::future::join_all(throws).await;
+    }
+
+    let status = json(&umberpond(&["status", "--node", &mesh.admin(), "--json"]).await);
+    assert_eq!(status["versions"]["active"], 1, "{}", node.log());
+    assert_eq!(status["readiness"]["ready"], true);
+    assert!(!node.has_logged("actor-failed"), "{}", node.log());
+    assert!(node.has_logged("control-message-refused"), "{}", node.log());
+    assert_eq!(mesh.call("/work/page").await.expect("an answer").status(), 200);
+}
--- a/crates/umberpond/tests/support/mod.rs
+++ b/crates/umberpond/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Real processes on loopback: the program under test, with stand-ins for the outside in the test's own process.
 #![allow(dead_code, reason = "each test file uses a part of this")]
 
+pub mod mesh;
+
 use std::collections::BTreeMap;
 use std::fs;
 use std::io::{BufRead, BufReader};
