--- a/crates/proxy/examples/added_latency.rs
+++ b/crates/proxy/examples/added_latency.rs
@@ -141,7 +141,7 @@
 /// One call on a kept connection; its latency in microseconds, the whole body included.
 async fn call(connection: &mut SendRequest<Full<Bytes>>) -> Result<u64, Failure> {
     connection.ready().await?;
-    let request = Request::get("/work/grid").header(header::HOST, "archive").body(Full::new(Bytes::new()))?;
+    let request = Request::get("/job/grid").header(header::HOST, "archive").body(Full::new(Bytes::new()))?;
     let began = Instant::now();
     let response = connection.send_request(request).await?;
     let status = response.status();
@@ -253,7 +253,7 @@
         name: "work".parse()?,
         service: "archive".parse()?,
         callers: BTreeSet::from(["storefront".parse()?]),
-        path_prefix: "/work".into(),
+        path_prefix: "/job".into(),
         methods: BTreeSet::new(),
         idempotent: false,
         class: RequestClass::Status,
--- a/testing/sim/src/cluster/callers.rs
+++ b/testing/sim/src/cluster/callers.rs
@@ -101,7 +101,7 @@
 fn kind(edge: &Place, service: &str, idempotent: bool, weight: u32) -> CallKind {
     CallKind {
         service: ServiceName::new(service).expect("a valid name"),
-        path_prefix: "/work".to_owned(),
+        path_prefix: "/job".to_owned(),
         idempotent,
         weight,
         targets: vec![edge.outbound()],
