--- a/crates/acceptance/tests/support/mod.rs
+++ b/crates/acceptance/tests/support/mod.rs
@@ -10,7 +10,7 @@
 
 use umberpond_acceptance::chain::ChainReader;
 use umberpond_acceptance::{Acceptor, AcceptorContext, AcceptorSettings, Change};
-use umberpond_config::{Bundle, Origin, RequestClass, Route, Service, Sourced};
+use umberpond_config::{Bundle, Origin, RequestClass, Route, RoutePolicy, Service, Sourced};
 use umberpond_model::{BundleName, Head, Locality, LocalityRule, Member, Millis, SubmissionId, Version};
 use umberpond_platform::memory::{Fault, MemoryPlatform, MemoryStore, RequestNote, Verb};
 use umberpond_platform::{ObjectKind, ObjectStore};
@@ -36,7 +36,8 @@
 /// A bundle with one service in the region of [`mesh`].
 pub fn service(service: &str, slots: u32) -> Bundle {
     let allowed = vec![LocalityRule { region: name("north"), zone: None }];
-    let value = Service { name: name(service), allowed, slots, connections: 130, seal_key: None };
+    let value =
+        Service { name: name(service), allowed, slots, connections: 130, seal_key: None, health_path: None };
     Bundle { services: BTreeMap::from([(name(service), sourced(7, value))]), ..Bundle::default() }
 }
 
@@ -50,6 +51,9 @@
         methods: BTreeSet::new(),
         idempotent: false,
         class: RequestClass::Status,
+        host: None,
+        split: Vec::new(),
+        policy: RoutePolicy::default(),
         timeout: Millis(2_000),
         credentials: Vec::new(),
     };
--- a/crates/balance/tests/locality.rs
+++ b/crates/balance/tests/locality.rs
@@ -132,6 +132,7 @@
         slots: 1,
         connections: 1,
         seal_key: None,
+        health_path: None,
     };
     let filter = umberpond_balance::LocalityFilter::of(&service);
     let inside = record(0, &locality("tas-south", "kingston"));
--- a/crates/balance/tests/support/mod.rs
+++ b/crates/balance/tests/support/mod.rs
@@ -51,6 +51,7 @@
         slots,
         connections: 1_000,
         seal_key: None,
+        health_path: None,
     };
     LocalityFilter::of(&service)
 }
--- a/crates/config/examples/measure.rs
+++ b/crates/config/examples/measure.rs
@@ -11,8 +11,8 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha20Rng;
 use umberpond_config::{
-    Bundle, BundleSource, CheckReport, Delta, HeaderCredential, Origin, Plan, RequestClass, Route, Scope,
-    SealKey, Secret, SecretValue, Service, Snapshot, Sourced, TouchedScopes, join, seal,
+    Bundle, BundleSource, CheckReport, Delta, HeaderCredential, Origin, Plan, RequestClass, Route,
+    RoutePolicy, Scope, SealKey, Secret, SecretValue, Service, Snapshot, Sourced, TouchedScopes, join, seal,
 };
 use umberpond_model::{BundleName, LocalityRule, Millis, ServiceName};
 
@@ -50,7 +50,7 @@
 fn service(index: usize) -> Service {
     let allowed = vec![LocalityRule { region: name(&format!("region-{}", index % REGIONS)), zone: None }];
     let seal_key = Some(SealKey([u8::try_from(index % 200).expect("small"); 32]));
-    Service { name: service_name(index), allowed, slots: 24, connections: 120, seal_key }
+    Service { name: service_name(index), allowed, slots: 24, connections: 120, seal_key, health_path: None }
 }
 
 fn route(index: usize) -> Route {
@@ -64,6 +64,9 @@
         methods: ["GET".to_owned(), "HEAD".to_owned()].into(),
         idempotent: true,
         class: RequestClass::Status,
+        host: None,
+        split: Vec::new(),
+        policy: RoutePolicy::default(),
         timeout: Millis(2_000),
         credentials: credential.into_iter().collect(),
     }
--- a/crates/config/src/check/whole.rs
+++ b/crates/config/src/check/whole.rs
@@ -7,7 +7,9 @@
 
 use super::routes::check_ambiguity;
 use super::{EntryKind, EntryName, Fault, FaultKind};
-use crate::{Bundle, Entries, Entry, Origin, Record, Route, Secret, Service, Snapshot, Sourced};
+use crate::{
+    Bundle, Entries, Entry, Origin, Record, RequestLimits, Route, Secret, Service, Snapshot, Sourced,
+};
 
 /// An entry with the bundle, file and line that define it.
 pub(super) struct Located<'a, T> {
@@ -78,6 +80,7 @@
             self.regions.iter().map(|(name, region)| ((*name).clone(), region.value.clone())).collect();
         Snapshot {
             topology,
+            limits: RequestLimits::default(),
             services: compile(&self.services),
             routes: compile(&self.routes),
             secrets: compile(&self.secrets),
--- a/crates/config/src/closure.rs
+++ b/crates/config/src/closure.rs
@@ -165,10 +165,11 @@
     }
 
     fn check_route(&self, route: &Route) -> Result<(), ClosureError> {
-        if !self.services.contains_key(&route.service) {
+        let missing = route.services().find(|service| !self.services.contains_key(*service));
+        if let Some(service) = missing {
             return Err(ClosureError::RouteWithoutService {
                 route: route.name.clone(),
-                service: route.service.clone(),
+                service: service.clone(),
             });
         }
         for credential in &route.credentials {
--- a/crates/config/src/content_hasher.rs
+++ b/crates/config/src/content_hasher.rs
@@ -3,11 +3,11 @@
 
 use umberpond_model::ContentHash;
 
-use crate::Topology;
 use crate::entries::{Entries, Record};
+use crate::{RequestLimits, Topology};
 
 /// Domain separation from every other use of BLAKE3; changes with the meaning of the hash.
-const DOMAIN: &str = "umberpond 2026 snapshot content 2";
+const DOMAIN: &str = "umberpond 2026 snapshot content 3";
 
 /// Collects the content of one snapshot in its fixed order.
 pub(crate) struct ContentHasher(Vec<u8>);
@@ -28,6 +28,12 @@
         }
     }
 
+    pub(crate) fn limits(&mut self, limits: &RequestLimits) {
+        for limit in [limits.head_bytes, limits.body_bytes, limits.head_time.0, limits.idle_time.0] {
+            self.0.extend_from_slice(&limit.to_le_bytes());
+        }
+    }
+
     pub(crate) fn entries<T: Record>(&mut self, kind: &str, entries: &Entries<T>) {
         self.text(kind);
         self.count(entries.len());
--- a/crates/config/src/delta.rs
+++ b/crates/config/src/delta.rs
@@ -6,7 +6,7 @@
 use umberpond_model::{RouteName, SecretName, ServiceName};
 
 use crate::encoding::{self, DecodeError};
-use crate::{Entries, Entry, Record, Route, Secret, Service, Snapshot, Topology};
+use crate::{Entries, Entry, Record, RequestLimits, Route, Secret, Service, Snapshot, Topology};
 
 /// What changes between two snapshots: a value sets an entry, `None` removes it.
 ///
@@ -16,6 +16,8 @@
 pub struct Delta {
     /// The new topology, if it changes.
     pub topology: Option<Topology>,
+    /// The new limits, if they change.
+    pub limits: Option<RequestLimits>,
     /// Services set or removed.
     pub services: BTreeMap<ServiceName, Option<Service>>,
     /// Routes set or removed.
@@ -31,6 +33,7 @@
         let topology_changes = before.topology != after.topology;
         Self {
             topology: topology_changes.then(|| after.topology.clone()),
+            limits: (before.limits != after.limits).then_some(after.limits),
             services: changes(&before.services, &after.services),
             routes: changes(&before.routes, &after.routes),
             secrets: changes(&before.secrets, &after.secrets),
@@ -41,6 +44,7 @@
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.topology.is_none()
+            && self.limits.is_none()
             && self.services.is_empty()
             && self.routes.is_empty()
             && self.secrets.is_empty()
@@ -53,6 +57,9 @@
         if let Some(topology) = &self.topology {
             after.topology.clone_from(topology);
         }
+        if let Some(limits) = self.limits {
+            after.limits = limits;
+        }
         apply_changes(&mut after.services, &self.services);
         apply_changes(&mut after.routes, &self.routes);
         apply_changes(&mut after.secrets, &self.secrets);
--- a/crates/config/src/route.rs
+++ b/crates/config/src/route.rs
@@ -31,6 +31,35 @@
     pub secret: SecretName,
 }
 
+/// A service that serves part of a route's requests.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Encode, Decode, Serialize, Deserialize)]
+pub struct Destination {
+    /// The service.
+    pub service: ServiceName,
+    /// Its share of the requests, relative to the sum over all destinations of the route.
+    pub weight: u32,
+}
+
+/// Upstreams to which one request may be sent where a route says nothing.
+const DEFAULT_ATTEMPTS: u32 = 3;
+
+/// How hard and in which order the requests of a route are served.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode, Serialize, Deserialize)]
+pub struct RoutePolicy {
+    /// Most upstreams to which one request may be sent, at least 1.
+    pub attempts: u32,
+    /// Time within which an answer is of full use; absent if the route names none.
+    pub objective: Option<Millis>,
+    /// Rank among the requests for one back end: 0 is served first. Absent: by the route's class.
+    pub priority: Option<u8>,
+}
+
+impl Default for RoutePolicy {
+    fn default() -> Self {
+        Self { attempts: DEFAULT_ATTEMPTS, objective: None, priority: None }
+    }
+}
+
 /// One route as it is in force.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode, Serialize, Deserialize)]
 pub struct Route {
@@ -38,8 +67,14 @@
     pub name: RouteName,
     /// Service that serves the route.
     pub service: ServiceName,
-    /// Services whose nodes may call the route.
+    /// Services whose nodes may call the route; those of every service if empty.
     pub callers: BTreeSet<ServiceName>,
+    /// Host that the requests name; the name of the service if absent.
+    pub host: Option<String>,
+    /// Services among which the requests are divided; all go to `service` if empty.
+    pub split: Vec<Destination>,
+    /// Attempts, objective and priority.
+    pub policy: RoutePolicy,
     /// Path prefix of the requests; the longest matching prefix wins. Matching ends at a path segment.
     pub path_prefix: String,
     /// Upper-case methods that match; all if empty.
@@ -53,3 +88,16 @@
     /// Headers set from secrets.
     pub credentials: Vec<HeaderCredential>,
 }
+
+impl Route {
+    /// Whether nodes of `caller` may call the route.
+    #[must_use]
+    pub fn may_be_called_by(&self, caller: &ServiceName) -> bool {
+        self.callers.is_empty() || self.callers.contains(caller)
+    }
+
+    /// Every service that serves requests of this route.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        std::iter::once(&self.service).chain(self.split.iter().map(|destination| &destination.service))
+    }
+}
--- a/crates/config/src/route_index.rs
+++ b/crates/config/src/route_index.rs
@@ -36,7 +36,7 @@
 
 impl RecordIndex<Route> for RouteIndex {
     fn replace(&mut self, name: &RouteName, old: Option<&Route>, new: Option<&Route>) {
-        let service = |route: &Route| BTreeSet::from([route.service.clone()]);
+        let service = |route: &Route| route.services().cloned().collect();
         let callers = |route: &Route| route.callers.clone();
         let secrets = |route: &Route| route.credentials.iter().map(|used| used.secret.clone()).collect();
         change(&mut self.by_service, name, references(old, service), references(new, service));
--- a/crates/config/src/service.rs
+++ b/crates/config/src/service.rs
@@ -11,7 +11,8 @@
 pub struct Service {
     /// Name of the service.
     pub name: ServiceName,
-    /// Localities in which a request to this service may be served. A hard filter, never empty.
+    /// Localities in which a request to this service may be served: a hard filter. Anywhere if empty, which a
+    /// bundle can't say.
     pub allowed: Vec<LocalityRule>,
     /// Requests one back end runs at once.
     pub slots: u32,
@@ -19,12 +20,14 @@
     pub connections: u32,
     /// Key to which secrets for this service are sealed; absent if it may hold none.
     pub seal_key: Option<SealKey>,
+    /// Path under which a back end tells whether it is well; absent if it tells nothing.
+    pub health_path: Option<String>,
 }
 
 impl Service {
     /// Whether a request to this service may be served in `locality`.
     #[must_use]
     pub fn allows(&self, locality: &Locality) -> bool {
-        self.allowed.iter().any(|rule| rule.allows(locality))
+        self.allowed.is_empty() || self.allowed.iter().any(|rule| rule.allows(locality))
     }
 }
--- a/crates/config/src/snapshot.rs
+++ b/crates/config/src/snapshot.rs
@@ -6,7 +6,7 @@
 
 use crate::content_hasher::ContentHasher;
 use crate::encoding::{self, DecodeError};
-use crate::{Delta, Entries, Entry, Route, Scope, Secret, Service};
+use crate::{Delta, Entries, Entry, RequestLimits, Route, Scope, Secret, Service};
 
 /// Regions and their zones.
 pub type Topology = BTreeMap<RegionName, BTreeSet<ZoneName>>;
@@ -16,6 +16,8 @@
 pub struct Snapshot {
     /// Regions and zones that exist.
     pub topology: Topology,
+    /// Limits on requests.
+    pub limits: RequestLimits,
     /// Services by name.
     pub services: Entries<Service>,
     /// Routes by name.
@@ -25,12 +27,13 @@
 }
 
 impl Snapshot {
-    /// Hash of the content, equal for equal content however it was reached. Covers the topology and, of each entry,
+    /// Hash of the content, equal for equal content however it was reached. Covers the topology, the limits and, of each entry,
     /// the kind, the name and the entry's own hash.
     #[must_use]
     pub fn content_hash(&self) -> ContentHash {
         let mut hasher = ContentHasher::new();
         hasher.topology(&self.topology);
+        hasher.limits(&self.limits);
         hasher.entries("service", &self.services);
         hasher.entries("route", &self.routes);
         hasher.entries("secret", &self.secrets);
@@ -48,6 +51,7 @@
         let routes = self.routes_of(callers);
         Self {
             topology: self.topology.clone(),
+            limits: self.limits,
             services: self.services_behind(&routes, callers),
             secrets: self.secrets_used(&routes, callers),
             routes,
@@ -76,7 +80,7 @@
     }
 
     fn services_behind(&self, routes: &Entries<Route>, callers: &BTreeSet<ServiceName>) -> Entries<Service> {
-        let called = routes.values().map(|route| &route.service);
+        let called = routes.values().flat_map(|route| route.services());
         let needed: BTreeSet<&ServiceName> = called.chain(callers).collect();
         needed
             .into_iter()
--- a/crates/config/src/source/entries.rs
+++ b/crates/config/src/source/entries.rs
@@ -7,7 +7,7 @@
 use super::files::Directory;
 use super::secret_source::{SecretSource, ValueSource};
 use super::table::TableReader;
-use crate::{FaultKind, HeaderCredential, RequestClass, Route, SealKey, Service};
+use crate::{FaultKind, HeaderCredential, RequestClass, Route, RoutePolicy, SealKey, Service};
 
 pub(super) const REGION_KEYS: [&str; 2] = ["name", "zones"];
 pub(super) const SERVICE_KEYS: [&str; 5] = ["name", "allowed", "slots", "connections", "seal_key"];
@@ -54,6 +54,7 @@
         slots: table.number("slots").unwrap_or(1),
         connections: table.number("connections").unwrap_or(1),
         seal_key: read_seal_key(table),
+        health_path: None,
     }
 }
 
@@ -83,6 +84,9 @@
         methods: table.optional_texts("methods"),
         idempotent: table.optional_flag("idempotent").unwrap_or(false),
         class: read_class(table).unwrap_or(RequestClass::Status),
+        host: None,
+        split: Vec::new(),
+        policy: RoutePolicy::default(),
         timeout: Millis(table.number("timeout_millis").unwrap_or(1)),
         credentials: table.tables("credentials", &CREDENTIAL_KEYS, read_credential),
     }
--- a/crates/config/tests/incremental.rs
+++ b/crates/config/tests/incremental.rs
@@ -8,7 +8,7 @@
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use support::{name, random_scope, random_snapshot, route, scope, secret, service, with_credential};
-use umberpond_config::{Delta, Scope, Snapshot, TouchedScopes};
+use umberpond_config::{Delta, RequestLimits, Scope, Snapshot, TouchedScopes};
 use umberpond_model::ServiceName;
 
 const SERVICES: [&str; 6] = ["archive", "billing", "solver", "web", "desk", "records"];
@@ -35,7 +35,7 @@
     let route_name = format!("route-{}", rng.random_range(0..12));
     let secret_name = format!("key-{}", rng.random_range(0..3));
     let plain = route(&route_name, one, &[other], "/changed");
-    match rng.random_range(0..10) {
+    match rng.random_range(0..11) {
         0 => drop(delta.services.insert(name(one), None)),
         1 => drop(delta.services.insert(name(one), Some(service(one)))),
         2 => drop(delta.services.insert(name(one), Some(service(other)))),
@@ -45,6 +45,7 @@
         6 => drop(delta.secrets.insert(name(&secret_name), None)),
         7 => drop(delta.secrets.insert(name(&secret_name), Some(secret(&secret_name, &SERVICES)))),
         8 => drop(delta.secrets.insert(name(&secret_name), Some(secret(&secret_name, &[one])))),
+        9 => delta.limits = Some(RequestLimits { head_bytes: rng.random(), ..RequestLimits::default() }),
         _ => delta.topology = Some([(name(pick(rng, &["north", "south"])), BTreeSet::new())].into()),
     }
 }
@@ -58,6 +59,7 @@
         snapshot.secrets.iter().map(|(name, entry)| (name.clone(), entry.clone())).collect();
     Snapshot {
         topology: snapshot.topology.clone(),
+        limits: snapshot.limits,
         services: services.into_iter().rev().collect(),
         routes: routes.into_iter().rev().collect(),
         secrets: secrets.into_iter().rev().collect(),
--- a/crates/config/tests/support/mod.rs
+++ b/crates/config/tests/support/mod.rs
@@ -7,8 +7,8 @@
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use umberpond_config::{
-    Bundle, HeaderCredential, Origin, RequestClass, Route, Scope, SealKey, SealedValue, Secret, SecretValue,
-    Service, Snapshot, Sourced, join, seal,
+    Bundle, HeaderCredential, Origin, RequestClass, Route, RoutePolicy, Scope, SealKey, SealedValue, Secret,
+    SecretValue, Service, Snapshot, Sourced, join, seal,
 };
 use umberpond_model::{BundleName, LocalityRule, Millis, ServiceName, ZoneName};
 
@@ -30,6 +30,7 @@
         slots: 20,
         connections: 130,
         seal_key: Some(SealKey([7; 32])),
+        health_path: None,
     }
 }
 
@@ -55,6 +56,9 @@
         methods: BTreeSet::new(),
         idempotent: false,
         class: RequestClass::Status,
+        host: None,
+        split: Vec::new(),
+        policy: RoutePolicy::default(),
         timeout: Millis(2_000),
         credentials: Vec::new(),
     }
--- /dev/null
+++ b/crates/daemon/src/back_end/mod.rs
@@ -0,0 +1,11 @@
+//! What the back end beside this node says of itself, and what follows from it.
+
+mod announcement;
+mod lives;
+mod monitor;
+mod probe;
+
+pub use announcement::{AnnouncedState, Announcement};
+pub use lives::{BackEndLives, Effect};
+pub use monitor::BackEndMonitor;
+pub(crate) use probe::probe_at_start;
--- /dev/null
+++ b/crates/daemon/src/back_end/monitor.rs
@@ -0,0 +1,150 @@
+//! Carries out what follows from a word of the back end: first here, then told to all other nodes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use ractor::ActorRef;
+use tokio::time::{Instant, sleep};
+use umberpond_forwarding::{BackEnd, Inbound};
+use umberpond_model::ServiceName;
+use umberpond_telemetry::{Event, Telemetry};
+
+use super::announcement::Announcement;
+use super::lives::{BackEndLives, Effect};
+use crate::configuration::Activation;
+use crate::membership::MembershipMessage;
+
+/// Time between two questions to a back end that has to be confirmed.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(200);
+/// Questions asked before the next word of the back end is awaited.
+const CONFIRM_QUESTIONS: u32 = 40;
+
+/// Follows the back end beside this node.
+pub struct BackEndMonitor {
+    lives: Mutex<BackEndLives>,
+    inbound: Arc<Inbound>,
+    activation: Arc<Activation>,
+    membership: ActorRef<MembershipMessage>,
+    telemetry: Telemetry,
+}
+
+impl std::fmt::Debug for BackEndMonitor {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("BackEndMonitor").field("lives", &*self.lives.lock()).finish_non_exhaustive()
+    }
+}
+
+impl BackEndMonitor {
+    pub(crate) fn new(
+        may_be_leaving: bool,
+        inbound: Arc<Inbound>,
+        activation: Arc<Activation>,
+        membership: ActorRef<MembershipMessage>,
+        telemetry: Telemetry,
+    ) -> Arc<Self> {
+        let lives = Mutex::new(BackEndLives::new(may_be_leaving));
+        Arc::new(Self { lives, inbound, activation, membership, telemetry })
+    }
+
+    /// Takes in an announcement. When this returns, a leave that it tells is in force on this node.
+    pub fn announce(self: &Arc<Self>, announcement: &Announcement) {
+        let effect = self.lives.lock().on_announcement(now(), announcement);
+        self.carry_out(effect);
+        self.tell_warm_later();
+    }
+
+    /// Takes in that the life called `instance` ends. When this returns, that is in force on this node.
+    pub fn withdraw(self: &Arc<Self>, instance: &str) {
+        let effect = self.lives.lock().on_withdrawn(instance);
+        self.carry_out(effect);
+    }
+
+    /// Takes in that the back end has just said, asked by this process, that it is well.
+    pub(crate) fn confirm(self: &Arc<Self>, back_end: BackEnd) {
+        let effect = self.lives.lock().on_confirmed(now(), back_end);
+        self.carry_out(effect);
+    }
+
+    /// Takes in that the back end can't be reached.
+    pub(crate) fn unreachable(self: &Arc<Self>, instance: &str) {
+        let effect = self.lives.lock().on_unreachable(instance);
+        if effect != Effect::None {
+            let reason = "it can't be reached".to_owned();
+            self.telemetry.emit(Event::BackEndUnhealthy { reason });
+        }
+        self.carry_out(effect);
+    }
+
+    /// Path under which the back end of `service` tells whether it is well.
+    pub(crate) fn health_path(&self, service: &ServiceName) -> Option<String> {
+        self.activation.health_path(service)
+    }
+
+    /// The half that reaches the back end.
+    pub(crate) const fn inbound(&self) -> &Arc<Inbound> {
+        &self.inbound
+    }
+
+    fn carry_out(self: &Arc<Self>, effect: Effect) {
+        match effect {
+            Effect::None => return,
+            Effect::Open(back_end) => {
+                self.tell(&back_end.instance, "ready");
+                self.inbound.open(back_end);
+            }
+            Effect::Close => {
+                self.tell("", "closed");
+                self.inbound.close();
+            }
+            Effect::Confirm(back_end) => {
+                self.tell(&back_end.instance, "to-be-confirmed");
+                self.inbound.close();
+                tokio::spawn(Arc::clone(self).confirm_later(back_end));
+            }
+        }
+        self.tell_others();
+    }
+
+    fn tell(&self, instance: &str, state: &'static str) {
+        self.telemetry.emit(Event::BackEndStateChanged { instance: instance.to_owned(), state });
+    }
+
+    fn tell_others(&self) {
+        let record = self.lives.lock().record(now());
+        let _ = self.membership.send_message(MembershipMessage::BackEnd(record));
+    }
+
+    /// Tells the others once the back end is no longer slow from its start.
+    fn tell_warm_later(self: &Arc<Self>) {
+        let cold_for = self.lives.lock().cold_for(now());
+        if cold_for.is_zero() {
+            return;
+        }
+        let monitor = Arc::clone(self);
+        tokio::spawn(async move {
+            sleep(cold_for + Duration::from_millis(1)).await;
+            monitor.tell_others();
+        });
+    }
+
+    /// Asks the back end until it says that it is well.
+    async fn confirm_later(self: Arc<Self>, back_end: BackEnd) {
+        for _question in 0..CONFIRM_QUESTIONS {
+            if let Some(path) = self.health_path(&back_end.service) {
+                let health = self.inbound.ask_health(back_end.address, &path).await;
+                if let Some(health) = health
+                    && health.instance == back_end.instance
+                {
+                    self.confirm(back_end);
+                    return;
+                }
+            }
+            sleep(CONFIRM_INTERVAL).await;
+        }
+    }
+}
+
+fn now() -> std::time::Instant {
+    Instant::now().into_std()
+}
--- /dev/null
+++ b/crates/daemon/src/configuration/activation.rs
@@ -0,0 +1,93 @@
+//! Puts a configuration in force on this node.
+
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use umberpond_config::{SealKeyPair, Snapshot};
+use umberpond_distribution::Versioned;
+use umberpond_forwarding::{OpenedSecrets, Outbound, RoutingTable};
+use umberpond_model::ServiceName;
+use umberpond_telemetry::{Event, Telemetry};
+
+/// Puts configurations in force.
+pub struct Activation {
+    outbound: Arc<Outbound>,
+    seal_key: Option<Arc<SealKeyPair>>,
+    telemetry: Telemetry,
+    active: Mutex<Option<Versioned>>,
+}
+
+impl std::fmt::Debug for Activation {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("Activation").finish_non_exhaustive()
+    }
+}
+
+impl Activation {
+    pub(crate) const fn new(
+        outbound: Arc<Outbound>,
+        seal_key: Option<Arc<SealKeyPair>>,
+        telemetry: Telemetry,
+    ) -> Self {
+        Self { outbound, seal_key, telemetry, active: Mutex::new(None) }
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn active(&self) -> Option<Versioned> {
+        self.active.lock().clone()
+    }
+
+    /// Path under which the back end of `service` tells whether it is well.
+    #[must_use]
+    pub fn health_path(&self, service: &ServiceName) -> Option<String> {
+        let active = self.active.lock();
+        active.as_ref()?.snapshot.services.get(service)?.health_path.clone()
+    }
+
+    /// Puts `offered` in force, whole or not at all; `false` if it could not be.
+    pub(crate) fn activate(&self, offered: &Versioned) -> bool {
+        let opened = self.open_secrets(&offered.snapshot);
+        let caller = self.outbound.caller();
+        let table = match RoutingTable::compile(offered.version, &offered.snapshot, &opened, &caller) {
+            Ok(table) => table,
+            Err(error) => {
+                let reason = error.to_string();
+                self.telemetry.emit(Event::ActivationFailed { version: offered.version, reason });
+                return false;
+            }
+        };
+        let mut active = self.active.lock();
+        if self.outbound.activate(Arc::new(table)).is_err() {
+            return false;
+        }
+        *active = Some(offered.clone());
+        self.telemetry.emit(Event::VersionActivated {
+            version: offered.version,
+            content: offered.hash,
+            routes: offered.snapshot.routes.len() as u64,
+            secrets: offered.snapshot.secrets.len() as u64,
+        });
+        true
+    }
+
+    /// The values of the secrets that this node's service may read.
+    fn open_secrets(&self, snapshot: &Snapshot) -> OpenedSecrets {
+        let caller = self.outbound.caller();
+        let mut opened = OpenedSecrets::new();
+        let Some(key) = &self.seal_key else { return opened };
+        for (name, secret) in &snapshot.secrets {
+            let Some(sealed) = secret.readers.get(&*caller) else { continue };
+            match key.open(name, sealed) {
+                Ok(value) => {
+                    opened.insert(name.clone(), value.expose().to_vec());
+                }
+                Err(error) => {
+                    let reason = error.to_string();
+                    self.telemetry.emit(Event::SecretNotOpened { secret: name.clone(), reason });
+                }
+            }
+        }
+        opened
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/configuration/mod.rs
@@ -0,0 +1,13 @@
+//! What is in force: read from the store by a few nodes, fetched from them by all others, put in force whole.
+
+mod activation;
+mod actor;
+mod peers;
+mod reader;
+mod source;
+
+pub use activation::Activation;
+pub(crate) use actor::{ConfigurationActor, ConfigurationArguments, ConfigurationMessage};
+pub(crate) use peers::serve_peers;
+pub(crate) use reader::{ReaderTask, read_store};
+pub use source::{ConfigurationSource, Position, SourceError, Sourced, Waited};
--- /dev/null
+++ b/crates/daemon/src/configuration/reader.rs
@@ -0,0 +1,172 @@
+//! Reads the store, as long as this node is one of those that do.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ractor::ActorRef;
+use ractor::rpc::CallResult;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use tokio::time::sleep;
+use umberpond_distribution::{ReaderCandidate, ReaderSettings, is_reader};
+use umberpond_telemetry::{Event, Telemetry};
+
+use super::actor::ConfigurationMessage;
+use super::source::{ConfigurationSource, Position, SourceError, Waited};
+use crate::membership::{MembershipMessage, StoreContact, StoreView};
+
+/// Time between two looks whether this node reads.
+const ROLE_INTERVAL: Duration = Duration::from_millis(250);
+/// Longest wait for a change in one call.
+const LONGEST_WAIT: Duration = Duration::from_millis(700);
+/// Shortest pause after a failed call.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause after a failed call.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+/// Longest time that the membership takes to answer.
+const ACTOR_TIME: Duration = Duration::from_millis(500);
+
+/// What the reading task needs.
+pub(crate) struct ReaderTask {
+    pub(crate) source: Arc<dyn ConfigurationSource>,
+    pub(crate) settings: ReaderSettings,
+    pub(crate) configuration: ActorRef<ConfigurationMessage>,
+    pub(crate) membership: ActorRef<MembershipMessage>,
+    pub(crate) telemetry: Telemetry,
+    pub(crate) seed: u64,
+}
+
+/// Reads the store without end.
+pub(crate) async fn read_store(task: ReaderTask) {
+    let mut reader = Reader {
+        random: SmallRng::seed_from_u64(task.seed),
+        task,
+        position: None,
+        is_reader: false,
+        pause: FIRST_PAUSE,
+        is_available: true,
+    };
+    loop {
+        reader.step().await;
+    }
+}
+
+struct Reader {
+    task: ReaderTask,
+    random: SmallRng,
+    /// Place in the store's history up to which everything is known.
+    position: Option<Position>,
+    is_reader: bool,
+    pause: Duration,
+    is_available: bool,
+}
+
+impl Reader {
+    async fn step(&mut self) {
+        let is_reader = self.finds_itself_reader().await;
+        self.tell_role(is_reader);
+        if !is_reader {
+            self.position = None;
+            sleep(ROLE_INTERVAL).await;
+            return;
+        }
+        match self.read_on().await {
+            Ok(()) => self.on_available(),
+            Err(error) => self.on_failed(error).await,
+        }
+    }
+
+    async fn finds_itself_reader(&self) -> bool {
+        let asked = self.task.membership.call(MembershipMessage::StoreView, Some(ACTOR_TIME)).await;
+        let Ok(CallResult::Success(StoreView { own, others })) = asked else { return false };
+        let others: Vec<ReaderCandidate<'_>> = others.iter().map(candidate).collect();
+        is_reader(&self.task.settings, candidate(&own), &others)
+    }
+
+    fn tell_role(&mut self, is_reader: bool) {
+        if is_reader == self.is_reader {
+            return;
+        }
+        self.is_reader = is_reader;
+        let role = "store-reader";
+        self.task.telemetry.emit(if is_reader {
+            Event::RoleGained { role }
+        } else {
+            Event::RoleLost { role }
+        });
+    }
+
+    /// Reads everything the first time, and what has changed from then on.
+    async fn read_on(&mut self) -> Result<(), SourceError> {
+        let Some(position) = self.position else { return self.read_whole().await };
+        match self.task.source.wait(position, LONGEST_WAIT).await? {
+            Waited::Changed(sourced, position) => {
+                self.position = Some(position);
+                self.heard(Some(*sourced));
+                Ok(())
+            }
+            Waited::Unchanged(position) => {
+                self.heard(None);
+                self.confirm(position).await
+            }
+            Waited::Lost => {
+                self.task.telemetry.emit(Event::WatchLost { position: position.0 });
+                self.read_whole().await
+            }
+        }
+    }
+
+    /// A wait may have missed a change: if history has moved on, everything is read anew.
+    async fn confirm(&mut self, position: Position) -> Result<(), SourceError> {
+        let present = self.task.source.position().await?;
+        if present > position {
+            return self.read_whole().await;
+        }
+        self.position = Some(position);
+        Ok(())
+    }
+
+    async fn read_whole(&mut self) -> Result<(), SourceError> {
+        let (sourced, position) = self.task.source.read().await?;
+        self.position = Some(position);
+        self.heard(sourced);
+        Ok(())
+    }
+
+    fn heard(&self, sourced: Option<super::source::Sourced>) {
+        let _ = self.task.membership.send_message(MembershipMessage::StoreHeard);
+        if let Some(sourced) = sourced {
+            let _ = self.task.configuration.send_message(ConfigurationMessage::Sourced(Box::new(sourced)));
+        }
+    }
+
+    fn on_available(&mut self) {
+        self.pause = FIRST_PAUSE;
+        if !self.is_available {
+            self.is_available = true;
+            self.task.telemetry.emit(Event::PlatformAvailable {});
+        }
+    }
+
+    async fn on_failed(&mut self, error: SourceError) {
+        match error {
+            SourceError::Unavailable { reason } => {
+                if self.is_available {
+                    self.is_available = false;
+                    self.task.telemetry.emit(Event::PlatformUnavailable { operation: "read", reason });
+                }
+            }
+            SourceError::Unreadable { reason } => {
+                let object = "configuration".to_owned();
+                self.task.telemetry.emit(Event::ObjectUnreadable { object, reason });
+            }
+        }
+        let pause = self.pause.mul_f64(0.5 + 0.5 * self.random.random::<f64>());
+        self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+        sleep(pause).await;
+    }
+}
+
+fn candidate(contact: &StoreContact) -> ReaderCandidate<'_> {
+    ReaderCandidate { node: &contact.node, store_age: contact.age }
+}
--- /dev/null
+++ b/crates/daemon/src/http_server.rs
@@ -0,0 +1,128 @@
+//! A small HTTP server for operators, readiness and announcements.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::task::JoinSet;
+use umberpond_net::BoxListener;
+
+/// Longest body of a question, in bytes.
+const MAX_BODY_BYTES: usize = 64 * 1024;
+/// Longest head of a question, in bytes.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// Longest time for the head of a question.
+const HEAD_TIME: Duration = Duration::from_secs(5);
+/// Most connections served at once.
+const MAX_CONNECTIONS: usize = 200;
+/// Pause after a connection that could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// A question asked of the daemon.
+#[derive(Debug, Clone)]
+pub struct HttpQuestion {
+    /// Method.
+    pub method: Method,
+    /// Path without the query.
+    pub path: String,
+    /// Query, if any.
+    pub query: Option<String>,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+/// What the daemon answers.
+#[derive(Debug, Clone)]
+pub struct HttpAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// Media type of the body.
+    pub content_type: &'static str,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl HttpAnswer {
+    /// An answer in plain text.
+    #[must_use]
+    pub fn text(status: StatusCode, body: impl Into<Bytes>) -> Self {
+        Self { status, content_type: "text/plain; charset=utf-8", body: body.into() }
+    }
+
+    /// An answer in JSON.
+    #[must_use]
+    pub fn json(status: StatusCode, body: impl Into<Bytes>) -> Self {
+        Self { status, content_type: "application/json", body: body.into() }
+    }
+}
+
+/// Answers questions.
+#[async_trait]
+pub trait HttpHandler: Send + Sync + 'static {
+    /// Answers one question.
+    async fn answer(&self, question: HttpQuestion) -> HttpAnswer;
+}
+
+/// A handler of any kind.
+pub type BoxHandler = Arc<dyn HttpHandler>;
+
+/// Serves one listener without end.
+pub async fn serve_http(mut listener: BoxListener, handler: BoxHandler) {
+    let mut connections = JoinSet::new();
+    loop {
+        while connections.len() >= MAX_CONNECTIONS {
+            connections.join_next().await;
+        }
+        let accepted = loop {
+            tokio::select! {
+                biased;
+                Some(_ended) = connections.join_next() => {}
+                accepted = listener.accept() => break accepted,
+            }
+        };
+        let Ok((stream, _peer)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let handler = Arc::clone(&handler);
+        connections.spawn(async move {
+            let service = service_fn(move |request| answer(Arc::clone(&handler), request));
+            let mut server = http1::Builder::new();
+            server.timer(TokioTimer::new()).header_read_timeout(HEAD_TIME).max_buf_size(MAX_HEAD_BYTES);
+            // A connection that breaks concerns nobody but its peer.
+            let _ = server.serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
+
+async fn answer(
+    handler: BoxHandler,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let (head, body) = request.into_parts();
+    let answer = match Limited::new(body, MAX_BODY_BYTES).collect().await {
+        Ok(body) => {
+            let question = HttpQuestion {
+                method: head.method,
+                path: head.uri.path().to_owned(),
+                query: head.uri.query().map(str::to_owned),
+                body: body.to_bytes(),
+            };
+            handler.answer(question).await
+        }
+        Err(_too_long_or_broken) => HttpAnswer::text(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long\n"),
+    };
+    let mut response = Response::new(Full::new(answer.body));
+    *response.status_mut() = answer.status;
+    let content_type = http::HeaderValue::from_static(answer.content_type);
+    response.headers_mut().insert(http::header::CONTENT_TYPE, content_type);
+    Ok(response)
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,26 @@
+//! The daemon beside each back end.
+//!
+//! [`Daemon::start`] opens the listeners, then starts the actors and tasks: the membership (who else there is), the
+//! configuration (what is in force), the back end (what it says of itself) and the two halves of the request path.
+//! What differs from platform to platform is handed in: the [`ConfigurationSource`], the [`MemberDirectory`] and the
+//! [`Dialect`](umberpond_forwarding::Dialect). [`Environment`] holds what the simulation replaces.
+
+pub mod back_end;
+pub mod configuration;
+mod directory;
+mod environment;
+mod error;
+mod http_server;
+mod membership;
+mod readiness;
+pub mod settings;
+mod start;
+mod stop;
+
+pub use directory::{DirectoryError, MemberDirectory};
+pub use environment::Environment;
+pub use error::StartError;
+pub use http_server::{BoxHandler, HttpAnswer, HttpHandler, HttpQuestion, serve_http};
+pub use readiness::Unready;
+pub use settings::NodeConfig;
+pub use start::{Daemon, Extensions, RunningDaemon};
--- /dev/null
+++ b/crates/daemon/src/membership/datagrams.rs
@@ -0,0 +1,47 @@
+//! Heartbeats on the wire.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ractor::ActorRef;
+use tokio::time::sleep;
+use umberpond_membership::{Heartbeat, Outgoing};
+use umberpond_net::BoxDatagrams;
+use umberpond_telemetry::{Event, Telemetry};
+
+use super::actor::MembershipMessage;
+
+/// Longest datagram, in bytes; a heartbeat stays well below it.
+const MAX_DATAGRAM: usize = 8 * 1024;
+/// Pause after a failed receive.
+const RECEIVE_PAUSE: Duration = Duration::from_millis(20);
+
+/// Sends heartbeats.
+pub(super) fn send(socket: &BoxDatagrams, outgoing: &[Outgoing]) {
+    for Outgoing { to, heartbeat } in outgoing {
+        socket.send(&bitcode::encode(heartbeat), *to);
+    }
+}
+
+/// Hands every heartbeat to the membership. Ends with the membership.
+pub(crate) async fn receive_datagrams(
+    socket: Arc<BoxDatagrams>,
+    membership: ActorRef<MembershipMessage>,
+    telemetry: Telemetry,
+) {
+    let mut buffer = vec![0; MAX_DATAGRAM];
+    loop {
+        let Ok((length, sender)) = socket.receive(&mut buffer).await else {
+            sleep(RECEIVE_PAUSE).await;
+            continue;
+        };
+        match bitcode::decode::<Heartbeat>(&buffer[..length]) {
+            Ok(heartbeat) => {
+                if membership.send_message(MembershipMessage::Heartbeat(Box::new(heartbeat))).is_err() {
+                    return;
+                }
+            }
+            Err(_) => telemetry.emit(Event::DatagramRefused { sender }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/membership/endpoints.rs
@@ -0,0 +1,61 @@
+//! From the membership to the endpoints that the request path may choose.
+
+use std::collections::BTreeMap;
+
+use umberpond_forwarding::Outbound;
+use umberpond_membership::{
+    BackEndRecord, BackEndState, MemberPhase, MemberRecord, Membership, Reachability,
+};
+use umberpond_model::ServiceName;
+use umberpond_selection::Endpoint;
+
+/// The endpoints told to the request path last.
+#[derive(Debug, Default)]
+pub(super) struct ToldEndpoints {
+    by_service: BTreeMap<ServiceName, Vec<Endpoint>>,
+}
+
+impl ToldEndpoints {
+    /// Tells the request path what has changed; gives the number of endpoints.
+    pub(super) fn update(&mut self, membership: &Membership, outbound: &Outbound) -> usize {
+        let found = find(membership);
+        let gone: Vec<&ServiceName> =
+            self.by_service.keys().filter(|service| !found.contains_key(*service)).collect();
+        for service in gone {
+            outbound.set_endpoints(service, Vec::new());
+        }
+        for (service, endpoints) in &found {
+            if self.by_service.get(service) != Some(endpoints) {
+                outbound.set_endpoints(service, endpoints.clone());
+            }
+        }
+        self.by_service = found;
+        self.by_service.values().map(Vec::len).sum()
+    }
+}
+
+fn find(membership: &Membership) -> BTreeMap<ServiceName, Vec<Endpoint>> {
+    let mut found: BTreeMap<ServiceName, Vec<Endpoint>> = BTreeMap::new();
+    let others = membership.members().filter(|member| member.reachability == Reachability::Reachable);
+    let records = others.map(|member| member.record).chain([membership.own().clone()]);
+    for record in records {
+        if let Some(back_end) = usable_back_end(&record) {
+            let endpoint = Endpoint {
+                node: record.node.clone(),
+                address: record.inbound,
+                locality: record.locality.clone(),
+                instance: back_end.instance.clone(),
+                slots: back_end.slots,
+                is_cold: back_end.is_cold,
+            };
+            found.entry(back_end.service.clone()).or_default().push(endpoint);
+        }
+    }
+    found
+}
+
+fn usable_back_end(record: &MemberRecord) -> Option<&BackEndRecord> {
+    let back_end = record.back_end.as_ref()?;
+    let is_usable = record.phase == MemberPhase::Running && back_end.state == BackEndState::Ready;
+    is_usable.then_some(back_end)
+}
--- /dev/null
+++ b/crates/daemon/src/membership/mod.rs
@@ -0,0 +1,8 @@
+//! Who else there is: the membership core, driven by datagrams and a timer.
+
+mod actor;
+mod datagrams;
+mod endpoints;
+
+pub(crate) use actor::{MembershipActor, MembershipArguments, MembershipMessage, StoreContact, StoreView};
+pub(crate) use datagrams::receive_datagrams;
--- /dev/null
+++ b/crates/daemon/src/readiness.rs
@@ -0,0 +1,14 @@
+//! Whether callers may be sent to this node.
+
+use thiserror::Error;
+
+/// Why callers should not be sent to this node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum Unready {
+    /// No configuration is in force.
+    #[error("no configuration is in force")]
+    NoConfiguration,
+    /// The process was told to stop.
+    #[error("the process is stopping")]
+    Stopping,
+}
--- /dev/null
+++ b/crates/daemon/src/settings/duration.rs
@@ -0,0 +1,28 @@
+//! Durations in settings: a number with a unit, such as `250ms`, `10s` or `2m`.
+
+use std::time::Duration;
+
+use thiserror::Error;
+
+/// A text that is no duration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("a duration is a number followed by `ms`, `s` or `m`")]
+pub struct InvalidDuration;
+
+/// Reads a duration.
+///
+/// # Errors
+/// Returns [`InvalidDuration`] for anything but a number and one of the units, or one too large.
+pub fn parse_duration(text: &str) -> Result<Duration, InvalidDuration> {
+    let is_of_number = |character: char| character.is_ascii_digit() || character == '.';
+    let digits = text.len() - text.trim_start_matches(is_of_number).len();
+    let (number, unit) = text.split_at(digits);
+    let number: f64 = number.parse().map_err(|_| InvalidDuration)?;
+    let seconds_per_unit = match unit {
+        "ms" => 0.001,
+        "s" => 1.0,
+        "m" => 60.0,
+        _ => return Err(InvalidDuration),
+    };
+    Duration::try_from_secs_f64(number * seconds_per_unit).map_err(|_| InvalidDuration)
+}
--- /dev/null
+++ b/crates/daemon/src/settings/mod.rs
@@ -0,0 +1,95 @@
+//! Settings of one node: a TOML file and flags, checked whole before anything starts.
+
+mod duration;
+mod fault;
+mod load;
+mod override_flag;
+mod reader;
+mod rules;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use umberpond_config::{SealKeyPair, Topology};
+use umberpond_model::{Locality, NodeName, ServiceName};
+use umberpond_selection::RetryBudgetSettings;
+use umberpond_telemetry::{LogFormat, Severity};
+
+pub use duration::{InvalidDuration, parse_duration};
+pub use fault::{FaultKind, SettingsFault, SettingsReport};
+pub use load::load;
+pub use override_flag::SettingsOverride;
+
+/// Settings of one node, checked. Built by [`load`], or directly by a simulation.
+#[derive(Debug, Clone)]
+pub struct NodeConfig {
+    /// Name of the node.
+    pub node: NodeName,
+    /// Service on whose behalf local callers send requests: that of the back end beside the node.
+    pub service: ServiceName,
+    /// Whether the whole system starts for the first time, so that no earlier process of this node left anything.
+    pub is_first_start: bool,
+    /// Where the node runs.
+    pub locality: Locality,
+    /// Regions and zones that exist.
+    pub topology: Topology,
+    /// Where the node listens.
+    pub listen: ListenAddresses,
+    /// Addresses under which other nodes reach this one, where they differ from those listened at.
+    pub advertise: AdvertisedAddresses,
+    /// Address of the back end beside this node; absent where callers enter and no back end stands.
+    pub back_end: Option<SocketAddr>,
+    /// Address of the store.
+    pub store: SocketAddr,
+    /// Key that opens the secrets of `service`; absent if it may hold none.
+    pub seal_key: Option<Arc<SealKeyPair>>,
+    /// The retry budget of each service, over all nodes together.
+    pub retry_budget: RetryBudgetSettings,
+    /// Log output.
+    pub log: LogConfig,
+    /// Time from the request to stop until the process is killed.
+    pub grace: Duration,
+}
+
+/// Where a node listens. Port 0 takes any free port.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ListenAddresses {
+    /// Requests of other nodes for the back end.
+    pub inbound: SocketAddr,
+    /// Requests of local callers.
+    pub outbound: SocketAddr,
+    /// Operators, metrics and readiness.
+    pub admin: SocketAddr,
+    /// Datagrams and control connections of other nodes.
+    pub control: SocketAddr,
+    /// Announcements of the back end beside this node; absent if it makes none.
+    pub registration: Option<SocketAddr>,
+}
+
+/// Addresses told to other nodes; the ones listened at if absent.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct AdvertisedAddresses {
+    /// Of the inbound listener.
+    pub inbound: Option<SocketAddr>,
+    /// Of the control listener.
+    pub control: Option<SocketAddr>,
+}
+
+/// Log output.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LogConfig {
+    /// Form of the lines.
+    pub format: LogFormat,
+    /// Events below this severity are left out.
+    pub level: Severity,
+}
+
+impl Default for LogConfig {
+    fn default() -> Self {
+        Self { format: LogFormat::Text, level: Severity::Info }
+    }
+}
+
+/// Time from the request to stop until the process is killed, unless the settings say otherwise.
+pub const DEFAULT_GRACE: Duration = Duration::from_secs(30);
--- /dev/null
+++ b/crates/daemon/src/start.rs
@@ -0,0 +1,327 @@
+//! Starts a daemon: opens every listener, then the actors and tasks around them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use ractor::{Actor, ActorRef};
+use tokio::task::JoinSet;
+use umberpond_distribution::ReaderSettings;
+use umberpond_forwarding::{
+    Dialect, Inbound, InboundSettings, Outbound, OutboundIdentity, OutboundSettings, ServerControl,
+    serve_inbound, serve_outbound,
+};
+use umberpond_membership::{
+    Introduction, MemberPhase, MemberRecord, MemberView, Membership, MembershipSettings,
+};
+use umberpond_model::Incarnation;
+use umberpond_net::{BoxDatagrams, BoxListener};
+use umberpond_telemetry::{Event, Telemetry};
+
+use crate::back_end::{BackEndMonitor, probe_at_start};
+use crate::configuration::{
+    Activation, ConfigurationActor, ConfigurationArguments, ConfigurationMessage, ConfigurationSource,
+    ReaderTask, read_store, serve_peers,
+};
+use crate::directory::{self, MemberDirectory};
+use crate::environment::{Environment, SeedUse};
+use crate::error::StartError;
+use crate::membership::{MembershipActor, MembershipArguments, MembershipMessage, receive_datagrams};
+use crate::readiness::Unready;
+use crate::settings::NodeConfig;
+
+/// Time between two looks for connections that were idle too long.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(2);
+/// Longest time that an actor takes to answer.
+const ACTOR_TIME: Duration = Duration::from_secs(1);
+
+/// What differs from platform to platform.
+#[derive(Clone)]
+pub struct Extensions {
+    /// Where configurations come from.
+    pub source: Arc<dyn ConfigurationSource>,
+    /// Where nodes find one another.
+    pub directory: Arc<dyn MemberDirectory>,
+    /// Names of the header fields.
+    pub dialect: Dialect,
+}
+
+impl std::fmt::Debug for Extensions {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("Extensions").field("dialect", &self.dialect).finish_non_exhaustive()
+    }
+}
+
+/// The daemon.
+#[derive(Debug, Clone, Copy)]
+pub struct Daemon;
+
+/// Listeners of a daemon, open.
+struct Listeners {
+    inbound: BoxListener,
+    outbound: BoxListener,
+    control: BoxListener,
+    datagrams: Arc<BoxDatagrams>,
+}
+
+impl Listeners {
+    async fn open(config: &NodeConfig, environment: &Environment) -> Result<Self, StartError> {
+        let control = listen(environment, "control", config.listen.control).await?;
+        // Datagrams go to the port at which control connections are taken.
+        let at = control.local_addr();
+        let datagrams = environment.network.datagrams(at).await;
+        let datagrams =
+            datagrams.map_err(|source| StartError::Listen { listener: "datagrams", address: at, source })?;
+        Ok(Self {
+            inbound: listen(environment, "inbound", config.listen.inbound).await?,
+            outbound: listen(environment, "outbound", config.listen.outbound).await?,
+            control,
+            datagrams: Arc::new(datagrams),
+        })
+    }
+}
+
+/// Opens a listener and tells so.
+pub(crate) async fn listen(
+    environment: &Environment,
+    listener: &'static str,
+    address: SocketAddr,
+) -> Result<BoxListener, StartError> {
+    let opened = environment.network.listen(address).await;
+    let opened = opened.map_err(|source| StartError::Listen { listener, address, source })?;
+    environment.telemetry.emit(Event::Listening { listener, address: opened.local_addr() });
+    Ok(opened)
+}
+
+impl Daemon {
+    /// Starts a daemon. It runs until [`RunningDaemon::stop`].
+    ///
+    /// # Errors
+    /// Returns [`StartError`] if a listener or an actor could not be started.
+    pub async fn start(
+        config: NodeConfig,
+        environment: Environment,
+        extensions: Extensions,
+    ) -> Result<RunningDaemon, StartError> {
+        let telemetry = environment.telemetry.clone();
+        telemetry.emit(Event::NodeStarted {
+            node: config.node.clone(),
+            incarnation: Incarnation(0),
+            program_version: env!("CARGO_PKG_VERSION"),
+        });
+        let listeners = Listeners::open(&config, &environment).await?;
+        let own = own_record(&config, &environment, &listeners);
+        let inbound = Arc::new(Inbound::new(
+            extensions.dialect,
+            InboundSettings::default(),
+            Arc::clone(&environment.network),
+            telemetry.clone(),
+        ));
+        let outbound = start_outbound(&config, &environment, extensions.dialect, &inbound);
+        let activation =
+            Arc::new(Activation::new(Arc::clone(&outbound), config.seal_key.clone(), telemetry.clone()));
+        let introduction = Introduction { node: own.node.clone(), control: own.control };
+        let arguments = MembershipArguments {
+            membership: Membership::new(MembershipSettings::default(), own),
+            socket: Arc::clone(&listeners.datagrams),
+            inbound: Arc::clone(&inbound),
+            outbound: Arc::clone(&outbound),
+            telemetry: telemetry.clone(),
+        };
+        let (membership, _) = Actor::spawn(None, MembershipActor, arguments).await?;
+        let arguments = ConfigurationArguments {
+            activation: Arc::clone(&activation),
+            membership: membership.clone(),
+            network: Arc::clone(&environment.network),
+            telemetry: telemetry.clone(),
+        };
+        let (configuration, _) = Actor::spawn(None, ConfigurationActor, arguments).await?;
+        let _ = membership.send_message(MembershipMessage::ConfigurationActor(configuration.clone()));
+        let back_end = BackEndMonitor::new(
+            !config.is_first_start,
+            Arc::clone(&inbound),
+            Arc::clone(&activation),
+            membership.clone(),
+            telemetry,
+        );
+        let daemon = RunningDaemon {
+            config,
+            environment,
+            extensions,
+            introduction,
+            inbound,
+            outbound,
+            activation,
+            membership,
+            configuration,
+            back_end,
+            control: ServerControl::default(),
+            tasks: Mutex::default(),
+        };
+        daemon.start_tasks(listeners);
+        Ok(daemon)
+    }
+}
+
+/// This node's word of itself at the start.
+fn own_record(config: &NodeConfig, environment: &Environment, listeners: &Listeners) -> MemberRecord {
+    MemberRecord {
+        node: config.node.clone(),
+        life: environment.seed_for(SeedUse::Life),
+        incarnation: Incarnation(1),
+        sequence: 0,
+        control: config.advertise.control.unwrap_or_else(|| listeners.control.local_addr()),
+        inbound: config.advertise.inbound.unwrap_or_else(|| listeners.inbound.local_addr()),
+        locality: config.locality.clone(),
+        phase: MemberPhase::Running,
+        back_end: None,
+    }
+}
+
+fn start_outbound(
+    config: &NodeConfig,
+    environment: &Environment,
+    dialect: Dialect,
+    inbound: &Arc<Inbound>,
+) -> Arc<Outbound> {
+    let identity = OutboundIdentity {
+        node: config.node.clone(),
+        locality: config.locality.clone(),
+        caller: config.service.clone(),
+        seed: environment.seed_for(SeedUse::RequestPath),
+    };
+    let settings = OutboundSettings { retry_budget: config.retry_budget, ..OutboundSettings::default() };
+    Outbound::new(
+        identity,
+        dialect,
+        settings,
+        Arc::clone(&environment.network),
+        environment.telemetry.clone(),
+        Arc::clone(inbound),
+    )
+}
+
+/// A daemon that runs.
+pub struct RunningDaemon {
+    pub(crate) config: NodeConfig,
+    pub(crate) environment: Environment,
+    pub(crate) extensions: Extensions,
+    pub(crate) introduction: Introduction,
+    pub(crate) inbound: Arc<Inbound>,
+    pub(crate) outbound: Arc<Outbound>,
+    activation: Arc<Activation>,
+    pub(crate) membership: ActorRef<MembershipMessage>,
+    configuration: ActorRef<ConfigurationMessage>,
+    back_end: Arc<BackEndMonitor>,
+    pub(crate) control: ServerControl,
+    pub(crate) tasks: Mutex<JoinSet<()>>,
+}
+
+impl std::fmt::Debug for RunningDaemon {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("RunningDaemon").field("node", &self.config.node).finish_non_exhaustive()
+    }
+}
+
+impl RunningDaemon {
+    /// Whether callers may be sent to this node.
+    ///
+    /// # Errors
+    /// Returns the reason if they should not be.
+    pub fn readiness(&self) -> Result<(), Unready> {
+        if self.control.is_leaving() {
+            return Err(Unready::Stopping);
+        }
+        if self.activation.active().is_none() {
+            return Err(Unready::NoConfiguration);
+        }
+        Ok(())
+    }
+
+    /// The back end beside this node.
+    #[must_use]
+    pub const fn back_end(&self) -> &Arc<BackEndMonitor> {
+        &self.back_end
+    }
+
+    /// What is in force.
+    #[must_use]
+    pub const fn activation(&self) -> &Arc<Activation> {
+        &self.activation
+    }
+
+    /// Events and metrics.
+    #[must_use]
+    pub const fn telemetry(&self) -> &Telemetry {
+        &self.environment.telemetry
+    }
+
+    /// Takes in what may change while the process runs; the rest needs a restart.
+    pub fn reload(&self, config: &NodeConfig) {
+        self.outbound.set_caller(config.service.clone());
+        let service = config.service.clone();
+        self.environment.telemetry.emit(Event::SettingsReloaded { service });
+    }
+
+    /// All other nodes as this one sees them; empty if the membership does not answer in time.
+    pub async fn members(&self) -> Vec<MemberView> {
+        let asked = self.membership.call(MembershipMessage::Members, Some(ACTOR_TIME)).await;
+        match asked {
+            Ok(ractor::rpc::CallResult::Success(members)) => members,
+            _ => Vec::new(),
+        }
+    }
+
+    fn start_tasks(&self, listeners: Listeners) {
+        let telemetry = self.environment.telemetry.clone();
+        let mut tasks = self.tasks.lock();
+        tasks.spawn(serve_outbound(
+            listeners.outbound,
+            Arc::clone(&self.outbound),
+            self.control.clone(),
+            telemetry.clone(),
+        ));
+        tasks.spawn(serve_inbound(listeners.inbound, Arc::clone(&self.inbound), telemetry.clone()));
+        tasks.spawn(serve_peers(listeners.control, self.configuration.clone()));
+        tasks.spawn(receive_datagrams(listeners.datagrams, self.membership.clone(), telemetry.clone()));
+        tasks.spawn(read_store(ReaderTask {
+            source: Arc::clone(&self.extensions.source),
+            settings: ReaderSettings::default(),
+            configuration: self.configuration.clone(),
+            membership: self.membership.clone(),
+            telemetry: telemetry.clone(),
+            seed: self.environment.seed_for(SeedUse::Store),
+        }));
+        tasks.spawn(directory::join(
+            Arc::clone(&self.extensions.directory),
+            self.introduction.clone(),
+            self.membership.clone(),
+            self.environment.seed_for(SeedUse::Store).wrapping_add(1),
+            telemetry,
+        ));
+        tasks.spawn(follow_unreachable(Arc::clone(&self.inbound), Arc::clone(&self.back_end)));
+        tasks.spawn(close_expired(Arc::clone(&self.inbound), Arc::clone(&self.outbound)));
+        if let Some(address) = self.config.back_end
+            && !self.config.is_first_start
+        {
+            let service = self.config.service.clone();
+            tasks.spawn(probe_at_start(Arc::clone(&self.back_end), service, address));
+        }
+    }
+}
+
+async fn follow_unreachable(inbound: Arc<Inbound>, back_end: Arc<BackEndMonitor>) {
+    let mut unreachable = inbound.watch_unreachable();
+    while let Some(instance) = unreachable.recv().await {
+        back_end.unreachable(&instance);
+    }
+}
+
+async fn close_expired(inbound: Arc<Inbound>, outbound: Arc<Outbound>) {
+    loop {
+        tokio::time::sleep(EXPIRY_INTERVAL).await;
+        inbound.close_expired();
+        outbound.close_expired();
+    }
+}
--- /dev/null
+++ b/crates/distribution/src/held.rs
@@ -0,0 +1,114 @@
+//! The configuration that a node holds, and some that it held before.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use umberpond_config::{Delta, Snapshot};
+use umberpond_model::{ContentHash, Version};
+
+use crate::transfer::{Held, Transfer, TransferError};
+
+/// Earlier versions kept, so that the difference from them can be told.
+const KEPT_VERSIONS: usize = 64;
+
+/// A whole configuration and its version.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Versioned {
+    /// The version.
+    pub version: Version,
+    /// Hash of the content.
+    pub hash: ContentHash,
+    /// The content.
+    pub snapshot: Arc<Snapshot>,
+}
+
+impl Versioned {
+    /// A configuration with its hash.
+    #[must_use]
+    pub fn new(version: Version, snapshot: Snapshot) -> Self {
+        Self { version, hash: snapshot.content_hash(), snapshot: Arc::new(snapshot) }
+    }
+
+    /// Version and hash.
+    #[must_use]
+    pub const fn held(&self) -> Held {
+        Held { version: self.version, hash: self.hash }
+    }
+}
+
+/// The configuration that a node holds. It only ever moves to a higher version.
+#[derive(Debug, Default)]
+pub struct HeldConfiguration {
+    newest: Option<Versioned>,
+    earlier: VecDeque<Versioned>,
+}
+
+impl HeldConfiguration {
+    /// The configuration held.
+    #[must_use]
+    pub const fn newest(&self) -> Option<&Versioned> {
+        self.newest.as_ref()
+    }
+
+    /// Version held.
+    #[must_use]
+    pub fn version(&self) -> Option<Version> {
+        self.newest.as_ref().map(|held| held.version)
+    }
+
+    /// Takes in a configuration; `false` if it is not newer than the one held.
+    pub fn offer(&mut self, offered: Versioned) -> bool {
+        if self.version().is_some_and(|held| held >= offered.version) {
+            return false;
+        }
+        if let Some(before) = self.newest.replace(offered) {
+            self.earlier.push_back(before);
+        }
+        if self.earlier.len() > KEPT_VERSIONS {
+            self.earlier.pop_front();
+        }
+        true
+    }
+
+    /// What a node needs that holds `held`.
+    #[must_use]
+    pub fn transfer_for(&self, held: Option<Held>) -> Transfer {
+        let Some(newest) = &self.newest else { return Transfer::NothingNewer };
+        if held.is_some_and(|held| held.version >= newest.version) {
+            return Transfer::NothingNewer;
+        }
+        let base = held.and_then(|held| self.earlier.iter().find(|earlier| earlier.held() == held));
+        match base {
+            Some(base) => Transfer::Difference {
+                from: base.held(),
+                to: newest.held(),
+                delta: Delta::between(&base.snapshot, &newest.snapshot).to_bytes(),
+            },
+            None => Transfer::Whole { to: newest.held(), content: newest.snapshot.to_bytes() },
+        }
+    }
+
+    /// The configuration that `transfer` leads to from the one held; absent if it leads to nothing newer.
+    ///
+    /// # Errors
+    /// Returns [`TransferError`] if it can't be read or does not lead where it says. Nothing changes then.
+    pub fn receive(&self, transfer: Transfer) -> Result<Option<Versioned>, TransferError> {
+        let (to, snapshot) = match transfer {
+            Transfer::NothingNewer => return Ok(None),
+            Transfer::Whole { to, content } => (to, Snapshot::from_bytes(&content)?),
+            Transfer::Difference { from, to, delta } => {
+                let base = self.newest.as_ref().filter(|newest| newest.held() == from);
+                let base = base.ok_or(TransferError::OtherBase)?;
+                (to, Delta::from_bytes(&delta)?.apply(&base.snapshot))
+            }
+        };
+        if self.version().is_some_and(|held| held >= to.version) {
+            return Ok(None);
+        }
+        let received = Versioned::new(to.version, snapshot);
+        if received.hash != to.hash {
+            return Err(TransferError::OtherContent);
+        }
+        Ok(Some(received))
+    }
+}
--- /dev/null
+++ b/crates/forwarding/src/hop/client.rs
@@ -0,0 +1,277 @@
+//! The caller's side of an exchange with another node.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use parking_lot::Mutex;
+use tokio::io::{ReadHalf, WriteHalf};
+use tokio::time::{Instant, timeout_at};
+use umberpond_net::{BoxStream, FrameReader, FrameWriter, Network};
+
+use super::protocol::{HopAnswer, HopBody, HopRequest, HopResponse, OpenHop, decode_fields};
+use crate::message::{
+    Answer, AnswerBody, Attempt, AttemptResult, BodyStream, BrokenAnswer, NotRun, RequestBody,
+};
+use crate::outcome::{NotRunReason, UnknownReason};
+
+/// Limits of the connections to other nodes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct HopPoolSettings {
+    /// Longest time to open a connection.
+    pub(crate) connect_time: Duration,
+    /// Longest time that an idle connection is kept.
+    pub(crate) idle_time: Duration,
+    /// Most idle connections kept to one node.
+    pub(crate) idle_per_node: usize,
+}
+
+struct HopConnection {
+    reader: FrameReader<ReadHalf<BoxStream>, HopResponse>,
+    writer: FrameWriter<WriteHalf<BoxStream>, HopRequest>,
+    idle_since: Instant,
+}
+
+impl HopConnection {
+    fn new(stream: BoxStream) -> Self {
+        let (reader, writer) = tokio::io::split(stream);
+        Self {
+            reader: FrameReader::new(reader),
+            writer: FrameWriter::new(writer),
+            idle_since: Instant::now(),
+        }
+    }
+
+    /// Whether the other node has neither closed the connection nor said anything unasked.
+    fn is_usable(&mut self, idle_time: Duration) -> bool {
+        self.idle_since.elapsed() < idle_time && self.reader.next().now_or_never().is_none()
+    }
+}
+
+/// Idle connections to other nodes.
+pub(crate) struct HopPool {
+    network: Arc<dyn Network>,
+    settings: HopPoolSettings,
+    idle: Mutex<HashMap<SocketAddr, Vec<HopConnection>>>,
+}
+
+impl HopPool {
+    pub(crate) fn new(network: Arc<dyn Network>, settings: HopPoolSettings) -> Arc<Self> {
+        Arc::new(Self { network, settings, idle: Mutex::default() })
+    }
+
+    /// Sends `attempt` to the node at `address`. Dropping the future gives the attempt up there too.
+    pub(crate) async fn run(self: &Arc<Self>, address: SocketAddr, mut attempt: Attempt) -> AttemptResult {
+        let deadline = attempt.deadline;
+        let Some(connection) = self.connection(address, deadline).await else {
+            return AttemptResult::NotRun(NotRun::before_back_end(NotRunReason::NodeUnreachable));
+        };
+        let body = std::mem::replace(&mut attempt.body, RequestBody::Spent);
+        let exchange = self.exchange(address, connection, &attempt, body);
+        match timeout_at(deadline, exchange).await {
+            Ok(result) => result,
+            Err(_elapsed) => AttemptResult::Unknown(UnknownReason::TimedOut),
+        }
+    }
+
+    /// Closes the connections that were idle too long or that the other node has closed.
+    pub(crate) fn close_expired(&self) {
+        self.idle.lock().retain(|_address, connections| {
+            connections.retain_mut(|connection| connection.is_usable(self.settings.idle_time));
+            !connections.is_empty()
+        });
+    }
+
+    async fn connection(&self, address: SocketAddr, deadline: Instant) -> Option<HopConnection> {
+        while let Some(mut connection) = self.take_idle(address) {
+            if connection.is_usable(self.settings.idle_time) {
+                return Some(connection);
+            }
+        }
+        let until = deadline.min(Instant::now() + self.settings.connect_time);
+        let connecting = timeout_at(until, self.network.connect(address));
+        connecting.await.ok()?.ok().map(HopConnection::new)
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<HopConnection> {
+        self.idle.lock().get_mut(&address)?.pop()
+    }
+
+    fn put_back(&self, address: SocketAddr, mut connection: HopConnection) {
+        connection.idle_since = Instant::now();
+        let mut idle = self.idle.lock();
+        let connections = idle.entry(address).or_default();
+        if connections.len() < self.settings.idle_per_node {
+            connections.push(connection);
+        }
+    }
+
+    async fn exchange(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        mut connection: HopConnection,
+        attempt: &Attempt,
+        body: RequestBody,
+    ) -> AttemptResult {
+        let lost = AttemptResult::Unknown(UnknownReason::NodeLost);
+        let (first, is_sent_whole) = match body {
+            RequestBody::Whole(whole) => {
+                let open = OpenHop::of(attempt, HopBody::Whole(whole.to_vec()));
+                if connection.writer.send(&HopRequest::Open(Box::new(open))).await.is_err() {
+                    return lost;
+                }
+                (connection.reader.next().await, true)
+            }
+            RequestBody::Stream(mut stream) => {
+                let open = OpenHop::of(attempt, HopBody::Parts(stream.length));
+                if connection.writer.send(&HopRequest::Open(Box::new(open))).await.is_err() {
+                    return lost;
+                }
+                send_while_waiting(&mut connection, &mut stream).await
+            }
+            RequestBody::Spent => {
+                return AttemptResult::NotRun(NotRun::before_back_end(NotRunReason::BodyBroken));
+            }
+        };
+        let Ok(Some((response, _size))) = first else { return lost };
+        match response {
+            HopResponse::Answered(answer) => {
+                self.answered(address, connection, *answer, is_sent_whole, attempt.deadline)
+            }
+            HopResponse::NotRun(told) => {
+                if is_sent_whole {
+                    self.put_back(address, connection);
+                }
+                AttemptResult::NotRun(told.into())
+            }
+            HopResponse::Unknown(reason) => {
+                if is_sent_whole {
+                    self.put_back(address, connection);
+                }
+                AttemptResult::Unknown(reason)
+            }
+            HopResponse::BodyPart(_) | HopResponse::BodyEnd | HopResponse::BodyBroken => lost,
+        }
+    }
+
+    fn answered(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        connection: HopConnection,
+        answer: HopAnswer,
+        is_sent_whole: bool,
+        deadline: Instant,
+    ) -> AttemptResult {
+        let body = match answer.body {
+            HopBody::Whole(whole) => {
+                if is_sent_whole {
+                    self.put_back(address, connection);
+                }
+                AnswerBody::Whole(whole.into())
+            }
+            HopBody::Parts(length) => AnswerBody::Hop(Box::new(HopAnswerBody {
+                connection: Some(connection),
+                pool: Arc::clone(self),
+                address,
+                length,
+                deadline,
+                is_kept: is_sent_whole,
+            })),
+        };
+        AttemptResult::Answered(Answer {
+            status: answer.status,
+            fields: decode_fields(answer.fields),
+            body,
+            served_in: Duration::from_micros(answer.served_in),
+            waited: Duration::from_micros(answer.waited),
+            load: answer.load,
+        })
+    }
+}
+
+impl std::fmt::Debug for HopPool {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("HopPool").field("settings", &self.settings).finish_non_exhaustive()
+    }
+}
+
+type Frame = Result<Option<(HopResponse, usize)>, umberpond_net::FrameError>;
+
+/// Sends the body while it arrives, until an answer comes; tells the answer and whether the whole body was sent.
+async fn send_while_waiting(connection: &mut HopConnection, stream: &mut BodyStream) -> (Frame, bool) {
+    let HopConnection { reader, writer, .. } = connection;
+    let mut is_sent_whole = false;
+    let sending = send_stream(writer, stream);
+    tokio::pin!(sending);
+    loop {
+        tokio::select! {
+            biased;
+            frame = reader.next() => return (frame, is_sent_whole),
+            sent = &mut sending, if !is_sent_whole => {
+                if !sent {
+                    // The caller's body broke off: the other node is told by the end of the connection.
+                    return (Ok(None), false);
+                }
+                is_sent_whole = true;
+            }
+        }
+    }
+}
+
+async fn send_stream(
+    writer: &mut FrameWriter<WriteHalf<BoxStream>, HopRequest>,
+    stream: &mut BodyStream,
+) -> bool {
+    while let Some(part) = stream.parts.recv().await {
+        let Ok(part) = part else { return false };
+        if writer.send(&HopRequest::BodyPart(part.to_vec())).await.is_err() {
+            return false;
+        }
+    }
+    writer.send(&HopRequest::BodyEnd).await.is_ok()
+}
+
+/// The rest of a long body that comes from another node.
+pub struct HopAnswerBody {
+    connection: Option<HopConnection>,
+    pool: Arc<HopPool>,
+    address: SocketAddr,
+    length: Option<u64>,
+    deadline: Instant,
+    is_kept: bool,
+}
+
+impl std::fmt::Debug for HopAnswerBody {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("HopAnswerBody").field("address", &self.address).finish_non_exhaustive()
+    }
+}
+
+impl HopAnswerBody {
+    pub(crate) const fn length(&self) -> Option<u64> {
+        self.length
+    }
+
+    pub(crate) async fn next_part(&mut self) -> Result<Option<Bytes>, BrokenAnswer> {
+        let Some(mut connection) = self.connection.take() else { return Ok(None) };
+        let frame =
+            timeout_at(self.deadline, connection.reader.next()).await.map_err(|_elapsed| BrokenAnswer)?;
+        let frame = frame.map_err(|_broken| BrokenAnswer)?;
+        match frame.map(|(response, _size)| response) {
+            Some(HopResponse::BodyPart(part)) => {
+                self.connection = Some(connection);
+                Ok(Some(part.into()))
+            }
+            Some(HopResponse::BodyEnd) => {
+                if self.is_kept {
+                    self.pool.put_back(self.address, connection);
+                }
+                Ok(None)
+            }
+            _ => Err(BrokenAnswer),
+        }
+    }
+}
--- /dev/null
+++ b/crates/forwarding/src/hop/mod.rs
@@ -0,0 +1,9 @@
+//! The way from one node to another: one exchange at a time on a connection, in bitcode frames.
+
+mod client;
+mod protocol;
+mod server;
+
+pub use client::HopAnswerBody;
+pub(crate) use client::{HopPool, HopPoolSettings};
+pub(crate) use server::serve_hop_connection;
--- /dev/null
+++ b/crates/forwarding/src/hop/protocol.rs
@@ -0,0 +1,191 @@
+//! Messages between two nodes about one request.
+
+use std::time::Duration;
+
+use bitcode::{Decode, Encode};
+use bytes::Bytes;
+use tokio::time::Instant;
+use umberpond_http1::Fields;
+use umberpond_model::ServiceName;
+use umberpond_scheduling::LoadReport;
+
+use crate::message::{Answer, Attempt, NotRun, RequestBody};
+use crate::outcome::{NotRunReason, UnknownReason};
+
+/// From the caller's node to the node beside the back end.
+#[derive(Debug, Encode, Decode)]
+pub(crate) enum HopRequest {
+    /// Starts an exchange.
+    Open(Box<OpenHop>),
+    /// A part of the body.
+    BodyPart(Vec<u8>),
+    /// The body has come to its proper end.
+    BodyEnd,
+}
+
+/// From the node beside the back end to the caller's node.
+#[derive(Debug, Encode, Decode)]
+pub(crate) enum HopResponse {
+    /// The back end answered.
+    Answered(Box<HopAnswer>),
+    /// The request did not run and never will.
+    NotRun(HopNotRun),
+    /// The request may have run.
+    Unknown(UnknownReason),
+    /// A part of the answer's body.
+    BodyPart(Vec<u8>),
+    /// The answer's body has come to its proper end.
+    BodyEnd,
+    /// The answer's body broke off.
+    BodyBroken,
+}
+
+/// A header field.
+#[derive(Debug, Encode, Decode)]
+pub(crate) struct HopField {
+    name: Vec<u8>,
+    value: Vec<u8>,
+}
+
+/// How a body travels.
+#[derive(Debug, Encode, Decode)]
+pub(crate) enum HopBody {
+    /// Inside this message.
+    Whole(Vec<u8>),
+    /// In parts that follow; with its length, if known.
+    Parts(Option<u64>),
+}
+
+/// Everything about an attempt but its body's parts. Times are relative, in microseconds.
+#[derive(Debug, Encode, Decode)]
+pub(crate) struct OpenHop {
+    id: Vec<u8>,
+    service: ServiceName,
+    caller: ServiceName,
+    method: Vec<u8>,
+    target: Vec<u8>,
+    fields: Vec<HopField>,
+    is_idempotent: bool,
+    priority: u8,
+    objective_left: u64,
+    deadline_left: u64,
+    patience: u64,
+    pub(crate) body: HopBody,
+}
+
+/// An answer's head, and its body if it is short.
+#[derive(Debug, Encode, Decode)]
+pub(crate) struct HopAnswer {
+    pub(crate) status: u16,
+    pub(crate) fields: Vec<HopField>,
+    pub(crate) body: HopBody,
+    /// Microseconds in the back end.
+    pub(crate) served_in: u64,
+    /// Microseconds in the queue.
+    pub(crate) waited: u64,
+    pub(crate) load: LoadReport,
+}
+
+/// A request that did not run.
+#[derive(Debug, Encode, Decode)]
+pub(crate) struct HopNotRun {
+    reason: NotRunReason,
+    reached_back_end: bool,
+    /// Microseconds.
+    retry_after: Option<u64>,
+    load: Option<LoadReport>,
+}
+
+impl OpenHop {
+    /// The message for `attempt`, whose body travels as `body`.
+    pub(crate) fn of(attempt: &Attempt, body: HopBody) -> Self {
+        let now = Instant::now();
+        Self {
+            id: attempt.id.to_vec(),
+            service: attempt.service.clone(),
+            caller: attempt.caller.clone(),
+            method: attempt.method.to_vec(),
+            target: attempt.target.to_vec(),
+            fields: encode_fields(&attempt.fields),
+            is_idempotent: attempt.is_idempotent,
+            priority: attempt.priority,
+            objective_left: micros(attempt.objective_at.saturating_duration_since(now)),
+            deadline_left: micros(attempt.deadline.saturating_duration_since(now)),
+            patience: micros(attempt.patience),
+            body,
+        }
+    }
+
+    /// The attempt, with `body` for its body.
+    pub(crate) fn into_attempt(self, body: RequestBody) -> Attempt {
+        let now = Instant::now();
+        Attempt {
+            id: self.id.into(),
+            service: self.service,
+            caller: self.caller,
+            method: self.method.into(),
+            target: self.target.into(),
+            fields: decode_fields(self.fields),
+            body,
+            is_idempotent: self.is_idempotent,
+            priority: self.priority,
+            objective_at: now + Duration::from_micros(self.objective_left),
+            deadline: now + Duration::from_micros(self.deadline_left),
+            patience: Duration::from_micros(self.patience),
+        }
+    }
+}
+
+impl HopAnswer {
+    /// The message for `answer`, whose body travels as `body`.
+    pub(crate) fn of(answer: &Answer, body: HopBody) -> Self {
+        Self {
+            status: answer.status,
+            fields: encode_fields(&answer.fields),
+            body,
+            served_in: micros(answer.served_in),
+            waited: micros(answer.waited),
+            load: answer.load,
+        }
+    }
+}
+
+impl From<NotRun> for HopNotRun {
+    fn from(not_run: NotRun) -> Self {
+        Self {
+            reason: not_run.reason,
+            reached_back_end: not_run.reached_back_end,
+            retry_after: not_run.retry_after.map(micros),
+            load: not_run.load,
+        }
+    }
+}
+
+impl From<HopNotRun> for NotRun {
+    fn from(told: HopNotRun) -> Self {
+        Self {
+            reason: told.reason,
+            reached_back_end: told.reached_back_end,
+            retry_after: told.retry_after.map(Duration::from_micros),
+            load: told.load,
+        }
+    }
+}
+
+fn encode_fields(fields: &Fields) -> Vec<HopField> {
+    let encode =
+        |field: &umberpond_http1::Field| HopField { name: field.name.to_vec(), value: field.value.to_vec() };
+    fields.iter().map(encode).collect()
+}
+
+pub(crate) fn decode_fields(fields: Vec<HopField>) -> Fields {
+    let decode = |field: HopField| umberpond_http1::Field {
+        name: Bytes::from(field.name),
+        value: Bytes::from(field.value),
+    };
+    fields.into_iter().map(decode).collect()
+}
+
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -0,0 +1,322 @@
+//! What is known of the back end beside this node, and how a request gets to it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use parking_lot::Mutex;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use umberpond_http1::Fields;
+use umberpond_model::ServiceName;
+use umberpond_net::Network;
+use umberpond_scheduling::{DuplicateWindow, LoadReport, Refusal, WorkItem};
+use umberpond_telemetry::{Event, Telemetry};
+
+use super::admission::{Admission, Permit};
+use crate::dialect::Dialect;
+use crate::message::{Answer, AnswerBody, Attempt, AttemptResult, NotRun, RequestBody};
+use crate::outcome::{NotRunReason, UnknownReason};
+use crate::upstream::{
+    ExchangeEnd, ExchangeRequest, Exchanger, Health, UpstreamPool, UpstreamSettings, ask_health,
+};
+
+/// Limits of the inbound half.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct InboundSettings {
+    /// Longest time to open a connection to the back end.
+    pub connect_time: Duration,
+    /// Most idle connections kept to the back end.
+    pub idle_connections: usize,
+}
+
+impl Default for InboundSettings {
+    fn default() -> Self {
+        Self { connect_time: Duration::from_millis(300), idle_connections: 64 }
+    }
+}
+
+/// One life of the back end.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BackEnd {
+    /// Identity of this life.
+    pub instance: String,
+    /// Service that it serves.
+    pub service: ServiceName,
+    /// Address at which it takes requests.
+    pub address: SocketAddr,
+    /// Requests it works on at once.
+    pub slots: u32,
+}
+
+#[derive(Debug)]
+struct Current {
+    back_end: BackEnd,
+    pool: Arc<UpstreamPool>,
+    is_open: bool,
+}
+
+/// The inbound half of one node.
+pub struct Inbound {
+    dialect: Dialect,
+    settings: InboundSettings,
+    network: Arc<dyn Network>,
+    telemetry: Telemetry,
+    admission: Arc<Admission>,
+    current: Mutex<Option<Current>>,
+    duplicates: Mutex<DuplicateWindow>,
+    unreachable: Mutex<Option<mpsc::UnboundedSender<String>>>,
+}
+
+impl std::fmt::Debug for Inbound {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("Inbound").field("current", &*self.current.lock()).finish_non_exhaustive()
+    }
+}
+
+impl Inbound {
+    /// The inbound half of a node whose back end is not known yet.
+    #[must_use]
+    pub fn new(
+        dialect: Dialect,
+        settings: InboundSettings,
+        network: Arc<dyn Network>,
+        telemetry: Telemetry,
+    ) -> Self {
+        Self {
+            dialect,
+            settings,
+            network,
+            telemetry,
+            admission: Arc::default(),
+            current: Mutex::new(None),
+            duplicates: Mutex::default(),
+            unreachable: Mutex::new(None),
+        }
+    }
+
+    /// The lives of the back end that could not be reached, from now on.
+    pub fn watch_unreachable(&self) -> mpsc::UnboundedReceiver<String> {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        *self.unreachable.lock() = Some(sender);
+        receiver
+    }
+
+    /// Takes new work for `back_end` from now on.
+    pub fn open(&self, back_end: BackEnd) {
+        let mut current = self.current.lock();
+        let is_same = current.as_ref().is_some_and(|held| {
+            held.back_end.instance == back_end.instance && held.back_end.address == back_end.address
+        });
+        if !is_same {
+            self.admission.close();
+            self.admission.forget_service_time();
+        }
+        let pool = match current.take() {
+            Some(held) if is_same => held.pool,
+            _ => self.new_pool(back_end.address),
+        };
+        self.admission.open(back_end.slots);
+        *current = Some(Current { back_end, pool, is_open: true });
+    }
+
+    /// Takes no new work from now on; what waits is refused, what runs goes on.
+    pub fn close(&self) {
+        if let Some(current) = self.current.lock().as_mut() {
+            current.is_open = false;
+        }
+        self.admission.close();
+    }
+
+    /// The load of the back end.
+    #[must_use]
+    pub fn load(&self) -> LoadReport {
+        self.admission.report()
+    }
+
+    /// Closes connections to the back end that may not serve again.
+    pub fn close_expired(&self) {
+        if let Some(current) = self.current.lock().as_ref() {
+            current.pool.close_expired();
+        }
+    }
+
+    /// Asks the back end at `address` whether it is well; absent if it does not say so.
+    pub async fn ask_health(&self, address: SocketAddr, path: &str) -> Option<Health> {
+        ask_health(&*self.network, &self.dialect, address, path).await
+    }
+
+    /// Serves one attempt. Dropping the future gives it up, also at the back end.
+    pub(crate) async fn serve(&self, attempt: Attempt) -> AttemptResult {
+        let (back_end, pool) = match self.target(&attempt) {
+            Ok(target) => target,
+            Err(reason) => return self.refused(&attempt, NotRun::before_back_end(reason)),
+        };
+        if !attempt.is_idempotent && !self.duplicates.lock().admit(now(), &attempt.id) {
+            self.telemetry.emit(Event::DuplicateRefused { request: text(&attempt.id) });
+            return AttemptResult::Unknown(UnknownReason::Duplicate);
+        }
+        let arrived = Instant::now();
+        let permit = match self.admission.admit(work_item(&attempt)).await {
+            Ok(permit) => permit,
+            Err(refusal) => {
+                self.duplicates.lock().withdraw(&attempt.id);
+                return self.refused(&attempt, not_admitted(refusal));
+            }
+        };
+        self.hand_over(attempt, &back_end, &pool, permit, arrived.elapsed()).await
+    }
+
+    fn target(&self, attempt: &Attempt) -> Result<(BackEnd, Arc<UpstreamPool>), NotRunReason> {
+        let current = self.current.lock();
+        let Some(current) = current.as_ref() else { return Err(NotRunReason::WrongInstance) };
+        if current.back_end.service != attempt.service {
+            return Err(NotRunReason::WrongInstance);
+        }
+        if !current.is_open {
+            return Err(NotRunReason::Draining);
+        }
+        Ok((current.back_end.clone(), Arc::clone(&current.pool)))
+    }
+
+    async fn hand_over(
+        &self,
+        mut attempt: Attempt,
+        back_end: &BackEnd,
+        pool: &Arc<UpstreamPool>,
+        mut permit: Permit,
+        waited: Duration,
+    ) -> AttemptResult {
+        let body = std::mem::replace(&mut attempt.body, RequestBody::Spent);
+        let fields = self.fields_for(&attempt, back_end);
+        let request = ExchangeRequest {
+            id: &attempt.id,
+            method: &attempt.method,
+            target: &attempt.target,
+            fields: &fields,
+            deadline: attempt.deadline,
+        };
+        let exchanger = Exchanger { pool, dialect: &self.dialect };
+        match exchanger.run(&request, body).await {
+            ExchangeEnd::Answered { status, mut fields, body } => {
+                fields.remove_connection_fields();
+                permit.on_answered();
+                self.admission.record_answer(true);
+                let served_in = permit.elapsed();
+                let body = holding(body, permit);
+                let load = self.load();
+                AttemptResult::Answered(Answer { status, fields, body, served_in, waited, load })
+            }
+            ExchangeEnd::NotSent(reason) => {
+                drop(permit);
+                self.duplicates.lock().withdraw(&attempt.id);
+                if reason == NotRunReason::BackEndUnreachable {
+                    pool.clear();
+                    self.tell_unreachable(&back_end.instance);
+                }
+                self.refused(&attempt, NotRun::before_back_end(reason))
+            }
+            ExchangeEnd::Rejected { status } => {
+                drop(permit);
+                self.duplicates.lock().withdraw(&attempt.id);
+                let reason =
+                    if status == 421 { NotRunReason::WrongInstance } else { NotRunReason::BackEndRejected };
+                self.refused(&attempt, NotRun { reached_back_end: true, ..NotRun::before_back_end(reason) })
+            }
+            ExchangeEnd::Unknown(reason) => {
+                self.admission.record_answer(false);
+                self.telemetry.emit(Event::ExchangeLost {
+                    request: text(&attempt.id),
+                    instance: back_end.instance.clone(),
+                    reason: reason.to_string(),
+                    elapsed_millis: millis(permit.elapsed()),
+                });
+                AttemptResult::Unknown(reason)
+            }
+        }
+    }
+
+    fn tell_unreachable(&self, instance: &str) {
+        if let Some(watcher) = &*self.unreachable.lock() {
+            // Nobody watches any more when the process leaves.
+            let _ = watcher.send(instance.to_owned());
+        }
+    }
+
+    fn refused(&self, attempt: &Attempt, not_run: NotRun) -> AttemptResult {
+        let load = self.load();
+        self.telemetry.emit(Event::AdmissionRefused {
+            request: text(&attempt.id),
+            service: attempt.service.clone(),
+            reason: not_run.reason.to_string(),
+            running: load.running,
+            waiting: load.waiting,
+            slots: load.slots,
+            patience_millis: millis(attempt.patience),
+        });
+        AttemptResult::NotRun(NotRun { load: Some(load), ..not_run })
+    }
+
+    fn fields_for(&self, attempt: &Attempt, back_end: &BackEnd) -> Fields {
+        let mut fields = attempt.fields.clone();
+        let left = attempt.deadline.saturating_duration_since(Instant::now());
+        fields.set(self.dialect.request_id, attempt.id.clone());
+        fields.set(self.dialect.deadline_millis, number(millis(left)));
+        fields.set(self.dialect.expected_instance, back_end.instance.clone().into_bytes());
+        fields.set(self.dialect.caller, Bytes::copy_from_slice(attempt.caller.as_str().as_bytes()));
+        fields
+    }
+
+    fn new_pool(&self, address: SocketAddr) -> Arc<UpstreamPool> {
+        let settings = UpstreamSettings {
+            connect_time: self.settings.connect_time,
+            idle: self.settings.idle_connections,
+        };
+        UpstreamPool::new(Arc::clone(&self.network), address, settings)
+    }
+}
+
+fn now() -> std::time::Instant {
+    Instant::now().into_std()
+}
+
+fn text(id: &[u8]) -> String {
+    String::from_utf8_lossy(id).into_owned()
+}
+
+fn number(value: u64) -> Bytes {
+    Bytes::copy_from_slice(itoa::Buffer::new().format(value).as_bytes())
+}
+
+pub(crate) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn work_item(attempt: &Attempt) -> WorkItem {
+    WorkItem {
+        priority: attempt.priority,
+        objective_at: attempt.objective_at.into_std(),
+        deadline: attempt.deadline.into_std(),
+        patience: attempt.patience,
+    }
+}
+
+fn not_admitted(refusal: Refusal) -> NotRun {
+    match refusal {
+        Refusal::Closed => NotRun::before_back_end(NotRunReason::Draining),
+        Refusal::Expired => NotRun::before_back_end(NotRunReason::DeadlineBeforeRun),
+        Refusal::QueueFull => NotRun::before_back_end(NotRunReason::Overloaded),
+        Refusal::WaitTooLong { expected } => {
+            NotRun { retry_after: Some(expected), ..NotRun::before_back_end(NotRunReason::Overloaded) }
+        }
+    }
+}
+
+/// The body, holding the slot as long as it still comes from the back end.
+fn holding(mut body: AnswerBody, permit: Permit) -> AnswerBody {
+    if let AnswerBody::Upstream(upstream) = &mut body {
+        upstream.hold(permit);
+    }
+    body
+}
--- /dev/null
+++ b/crates/forwarding/src/inbound/mod.rs
@@ -0,0 +1,8 @@
+//! The half beside the back end: admits, queues and hands over requests. It is the only way to the back end.
+
+mod admission;
+mod back_end;
+
+pub(crate) use admission::Permit;
+pub(crate) use back_end::millis;
+pub use back_end::{BackEnd, Inbound, InboundSettings};
--- /dev/null
+++ b/crates/forwarding/src/message.rs
@@ -0,0 +1,173 @@
+//! Requests and answers as both halves of the request path handle them.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use umberpond_http1::Fields;
+use umberpond_model::ServiceName;
+use umberpond_scheduling::LoadReport;
+
+use crate::hop::HopAnswerBody;
+use crate::outcome::{NotRunReason, UnknownReason};
+use crate::upstream::UpstreamBody;
+
+/// A request body that broke off or came too slowly.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BrokenBody;
+
+/// A request body that arrives while the request is being sent on.
+#[derive(Debug)]
+pub struct BodyStream {
+    /// Length, if the sender told it.
+    pub length: Option<u64>,
+    /// The parts, closed after the last one.
+    pub parts: mpsc::Receiver<Result<Bytes, BrokenBody>>,
+}
+
+/// Body of a request.
+#[derive(Debug)]
+pub enum RequestBody {
+    /// The whole body; it can be sent again.
+    Whole(Bytes),
+    /// A body that is still arriving; it can be sent once.
+    Stream(BodyStream),
+    /// A body that arrived while it was sent on, and is spent.
+    Spent,
+}
+
+impl RequestBody {
+    /// The body for one attempt; a stream can be taken only once.
+    pub fn take(&mut self) -> Option<Self> {
+        match self {
+            Self::Whole(whole) => Some(Self::Whole(whole.clone())),
+            Self::Stream(_) => Some(std::mem::replace(self, Self::Spent)),
+            Self::Spent => None,
+        }
+    }
+
+    /// Whether the body can be sent at all any more.
+    #[must_use]
+    pub const fn is_spent(&self) -> bool {
+        matches!(self, Self::Spent)
+    }
+}
+
+/// One attempt of a request, as the node beside the back end gets it.
+#[derive(Debug)]
+pub struct Attempt {
+    /// Identity of the request, given by the caller.
+    pub id: Bytes,
+    /// Service that is meant.
+    pub service: ServiceName,
+    /// Service on whose behalf the request is sent.
+    pub caller: ServiceName,
+    /// Method.
+    pub method: Bytes,
+    /// Request target, as the caller sent it.
+    pub target: Bytes,
+    /// End-to-end header fields.
+    pub fields: Fields,
+    /// Body.
+    pub body: RequestBody,
+    /// Whether the request may run more than once.
+    pub is_idempotent: bool,
+    /// Rank among the requests for the back end.
+    pub priority: u8,
+    /// End of the time within which an answer is of full use.
+    pub objective_at: Instant,
+    /// End of the time within which an answer is of any use.
+    pub deadline: Instant,
+    /// Longest time that the request may wait for a slot.
+    pub patience: Duration,
+}
+
+/// What is known about an attempt at its end.
+#[derive(Debug)]
+pub enum AttemptResult {
+    /// The back end answered.
+    Answered(Answer),
+    /// It is known that the request did not run, and that it never will.
+    NotRun(NotRun),
+    /// The request may have run.
+    Unknown(UnknownReason),
+}
+
+/// A request that did not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NotRun {
+    /// Why.
+    pub reason: NotRunReason,
+    /// Whether it arrived at a back end, which turned it away.
+    pub reached_back_end: bool,
+    /// Time after which it may be sent again with better hope, if known.
+    pub retry_after: Option<Duration>,
+    /// Load of the back end, if its node told it.
+    pub load: Option<LoadReport>,
+}
+
+impl NotRun {
+    /// A request that never came near a back end.
+    #[must_use]
+    pub const fn before_back_end(reason: NotRunReason) -> Self {
+        Self { reason, reached_back_end: false, retry_after: None, load: None }
+    }
+}
+
+/// The answer of a back end.
+#[derive(Debug)]
+pub struct Answer {
+    /// Status code.
+    pub status: u16,
+    /// End-to-end header fields.
+    pub fields: Fields,
+    /// Body.
+    pub body: AnswerBody,
+    /// Time between handing the request to the back end and its answer.
+    pub served_in: Duration,
+    /// Time the request waited for a slot.
+    pub waited: Duration,
+    /// Load of the back end.
+    pub load: LoadReport,
+}
+
+/// Body of an answer.
+#[derive(Debug)]
+pub enum AnswerBody {
+    /// The whole body.
+    Whole(Bytes),
+    /// A long body that comes straight from the back end.
+    Upstream(Box<UpstreamBody>),
+    /// A long body that comes from another node.
+    Hop(Box<HopAnswerBody>),
+}
+
+/// An answer's body that broke off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BrokenAnswer;
+
+impl AnswerBody {
+    /// Length, if known.
+    #[must_use]
+    pub fn length(&self) -> Option<u64> {
+        match self {
+            Self::Whole(whole) => Some(whole.len() as u64),
+            Self::Upstream(body) => body.length(),
+            Self::Hop(body) => body.length(),
+        }
+    }
+
+    /// The next part; `None` at the proper end.
+    ///
+    /// # Errors
+    /// Returns [`BrokenAnswer`] when the body breaks off.
+    pub async fn next_part(&mut self) -> Result<Option<Bytes>, BrokenAnswer> {
+        match self {
+            Self::Whole(whole) if whole.is_empty() => Ok(None),
+            Self::Whole(whole) => Ok(Some(std::mem::take(whole))),
+            Self::Upstream(body) => body.next_part().await,
+            Self::Hop(body) => body.next_part().await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -0,0 +1,297 @@
+//! The attempts of one request, one after another, until it is answered or given up.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::time::Instant;
+use umberpond_http1::RequestHead;
+use umberpond_model::{NodeName, ServiceName, Version};
+use umberpond_selection::{Choice, Observation, Query};
+use umberpond_telemetry::Event;
+
+use super::handler::Outbound;
+use super::reply::{Reply, ReplyReason};
+use crate::inbound::millis;
+use crate::message::{Answer, Attempt, AttemptResult, NotRun, RequestBody};
+use crate::outcome::{NotRunReason, UnknownReason};
+use crate::routing::CompiledRoute;
+
+/// Time that must be left for another attempt.
+const SHORTEST_ATTEMPT: Duration = Duration::from_millis(10);
+/// When a caller comes back whose request did not run, if nothing better is known.
+const COME_BACK: Duration = Duration::from_millis(200);
+/// Most attempts that never came near a back end; they are free, but each takes time.
+const MAX_FREE_ATTEMPTS: u32 = 8;
+
+/// A request with its route.
+#[derive(Debug)]
+pub(super) struct PreparedRequest {
+    pub(super) id: Bytes,
+    pub(super) head: RequestHead,
+    pub(super) body: RequestBody,
+    pub(super) route: Arc<CompiledRoute>,
+    pub(super) service: ServiceName,
+    /// Version of the configuration by which the route was found.
+    pub(super) version: Version,
+    pub(super) arrived: Instant,
+    /// Longest time from the arrival to the answer.
+    pub(super) time: Duration,
+}
+
+/// A request on its way through its attempts.
+pub(super) struct Attempts<'a> {
+    outbound: &'a Arc<Outbound>,
+    request: PreparedRequest,
+    deadline: Instant,
+    tried: Vec<NodeName>,
+    /// Back ends at which the request has arrived.
+    reached: u32,
+    free_attempts: u32,
+    /// Why an earlier attempt may have run, if one may.
+    may_have_run: Option<UnknownReason>,
+}
+
+/// How an attempt ended, as far as the next step is concerned.
+enum Next {
+    Reply(Reply),
+    TryAgain,
+}
+
+impl<'a> Attempts<'a> {
+    pub(super) fn new(outbound: &'a Arc<Outbound>, request: PreparedRequest) -> Self {
+        let deadline = request.arrived + request.time;
+        Self {
+            outbound,
+            request,
+            deadline,
+            tried: Vec::new(),
+            reached: 0,
+            free_attempts: 0,
+            may_have_run: None,
+        }
+    }
+
+    pub(super) async fn run(mut self) -> Reply {
+        self.outbound.count_request(&self.request.service);
+        let mut last = NotRun::before_back_end(NotRunReason::NoEndpoint);
+        loop {
+            let Some(choice) = self.choose() else { return self.not_run(last) };
+            let Some(body) = self.request.body.take() else { return self.not_run(last) };
+            let result = self.send(&choice, body).await;
+            match self.on_result(&choice, result, &mut last) {
+                Next::Reply(reply) => return reply,
+                Next::TryAgain => {}
+            }
+        }
+    }
+
+    /// An endpoint that was not tried.
+    fn choose(&self) -> Option<Choice> {
+        let now = Instant::now().into_std();
+        let selector = self.outbound.selector.lock();
+        let mut random = self.outbound.random.lock();
+        selector.choose(now, &mut *random, &self.request.service, Query { tried: &self.tried })
+    }
+
+    async fn send(&self, choice: &Choice, body: RequestBody) -> AttemptResult {
+        let attempt = self.attempt(body);
+        let outbound = self.outbound;
+        outbound.selector.lock().on_sent(&self.request.service, &choice.node);
+        let mut sent = SentGuard { attempts: self, node: &choice.node, is_open: true };
+        let began = Instant::now();
+        let result = if outbound.is_own(&choice.node, choice.address) {
+            outbound.inbound.serve(attempt).await
+        } else {
+            outbound.hops.run(choice.address, attempt).await
+        };
+        sent.is_open = false;
+        self.observe(choice, &result, began.elapsed());
+        result
+    }
+
+    fn attempt(&self, body: RequestBody) -> Attempt {
+        let request = &self.request;
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        Attempt {
+            id: request.id.clone(),
+            service: request.service.clone(),
+            caller: (*self.outbound.caller()).clone(),
+            method: request.head.method.clone(),
+            target: request.head.target.clone(),
+            fields: request.head.fields.clone(),
+            body,
+            is_idempotent: request.route.is_idempotent,
+            priority: request.route.priority,
+            objective_at: request.arrived + request.route.objective,
+            deadline: self.deadline,
+            patience: left,
+        }
+    }
+
+    /// Tells the selector how the attempt ended.
+    fn observe(&self, choice: &Choice, result: &AttemptResult, elapsed: Duration) {
+        let observation = match result {
+            AttemptResult::Answered(answer) => Observation::Answered(answer.load),
+            AttemptResult::NotRun(not_run) => not_run_observation(not_run),
+            AttemptResult::Unknown(UnknownReason::BodyBroken) => Observation::Abandoned,
+            AttemptResult::Unknown(UnknownReason::NodeLost) => Observation::Unreachable,
+            AttemptResult::Unknown(_) => Observation::Failed,
+        };
+        let mut selector = self.outbound.selector.lock();
+        let service = &self.request.service;
+        selector.on_ended(Instant::now().into_std(), service, &choice.node, observation);
+        if let AttemptResult::Answered(answer) = result {
+            let overhead = elapsed.saturating_sub(answer.served_in).saturating_sub(answer.waited);
+            selector.on_overhead(service, &choice.node, overhead);
+        }
+    }
+
+    fn on_result(&mut self, choice: &Choice, result: AttemptResult, last: &mut NotRun) -> Next {
+        self.tried.push(choice.node.clone());
+        match result {
+            AttemptResult::Answered(answer) => {
+                self.reached += 1;
+                self.on_answer(choice, answer)
+            }
+            AttemptResult::NotRun(not_run) => {
+                *last = not_run;
+                self.on_not_run(choice, not_run)
+            }
+            AttemptResult::Unknown(reason) => {
+                self.reached += 1;
+                self.may_have_run = Some(reason);
+                self.on_unknown(choice, reason)
+            }
+        }
+    }
+
+    fn on_answer(&mut self, choice: &Choice, answer: Answer) -> Next {
+        let is_worth_repeating = matches!(answer.status, 500 | 502 | 503) && self.request.route.is_idempotent;
+        if is_worth_repeating && self.may_reach_another() {
+            self.may_have_run = Some(UnknownReason::AnswerSpoiled);
+            self.tell_retry(choice, "failed-answer");
+            return Next::TryAgain;
+        }
+        self.outbound.telemetry.emit_sampled(|| Event::RequestServed {
+            request: text(&self.request.id),
+            route: self.request.route.name.clone(),
+            service: self.request.service.clone(),
+            node: choice.node.clone(),
+            status: answer.status,
+            attempts: self.attempts(),
+            version: self.request.version,
+            total_millis: millis(self.request.arrived.elapsed()),
+            waited_millis: millis(answer.waited),
+            served_millis: millis(answer.served_in),
+        });
+        Next::Reply(Reply::of_answer(answer))
+    }
+
+    fn on_not_run(&mut self, choice: &Choice, not_run: NotRun) -> Next {
+        if not_run.reached_back_end {
+            self.reached += 1;
+        } else {
+            self.free_attempts += 1;
+        }
+        let is_allowed = if not_run.reached_back_end {
+            self.may_reach_another()
+        } else {
+            self.has_time() && self.free_attempts <= MAX_FREE_ATTEMPTS && !self.request.body.is_spent()
+        };
+        if is_allowed && not_run.reason != NotRunReason::DeadlineBeforeRun {
+            self.tell_retry(choice, "not-run");
+            return Next::TryAgain;
+        }
+        Next::Reply(self.not_run(not_run))
+    }
+
+    fn on_unknown(&self, choice: &Choice, reason: UnknownReason) -> Next {
+        let is_retried = self.request.route.is_idempotent && reason != UnknownReason::TimedOut;
+        if is_retried && self.may_reach_another() {
+            self.tell_retry(choice, "lost-answer");
+            return Next::TryAgain;
+        }
+        Next::Reply(self.reply(ReplyReason::Unknown(reason), None))
+    }
+
+    /// Whether another back end may be given the request: by the route, the time left, the body and the budget.
+    fn may_reach_another(&self) -> bool {
+        self.reached < self.request.route.attempts
+            && self.has_time()
+            && !self.request.body.is_spent()
+            && self.outbound.take_retry(&self.request.service)
+    }
+
+    fn has_time(&self) -> bool {
+        self.deadline.saturating_duration_since(Instant::now()) >= SHORTEST_ATTEMPT
+    }
+
+    fn attempts(&self) -> u32 {
+        u32::try_from(self.tried.len()).unwrap_or(u32::MAX)
+    }
+
+    /// The answer to a request that did not run on its last attempt: a promise, unless it may have run earlier.
+    fn not_run(&self, not_run: NotRun) -> Reply {
+        if let Some(reason) = self.may_have_run {
+            return self.reply(ReplyReason::Unknown(reason), None);
+        }
+        let come_back = not_run.retry_after.unwrap_or(COME_BACK);
+        self.reply(ReplyReason::NotRun(not_run.reason), Some(come_back))
+    }
+
+    fn reply(&self, reason: ReplyReason, retry_after: Option<Duration>) -> Reply {
+        self.outbound.telemetry.emit(Event::RequestGivenUp {
+            request: text(&self.request.id),
+            route: self.request.route.name.clone(),
+            service: self.request.service.clone(),
+            reason: format!("{reason:?}"),
+            attempts: self.attempts(),
+            version: self.request.version,
+            total_millis: millis(self.request.arrived.elapsed()),
+            allowed_millis: millis(self.request.time),
+        });
+        let mut reply = Reply::own(reason, retry_after);
+        self.outbound.echo(&mut reply, Some(&self.request.id));
+        reply
+    }
+
+    fn tell_retry(&self, choice: &Choice, reason: &'static str) {
+        self.outbound.telemetry.emit(Event::RequestSentAgain {
+            request: text(&self.request.id),
+            after: choice.node.clone(),
+            reason,
+            attempts: self.attempts(),
+        });
+    }
+}
+
+/// Ends the count of an attempt whose caller has left.
+struct SentGuard<'a, 'b> {
+    attempts: &'a Attempts<'b>,
+    node: &'a NodeName,
+    is_open: bool,
+}
+
+impl Drop for SentGuard<'_, '_> {
+    fn drop(&mut self) {
+        if self.is_open {
+            let now = Instant::now().into_std();
+            let mut selector = self.attempts.outbound.selector.lock();
+            selector.on_ended(now, &self.attempts.request.service, self.node, Observation::Abandoned);
+        }
+    }
+}
+
+fn not_run_observation(not_run: &NotRun) -> Observation {
+    match (not_run.reason, not_run.load) {
+        (NotRunReason::NodeUnreachable | NotRunReason::WrongInstance | NotRunReason::Draining, _)
+        | (NotRunReason::BackEndUnreachable, _) => Observation::Unreachable,
+        (_, Some(load)) => Observation::Refused(load),
+        (_, None) => Observation::Abandoned,
+    }
+}
+
+fn text(id: &[u8]) -> String {
+    String::from_utf8_lossy(id).into_owned()
+}
--- /dev/null
+++ b/crates/forwarding/src/routing/table.rs
@@ -0,0 +1,147 @@
+//! The compiled routes of one version, and the look-up in them.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
+use thiserror::Error;
+use umberpond_config::RequestLimits;
+use umberpond_model::{RouteName, ServiceName, Version};
+
+/// A service and its share of a route's requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WeightedService {
+    /// The service.
+    pub service: ServiceName,
+    /// Its share, relative to the sum over the route.
+    pub weight: u32,
+}
+
+/// One route, ready for use.
+#[derive(Debug, Clone)]
+pub struct CompiledRoute {
+    /// Name of the route.
+    pub name: RouteName,
+    /// Services among which the requests are divided; never empty.
+    pub destinations: Vec<WeightedService>,
+    /// Whether a request may run more than once.
+    pub is_idempotent: bool,
+    /// Rank among the requests for one back end: 0 is served first.
+    pub priority: u8,
+    /// Most back ends to which one request may be sent.
+    pub attempts: u32,
+    /// Longest time of a request, all attempts included.
+    pub timeout: Duration,
+    /// Time within which an answer is of full use.
+    pub objective: Duration,
+    /// Header fields set from secrets.
+    pub credentials: Vec<(String, Vec<u8>)>,
+}
+
+impl CompiledRoute {
+    /// The service for one request, drawn by weight.
+    pub fn draw_destination(&self, random: &mut impl Rng) -> &ServiceName {
+        let sum: u32 = self.destinations.iter().map(|destination| destination.weight).sum();
+        if self.destinations.len() == 1 || sum == 0 {
+            return &self.destinations[0].service;
+        }
+        let mut drawn = random.random_range(0..sum);
+        for destination in &self.destinations {
+            if drawn < destination.weight {
+                return &destination.service;
+            }
+            drawn -= destination.weight;
+        }
+        &self.destinations[0].service
+    }
+}
+
+/// A request that no route matches.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum NoRoute {
+    /// No route names this host.
+    #[error("no route names this host")]
+    UnknownHost,
+    /// No route of the host begins the path.
+    #[error("no route of the host begins the path")]
+    NoMatch,
+}
+
+/// Routes of one host by path prefix, without its trailing slash.
+pub(super) type HostRoutes = HashMap<Box<str>, Vec<MethodRoute>>;
+
+/// A route and the methods it serves.
+#[derive(Debug, Clone)]
+pub(super) struct MethodRoute {
+    /// All methods if empty.
+    pub(super) methods: Vec<String>,
+    pub(super) route: Arc<CompiledRoute>,
+}
+
+impl MethodRoute {
+    fn serves(&self, method: &[u8]) -> bool {
+        self.methods.is_empty() || self.methods.iter().any(|served| served.as_bytes() == method)
+    }
+}
+
+/// The compiled routes of one version. Immutable; swapped as a whole.
+#[derive(Debug)]
+pub struct RoutingTable {
+    pub(super) version: Version,
+    pub(super) limits: RequestLimits,
+    pub(super) hosts: HashMap<Box<str>, HostRoutes>,
+}
+
+impl RoutingTable {
+    /// Version of the configuration.
+    #[must_use]
+    pub const fn version(&self) -> Version {
+        self.version
+    }
+
+    /// Limits on requests.
+    #[must_use]
+    pub const fn limits(&self) -> &RequestLimits {
+        &self.limits
+    }
+
+    /// Count of routes.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.hosts.values().flat_map(HashMap::values).map(Vec::len).sum()
+    }
+
+    /// Whether there is no route.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+
+    /// The route of a request: of those of `host` whose prefix begins `path`, the one with the longest prefix. A
+    /// prefix ends at a path segment. `host` may carry a port, `target` a query.
+    ///
+    /// # Errors
+    /// Returns [`NoRoute`] if nothing matches.
+    pub fn find(&self, host: &str, method: &[u8], target: &str) -> Result<&Arc<CompiledRoute>, NoRoute> {
+        let routes = self.host(host).ok_or(NoRoute::UnknownHost)?;
+        let path = target.split(['?', '#']).next().unwrap_or_default();
+        let mut candidate = path;
+        loop {
+            let matching = routes.get(candidate).into_iter().flatten().find(|route| route.serves(method));
+            if let Some(found) = matching {
+                return Ok(&found.route);
+            }
+            let end = candidate.rfind('/').ok_or(NoRoute::NoMatch)?;
+            candidate = &candidate[..end];
+        }
+    }
+
+    fn host(&self, host: &str) -> Option<&HostRoutes> {
+        let bare = host.rsplit_once(':').map_or(host, |(bare, _port)| bare);
+        if let Some(routes) = self.hosts.get(bare) {
+            return Some(routes);
+        }
+        self.hosts.get(bare.to_ascii_lowercase().as_str())
+    }
+}
--- /dev/null
+++ b/crates/forwarding/src/server/listener.rs
@@ -0,0 +1,124 @@
+//! Accepts the connections of one listener until the process leaves.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use umberpond_net::BoxListener;
+use umberpond_telemetry::{Event, Telemetry};
+
+use super::caller::CallerConnection;
+use crate::hop::serve_hop_connection;
+use crate::inbound::Inbound;
+use crate::outbound::Outbound;
+
+/// Pause after a connection that could not be accepted, so that a lack of descriptors is not met in a busy loop.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Most connections that one listener serves at once.
+const MAX_CONNECTIONS: usize = 1_500;
+
+/// How far the process is on its way out, and what is still open.
+#[derive(Debug, Clone)]
+pub struct ServerControl {
+    leaving: watch::Sender<bool>,
+    open_requests: Arc<AtomicUsize>,
+}
+
+impl Default for ServerControl {
+    fn default() -> Self {
+        Self { leaving: watch::Sender::new(false), open_requests: Arc::default() }
+    }
+}
+
+impl ServerControl {
+    /// From now on each answer to a caller ends its connection.
+    pub fn leave(&self) {
+        self.leaving.send_replace(true);
+    }
+
+    /// Whether the process is leaving.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        *self.leaving.borrow()
+    }
+
+    /// Requests of callers that have no whole answer yet.
+    #[must_use]
+    pub fn open_requests(&self) -> usize {
+        self.open_requests.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request as open until the guard is dropped.
+    pub(super) fn open_request(&self) -> OpenRequest {
+        self.open_requests.fetch_add(1, Ordering::Relaxed);
+        OpenRequest { open_requests: Arc::clone(&self.open_requests) }
+    }
+}
+
+/// One open request.
+#[derive(Debug)]
+pub(super) struct OpenRequest {
+    open_requests: Arc<AtomicUsize>,
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.open_requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Serves the callers beside this node. Dropping the future cuts every connection.
+pub async fn serve_outbound(
+    mut listener: BoxListener,
+    outbound: Arc<Outbound>,
+    control: ServerControl,
+    telemetry: Telemetry,
+) {
+    let mut connections = JoinSet::new();
+    loop {
+        let Some(stream) = accept(&mut listener, &mut connections, "outbound", &telemetry).await else {
+            continue;
+        };
+        let connection = CallerConnection::new(stream, Arc::clone(&outbound), control.clone());
+        connections.spawn(connection.serve());
+    }
+}
+
+/// Serves the other nodes. Dropping the future cuts every connection.
+pub async fn serve_inbound(mut listener: BoxListener, inbound: Arc<Inbound>, telemetry: Telemetry) {
+    let mut connections = JoinSet::new();
+    loop {
+        let Some(stream) = accept(&mut listener, &mut connections, "inbound", &telemetry).await else {
+            continue;
+        };
+        connections.spawn(serve_hop_connection(stream, Arc::clone(&inbound)));
+    }
+}
+
+async fn accept(
+    listener: &mut BoxListener,
+    connections: &mut JoinSet<()>,
+    name: &'static str,
+    telemetry: &Telemetry,
+) -> Option<umberpond_net::BoxStream> {
+    while connections.len() >= MAX_CONNECTIONS {
+        connections.join_next().await;
+    }
+    let accepted = loop {
+        tokio::select! {
+            biased;
+            Some(_ended) = connections.join_next() => {}
+            accepted = listener.accept() => break accepted,
+        }
+    };
+    match accepted {
+        Ok((stream, _peer)) => Some(stream),
+        Err(error) => {
+            telemetry.emit(Event::AcceptFailed { listener: name, reason: error.to_string() });
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/forwarding/src/server/mod.rs
@@ -0,0 +1,9 @@
+//! Accepting connections, and the requests of callers on them.
+
+mod caller;
+mod listener;
+mod pending;
+mod receive;
+mod writer;
+
+pub use listener::{ServerControl, serve_inbound, serve_outbound};
--- /dev/null
+++ b/crates/forwarding/src/upstream/exchange.rs
@@ -0,0 +1,329 @@
+//! One request to the back end and its answer.
+
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use tokio::time::{Instant, timeout_at};
+use umberpond_http1::{
+    BodyDecoder, Fields, Framing, ResponseHead, response_framing, write_chunk, write_last_chunk,
+    write_request_head,
+};
+
+use super::body::UpstreamBody;
+use super::connection::UpstreamConnection;
+use super::pool::UpstreamPool;
+use crate::dialect::Dialect;
+use crate::message::{AnswerBody, BodyStream, RequestBody};
+use crate::outcome::{NotRunReason, UnknownReason};
+
+/// Longest head of an answer, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Longest body that is collected before it is passed on. Up to here an answer that breaks off can still be replaced.
+const MAX_WHOLE_BODY: usize = 1024 * 1024;
+/// Most answers to earlier requests that are passed over on one connection.
+const MAX_SURPLUS: u32 = 4;
+
+/// A request as it is written to the back end.
+#[derive(Debug)]
+pub(crate) struct ExchangeRequest<'a> {
+    pub(crate) id: &'a [u8],
+    pub(crate) method: &'a [u8],
+    pub(crate) target: &'a [u8],
+    /// Header fields without framing.
+    pub(crate) fields: &'a Fields,
+    pub(crate) deadline: Instant,
+}
+
+/// How an exchange ended.
+#[derive(Debug)]
+pub(crate) enum ExchangeEnd {
+    /// The back end answered this request, whatever the status.
+    Answered { status: u16, fields: Fields, body: AnswerBody },
+    /// Nothing of the request reached the back end.
+    NotSent(NotRunReason),
+    /// The back end said that it did not run the request.
+    Rejected { status: u16 },
+    /// The request may have run.
+    Unknown(UnknownReason),
+}
+
+/// Runs exchanges over a pool.
+#[derive(Debug)]
+pub(crate) struct Exchanger<'a> {
+    pub(crate) pool: &'a Arc<UpstreamPool>,
+    pub(crate) dialect: &'a Dialect,
+}
+
+/// Why no head of an answer was had.
+enum HeadFailure {
+    /// Nothing was written; another connection may be tried.
+    NothingWritten,
+    Unknown(UnknownReason),
+}
+
+impl Exchanger<'_> {
+    /// Sends `request` and reads its answer.
+    pub(crate) async fn run(&self, request: &ExchangeRequest<'_>, body: RequestBody) -> ExchangeEnd {
+        let exchange = self.exchange(request, body);
+        match timeout_at(request.deadline, exchange).await {
+            Ok(end) => end,
+            Err(_elapsed) => ExchangeEnd::Unknown(UnknownReason::TimedOut),
+        }
+    }
+
+    async fn exchange(&self, request: &ExchangeRequest<'_>, mut body: RequestBody) -> ExchangeEnd {
+        // A connection that the back end closed a moment ago takes no byte; a new one follows.
+        while let Some(connection) = self.pool.idle() {
+            let Some(part) = body.take() else { return ExchangeEnd::NotSent(NotRunReason::BodyBroken) };
+            match self.on_connection(connection, request, part).await {
+                Err(HeadFailure::NothingWritten) => {}
+                Err(HeadFailure::Unknown(reason)) => return ExchangeEnd::Unknown(reason),
+                Ok(end) => return end,
+            }
+        }
+        let Some(connection) = self.pool.connect(request.deadline).await else {
+            return ExchangeEnd::NotSent(NotRunReason::BackEndUnreachable);
+        };
+        let Some(part) = body.take() else { return ExchangeEnd::NotSent(NotRunReason::BodyBroken) };
+        match self.on_connection(connection, request, part).await {
+            Err(HeadFailure::NothingWritten) => ExchangeEnd::NotSent(NotRunReason::BackEndUnreachable),
+            Err(HeadFailure::Unknown(reason)) => ExchangeEnd::Unknown(reason),
+            Ok(end) => end,
+        }
+    }
+
+    async fn on_connection(
+        &self,
+        mut connection: UpstreamConnection,
+        request: &ExchangeRequest<'_>,
+        body: RequestBody,
+    ) -> Result<ExchangeEnd, HeadFailure> {
+        let (head, is_sent_whole) = match body {
+            RequestBody::Whole(whole) => {
+                let is_sent_whole = write_whole(&mut connection, request, &whole).await?;
+                (self.own_answer(&mut connection, request).await?, is_sent_whole)
+            }
+            RequestBody::Stream(stream) => self.with_stream(&mut connection, request, stream).await?,
+            RequestBody::Spent => return Ok(ExchangeEnd::NotSent(NotRunReason::BodyBroken)),
+        };
+        self.read_answer(connection, request, head, is_sent_whole).await
+    }
+
+    /// Sends a body while it arrives, and reads the answer, which may come before the body has been sent. Tells
+    /// whether the whole body was sent; if not, the connection can't serve again.
+    async fn with_stream(
+        &self,
+        connection: &mut UpstreamConnection,
+        request: &ExchangeRequest<'_>,
+        mut stream: BodyStream,
+    ) -> Result<(ResponseHead, bool), HeadFailure> {
+        let framing = stream.length.map_or(Framing::Chunked, Framing::Length);
+        let mut head = BytesMut::new();
+        write_request_head(&mut head, request.method, request.target, request.fields, framing);
+        connection.write(&head).await.map_err(|failure| unknown_if(failure.is_begun))?;
+        let UpstreamConnection { reader, writer, .. } = connection;
+        let mut is_sent_whole = false;
+        let sending = send_stream(writer, &mut stream, framing);
+        tokio::pin!(sending);
+        let head = loop {
+            tokio::select! {
+                biased;
+                head = reader.response_head(MAX_HEAD_BYTES) => {
+                    let head = head.map_err(|_broken| HeadFailure::Unknown(UnknownReason::BackEndClosed))?;
+                    if !is_interim(&head) {
+                        break head;
+                    }
+                }
+                sent = &mut sending, if !is_sent_whole => {
+                    match sent {
+                        Ok(()) => is_sent_whole = true,
+                        Err(StreamFailure::Caller) => return Err(HeadFailure::Unknown(UnknownReason::BodyBroken)),
+                        Err(StreamFailure::BackEnd) => {
+                            return Err(HeadFailure::Unknown(UnknownReason::BackEndClosed));
+                        }
+                    }
+                }
+            }
+        };
+        let is_own = head.fields.get(self.dialect.request_id).is_some_and(|id| id == request.id);
+        if is_own {
+            Ok((head, is_sent_whole))
+        } else {
+            Err(HeadFailure::Unknown(UnknownReason::AnswerSpoiled))
+        }
+    }
+
+    /// Reads heads until one belongs to this request. A surplus answer to an earlier request of the connection may
+    /// stand in the place where this one's is due.
+    async fn own_answer(
+        &self,
+        connection: &mut UpstreamConnection,
+        request: &ExchangeRequest<'_>,
+    ) -> Result<ResponseHead, HeadFailure> {
+        let mut surplus = 0;
+        loop {
+            let head = connection.reader.response_head(MAX_HEAD_BYTES).await.map_err(head_failure)?;
+            if is_interim(&head) {
+                continue;
+            }
+            let echoed = head.fields.get(self.dialect.request_id);
+            if echoed.is_some_and(|id| id == request.id) {
+                return Ok(head);
+            }
+            let spoiled = HeadFailure::Unknown(UnknownReason::AnswerSpoiled);
+            surplus += 1;
+            if echoed.is_none()
+                || surplus > MAX_SURPLUS
+                || !pass_over(connection, &head, request.method).await
+            {
+                return Err(spoiled);
+            }
+        }
+    }
+
+    async fn read_answer(
+        &self,
+        mut connection: UpstreamConnection,
+        request: &ExchangeRequest<'_>,
+        head: ResponseHead,
+        is_sent_whole: bool,
+    ) -> Result<ExchangeEnd, HeadFailure> {
+        let spoiled = Ok(ExchangeEnd::Unknown(UnknownReason::AnswerSpoiled));
+        let Ok(framing) = response_framing(&head, request.method) else { return spoiled };
+        let is_kept = connection.stays_open(&head.fields) && is_sent_whole && framing != Framing::UntilClose;
+        if head.fields.contains(self.dialect.not_executed) {
+            self.discard(connection, framing, is_kept).await;
+            return Ok(ExchangeEnd::Rejected { status: head.status });
+        }
+        if !self.is_trusted(&head) {
+            return spoiled;
+        }
+        let mut decoder = BodyDecoder::new(framing);
+        let mut collected = BytesMut::new();
+        while collected.len() <= MAX_WHOLE_BODY {
+            let part = match connection.reader.body_part(&mut decoder).await {
+                Ok(part) => part,
+                Err(_broken) => return Ok(ExchangeEnd::Unknown(UnknownReason::AnswerCut)),
+            };
+            let Some(part) = part else {
+                if is_kept {
+                    self.pool.put_back(connection);
+                }
+                let body = AnswerBody::Whole(collected.freeze());
+                return Ok(answered(head, body));
+            };
+            if decoder.is_done() && collected.is_empty() {
+                if is_kept {
+                    self.pool.put_back(connection);
+                }
+                return Ok(answered(head, AnswerBody::Whole(part)));
+            }
+            collected.extend_from_slice(&part);
+        }
+        let length = if let Framing::Length(length) = framing { Some(length) } else { None };
+        let body = UpstreamBody {
+            first: Some(collected.freeze()),
+            connection: Some(connection),
+            decoder,
+            length,
+            stays_open: is_kept,
+            pool: Arc::clone(self.pool),
+            deadline: request.deadline,
+            permit: None,
+        };
+        Ok(answered(head, AnswerBody::Upstream(Box::new(body))))
+    }
+
+    /// Whether a success carries the back end's proof, and no encoding that nobody asked for.
+    fn is_trusted(&self, head: &ResponseHead) -> bool {
+        let is_success = (200..300).contains(&head.status);
+        let is_signed = self.dialect.signature.is_none_or(|name| head.fields.contains(name));
+        !is_success || (is_signed && !head.fields.contains("content-encoding"))
+    }
+
+    async fn discard(&self, mut connection: UpstreamConnection, framing: Framing, is_kept: bool) {
+        let mut decoder = BodyDecoder::new(framing);
+        let rest = connection.reader.whole_body(&mut decoder, MAX_WHOLE_BODY).await;
+        if is_kept && matches!(rest, Ok(Some(_))) {
+            self.pool.put_back(connection);
+        }
+    }
+}
+
+fn answered(head: ResponseHead, body: AnswerBody) -> ExchangeEnd {
+    ExchangeEnd::Answered { status: head.status, fields: head.fields, body }
+}
+
+const fn is_interim(head: &ResponseHead) -> bool {
+    matches!(head.status, 100..=199)
+}
+
+const fn unknown_if(is_begun: bool) -> HeadFailure {
+    if is_begun { HeadFailure::Unknown(UnknownReason::BackEndClosed) } else { HeadFailure::NothingWritten }
+}
+
+fn head_failure(error: umberpond_http1::HeadError) -> HeadFailure {
+    use umberpond_http1::HeadError;
+    HeadFailure::Unknown(match error {
+        HeadError::Truncated | HeadError::Transport(_) => UnknownReason::BackEndClosed,
+        HeadError::Malformed | HeadError::TooLarge | HeadError::TooSlow => UnknownReason::AnswerSpoiled,
+    })
+}
+
+/// Writes the whole request; `false` if only a part of it was written. The back end may have answered before it read
+/// everything, so what it said is looked at then.
+async fn write_whole(
+    connection: &mut UpstreamConnection,
+    request: &ExchangeRequest<'_>,
+    body: &Bytes,
+) -> Result<bool, HeadFailure> {
+    let mut bytes = BytesMut::with_capacity(512 + body.len());
+    let framing = Framing::Length(body.len() as u64);
+    write_request_head(&mut bytes, request.method, request.target, request.fields, framing);
+    bytes.extend_from_slice(body);
+    match connection.write(&bytes).await {
+        Ok(()) => Ok(true),
+        Err(failure) if failure.is_begun => Ok(false),
+        Err(_) => Err(HeadFailure::NothingWritten),
+    }
+}
+
+/// Why a streamed body was not sent to its end.
+enum StreamFailure {
+    Caller,
+    BackEnd,
+}
+
+async fn send_stream(
+    writer: &mut (impl tokio::io::AsyncWrite + Unpin),
+    stream: &mut BodyStream,
+    framing: Framing,
+) -> Result<(), StreamFailure> {
+    use tokio::io::AsyncWriteExt;
+    let mut buffer = BytesMut::new();
+    while let Some(part) = stream.parts.recv().await {
+        let part = part.map_err(|_broken| StreamFailure::Caller)?;
+        if framing == Framing::Chunked {
+            write_chunk(&mut buffer, &part);
+        } else {
+            buffer.extend_from_slice(&part);
+        }
+        writer.write_all(&buffer).await.map_err(|_broken| StreamFailure::BackEnd)?;
+        buffer.clear();
+    }
+    if framing == Framing::Chunked {
+        write_last_chunk(&mut buffer);
+        writer.write_all(&buffer).await.map_err(|_broken| StreamFailure::BackEnd)?;
+    }
+    Ok(())
+}
+
+/// Reads the body of an answer that belongs to an earlier request; `false` if it has no certain end.
+async fn pass_over(connection: &mut UpstreamConnection, head: &ResponseHead, method: &[u8]) -> bool {
+    let Ok(framing) = response_framing(head, method) else { return false };
+    if framing == Framing::UntilClose || head.fields.lists("connection", "close") {
+        return false;
+    }
+    let mut decoder = BodyDecoder::new(framing);
+    matches!(connection.reader.whole_body(&mut decoder, MAX_WHOLE_BODY).await, Ok(Some(_)))
+}
--- /dev/null
+++ b/crates/forwarding/src/upstream/health.rs
@@ -0,0 +1,57 @@
+//! Asks a back end whether it is well.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use tokio::io::AsyncWriteExt;
+use tokio::time::timeout;
+use umberpond_http1::{Fields, Framing, MessageReader, write_request_head};
+use umberpond_net::Network;
+
+use crate::dialect::Dialect;
+
+/// Longest time of the whole question.
+const QUESTION_TIME: Duration = Duration::from_millis(500);
+/// Longest head of an answer, in bytes.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+
+/// A back end that is well.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Health {
+    /// Identity of its present life.
+    pub instance: String,
+    /// Requests it works on at once, if it tells.
+    pub slots: Option<u32>,
+}
+
+/// Asks the back end at `address`; absent if it does not say that it is well.
+pub(crate) async fn ask_health(
+    network: &dyn Network,
+    dialect: &Dialect,
+    address: SocketAddr,
+    path: &str,
+) -> Option<Health> {
+    timeout(QUESTION_TIME, ask(network, dialect, address, path)).await.ok().flatten()
+}
+
+async fn ask(network: &dyn Network, dialect: &Dialect, address: SocketAddr, path: &str) -> Option<Health> {
+    let stream = network.connect(address).await.ok()?;
+    let (reader, mut writer) = tokio::io::split(stream);
+    let mut reader = MessageReader::new(reader);
+    let mut fields = Fields::default();
+    fields.push(&b"Host"[..], Bytes::from(address.to_string()));
+    fields.push(&b"Connection"[..], &b"close"[..]);
+    let mut question = BytesMut::new();
+    write_request_head(&mut question, b"GET", path.as_bytes(), &fields, Framing::Length(0));
+    writer.write_all(&question).await.ok()?;
+    let head = reader.response_head(MAX_HEAD_BYTES).await.ok()?;
+    let instance = head.fields.text(dialect.instance)?.to_owned();
+    let slots = head.fields.text(dialect.load).and_then(told_slots);
+    (head.status == 200).then_some(Health { instance, slots })
+}
+
+/// The slots in `running,waiting,slots`.
+fn told_slots(load: &str) -> Option<u32> {
+    load.split(',').nth(2)?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/forwarding/src/upstream/mod.rs
@@ -0,0 +1,13 @@
+//! The connection to the back end beside this node.
+
+mod body;
+mod connection;
+mod exchange;
+mod health;
+mod pool;
+
+pub use body::UpstreamBody;
+pub(crate) use exchange::{ExchangeEnd, ExchangeRequest, Exchanger};
+pub use health::Health;
+pub(crate) use health::ask_health;
+pub(crate) use pool::{UpstreamPool, UpstreamSettings};
--- /dev/null
+++ b/crates/http1/src/head.rs
@@ -0,0 +1,161 @@
+//! Heads of requests and answers.
+
+use bytes::Bytes;
+
+use crate::error::HeadError;
+use crate::fields::{Field, Fields};
+
+/// Most header fields of one message.
+const MAX_FIELDS: usize = 100;
+
+/// Version of a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HttpVersion {
+    /// HTTP/1.0: one message a connection unless said otherwise.
+    Http10,
+    /// HTTP/1.1.
+    Http11,
+}
+
+impl HttpVersion {
+    const fn of(minor: Option<u8>) -> Self {
+        match minor {
+            Some(0) => Self::Http10,
+            _ => Self::Http11,
+        }
+    }
+}
+
+/// Head of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestHead {
+    /// Method.
+    pub method: Bytes,
+    /// Request target, as it came.
+    pub target: Bytes,
+    /// Version.
+    pub version: HttpVersion,
+    /// Header fields.
+    pub fields: Fields,
+}
+
+/// Head of an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ResponseHead {
+    /// Status code.
+    pub status: u16,
+    /// Version.
+    pub version: HttpVersion,
+    /// Header fields.
+    pub fields: Fields,
+}
+
+/// What a parser made of the bytes so far: a head and its length in bytes, or nothing yet.
+pub(crate) type Parsed<T> = Result<Option<(T, usize)>, HeadError>;
+
+/// A head that can be parsed from the start of a buffer.
+pub(crate) trait Head: Sized {
+    /// Parses `bytes`; tells the head and its length once it is whole.
+    fn parse(bytes: &[u8]) -> Parsed<Self>;
+}
+
+impl Head for RequestHead {
+    fn parse(bytes: &[u8]) -> Parsed<Self> {
+        let mut slots = [httparse::EMPTY_HEADER; MAX_FIELDS];
+        let mut request = httparse::Request::new(&mut slots);
+        let Some(length) = parsed_length(request.parse(bytes))? else { return Ok(None) };
+        let kept = Kept::new(bytes, length);
+        let head = Self {
+            method: kept.slice(request.method.unwrap_or_default().as_bytes()),
+            target: kept.slice(request.path.unwrap_or_default().as_bytes()),
+            version: HttpVersion::of(request.version),
+            fields: kept.fields(request.headers),
+        };
+        Ok(Some((head, length)))
+    }
+}
+
+impl Head for ResponseHead {
+    fn parse(bytes: &[u8]) -> Parsed<Self> {
+        let mut slots = [httparse::EMPTY_HEADER; MAX_FIELDS];
+        let mut response = httparse::Response::new(&mut slots);
+        let Some(length) = parsed_length(response.parse(bytes))? else { return Ok(None) };
+        let kept = Kept::new(bytes, length);
+        let head = Self {
+            status: response.code.unwrap_or_default(),
+            version: HttpVersion::of(response.version),
+            fields: kept.fields(response.headers),
+        };
+        Ok(Some((head, length)))
+    }
+}
+
+fn parsed_length(status: httparse::Result<usize>) -> Result<Option<usize>, HeadError> {
+    match status {
+        Ok(httparse::Status::Complete(length)) => Ok(Some(length)),
+        Ok(httparse::Status::Partial) => Ok(None),
+        Err(httparse::Error::TooManyHeaders) => Err(HeadError::TooLarge),
+        Err(_) => Err(HeadError::Malformed),
+    }
+}
+
+/// One shared copy of a head's bytes, of which method, target and fields are slices.
+struct Kept<'a> {
+    original: &'a [u8],
+    copy: Bytes,
+}
+
+impl<'a> Kept<'a> {
+    fn new(bytes: &'a [u8], length: usize) -> Self {
+        let original = &bytes[..length];
+        Self { original, copy: Bytes::copy_from_slice(original) }
+    }
+
+    /// The copy of `part`, which lies inside the original.
+    fn slice(&self, part: &[u8]) -> Bytes {
+        let start = (part.as_ptr() as usize).wrapping_sub(self.original.as_ptr() as usize);
+        match start.checked_add(part.len()) {
+            Some(end) if end <= self.copy.len() => self.copy.slice(start..end),
+            _ => Bytes::copy_from_slice(part),
+        }
+    }
+
+    fn fields(&self, headers: &[httparse::Header<'_>]) -> Fields {
+        headers
+            .iter()
+            .map(|header| Field {
+                name: self.slice(header.name.as_bytes()),
+                value: self.slice(header.value.trim_ascii()),
+            })
+            .collect()
+    }
+}
+
+/// The usual phrase of a status code; empty where there is none.
+#[must_use]
+pub const fn reason_phrase(status: u16) -> &'static str {
+    match status {
+        100 => "Continue",
+        200 => "OK",
+        201 => "Created",
+        202 => "Accepted",
+        204 => "No Content",
+        304 => "Not Modified",
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        403 => "Forbidden",
+        404 => "Not Found",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        413 => "Content Too Large",
+        421 => "Misdirected Request",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        501 => "Not Implemented",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "",
+    }
+}
--- /dev/null
+++ b/crates/http1/src/lib.rs
@@ -0,0 +1,23 @@
+//! HTTP/1.1 messages on a byte stream.
+//!
+//! Heads are parsed by `httparse`; this crate adds what a proxy needs to know and a general library hides: how many
+//! bytes of a message were read, whether a body came to its proper end, and whether a connection may serve again.
+//! `docs/design/0100-request-path.md` tells why the request path does not run on `hyper`.
+//!
+//! Every reading function is safe to cancel: bytes that have arrived stay in the [`MessageReader`].
+
+mod body;
+mod encode;
+mod error;
+mod fields;
+mod framing;
+mod head;
+mod reader;
+
+pub use body::BodyDecoder;
+pub use encode::{write_chunk, write_last_chunk, write_request_head, write_response_head};
+pub use error::{BodyError, HeadError};
+pub use fields::{Field, Fields};
+pub use framing::{Framing, FramingError, request_framing, response_framing};
+pub use head::{HttpVersion, RequestHead, ResponseHead, reason_phrase};
+pub use reader::{MessageReader, ReadLimits};
--- /dev/null
+++ b/crates/membership/src/settings.rs
@@ -0,0 +1,42 @@
+//! Times of the membership.
+
+use std::time::Duration;
+
+/// Times and counts of the membership.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MembershipSettings {
+    /// Time between two heartbeats to one node, while there are few nodes.
+    pub interval: Duration,
+    /// Time that each known node adds to the interval at least, which bounds the heartbeats a second.
+    pub interval_per_node: Duration,
+    /// Intervals without a heartbeat after which a node counts as out of reach.
+    pub missed_intervals: u32,
+    /// Time between two heartbeats to a node that is out of reach.
+    pub call_back_interval: Duration,
+    /// Time after which a node that is out of reach is forgotten.
+    pub forget_after: Duration,
+    /// Records of other nodes in one heartbeat.
+    pub others_told: usize,
+}
+
+impl Default for MembershipSettings {
+    fn default() -> Self {
+        Self {
+            interval: Duration::from_millis(200),
+            interval_per_node: Duration::from_millis(5),
+            missed_intervals: 4,
+            call_back_interval: Duration::from_millis(500),
+            forget_after: Duration::from_secs(600),
+            others_told: 3,
+        }
+    }
+}
+
+impl MembershipSettings {
+    /// Time between two heartbeats to one of `nodes` nodes.
+    #[must_use]
+    pub fn interval_for(&self, nodes: usize) -> Duration {
+        let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
+        self.interval.max(self.interval_per_node.saturating_mul(nodes))
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -11,4 +11,4 @@
 pub use framing::{FrameError, FrameReader, FrameWriter, MAX_FRAME_BYTES};
 pub use http_client::{HttpClientError, HttpExchange, collect_body, is_over_limit, send_request};
 pub use tcp::TcpNetwork;
-pub use transport::{BoxListener, BoxStream, Listener, Network, Stream};
+pub use transport::{BoxDatagrams, BoxListener, BoxStream, Datagrams, Listener, Network, Stream};
--- a/crates/net/src/tcp.rs
+++ b/crates/net/src/tcp.rs
@@ -1,14 +1,19 @@
-//! The transport over TCP.
+//! The transport over TCP and UDP.
 
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use async_trait::async_trait;
-use tokio::net::{TcpListener, TcpStream};
+use socket2::SockRef;
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
-use crate::{BoxListener, BoxStream, Listener, Network};
+use crate::{BoxDatagrams, BoxListener, BoxStream, Datagrams, Listener, Network};
 
-/// TCP with Nagle's algorithm off.
+/// Time after which a connection is given up whose peer acknowledges nothing that was sent.
+const UNACKNOWLEDGED_TIME: Duration = Duration::from_secs(3);
+
+/// TCP with Nagle's algorithm off, and UDP.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct TcpNetwork;
 
@@ -16,7 +21,7 @@
 impl Network for TcpNetwork {
     async fn connect(&self, to: SocketAddr) -> io::Result<BoxStream> {
         let stream = TcpStream::connect(to).await?;
-        stream.set_nodelay(true)?;
+        prepare(&stream)?;
         Ok(Box::new(stream))
     }
 
@@ -25,6 +30,12 @@
         let address = listener.local_addr()?;
         Ok(Box::new(TcpAcceptor { listener, address }))
     }
+
+    async fn datagrams(&self, at: SocketAddr) -> io::Result<BoxDatagrams> {
+        let socket = UdpSocket::bind(at).await?;
+        let address = socket.local_addr()?;
+        Ok(Box::new(UdpDatagrams { socket, address }))
+    }
 }
 
 struct TcpAcceptor {
@@ -40,7 +51,35 @@
 
     async fn accept(&mut self) -> io::Result<(BoxStream, SocketAddr)> {
         let (stream, peer) = self.listener.accept().await?;
-        stream.set_nodelay(true)?;
+        prepare(&stream)?;
         Ok((Box::new(stream), peer))
     }
 }
+
+fn prepare(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    // Without it a dead peer is found later; that is no reason to refuse the connection.
+    let _ = SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIME));
+    Ok(())
+}
+
+struct UdpDatagrams {
+    socket: UdpSocket,
+    address: SocketAddr,
+}
+
+#[async_trait]
+impl Datagrams for UdpDatagrams {
+    fn local_addr(&self) -> SocketAddr {
+        self.address
+    }
+
+    fn send(&self, bytes: &[u8], to: SocketAddr) {
+        // A datagram that can't be sent is one that is lost.
+        let _ = self.socket.try_send_to(bytes, to);
+    }
+
+    async fn receive(&self, buffer: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
+        self.socket.recv_from(buffer).await
+    }
+}
--- a/crates/net/src/transport.rs
+++ b/crates/net/src/transport.rs
@@ -18,6 +18,25 @@
 /// A listener of any transport.
 pub type BoxListener = Box<dyn Listener>;
 
+/// A socket for datagrams of any transport.
+pub type BoxDatagrams = Box<dyn Datagrams>;
+
+/// Sends and receives datagrams at one address. Any of them may be lost, doubled or overtaken.
+#[async_trait]
+pub trait Datagrams: Send + Sync + 'static {
+    /// The address at which datagrams are received.
+    fn local_addr(&self) -> SocketAddr;
+
+    /// Sends one datagram, or drops it if there is no room for it now.
+    fn send(&self, bytes: &[u8], to: SocketAddr);
+
+    /// Waits for the next datagram; tells its length and its sender.
+    ///
+    /// # Errors
+    /// Fails as the transport does. The socket stays usable.
+    async fn receive(&self, buffer: &mut [u8]) -> io::Result<(usize, SocketAddr)>;
+}
+
 /// Opens and accepts streams.
 #[async_trait]
 pub trait Network: Send + Sync + 'static {
@@ -32,6 +51,15 @@
     /// # Errors
     /// Fails when the address is taken or not local.
     async fn listen(&self, at: SocketAddr) -> io::Result<BoxListener>;
+
+    /// Opens a socket for datagrams at `at`; port 0 takes any free port.
+    ///
+    /// # Errors
+    /// Fails when the address is taken or not local, or when the transport has no datagrams.
+    async fn datagrams(&self, at: SocketAddr) -> io::Result<BoxDatagrams> {
+        let _ = at;
+        Err(io::ErrorKind::Unsupported.into())
+    }
 }
 
 /// Accepts streams at one address.
@@ -56,4 +84,8 @@
     async fn listen(&self, at: SocketAddr) -> io::Result<BoxListener> {
         (**self).listen(at).await
     }
+
+    async fn datagrams(&self, at: SocketAddr) -> io::Result<BoxDatagrams> {
+        (**self).datagrams(at).await
+    }
 }
--- a/crates/overlay/src/chain/tests.rs
+++ b/crates/overlay/src/chain/tests.rs
@@ -45,6 +45,7 @@
             slots: 1,
             connections: 1,
             seal_key: None,
+            health_path: None,
         };
         snapshot.services.insert(name, Entry::new(entry));
     }
--- a/crates/overlay/tests/support/content.rs
+++ b/crates/overlay/tests/support/content.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use umberpond_config::{Entry, RequestClass, Route, Service, Snapshot};
+use umberpond_config::{Entry, RequestClass, Route, RoutePolicy, Service, Snapshot};
 use umberpond_model::{
     ContentHash, Locality, LocalityRule, Millis, NodeName, RegionName, RouteName, ServiceName, SubmissionId,
     Version, VersionRecord, ZoneName,
@@ -23,7 +23,14 @@
     let allowed = (0..zones.div_ceil(3))
         .map(|region| LocalityRule { region: locality(region * 3).region, zone: None })
         .collect();
-    Service { name: service_name(number), allowed, slots, connections: 100, seal_key: None }
+    Service {
+        name: service_name(number),
+        allowed,
+        slots,
+        connections: 100,
+        seal_key: None,
+        health_path: None,
+    }
 }
 
 fn route(number: usize, services: usize) -> Route {
@@ -39,6 +46,9 @@
         methods: BTreeSet::new(),
         idempotent: true,
         class: RequestClass::Status,
+        host: None,
+        split: Vec::new(),
+        policy: RoutePolicy::default(),
         timeout: Millis(1_000),
         credentials: Vec::new(),
     }
--- a/crates/proxy/benches/route_match.rs
+++ b/crates/proxy/benches/route_match.rs
@@ -5,7 +5,7 @@
 
 use criterion::{Criterion, criterion_group, criterion_main};
 use http::Method;
-use umberpond_config::{Entry, RequestClass, Route, Service, Snapshot};
+use umberpond_config::{Entry, RequestClass, Route, RoutePolicy, Service, Snapshot};
 use umberpond_model::{LocalityRule, Millis, Version};
 use umberpond_proxy::RoutingTable;
 
@@ -22,6 +22,7 @@
             slots: 20,
             connections: 130,
             seal_key: None,
+            health_path: None,
         };
         for route in 0..ROUTES_EACH {
             let value = Route {
@@ -32,6 +33,9 @@
                 methods: BTreeSet::from(["GET".to_owned(), "POST".to_owned()]),
                 idempotent: false,
                 class: RequestClass::Status,
+                host: None,
+                split: Vec::new(),
+                policy: RoutePolicy::default(),
                 timeout: Millis(1_000),
                 credentials: Vec::new(),
             };
--- a/crates/proxy/examples/added_latency.rs
+++ b/crates/proxy/examples/added_latency.rs
@@ -22,7 +22,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
-use umberpond_config::{Entry, RequestClass, Route, Service, Snapshot};
+use umberpond_config::{Entry, RequestClass, Route, RoutePolicy, Service, Snapshot};
 use umberpond_model::{
     EndpointRecord, EndpointStatus, Incarnation, Locality, LocalityRule, Millis, NodeName, Version,
 };
@@ -248,6 +248,7 @@
         slots: SLOTS,
         connections: SLOTS,
         seal_key: None,
+        health_path: None,
     };
     let route = Route {
         name: "work".parse()?,
@@ -257,6 +258,9 @@
         methods: BTreeSet::new(),
         idempotent: false,
         class: RequestClass::Status,
+        host: None,
+        split: Vec::new(),
+        policy: RoutePolicy::default(),
         timeout: Millis(5_000),
         credentials: Vec::new(),
     };
--- a/crates/proxy/tests/routing.rs
+++ b/crates/proxy/tests/routing.rs
@@ -3,13 +3,20 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use http::Method;
-use umberpond_config::{Entry, HeaderCredential, RequestClass, Route, Service, Snapshot};
+use umberpond_config::{Entry, HeaderCredential, RequestClass, Route, RoutePolicy, Service, Snapshot};
 use umberpond_model::{LocalityRule, Millis, ServiceName, Version};
 use umberpond_proxy::{CompileError, CredentialValue, NoRoute, RoutingTable};
 
 fn service(name: &str) -> Service {
     let allowed = vec![LocalityRule { region: "north".parse().unwrap(), zone: None }];
-    Service { name: name.parse().unwrap(), allowed, slots: 1, connections: 1, seal_key: None }
+    Service {
+        name: name.parse().unwrap(),
+        allowed,
+        slots: 1,
+        connections: 1,
+        seal_key: None,
+        health_path: None,
+    }
 }
 
 fn route(name: &str, service: &str, prefix: &str, methods: &[&str]) -> Route {
@@ -21,6 +28,9 @@
         methods: methods.iter().map(|method| (*method).to_owned()).collect(),
         idempotent: false,
         class: RequestClass::Status,
+        host: None,
+        split: Vec::new(),
+        policy: RoutePolicy::default(),
         timeout: Millis(1),
         credentials: Vec::new(),
     }
--- a/crates/proxy/tests/support/mesh.rs
+++ b/crates/proxy/tests/support/mesh.rs
@@ -9,7 +9,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use umberpond_config::{
-    Entry, HeaderCredential, RequestClass, Route, SealedValue, Secret, Service, Snapshot,
+    Entry, HeaderCredential, RequestClass, Route, RoutePolicy, SealedValue, Secret, Service, Snapshot,
 };
 use umberpond_model::{
     EndpointRecord, EndpointStatus, Incarnation, Locality, LocalityRule, Millis, NodeName, ServiceName,
@@ -145,6 +145,7 @@
             slots: self.slots,
             connections: 120,
             seal_key: None,
+            health_path: None,
         };
         let sealed = BTreeMap::from([("storefront".parse().unwrap(), SealedValue(vec![1]))]);
         let secret = Secret { name: "archive-token".parse().unwrap(), readers: sealed };
@@ -169,6 +170,9 @@
             methods: BTreeSet::new(),
             idempotent,
             class: if idempotent { RequestClass::Status } else { RequestClass::Transaction },
+            host: None,
+            split: Vec::new(),
+            policy: RoutePolicy::default(),
             timeout: self.timeout,
             credentials: vec![credential],
         }
--- /dev/null
+++ b/crates/scheduling/src/lib.rs
@@ -0,0 +1,14 @@
+//! Decides which requests a back end gets, in which order, and which are refused.
+//!
+//! The node beside a back end is the only way to it, so this is the one authority on what runs. The core has no I/O
+//! and reads no clock: the present time is an argument.
+
+mod duplicates;
+mod load;
+mod queue;
+mod service_time;
+
+pub use duplicates::DuplicateWindow;
+pub use load::LoadReport;
+pub use queue::{Decision, Refusal, Started, Ticket, WorkItem, WorkQueue};
+pub use service_time::ServiceTime;
--- /dev/null
+++ b/crates/scheduling/src/load.rs
@@ -0,0 +1,30 @@
+//! What a node tells others about the load of the back end beside it.
+
+use std::time::Duration;
+
+use bitcode::{Decode, Encode};
+
+/// Load of one back end at one moment, as the node beside it counts it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Encode, Decode)]
+pub struct LoadReport {
+    /// Count of the report within one life of the node's process; a later report has a higher one.
+    pub number: u64,
+    /// Requests that the back end works on.
+    pub running: u32,
+    /// Requests that wait at the node.
+    pub waiting: u32,
+    /// Requests that the back end may work on at once.
+    pub slots: u32,
+    /// Mean time the back end took for a request lately, in microseconds; 0 if nothing is known.
+    pub service_micros: u32,
+    /// Share of requests lately whose answer was lost or spoiled, in thousandths.
+    pub failed_permille: u16,
+}
+
+impl LoadReport {
+    /// Mean time the back end took for a request lately, if known.
+    #[must_use]
+    pub const fn service_time(&self) -> Option<Duration> {
+        if self.service_micros == 0 { None } else { Some(Duration::from_micros(self.service_micros as u64)) }
+    }
+}
--- /dev/null
+++ b/crates/scheduling/src/queue.rs
@@ -0,0 +1,276 @@
+//! The queue before one back end.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use thiserror::Error;
+
+use crate::{LoadReport, ServiceTime};
+
+/// Most requests that may wait, as a multiple of the slots.
+const WAITING_PER_SLOT: usize = 20;
+/// Assumed service time while nothing is known.
+const UNKNOWN_SERVICE_TIME: Duration = Duration::from_millis(50);
+/// Weight of one request in the share of failed ones.
+const FAILURE_WEIGHT: f64 = 0.03;
+
+/// One request as the queue sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WorkItem {
+    /// Rank among the requests for this back end: 0 is served first.
+    pub priority: u8,
+    /// End of the time within which an answer is of full use.
+    pub objective_at: Instant,
+    /// End of the time within which an answer is of any use.
+    pub deadline: Instant,
+    /// Longest time that the sender lets the request wait here.
+    pub patience: Duration,
+}
+
+/// Names one waiting request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(u64);
+
+/// Why a request is refused before it ran.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum Refusal {
+    /// The back end takes no new work.
+    #[error("the back end takes no new work")]
+    Closed,
+    /// The wait would be longer than the sender allows.
+    #[error("the wait would be too long")]
+    WaitTooLong {
+        /// The wait expected.
+        expected: Duration,
+    },
+    /// Too many requests wait already.
+    #[error("too many requests wait already")]
+    QueueFull,
+    /// The deadline passed while the request waited.
+    #[error("the deadline passed in the queue")]
+    Expired,
+}
+
+/// What becomes of an offered request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Decision {
+    /// It has a slot; the caller sends it now and reports its end.
+    Start,
+    /// It waits under this ticket.
+    Wait(Ticket),
+    /// It is refused; it has not run.
+    Refuse(Refusal),
+}
+
+/// A waiting request that leaves the queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Started {
+    /// It has a slot now.
+    Run(Ticket),
+    /// Its deadline has passed; it has not run.
+    Expire(Ticket),
+}
+
+/// Place in the queue: by priority; then those that can still meet their objective, the most urgent first; then those
+/// that can't, so that they don't make others late.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Place {
+    priority: u8,
+    is_late: bool,
+    objective_at: Instant,
+    ticket: Ticket,
+}
+
+/// The queue before one back end, and what is known of its speed.
+#[derive(Debug)]
+pub struct WorkQueue {
+    slots: u32,
+    is_open: bool,
+    running: u32,
+    waiting: BTreeMap<Place, WorkItem>,
+    places: BTreeMap<Ticket, Place>,
+    next_ticket: u64,
+    service_time: ServiceTime,
+    failed_share: f64,
+    reports: u64,
+}
+
+impl WorkQueue {
+    /// An empty queue that takes no work yet.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            slots: 0,
+            is_open: false,
+            running: 0,
+            waiting: BTreeMap::new(),
+            places: BTreeMap::new(),
+            next_ticket: 0,
+            service_time: ServiceTime::default(),
+            failed_share: 0.0,
+            reports: 0,
+        }
+    }
+
+    /// Sets how many requests the back end works on at once. Call [`WorkQueue::start_next`] afterwards.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.slots = slots;
+    }
+
+    /// Takes new work from now on.
+    pub fn open(&mut self) {
+        self.is_open = true;
+    }
+
+    /// Takes no new work from now on, and gives up what waits; returns the tickets.
+    pub fn close(&mut self) -> Vec<Ticket> {
+        self.is_open = false;
+        self.waiting.clear();
+        std::mem::take(&mut self.places).into_keys().collect()
+    }
+
+    /// Whether new work is taken.
+    #[must_use]
+    pub const fn is_open(&self) -> bool {
+        self.is_open
+    }
+
+    /// Forgets what is known of the back end's speed: another one stands in its place.
+    pub fn forget_service_time(&mut self) {
+        self.service_time = ServiceTime::default();
+        self.failed_share = 0.0;
+    }
+
+    /// Offers a request.
+    pub fn offer(&mut self, now: Instant, item: WorkItem) -> Decision {
+        if !self.is_open {
+            return Decision::Refuse(Refusal::Closed);
+        }
+        if item.deadline <= now {
+            return Decision::Refuse(Refusal::Expired);
+        }
+        if self.running < self.slots && self.waiting.is_empty() {
+            self.running += 1;
+            return Decision::Start;
+        }
+        let expected = self.expected_wait(item);
+        if expected > item.patience {
+            return Decision::Refuse(Refusal::WaitTooLong { expected });
+        }
+        if self.waiting.len() >= WAITING_PER_SLOT * self.slots.max(1) as usize {
+            return Decision::Refuse(Refusal::QueueFull);
+        }
+        Decision::Wait(self.enqueue(item))
+    }
+
+    /// Takes a waiting request that can start, or one that has expired. Call it until nothing comes.
+    pub fn start_next(&mut self, now: Instant) -> Option<Started> {
+        let (place, item) = self.first_waiting(now)?;
+        if item.deadline <= now {
+            self.remove(place);
+            return Some(Started::Expire(place.ticket));
+        }
+        if self.running >= self.slots {
+            return None;
+        }
+        self.remove(place);
+        self.running += 1;
+        Some(Started::Run(place.ticket))
+    }
+
+    /// Gives up a waiting request, because its sender is gone. `false` if it does not wait any more.
+    pub fn withdraw(&mut self, ticket: Ticket) -> bool {
+        let Some(place) = self.places.get(&ticket).copied() else { return false };
+        self.remove(place);
+        true
+    }
+
+    /// Takes in that a request has left its slot. `served` is the time the back end took, if it answered.
+    pub fn finish(&mut self, served: Option<Duration>) {
+        self.running = self.running.saturating_sub(1);
+        if let Some(taken) = served {
+            self.service_time.record(taken);
+        }
+    }
+
+    /// Takes in whether the answer of a request that ran came back sound.
+    pub fn record_answer(&mut self, is_sound: bool) {
+        let sample = if is_sound { 0.0 } else { 1.0 };
+        self.failed_share += (sample - self.failed_share) * FAILURE_WEIGHT;
+    }
+
+    /// Expected wait of a request like `item`, if it were offered now.
+    #[must_use]
+    pub fn expected_wait(&self, item: WorkItem) -> Duration {
+        let first_free = self.slots.max(1);
+        let place = Place {
+            priority: item.priority,
+            is_late: false,
+            objective_at: item.objective_at,
+            ticket: Ticket(self.next_ticket),
+        };
+        let ahead = u32::try_from(self.waiting.range(..place).count()).unwrap_or(u32::MAX);
+        let over = (self.running + ahead + 1).saturating_sub(first_free);
+        self.mean_service_time() * over / first_free
+    }
+
+    /// What others are told.
+    pub fn report(&mut self) -> LoadReport {
+        self.reports += 1;
+        LoadReport {
+            number: self.reports,
+            running: self.running,
+            waiting: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
+            slots: self.slots,
+            service_micros: self.service_time.mean_micros(),
+            failed_permille: permille(self.failed_share),
+        }
+    }
+
+    fn mean_service_time(&self) -> Duration {
+        self.service_time.mean().unwrap_or(UNKNOWN_SERVICE_TIME)
+    }
+
+    /// The first in the queue. Those found unable to meet their objective are put behind the others of their priority.
+    fn first_waiting(&mut self, now: Instant) -> Option<(Place, WorkItem)> {
+        let expected_end = now + self.mean_service_time();
+        loop {
+            let (place, item) = self.waiting.first_key_value().map(|(place, item)| (*place, *item))?;
+            if place.is_late || expected_end <= place.objective_at {
+                return Some((place, item));
+            }
+            self.remove(place);
+            self.insert(Place { is_late: true, ..place }, item);
+        }
+    }
+
+    fn enqueue(&mut self, item: WorkItem) -> Ticket {
+        let ticket = Ticket(self.next_ticket);
+        self.next_ticket += 1;
+        let place =
+            Place { priority: item.priority, is_late: false, objective_at: item.objective_at, ticket };
+        self.insert(place, item);
+        ticket
+    }
+
+    fn insert(&mut self, place: Place, item: WorkItem) {
+        self.waiting.insert(place, item);
+        self.places.insert(place.ticket, place);
+    }
+
+    fn remove(&mut self, place: Place) {
+        self.waiting.remove(&place);
+        self.places.remove(&place.ticket);
+    }
+}
+
+impl Default for WorkQueue {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn permille(share: f64) -> u16 {
+    (share * 1000.0).clamp(0.0, 1000.0) as u16
+}
--- /dev/null
+++ b/crates/selection/src/choice.rs
@@ -0,0 +1,28 @@
+//! What is asked of the selector, and what it answers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use umberpond_model::NodeName;
+
+/// What is known of a request when its endpoint is chosen.
+#[derive(Debug, Clone, Copy)]
+pub struct Query<'a> {
+    /// Nodes to which the request was sent before.
+    pub tried: &'a [NodeName],
+}
+
+/// The endpoint chosen.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Choice {
+    /// Node beside the back end.
+    pub node: NodeName,
+    /// Address at which that node takes requests.
+    pub address: SocketAddr,
+    /// The life of the back end that is meant.
+    pub instance: String,
+    /// Expected time until the answer.
+    pub expected: Duration,
+    /// Expected part of it spent waiting for a slot.
+    pub expected_wait: Duration,
+}
--- /dev/null
+++ b/crates/selection/src/lib.rs
@@ -0,0 +1,13 @@
+//! Chooses the back end of a request, and decides whether a request is sent again.
+//!
+//! The core has no I/O and reads no clock: the present time and the random numbers are arguments.
+
+mod budget;
+mod choice;
+mod endpoint;
+mod selector;
+
+pub use budget::{RetryBudget, RetryBudgetSettings};
+pub use choice::{Choice, Query};
+pub use endpoint::{Endpoint, Observation};
+pub use selector::{Selector, SelectorSettings};
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -8,7 +8,8 @@
 use std::net::SocketAddr;
 
 use umberpond_model::{
-    BundleName, ContentHash, EndpointStatus, Incarnation, NodeName, SecretName, SubmissionId, Version,
+    BundleName, ContentHash, EndpointStatus, Incarnation, NodeName, RouteName, SecretName, ServiceName,
+    SubmissionId, Version,
 };
 
 use crate::{CatalogueEntry, Field, FieldValue, Severity};
@@ -38,6 +39,11 @@
     OperatorRequestRefused { status: u16, reason: String }
         = 1016, Info, "operator-request-refused", "A request to the admin address was refused.";
 
+    SettingsReloaded { service: ServiceName }
+        = 1020, Info, "settings-reloaded", "The settings file has changed; what may change while the process runs was taken in.";
+    SettingsRefused { reason: String }
+        = 1021, Error, "settings-refused", "The settings file has changed and can't be used; nothing changes.";
+
     // Configuration and overlay
     VersionHeld { version: Version }
         = 2001, Debug, "version-held", "A newer version has arrived; it is not in force yet.";
@@ -80,7 +86,18 @@
     SubmissionUnknown { bundle: BundleName, submission: SubmissionId }
         = 2023, Warn, "submission-unknown", "The answer of the platform was lost; the submission is resolved by its identifier.";
 
+    DirectoryRead { nodes: u64 }
+        = 2030, Info, "directory-read", "The node has written its entry to the store and read those of the others.";
+    MembershipChanged { members: u64, reachable: u64, endpoints: u64 }
+        = 2031, Info, "membership-changed", "A node came, left or went out of reach, or a back end changed its state.";
+    DatagramRefused { sender: SocketAddr }
+        = 2032, Warn, "datagram-refused", "A datagram is no heartbeat of this protocol; nothing changes.";
+    ConfigurationFetchFailed { peer: SocketAddr, reason: String }
+        = 2033, Warn, "configuration-fetch-failed", "A newer configuration could not be fetched from another node.";
+
     // Endpoints
+    BackEndStateChanged { instance: String, state: &'static str }
+        = 3010, Info, "back-end-state-changed", "The back end beside this node takes new work, takes none, or has to be asked first.";
     OwnStatusChanged { status: EndpointStatus }
         = 3001, Info, "own-status-changed", "The status of the back end beside this node has changed.";
     EndpointsChanged { count: u64 }
@@ -92,6 +109,9 @@
     EndpointReadmitted { endpoint: NodeName }
         = 3005, Info, "endpoint-readmitted", "An ejected endpoint takes requests again.";
 
+    AnnouncementRefused { reason: String }
+        = 3011, Warn, "announcement-refused", "What a back end says of itself can't be understood; nothing changes.";
+
     // Requests
     RequestAnswered { request: String, status: u16, micros: u64 }
         = 4001, Debug, "request-answered", "The head of the back end's answer was passed on.";
@@ -108,6 +128,19 @@
     RequestRetried { request: String, attempt: u32, reason: &'static str }
         = 4007, Debug, "request-retried", "A request is sent again, for a reason that makes it safe.";
 
+    RequestServed { request: String, route: RouteName, service: ServiceName, node: NodeName, status: u16, attempts: u32, version: Version, total_millis: u64, waited_millis: u64, served_millis: u64 }
+        = 4020, Debug, "request-served", "A back end's answer was passed on; one of many is logged.";
+    RequestGivenUp { request: String, route: RouteName, service: ServiceName, reason: String, attempts: u32, version: Version, total_millis: u64, allowed_millis: u64 }
+        = 4021, Info, "request-given-up", "The caller was told that its request did not run, or may have run, for the reason given.";
+    RequestTurnedAway { request: String, reason: String }
+        = 4022, Info, "request-turned-away", "A request was answered without an attempt: there is no configuration, or no route takes it.";
+    RequestSentAgain { request: String, after: NodeName, reason: &'static str, attempts: u32 }
+        = 4023, Info, "request-sent-again", "An attempt ended without a usable answer, and another one follows.";
+    AdmissionRefused { request: String, service: ServiceName, reason: String, running: u32, waiting: u32, slots: u32, patience_millis: u64 }
+        = 4024, Info, "admission-refused", "The node beside the back end refused a request; it has not run.";
+    ExchangeLost { request: String, instance: String, reason: String, elapsed_millis: u64 }
+        = 4025, Info, "exchange-lost", "A request was handed to the back end and no sound answer came back.";
+
     // Platform
     LeaseGranted { lease: String }
         = 5001, Info, "lease-granted", "The node holds a reader lease.";
@@ -119,6 +152,8 @@
         = 5004, Info, "platform-available", "The platform answers again.";
     WatchStarted { after: u64 }
         = 5005, Info, "watch-started", "The node watches the head on the platform.";
+    WatchLost { position: u64 }
+        = 5009, Info, "watch-lost", "The store no longer tells changes from this place on; the whole is read instead.";
     WatchTooOld { oldest: u64 }
         = 5006, Info, "watch-too-old", "The platform has dropped the watched changes; the whole state is read instead.";
     ObjectUnreadable { object: String, reason: String }
--- a/crates/telemetry/src/entry.rs
+++ b/crates/telemetry/src/entry.rs
@@ -5,8 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 use umberpond_model::{
-    BundleName, ContentHash, EndpointStatus, Incarnation, Locality, NodeName, SecretName, ServiceName,
-    SubmissionId, Version,
+    BundleName, ContentHash, EndpointStatus, Incarnation, Locality, NodeName, RouteName, SecretName,
+    ServiceName, SubmissionId, Version,
 };
 
 /// How much an event matters to an operator.
@@ -106,6 +106,7 @@
     ContentHash,
     Locality,
     NodeName,
+    RouteName,
     SecretName,
     ServiceName,
     SubmissionId
--- a/crates/telemetry/src/telemetry.rs
+++ b/crates/telemetry/src/telemetry.rs
@@ -2,12 +2,16 @@
 
 use std::panic::Location;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use logforth::core::Logger;
 use parking_lot::Mutex;
 
 use crate::{Event, LogFormat, Metrics, Severity, logging};
 
+/// Of so many ordinary events one is logged.
+const SAMPLED: u64 = 64;
+
 /// Sees every event of one node, whatever its severity.
 pub trait EventObserver: Send + Sync + 'static {
     /// Called once an event, in the order in which the events were told.
@@ -45,6 +49,7 @@
     least: Severity,
     observer: Option<Arc<dyn EventObserver>>,
     metrics: Metrics,
+    sampled: AtomicU64,
 }
 
 impl Telemetry {
@@ -67,7 +72,15 @@
     }
 
     fn new(logger: Option<Logger>, least: Severity, observer: Option<Arc<dyn EventObserver>>) -> Self {
-        Self { inner: Arc::new(Inner { logger, least, observer, metrics: Metrics::default() }) }
+        Self {
+            inner: Arc::new(Inner {
+                logger,
+                least,
+                observer,
+                metrics: Metrics::default(),
+                sampled: AtomicU64::new(0),
+            }),
+        }
     }
 
     /// Whether anybody sees events of this severity. Saves the request path the making of events that nobody sees.
@@ -88,6 +101,15 @@
         }
     }
 
+    /// Tells one of so many events; the others are not even made.
+    #[track_caller]
+    pub fn emit_sampled(&self, event: impl FnOnce() -> Event) {
+        let count = self.inner.sampled.fetch_add(1, Ordering::Relaxed);
+        if self.inner.observer.is_some() || (self.inner.logger.is_some() && count.is_multiple_of(SAMPLED)) {
+            self.emit(event());
+        }
+    }
+
     /// The node's metrics.
     #[must_use]
     pub fn metrics(&self) -> &Metrics {
--- a/crates/versions/tests/store.rs
+++ b/crates/versions/tests/store.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use quickcheck::{Arbitrary, Gen, quickcheck};
-use umberpond_config::{Delta, Entry, RequestClass, Route, Scope, Service, Snapshot};
+use umberpond_config::{Delta, Entry, RequestClass, Route, RoutePolicy, Scope, Service, Snapshot};
 use umberpond_model::{
     ContentHash, LocalityRule, Millis, RegionName, RouteName, ServiceName, Version, ZoneName,
 };
@@ -18,7 +18,7 @@
 fn service(number: u64, slots: u32) -> Service {
     let region = RegionName::new("north").unwrap();
     let allowed = vec![LocalityRule { region, zone: None }];
-    Service { name: service_name(number), allowed, slots, connections: 1, seal_key: None }
+    Service { name: service_name(number), allowed, slots, connections: 1, seal_key: None, health_path: None }
 }
 
 /// A route to service `number`, called by the next service.
@@ -31,6 +31,9 @@
         methods: BTreeSet::new(),
         idempotent: false,
         class: RequestClass::Status,
+        host: None,
+        split: Vec::new(),
+        policy: RoutePolicy::default(),
         timeout: Millis(1_000),
         credentials: Vec::new(),
     }
--- a/testing/sim/src/cluster/layout.rs
+++ b/testing/sim/src/cluster/layout.rs
@@ -6,8 +6,8 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use umberpond_config::{
-    Bundle, HeaderCredential, Origin, RequestClass, Route, SealKeyPair, Secret, SecretValue, Service,
-    Sourced, seal,
+    Bundle, HeaderCredential, Origin, RequestClass, Route, RoutePolicy, SealKeyPair, Secret, SecretValue,
+    Service, Sourced, seal,
 };
 use umberpond_model::{
     BundleName, Locality, LocalityRule, Millis, NodeName, RegionName, RouteName, SecretName, ServiceName,
@@ -191,8 +191,14 @@
         let seal_key = (service == CALLER_SERVICE).then(|| key.public());
         let name = name(ServiceName::new(service));
         let allowed = allowed(service);
-        let service =
-            Service { name: name.clone(), allowed, slots: SLOTS, connections: CONNECTIONS, seal_key };
+        let service = Service {
+            name: name.clone(),
+            allowed,
+            slots: SLOTS,
+            connections: CONNECTIONS,
+            seal_key,
+            health_path: None,
+        };
         bundle.services.insert(name, sourced(service));
     }
     for route in [
@@ -255,6 +261,9 @@
         methods: BTreeSet::new(),
         idempotent,
         class,
+        host: None,
+        split: Vec::new(),
+        policy: RoutePolicy::default(),
         timeout: Millis(timeout),
         credentials,
     }
--- a/testing/sim/src/scale/workload.rs
+++ b/testing/sim/src/scale/workload.rs
@@ -5,7 +5,8 @@
 
 use rand::{Rng, RngExt};
 use umberpond_config::{
-    Delta, Entry, HeaderCredential, RequestClass, Route, SealKey, SealedValue, Secret, Service, Snapshot,
+    Delta, Entry, HeaderCredential, RequestClass, Route, RoutePolicy, SealKey, SealedValue, Secret, Service,
+    Snapshot,
 };
 use umberpond_model::{
     ContentHash, LocalityRule, Millis, NodeName, RegionName, RouteName, SecretName, ServiceName,
@@ -146,6 +147,7 @@
         slots: 20,
         connections: 130,
         seal_key: Some(SealKey([number.to_le_bytes()[0]; 32])),
+        health_path: None,
     };
     snapshot.services.insert(name.clone(), Entry::new(service));
     for call in 0..CALLED_SERVICES {
@@ -178,6 +180,9 @@
         methods: BTreeSet::from(["GET".to_owned()]),
         idempotent: call != 0,
         class: RequestClass::Status,
+        host: None,
+        split: Vec::new(),
+        policy: RoutePolicy::default(),
         timeout: Millis(1_000),
         credentials,
     }
--- a/xtask/src/scale/bundles.rs
+++ b/xtask/src/scale/bundles.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use rand::{Rng, RngExt};
-use umberpond_config::{Bundle, Origin, RequestClass, Route, Service, Sourced};
+use umberpond_config::{Bundle, Origin, RequestClass, Route, RoutePolicy, Service, Sourced};
 use umberpond_hollow::Places;
 use umberpond_model::{BundleName, LocalityRule, Millis, RouteName};
 
@@ -84,6 +84,7 @@
             slots: SLOTS,
             connections: CONNECTIONS,
             seal_key: None,
+            health_path: None,
         };
         bundle.services.insert(name, sourced("services", service));
     }
@@ -111,6 +112,9 @@
         methods: BTreeSet::from(["GET".to_owned()]),
         idempotent: call != 0,
         class: RequestClass::Status,
+        host: None,
+        split: Vec::new(),
+        policy: RoutePolicy::default(),
         timeout: FIRST_TIMEOUT,
         credentials: Vec::new(),
     })
