Refuse what comes after the callers' last look, and end as soon as nothing is open

Ruled out: waiting longer (the grace is fixed) and closing the listener (callers would find no node at all).

Change: a stopping node serves until it has been found unready twice, then refuses new requests at once with the time to come back, finishes what is open, and ends.

--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -10,7 +11,7 @@
 use umberpond_distribution::ReaderSettings;
 use umberpond_forwarding::{
     Dialect, Inbound, InboundSettings, Outbound, OutboundIdentity, OutboundSettings, ServerControl,
-    serve_inbound, serve_outbound,
+    ServerPhase, serve_inbound, serve_outbound,
 };
 use umberpond_membership::{
     Introduction, MemberPhase, MemberRecord, MemberView, Membership, MembershipSettings,
@@ -157,6 +158,7 @@
             configuration,
             back_end,
             control: ServerControl::default(),
+            unready_answers: AtomicU32::new(0),
             tasks: Mutex::default(),
         };
         daemon.start_tasks(listeners);
@@ -215,6 +217,8 @@
     configuration: ActorRef<ConfigurationMessage>,
     back_end: Arc<BackEndMonitor>,
     pub(crate) control: ServerControl,
+    /// Looks at the readiness since the process was told to stop.
+    pub(crate) unready_answers: AtomicU32,
     pub(crate) tasks: Mutex<JoinSet<()>>,
 }
 
@@ -230,7 +234,8 @@
     /// # Errors
     /// Returns the reason if they should not be.
     pub fn readiness(&self) -> Result<(), Unready> {
-        if self.control.is_leaving() {
+        if self.control.phase() >= ServerPhase::Leaving {
+            self.unready_answers.fetch_add(1, Ordering::Relaxed);
             return Err(Unready::Stopping);
         }
         if self.activation.active().is_none() {
--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -1,18 +1,22 @@
 //! A planned stop: nothing in flight is cut, nothing new is taken that can't be finished.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::time::{Instant, sleep};
+use umberpond_forwarding::ServerPhase;
 use umberpond_membership::MemberPhase;
 use umberpond_telemetry::Event;
 
 use crate::membership::MembershipMessage;
 use crate::start::RunningDaemon;
 
-/// Callers go on sending until they have missed two looks at the readiness.
+/// Looks at the readiness that callers have to miss before they stay away.
+const MISSED_LOOKS: u32 = 2;
+/// Longest time until callers stay away.
 const CALLERS_LEAVE_WITHIN: Duration = Duration::from_millis(2_600);
-/// Time without an open request after which nobody is taken to send any more.
-const QUIET: Duration = Duration::from_millis(300);
+/// Time in which what was sent before the last missed look arrives.
+const LAST_ARRIVALS: Duration = Duration::from_millis(150);
 /// Time kept before the kill, in which the process ends.
 const RESERVE: Duration = Duration::from_millis(400);
 /// Time between two looks.
@@ -21,15 +25,17 @@
 const LAST_WORDS: Duration = Duration::from_millis(20);
 
 impl RunningDaemon {
-    /// Stops: first nobody is sent here any more, then what is open is finished, then the process may end. Takes less
-    /// than the grace of the settings.
+    /// Stops: first nobody is sent here any more, then what is open is finished and what still comes is refused, then
+    /// the process may end. Takes less than the grace of the settings.
     pub async fn stop(&self) {
         let began = Instant::now();
         let telemetry = &self.environment.telemetry;
         telemetry.emit(Event::DrainStarted { timeout_millis: millis(self.config.grace) });
-        self.control.leave();
+        self.control.advance(ServerPhase::Leaving);
         let _ = self.membership.send_message(MembershipMessage::Phase(MemberPhase::Leaving));
-        let cut = self.wait_until_quiet(began).await;
+        self.wait_until_callers_stay_away(began).await;
+        self.control.advance(ServerPhase::Refusing);
+        let cut = self.wait_until_finished(began).await;
         let _ = self.membership.send_message(MembershipMessage::Phase(MemberPhase::Left));
         sleep(LAST_WORDS).await;
         let waited_millis = millis(began.elapsed());
@@ -41,23 +47,21 @@
         self.tasks.lock().abort_all();
     }
 
+    async fn wait_until_callers_stay_away(&self, began: Instant) {
+        while self.unready_answers.load(Ordering::Relaxed) < MISSED_LOOKS
+            && began.elapsed() < CALLERS_LEAVE_WITHIN
+        {
+            sleep(LOOK_INTERVAL).await;
+        }
+        sleep(LAST_ARRIVALS).await;
+    }
+
     /// Waits until nothing is open; gives the number of requests that are still open at the end of the grace.
-    async fn wait_until_quiet(&self, began: Instant) -> usize {
+    async fn wait_until_finished(&self, began: Instant) -> usize {
         let last = began + self.config.grace.saturating_sub(RESERVE);
-        let mut quiet_since: Option<Instant> = None;
         loop {
             let open = self.open();
-            let now = Instant::now();
-            if open > 0 {
-                quiet_since = None;
-            } else {
-                quiet_since.get_or_insert(now);
-            }
-            let is_quiet = quiet_since.is_some_and(|since| now - since >= QUIET);
-            if is_quiet && now - began >= CALLERS_LEAVE_WITHIN {
-                return 0;
-            }
-            if now >= last {
+            if open == 0 || Instant::now() >= last {
                 return open;
             }
             sleep(LOOK_INTERVAL).await;
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -3,7 +3,7 @@
 //! A request goes caller -> outbound half of the caller's node -> inbound half of the node beside the back end ->
 //! back end. [`Outbound`] finds the route, chooses back ends and answers; [`Inbound`] is the only way to its back
 //! end: it admits, queues and hands over. Between two nodes each exchange has a connection for itself
-//! ([`hop`]), so that no request waits for another one's bytes, and giving it up is closing the connection.
+//! (module `hop`), so that no request waits for another one's bytes, and giving it up is closing the connection.
 //!
 //! Every attempt ends as *answered*, *not run* (proved) or *unknown*. Only what is proved not to have run is refused
 //! with a promise, and only that or an idempotent request is sent again.
@@ -23,5 +23,5 @@
 pub use outbound::{Outbound, OutboundIdentity, OutboundSettings, StaleVersion};
 pub use outcome::{NotRunReason, UnknownReason};
 pub use routing::{CompileError, CompiledRoute, NoRoute, OpenedSecrets, RoutingTable, WeightedService};
-pub use server::{ServerControl, serve_inbound, serve_outbound};
+pub use server::{ServerControl, ServerPhase, serve_inbound, serve_outbound};
 pub use upstream::Health;
--- a/crates/forwarding/src/outbound/handler.rs
+++ b/crates/forwarding/src/outbound/handler.rs
@@ -33,6 +33,9 @@
 /// When a caller comes back that found no configuration or no back end.
 const COME_BACK: Duration = Duration::from_millis(300);
 
+/// When a caller comes back whose node was about to end.
+const COME_BACK_AFTER_RESTART: Duration = Duration::from_millis(700);
+
 /// Limits of the outbound half.
 #[derive(Debug, Clone, PartialEq)]
 pub struct OutboundSettings {
@@ -208,6 +211,12 @@
         Attempts::new(&self, request).run().await
     }
 
+    /// The answer to a request that comes when the process is about to end.
+    pub(crate) fn refuse_while_stopping(&self, head: &RequestHead) -> Reply {
+        let id = head.fields.get(self.dialect.request_id);
+        self.refuse(id, ReplyReason::NotRun(NotRunReason::Stopping), Some(COME_BACK_AFTER_RESTART))
+    }
+
     fn prepare(
         &self,
         head: RequestHead,
--- a/crates/forwarding/src/outcome.rs
+++ b/crates/forwarding/src/outcome.rs
@@ -9,6 +9,9 @@
     /// This node has no configuration yet.
     #[error("no-configuration")]
     NoConfiguration,
+    /// This node's process is about to end.
+    #[error("stopping")]
+    Stopping,
     /// No back end of the service takes new work.
     #[error("no-endpoint")]
     NoEndpoint,
--- a/crates/forwarding/src/server/caller.rs
+++ b/crates/forwarding/src/server/caller.rs
@@ -10,7 +10,7 @@
 };
 use umberpond_net::BoxStream;
 
-use super::listener::ServerControl;
+use super::listener::{ServerControl, ServerPhase};
 use super::pending::{PendingRequests, Ready};
 use super::receive::{BodyRefusal, Receiving, receive};
 use super::writer::{Written, write_reply};
@@ -120,10 +120,19 @@
         true
     }
 
+    fn is_leaving(&self) -> bool {
+        self.control.phase() >= ServerPhase::Leaving
+    }
+
     fn start(&mut self, head: RequestHead, body: RequestBody, arrived: Instant) {
         let is_last = head.version == HttpVersion::Http10 || head.fields.lists("connection", "close");
         self.is_last_taken |= is_last;
         let method = head.method.clone();
+        if self.control.phase() >= ServerPhase::Refusing {
+            let reply = self.outbound.refuse_while_stopping(&head);
+            self.pending.push(std::future::ready(reply), method, self.control.open_request());
+            return;
+        }
         let handling = Arc::clone(&self.outbound).handle(head, body, arrived);
         self.pending.push(handling, method, self.control.open_request());
     }
@@ -155,7 +164,7 @@
 
     async fn on_ready(&mut self, ready: Ready) -> bool {
         let is_unfinished = self.receiving.is_some() && self.pending.is_empty();
-        self.is_last_taken |= ready.reply.closes || is_unfinished || self.control.is_leaving();
+        self.is_last_taken |= ready.reply.closes || is_unfinished || self.is_leaving();
         let closes = self.is_last_taken && self.pending.is_empty() || ready.reply.closes;
         let written = write_reply(&mut self.writer, ready.reply, &ready.method, closes).await;
         self.idle_since = Instant::now();
--- a/crates/forwarding/src/server/listener.rs
+++ b/crates/forwarding/src/server/listener.rs
@@ -19,29 +19,40 @@
 /// Most connections that one listener serves at once.
 const MAX_CONNECTIONS: usize = 1_500;
 
+/// How far a process is on its way out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ServerPhase {
+    /// Requests are served.
+    Serving,
+    /// Requests are served, and each answer ends its connection.
+    Leaving,
+    /// New requests are refused; those that are open are finished.
+    Refusing,
+}
+
 /// How far the process is on its way out, and what is still open.
 #[derive(Debug, Clone)]
 pub struct ServerControl {
-    leaving: watch::Sender<bool>,
+    phase: watch::Sender<ServerPhase>,
     open_requests: Arc<AtomicUsize>,
 }
 
 impl Default for ServerControl {
     fn default() -> Self {
-        Self { leaving: watch::Sender::new(false), open_requests: Arc::default() }
+        Self { phase: watch::Sender::new(ServerPhase::Serving), open_requests: Arc::default() }
     }
 }
 
 impl ServerControl {
-    /// From now on each answer to a caller ends its connection.
-    pub fn leave(&self) {
-        self.leaving.send_replace(true);
+    /// Goes on to `phase`; never back.
+    pub fn advance(&self, phase: ServerPhase) {
+        self.phase.send_modify(|present| *present = phase.max(*present));
     }
 
-    /// Whether the process is leaving.
+    /// The phase reached.
     #[must_use]
-    pub fn is_leaving(&self) -> bool {
-        *self.leaving.borrow()
+    pub fn phase(&self) -> ServerPhase {
+        *self.phase.borrow()
     }
 
     /// Requests of callers that have no whole answer yet.
--- a/crates/forwarding/src/server/mod.rs
+++ b/crates/forwarding/src/server/mod.rs
@@ -6,4 +6,4 @@
 mod receive;
 mod writer;
 
-pub use listener::{ServerControl, serve_inbound, serve_outbound};
+pub use listener::{ServerControl, ServerPhase, serve_inbound, serve_outbound};
