Answer every request before the process ends, and tell what a late request did

Change: a request that comes to a leaving node gets at most the time that is left; what is open at the end gets a final answer; the caller's node waits 40 ms beyond the deadline for the word of the other node, which keeps the same deadline.

--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -17,8 +17,10 @@
 const CALLERS_LEAVE_WITHIN: Duration = Duration::from_millis(2_600);
 /// Time in which what was sent before the last missed look arrives.
 const LAST_ARRIVALS: Duration = Duration::from_millis(150);
+/// Time kept before the kill, in which the last answers leave and the process ends.
+const ANSWER_RESERVE: Duration = Duration::from_millis(900);
 /// Time kept before the kill, in which the process ends.
-const RESERVE: Duration = Duration::from_millis(400);
+const RESERVE: Duration = Duration::from_millis(700);
 /// Time between two looks.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 /// Time for the last words to leave.
@@ -31,7 +33,7 @@
         let began = Instant::now();
         let telemetry = &self.environment.telemetry;
         telemetry.emit(Event::DrainStarted { timeout_millis: millis(self.config.grace) });
-        self.control.advance(ServerPhase::Leaving);
+        self.control.leave(began + self.config.grace.saturating_sub(ANSWER_RESERVE));
         let _ = self.membership.send_message(MembershipMessage::Phase(MemberPhase::Leaving));
         self.wait_until_callers_stay_away(began).await;
         self.control.advance(ServerPhase::Refusing);
--- a/crates/forwarding/src/hop/client.rs
+++ b/crates/forwarding/src/hop/client.rs
@@ -18,6 +18,9 @@
 };
 use crate::outcome::{NotRunReason, UnknownReason};
 
+/// Time beyond the deadline in which the other node's last word arrives.
+const LAST_WORD: Duration = Duration::from_millis(40);
+
 /// Limits of the connections to other nodes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct HopPoolSettings {
@@ -71,7 +74,8 @@
         };
         let body = std::mem::replace(&mut attempt.body, RequestBody::Spent);
         let exchange = self.exchange(address, connection, &attempt, body);
-        match timeout_at(deadline, exchange).await {
+        // The other node keeps the same deadline and can say whether the request ran; its word is awaited a little.
+        match timeout_at(deadline + LAST_WORD, exchange).await {
             Ok(result) => result,
             Err(_elapsed) => AttemptResult::Unknown(UnknownReason::TimedOut),
         }
--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -72,8 +72,18 @@
         }
     }
 
-    pub(super) async fn run(mut self) -> Reply {
+    /// Sends attempts until the request is answered or given up, at the latest when `cut_off` is reached.
+    pub(super) async fn run(mut self, cut_off: impl Future<Output = ()>) -> Reply {
         self.outbound.count_request(&self.request.service);
+        let answered = tokio::select! {
+            biased;
+            reply = self.send_all() => Some(reply),
+            () = cut_off => None,
+        };
+        answered.unwrap_or_else(|| self.reply(ReplyReason::Unknown(UnknownReason::TimedOut), None))
+    }
+
+    async fn send_all(&mut self) -> Reply {
         let mut last = NotRun::before_back_end(NotRunReason::NoEndpoint);
         loop {
             let Some(choice) = self.choose() else { return self.not_run(last) };
--- a/crates/forwarding/src/outbound/handler.rs
+++ b/crates/forwarding/src/outbound/handler.rs
@@ -29,6 +29,7 @@
 use crate::message::RequestBody;
 use crate::outcome::NotRunReason;
 use crate::routing::{CompiledRoute, RoutingTable};
+use crate::server::ServerControl;
 
 /// When a caller comes back that found no configuration or no back end.
 const COME_BACK: Duration = Duration::from_millis(300);
@@ -36,6 +37,9 @@
 /// When a caller comes back whose node was about to end.
 const COME_BACK_AFTER_RESTART: Duration = Duration::from_millis(700);
 
+/// Time kept of what a caller will wait, in which the last answer gets to it.
+const ANSWER_RESERVE: Duration = Duration::from_millis(15);
+
 /// Limits of the outbound half.
 #[derive(Debug, Clone, PartialEq)]
 pub struct OutboundSettings {
@@ -203,12 +207,16 @@
         head: RequestHead,
         body: RequestBody,
         arrived: Instant,
+        control: ServerControl,
     ) -> Reply {
-        let request = match self.prepare(head, body, arrived) {
+        let mut request = match self.prepare(head, body, arrived) {
             Ok(request) => request,
             Err(reply) => return reply,
         };
-        Attempts::new(&self, request).run().await
+        if let Some(last_answers) = control.last_answers() {
+            request.time = request.time.min(last_answers.saturating_duration_since(arrived));
+        }
+        Attempts::new(&self, request).run(control.reached_last_answers()).await
     }
 
     /// The answer to a request that comes when the process is about to end.
@@ -234,7 +242,9 @@
             return Err(self.refuse(id.as_ref(), ReplyReason::NoRoute, None));
         };
         let told = head.fields.text(self.dialect.deadline_millis).and_then(|millis| millis.parse().ok());
-        let time = told.map_or(route.timeout, |millis| Duration::from_millis(millis).min(route.timeout));
+        let time = told.map_or(route.timeout, |millis| {
+            Duration::from_millis(millis).saturating_sub(ANSWER_RESERVE).min(route.timeout)
+        });
         let service = route.draw_destination(&mut *self.random.lock()).clone();
         let id = id.unwrap_or_else(|| self.new_id());
         let version = table.version();
--- a/crates/forwarding/src/server/caller.rs
+++ b/crates/forwarding/src/server/caller.rs
@@ -133,7 +133,7 @@
             self.pending.push(std::future::ready(reply), method, self.control.open_request());
             return;
         }
-        let handling = Arc::clone(&self.outbound).handle(head, body, arrived);
+        let handling = Arc::clone(&self.outbound).handle(head, body, arrived, self.control.clone());
         self.pending.push(handling, method, self.control.open_request());
     }
 
--- a/crates/forwarding/src/server/listener.rs
+++ b/crates/forwarding/src/server/listener.rs
@@ -6,6 +6,7 @@
 
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep_until};
 use umberpond_net::BoxListener;
 use umberpond_telemetry::{Event, Telemetry};
 
@@ -34,16 +35,44 @@
 #[derive(Debug, Clone)]
 pub struct ServerControl {
     phase: watch::Sender<ServerPhase>,
+    /// When every request has to have its final answer; absent while the process serves.
+    last_answers: watch::Sender<Option<Instant>>,
     open_requests: Arc<AtomicUsize>,
 }
 
 impl Default for ServerControl {
     fn default() -> Self {
-        Self { phase: watch::Sender::new(ServerPhase::Serving), open_requests: Arc::default() }
+        Self {
+            phase: watch::Sender::new(ServerPhase::Serving),
+            last_answers: watch::Sender::new(None),
+            open_requests: Arc::default(),
+        }
     }
 }
 
 impl ServerControl {
+    /// Starts to leave: each answer to a caller ends its connection, and every request has its final answer by
+    /// `last_answers`.
+    pub fn leave(&self, last_answers: Instant) {
+        self.last_answers.send_replace(Some(last_answers));
+        self.advance(ServerPhase::Leaving);
+    }
+
+    /// When every request has to have its final answer; absent while the process serves.
+    #[must_use]
+    pub fn last_answers(&self) -> Option<Instant> {
+        *self.last_answers.borrow()
+    }
+
+    /// Waits until every request has to have its final answer.
+    pub(crate) async fn reached_last_answers(&self) {
+        let mut last_answers = self.last_answers.subscribe();
+        let Ok(Some(at)) = last_answers.wait_for(Option::is_some).await.map(|at| *at) else {
+            return std::future::pending().await;
+        };
+        sleep_until(at).await;
+    }
+
     /// Goes on to `phase`; never back.
     pub fn advance(&self, phase: ServerPhase) {
         self.phase.send_modify(|present| *present = phase.max(*present));
--- /dev/null
+++ b/crates/http1/tests/messages.rs
@@ -0,0 +1,202 @@
+//! Reading and writing whole messages.
+
+use std::time::Duration;
+
+use bytes::BytesMut;
+use quickcheck::quickcheck;
+use tokio::io::AsyncWriteExt;
+use umberpond_http1::{
+    BodyDecoder, BodyError, Fields, Framing, FramingError, HeadError, HttpVersion, MessageReader, ReadLimits,
+    RequestHead, request_framing, response_framing, write_chunk, write_last_chunk, write_request_head,
+    write_response_head,
+};
+
+const LIMITS: ReadLimits = ReadLimits { head_bytes: 1024, head_time: Duration::from_secs(1) };
+
+async fn read_request(bytes: &[u8]) -> Result<Option<RequestHead>, HeadError> {
+    MessageReader::new(bytes).request_head(LIMITS).await
+}
+
+async fn framing_of(bytes: &[u8]) -> Result<Framing, FramingError> {
+    request_framing(&read_request(bytes).await.unwrap().unwrap())
+}
+
+#[tokio::test]
+async fn a_request_is_read_with_its_fields_as_they_came() {
+    let bytes = b"POST /a/b?c=d HTTP/1.1\r\nHost: x.example\r\nX-Odd:  two words \r\n\r\n";
+    let head = read_request(bytes).await.unwrap().unwrap();
+    assert_eq!(&head.method[..], b"POST");
+    assert_eq!(&head.target[..], b"/a/b?c=d");
+    assert_eq!(head.version, HttpVersion::Http11);
+    assert_eq!(head.fields.text("host"), Some("x.example"));
+    assert_eq!(head.fields.text("x-odd"), Some("two words"));
+}
+
+#[tokio::test]
+async fn the_end_between_two_requests_is_no_error_and_inside_one_it_is() {
+    assert!(read_request(b"").await.unwrap().is_none());
+    assert!(read_request(b"\r\n").await.unwrap().is_none());
+    assert!(matches!(read_request(b"GET / HT").await, Err(HeadError::Truncated)));
+}
+
+#[tokio::test]
+async fn heads_over_the_limit_and_rubbish_are_told_apart() {
+    let long = format!("GET / HTTP/1.1\r\nX: {}\r\n\r\n", "y".repeat(2000));
+    assert!(matches!(read_request(long.as_bytes()).await, Err(HeadError::TooLarge)));
+    let endless = "GET / HTTP/1.1\r\nX: ".to_owned() + &"y".repeat(2000);
+    assert!(matches!(read_request(endless.as_bytes()).await, Err(HeadError::TooLarge)));
+    assert!(matches!(read_request(b"\x16\x03\x01\x00\xa5\r\n\r\n").await, Err(HeadError::Malformed)));
+    assert!(matches!(read_request(b"GET / HTTP/1.1\r\nX Y: z\r\n\r\n").await, Err(HeadError::Malformed)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_head_that_comes_too_slowly_is_given_up_and_an_idle_connection_is_not() {
+    let (mut sender, receiver) = tokio::io::duplex(64);
+    let mut reader = MessageReader::new(receiver);
+    let idle = tokio::time::timeout(Duration::from_secs(60), reader.request_head(LIMITS)).await;
+    assert!(idle.is_err(), "nothing was sent, so nothing is late");
+    sender.write_all(b"GET / HTTP/1.1\r\n").await.unwrap();
+    assert!(matches!(reader.request_head(LIMITS).await, Err(HeadError::TooSlow)));
+}
+
+#[tokio::test]
+async fn lengths_that_two_readers_could_read_otherwise_are_refused() {
+    let framing =
+        async |fields: &str| framing_of(format!("POST / HTTP/1.1\r\n{fields}\r\n").as_bytes()).await;
+    assert_eq!(framing("").await, Ok(Framing::Length(0)));
+    assert_eq!(framing("Content-Length: 5\r\n").await, Ok(Framing::Length(5)));
+    assert_eq!(framing("Content-Length: 5\r\nContent-Length: 5\r\n").await, Ok(Framing::Length(5)));
+    assert_eq!(framing("Transfer-Encoding: chunked\r\n").await, Ok(Framing::Chunked));
+    for length in ["+5", "5, 5", "-1", "0x5", "", "99999999999999999999999"] {
+        let told = framing(&format!("Content-Length: {length}\r\n")).await;
+        assert_eq!(told, Err(FramingError::InvalidLength), "{length}");
+    }
+    let two = framing("Content-Length: 5\r\nContent-Length: 6\r\n").await;
+    assert_eq!(two, Err(FramingError::InvalidLength));
+    let both = framing("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n").await;
+    assert_eq!(both, Err(FramingError::LengthAndCoding));
+    for coding in ["gzip, chunked", "identity", "xchunked"] {
+        let told = framing(&format!("Transfer-Encoding: {coding}\r\n")).await;
+        assert_eq!(told, Err(FramingError::UnknownCoding), "{coding}");
+    }
+}
+
+#[tokio::test]
+async fn answers_without_a_length_end_with_their_connection_and_some_have_no_body() {
+    let read = async |bytes: &'static [u8]| MessageReader::new(bytes).response_head(1024).await.unwrap();
+    let plain = read(b"HTTP/1.1 200 OK\r\n\r\n").await;
+    assert_eq!(response_framing(&plain, b"GET"), Ok(Framing::UntilClose));
+    assert_eq!(response_framing(&plain, b"HEAD"), Ok(Framing::Length(0)));
+    let empty = read(b"HTTP/1.1 204 No Content\r\n\r\n").await;
+    assert_eq!(response_framing(&empty, b"GET"), Ok(Framing::Length(0)));
+}
+
+async fn whole(framing: Framing, bytes: &[u8]) -> Result<Option<Vec<u8>>, BodyError> {
+    let mut reader = MessageReader::new(bytes);
+    let body = reader.whole_body(&mut BodyDecoder::new(framing), 1024).await?;
+    Ok(body.map(|body| body.to_vec()))
+}
+
+#[tokio::test]
+async fn bodies_end_where_they_should_and_nowhere_else() {
+    assert_eq!(whole(Framing::Length(3), b"abcdef").await.unwrap(), Some(b"abc".to_vec()));
+    assert!(matches!(whole(Framing::Length(9), b"abc").await, Err(BodyError::Truncated)));
+    assert_eq!(whole(Framing::UntilClose, b"abc").await.unwrap(), Some(b"abc".to_vec()));
+    let chunked = b"3\r\nabc\r\n2;extension=x\r\nde\r\n0\r\nTrailer: x\r\n\r\nrest";
+    assert_eq!(whole(Framing::Chunked, chunked).await.unwrap(), Some(b"abcde".to_vec()));
+    assert!(matches!(whole(Framing::Chunked, b"3\r\nabc\r\n").await, Err(BodyError::Truncated)));
+    assert!(matches!(whole(Framing::Chunked, b"zz\r\nabc\r\n").await, Err(BodyError::Malformed)));
+    assert!(matches!(whole(Framing::Chunked, b"3\r\nabcd\r\n0\r\n\r\n").await, Err(BodyError::Malformed)));
+    let long = vec![b'x'; 2000];
+    assert_eq!(whole(Framing::UntilClose, &long).await.unwrap(), None);
+}
+
+#[tokio::test]
+async fn what_follows_a_body_stays_for_the_next_message() {
+    let bytes = b"POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nabGET /next HTTP/1.1\r\n\r\n";
+    let mut reader = MessageReader::new(&bytes[..]);
+    let first = reader.request_head(LIMITS).await.unwrap().unwrap();
+    let mut decoder = BodyDecoder::new(request_framing(&first).unwrap());
+    assert_eq!(reader.whole_body(&mut decoder, 10).await.unwrap().unwrap(), "ab");
+    assert!(decoder.is_done());
+    let second = reader.request_head(LIMITS).await.unwrap().unwrap();
+    assert_eq!(&second.target[..], b"/next");
+    assert!(reader.is_empty());
+}
+
+#[test]
+fn connection_fields_are_removed_with_those_that_connection_lists() {
+    let mut fields = Fields::default();
+    for (name, value) in [
+        ("Host", "x"),
+        ("Connection", "keep-alive, X-Private"),
+        ("x-private", "1"),
+        ("Keep-Alive", "timeout=5"),
+        ("Transfer-Encoding", "chunked"),
+        ("Content-Length", "5"),
+        ("TE", "trailers"),
+        ("Upgrade", "h2c"),
+        ("Kept", "yes"),
+    ] {
+        fields.push(name, value);
+    }
+    fields.remove_connection_fields();
+    let names: Vec<&[u8]> = fields.iter().map(|field| &field.name[..]).collect();
+    assert_eq!(names, [&b"Host"[..], b"Kept"]);
+}
+
+/// A message with a chunked body, and the message again as a reader finds it when the bytes come in `sizes`.
+fn read_in_pieces(bytes: &[u8], sizes: &[u8]) -> (RequestHead, Vec<u8>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap();
+    runtime.block_on(async {
+        let (mut sender, receiver) = tokio::io::duplex(16);
+        let bytes = bytes.to_vec();
+        let sizes: Vec<usize> = sizes.iter().map(|size| usize::from(*size) % 7 + 1).chain([1]).collect();
+        let sending = tokio::spawn(async move {
+            let mut sizes = sizes.iter().cycle();
+            let mut rest = &bytes[..];
+            while !rest.is_empty() {
+                let size = (*sizes.next().unwrap()).min(rest.len());
+                sender.write_all(&rest[..size]).await.unwrap();
+                rest = &rest[size..];
+            }
+        });
+        let mut reader = MessageReader::new(receiver);
+        let head = reader.request_head(LIMITS).await.unwrap().unwrap();
+        let mut decoder = BodyDecoder::new(request_framing(&head).unwrap());
+        let body = reader.whole_body(&mut decoder, 1 << 20).await.unwrap().unwrap().to_vec();
+        sending.await.unwrap();
+        (head, body)
+    })
+}
+
+quickcheck! {
+    fn a_message_is_read_alike_however_it_is_cut(parts: Vec<Vec<u8>>, sizes: Vec<u8>) -> bool {
+        let mut fields = Fields::default();
+        fields.push("Host", "x.example");
+        let mut bytes = BytesMut::new();
+        write_request_head(&mut bytes, b"POST", b"/path", &fields, Framing::Chunked);
+        for part in &parts {
+            write_chunk(&mut bytes, part);
+        }
+        write_last_chunk(&mut bytes);
+        let (head, body) = read_in_pieces(&bytes, &sizes);
+        head.fields.text("host") == Some("x.example") && body == parts.concat()
+    }
+}
+
+#[test]
+fn heads_are_written_with_their_framing() {
+    let mut fields = Fields::default();
+    fields.push("A", "b");
+    let written = |framing| {
+        let mut buffer = BytesMut::new();
+        write_response_head(&mut buffer, 200, &fields, framing);
+        String::from_utf8(buffer.to_vec()).unwrap()
+    };
+    assert_eq!(written(Framing::Length(3)), "HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 3\r\n\r\n");
+    assert_eq!(written(Framing::Chunked), "HTTP/1.1 200 OK\r\nA: b\r\nTransfer-Encoding: chunked\r\n\r\n");
+    let mut get = BytesMut::new();
+    write_request_head(&mut get, b"GET", b"/", &fields, Framing::Length(0));
+    assert_eq!(&get[..], b"GET / HTTP/1.1\r\nA: b\r\n\r\n");
+}
--- /dev/null
+++ b/crates/scheduling/tests/queue.rs
@@ -0,0 +1,169 @@
+//! The queue before a back end.
+
+use std::time::{Duration, Instant};
+
+use quickcheck::quickcheck;
+use umberpond_scheduling::{Decision, Refusal, Started, Ticket, WorkItem, WorkQueue};
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn item(now: Instant, priority: u8, objective: u64) -> WorkItem {
+    WorkItem {
+        priority,
+        objective_at: now + millis(objective),
+        deadline: now + millis(10_000),
+        patience: millis(10_000),
+    }
+}
+
+fn open_queue(slots: u32) -> WorkQueue {
+    let mut queue = WorkQueue::new();
+    queue.set_slots(slots);
+    queue.open();
+    queue
+}
+
+fn waits(decision: Decision) -> Ticket {
+    let Decision::Wait(ticket) = decision else { panic!("{decision:?}") };
+    ticket
+}
+
+#[test]
+fn slots_are_given_until_there_are_none_and_again_when_one_is_free() {
+    let now = Instant::now();
+    let mut queue = open_queue(2);
+    assert_eq!(queue.offer(now, item(now, 1, 500)), Decision::Start);
+    assert_eq!(queue.offer(now, item(now, 1, 500)), Decision::Start);
+    let third = waits(queue.offer(now, item(now, 1, 500)));
+    assert_eq!(queue.start_next(now), None);
+    queue.finish(Some(millis(20)));
+    assert_eq!(queue.start_next(now), Some(Started::Run(third)));
+    assert_eq!(queue.start_next(now), None);
+}
+
+#[test]
+fn the_more_urgent_kind_goes_first_then_the_one_whose_objective_ends_first() {
+    let now = Instant::now();
+    let mut queue = open_queue(1);
+    assert_eq!(queue.offer(now, item(now, 1, 500)), Decision::Start);
+    let low = waits(queue.offer(now, item(now, 2, 300)));
+    let late = waits(queue.offer(now, item(now, 1, 900)));
+    let soon = waits(queue.offer(now, item(now, 1, 400)));
+    let mut order = Vec::new();
+    for _ in 0..3 {
+        queue.finish(Some(millis(10)));
+        let Some(Started::Run(ticket)) = queue.start_next(now) else { panic!("nothing waits") };
+        order.push(ticket);
+    }
+    assert_eq!(order, [soon, late, low]);
+}
+
+#[test]
+fn a_request_that_can_no_longer_meet_its_objective_lets_those_pass_that_can() {
+    let now = Instant::now();
+    let mut queue = open_queue(1);
+    assert_eq!(queue.offer(now, item(now, 1, 500)), Decision::Start);
+    queue.finish(Some(millis(100)));
+    assert_eq!(queue.offer(now, item(now, 1, 500)), Decision::Start);
+    let hopeless = waits(queue.offer(now, item(now, 1, 150)));
+    let in_time = waits(queue.offer(now, item(now, 1, 800)));
+    let later = now + millis(120);
+    queue.finish(Some(millis(100)));
+    assert_eq!(queue.start_next(later), Some(Started::Run(in_time)));
+    queue.finish(Some(millis(100)));
+    assert_eq!(queue.start_next(later), Some(Started::Run(hopeless)));
+}
+
+#[test]
+fn a_wait_longer_than_the_sender_allows_is_refused_with_the_wait_expected() {
+    let now = Instant::now();
+    let mut queue = open_queue(1);
+    assert_eq!(queue.offer(now, item(now, 1, 500)), Decision::Start);
+    queue.finish(Some(millis(100)));
+    assert_eq!(queue.offer(now, item(now, 1, 500)), Decision::Start);
+    let impatient = WorkItem { patience: millis(50), ..item(now, 1, 500) };
+    let refusal = Refusal::WaitTooLong { expected: millis(100) };
+    assert_eq!(queue.offer(now, impatient), Decision::Refuse(refusal));
+}
+
+#[test]
+fn a_closed_queue_refuses_what_waits_and_what_comes_and_lets_run_what_runs() {
+    let now = Instant::now();
+    let mut queue = open_queue(1);
+    assert_eq!(queue.offer(now, item(now, 1, 500)), Decision::Start);
+    let waiting = waits(queue.offer(now, item(now, 1, 500)));
+    assert_eq!(queue.close(), [waiting]);
+    assert_eq!(queue.offer(now, item(now, 1, 500)), Decision::Refuse(Refusal::Closed));
+    queue.finish(Some(millis(10)));
+    assert_eq!(queue.start_next(now), None);
+    assert_eq!(queue.report().running, 0);
+}
+
+#[test]
+fn a_request_whose_deadline_has_passed_never_runs() {
+    let now = Instant::now();
+    let mut queue = open_queue(1);
+    assert_eq!(queue.offer(now, item(now, 1, 500)), Decision::Start);
+    let short = WorkItem { deadline: now + millis(30), ..item(now, 1, 20) };
+    let ticket = waits(queue.offer(now, short));
+    queue.finish(Some(millis(50)));
+    assert_eq!(queue.start_next(now + millis(50)), Some(Started::Expire(ticket)));
+    assert_eq!(queue.offer(now + millis(50), short), Decision::Refuse(Refusal::Expired));
+}
+
+#[test]
+fn the_report_tells_what_was_counted() {
+    let now = Instant::now();
+    let mut queue = open_queue(2);
+    for _ in 0..5 {
+        let _ = queue.offer(now, item(now, 1, 500));
+    }
+    queue.finish(Some(millis(40)));
+    queue.record_answer(true);
+    let first = queue.report();
+    assert_eq!((first.running, first.waiting, first.slots), (1, 3, 2));
+    assert_eq!(first.service_time(), Some(millis(40)));
+    assert!(queue.report().number > first.number);
+    for _ in 0..30 {
+        queue.record_answer(false);
+    }
+    assert!(queue.report().failed_permille > 500);
+}
+
+quickcheck! {
+    /// Whatever happens in whatever order: never more run than there are slots, and nobody is forgotten.
+    fn never_more_run_than_there_are_slots(steps: Vec<(u8, u8, u8)>, slots: u8) -> bool {
+        let slots = u32::from(slots % 5 + 1);
+        let start = Instant::now();
+        let mut now = start;
+        let mut queue = open_queue(slots);
+        let (mut running, mut waiting) = (0_u32, 0_u32);
+        for (action, priority, objective) in steps {
+            now += millis(u64::from(objective));
+            match action % 3 {
+                0 => match queue.offer(now, item(now, priority % 4, u64::from(objective))) {
+                    Decision::Start => running += 1,
+                    Decision::Wait(_) => waiting += 1,
+                    Decision::Refuse(_) => {}
+                },
+                1 if running > 0 => {
+                    queue.finish(Some(millis(u64::from(priority))));
+                    running -= 1;
+                }
+                _ => {}
+            }
+            while let Some(started) = queue.start_next(now) {
+                waiting -= 1;
+                running += u32::from(matches!(started, Started::Run(_)));
+            }
+            let report = queue.report();
+            let is_idle_with_work = running < slots && waiting > 0;
+            if running > slots || report.running != running || report.waiting != waiting || is_idle_with_work {
+                return false;
+            }
+        }
+        true
+    }
+}
