Test the membership core on a virtual clock

Kills, starts, cuts one way, lost datagrams, late words of earlier processes, and a property over random courses of them.

--- /dev/null
+++ b/crates/membership/tests/membership.rs
@@ -0,0 +1,225 @@
+//! What nodes know of one another, with lost datagrams, cuts and restarts.
+
+mod support;
+
+use quickcheck::quickcheck;
+use support::{World, address, back_end, node};
+use umberpond_membership::{BackEndState, MemberPhase, Reachability};
+use umberpond_model::Version;
+
+#[test]
+fn nodes_that_read_one_another_from_the_store_reach_all_others() {
+    let mut world = World::joined(1, 12);
+    world.run_millis(1_000);
+    assert!(world.all_reach_all());
+}
+
+#[test]
+fn one_introduction_is_enough_to_become_known_to_all() {
+    let mut world = World::joined(2, 6);
+    world.run_millis(1_000);
+    world.start(6);
+    world.introduce(6, [3]);
+    world.run_millis(3_000);
+    assert!(world.all_reach_all());
+}
+
+#[test]
+fn a_leave_is_known_everywhere_with_the_next_datagram() {
+    let mut world = World::joined(3, 8);
+    world.tell(2, |membership, now| membership.set_back_end(now, Some(back_end("a", BackEndState::Ready))));
+    world.run_millis(1_000);
+    world.tell(2, |membership, now| {
+        membership.set_back_end(now, Some(back_end("a", BackEndState::Draining)))
+    });
+    world.run_millis(20);
+    for from in [0, 1, 3, 4, 5, 6, 7] {
+        let told = world.view(from, 2).unwrap().record.back_end.unwrap();
+        assert_eq!(told.state, BackEndState::Draining);
+    }
+}
+
+#[test]
+fn a_lost_word_is_repeated_until_it_arrives() {
+    let mut world = World::joined(4, 3);
+    world.run_millis(1_000);
+    world.cut.insert((0, 1));
+    world.tell(0, |membership, now| membership.set_back_end(now, Some(back_end("a", BackEndState::Ready))));
+    world.run_millis(100);
+    assert!(world.view(1, 0).unwrap().record.back_end.is_none());
+    world.cut.clear();
+    world.run_millis(400);
+    assert!(world.view(1, 0).unwrap().record.back_end.is_some());
+}
+
+#[test]
+fn a_dead_node_is_out_of_reach_within_a_second_and_back_at_once() {
+    let mut world = World::joined(5, 5);
+    world.run_millis(1_000);
+    world.kill(4);
+    world.run_millis(1_000);
+    for from in 0..4 {
+        assert_eq!(world.view(from, 4).unwrap().reachability, Reachability::Silent);
+    }
+    // The store is away, so the new process knows nobody: the others call it back.
+    world.start(4);
+    world.run_millis(1_500);
+    assert!(world.all_reach_all());
+}
+
+#[test]
+fn the_word_of_a_new_process_wins_over_that_of_the_one_before_it() {
+    let mut world = World::joined(6, 4);
+    for sequence in 0..20 {
+        let instance = format!("life-{sequence}");
+        world.tell(1, |membership, now| {
+            membership.set_back_end(now, Some(back_end(&instance, BackEndState::Ready)))
+        });
+    }
+    world.run_millis(1_000);
+    world.start(1);
+    world.introduce(1, 0..4);
+    world.tell(1, |membership, now| membership.set_back_end(now, Some(back_end("new", BackEndState::Ready))));
+    world.run_millis(1_000);
+    assert!(world.all_reach_all());
+    for from in [0, 2, 3] {
+        let told = world.view(from, 1).unwrap().record;
+        assert_eq!(told.back_end.unwrap().instance, "new");
+        assert_eq!(told.life, world.nodes[&1].own().life);
+    }
+}
+
+#[test]
+fn a_datagram_of_an_earlier_process_that_arrives_late_changes_nothing() {
+    let mut world = World::joined(7, 2);
+    world.run_millis(500);
+    let mut late = Vec::new();
+    world.tell(1, |membership, now| {
+        late = membership.set_back_end(now, Some(back_end("old", BackEndState::Ready)));
+        Vec::new()
+    });
+    world.start(1);
+    world.introduce(1, 0..2);
+    world.tell(1, |membership, now| membership.set_back_end(now, Some(back_end("new", BackEndState::Ready))));
+    world.run_millis(1_000);
+    let heartbeat = late[0].heartbeat.clone();
+    world.tell(0, |membership, now| membership.on_heartbeat(now, &heartbeat));
+    assert_eq!(world.view(0, 1).unwrap().record.back_end.unwrap().instance, "new");
+    world.run_millis(1_000);
+    assert!(world.all_reach_all());
+}
+
+#[test]
+fn a_cut_one_way_is_seen_from_both_ends_and_concerns_nobody_else() {
+    let mut world = World::joined(8, 4);
+    world.run_millis(1_000);
+    world.cut.insert((0, 1));
+    world.run_millis(2_000);
+    assert_eq!(world.view(1, 0).unwrap().reachability, Reachability::Silent);
+    assert_eq!(world.view(0, 1).unwrap().reachability, Reachability::OneWay);
+    assert!(world.reaches(0, 2) && world.reaches(2, 0) && world.reaches(1, 2) && world.reaches(2, 1));
+    world.cut.clear();
+    world.run_millis(1_500);
+    assert!(world.all_reach_all());
+}
+
+#[test]
+fn a_node_that_has_left_is_out_of_reach_at_once() {
+    let mut world = World::joined(9, 3);
+    world.run_millis(1_000);
+    world.tell(2, |membership, now| membership.set_phase(now, MemberPhase::Left));
+    world.kill(2);
+    world.run_millis(30);
+    assert!(!world.reaches(0, 2) && !world.reaches(1, 2));
+}
+
+#[test]
+fn an_address_given_to_another_node_is_no_longer_that_of_the_first() {
+    let mut world = World::joined(10, 3);
+    world.run_millis(1_000);
+    world.kill(2);
+    // Node 200 stands where node 2 stood.
+    world.start(200);
+    let outgoing = {
+        let mut record = world.nodes[&200].own().clone();
+        record.control = address(2);
+        world.nodes.insert(
+            2,
+            umberpond_membership::Membership::new(umberpond_membership::MembershipSettings::default(), record),
+        );
+        world.nodes.remove(&200);
+        world.introduce(2, [0, 1]);
+        Vec::new()
+    };
+    world.tell(2, |_, _| outgoing);
+    world.run_millis(1_500);
+    assert!(world.view(0, 2).is_none(), "the address belongs to another node now");
+    assert!(world.reaches(0, 200) && world.reaches(1, 200));
+    assert_eq!(world.view(0, 200).unwrap().record.node, node(200));
+}
+
+#[test]
+fn a_new_version_is_told_to_everybody_at_once() {
+    let mut world = World::joined(11, 5);
+    world.run_millis(1_000);
+    world.tell(3, |membership, now| membership.set_version(now, Version(7)));
+    world.run_millis(20);
+    for from in [0, 1, 2, 4] {
+        assert_eq!(world.view(from, 3).unwrap().configuration.version, Some(Version(7)));
+    }
+}
+
+#[test]
+fn heartbeats_a_second_are_bounded_however_many_nodes_there_are() {
+    let mut world = World::joined(12, 60);
+    world.run_millis(3_000);
+    let before = world.datagrams;
+    world.run_millis(5_000);
+    let per_node_and_second = (world.datagrams - before) / 60 / 5;
+    assert!(per_node_and_second <= 220, "{per_node_and_second}");
+}
+
+#[test]
+fn a_link_that_loses_a_twentieth_keeps_everybody_in_reach() {
+    let mut world = World::joined(13, 10);
+    world.run_millis(1_000);
+    world.loss = 0.05;
+    let mut lost = 0;
+    for _ in 0..100 {
+        world.run_millis(100);
+        lost += u32::from(!world.all_reach_all());
+    }
+    assert!(lost <= 3, "in {lost} of 100 looks somebody was out of reach");
+}
+
+quickcheck! {
+    /// After any course of kills, starts, cuts and losses, all nodes that run reach one another within some seconds.
+    fn all_reach_all_once_the_trouble_is_over(seed: u64, course: Vec<(u8, u8)>) -> bool {
+        const NODES: usize = 5;
+        let mut world = World::joined(seed, NODES);
+        world.run_millis(600);
+        for (action, which) in course {
+            let number = usize::from(which) % NODES;
+            let other = usize::from(which / 16) % NODES;
+            match action % 6 {
+                0 => world.kill(number),
+                1 => world.start(number),
+                2 => drop(world.cut.insert((number, other))),
+                3 => world.cut.clear(),
+                4 => world.loss = f64::from(which) / 512.0,
+                _ => world.run_millis(u64::from(which) * 10),
+            }
+        }
+        world.cut.clear();
+        world.loss = 0.0;
+        for number in 0..NODES {
+            if !world.nodes.contains_key(&number) {
+                world.start(number);
+            }
+            // As after a start with the store in reach.
+            world.introduce(number, 0..NODES);
+        }
+        world.run_millis(4_000);
+        world.all_reach_all()
+    }
+}
