Test the request path over a virtual network; tell rejections without an id and prefixes with a slash

Cause (found by the tests, each failed first): a back end that turns a request away need not echo its id, and was taken for one that spoiled the answer (502 in place of another attempt); status 421 without the header was not seen as 'did not run'; a prefix that ends with a slash matched the path without it; a request counted as open until its connection had lingered, which would have kept a stopping process half a second longer.

Change: as above. The virtual network of the simulation is a crate of its own now, with datagrams, losses, cuts one way and resets.

--- a/crates/forwarding/src/inbound/back_end.rs
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -19,7 +19,7 @@
 use crate::message::{Answer, AnswerBody, Attempt, AttemptResult, NotRun, RequestBody};
 use crate::outcome::{NotRunReason, UnknownReason};
 use crate::upstream::{
-    ExchangeEnd, ExchangeRequest, Exchanger, Health, UpstreamPool, UpstreamSettings, ask_health,
+    ExchangeEnd, ExchangeRequest, Exchanger, Health, MISDIRECTED, UpstreamPool, UpstreamSettings, ask_health,
 };
 
 /// Limits of the inbound half.
@@ -220,8 +220,11 @@
             ExchangeEnd::Rejected { status } => {
                 drop(permit);
                 self.duplicates.lock().withdraw(&attempt.id);
-                let reason =
-                    if status == 421 { NotRunReason::WrongInstance } else { NotRunReason::BackEndRejected };
+                let reason = if status == MISDIRECTED {
+                    NotRunReason::WrongInstance
+                } else {
+                    NotRunReason::BackEndRejected
+                };
                 self.refused(&attempt, NotRun { reached_back_end: true, ..NotRun::before_back_end(reason) })
             }
             ExchangeEnd::Unknown(reason) => {
--- a/crates/forwarding/src/routing/compile.rs
+++ b/crates/forwarding/src/routing/compile.rs
@@ -52,7 +52,11 @@
             let host = route.host.as_deref().unwrap_or(route.service.as_str());
             let prefix = route.path_prefix.trim_end_matches('/');
             let routes = hosts.entry(host.into()).or_default().entry(prefix.into()).or_default();
-            routes.push(MethodRoute { methods: route.methods.iter().cloned().collect(), route: compiled });
+            routes.push(MethodRoute {
+                methods: route.methods.iter().cloned().collect(),
+                needs_slash: route.path_prefix.ends_with('/'),
+                route: compiled,
+            });
             routes.sort_by(|left, right| precedence(left).cmp(&precedence(right)));
         }
         Ok(Self { version, limits: snapshot.limits, hosts })
--- a/crates/forwarding/src/routing/table.rs
+++ b/crates/forwarding/src/routing/table.rs
@@ -76,12 +76,16 @@
 pub(super) struct MethodRoute {
     /// All methods if empty.
     pub(super) methods: Vec<String>,
+    /// Whether the prefix ends with a slash, which the path must have too.
+    pub(super) needs_slash: bool,
     pub(super) route: Arc<CompiledRoute>,
 }
 
 impl MethodRoute {
-    fn serves(&self, method: &[u8]) -> bool {
-        self.methods.is_empty() || self.methods.iter().any(|served| served.as_bytes() == method)
+    /// `is_whole_path`: the prefix without its slash is the whole path.
+    fn serves(&self, method: &[u8], is_whole_path: bool) -> bool {
+        let serves_method = || self.methods.iter().any(|served| served.as_bytes() == method);
+        !(is_whole_path && self.needs_slash) && (self.methods.is_empty() || serves_method())
     }
 }
 
@@ -119,7 +123,7 @@
     }
 
     /// The route of a request: of those of `host` whose prefix begins `path`, the one with the longest prefix. A
-    /// prefix ends at a path segment. `host` may carry a port, `target` a query.
+    /// prefix ends at a path segment; one that ends with a slash does not match the path without it. `host` may carry a port, `target` a query.
     ///
     /// # Errors
     /// Returns [`NoRoute`] if nothing matches.
@@ -128,7 +132,9 @@
         let path = target.split(['?', '#']).next().unwrap_or_default();
         let mut candidate = path;
         loop {
-            let matching = routes.get(candidate).into_iter().flatten().find(|route| route.serves(method));
+            let is_whole_path = candidate.len() == path.len();
+            let of_prefix = routes.get(candidate).into_iter().flatten();
+            let matching = of_prefix.into_iter().find(|route| route.serves(method, is_whole_path));
             if let Some(found) = matching {
                 return Ok(&found.route);
             }
--- a/crates/forwarding/src/server/caller.rs
+++ b/crates/forwarding/src/server/caller.rs
@@ -166,7 +166,9 @@
         let is_unfinished = self.receiving.is_some() && self.pending.is_empty();
         self.is_last_taken |= ready.reply.closes || is_unfinished || self.is_leaving();
         let closes = self.is_last_taken && self.pending.is_empty() || ready.reply.closes;
-        let written = write_reply(&mut self.writer, ready.reply, &ready.method, closes).await;
+        let Ready { reply, method, open } = ready;
+        let written = write_reply(&mut self.writer, reply, &method, closes).await;
+        drop(open);
         self.idle_since = Instant::now();
         let is_whole = matches!(written, Ok(Written::Whole));
         if is_whole && !closes {
--- a/crates/forwarding/src/server/pending.rs
+++ b/crates/forwarding/src/server/pending.rs
@@ -26,7 +26,7 @@
     pub(super) reply: Reply,
     pub(super) method: bytes::Bytes,
     /// Kept until the reply is written.
-    pub(super) _open: OpenRequest,
+    pub(super) open: OpenRequest,
 }
 
 /// The requests of one connection, all handled at once and answered in order.
@@ -74,6 +74,6 @@
         else {
             return Poll::Pending;
         };
-        Poll::Ready(Ready { reply, method, _open: open })
+        Poll::Ready(Ready { reply, method, open })
     }
 }
--- a/crates/forwarding/src/upstream/exchange.rs
+++ b/crates/forwarding/src/upstream/exchange.rs
@@ -23,6 +23,9 @@
 /// Most answers to earlier requests that are passed over on one connection.
 const MAX_SURPLUS: u32 = 4;
 
+/// Status by which a back end says that another one is meant; it does not run the request then.
+pub(crate) const MISDIRECTED: u16 = 421;
+
 /// A request as it is written to the back end.
 #[derive(Debug)]
 pub(crate) struct ExchangeRequest<'a> {
@@ -145,8 +148,7 @@
                 }
             }
         };
-        let is_own = head.fields.get(self.dialect.request_id).is_some_and(|id| id == request.id);
-        if is_own {
+        if self.is_own(&head, request.id) {
             Ok((head, is_sent_whole))
         } else {
             Err(HeadFailure::Unknown(UnknownReason::AnswerSpoiled))
@@ -167,7 +169,7 @@
                 continue;
             }
             let echoed = head.fields.get(self.dialect.request_id);
-            if echoed.is_some_and(|id| id == request.id) {
+            if self.is_own(&head, request.id) {
                 return Ok(head);
             }
             let spoiled = HeadFailure::Unknown(UnknownReason::AnswerSpoiled);
@@ -181,6 +183,19 @@
         }
     }
 
+    /// Whether an answer belongs to the request called `id`. A back end that turns a request away need not name it.
+    fn is_own(&self, head: &ResponseHead, id: &[u8]) -> bool {
+        match head.fields.get(self.dialect.request_id) {
+            Some(echoed) => echoed == id,
+            None => self.is_rejection(head),
+        }
+    }
+
+    /// Whether the back end says that it did not run the request.
+    fn is_rejection(&self, head: &ResponseHead) -> bool {
+        head.fields.contains(self.dialect.not_executed) || head.status == MISDIRECTED
+    }
+
     async fn read_answer(
         &self,
         mut connection: UpstreamConnection,
@@ -191,7 +206,7 @@
         let spoiled = Ok(ExchangeEnd::Unknown(UnknownReason::AnswerSpoiled));
         let Ok(framing) = response_framing(&head, request.method) else { return spoiled };
         let is_kept = connection.stays_open(&head.fields) && is_sent_whole && framing != Framing::UntilClose;
-        if head.fields.contains(self.dialect.not_executed) {
+        if self.is_rejection(&head) {
             self.discard(connection, framing, is_kept).await;
             return Ok(ExchangeEnd::Rejected { status: head.status });
         }
--- a/crates/forwarding/src/upstream/mod.rs
+++ b/crates/forwarding/src/upstream/mod.rs
@@ -7,7 +7,7 @@
 mod pool;
 
 pub use body::UpstreamBody;
-pub(crate) use exchange::{ExchangeEnd, ExchangeRequest, Exchanger};
+pub(crate) use exchange::{ExchangeEnd, ExchangeRequest, Exchanger, MISDIRECTED};
 pub use health::Health;
 pub(crate) use health::ask_health;
 pub(crate) use pool::{UpstreamPool, UpstreamSettings};
--- /dev/null
+++ b/crates/forwarding/tests/leaving.rs
@@ -0,0 +1,129 @@
+//! Back ends that leave, and processes that stop.
+
+mod support;
+
+use std::time::Duration;
+
+use support::back_end::{Act, ok};
+use support::{SLOTS, World, name, pause};
+use tokio::time::Instant;
+use umberpond_forwarding::{BackEnd, ServerPhase};
+
+#[tokio::test(start_paused = true)]
+async fn a_closed_back_end_gets_nothing_more_and_finishes_what_it_holds() {
+    let slow = Act::Answer { status: 200, body: "finished", after: 800 };
+    let world = World::with_routes(vec![vec![slow.clone()]]).await;
+    let mut asking = Vec::new();
+    for number in 0..4 {
+        let mut caller = world.caller().await;
+        asking.push(tokio::spawn(async move { caller.ask("/write/a", &format!("r{number}")).await.status }));
+    }
+    pause(100).await;
+    world.served[0].inbound.close();
+    assert_eq!(world.caller().await.ask("/write/a", "late").await.status, 503);
+    let mut told = Vec::new();
+    for asked in asking {
+        told.push(asked.await.unwrap());
+    }
+    told.sort_unstable();
+    // Those that waited for a slot were not run, and are told so.
+    assert_eq!(told, [200, 200, 503, 503]);
+    assert_eq!(world.arrivals(), SLOTS as usize);
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_waits_for_a_leaving_back_end_is_sent_to_another() {
+    let slow = Act::Answer { status: 200, body: "a", after: 300 };
+    let world = World::with_routes(vec![vec![slow.clone()], vec![slow]]).await;
+    let mut asking = Vec::new();
+    for number in 0..8 {
+        let mut caller = world.caller().await;
+        asking.push(tokio::spawn(async move { caller.ask("/write/a", &format!("r{number}")).await.status }));
+    }
+    pause(50).await;
+    world.served[0].inbound.close();
+    for asked in asking {
+        assert_eq!(asked.await.unwrap(), 200);
+    }
+    assert_eq!(world.served[0].back_end.seen().len(), SLOTS as usize);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_back_end_of_another_service_gets_no_request_meant_for_the_one_before_it() {
+    let world = World::with_routes(vec![vec![ok("a")]]).await;
+    let address = "10.0.0.10:102".parse().unwrap();
+    let other = BackEnd { instance: "another".to_owned(), service: name("billing"), address, slots: SLOTS };
+    world.served[0].inbound.open(other);
+    assert_eq!(world.caller().await.ask("/write/a", "r1").await.status, 503);
+    assert_eq!(world.arrivals(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_back_end_that_can_not_be_reached_is_told_to_its_node() {
+    let world = World::with_routes(vec![vec![ok("a")], vec![ok("b")]]).await;
+    let nowhere = "10.0.0.10:999".parse().unwrap();
+    let gone =
+        BackEnd { instance: "life-10".to_owned(), service: name("archive"), address: nowhere, slots: SLOTS };
+    let mut unreachable = world.served[0].inbound.watch_unreachable();
+    world.served[0].inbound.open(gone);
+    for number in 0..6 {
+        assert_eq!(world.caller().await.ask("/write/a", &format!("r{number}")).await.text(), "b");
+    }
+    assert_eq!(unreachable.recv().await.as_deref(), Some("life-10"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_back_end_tells_its_life_and_its_slots_when_asked() {
+    let world = World::with_routes(vec![vec![ok("a")]]).await;
+    let address = "10.0.0.10:102".parse().unwrap();
+    let health = world.served[0].inbound.ask_health(address, "/well").await.unwrap();
+    assert_eq!((health.instance.as_str(), health.slots), ("life-10", Some(7)));
+    let nowhere = "10.0.0.10:999".parse().unwrap();
+    assert!(world.served[0].inbound.ask_health(nowhere, "/well").await.is_none());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_leaving_node_serves_and_ends_each_connection_with_its_answer() {
+    let world = World::with_routes(vec![vec![ok("a")]]).await;
+    let mut kept = world.caller().await;
+    assert_eq!(kept.ask("/write/a", "r1").await.fields.text("connection"), None);
+    world.control.leave(Instant::now() + Duration::from_secs(5));
+    let answer = kept.ask("/write/a", "r2").await;
+    assert_eq!((answer.status, answer.fields.text("connection")), (200, Some("close")));
+    assert!(kept.read().await.is_none());
+    assert_eq!(world.caller().await.ask("/write/a", "r3").await.status, 200);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_refusing_node_says_at_once_when_to_come_back_and_finishes_what_is_open() {
+    let slow = Act::Answer { status: 200, body: "finished", after: 900 };
+    let world = World::with_routes(vec![vec![slow]]).await;
+    let mut open = world.caller().await;
+    open.send("/write/a", "r1").await;
+    pause(50).await;
+    world.control.leave(Instant::now() + Duration::from_secs(5));
+    world.control.advance(ServerPhase::Refusing);
+    let began = Instant::now();
+    let refused = world.caller().await.ask("/write/a", "r2").await;
+    assert_eq!(refused.status, 503);
+    assert!(refused.fields.contains("retry-after"));
+    assert!(began.elapsed() < Duration::from_millis(20));
+    assert_eq!(world.control.open_requests(), 1);
+    assert_eq!(open.read().await.unwrap().text(), "finished");
+    assert_eq!(world.control.open_requests(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn every_request_has_its_final_answer_before_the_process_ends() {
+    let world = World::with_routes(vec![vec![Act::Silence]]).await;
+    let mut early = world.caller().await;
+    early.send("/write/a", "r1").await;
+    pause(50).await;
+    let began = Instant::now();
+    world.control.leave(began + Duration::from_millis(700));
+    let mut late = world.caller().await;
+    late.send("/write/a", "r2").await;
+    assert_eq!(early.read().await.unwrap().status, 504);
+    assert_eq!(late.read().await.unwrap().status, 504);
+    assert!(began.elapsed() < Duration::from_millis(800), "{:?}", began.elapsed());
+}
--- /dev/null
+++ b/crates/forwarding/tests/path.rs
@@ -0,0 +1,191 @@
+//! The whole path of requests that meet no trouble.
+
+mod support;
+
+use support::back_end::{Act, ok};
+use support::caller::get;
+use support::{SLOTS, World, name, pause, route, snapshot};
+use tokio::time::Instant;
+use umberpond_config::{Destination, Entry};
+
+#[tokio::test(start_paused = true)]
+async fn a_request_reaches_the_back_end_and_its_answer_the_caller() {
+    let world = World::with_routes(vec![vec![ok("whole")]]).await;
+    let mut caller = world.caller().await;
+    let request = "POST /write/a%20b?c=d HTTP/1.1\r\nHost: x.example:80\r\numberpond-request: r1\r\n\
+                   umberpond-deadline: 1500\r\nX-Own: kept\r\nConnection: keep-alive, X-Gone\r\nX-Gone: 1\r\n\
+                   Content-Length: 4\r\n\r\nbody";
+    caller.write(request).await;
+    let answer = caller.read().await.unwrap();
+    assert_eq!((answer.status, answer.text()), (200, "whole"));
+    assert_eq!(answer.fields.text("x-proof"), Some("proof-of-life-10"));
+    assert_eq!(answer.fields.text("kept"), Some("yes"));
+    assert_eq!(answer.fields.text("umberpond-request"), Some("r1"));
+    let [seen] = &world.served[0].back_end.seen()[..] else { panic!("one request") };
+    assert_eq!((&seen.head.method[..], &seen.head.target[..]), (&b"POST"[..], &b"/write/a%20b?c=d"[..]));
+    assert_eq!(seen.body, b"body");
+    assert_eq!(seen.text("host"), Some("x.example:80"));
+    assert_eq!(seen.text("x-own"), Some("kept"));
+    assert_eq!(seen.text("x-gone"), None);
+    assert_eq!(seen.text("umberpond-request"), Some("r1"));
+    assert_eq!(seen.text("umberpond-meant-instance"), Some("life-10"));
+    assert_eq!(seen.text("umberpond-caller-service"), Some("storefront"));
+    let left: u64 = seen.text("umberpond-deadline").unwrap().parse().unwrap();
+    assert!((1_400..=1_500).contains(&left), "{left}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_a_caller_says_under_reserved_names_is_dropped() {
+    let world = World::with_routes(vec![vec![ok("whole")]]).await;
+    let mut caller = world.caller().await;
+    caller
+        .write(
+            "GET /read/a HTTP/1.1\r\nHost: x.example\r\numberpond-request: r1\r\n\
+             Umberpond-Caller-Service: billing\r\nUMBERPOND-MEANT-INSTANCE: other\r\n\
+             umberpond-load: 0,0,1\r\numberpond-rejected: 1\r\numberpond-serving-instance: x\r\n\r\n",
+        )
+        .await;
+    assert_eq!(caller.read().await.unwrap().status, 200);
+    let [seen] = &world.served[0].back_end.seen()[..] else { panic!("one request") };
+    assert_eq!(seen.head.fields.get_all("umberpond-caller-service").count(), 1);
+    assert_eq!(seen.text("umberpond-caller-service"), Some("storefront"));
+    assert_eq!(seen.head.fields.get_all("umberpond-meant-instance").count(), 1);
+    assert_eq!(seen.text("umberpond-meant-instance"), Some("life-10"));
+    for absent in ["umberpond-load", "umberpond-rejected", "umberpond-serving-instance"] {
+        assert_eq!(seen.text(absent), None, "{absent}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_chunked_body_and_a_long_one_arrive_whole() {
+    let world = World::with_routes(vec![vec![ok("whole")]]).await;
+    let mut caller = world.caller().await;
+    let head = "POST /write/a HTTP/1.1\r\nHost: x.example\r\numberpond-request: r1\r\n";
+    caller.write(format!("{head}Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")).await;
+    assert_eq!(caller.read().await.unwrap().status, 200);
+    let long = vec![b'x'; 500_000];
+    let head = head.replace("r1", "r2");
+    caller.write(format!("{head}Content-Length: {}\r\n\r\n", long.len())).await;
+    caller.write(&long).await;
+    assert_eq!(caller.read().await.unwrap().status, 200);
+    let seen = world.served[0].back_end.seen();
+    assert_eq!(seen[0].body, b"abcde");
+    assert_eq!(seen[1].body, long);
+}
+
+#[tokio::test(start_paused = true)]
+async fn pipelined_requests_run_at_once_and_are_answered_in_order() {
+    let slow = Act::Answer { status: 200, body: "slow", after: 300 };
+    let world = World::with_routes(vec![vec![slow, ok("quick")]]).await;
+    let mut caller = world.caller().await;
+    let began = Instant::now();
+    caller.write(get("/read/1", "r1") + &get("/read/2", "r2")).await;
+    let first = caller.read().await.unwrap();
+    let second = caller.read().await.unwrap();
+    assert_eq!((first.text(), second.text()), ("slow", "quick"));
+    assert_eq!(second.fields.text("umberpond-request"), Some("r2"));
+    assert!(began.elapsed().as_millis() < 330, "the second did not wait for the first");
+    let seen = world.served[0].back_end.seen();
+    assert!(seen[1].at - seen[0].at < std::time::Duration::from_millis(50));
+}
+
+#[tokio::test(start_paused = true)]
+async fn connections_are_kept_and_the_back_end_never_gets_more_than_its_slots() {
+    let world = World::with_routes(vec![vec![Act::Answer { status: 200, body: "a", after: 50 }]]).await;
+    let mut asking = Vec::new();
+    for number in 0..10 {
+        let mut caller = world.caller().await;
+        asking.push(tokio::spawn(async move { caller.ask("/read/a", &format!("r{number}")).await.status }));
+    }
+    for asked in asking {
+        assert_eq!(asked.await.unwrap(), 200);
+    }
+    assert_eq!(world.served[0].back_end.connections(), SLOTS as usize);
+}
+
+#[tokio::test(start_paused = true)]
+async fn no_configuration_is_no_reason_to_deny_a_route() {
+    let world = World::new(vec![vec![ok("whole")]]).await;
+    let answer = world.caller().await.ask("/read/a", "r1").await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.fields.contains("retry-after"));
+    assert_eq!(answer.fields.text("umberpond-request"), Some("r1"));
+    world.activate(1, &snapshot());
+    assert_eq!(world.caller().await.ask("/read/a", "r2").await.status, 200);
+    assert_eq!(world.caller().await.ask("/other/a", "r3").await.status, 404);
+    assert_eq!(world.caller().await.ask("/read", "r4").await.status, 404, "a prefix ends with its slash");
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_longest_prefix_wins_and_parts_get_their_share() {
+    let world = World::with_routes(vec![vec![ok("whole")]]).await;
+    let mut changed = snapshot();
+    let mut inner = route("/read/inner/", true);
+    inner.split = vec![
+        Destination { service: name("archive"), weight: 3 },
+        Destination { service: name("billing"), weight: 1 },
+    ];
+    changed.routes.insert(inner.name.clone(), Entry::new(inner));
+    world.activate(2, &changed);
+    let mut caller = world.caller().await;
+    let mut served = 0;
+    for number in 0..200 {
+        let answer = caller.ask("/read/inner/a", &format!("r{number}")).await;
+        served += u32::from(answer.status == 200);
+    }
+    // `billing` has no back end here, so its share is refused.
+    assert!((130..=170).contains(&served), "{served}");
+    assert_eq!(caller.ask("/read/outer/a", "r").await.status, 200);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_older_version_never_replaces_a_newer_one() {
+    let world = World::with_routes(vec![vec![ok("whole")]]).await;
+    world.activate(9, &snapshot());
+    let table = umberpond_forwarding::RoutingTable::compile(
+        umberpond_model::Version(8),
+        &snapshot(),
+        &umberpond_forwarding::OpenedSecrets::new(),
+        &name("storefront"),
+    );
+    assert!(world.outbound.activate(std::sync::Arc::new(table.unwrap())).is_err());
+    assert_eq!(world.outbound.active_version(), Some(umberpond_model::Version(9)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn bad_requests_are_answered_and_their_connection_ends() {
+    let world = World::with_routes(vec![vec![ok("whole")]]).await;
+    let long = "y".repeat(5_000);
+    for (bytes, status) in [
+        ("rubbish\r\n\r\n".to_owned(), 400),
+        (format!("GET /read/a HTTP/1.1\r\nX: {long}\r\n\r\n"), 431),
+        (
+            "POST /read/a HTTP/1.1\r\nHost: x.example\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n"
+                .to_owned(),
+            400,
+        ),
+        ("POST /read/a HTTP/1.1\r\nHost: x.example\r\nContent-Length: 9999999\r\n\r\n".to_owned(), 413),
+    ] {
+        let mut caller = world.caller().await;
+        caller.write(&bytes).await;
+        let answer = caller.read().await.unwrap();
+        assert_eq!(answer.status, status, "{bytes:.30}");
+        assert_eq!(answer.fields.text("connection"), Some("close"));
+        assert!(caller.read().await.is_none());
+    }
+    assert_eq!(world.arrivals(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_idle_connection_ends_after_the_time_of_the_configuration() {
+    let world = World::with_routes(vec![vec![ok("whole")]]).await;
+    let mut changed = snapshot();
+    changed.limits.idle_time = umberpond_model::Millis(5_000);
+    world.activate(2, &changed);
+    let mut caller = world.caller().await;
+    assert_eq!(caller.ask("/read/a", "r1").await.status, 200);
+    pause(4_500).await;
+    assert_eq!(caller.ask("/read/a", "r2").await.status, 200);
+    pause(5_100).await;
+    assert!(caller.read().await.is_none());
+}
--- /dev/null
+++ b/crates/forwarding/tests/support/back_end.rs
@@ -0,0 +1,165 @@
+//! A back end that does as its script says.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::io::AsyncWriteExt;
+use tokio::time::{Instant, sleep};
+use umberpond_http1::{BodyDecoder, MessageReader, ReadLimits, RequestHead, request_framing};
+use umberpond_net::{BoxStream, Network};
+
+/// What a back end does with one request.
+#[derive(Debug, Clone)]
+pub enum Act {
+    /// Answers with this status and body after some milliseconds.
+    Answer { status: u16, body: &'static str, after: u64 },
+    /// Writes this in place of an answer; `{id}` stands for the request's identity. The connection stays.
+    Raw(&'static str),
+    /// As [`Act::Raw`], and ends the connection.
+    RawThenClose(&'static str),
+    /// Says nothing and keeps the connection.
+    Silence,
+    /// Answers before it has read the body, and reads no more.
+    EarlyAnswer { status: u16, body: &'static str },
+}
+
+/// The acts by the count of requests so far; the last one is repeated.
+pub type Script = Vec<Act>;
+
+/// A success with a body, at once.
+pub const fn ok(body: &'static str) -> Act {
+    Act::Answer { status: 200, body, after: 5 }
+}
+
+/// A request as the back end saw it.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    pub head: RequestHead,
+    pub body: Vec<u8>,
+    pub at: Instant,
+    pub connection: usize,
+}
+
+impl Seen {
+    pub fn text(&self, name: &str) -> Option<&str> {
+        self.head.fields.text(name)
+    }
+}
+
+#[derive(Debug, Default)]
+struct State {
+    seen: Vec<Seen>,
+    connections: usize,
+    closed: Vec<(usize, Instant)>,
+}
+
+/// A back end that does as its script says.
+pub struct ScriptedBackEnd {
+    state: Arc<Mutex<State>>,
+}
+
+impl ScriptedBackEnd {
+    pub async fn start(network: &Arc<dyn Network>, at: SocketAddr, instance: &str, script: Script) -> Self {
+        let state: Arc<Mutex<State>> = Arc::default();
+        let mut listener = network.listen(at).await.unwrap();
+        let shared = Arc::clone(&state);
+        let instance = instance.to_owned();
+        tokio::spawn(async move {
+            loop {
+                let (stream, _peer) = listener.accept().await.unwrap();
+                let connection = {
+                    let mut state = shared.lock();
+                    state.connections += 1;
+                    state.connections
+                };
+                let (state, script, instance) = (Arc::clone(&shared), script.clone(), instance.clone());
+                tokio::spawn(async move {
+                    serve(stream, connection, &state, &script, &instance).await;
+                    state.lock().closed.push((connection, Instant::now()));
+                });
+            }
+        });
+        Self { state }
+    }
+
+    pub fn seen(&self) -> Vec<Seen> {
+        self.state.lock().seen.clone()
+    }
+
+    pub fn connections(&self) -> usize {
+        self.state.lock().connections
+    }
+
+    /// When each connection was seen to end.
+    pub fn closed(&self) -> Vec<(usize, Instant)> {
+        self.state.lock().closed.clone()
+    }
+}
+
+async fn serve(stream: BoxStream, connection: usize, state: &Mutex<State>, script: &Script, instance: &str) {
+    let (reader, mut writer) = tokio::io::split(stream);
+    let mut reader = MessageReader::new(reader);
+    let limits = ReadLimits { head_bytes: 64 * 1024, head_time: Duration::from_secs(60) };
+    while let Ok(Some(head)) = reader.request_head(limits).await {
+        if &head.target[..] == b"/well" {
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\numberpond-serving-instance: {instance}\r\numberpond-load: 1,0,7\r\n\
+                 Content-Length: 0\r\n\r\n"
+            );
+            writer.write_all(answer.as_bytes()).await.unwrap();
+            continue;
+        }
+        let act = {
+            let number = state.lock().seen.len();
+            script[number.min(script.len() - 1)].clone()
+        };
+        let at = Instant::now();
+        let mut body = Vec::new();
+        if !matches!(act, Act::EarlyAnswer { .. }) {
+            let mut decoder = BodyDecoder::new(request_framing(&head).unwrap());
+            match reader.whole_body(&mut decoder, 1 << 20).await {
+                Ok(Some(whole)) => body = whole.to_vec(),
+                _ => return,
+            }
+        }
+        let id = head.fields.text("umberpond-request").unwrap_or_default().to_owned();
+        state.lock().seen.push(Seen { head, body, at, connection });
+        match act {
+            Act::Answer { status, body, after } => {
+                tokio::select! {
+                    biased;
+                    () = reader.peer_gone(1) => return,
+                    () = sleep(Duration::from_millis(after)) => {}
+                }
+                let answer = answer(status, body, &id, instance);
+                if writer.write_all(answer.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+            Act::EarlyAnswer { status, body } => {
+                writer.write_all(answer(status, body, &id, instance).as_bytes()).await.unwrap();
+                reader.peer_gone(usize::MAX).await;
+                return;
+            }
+            Act::Raw(raw) => writer.write_all(raw.replace("{id}", &id).as_bytes()).await.unwrap(),
+            Act::RawThenClose(raw) => {
+                writer.write_all(raw.replace("{id}", &id).as_bytes()).await.unwrap();
+                return;
+            }
+            Act::Silence => {
+                reader.peer_gone(usize::MAX).await;
+                return;
+            }
+        }
+    }
+}
+
+fn answer(status: u16, body: &str, id: &str, instance: &str) -> String {
+    let length = body.len();
+    format!(
+        "HTTP/1.1 {status} Said\r\numberpond-request: {id}\r\nx-proof: proof-of-{instance}\r\n\
+         Kept: yes\r\nConnection: keep-alive\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+}
--- /dev/null
+++ b/crates/forwarding/tests/support/caller.rs
@@ -0,0 +1,63 @@
+//! A caller's connection.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use tokio::io::{AsyncWriteExt, ReadHalf, WriteHalf};
+use umberpond_http1::{BodyDecoder, Fields, MessageReader, response_framing};
+use umberpond_net::{BoxStream, Network};
+
+/// An answer as the caller read it.
+#[derive(Debug, Clone)]
+pub struct Read {
+    pub status: u16,
+    pub fields: Fields,
+    /// Absent if the body broke off.
+    pub body: Option<Vec<u8>>,
+}
+
+impl Read {
+    pub fn text(&self) -> &str {
+        std::str::from_utf8(self.body.as_deref().unwrap_or_default()).unwrap()
+    }
+}
+
+/// A caller's connection.
+pub struct Caller {
+    reader: MessageReader<ReadHalf<BoxStream>>,
+    writer: WriteHalf<BoxStream>,
+}
+
+impl Caller {
+    pub async fn connect(network: &Arc<dyn Network>, to: SocketAddr) -> Self {
+        let (reader, writer) = tokio::io::split(network.connect(to).await.unwrap());
+        Self { reader: MessageReader::new(reader), writer }
+    }
+
+    pub async fn write(&mut self, bytes: impl AsRef<[u8]>) {
+        self.writer.write_all(bytes.as_ref()).await.unwrap();
+    }
+
+    /// Sends a request without a body.
+    pub async fn send(&mut self, path: &str, id: &str) {
+        self.write(get(path, id)).await;
+    }
+
+    /// The next answer; absent if the connection ends before one.
+    pub async fn read(&mut self) -> Option<Read> {
+        let head = self.reader.response_head(64 * 1024).await.ok()?;
+        let mut decoder = BodyDecoder::new(response_framing(&head, b"GET").unwrap());
+        let body = self.reader.whole_body(&mut decoder, 1 << 22).await.ok().flatten();
+        Some(Read { status: head.status, fields: head.fields, body: body.map(|body| body.to_vec()) })
+    }
+
+    /// Sends a request and reads its answer.
+    pub async fn ask(&mut self, path: &str, id: &str) -> Read {
+        self.send(path, id).await;
+        self.read().await.expect("an answer")
+    }
+}
+
+pub fn get(path: &str, id: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nHost: x.example\r\numberpond-request: {id}\r\n\r\n")
+}
--- /dev/null
+++ b/crates/forwarding/tests/support/mod.rs
@@ -0,0 +1,210 @@
+//! A node of callers, some nodes with scripted back ends, and a caller, over a virtual network.
+
+#![allow(dead_code, reason = "not every test uses every part")]
+
+pub mod back_end;
+pub mod caller;
+
+use std::collections::BTreeSet;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use umberpond_config::{
+    Destination, Entry, RequestClass, RequestLimits, Route, RoutePolicy, Service, Snapshot,
+};
+use umberpond_forwarding::{
+    BackEnd, Dialect, Inbound, InboundSettings, OpenedSecrets, Outbound, OutboundIdentity, OutboundSettings,
+    RoutingTable, ServerControl, serve_inbound, serve_outbound,
+};
+use umberpond_model::{Locality, Millis, ServiceName, Version};
+use umberpond_net::Network;
+use umberpond_selection::{Endpoint, RetryBudgetSettings};
+use umberpond_telemetry::{MemoryRecorder, Telemetry};
+use umberpond_virtual_network::SimNetwork;
+
+use back_end::{Script, ScriptedBackEnd};
+use caller::Caller;
+
+/// Names like those of a platform with signatures.
+pub const DIALECT: Dialect = Dialect { signature: Some("x-proof"), ..Dialect::OWN };
+
+pub fn name<N: std::str::FromStr>(text: &str) -> N {
+    text.parse().ok().expect("a valid name")
+}
+
+pub fn host(number: u8) -> IpAddr {
+    IpAddr::from([10, 0, 0, number])
+}
+
+const CALLERS: u8 = 1;
+const INBOUND_PORT: u16 = 100;
+const OUTBOUND_PORT: u16 = 101;
+const BACK_END_PORT: u16 = 102;
+/// Requests that a scripted back end works on at once.
+pub const SLOTS: u32 = 2;
+
+/// One node with its back end.
+pub struct Served {
+    pub inbound: Arc<Inbound>,
+    pub back_end: ScriptedBackEnd,
+    pub endpoint: Endpoint,
+}
+
+/// A node of callers and nodes with back ends of the service `archive`.
+pub struct World {
+    pub network: SimNetwork,
+    pub outbound: Arc<Outbound>,
+    pub control: ServerControl,
+    pub recorder: Arc<MemoryRecorder>,
+    pub served: Vec<Served>,
+    callers: Arc<dyn Network>,
+}
+
+/// The routes of every test: two of the host `x.example` to `archive`.
+pub fn snapshot() -> Snapshot {
+    let mut snapshot = Snapshot {
+        limits: RequestLimits { head_bytes: 4096, body_bytes: 600_000, ..RequestLimits::default() },
+        ..Snapshot::default()
+    };
+    for service in ["archive", "billing"] {
+        let service = Service {
+            name: name(service),
+            allowed: Vec::new(),
+            slots: 0,
+            connections: 100,
+            seal_key: None,
+            health_path: Some("/well".to_owned()),
+        };
+        snapshot.services.insert(service.name.clone(), Entry::new(service));
+    }
+    for (prefix, is_idempotent) in [("/read/", true), ("/write/", false)] {
+        let route = route(prefix, is_idempotent);
+        snapshot.routes.insert(route.name.clone(), Entry::new(route));
+    }
+    snapshot
+}
+
+pub fn route(prefix: &str, is_idempotent: bool) -> Route {
+    Route {
+        name: name(&prefix.trim_matches('/').replace('/', "-")),
+        service: name("archive"),
+        callers: BTreeSet::new(),
+        host: Some("x.example".to_owned()),
+        split: Vec::<Destination>::new(),
+        policy: RoutePolicy { attempts: 2, objective: Some(Millis(500)), priority: Some(1) },
+        path_prefix: prefix.to_owned(),
+        methods: BTreeSet::new(),
+        idempotent: is_idempotent,
+        class: RequestClass::Status,
+        timeout: Millis(2_000),
+        credentials: Vec::new(),
+    }
+}
+
+impl World {
+    /// One node of callers and a node for each script.
+    pub async fn new(scripts: Vec<Script>) -> Self {
+        let network = SimNetwork::new(1, |_, _| Millis(1));
+        let recorder = Arc::new(MemoryRecorder::default());
+        let telemetry = Telemetry::to_observer(Arc::clone(&recorder) as _);
+        let callers = network.host(host(CALLERS));
+        let inbound = inbound(&callers, &telemetry);
+        let outbound = Outbound::new(
+            OutboundIdentity {
+                node: name("callers"),
+                locality: locality(),
+                caller: name("storefront"),
+                seed: 1,
+            },
+            DIALECT,
+            OutboundSettings {
+                retry_budget: RetryBudgetSettings { extra: 100.0, spent_share: 1.0, ..Default::default() },
+                ..OutboundSettings::default()
+            },
+            Arc::clone(&callers),
+            telemetry.clone(),
+            inbound,
+        );
+        let control = ServerControl::default();
+        let at = SocketAddr::new(host(CALLERS), OUTBOUND_PORT);
+        let listener = callers.listen(at).await.unwrap();
+        tokio::spawn(serve_outbound(listener, Arc::clone(&outbound), control.clone(), telemetry.clone()));
+        let mut world = Self { network, outbound, control, recorder, served: Vec::new(), callers };
+        for script in scripts {
+            world.add_node(script, &telemetry).await;
+        }
+        world.tell_endpoints();
+        world
+    }
+
+    /// As [`World::new`], with the routes of [`snapshot`] in force.
+    pub async fn with_routes(scripts: Vec<Script>) -> Self {
+        let world = Self::new(scripts).await;
+        world.activate(1, &snapshot());
+        world
+    }
+
+    pub fn activate(&self, version: u64, snapshot: &Snapshot) {
+        let caller = name("storefront");
+        let table =
+            RoutingTable::compile(Version(version), snapshot, &OpenedSecrets::new(), &caller).unwrap();
+        self.outbound.activate(Arc::new(table)).unwrap();
+    }
+
+    async fn add_node(&mut self, script: Script, telemetry: &Telemetry) {
+        let number = 10 + u8::try_from(self.served.len()).unwrap();
+        let network = self.network.host(host(number));
+        let inbound = inbound(&network, telemetry);
+        let instance = format!("life-{number}");
+        let at = SocketAddr::new(host(number), BACK_END_PORT);
+        let back_end = ScriptedBackEnd::start(&network, at, &instance, script).await;
+        inbound.open(BackEnd {
+            instance: instance.clone(),
+            service: name("archive"),
+            address: at,
+            slots: SLOTS,
+        });
+        let address = SocketAddr::new(host(number), INBOUND_PORT);
+        let listener = network.listen(address).await.unwrap();
+        tokio::spawn(serve_inbound(listener, Arc::clone(&inbound), telemetry.clone()));
+        let endpoint = Endpoint {
+            node: name(&format!("node-{number}")),
+            address,
+            locality: locality(),
+            instance,
+            slots: SLOTS,
+            is_cold: false,
+        };
+        self.served.push(Served { inbound, back_end, endpoint });
+    }
+
+    /// Tells the callers' node all endpoints.
+    pub fn tell_endpoints(&self) {
+        let endpoints = self.served.iter().map(|served| served.endpoint.clone()).collect();
+        self.outbound.set_endpoints(&name::<ServiceName>("archive"), endpoints);
+    }
+
+    /// A connection of a caller.
+    pub async fn caller(&self) -> Caller {
+        Caller::connect(&self.callers, SocketAddr::new(host(CALLERS), OUTBOUND_PORT)).await
+    }
+
+    /// Requests that have arrived at any back end.
+    pub fn arrivals(&self) -> usize {
+        self.served.iter().map(|served| served.back_end.seen().len()).sum()
+    }
+}
+
+fn locality() -> Locality {
+    Locality { region: name("north"), zone: name("a") }
+}
+
+fn inbound(network: &Arc<dyn Network>, telemetry: &Telemetry) -> Arc<Inbound> {
+    let settings = InboundSettings::default();
+    Arc::new(Inbound::new(DIALECT, settings, Arc::clone(network), telemetry.clone()))
+}
+
+pub async fn pause(millis: u64) {
+    tokio::time::sleep(Duration::from_millis(millis)).await;
+}
--- a/crates/membership/tests/membership.rs
+++ b/crates/membership/tests/membership.rs
@@ -29,9 +29,8 @@
     let mut world = World::joined(3, 8);
     world.tell(2, |membership, now| membership.set_back_end(now, Some(back_end("a", BackEndState::Ready))));
     world.run_millis(1_000);
-    world.tell(2, |membership, now| {
-        membership.set_back_end(now, Some(back_end("a", BackEndState::Draining)))
-    });
+    world
+        .tell(2, |membership, now| membership.set_back_end(now, Some(back_end("a", BackEndState::Draining))));
     world.run_millis(20);
     for from in [0, 1, 3, 4, 5, 6, 7] {
         let told = world.view(from, 2).unwrap().record.back_end.unwrap();
@@ -145,7 +144,10 @@
         record.control = address(2);
         world.nodes.insert(
             2,
-            umberpond_membership::Membership::new(umberpond_membership::MembershipSettings::default(), record),
+            umberpond_membership::Membership::new(
+                umberpond_membership::MembershipSettings::default(),
+                record,
+            ),
         );
         world.nodes.remove(&200);
         world.introduce(2, [0, 1]);
--- a/testing/sim/src/network/fabric.rs
+++ b/testing/network/src/fabric.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 use umberpond_model::Millis;
 
+use super::datagrams::Datagram;
 use super::stream::{SimStream, pair};
 
 /// First port given to listeners that ask for any.
@@ -30,6 +31,7 @@
     links: BTreeMap<(IpAddr, IpAddr), Arc<LinkState>>,
     hosts: BTreeMap<IpAddr, HostState>,
     listeners: BTreeMap<SocketAddr, Incoming>,
+    datagrams: BTreeMap<SocketAddr, mpsc::UnboundedSender<Datagram>>,
     /// Addresses at which streams arrive twice, and how much later the second one is.
     doubled: BTreeMap<SocketAddr, Duration>,
     next_port: u16,
@@ -40,10 +42,17 @@
     generation: u64,
     alive: bool,
     frozen: bool,
-    /// Told once, at the kill, to every stream of this generation.
+    /// Told once, at the kill or at a reset, to every stream of this generation.
     killed: Option<watch::Sender<bool>>,
 }
 
+/// The way of one datagram.
+#[derive(Debug)]
+pub(super) struct Passage {
+    pub(super) delay: Duration,
+    pub(super) receiver: mpsc::UnboundedSender<Datagram>,
+}
+
 /// One direction between two hosts.
 #[derive(Debug)]
 pub(super) struct LinkState {
@@ -52,6 +61,8 @@
     delay: Mutex<Duration>,
     base_delay: Duration,
     jitter: Mutex<ChaCha8Rng>,
+    /// Share of the datagrams that disappear.
+    loss: Mutex<f64>,
     bytes: AtomicU64,
 }
 
@@ -91,6 +102,7 @@
             links: BTreeMap::new(),
             hosts: BTreeMap::new(),
             listeners: BTreeMap::new(),
+            datagrams: BTreeMap::new(),
             doubled: BTreeMap::new(),
             next_port: FIRST_FREE_PORT,
         }
@@ -114,15 +126,33 @@
             }
         }
         self.listeners.retain(|address, _| address.ip() != host);
+        self.datagrams.retain(|address, _| address.ip() != host);
+    }
+
+    pub(super) fn reset(&mut self, host: IpAddr) {
+        if let Some(state) = self.hosts.get_mut(&host).filter(|state| state.alive) {
+            let open = state.killed.replace(watch::Sender::new(false));
+            if let Some(open) = open {
+                open.send_replace(true);
+            }
+        }
     }
 
     pub(super) fn set_cut(&mut self, one: IpAddr, other: IpAddr, cut: bool) {
         for (from, to) in [(one, other), (other, one)] {
-            *self.link(from, to).cut.lock() = cut;
-            self.refresh(from, to);
+            self.set_cut_one_way(from, to, cut);
         }
     }
 
+    pub(super) fn set_cut_one_way(&mut self, from: IpAddr, to: IpAddr, cut: bool) {
+        *self.link(from, to).cut.lock() = cut;
+        self.refresh(from, to);
+    }
+
+    pub(super) fn set_loss(&mut self, from: IpAddr, to: IpAddr, loss: f64) {
+        *self.link(from, to).loss.lock() = loss;
+    }
+
     pub(super) fn set_frozen(&mut self, host: IpAddr, frozen: bool) {
         self.hosts.entry(host).or_default().frozen = frozen;
         let touched: Vec<_> =
@@ -159,6 +189,7 @@
             delay: Mutex::new(base_delay),
             base_delay,
             jitter: Mutex::new(ChaCha8Rng::from_seed(self.link_seed(from, to))),
+            loss: Mutex::new(0.0),
             bytes: AtomicU64::new(0),
         });
         self.links.insert((from, to), Arc::clone(&link));
@@ -204,6 +235,38 @@
         Ok((address, receiver))
     }
 
+    pub(super) fn open_datagrams(
+        &mut self,
+        generation: u64,
+        at: SocketAddr,
+    ) -> io::Result<(SocketAddr, mpsc::UnboundedReceiver<Datagram>)> {
+        self.killed_signal(at.ip(), generation)?;
+        let port = if at.port() == 0 { self.take_port() } else { at.port() };
+        let address = SocketAddr::new(at.ip(), port);
+        if self.datagrams.get(&address).is_some_and(|open| !open.is_closed()) {
+            return Err(io::ErrorKind::AddrInUse.into());
+        }
+        let (sender, receiver) = mpsc::unbounded_channel();
+        self.datagrams.insert(address, sender);
+        Ok((address, receiver))
+    }
+
+    /// The way of a datagram that is sent now; absent if it disappears.
+    pub(super) fn send_datagram(
+        &mut self,
+        generation: u64,
+        from: SocketAddr,
+        to: SocketAddr,
+    ) -> Option<Passage> {
+        self.killed_signal(from.ip(), generation).ok()?;
+        let link = self.link(from.ip(), to.ip());
+        let receiver = self.datagrams.get(&to)?.clone();
+        let is_lost = link.jitter.lock().random_bool(*link.loss.lock());
+        let is_blocked = *link.blocked.borrow();
+        let delay = link.draw_delay();
+        (!is_lost && !is_blocked).then_some(Passage { delay, receiver })
+    }
+
     pub(super) fn stop_listening(&mut self, address: SocketAddr) {
         // After a restart the address may belong to the next process already.
         if self.listeners.get(&address).is_some_and(mpsc::UnboundedSender::is_closed) {
--- a/testing/sim/src/network/mod.rs
+++ b/testing/network/src/lib.rs
@@ -4,6 +4,7 @@
 //! after the delay of its link, in order. While a link is cut or a host frozen, chunks wait and come late when
 //! the fault ends, as a retransmitting transport would deliver them. Killing a host resets all of its streams.
 
+mod datagrams;
 mod fabric;
 mod stream;
 
@@ -15,8 +16,9 @@
 use parking_lot::Mutex;
 use tokio::sync::mpsc;
 use umberpond_model::Millis;
-use umberpond_net::{BoxListener, BoxStream, Listener, Network};
+use umberpond_net::{BoxDatagrams, BoxListener, BoxStream, Listener, Network};
 
+use datagrams::SimDatagrams;
 use fabric::{Fabric, LinkState};
 use stream::SimStream;
 
@@ -45,6 +47,21 @@
         self.fabric.lock().kill(host);
     }
 
+    /// Resets every stream that is open from or to `host`; its process goes on.
+    pub fn reset(&self, host: IpAddr) {
+        self.fabric.lock().reset(host);
+    }
+
+    /// Cuts the link from one host to another; the other direction goes on.
+    pub fn cut_one_way(&self, from: IpAddr, to: IpAddr) {
+        self.fabric.lock().set_cut_one_way(from, to, true);
+    }
+
+    /// Lets the share `loss` of the datagrams from one host to another disappear.
+    pub fn lose(&self, from: IpAddr, to: IpAddr, loss: f64) {
+        self.fabric.lock().set_loss(from, to, loss);
+    }
+
     /// Cuts the link between two hosts, both ways.
     pub fn cut(&self, one: IpAddr, other: IpAddr) {
         self.fabric.lock().set_cut(one, other, true);
@@ -85,7 +102,7 @@
 }
 
 /// One process's view of the network.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Host {
     network: SimNetwork,
     address: IpAddr,
@@ -108,6 +125,12 @@
         let (address, incoming) = self.network.fabric.lock().listen(self.generation, at)?;
         Ok(Box::new(SimListener { address, incoming, network: self.network.clone() }))
     }
+
+    async fn datagrams(&self, at: SocketAddr) -> io::Result<BoxDatagrams> {
+        let (address, incoming) = self.network.fabric.lock().open_datagrams(self.generation, at)?;
+        let sender = self.clone();
+        Ok(Box::new(SimDatagrams { address, incoming: tokio::sync::Mutex::new(incoming), sender }))
+    }
 }
 
 /// A listener of the simulated network; its address is free again once it is dropped.
--- a/testing/sim/tests/network.rs
+++ b/testing/network/tests/network.rs
@@ -7,7 +7,7 @@
 use tokio::time::{Instant, timeout};
 use umberpond_model::Millis;
 use umberpond_net::{BoxStream, Network};
-use umberpond_sim::network::SimNetwork;
+use umberpond_virtual_network::SimNetwork;
 
 const SERVER: IpAddr = IpAddr::V4(Ipv4Addr::new(10, 0, 0, 1));
 const CLIENT: IpAddr = IpAddr::V4(Ipv4Addr::new(10, 0, 0, 2));
@@ -95,3 +95,46 @@
     }
     writer.await.unwrap().unwrap();
 }
+
+#[tokio::test(start_paused = true)]
+async fn datagrams_take_the_delay_and_disappear_when_the_link_says_so() {
+    let network = SimNetwork::new(7, |_, _| Millis(3));
+    let (one, other): (IpAddr, IpAddr) = ([10, 0, 0, 1].into(), [10, 0, 0, 2].into());
+    let (near, far) = (network.host(one), network.host(other));
+    let sender = near.datagrams(SocketAddr::new(one, 7)).await.unwrap();
+    let receiver = far.datagrams(SocketAddr::new(other, 7)).await.unwrap();
+    let began = tokio::time::Instant::now();
+    sender.send(b"a", receiver.local_addr());
+    let mut buffer = [0; 16];
+    let (length, from) = receiver.receive(&mut buffer).await.unwrap();
+    assert_eq!((&buffer[..length], from), (&b"a"[..], sender.local_addr()));
+    assert!(began.elapsed() >= Duration::from_millis(3));
+    network.cut_one_way(one, other);
+    sender.send(b"b", receiver.local_addr());
+    network.mend(one, other);
+    network.lose(one, other, 1.0);
+    sender.send(b"c", receiver.local_addr());
+    network.lose(one, other, 0.0);
+    sender.send(b"d", receiver.local_addr());
+    let (length, _) = receiver.receive(&mut buffer).await.unwrap();
+    assert_eq!(&buffer[..length], b"d");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_reset_breaks_open_streams_and_lets_new_ones_through() {
+    let network = SimNetwork::new(8, |_, _| Millis(1));
+    let (one, other): (IpAddr, IpAddr) = ([10, 0, 0, 1].into(), [10, 0, 0, 2].into());
+    let (near, far) = (network.host(one), network.host(other));
+    let at = SocketAddr::new(other, 7);
+    let mut listener = far.listen(at).await.unwrap();
+    let mut stream = near.connect(at).await.unwrap();
+    let (_accepted, _) = listener.accept().await.unwrap();
+    network.reset(other);
+    assert!(stream.write_all(b"x").await.is_err());
+    let mut again = near.connect(at).await.unwrap();
+    let (mut accepted, _) = listener.accept().await.unwrap();
+    again.write_all(b"y").await.unwrap();
+    let mut byte = [0];
+    accepted.read_exact(&mut byte).await.unwrap();
+    assert_eq!(&byte, b"y");
+}
--- a/testing/sim/src/cluster/process.rs
+++ b/testing/sim/src/cluster/process.rs
@@ -17,7 +17,7 @@
 use super::layout::{self, Place};
 use super::observer::{ProcessObserver, Recorder};
 use crate::history::Event;
-use crate::network::SimNetwork;
+use umberpond_virtual_network::SimNetwork;
 
 /// Wall-clock microseconds at the begin of every run.
 const RUN_BEGIN_MICROS: u64 = 1_700_000_000_000_000;
--- a/testing/sim/src/cluster/run.rs
+++ b/testing/sim/src/cluster/run.rs
@@ -20,8 +20,8 @@
 use super::process::{NodeSlot, Surroundings};
 use crate::checkers::{CONVERGENCE_LIMIT, Invariant, Violation};
 use crate::history::{Event, History, Recorded};
-use crate::network::SimNetwork;
 use crate::schedule::Schedule;
+use umberpond_virtual_network::SimNetwork;
 
 /// Virtual time before the first fault: nodes start, the first bundle comes in force.
 pub const WARM_UP: Millis = Millis(15_000);
--- a/testing/sim/src/lib.rs
+++ b/testing/sim/src/lib.rs
@@ -1,11 +1,10 @@
 //! Deterministic simulation: fault schedules, invariant checkers and the scale run.
 //!
-//! The real daemon runs over [`network::SimNetwork`] on tokio's paused clock. What happens is recorded in a
+//! The real daemon runs over [`SimNetwork`](umberpond_virtual_network::SimNetwork) on tokio's paused clock. What happens is recorded in a
 //! [`history::History`], over which the checkers are plain functions. A seed names a run.
 
 pub mod checkers;
 pub mod cluster;
 pub mod history;
-pub mod network;
 pub mod scale;
 pub mod schedule;
