--- /dev/null
+++ b/crates/daemon/tests/lives.rs
@@ -0,0 +1,153 @@
+//! Which life of the back end is the present one, and whether it takes new work.
+
+use std::time::{Duration, Instant};
+
+use quickcheck::quickcheck;
+use umberpond_daemon::back_end::{AnnouncedState, Announcement, BackEndLives, Effect};
+use umberpond_forwarding::BackEnd;
+use umberpond_membership::BackEndState;
+
+fn announcement(instance: &str, state: AnnouncedState, sequence: u64) -> Announcement {
+    Announcement {
+        instance: instance.to_owned(),
+        service: "archive".parse().unwrap(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        slots: 9,
+        state,
+        cold_for: Duration::ZERO,
+        sequence,
+    }
+}
+
+fn ready(instance: &str, sequence: u64) -> Announcement {
+    announcement(instance, AnnouncedState::Ready, sequence)
+}
+
+fn draining(instance: &str, sequence: u64) -> Announcement {
+    announcement(instance, AnnouncedState::Draining, sequence)
+}
+
+fn back_end(instance: &str) -> BackEnd {
+    BackEnd {
+        instance: instance.to_owned(),
+        service: "archive".parse().unwrap(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        slots: 9,
+    }
+}
+
+fn state(lives: &BackEndLives) -> Option<BackEndState> {
+    lives.record(Instant::now()).map(|record| record.state)
+}
+
+#[test]
+fn the_first_word_opens_and_the_same_word_again_changes_nothing() {
+    let now = Instant::now();
+    let mut lives = BackEndLives::new(false);
+    assert_eq!(lives.on_announcement(now, &ready("a", 1)), Effect::Open(back_end("a")));
+    assert_eq!(lives.on_announcement(now, &ready("a", 2)), Effect::None);
+    assert_eq!(state(&lives), Some(BackEndState::Ready));
+}
+
+#[test]
+fn a_leave_closes_and_a_late_word_does_not_open_again() {
+    let now = Instant::now();
+    let mut lives = BackEndLives::new(false);
+    lives.on_announcement(now, &ready("a", 1));
+    assert_eq!(lives.on_announcement(now, &draining("a", 3)), Effect::Close);
+    assert_eq!(lives.on_announcement(now, &ready("a", 2)), Effect::None);
+    assert_eq!(lives.on_announcement(now, &ready("a", 4)), Effect::None, "a leave is for good");
+    assert_eq!(state(&lives), Some(BackEndState::Draining));
+}
+
+#[test]
+fn an_end_without_a_leave_closes_for_good() {
+    let now = Instant::now();
+    let mut lives = BackEndLives::new(false);
+    lives.on_announcement(now, &ready("a", 1));
+    assert_eq!(lives.on_withdrawn("a"), Effect::Close);
+    assert_eq!(lives.on_announcement(now, &ready("a", 2)), Effect::None);
+    assert_eq!(lives.on_confirmed(now, back_end("a")), Effect::None);
+    assert_eq!(state(&lives), Some(BackEndState::Draining));
+}
+
+#[test]
+fn a_new_life_takes_the_place_of_the_old_one_for_good() {
+    let now = Instant::now();
+    let mut lives = BackEndLives::new(false);
+    lives.on_announcement(now, &ready("a", 7));
+    assert_eq!(lives.on_announcement(now, &ready("b", 1)), Effect::Open(back_end("b")));
+    assert_eq!(lives.on_announcement(now, &ready("a", 8)), Effect::None, "late words of an ended life");
+    assert_eq!(lives.on_withdrawn("a"), Effect::None);
+    assert_eq!(state(&lives), Some(BackEndState::Ready));
+}
+
+#[test]
+fn after_a_restart_the_back_end_is_asked_before_its_late_word_is_believed() {
+    let now = Instant::now();
+    let mut lives = BackEndLives::new(true);
+    assert_eq!(lives.on_announcement(now, &ready("a", 5)), Effect::Confirm(back_end("a")));
+    assert_eq!(state(&lives), Some(BackEndState::Unreachable));
+    assert_eq!(lives.on_confirmed(now, back_end("a")), Effect::Open(back_end("a")));
+    assert_eq!(state(&lives), Some(BackEndState::Ready));
+}
+
+#[test]
+fn after_a_restart_the_answer_alone_is_enough() {
+    let now = Instant::now();
+    let mut lives = BackEndLives::new(true);
+    assert_eq!(lives.on_confirmed(now, back_end("a")), Effect::Open(back_end("a")));
+    assert_eq!(lives.on_announcement(now, &ready("a", 3)), Effect::None);
+    assert_eq!(lives.on_announcement(now, &draining("a", 4)), Effect::Close);
+}
+
+#[test]
+fn a_back_end_out_of_reach_is_asked_until_it_answers() {
+    let now = Instant::now();
+    let mut lives = BackEndLives::new(false);
+    lives.on_announcement(now, &ready("a", 1));
+    assert_eq!(lives.on_unreachable("a"), Effect::Confirm(back_end("a")));
+    assert_eq!(lives.on_unreachable("a"), Effect::None, "it is being asked already");
+    assert_eq!(lives.on_announcement(now, &ready("a", 2)), Effect::Confirm(back_end("a")));
+    assert_eq!(lives.on_confirmed(now, back_end("a")), Effect::Open(back_end("a")));
+}
+
+#[test]
+fn a_word_tells_slots_and_how_long_the_back_end_is_slow_from_its_start() {
+    let now = Instant::now();
+    let mut lives = BackEndLives::new(false);
+    let cold = Announcement { cold_for: Duration::from_secs(2), ..ready("a", 1) };
+    lives.on_announcement(now, &cold);
+    assert!(lives.record(now).unwrap().is_cold);
+    assert_eq!(lives.cold_for(now), Duration::from_secs(2));
+    assert!(!lives.record(now + Duration::from_secs(3)).unwrap().is_cold);
+    let grown = Announcement { slots: 12, ..ready("a", 2) };
+    let expected = BackEnd { slots: 12, ..back_end("a") };
+    assert_eq!(lives.on_announcement(now, &grown), Effect::Open(expected));
+}
+
+quickcheck! {
+    /// Words may come late, twice and in any order: a life that has said that it leaves never takes work again.
+    fn a_life_that_leaves_never_opens_again(words: Vec<(u8, u8, u8)>) -> bool {
+        let now = Instant::now();
+        let mut lives = BackEndLives::new(false);
+        let mut left = [false; 3];
+        for (which, kind, sequence) in words {
+            let number = usize::from(which % 3);
+            let instance = ["a", "b", "c"][number];
+            let effect = match kind % 4 {
+                0 => lives.on_announcement(now, &draining(instance, u64::from(sequence))),
+                1 => lives.on_withdrawn(instance),
+                2 => lives.on_confirmed(now, back_end(instance)),
+                _ => lives.on_announcement(now, &ready(instance, u64::from(sequence))),
+            };
+            if let Effect::Open(opened) = &effect
+                && ["a", "b", "c"].iter().zip(left).any(|(name, left)| opened.instance == *name && left)
+            {
+                return false;
+            }
+            left[number] |= effect == Effect::Close;
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/distribution/tests/held.rs
@@ -0,0 +1,142 @@
+//! From one configuration to the next, and who reads the store.
+
+use std::time::Duration;
+
+use umberpond_config::{RequestLimits, Snapshot};
+use umberpond_distribution::{
+    HeldConfiguration, ReaderCandidate, ReaderSettings, Transfer, TransferError, Versioned, is_reader,
+};
+use umberpond_model::{NodeName, Version};
+
+/// A configuration that differs from that of every other number.
+fn versioned(number: u64) -> Versioned {
+    let limits = RequestLimits { head_bytes: number, ..RequestLimits::default() };
+    Versioned::new(Version(number), Snapshot { limits, ..Snapshot::default() })
+}
+
+fn holding(numbers: &[u64]) -> HeldConfiguration {
+    let mut held = HeldConfiguration::default();
+    for number in numbers {
+        assert!(held.offer(versioned(*number)));
+    }
+    held
+}
+
+#[test]
+fn only_a_higher_version_is_taken() {
+    let mut held = holding(&[3, 7]);
+    assert!(!held.offer(versioned(7)));
+    assert!(!held.offer(versioned(5)));
+    assert_eq!(held.version(), Some(Version(7)));
+}
+
+#[test]
+fn a_node_without_a_configuration_gets_the_whole_and_one_with_an_earlier_one_the_difference() {
+    let giver = holding(&[1, 2, 5]);
+    let whole = giver.transfer_for(None);
+    assert!(matches!(whole, Transfer::Whole { .. }));
+    assert_eq!(HeldConfiguration::default().receive(whole).unwrap(), Some(versioned(5)));
+    let receiver = holding(&[2]);
+    let difference = giver.transfer_for(Some(versioned(2).held()));
+    assert!(matches!(difference, Transfer::Difference { .. }));
+    assert_eq!(receiver.receive(difference).unwrap(), Some(versioned(5)));
+}
+
+#[test]
+fn nothing_is_sent_to_a_node_that_holds_the_same_or_a_newer_one() {
+    let giver = holding(&[5]);
+    assert_eq!(giver.transfer_for(Some(versioned(5).held())), Transfer::NothingNewer);
+    assert_eq!(giver.transfer_for(Some(versioned(9).held())), Transfer::NothingNewer);
+    assert_eq!(HeldConfiguration::default().transfer_for(None), Transfer::NothingNewer);
+    assert_eq!(giver.receive(Transfer::NothingNewer).unwrap(), None);
+}
+
+#[test]
+fn another_content_under_the_same_version_is_replaced_whole() {
+    let giver = holding(&[1, 2, 5]);
+    let mut other = versioned(2).held();
+    other.hash = versioned(9).hash;
+    assert!(matches!(giver.transfer_for(Some(other)), Transfer::Whole { .. }));
+}
+
+#[test]
+fn a_difference_that_does_not_fit_or_lead_where_it_says_changes_nothing() {
+    let giver = holding(&[1, 2, 5]);
+    let difference = giver.transfer_for(Some(versioned(2).held()));
+    assert_eq!(holding(&[1]).receive(difference.clone()), Err(TransferError::OtherBase));
+    let Transfer::Difference { from, mut to, delta } = difference else { panic!("a difference") };
+    to.hash = versioned(9).hash;
+    let wrong = Transfer::Difference { from, to, delta };
+    assert_eq!(holding(&[2]).receive(wrong), Err(TransferError::OtherContent));
+    let rubbish = Transfer::Whole { to, content: b"rubbish".to_vec() };
+    assert!(matches!(holding(&[2]).receive(rubbish), Err(TransferError::Unreadable(_))));
+}
+
+#[test]
+fn a_transfer_that_was_overtaken_changes_nothing() {
+    let giver = holding(&[1, 2, 5]);
+    let difference = giver.transfer_for(None);
+    assert_eq!(holding(&[6]).receive(difference).unwrap(), None);
+}
+
+#[test]
+fn earlier_versions_are_kept_so_that_differences_can_be_told_and_not_without_end() {
+    let numbers: Vec<u64> = (1..=200).collect();
+    let giver = holding(&numbers);
+    assert!(matches!(giver.transfer_for(Some(versioned(190).held())), Transfer::Difference { .. }));
+    assert!(matches!(giver.transfer_for(Some(versioned(3).held())), Transfer::Whole { .. }));
+}
+
+fn nodes(count: usize) -> Vec<NodeName> {
+    (0..count).map(|number| format!("node-{number}").parse().unwrap()).collect()
+}
+
+/// The nodes that read the store, all of them having heard from it `age` ago.
+fn readers(nodes: &[NodeName], age: Option<Duration>) -> Vec<&NodeName> {
+    let settings = ReaderSettings::default();
+    let mut readers = Vec::new();
+    for own in nodes {
+        let others = nodes.iter().filter(|node| *node != own);
+        let others: Vec<_> = others.map(|node| ReaderCandidate { node, store_age: age }).collect();
+        if is_reader(&settings, ReaderCandidate { node: own, store_age: age }, &others) {
+            readers.push(own);
+        }
+    }
+    readers
+}
+
+#[test]
+fn a_few_nodes_read_the_store_while_it_answers_them() {
+    for count in [1, 2, 3, 12, 300] {
+        let nodes = nodes(count);
+        assert_eq!(readers(&nodes, Some(Duration::from_millis(300))).len(), count.min(2));
+    }
+}
+
+#[test]
+fn everybody_reads_when_nobody_has_heard_from_the_store() {
+    let nodes = nodes(12);
+    assert_eq!(readers(&nodes, None).len(), 12);
+    assert_eq!(readers(&nodes, Some(Duration::from_secs(3))).len(), 12);
+}
+
+#[test]
+fn the_next_nodes_read_when_the_readers_are_gone() {
+    let all = nodes(12);
+    let age = Some(Duration::from_millis(300));
+    let first: Vec<NodeName> = readers(&all, age).into_iter().cloned().collect();
+    let left: Vec<NodeName> = all.into_iter().filter(|node| !first.contains(node)).collect();
+    assert_eq!(readers(&left, age).len(), 2);
+}
+
+#[test]
+fn another_reader_steps_in_if_those_that_should_read_are_out_of_touch_with_the_store() {
+    let nodes = nodes(3);
+    let stale = Some(Duration::from_millis(1_500));
+    for own in &nodes {
+        let others = nodes.iter().filter(|node| *node != own);
+        let others: Vec<_> = others.map(|node| ReaderCandidate { node, store_age: stale }).collect();
+        let own = ReaderCandidate { node: own, store_age: None };
+        assert!(is_reader(&ReaderSettings::default(), own, &others));
+    }
+}
