--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -214,7 +214,7 @@
     pub(crate) outbound: Arc<Outbound>,
     activation: Arc<Activation>,
     pub(crate) membership: ActorRef<MembershipMessage>,
-    configuration: ActorRef<ConfigurationMessage>,
+    pub(crate) configuration: ActorRef<ConfigurationMessage>,
     back_end: Arc<BackEndMonitor>,
     pub(crate) control: ServerControl,
     /// Looks at the readiness since the process was told to stop.
--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -49,6 +49,13 @@
         self.tasks.lock().abort_all();
     }
 
+    /// Ends at once, as a killed process does: nothing is finished and nobody is told.
+    pub fn kill(&self) {
+        self.tasks.lock().abort_all();
+        self.membership.kill();
+        self.configuration.kill();
+    }
+
     async fn wait_until_callers_stay_away(&self, began: Instant) {
         while self.unready_answers.load(Ordering::Relaxed) < MISSED_LOOKS
             && began.elapsed() < CALLERS_LEAVE_WITHIN
