--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -96,8 +96,6 @@
         = 2033, Warn, "configuration-fetch-failed", "A newer configuration could not be fetched from another node.";
 
     // Endpoints
-    BackEndStateChanged { instance: String, state: &'static str }
-        = 3010, Info, "back-end-state-changed", "The back end beside this node takes new work, takes none, or has to be asked first.";
     OwnStatusChanged { status: EndpointStatus }
         = 3001, Info, "own-status-changed", "The status of the back end beside this node has changed.";
     EndpointsChanged { count: u64 }
@@ -108,10 +106,12 @@
         = 3004, Warn, "endpoint-ejected", "An endpoint kept failing and is left out for a while.";
     EndpointReadmitted { endpoint: NodeName }
         = 3005, Info, "endpoint-readmitted", "An ejected endpoint takes requests again.";
-
+    BackEndStateChanged { instance: String, state: &'static str }
+        = 3010, Info, "back-end-state-changed", "The back end beside this node takes new work, takes none, or has to be asked first.";
     AnnouncementRefused { reason: String }
         = 3011, Warn, "announcement-refused", "What a back end says of itself can't be understood; nothing changes.";
 
+
     // Requests
     RequestAnswered { request: String, status: u16, micros: u64 }
         = 4001, Debug, "request-answered", "The head of the back end's answer was passed on.";
@@ -152,12 +152,12 @@
         = 5004, Info, "platform-available", "The platform answers again.";
     WatchStarted { after: u64 }
         = 5005, Info, "watch-started", "The node watches the head on the platform.";
-    WatchLost { position: u64 }
-        = 5009, Info, "watch-lost", "The store no longer tells changes from this place on; the whole is read instead.";
     WatchTooOld { oldest: u64 }
         = 5006, Info, "watch-too-old", "The platform has dropped the watched changes; the whole state is read instead.";
     ObjectUnreadable { object: String, reason: String }
         = 5007, Error, "object-unreadable", "An object on the platform can't be understood; nothing is changed by it.";
     ObjectsCollected { deleted: u64 }
         = 5008, Info, "objects-collected", "Objects of versions that are no longer kept were deleted from the platform.";
+    WatchLost { position: u64 }
+        = 5009, Info, "watch-lost", "The store no longer tells changes from this place on; the whole is read instead.";
 }
