Keep heartbeats short, and requests in their zone while that costs nothing

A heartbeat carried three foreign records each time, about 600 bytes, 50 times a second and node; and a node preferred its own zone only by 3 ms.

Change: a heartbeat carries the sender's record only until the receiver has said that it holds it, and foreign records one time in eight; an endpoint elsewhere has to be better by a quarter of the objective, since an answer within the objective is as good as an earlier one. A restarted process whose random number is lower than that of the one before was not called back with the short form (found by the test of the whole path, now one of its own).

--- a/crates/daemon/src/membership/actor.rs
+++ b/crates/daemon/src/membership/actor.rs
@@ -1,5 +1,6 @@
 //! The actor that owns the membership.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,7 +26,7 @@
     /// Time has passed.
     Tick,
     /// Another node's heartbeat.
-    Heartbeat(Box<Heartbeat>),
+    Heartbeat { from: SocketAddr, heartbeat: Box<Heartbeat> },
     /// Nodes that the store names.
     Introductions(Vec<Introduction>),
     /// This node's word of its back end.
@@ -134,7 +135,7 @@
                 self.membership.set_load(self.inbound.load());
                 self.membership.on_tick(now)
             }
-            MembershipMessage::Heartbeat(heartbeat) => self.on_heartbeat(now, &heartbeat),
+            MembershipMessage::Heartbeat { from, heartbeat } => self.on_heartbeat(now, from, &heartbeat),
             MembershipMessage::Introductions(introductions) => {
                 self.membership.on_introductions(now, introductions);
                 self.membership.on_tick(now)
@@ -161,15 +162,18 @@
         }
     }
 
-    fn on_heartbeat(&mut self, now: std::time::Instant, heartbeat: &Heartbeat) -> Vec<Outgoing> {
-        let outgoing = self.membership.on_heartbeat(now, heartbeat);
-        let record = &heartbeat.record;
-        if let Some(back_end) = &record.back_end {
-            self.outbound.on_report(&back_end.service, &record.node, heartbeat.load);
+    fn on_heartbeat(
+        &mut self,
+        now: std::time::Instant,
+        from: SocketAddr,
+        heartbeat: &Heartbeat,
+    ) -> Vec<Outgoing> {
+        let outgoing = self.membership.on_heartbeat(now, from, heartbeat);
+        if let Some((node, service)) = self.membership.back_end_of(heartbeat.word.order()) {
+            self.outbound.on_report(service, node, heartbeat.load);
         }
         if let (Some(actor), Some(version)) = (&self.configuration, heartbeat.configuration.version) {
-            let told = ConfigurationMessage::Told { version, by: record.control };
-            let _ = actor.send_message(told);
+            let _ = actor.send_message(ConfigurationMessage::Told { version, by: from });
         }
         outgoing
     }
--- a/crates/daemon/src/membership/datagrams.rs
+++ b/crates/daemon/src/membership/datagrams.rs
@@ -37,7 +37,8 @@
         };
         match bitcode::decode::<Heartbeat>(&buffer[..length]) {
             Ok(heartbeat) => {
-                if membership.send_message(MembershipMessage::Heartbeat(Box::new(heartbeat))).is_err() {
+                let message = MembershipMessage::Heartbeat { from: sender, heartbeat: Box::new(heartbeat) };
+                if membership.send_message(message).is_err() {
                     return;
                 }
             }
--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -101,7 +101,8 @@
         let now = Instant::now().into_std();
         let selector = self.outbound.selector.lock();
         let mut random = self.outbound.random.lock();
-        selector.choose(now, &mut *random, &self.request.service, Query { tried: &self.tried })
+        let query = Query { tried: &self.tried, objective: self.request.route.objective };
+        selector.choose(now, &mut *random, &self.request.service, query)
     }
 
     async fn send(&self, choice: &Choice, body: RequestBody) -> AttemptResult {
--- a/crates/membership/src/heartbeat.rs
+++ b/crates/membership/src/heartbeat.rs
@@ -24,13 +24,33 @@
     pub store_age_millis: Option<u32>,
 }
 
+/// The sender's word of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub enum SenderWord {
+    /// The whole record.
+    Whole(Box<MemberRecord>),
+    /// The record of this order, which the receiver has said that it holds.
+    Held(RecordOrder),
+}
+
+impl SenderWord {
+    /// Order of the sender's record.
+    #[must_use]
+    pub const fn order(&self) -> RecordOrder {
+        match self {
+            Self::Whole(record) => record.order(),
+            Self::Held(order) => *order,
+        }
+    }
+}
+
 /// What one node tells another at regular times, and at once when something changes.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub struct Heartbeat {
     /// Count of the heartbeats from this process to this receiver.
     pub number: u64,
     /// The sender's word of itself.
-    pub record: MemberRecord,
+    pub word: SenderWord,
     /// The last heartbeat that came the other way; absent if none did lately.
     pub echo: Option<Echo>,
     /// The latest record of the receiver that the sender holds.
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -12,7 +12,7 @@
 mod record;
 mod settings;
 
-pub use heartbeat::{ConfigurationWord, Echo, Heartbeat};
+pub use heartbeat::{ConfigurationWord, Echo, Heartbeat, SenderWord};
 pub use member::{MemberView, Reachability};
 pub use membership::{Membership, Outgoing};
 pub use record::{BackEndRecord, BackEndState, Introduction, MemberPhase, MemberRecord, RecordOrder};
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -4,8 +4,8 @@
 
 use umberpond_scheduling::LoadReport;
 
-use crate::heartbeat::{ConfigurationWord, Echo, Heartbeat};
-use crate::record::{MemberPhase, MemberRecord};
+use crate::heartbeat::{ConfigurationWord, Echo, Heartbeat, SenderWord};
+use crate::record::{MemberPhase, MemberRecord, RecordOrder};
 
 /// Whether a node can be reached from here.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -43,6 +43,8 @@
     pub(crate) known_since: Instant,
     pub(crate) heard_at: Option<Instant>,
     heard: Option<Echo>,
+    /// The latest record of this node that the other one holds.
+    held_there: Option<RecordOrder>,
     /// When the last heartbeat of ours was sent that the node has echoed.
     echoed_sent_at: Option<Instant>,
     sent: u64,
@@ -73,6 +75,7 @@
             known_since: now,
             heard_at: None,
             heard: None,
+            held_there: None,
             echoed_sent_at: None,
             sent: 0,
             sent_at: Vec::new(),
@@ -95,11 +98,12 @@
         if is_late {
             return;
         }
-        self.heard = Some(Echo { life: heartbeat.record.life, number: heartbeat.number });
+        self.heard = Some(Echo { life: heartbeat.word.order().life, number: heartbeat.number });
         self.heard_at = Some(now);
         self.known_since = now;
         self.load = heartbeat.load;
         self.configuration = heartbeat.configuration;
+        self.held_there = heartbeat.held;
         if let Some(echo) = heartbeat.echo.filter(|echo| echo.life == own_life) {
             self.on_echo(echo.number);
         }
@@ -120,6 +124,19 @@
         self.sent
     }
 
+    /// This node's word of itself, as short as the other node can use it.
+    pub(crate) fn word_for(&self, own: &MemberRecord) -> SenderWord {
+        if self.held_there == Some(own.order()) {
+            return SenderWord::Held(own.order());
+        }
+        SenderWord::Whole(Box::new(own.clone()))
+    }
+
+    /// Takes in that the other node's process has changed, so that it may hold nothing of this one.
+    pub(crate) const fn forget_held_there(&mut self) {
+        self.held_there = None;
+    }
+
     /// What of the node was heard last, for the heartbeat to it.
     pub(crate) const fn echo(&self) -> Option<Echo> {
         self.heard
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -4,12 +4,12 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use umberpond_model::{Incarnation, NodeName, Version};
+use umberpond_model::{Incarnation, NodeName, ServiceName, Version};
 use umberpond_scheduling::LoadReport;
 
-use crate::heartbeat::{ConfigurationWord, Heartbeat};
+use crate::heartbeat::{ConfigurationWord, Heartbeat, SenderWord};
 use crate::member::{Member, MemberView, Reachability};
-use crate::record::{BackEndRecord, Introduction, MemberPhase, MemberRecord};
+use crate::record::{BackEndRecord, Introduction, MemberPhase, MemberRecord, RecordOrder};
 use crate::settings::MembershipSettings;
 
 /// A heartbeat to be sent.
@@ -27,7 +27,6 @@
     control: SocketAddr,
     known_since: Instant,
     call_next_at: Instant,
-    sent: u64,
 }
 
 /// Time between two calls to a node that has not been heard yet.
@@ -53,6 +52,8 @@
     strangers: BTreeMap<NodeName, Stranger>,
     /// Where the next heartbeat's records of others begin.
     told_up_to: usize,
+    /// Heartbeats sent to anybody.
+    heartbeats: u64,
     has_changed: bool,
 }
 
@@ -76,6 +77,7 @@
             members: BTreeMap::new(),
             strangers: BTreeMap::new(),
             told_up_to: 0,
+            heartbeats: 0,
             has_changed: true,
         }
     }
@@ -91,6 +93,13 @@
         self.members.values().map(Member::view)
     }
 
+    /// The node whose record has this order, and the service of its back end.
+    #[must_use]
+    pub fn back_end_of(&self, order: RecordOrder) -> Option<(&NodeName, &ServiceName)> {
+        let member = self.members.values().find(|member| member.record.order() == order)?;
+        Some((&member.record.node, &member.record.back_end.as_ref()?.service))
+    }
+
     /// Count of the other nodes that can be reached.
     #[must_use]
     pub fn reachable_count(&self) -> usize {
@@ -151,37 +160,74 @@
             if node == self.own.node || self.members.contains_key(&node) {
                 continue;
             }
-            let stranger = Stranger { control, known_since: now, call_next_at: now, sent: 0 };
+            let stranger = Stranger { control, known_since: now, call_next_at: now };
             self.strangers.insert(node, stranger);
         }
     }
 
-    /// Takes in a heartbeat.
-    pub fn on_heartbeat(&mut self, now: Instant, heartbeat: &Heartbeat) -> Vec<Outgoing> {
-        if heartbeat.record.node == self.own.node {
-            return self.on_own_name(now, heartbeat);
-        }
-        let mut outgoing = self.refute_earlier_life(now, heartbeat);
+    /// Takes in a heartbeat that came from the address `from`.
+    pub fn on_heartbeat(&mut self, now: Instant, from: SocketAddr, heartbeat: &Heartbeat) -> Vec<Outgoing> {
+        let mut outgoing = Vec::new();
+        let node = match &heartbeat.word {
+            SenderWord::Whole(record) if record.node == self.own.node => {
+                return self.on_own_name(now, record);
+            }
+            SenderWord::Whole(record) => {
+                outgoing.extend(self.refute_earlier_life(now, heartbeat));
+                self.on_record(now, record);
+                record.node.clone()
+            }
+            SenderWord::Held(order) => match self.node_of(order) {
+                Some(node) => node,
+                // The whole record is asked for by saying that none is held.
+                None => {
+                    outgoing.extend(self.refute_earlier_life(now, heartbeat));
+                    outgoing.push(self.introduction_to(now, from));
+                    return outgoing;
+                }
+            },
+        };
         for other in &heartbeat.others {
             self.on_record(now, other);
         }
-        self.on_record(now, &heartbeat.record);
         let silence = self.silence();
         let own_life = self.own.life;
-        let Some(member) = self.members.get_mut(&heartbeat.record.node) else { return outgoing };
-        if member.record.life != heartbeat.record.life {
-            // An earlier process, or a new one that does not know yet that there was an earlier one.
-            outgoing.extend(self.heartbeat_to(now, &heartbeat.record.node, heartbeat.record.control, false));
+        let Some(member) = self.members.get_mut(&node) else { return outgoing };
+        if member.record.life != heartbeat.word.order().life {
+            // An earlier process, or a new one that does not know yet that there was an earlier one, nor anybody else.
+            member.forget_held_there();
+            outgoing.extend(self.heartbeat_to(now, &node, from, false));
             return outgoing;
         }
         member.on_heartbeat(now, heartbeat, own_life);
         self.has_changed |= member.update_reachability(now, silence);
         if heartbeat.wants_answer {
-            outgoing.extend(self.heartbeat_to(now, &heartbeat.record.node, heartbeat.record.control, false));
+            outgoing.extend(self.heartbeat_to(now, &node, from, false));
         }
         outgoing
     }
 
+    /// The node whose record of this order is held.
+    fn node_of(&self, order: &RecordOrder) -> Option<NodeName> {
+        let mut members = self.members.values();
+        members.find(|member| member.record.order() == *order).map(|member| member.record.node.clone())
+    }
+
+    /// A word to somebody of whom nothing is known.
+    fn introduction_to(&self, now: Instant, to: SocketAddr) -> Outgoing {
+        let heartbeat = Heartbeat {
+            number: 0,
+            word: SenderWord::Whole(Box::new(self.own.clone())),
+            echo: None,
+            held: None,
+            load: self.load,
+            configuration: self.configuration_word(now),
+            others: Vec::new(),
+            wants_answer: true,
+        };
+        Outgoing { to, heartbeat }
+    }
+
     /// Sends what is due. Call it about every half of the shortest interval.
     pub fn on_tick(&mut self, now: Instant) -> Vec<Outgoing> {
         let silence = self.silence();
@@ -229,11 +275,11 @@
 
     /// A process that bears this node's name: an earlier one whose datagram was late, or a later one, which this one
     /// does not dispute: the machine has been given to it.
-    fn on_own_name(&mut self, now: Instant, heartbeat: &Heartbeat) -> Vec<Outgoing> {
-        if heartbeat.record.life == self.own.life || heartbeat.record.incarnation < self.own.incarnation {
+    fn on_own_name(&mut self, now: Instant, record: &MemberRecord) -> Vec<Outgoing> {
+        if record.life == self.own.life || record.incarnation < self.own.incarnation {
             return Vec::new();
         }
-        self.rise_above(heartbeat.record.incarnation);
+        self.rise_above(record.incarnation);
         self.tell_all(now)
     }
 
@@ -285,12 +331,12 @@
         to: SocketAddr,
         wants_answer: bool,
     ) -> Option<Outgoing> {
-        let others = self.some_others(node);
+        let others = if self.is_turn_of_others() { self.some_others(node) } else { Vec::new() };
         let configuration = self.configuration_word(now);
         let member = self.members.get_mut(node)?;
         let heartbeat = Heartbeat {
             number: member.count_sent(now),
-            record: self.own.clone(),
+            word: member.word_for(&self.own),
             echo: member.echo(),
             held: Some(member.record.order()),
             load: self.load,
@@ -309,6 +355,12 @@
         }
     }
 
+    /// Whether this heartbeat carries records of others: one of a few does, which is enough to heal a rare gap.
+    const fn is_turn_of_others(&mut self) -> bool {
+        self.heartbeats += 1;
+        self.heartbeats.is_multiple_of(self.settings.others_every)
+    }
+
     /// Records of a few other nodes, in turn.
     fn some_others(&mut self, receiver: &NodeName) -> Vec<MemberRecord> {
         let count = self.members.len();
@@ -326,26 +378,13 @@
     }
 
     fn call_strangers(&mut self, now: Instant) -> Vec<Outgoing> {
-        let configuration = self.configuration_word(now);
-        let (own, load) = (&self.own, self.load);
-        let due = self.strangers.values_mut().filter(|stranger| stranger.call_next_at <= now);
-        due.map(|stranger| {
+        let mut called = Vec::new();
+        for stranger in self.strangers.values_mut().filter(|stranger| stranger.call_next_at <= now) {
             let age = now.saturating_duration_since(stranger.known_since);
             stranger.call_next_at = now + if age < FIRST_CALLS_FOR { FIRST_CALLS } else { LATER_CALLS };
-            stranger.sent += 1;
-            let heartbeat = Heartbeat {
-                number: 0,
-                record: own.clone(),
-                echo: None,
-                held: None,
-                load,
-                configuration,
-                others: Vec::new(),
-                wants_answer: true,
-            };
-            Outgoing { to: stranger.control, heartbeat }
-        })
-        .collect()
+            called.push(stranger.control);
+        }
+        called.into_iter().map(|control| self.introduction_to(now, control)).collect()
     }
 
     fn forget_old(&mut self, now: Instant) {
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -15,8 +15,10 @@
     pub call_back_interval: Duration,
     /// Time after which a node that is out of reach is forgotten.
     pub forget_after: Duration,
-    /// Records of other nodes in one heartbeat.
+    /// Records of other nodes in a heartbeat that carries any.
     pub others_told: usize,
+    /// Of so many heartbeats one carries records of other nodes.
+    pub others_every: u64,
 }
 
 impl Default for MembershipSettings {
@@ -28,6 +30,7 @@
             call_back_interval: Duration::from_millis(500),
             forget_after: Duration::from_secs(600),
             others_told: 3,
+            others_every: 8,
         }
     }
 }
--- a/crates/membership/tests/membership.rs
+++ b/crates/membership/tests/membership.rs
@@ -66,6 +66,23 @@
     assert!(world.all_reach_all());
 }
 
+#[test]
+fn a_new_process_that_knows_nobody_is_called_back_whatever_its_random_number() {
+    for (seed, life) in [(20, 0), (21, u64::MAX)] {
+        let mut world = World::joined(seed, 3);
+        world.run_millis(1_000);
+        world.kill(1);
+        world.run_millis(1_000);
+        world.start_as(1, life);
+        world.tell(1, |membership, now| {
+            membership.set_back_end(now, Some(back_end("n", BackEndState::Ready)))
+        });
+        world.run_millis(1_500);
+        assert!(world.all_reach_all());
+        assert_eq!(world.view(0, 1).unwrap().record.back_end.unwrap().instance, "n");
+    }
+}
+
 #[test]
 fn the_word_of_a_new_process_wins_over_that_of_the_one_before_it() {
     let mut world = World::joined(6, 4);
@@ -102,7 +119,7 @@
     world.tell(1, |membership, now| membership.set_back_end(now, Some(back_end("new", BackEndState::Ready))));
     world.run_millis(1_000);
     let heartbeat = late[0].heartbeat.clone();
-    world.tell(0, |membership, now| membership.on_heartbeat(now, &heartbeat));
+    world.tell(0, |membership, now| membership.on_heartbeat(now, address(1), &heartbeat));
     assert_eq!(world.view(0, 1).unwrap().record.back_end.unwrap().instance, "new");
     world.run_millis(1_000);
     assert!(world.all_reach_all());
@@ -181,6 +198,17 @@
     assert!(per_node_and_second <= 220, "{per_node_and_second}");
 }
 
+#[test]
+fn a_heartbeat_between_nodes_that_know_each_other_is_short() {
+    let mut world = World::joined(14, 12);
+    world.tell(2, |membership, now| membership.set_back_end(now, Some(back_end("a", BackEndState::Ready))));
+    world.run_millis(1_000);
+    let (before, bytes) = (world.datagrams, world.bytes);
+    world.run_millis(5_000);
+    let mean = (world.bytes - bytes) / (world.datagrams - before);
+    assert!(mean <= 120, "{mean} bytes");
+}
+
 #[test]
 fn a_link_that_loses_a_twentieth_keeps_everybody_in_reach() {
     let mut world = World::joined(13, 10);
--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -41,6 +41,7 @@
 
 struct Flying {
     due: Instant,
+    from: SocketAddr,
     to: SocketAddr,
     heartbeat: Heartbeat,
 }
@@ -56,6 +57,7 @@
     /// Directions in which nothing passes.
     pub cut: BTreeSet<(usize, usize)>,
     pub datagrams: u64,
+    pub bytes: u64,
     lives: u64,
 }
 
@@ -71,6 +73,7 @@
             loss: 0.0,
             cut: BTreeSet::new(),
             datagrams: 0,
+            bytes: 0,
             lives: 0,
         }
     }
@@ -89,10 +92,24 @@
 
     /// Starts a process of the node, in place of the one that runs.
     pub fn start(&mut self, number: usize) {
+        self.start_at(number, number);
+    }
+
+    /// Starts a process of the node called by `named` at the address of the node `number`.
+    pub fn start_at(&mut self, named: usize, number: usize) {
         self.lives += 1;
+        self.start_with(named, number, self.lives);
+    }
+
+    /// Starts a process whose random number is `life`.
+    pub fn start_as(&mut self, number: usize, life: u64) {
+        self.start_with(number, number, life);
+    }
+
+    fn start_with(&mut self, named: usize, number: usize, life: u64) {
         let record = MemberRecord {
-            node: node(number),
-            life: self.lives,
+            node: node(named),
+            life,
             incarnation: Incarnation(1),
             sequence: 0,
             control: address(number),
@@ -151,10 +168,10 @@
         let (due, later): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.flying).into_iter().partition(|flying| flying.due <= now);
         self.flying = later;
-        for Flying { to, heartbeat, .. } in due {
+        for Flying { from, to, heartbeat, .. } in due {
             let Some(number) = (0..256).find(|number| address(*number) == to) else { continue };
             let Some(membership) = self.nodes.get_mut(&number) else { continue };
-            let outgoing = membership.on_heartbeat(now, &heartbeat);
+            let outgoing = membership.on_heartbeat(now, from, &heartbeat);
             self.send(number, outgoing);
         }
     }
@@ -162,12 +179,13 @@
     fn send(&mut self, from: usize, outgoing: Vec<Outgoing>) {
         for Outgoing { to, heartbeat } in outgoing {
             self.datagrams += 1;
+            self.bytes += bitcode::encode(&heartbeat).len() as u64;
             let receiver = (0..256).find(|number| address(*number) == to).unwrap_or(255);
             if self.cut.contains(&(from, receiver)) || self.random.random_bool(self.loss) {
                 continue;
             }
             let delay = Duration::from_millis(self.random.random_range(1..15));
-            self.flying.push(Flying { due: self.now + delay, to, heartbeat });
+            self.flying.push(Flying { due: self.now + delay, from: address(from), to, heartbeat });
         }
     }
 
--- a/crates/selection/src/choice.rs
+++ b/crates/selection/src/choice.rs
@@ -10,6 +10,8 @@
 pub struct Query<'a> {
     /// Nodes to which the request was sent before.
     pub tried: &'a [NodeName],
+    /// Time within which an answer is of full use.
+    pub objective: Duration,
 }
 
 /// The endpoint chosen.
--- a/crates/selection/src/selector.rs
+++ b/crates/selection/src/selector.rs
@@ -22,12 +22,11 @@
 /// Weights of the choice.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct SelectorSettings {
-    /// Time by which an endpoint in the caller's own zone may be slower than one elsewhere and is still preferred.
-    pub zone_preference: Duration,
+    /// Share of the objective by which an endpoint in the caller's own zone may be slower than one elsewhere and is
+    /// still preferred: an answer within the objective is as good as an earlier one, and bytes between zones are dear.
+    pub zone_preference: f64,
     /// Time by which an endpoint in the caller's own region may be slower than one elsewhere and is still preferred.
     pub region_preference: Duration,
-    /// Share of its service time by which an endpoint elsewhere has to be better.
-    pub zone_preference_share: f64,
     /// Time that one lost answer costs.
     pub failure_cost: Duration,
 }
@@ -35,9 +34,8 @@
 impl Default for SelectorSettings {
     fn default() -> Self {
         Self {
-            zone_preference: Duration::from_millis(3),
+            zone_preference: 0.25,
             region_preference: Duration::from_millis(30),
-            zone_preference_share: 0.05,
             failure_cost: Duration::from_millis(500),
         }
     }
@@ -112,7 +110,7 @@
         let untried = endpoints.values().filter(|tracked| !query.tried.contains(&tracked.endpoint.node));
         let reachable = untried.filter(|tracked| tracked.is_reachable(now));
         let costs = reachable.map(|tracked| {
-            let estimate = self.estimate(now, tracked, typical);
+            let estimate = self.estimate(now, tracked, typical, query.objective);
             let factor = 1.0 + JITTER * random.random::<f64>();
             (estimate.cost * factor, estimate, tracked)
         });
@@ -157,23 +155,22 @@
         self.services.get_mut(service)?.get_mut(node)
     }
 
-    fn estimate(&self, now: Instant, tracked: &Tracked, typical: f64) -> Estimate {
+    fn estimate(&self, now: Instant, tracked: &Tracked, typical: f64, objective: Duration) -> Estimate {
         let cold = if tracked.endpoint.is_cold { COLD_FACTOR } else { 1.0 };
         let service = tracked.service_seconds().unwrap_or(typical * cold);
         let wait = expected_wait(tracked.held(), tracked.slots(), service);
         let failures = tracked.failures_now(now).min(1.0).max(tracked.failed_share());
         let failing = failures * self.settings.failure_cost.as_secs_f64();
-        let distance = self.distance(&tracked.endpoint.locality, service);
+        let distance = self.distance(&tracked.endpoint.locality, objective);
         let cost = wait + service + tracked.overhead_seconds() + failing + distance;
         Estimate { cost, wait, service }
     }
 
-    fn distance(&self, locality: &Locality, service: f64) -> f64 {
+    fn distance(&self, locality: &Locality, objective: Duration) -> f64 {
         if *locality == self.own {
             return 0.0;
         }
-        let zone =
-            self.settings.zone_preference.as_secs_f64() + service * self.settings.zone_preference_share;
+        let zone = objective.as_secs_f64() * self.settings.zone_preference;
         if locality.region == self.own.region {
             zone
         } else {
--- a/crates/selection/tests/choice.rs
+++ b/crates/selection/tests/choice.rs
@@ -59,7 +59,7 @@
     }
 
     fn choose(&mut self, tried: &[NodeName]) -> Option<NodeName> {
-        let query = Query { tried };
+        let query = Query { tried, objective: Duration::from_millis(300) };
         let choice = self.selector.choose(self.now, &mut self.random, &self.service, query);
         choice.map(|choice| choice.node)
     }
