Choose a back end by how near its answer comes to the end of the objective

Change: times are kept by route and endpoint; the cost of an answer is the square of its share of the objective, and another zone costs as much as an answer at 0.6 of the objective.

Ruled out: a higher fixed preference: it keeps requests at home that would be late there.

--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -101,7 +101,8 @@
         let now = Instant::now().into_std();
         let selector = self.outbound.selector.lock();
         let mut random = self.outbound.random.lock();
-        let query = Query { tried: &self.tried, objective: self.request.route.objective };
+        let route = &self.request.route;
+        let query = Query { route: &route.name, tried: &self.tried, objective: route.objective };
         selector.choose(now, &mut *random, &self.request.service, query)
     }
 
@@ -154,7 +155,8 @@
         selector.on_ended(Instant::now().into_std(), service, &choice.node, observation);
         if let AttemptResult::Answered(answer) = result {
             let overhead = elapsed.saturating_sub(answer.served_in).saturating_sub(answer.waited);
-            selector.on_overhead(service, &choice.node, overhead);
+            let route = &self.request.route.name;
+            selector.on_times(service, route, &choice.node, answer.served_in, overhead);
         }
     }
 
--- a/crates/selection/src/choice.rs
+++ b/crates/selection/src/choice.rs
@@ -3,11 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use umberpond_model::NodeName;
+use umberpond_model::{NodeName, RouteName};
 
 /// What is known of a request when its endpoint is chosen.
 #[derive(Debug, Clone, Copy)]
 pub struct Query<'a> {
+    /// Route of the request.
+    pub route: &'a RouteName,
     /// Nodes to which the request was sent before.
     pub tried: &'a [NodeName],
     /// Time within which an answer is of full use.
--- a/crates/selection/src/endpoint.rs
+++ b/crates/selection/src/endpoint.rs
@@ -74,13 +74,14 @@
         }
     }
 
-    /// Takes in a newer description. What was learnt of another life of the back end is dropped.
-    pub(crate) fn update(&mut self, endpoint: Endpoint) {
+    /// Takes in a newer description. What was learnt of another life of the back end is dropped; tells whether.
+    pub(crate) fn update(&mut self, endpoint: Endpoint) -> bool {
         if endpoint.instance != self.endpoint.instance {
             *self = Self { outstanding: self.outstanding, ..Self::new(endpoint) };
-            return;
+            return true;
         }
         self.endpoint = endpoint;
+        false
     }
 
     pub(crate) fn on_sent(&mut self) {
--- a/crates/selection/src/lib.rs
+++ b/crates/selection/src/lib.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod choice;
 mod endpoint;
+mod route_times;
 mod selector;
 
 pub use budget::{RetryBudget, RetryBudgetSettings};
--- a/crates/selection/src/selector.rs
+++ b/crates/selection/src/selector.rs
@@ -4,11 +4,12 @@
 use std::time::{Duration, Instant};
 
 use rand::{Rng, RngExt};
-use umberpond_model::{Locality, NodeName, ServiceName};
+use umberpond_model::{Locality, NodeName, RouteName, ServiceName};
 use umberpond_scheduling::LoadReport;
 
 use crate::choice::{Choice, Query};
 use crate::endpoint::{Endpoint, Observation, Tracked};
+use crate::route_times::ServiceTimes;
 
 /// Assumed service time in seconds while nothing is known of any endpoint.
 const UNKNOWN_SERVICE_SECONDS: f64 = 0.1;
@@ -16,28 +17,25 @@
 const COLD_FACTOR: f64 = 2.0;
 /// Share of the slots from which on a back end counts as crowded: its queue may be longer than the last report told.
 const CROWDED_SHARE: f64 = 0.75;
+/// Shortest objective reckoned with, in seconds.
+const SHORTEST_OBJECTIVE_SECONDS: f64 = 0.001;
 /// Relative size of the random part, which keeps nodes with the same knowledge from choosing alike.
 const JITTER: f64 = 0.1;
 
-/// Weights of the choice.
+/// Weights of the choice. The unit of all costs is that of an answer at the very end of the objective.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct SelectorSettings {
-    /// Share of the objective by which an endpoint in the caller's own zone may be slower than one elsewhere and is
-    /// still preferred: an answer within the objective is as good as an earlier one, and bytes between zones are dear.
-    pub zone_preference: f64,
-    /// Time by which an endpoint in the caller's own region may be slower than one elsewhere and is still preferred.
-    pub region_preference: Duration,
-    /// Time that one lost answer costs.
-    pub failure_cost: Duration,
+    /// Cost of an endpoint in another zone: bytes between zones are dear.
+    pub zone_cost: f64,
+    /// Cost of an endpoint in another region, on top.
+    pub region_cost: f64,
+    /// Cost of an answer that is lost.
+    pub failure_cost: f64,
 }
 
 impl Default for SelectorSettings {
     fn default() -> Self {
-        Self {
-            zone_preference: 0.25,
-            region_preference: Duration::from_millis(30),
-            failure_cost: Duration::from_millis(500),
-        }
+        Self { zone_cost: 0.35, region_cost: 0.5, failure_cost: 1.5 }
     }
 }
 
@@ -49,13 +47,14 @@
     own: Locality,
     settings: SelectorSettings,
     services: BTreeMap<ServiceName, Endpoints>,
+    times: ServiceTimes,
 }
 
 impl Selector {
     /// A selector of a node at `own` that knows no endpoint.
     #[must_use]
-    pub const fn new(own: Locality, settings: SelectorSettings) -> Self {
-        Self { own, settings, services: BTreeMap::new() }
+    pub fn new(own: Locality, settings: SelectorSettings) -> Self {
+        Self { own, settings, services: BTreeMap::new(), times: ServiceTimes::default() }
     }
 
     /// Sets the endpoints of `service` that take new work; all others of it are forgotten.
@@ -66,7 +65,9 @@
             let node = endpoint.node.clone();
             let tracked = match before.remove(&node) {
                 Some(mut tracked) => {
-                    tracked.update(endpoint);
+                    if tracked.update(endpoint) {
+                        self.times.forget(&node);
+                    }
                     tracked
                 }
                 None => Tracked::new(endpoint),
@@ -110,7 +111,7 @@
         let untried = endpoints.values().filter(|tracked| !query.tried.contains(&tracked.endpoint.node));
         let reachable = untried.filter(|tracked| tracked.is_reachable(now));
         let costs = reachable.map(|tracked| {
-            let estimate = self.estimate(now, tracked, typical, query.objective);
+            let estimate = self.estimate(now, tracked, typical, query);
             let factor = 1.0 + JITTER * random.random::<f64>();
             (estimate.cost * factor, estimate, tracked)
         });
@@ -144,8 +145,16 @@
         }
     }
 
-    /// Takes in the time that an answered request spent outside the back end and its queue.
-    pub fn on_overhead(&mut self, service: &ServiceName, node: &NodeName, overhead: Duration) {
+    /// Takes in how long an answered request of `route` took in the back end, and how long outside it and its queue.
+    pub fn on_times(
+        &mut self,
+        service: &ServiceName,
+        route: &RouteName,
+        node: &NodeName,
+        served: Duration,
+        overhead: Duration,
+    ) {
+        self.times.record(route, node, served);
         if let Some(tracked) = self.tracked(service, node) {
             tracked.on_overhead(overhead);
         }
@@ -155,26 +164,29 @@
         self.services.get_mut(service)?.get_mut(node)
     }
 
-    fn estimate(&self, now: Instant, tracked: &Tracked, typical: f64, objective: Duration) -> Estimate {
+    /// An answer well inside the objective costs little, however much faster another one would be; towards the end of
+    /// the objective and beyond it the cost grows.
+    fn estimate(&self, now: Instant, tracked: &Tracked, typical: f64, query: Query<'_>) -> Estimate {
         let cold = if tracked.endpoint.is_cold { COLD_FACTOR } else { 1.0 };
-        let service = tracked.service_seconds().unwrap_or(typical * cold);
-        let wait = expected_wait(tracked.held(), tracked.slots(), service);
+        let mean = tracked.service_seconds().unwrap_or(typical * cold);
+        let of_route = self.times.expected(query.route, &tracked.endpoint.node, mean / typical);
+        let service = of_route.unwrap_or(mean);
+        let wait = expected_wait(tracked.held(), tracked.slots(), mean);
+        let time = wait + service + tracked.overhead_seconds();
+        let lateness = (time / query.objective.as_secs_f64().max(SHORTEST_OBJECTIVE_SECONDS)).powi(2);
         let failures = tracked.failures_now(now).min(1.0).max(tracked.failed_share());
-        let failing = failures * self.settings.failure_cost.as_secs_f64();
-        let distance = self.distance(&tracked.endpoint.locality, objective);
-        let cost = wait + service + tracked.overhead_seconds() + failing + distance;
+        let failing = failures * self.settings.failure_cost;
+        let cost = lateness + failing + self.distance(&tracked.endpoint.locality);
         Estimate { cost, wait, service }
     }
 
-    fn distance(&self, locality: &Locality, objective: Duration) -> f64 {
+    fn distance(&self, locality: &Locality) -> f64 {
         if *locality == self.own {
-            return 0.0;
-        }
-        let zone = objective.as_secs_f64() * self.settings.zone_preference;
-        if locality.region == self.own.region {
-            zone
+            0.0
+        } else if locality.region == self.own.region {
+            self.settings.zone_cost
         } else {
-            zone + self.settings.region_preference.as_secs_f64()
+            self.settings.zone_cost + self.settings.region_cost
         }
     }
 }
--- a/crates/selection/tests/choice.rs
+++ b/crates/selection/tests/choice.rs
@@ -5,7 +5,7 @@
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use umberpond_model::{Locality, NodeName, ServiceName};
+use umberpond_model::{Locality, NodeName, RouteName, ServiceName};
 use umberpond_scheduling::LoadReport;
 use umberpond_selection::{Endpoint, Observation, Query, Selector, SelectorSettings};
 
@@ -43,6 +43,7 @@
     selector: Selector,
     random: ChaCha8Rng,
     service: ServiceName,
+    route: RouteName,
     now: Instant,
 }
 
@@ -51,7 +52,13 @@
         let mut selector = Selector::new(locality("north", "a"), SelectorSettings::default());
         let service = name("archive");
         selector.set_endpoints(&service, endpoints);
-        Self { selector, random: ChaCha8Rng::seed_from_u64(1), service, now: Instant::now() }
+        Self {
+            selector,
+            random: ChaCha8Rng::seed_from_u64(1),
+            service,
+            route: name("route"),
+            now: Instant::now(),
+        }
     }
 
     fn told(&mut self, node: &str, report: LoadReport) {
@@ -59,7 +66,7 @@
     }
 
     fn choose(&mut self, tried: &[NodeName]) -> Option<NodeName> {
-        let query = Query { tried, objective: Duration::from_millis(300) };
+        let query = Query { route: &self.route, tried, objective: Duration::from_millis(300) };
         let choice = self.selector.choose(self.now, &mut self.random, &self.service, query);
         choice.map(|choice| choice.node)
     }
