Refuse early what can't be in time, and begin nothing that can't be finished

Ruled out: serving in order of arrival: under load every answer is late then.

Change: a request says how long it is expected to take; none is begun that has less than 0.7 of that left. As long as a refusal still comes early (a fifth of the objective), a request is only queued where it is expected to meet its objective; if no back end can, its caller is told at once when to come back. Requests of the first rank wait as long as they can, since others depend on them.

--- a/crates/forwarding/src/hop/protocol.rs
+++ b/crates/forwarding/src/hop/protocol.rs
@@ -70,6 +70,7 @@
     objective_left: u64,
     deadline_left: u64,
     patience: u64,
+    service_time: u64,
     pub(crate) body: HopBody,
 }
 
@@ -112,6 +113,7 @@
             objective_left: micros(attempt.objective_at.saturating_duration_since(now)),
             deadline_left: micros(attempt.deadline.saturating_duration_since(now)),
             patience: micros(attempt.patience),
+            service_time: micros(attempt.service_time),
             body,
         }
     }
@@ -132,6 +134,7 @@
             objective_at: now + Duration::from_micros(self.objective_left),
             deadline: now + Duration::from_micros(self.deadline_left),
             patience: Duration::from_micros(self.patience),
+            service_time: Duration::from_micros(self.service_time),
         }
     }
 }
--- a/crates/forwarding/src/inbound/back_end.rs
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -302,6 +302,7 @@
         objective_at: attempt.objective_at.into_std(),
         deadline: attempt.deadline.into_std(),
         patience: attempt.patience,
+        service: attempt.service_time,
     }
 }
 
--- a/crates/forwarding/src/message.rs
+++ b/crates/forwarding/src/message.rs
@@ -81,6 +81,8 @@
     pub deadline: Instant,
     /// Longest time that the request may wait for a slot.
     pub patience: Duration,
+    /// Time that the back end is expected to take.
+    pub service_time: Duration,
 }
 
 /// What is known about an attempt at its end.
--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -21,6 +21,10 @@
 const SHORTEST_ATTEMPT: Duration = Duration::from_millis(10);
 /// When a caller comes back whose request did not run, if nothing better is known.
 const COME_BACK: Duration = Duration::from_millis(200);
+/// Share of the objective within which a refusal is early.
+const EARLY_SHARE: f64 = 0.2;
+/// Rank of the requests on which other requests depend.
+const FIRST_RANK: u8 = 0;
 /// Most attempts that never came near a back end; they are free, but each takes time.
 const MAX_FREE_ATTEMPTS: u32 = 8;
 
@@ -107,7 +111,7 @@
     }
 
     async fn send(&self, choice: &Choice, body: RequestBody) -> AttemptResult {
-        let attempt = self.attempt(body);
+        let attempt = self.attempt(choice, body);
         let outbound = self.outbound;
         outbound.selector.lock().on_sent(&self.request.service, &choice.node);
         let mut sent = SentGuard { attempts: self, node: &choice.node, is_open: true };
@@ -122,9 +126,8 @@
         result
     }
 
-    fn attempt(&self, body: RequestBody) -> Attempt {
+    fn attempt(&self, choice: &Choice, body: RequestBody) -> Attempt {
         let request = &self.request;
-        let left = self.deadline.saturating_duration_since(Instant::now());
         Attempt {
             id: request.id.clone(),
             service: request.service.clone(),
@@ -137,10 +140,25 @@
             priority: request.route.priority,
             objective_at: request.arrived + request.route.objective,
             deadline: self.deadline,
-            patience: left,
+            patience: self.patience(choice.service),
+            service_time: choice.service,
         }
     }
 
+    /// Longest wait for a slot. As long as a refusal still comes early, the request waits only where it is expected to
+    /// meet its objective: otherwise its caller does better to come back. Requests of the first rank wait as long as
+    /// they can: other requests depend on them.
+    fn patience(&self, service: Duration) -> Duration {
+        let now = Instant::now();
+        let is_early = now < self.request.arrived + self.request.route.objective.mul_f64(EARLY_SHARE);
+        let end = if is_early && self.request.route.priority > FIRST_RANK {
+            self.request.arrived + self.request.route.objective
+        } else {
+            self.deadline
+        };
+        end.saturating_duration_since(now).saturating_sub(service)
+    }
+
     /// Tells the selector how the attempt ended.
     fn observe(&self, choice: &Choice, result: &AttemptResult, elapsed: Duration) {
         let observation = match result {
--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -11,6 +11,8 @@
 const WAITING_PER_SLOT: usize = 20;
 /// Assumed service time while nothing is known.
 const UNKNOWN_SERVICE_TIME: Duration = Duration::from_millis(50);
+/// Share of its expected time that a request must have left to be started: some take less than expected.
+const HOPELESS_SHARE: f64 = 0.7;
 /// Weight of one request in the share of failed ones.
 const FAILURE_WEIGHT: f64 = 0.03;
 
@@ -25,6 +27,20 @@
     pub deadline: Instant,
     /// Longest time that the sender lets the request wait here.
     pub patience: Duration,
+    /// Time that the back end is expected to take for it.
+    pub service: Duration,
+}
+
+impl WorkItem {
+    /// Whether it has so little time left that it would be given up while it runs.
+    fn is_hopeless(&self, now: Instant) -> bool {
+        now + self.service.mul_f64(HOPELESS_SHARE) >= self.deadline
+    }
+
+    /// Whether it can no longer be expected to meet its objective.
+    fn is_late(&self, now: Instant) -> bool {
+        now + self.service > self.objective_at
+    }
 }
 
 /// Names one waiting request.
@@ -146,7 +162,7 @@
         if !self.is_open {
             return Decision::Refuse(Refusal::Closed);
         }
-        if item.deadline <= now {
+        if item.is_hopeless(now) {
             return Decision::Refuse(Refusal::Expired);
         }
         if self.running < self.slots && self.waiting.is_empty() {
@@ -166,7 +182,7 @@
     /// Takes a waiting request that can start, or one that has expired. Call it until nothing comes.
     pub fn start_next(&mut self, now: Instant) -> Option<Started> {
         let (place, item) = self.first_waiting(now)?;
-        if item.deadline <= now {
+        if item.is_hopeless(now) {
             self.remove(place);
             return Some(Started::Expire(place.ticket));
         }
@@ -199,19 +215,19 @@
         self.failed_share += (sample - self.failed_share) * FAILURE_WEIGHT;
     }
 
-    /// Expected wait of a request like `item`, if it were offered now.
+    /// Expected wait of a request like `item`, if it were offered now: until the requests before it have run, and a
+    /// slot is free.
     #[must_use]
     pub fn expected_wait(&self, item: WorkItem) -> Duration {
-        let first_free = self.slots.max(1);
         let place = Place {
             priority: item.priority,
             is_late: false,
             objective_at: item.objective_at,
             ticket: Ticket(self.next_ticket),
         };
-        let ahead = u32::try_from(self.waiting.range(..place).count()).unwrap_or(u32::MAX);
-        let over = (self.running + ahead + 1).saturating_sub(first_free);
-        self.mean_service_time() * over / first_free
+        let ahead: Duration = self.waiting.range(..place).map(|(_, waiting)| waiting.service).sum();
+        let is_free = self.running < self.slots && ahead.is_zero();
+        if is_free { Duration::ZERO } else { (ahead + self.mean_service_time()) / self.slots.max(1) }
     }
 
     /// What others are told.
@@ -233,10 +249,9 @@
 
     /// The first in the queue. Those found unable to meet their objective are put behind the others of their priority.
     fn first_waiting(&mut self, now: Instant) -> Option<(Place, WorkItem)> {
-        let expected_end = now + self.mean_service_time();
         loop {
             let (place, item) = self.waiting.first_key_value().map(|(place, item)| (*place, *item))?;
-            if place.is_late || expected_end <= place.objective_at {
+            if place.is_late || !item.is_late(now) {
                 return Some((place, item));
             }
             self.remove(place);
--- a/crates/scheduling/tests/queue.rs
+++ b/crates/scheduling/tests/queue.rs
@@ -15,6 +15,7 @@
         objective_at: now + millis(objective),
         deadline: now + millis(10_000),
         patience: millis(10_000),
+        service: millis(50),
     }
 }
 
@@ -67,8 +68,9 @@
     assert_eq!(queue.offer(now, item(now, 1, 500)), Decision::Start);
     queue.finish(Some(millis(100)));
     assert_eq!(queue.offer(now, item(now, 1, 500)), Decision::Start);
-    let hopeless = waits(queue.offer(now, item(now, 1, 150)));
-    let in_time = waits(queue.offer(now, item(now, 1, 800)));
+    let slow = |objective| WorkItem { service: millis(100), ..item(now, 1, objective) };
+    let hopeless = waits(queue.offer(now, slow(150)));
+    let in_time = waits(queue.offer(now, slow(800)));
     let later = now + millis(120);
     queue.finish(Some(millis(100)));
     assert_eq!(queue.start_next(later), Some(Started::Run(in_time)));
@@ -106,13 +108,25 @@
     let now = Instant::now();
     let mut queue = open_queue(1);
     assert_eq!(queue.offer(now, item(now, 1, 500)), Decision::Start);
-    let short = WorkItem { deadline: now + millis(30), ..item(now, 1, 20) };
+    let short = WorkItem { deadline: now + millis(30), service: millis(10), ..item(now, 1, 20) };
     let ticket = waits(queue.offer(now, short));
     queue.finish(Some(millis(50)));
     assert_eq!(queue.start_next(now + millis(50)), Some(Started::Expire(ticket)));
     assert_eq!(queue.offer(now + millis(50), short), Decision::Refuse(Refusal::Expired));
 }
 
+#[test]
+fn a_request_that_could_not_be_finished_in_time_is_not_begun() {
+    let now = Instant::now();
+    let mut queue = open_queue(1);
+    assert_eq!(queue.offer(now, item(now, 1, 500)), Decision::Start);
+    let long = WorkItem { deadline: now + millis(150), service: millis(120), ..item(now, 1, 140) };
+    let ticket = waits(queue.offer(now, long));
+    queue.finish(Some(millis(80)));
+    assert_eq!(queue.start_next(now + millis(80)), Some(Started::Expire(ticket)));
+    assert_eq!(queue.offer(now + millis(80), long), Decision::Refuse(Refusal::Expired));
+}
+
 #[test]
 fn the_report_tells_what_was_counted() {
     let now = Instant::now();
--- a/crates/selection/src/choice.rs
+++ b/crates/selection/src/choice.rs
@@ -25,8 +25,8 @@
     pub address: SocketAddr,
     /// The life of the back end that is meant.
     pub instance: String,
-    /// Expected time until the answer.
-    pub expected: Duration,
-    /// Expected part of it spent waiting for a slot.
-    pub expected_wait: Duration,
+    /// Expected time in the back end.
+    pub service: Duration,
+    /// Expected time waiting for a slot.
+    pub wait: Duration,
 }
--- a/crates/selection/src/selector.rs
+++ b/crates/selection/src/selector.rs
@@ -120,8 +120,8 @@
             node: tracked.endpoint.node.clone(),
             address: tracked.endpoint.address,
             instance: tracked.endpoint.instance.clone(),
-            expected: Duration::from_secs_f64(estimate.wait + estimate.service),
-            expected_wait: Duration::from_secs_f64(estimate.wait),
+            service: Duration::from_secs_f64(estimate.service),
+            wait: Duration::from_secs_f64(estimate.wait),
         })
     }
 
