Let a stopping node's back end work until its callers stay away; let two nodes meet at once

Change: the leave is told when the callers stay away; what still waits for the back end then is given back to the nodes that sent it. A heartbeat from a node that is not yet found to be reachable is answered out of turn.

--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -15,6 +15,8 @@
 const MISSED_LOOKS: u32 = 2;
 /// Longest time until callers stay away.
 const CALLERS_LEAVE_WITHIN: Duration = Duration::from_millis(2_600);
+/// Share of the grace in which new requests are served at most; the rest is for finishing them.
+const SERVING_SHARE: f64 = 0.45;
 /// Time in which what was sent before the last missed look arrives.
 const LAST_ARRIVALS: Duration = Duration::from_millis(150);
 /// Time kept before the kill, in which the last answers leave and the process ends.
@@ -34,9 +36,12 @@
         let telemetry = &self.environment.telemetry;
         telemetry.emit(Event::DrainStarted { timeout_millis: millis(self.config.grace) });
         self.control.leave(began + self.config.grace.saturating_sub(ANSWER_RESERVE));
-        let _ = self.membership.send_message(MembershipMessage::Phase(MemberPhase::Leaving));
         self.wait_until_callers_stay_away(began).await;
+        // Until now the back end has had work from other nodes: its slots are missed as long as this process is away.
+        let _ = self.membership.send_message(MembershipMessage::Phase(MemberPhase::Leaving));
         self.control.advance(ServerPhase::Refusing);
+        sleep(LAST_ARRIVALS).await;
+        self.inbound.close();
         let cut = self.wait_until_finished(began).await;
         let _ = self.membership.send_message(MembershipMessage::Phase(MemberPhase::Left));
         sleep(LAST_WORDS).await;
@@ -58,7 +63,7 @@
 
     async fn wait_until_callers_stay_away(&self, began: Instant) {
         while self.unready_answers.load(Ordering::Relaxed) < MISSED_LOOKS
-            && began.elapsed() < CALLERS_LEAVE_WITHIN
+            && began.elapsed() < CALLERS_LEAVE_WITHIN.min(self.config.grace.mul_f64(SERVING_SHARE))
         {
             sleep(LOOK_INTERVAL).await;
         }
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -53,6 +53,8 @@
     pub(crate) send_next_at: Instant,
 }
 
+/// Shortest time between two heartbeats of which the second is out of turn.
+const OUT_OF_TURN_PAUSE: Duration = Duration::from_millis(20);
 /// Heartbeats of which the time of sending is remembered.
 const REMEMBERED_SENDS: usize = 64;
 
@@ -137,6 +139,11 @@
         self.held_there = None;
     }
 
+    /// Whether enough time has passed since the last heartbeat to send one out of turn.
+    pub(crate) fn may_send_again(&self, now: Instant) -> bool {
+        self.sent_at.last().is_none_or(|(_, at)| now.saturating_duration_since(*at) >= OUT_OF_TURN_PAUSE)
+    }
+
     /// What of the node was heard last, for the heartbeat to it.
     pub(crate) const fn echo(&self) -> Option<Echo> {
         self.heard
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -201,8 +201,10 @@
         }
         member.on_heartbeat(now, heartbeat, own_life);
         self.has_changed |= member.update_reachability(now, silence);
-        if heartbeat.wants_answer {
-            outgoing.extend(self.heartbeat_to(now, &node, from, false));
+        // Two nodes that meet know in two round trips that they reach each other.
+        let is_new = member.reachability != Reachability::Reachable && member.may_send_again(now);
+        if heartbeat.wants_answer || is_new {
+            outgoing.extend(self.heartbeat_to(now, &node, from, is_new));
         }
         outgoing
     }
