Serve only where the configuration allows, and keep a caller's key to one node

The new path lacked two promises of the product: the localities of a service (a hard filter at the caller's node, and a refusal by the node beside the back end), and the caller's own key, under which a request runs once.

--- a/crates/daemon/src/back_end/monitor.rs
+++ b/crates/daemon/src/back_end/monitor.rs
@@ -92,6 +92,7 @@
             Effect::Open(back_end) => {
                 self.tell(&back_end.instance, "ready");
                 self.inbound.open(back_end);
+                self.activation.on_back_end_changed();
             }
             Effect::Close => {
                 self.tell("", "closed");
--- a/crates/daemon/src/configuration/activation.rs
+++ b/crates/daemon/src/configuration/activation.rs
@@ -45,6 +45,11 @@
         active.as_ref()?.snapshot.services.get(service)?.health_path.clone()
     }
 
+    /// Takes in that the back end beside this node may be of another service now.
+    pub(crate) fn on_back_end_changed(&self) {
+        self.outbound.on_back_end_changed();
+    }
+
     /// Puts `offered` in force, whole or not at all; `false` if it could not be.
     pub(crate) fn activate(&self, offered: &Versioned) -> bool {
         let opened = self.open_secrets(&offered.snapshot);
--- a/crates/forwarding/src/dialect.rs
+++ b/crates/forwarding/src/dialect.rs
@@ -1,10 +1,50 @@
 //! Names of the header fields by which callers, nodes and back ends tell one another about a request.
 
+use umberpond_http1::Fields;
+
+/// A header field that says something by being there, or by its value.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Marker {
+    /// Name of the field.
+    pub name: &'static str,
+    /// The value that says it; any if absent.
+    pub value: Option<&'static str>,
+}
+
+impl Marker {
+    /// Whether `fields` say it.
+    #[must_use]
+    pub fn is_in(&self, fields: &Fields) -> bool {
+        let mut found = fields.get_all(self.name);
+        found.any(|found| self.value.is_none_or(|value| found.eq_ignore_ascii_case(value.as_bytes())))
+    }
+}
+
+/// What every answer tells its caller beside the back end's own words.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerMarks {
+    /// What is known about the request: `answered`, `rejected` or `unknown`.
+    pub outcome: &'static str,
+    /// Why a node answered by itself, as one word.
+    pub reason: &'static str,
+    /// Node that served the request.
+    pub served_by: &'static str,
+    /// Where it was served, as `region/zone`.
+    pub locality: &'static str,
+    /// Version of the configuration by which the route was found.
+    pub version: &'static str,
+}
+
 /// Names of the header fields. Another platform has names of its own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Dialect {
-    /// Identity of the request, given by the caller and echoed in every answer.
+    /// Identity of the request, given by the caller and passed on.
     pub request_id: &'static str,
+    /// Whether back ends repeat it in their answers, so that an answer without it is none.
+    pub is_echoed: bool,
+    /// The caller's own key, under which a request must run once even if the caller repeats it; absent if callers
+    /// have none.
+    pub caller_key: Option<&'static str>,
     /// Time that the caller will wait, in whole milliseconds.
     pub deadline_millis: &'static str,
     /// Service on whose behalf the request is sent; set by the caller's node.
@@ -14,24 +54,35 @@
     /// Life of the back end that answers.
     pub instance: &'static str,
     /// Says that the back end did not run the request.
-    pub not_executed: &'static str,
+    pub not_executed: Marker,
     /// Load of the back end as `running,waiting,slots`.
     pub load: &'static str,
     /// Proof that the body is the back end's own; absent if back ends don't sign.
     pub signature: Option<&'static str>,
+    /// What every answer tells its caller; absent if callers know no such fields.
+    pub marks: Option<CallerMarks>,
 }
 
 impl Dialect {
     /// The product's own names.
     pub const OWN: Self = Self {
-        request_id: "umberpond-request",
+        request_id: "umberpond-request-id",
+        is_echoed: false,
+        caller_key: Some("idempotency-key"),
         deadline_millis: "umberpond-deadline",
-        caller: "umberpond-caller-service",
+        caller: "umberpond-caller",
         expected_instance: "umberpond-meant-instance",
-        instance: "umberpond-serving-instance",
-        not_executed: "umberpond-rejected",
+        instance: "umberpond-instance",
+        not_executed: Marker { name: "umberpond-outcome", value: Some("rejected") },
         load: "umberpond-load",
         signature: None,
+        marks: Some(CallerMarks {
+            outcome: "umberpond-outcome",
+            reason: "umberpond-reason",
+            served_by: "umberpond-served-by",
+            locality: "umberpond-locality",
+            version: "umberpond-config-version",
+        }),
     };
 
     /// Fields that a caller may not set: they are removed from what it sends.
@@ -42,7 +93,7 @@
             self.caller,
             self.expected_instance,
             self.instance,
-            self.not_executed,
+            self.not_executed.name,
             self.load,
         ]
     }
--- a/crates/forwarding/src/hop/protocol.rs
+++ b/crates/forwarding/src/hop/protocol.rs
@@ -60,6 +60,7 @@
 #[derive(Debug, Encode, Decode)]
 pub(crate) struct OpenHop {
     id: Vec<u8>,
+    key: Option<Vec<u8>>,
     service: ServiceName,
     caller: ServiceName,
     method: Vec<u8>,
@@ -103,6 +104,7 @@
         let now = Instant::now();
         Self {
             id: attempt.id.to_vec(),
+            key: attempt.key.as_ref().map(|key| key.to_vec()),
             service: attempt.service.clone(),
             caller: attempt.caller.clone(),
             method: attempt.method.to_vec(),
@@ -123,6 +125,7 @@
         let now = Instant::now();
         Attempt {
             id: self.id.into(),
+            key: self.key.map(Bytes::from),
             service: self.service,
             caller: self.caller,
             method: self.method.into(),
--- a/crates/forwarding/src/inbound/back_end.rs
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -67,6 +68,8 @@
     current: Mutex<Option<Current>>,
     duplicates: Mutex<DuplicateWindow>,
     unreachable: Mutex<Option<mpsc::UnboundedSender<String>>>,
+    /// Whether the configuration in force lets the back end's service be served where this node runs.
+    may_serve: AtomicBool,
 }
 
 impl std::fmt::Debug for Inbound {
@@ -93,6 +96,7 @@
             current: Mutex::new(None),
             duplicates: Mutex::default(),
             unreachable: Mutex::new(None),
+            may_serve: AtomicBool::new(true),
         }
     }
 
@@ -129,6 +133,17 @@
         self.admission.close();
     }
 
+    /// Service of the back end, if one is known.
+    #[must_use]
+    pub fn service(&self) -> Option<ServiceName> {
+        self.current.lock().as_ref().map(|current| current.back_end.service.clone())
+    }
+
+    /// Sets whether the back end's service may be served where this node runs.
+    pub fn set_may_serve(&self, may_serve: bool) {
+        self.may_serve.store(may_serve, Ordering::Relaxed);
+    }
+
     /// The load of the back end.
     #[must_use]
     pub fn load(&self) -> LoadReport {
@@ -153,27 +168,54 @@
             Ok(target) => target,
             Err(reason) => return self.refused(&attempt, NotRun::before_back_end(reason)),
         };
-        if !attempt.is_idempotent && !self.duplicates.lock().admit(now(), &attempt.id) {
+        if let Err(reason) = self.admit_once(&attempt) {
             self.telemetry.emit(Event::DuplicateRefused { request: text(&attempt.id) });
-            return AttemptResult::Unknown(UnknownReason::Duplicate);
+            return AttemptResult::Unknown(reason);
         }
         let arrived = Instant::now();
         let permit = match self.admission.admit(work_item(&attempt)).await {
             Ok(permit) => permit,
             Err(refusal) => {
-                self.duplicates.lock().withdraw(&attempt.id);
+                self.withdraw(&attempt);
                 return self.refused(&attempt, not_admitted(refusal));
             }
         };
         self.hand_over(attempt, &back_end, &pool, permit, arrived.elapsed()).await
     }
 
+    /// Takes in that a request is admitted that must not run twice.
+    fn admit_once(&self, attempt: &Attempt) -> Result<(), UnknownReason> {
+        if attempt.is_idempotent {
+            return Ok(());
+        }
+        let mut duplicates = self.duplicates.lock();
+        if !duplicates.admit(now(), &attempt.id) {
+            return Err(UnknownReason::Duplicate);
+        }
+        if attempt.key.as_ref().is_some_and(|key| !duplicates.admit(now(), &own_key(key, attempt))) {
+            return Err(UnknownReason::RepeatedKey);
+        }
+        Ok(())
+    }
+
+    /// Takes in that an admitted request is known not to have run.
+    fn withdraw(&self, attempt: &Attempt) {
+        let mut duplicates = self.duplicates.lock();
+        duplicates.withdraw(&attempt.id);
+        if let Some(key) = &attempt.key {
+            duplicates.withdraw(&own_key(key, attempt));
+        }
+    }
+
     fn target(&self, attempt: &Attempt) -> Result<(BackEnd, Arc<UpstreamPool>), NotRunReason> {
         let current = self.current.lock();
         let Some(current) = current.as_ref() else { return Err(NotRunReason::WrongInstance) };
         if current.back_end.service != attempt.service {
             return Err(NotRunReason::WrongInstance);
         }
+        if !self.may_serve.load(Ordering::Relaxed) {
+            return Err(NotRunReason::WrongLocality);
+        }
         if !current.is_open {
             return Err(NotRunReason::Draining);
         }
@@ -210,7 +252,7 @@
             }
             ExchangeEnd::NotSent(reason) => {
                 drop(permit);
-                self.duplicates.lock().withdraw(&attempt.id);
+                self.withdraw(&attempt);
                 if reason == NotRunReason::BackEndUnreachable {
                     pool.clear();
                     self.tell_unreachable(&back_end.instance);
@@ -219,7 +261,7 @@
             }
             ExchangeEnd::Rejected { status } => {
                 drop(permit);
-                self.duplicates.lock().withdraw(&attempt.id);
+                self.withdraw(&attempt);
                 let reason = if status == MISDIRECTED {
                     NotRunReason::WrongInstance
                 } else {
@@ -296,6 +338,11 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// The caller's key in the window of duplicates: another method or path is another request.
+fn own_key(key: &[u8], attempt: &Attempt) -> Vec<u8> {
+    [b"key", key, &attempt.method, &attempt.target].join(&b' ')
+}
+
 fn work_item(attempt: &Attempt) -> WorkItem {
     WorkItem {
         priority: attempt.priority,
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -18,7 +18,7 @@
 mod server;
 mod upstream;
 
-pub use dialect::Dialect;
+pub use dialect::{CallerMarks, Dialect, Marker};
 pub use inbound::{BackEnd, Inbound, InboundSettings};
 pub use outbound::{Outbound, OutboundIdentity, OutboundSettings, StaleVersion};
 pub use outcome::{NotRunReason, UnknownReason};
--- a/crates/forwarding/src/message.rs
+++ b/crates/forwarding/src/message.rs
@@ -59,6 +59,8 @@
 pub struct Attempt {
     /// Identity of the request, given by the caller.
     pub id: Bytes,
+    /// The caller's own key, if it gave one.
+    pub key: Option<Bytes>,
     /// Service that is meant.
     pub service: ServiceName,
     /// Service on whose behalf the request is sent.
--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -11,7 +11,7 @@
 use umberpond_telemetry::Event;
 
 use super::handler::Outbound;
-use super::reply::{Reply, ReplyReason};
+use super::reply::{Reply, ReplyReason, Served};
 use crate::inbound::millis;
 use crate::message::{Answer, Attempt, AttemptResult, NotRun, RequestBody};
 use crate::outcome::{NotRunReason, UnknownReason};
@@ -32,6 +32,8 @@
 #[derive(Debug)]
 pub(super) struct PreparedRequest {
     pub(super) id: Bytes,
+    /// The caller's own key, if it gave one.
+    pub(super) key: Option<Bytes>,
     pub(super) head: RequestHead,
     pub(super) body: RequestBody,
     pub(super) route: Arc<CompiledRoute>,
@@ -107,7 +109,13 @@
         let mut random = self.outbound.random.lock();
         let route = &self.request.route;
         let query = Query { route: &route.name, tried: &self.tried, objective: route.objective };
-        selector.choose(now, &mut *random, &self.request.service, query)
+        match &self.request.key {
+            // The caller's repetition has to meet the node that remembers the key.
+            Some(key) if !route.is_idempotent => {
+                selector.choose_for_key(now, &self.request.service, key, query)
+            }
+            _ => selector.choose(now, &mut *random, &self.request.service, query),
+        }
     }
 
     async fn send(&self, choice: &Choice, body: RequestBody) -> AttemptResult {
@@ -130,6 +138,7 @@
         let request = &self.request;
         Attempt {
             id: request.id.clone(),
+            key: request.key.clone(),
             service: request.service.clone(),
             caller: (*self.outbound.caller()).clone(),
             method: request.head.method.clone(),
@@ -216,7 +225,12 @@
             waited_millis: millis(answer.waited),
             served_millis: millis(answer.served_in),
         });
-        Next::Reply(Reply::of_answer(answer))
+        let served = Served {
+            node: &choice.node,
+            locality: self.outbound.locality_of(&self.request.service, &choice.node),
+            version: self.request.version,
+        };
+        Next::Reply(Reply::of_answer(answer, self.outbound.dialect.marks.as_ref(), &served))
     }
 
     fn on_not_run(&mut self, choice: &Choice, not_run: NotRun) -> Next {
@@ -282,9 +296,7 @@
             total_millis: millis(self.request.arrived.elapsed()),
             allowed_millis: millis(self.request.time),
         });
-        let mut reply = Reply::own(reason, retry_after);
-        self.outbound.echo(&mut reply, Some(&self.request.id));
-        reply
+        self.outbound.own_reply(reason, retry_after, Some(&self.request.id))
     }
 
     fn tell_retry(&self, choice: &Choice, reason: &'static str) {
--- a/crates/forwarding/src/outbound/handler.rs
+++ b/crates/forwarding/src/outbound/handler.rs
@@ -87,6 +87,9 @@
     pub(super) hops: Arc<HopPool>,
     pub(super) selector: Mutex<Selector>,
     pub(super) random: Mutex<SmallRng>,
+    locality: Locality,
+    /// Endpoints as they were told, before the configuration's localities are applied.
+    told: Mutex<BTreeMap<ServiceName, Vec<Endpoint>>>,
     caller: ArcSwap<ServiceName>,
     table: ArcSwapOption<RoutingTable>,
     budgets: Mutex<BTreeMap<ServiceName, RetryBudget>>,
@@ -133,7 +136,9 @@
             telemetry,
             inbound,
             hops: HopPool::new(network, hop_settings),
-            selector: Mutex::new(Selector::new(identity.locality, settings.selector)),
+            selector: Mutex::new(Selector::new(identity.locality.clone(), settings.selector)),
+            locality: identity.locality,
+            told: Mutex::default(),
             settings,
             random: Mutex::new(SmallRng::seed_from_u64(identity.seed)),
             node: identity.node,
@@ -154,10 +159,36 @@
         {
             return Err(StaleVersion { offered: table.version(), active });
         }
+        // First the endpoints, so that no request of the new table meets one that it forbids.
+        self.apply_localities(&table);
         self.table.store(Some(table));
         Ok(())
     }
 
+    fn apply_localities(&self, table: &RoutingTable) {
+        let told = self.told.lock();
+        let mut selector = self.selector.lock();
+        for (service, endpoints) in &*told {
+            selector.set_endpoints(service, allowed(table, service, endpoints));
+        }
+        drop(selector);
+        self.apply_own_locality(table);
+    }
+
+    /// The node beside a back end serves it only where the configuration allows, whatever callers' nodes believe.
+    fn apply_own_locality(&self, table: &RoutingTable) {
+        if let Some(service) = self.inbound.service() {
+            self.inbound.set_may_serve(table.allows(&service, &self.locality));
+        }
+    }
+
+    /// Takes in that the back end beside this node may be of another service now.
+    pub fn on_back_end_changed(&self) {
+        if let Some(table) = &*self.table.load() {
+            self.apply_own_locality(table);
+        }
+    }
+
     /// Version in force.
     #[must_use]
     pub fn active_version(&self) -> Option<Version> {
@@ -183,7 +214,17 @@
 
     /// Sets the endpoints of `service` that take new work.
     pub fn set_endpoints(&self, service: &ServiceName, endpoints: Vec<Endpoint>) {
-        self.selector.lock().set_endpoints(service, endpoints);
+        let mut told = self.told.lock();
+        let usable = match &*self.table.load() {
+            Some(table) => allowed(table, service, &endpoints),
+            None => endpoints.clone(),
+        };
+        if endpoints.is_empty() {
+            told.remove(service);
+        } else {
+            told.insert(service.clone(), endpoints);
+        }
+        self.selector.lock().set_endpoints(service, usable);
     }
 
     /// Takes in what a node told of the load of its back end.
@@ -248,8 +289,10 @@
         let service = route.draw_destination(&mut *self.random.lock()).clone();
         let id = id.unwrap_or_else(|| self.new_id());
         let version = table.version();
+        let key = self.dialect.caller_key.and_then(|name| head.fields.get(name)).cloned();
         Ok(PreparedRequest {
             id,
+            key,
             head: self.passed_on(head, &route),
             body,
             route,
@@ -278,19 +321,36 @@
         Bytes::from(format!("{:032x}", self.random.lock().random::<u128>()))
     }
 
+    /// Where the node called `node` runs, if it is a known endpoint of `service`.
+    pub(super) fn locality_of(&self, service: &ServiceName, node: &NodeName) -> Option<Locality> {
+        let told = self.told.lock();
+        let endpoint = told.get(service)?.iter().find(|endpoint| endpoint.node == *node)?;
+        Some(endpoint.locality.clone())
+    }
+
     fn refuse(&self, id: Option<&Bytes>, reason: ReplyReason, retry_after: Option<Duration>) -> Reply {
         let request = id.map_or_else(String::new, |id| String::from_utf8_lossy(id).into_owned());
         self.telemetry.emit(Event::RequestTurnedAway { request, reason: format!("{reason:?}") });
-        let mut reply = Reply::own(reason, retry_after);
-        self.echo(&mut reply, id);
-        reply
+        self.own_reply(reason, retry_after, id)
     }
 
-    /// Puts the caller's own identity of the request on an answer of this node.
-    pub(super) fn echo(&self, reply: &mut Reply, id: Option<&Bytes>) {
+    /// An answer of this node's own to the request called `id`.
+    pub(super) fn own_reply(
+        &self,
+        reason: ReplyReason,
+        retry_after: Option<Duration>,
+        id: Option<&Bytes>,
+    ) -> Reply {
+        let mut reply = Reply::own(reason, retry_after, self.dialect.marks.as_ref());
         if let Some(id) = id {
             reply.fields.set(self.dialect.request_id, id.clone());
         }
+        reply
+    }
+
+    /// The answer to bytes that are no request that could be handled.
+    pub(crate) fn refuse_bytes(&self, reason: ReplyReason) -> Reply {
+        self.own_reply(reason, None, None)
     }
 
     /// Counts a request for `service`.
@@ -316,3 +376,8 @@
         *node == self.node
     }
 }
+
+/// The endpoints that the configuration allows.
+fn allowed(table: &RoutingTable, service: &ServiceName, endpoints: &[Endpoint]) -> Vec<Endpoint> {
+    endpoints.iter().filter(|endpoint| table.allows(service, &endpoint.locality)).cloned().collect()
+}
--- a/crates/forwarding/src/outbound/reply.rs
+++ b/crates/forwarding/src/outbound/reply.rs
@@ -4,7 +4,9 @@
 
 use bytes::Bytes;
 use umberpond_http1::Fields;
+use umberpond_model::{Locality, NodeName, Version};
 
+use crate::dialect::CallerMarks;
 use crate::message::{Answer, AnswerBody};
 use crate::outcome::{NotRunReason, UnknownReason};
 
@@ -37,10 +39,29 @@
             Self::NoRoute => 404,
             Self::NotRun(_) => 503,
             Self::Unknown(UnknownReason::TimedOut) => 504,
+            Self::Unknown(UnknownReason::RepeatedKey) => 409,
             Self::Unknown(_) => 502,
         }
     }
 
+    /// What is known about the request: it did not run, or it may have.
+    const fn outcome(self) -> &'static str {
+        if matches!(self, Self::Unknown(_)) { "unknown" } else { "rejected" }
+    }
+
+    /// The reason as one word.
+    fn word(self) -> String {
+        match self {
+            Self::Malformed => "malformed".to_owned(),
+            Self::HeadTooLarge => "head-too-large".to_owned(),
+            Self::HeadTooSlow => "slow-sender".to_owned(),
+            Self::BodyTooLarge => "body-too-large".to_owned(),
+            Self::NoRoute => "no-route".to_owned(),
+            Self::NotRun(reason) => reason.to_string(),
+            Self::Unknown(reason) => reason.to_string(),
+        }
+    }
+
     /// Whether nothing that follows on the caller's connection can be trusted.
     const fn closes(self) -> bool {
         matches!(self, Self::Malformed | Self::HeadTooLarge | Self::HeadTooSlow | Self::BodyTooLarge)
@@ -59,31 +80,48 @@
 
 impl Reply {
     /// An answer of this node's own. `retry_after` tells when to come back.
-    pub(crate) fn own(reason: ReplyReason, retry_after: Option<Duration>) -> Self {
+    pub(crate) fn own(
+        reason: ReplyReason,
+        retry_after: Option<Duration>,
+        marks: Option<&CallerMarks>,
+    ) -> Self {
+        let word = reason.word();
         let mut fields = Fields::default();
         fields.push(&b"Content-Type"[..], &b"text/plain"[..]);
         if let Some(after) = retry_after {
             fields.push(&b"Retry-After"[..], seconds(after));
         }
-        let text = match reason {
-            ReplyReason::NotRun(reason) => reason.to_string(),
-            ReplyReason::Unknown(reason) => reason.to_string(),
-            other => format!("{other:?}"),
-        };
-        Self {
-            status: reason.status(),
-            fields,
-            body: AnswerBody::Whole(Bytes::from(text)),
-            closes: reason.closes(),
+        if let Some(marks) = marks {
+            fields.push(marks.outcome, reason.outcome());
+            fields.push(marks.reason, word.clone());
         }
+        let body = AnswerBody::Whole(Bytes::from(word));
+        Self { status: reason.status(), fields, body, closes: reason.closes() }
     }
 
-    /// The answer of a back end.
-    pub(crate) fn of_answer(answer: Answer) -> Self {
-        Self { status: answer.status, fields: answer.fields, body: answer.body, closes: false }
+    /// The answer of a back end, which `node` at `locality` served.
+    pub(crate) fn of_answer(answer: Answer, marks: Option<&CallerMarks>, served: &Served<'_>) -> Self {
+        let mut fields = answer.fields;
+        if let Some(marks) = marks {
+            fields.set(marks.outcome, "answered");
+            fields.set(marks.served_by, served.node.to_string());
+            fields.set(marks.version, served.version.to_string());
+            if let Some(locality) = &served.locality {
+                fields.set(marks.locality, locality.to_string());
+            }
+        }
+        Self { status: answer.status, fields, body: answer.body, closes: false }
     }
 }
 
+/// Who served a request, and by which configuration.
+#[derive(Debug)]
+pub(crate) struct Served<'a> {
+    pub(crate) node: &'a NodeName,
+    pub(crate) locality: Option<Locality>,
+    pub(crate) version: Version,
+}
+
 /// Seconds with three digits after the point.
 fn seconds(duration: Duration) -> Bytes {
     Bytes::from(format!("{:.3}", duration.as_secs_f64()))
--- a/crates/forwarding/src/outcome.rs
+++ b/crates/forwarding/src/outcome.rs
@@ -21,6 +21,9 @@
     /// The node beside the back end has another back end now, or none.
     #[error("wrong-instance")]
     WrongInstance,
+    /// The service may not be served where the node runs.
+    #[error("wrong-locality")]
+    WrongLocality,
     /// The back end is leaving.
     #[error("draining")]
     Draining,
@@ -62,6 +65,9 @@
     /// A request with this identity was admitted before.
     #[error("duplicate")]
     Duplicate,
+    /// A request with the caller's own key was admitted before.
+    #[error("repeated-key")]
+    RepeatedKey,
     /// The caller's body broke off while it was sent on.
     #[error("body-broken")]
     BodyBroken,
--- a/crates/forwarding/src/routing/compile.rs
+++ b/crates/forwarding/src/routing/compile.rs
@@ -59,7 +59,7 @@
             });
             routes.sort_by(|left, right| precedence(left).cmp(&precedence(right)));
         }
-        Ok(Self { version, limits: snapshot.limits, hosts })
+        Ok(Self { version, limits: snapshot.limits, services: snapshot.services.clone(), hosts })
     }
 }
 
--- a/crates/forwarding/src/routing/table.rs
+++ b/crates/forwarding/src/routing/table.rs
@@ -6,8 +6,8 @@
 
 use rand::{Rng, RngExt};
 use thiserror::Error;
-use umberpond_config::RequestLimits;
-use umberpond_model::{RouteName, ServiceName, Version};
+use umberpond_config::{Entries, RequestLimits, Service};
+use umberpond_model::{Locality, RouteName, ServiceName, Version};
 
 /// A service and its share of a route's requests.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -94,6 +94,7 @@
 pub struct RoutingTable {
     pub(super) version: Version,
     pub(super) limits: RequestLimits,
+    pub(super) services: Entries<Service>,
     pub(super) hosts: HashMap<Box<str>, HostRoutes>,
 }
 
@@ -110,6 +111,13 @@
         &self.limits
     }
 
+    /// Whether the configuration lets `service` be served in `locality`. A service that it does not know is not
+    /// restricted: no route goes there.
+    #[must_use]
+    pub fn allows(&self, service: &ServiceName, locality: &Locality) -> bool {
+        self.services.get(service).is_none_or(|service| service.allows(locality))
+    }
+
     /// Count of routes.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/forwarding/src/server/caller.rs
+++ b/crates/forwarding/src/server/caller.rs
@@ -15,7 +15,7 @@
 use super::receive::{BodyRefusal, Receiving, receive};
 use super::writer::{Written, write_reply};
 use crate::message::RequestBody;
-use crate::outbound::{Outbound, Reply, ReplyReason};
+use crate::outbound::{Outbound, ReplyReason};
 
 /// Most requests of one connection that are handled at once.
 const MAX_PIPELINED: usize = 16;
@@ -140,7 +140,7 @@
     /// Answers by itself, after what is open, and takes no further request.
     fn refuse(&mut self, reason: ReplyReason) -> bool {
         self.is_last_taken = true;
-        let reply = Reply::own(reason, None);
+        let reply = self.outbound.refuse_bytes(reason);
         self.pending.push(std::future::ready(reply), bytes::Bytes::new(), self.control.open_request());
         true
     }
--- a/crates/forwarding/src/upstream/exchange.rs
+++ b/crates/forwarding/src/upstream/exchange.rs
@@ -187,13 +187,13 @@
     fn is_own(&self, head: &ResponseHead, id: &[u8]) -> bool {
         match head.fields.get(self.dialect.request_id) {
             Some(echoed) => echoed == id,
-            None => self.is_rejection(head),
+            None => !self.dialect.is_echoed || self.is_rejection(head),
         }
     }
 
     /// Whether the back end says that it did not run the request.
     fn is_rejection(&self, head: &ResponseHead) -> bool {
-        head.fields.contains(self.dialect.not_executed) || head.status == MISDIRECTED
+        self.dialect.not_executed.is_in(&head.fields) || head.status == MISDIRECTED
     }
 
     async fn read_answer(
--- a/crates/forwarding/tests/support/mod.rs
+++ b/crates/forwarding/tests/support/mod.rs
@@ -14,8 +14,8 @@
     Destination, Entry, RequestClass, RequestLimits, Route, RoutePolicy, Service, Snapshot,
 };
 use umberpond_forwarding::{
-    BackEnd, Dialect, Inbound, InboundSettings, OpenedSecrets, Outbound, OutboundIdentity, OutboundSettings,
-    RoutingTable, ServerControl, serve_inbound, serve_outbound,
+    BackEnd, Dialect, Inbound, InboundSettings, Marker, OpenedSecrets, Outbound, OutboundIdentity,
+    OutboundSettings, RoutingTable, ServerControl, serve_inbound, serve_outbound,
 };
 use umberpond_model::{Locality, Millis, ServiceName, Version};
 use umberpond_net::Network;
@@ -27,7 +27,19 @@
 use caller::Caller;
 
 /// Names like those of a platform with signatures.
-pub const DIALECT: Dialect = Dialect { signature: Some("x-proof"), ..Dialect::OWN };
+pub const DIALECT: Dialect = Dialect {
+    request_id: "umberpond-request",
+    is_echoed: true,
+    caller_key: Some("x-key"),
+    deadline_millis: "umberpond-deadline",
+    caller: "umberpond-caller-service",
+    expected_instance: "umberpond-meant-instance",
+    instance: "umberpond-serving-instance",
+    not_executed: Marker { name: "umberpond-rejected", value: None },
+    load: "umberpond-load",
+    signature: Some("x-proof"),
+    marks: None,
+};
 
 pub fn name<N: std::str::FromStr>(text: &str) -> N {
     text.parse().ok().expect("a valid name")
--- a/crates/selection/src/selector.rs
+++ b/crates/selection/src/selector.rs
@@ -108,21 +108,29 @@
     ) -> Option<Choice> {
         let endpoints = self.services.get(service)?;
         let typical = typical_service_seconds(endpoints);
-        let untried = endpoints.values().filter(|tracked| !query.tried.contains(&tracked.endpoint.node));
-        let reachable = untried.filter(|tracked| tracked.is_reachable(now));
-        let costs = reachable.map(|tracked| {
+        let costs = usable(endpoints, now, query).map(|tracked| {
             let estimate = self.estimate(now, tracked, typical, query);
             let factor = 1.0 + JITTER * random.random::<f64>();
             (estimate.cost * factor, estimate, tracked)
         });
         let (_cost, estimate, tracked) = costs.min_by(|left, right| left.0.total_cmp(&right.0))?;
-        Some(Choice {
-            node: tracked.endpoint.node.clone(),
-            address: tracked.endpoint.address,
-            instance: tracked.endpoint.instance.clone(),
-            service: Duration::from_secs_f64(estimate.service),
-            wait: Duration::from_secs_f64(estimate.wait),
-        })
+        Some(choice(tracked, &estimate))
+    }
+
+    /// The endpoint to which a caller's own key belongs, so that a repetition of the request meets the node that
+    /// remembers it (rendezvous hashing); absent if none is left that was not tried.
+    pub fn choose_for_key(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        key: &[u8],
+        query: Query<'_>,
+    ) -> Option<Choice> {
+        let endpoints = self.services.get(service)?;
+        let typical = typical_service_seconds(endpoints);
+        let ranked = usable(endpoints, now, query);
+        let tracked = ranked.max_by_key(|tracked| key_weight(key, &tracked.endpoint.node))?;
+        Some(choice(tracked, &self.estimate(now, tracked, typical, query)))
     }
 
     /// Takes in that a request was sent.
@@ -216,3 +224,29 @@
         ((held + 1.0) / slots - CROWDED_SHARE).clamp(0.0, 1.0 - CROWDED_SHARE) / (1.0 - CROWDED_SHARE);
     per_slot * (over + crowded)
 }
+
+/// The endpoints that were not tried and can be reached.
+fn usable<'a>(endpoints: &'a Endpoints, now: Instant, query: Query<'a>) -> impl Iterator<Item = &'a Tracked> {
+    let untried = endpoints.values().filter(move |tracked| !query.tried.contains(&tracked.endpoint.node));
+    untried.filter(move |tracked| tracked.is_reachable(now))
+}
+
+fn choice(tracked: &Tracked, estimate: &Estimate) -> Choice {
+    Choice {
+        node: tracked.endpoint.node.clone(),
+        address: tracked.endpoint.address,
+        instance: tracked.endpoint.instance.clone(),
+        service: Duration::from_secs_f64(estimate.service),
+        wait: Duration::from_secs_f64(estimate.wait),
+    }
+}
+
+/// Weight of a node for a key: the same on every node that asks.
+fn key_weight(key: &[u8], node: &NodeName) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(key);
+    hasher.update(node.as_str().as_bytes());
+    let mut first = [0; 8];
+    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(first)
+}
