--- /dev/null
+++ b/crates/daemon/src/back_end/check.rs
@@ -0,0 +1,59 @@
+//! Follows a back end that does not announce itself, by asking it at regular times.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::{MissedTickBehavior, interval};
+use umberpond_forwarding::BackEnd;
+use umberpond_model::ServiceName;
+
+use super::monitor::BackEndMonitor;
+
+/// Path asked where the configuration names none.
+const DEFAULT_PATH: &str = "/health";
+/// Identity of a back end that tells none.
+const UNNAMED: &str = "unnamed";
+/// Slots of a back end for which neither it nor the configuration names any.
+const DEFAULT_SLOTS: u32 = 16;
+
+/// How a back end is asked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CheckSettings {
+    /// Service that it serves.
+    pub service: ServiceName,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Time between two questions.
+    pub interval: Duration,
+    /// Questions in a row without a good answer after which it gets no new work: an answer can lag or mislead.
+    pub failures: u32,
+}
+
+/// Asks the back end without end.
+pub(crate) async fn check_periodically(monitor: Arc<BackEndMonitor>, settings: CheckSettings) {
+    let mut ticks = interval(settings.interval);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut failures = 0;
+    let mut instance = UNNAMED.to_owned();
+    loop {
+        ticks.tick().await;
+        let path = monitor.health_path(&settings.service).unwrap_or_else(|| DEFAULT_PATH.to_owned());
+        let Some(health) = monitor.inbound().ask_health(settings.address, &path).await else {
+            failures += 1;
+            if failures == settings.failures {
+                monitor.unreachable(&instance);
+            }
+            continue;
+        };
+        failures = 0;
+        instance = health.instance.unwrap_or_else(|| UNNAMED.to_owned());
+        let configured = monitor.configured_slots(&settings.service);
+        monitor.confirm(BackEnd {
+            instance: instance.clone(),
+            service: settings.service.clone(),
+            address: settings.address,
+            slots: health.slots.or(configured).unwrap_or(DEFAULT_SLOTS),
+        });
+    }
+}
--- a/crates/daemon/src/back_end/lives.rs
+++ b/crates/daemon/src/back_end/lives.rs
@@ -89,16 +89,22 @@
         self.may_be_leaving = false;
         match &mut self.present {
             Some(life) if life.back_end.instance == back_end.instance => {
-                if life.state == BackEndState::Draining {
+                let is_news = life.state == BackEndState::Unreachable
+                    || (life.sequence.is_none() && life.back_end != back_end);
+                if life.state == BackEndState::Draining || !is_news {
                     return Effect::None;
                 }
                 life.state = BackEndState::Ready;
-                let slots = life.back_end.slots.max(back_end.slots);
-                life.back_end.slots = slots;
+                if life.sequence.is_none() {
+                    life.back_end = back_end;
+                }
                 Effect::Open(life.back_end.clone())
             }
             Some(life) if life.sequence.is_some() => Effect::None,
             _ => {
+                if let Some(before) = self.present.take() {
+                    self.end(before.back_end.instance);
+                }
                 self.present = Some(Life {
                     back_end: back_end.clone(),
                     sequence: None,
--- a/crates/daemon/src/back_end/mod.rs
+++ b/crates/daemon/src/back_end/mod.rs
@@ -1,11 +1,14 @@
 //! What the back end beside this node says of itself, and what follows from it.
 
 mod announcement;
+mod check;
 mod lives;
 mod monitor;
 mod probe;
 
 pub use announcement::{AnnouncedState, Announcement};
+pub use check::CheckSettings;
+pub(crate) use check::check_periodically;
 pub use lives::{BackEndLives, Effect};
 pub use monitor::BackEndMonitor;
 pub(crate) use probe::probe_at_start;
--- a/crates/daemon/src/back_end/monitor.rs
+++ b/crates/daemon/src/back_end/monitor.rs
@@ -81,6 +81,11 @@
         self.activation.health_path(service)
     }
 
+    /// Requests that a back end of `service` works on at once by the configuration in force, if it says so.
+    pub(crate) fn configured_slots(&self, service: &ServiceName) -> Option<u32> {
+        self.activation.slots(service)
+    }
+
     /// The half that reaches the back end.
     pub(crate) const fn inbound(&self) -> &Arc<Inbound> {
         &self.inbound
@@ -135,7 +140,7 @@
             if let Some(path) = self.health_path(&back_end.service) {
                 let health = self.inbound.ask_health(back_end.address, &path).await;
                 if let Some(health) = health
-                    && health.instance == back_end.instance
+                    && health.instance.as_ref() == Some(&back_end.instance)
                 {
                     self.confirm(back_end);
                     return;
--- a/crates/daemon/src/back_end/probe.rs
+++ b/crates/daemon/src/back_end/probe.rs
@@ -23,9 +23,9 @@
             asked += 1;
             let health = monitor.inbound().ask_health(address, &path).await;
             if let Some(health) = health
-                && let Some(slots) = health.slots
+                && let (Some(instance), Some(slots)) = (health.instance, health.slots)
             {
-                monitor.confirm(BackEnd { instance: health.instance, service, address, slots });
+                monitor.confirm(BackEnd { instance, service, address, slots });
                 return;
             }
         }
--- a/crates/daemon/src/configuration/activation.rs
+++ b/crates/daemon/src/configuration/activation.rs
@@ -45,6 +45,15 @@
         active.as_ref()?.snapshot.services.get(service)?.health_path.clone()
     }
 
+    /// Requests that a back end of `service` works on at once, if the configuration says so.
+    #[must_use]
+    pub fn slots(&self, service: &ServiceName) -> Option<u32> {
+        let active = self.active.lock();
+        let service = active.as_ref()?.snapshot.services.get(service)?;
+        let slots = service.slots.min(service.connections);
+        (slots > 0).then_some(slots)
+    }
+
     /// Takes in that the back end beside this node may be of another service now.
     pub(crate) fn on_back_end_changed(&self) {
         self.outbound.on_back_end_changed();
--- a/crates/daemon/src/http_server.rs
+++ b/crates/daemon/src/http_server.rs
@@ -15,8 +15,8 @@
 use tokio::task::JoinSet;
 use umberpond_net::BoxListener;
 
-/// Longest body of a question, in bytes.
-const MAX_BODY_BYTES: usize = 64 * 1024;
+/// Longest body of an ordinary question, in bytes.
+pub const ORDINARY_BODY_BYTES: usize = 64 * 1024;
 /// Longest head of a question, in bytes.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Longest time for the head of a question.
@@ -48,19 +48,26 @@
     pub content_type: &'static str,
     /// Body.
     pub body: Bytes,
+    /// Seconds after which to ask again, if that makes sense.
+    pub retry_after_seconds: Option<u64>,
 }
 
 impl HttpAnswer {
     /// An answer in plain text.
     #[must_use]
     pub fn text(status: StatusCode, body: impl Into<Bytes>) -> Self {
-        Self { status, content_type: "text/plain; charset=utf-8", body: body.into() }
+        Self {
+            status,
+            content_type: "text/plain; charset=utf-8",
+            body: body.into(),
+            retry_after_seconds: None,
+        }
     }
 
     /// An answer in JSON.
     #[must_use]
     pub fn json(status: StatusCode, body: impl Into<Bytes>) -> Self {
-        Self { status, content_type: "application/json", body: body.into() }
+        Self { status, content_type: "application/json", body: body.into(), retry_after_seconds: None }
     }
 }
 
@@ -74,8 +81,8 @@
 /// A handler of any kind.
 pub type BoxHandler = Arc<dyn HttpHandler>;
 
-/// Serves one listener without end.
-pub async fn serve_http(mut listener: BoxListener, handler: BoxHandler) {
+/// Serves one listener without end. A question whose body is longer than `body_bytes` is refused.
+pub async fn serve_http(mut listener: BoxListener, handler: BoxHandler, body_bytes: usize) {
     let mut connections = JoinSet::new();
     loop {
         while connections.len() >= MAX_CONNECTIONS {
@@ -94,7 +101,7 @@
         };
         let handler = Arc::clone(&handler);
         connections.spawn(async move {
-            let service = service_fn(move |request| answer(Arc::clone(&handler), request));
+            let service = service_fn(move |request| answer(Arc::clone(&handler), request, body_bytes));
             let mut server = http1::Builder::new();
             server.timer(TokioTimer::new()).header_read_timeout(HEAD_TIME).max_buf_size(MAX_HEAD_BYTES);
             // A connection that breaks concerns nobody but its peer.
@@ -106,9 +113,10 @@
 async fn answer(
     handler: BoxHandler,
     request: Request<Incoming>,
+    body_bytes: usize,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let (head, body) = request.into_parts();
-    let answer = match Limited::new(body, MAX_BODY_BYTES).collect().await {
+    let answer = match Limited::new(body, body_bytes).collect().await {
         Ok(body) => {
             let question = HttpQuestion {
                 method: head.method,
@@ -124,5 +132,8 @@
     *response.status_mut() = answer.status;
     let content_type = http::HeaderValue::from_static(answer.content_type);
     response.headers_mut().insert(http::header::CONTENT_TYPE, content_type);
+    if let Some(seconds) = answer.retry_after_seconds {
+        response.headers_mut().insert(http::header::RETRY_AFTER, seconds.into());
+    }
     Ok(response)
 }
--- a/crates/daemon/src/settings/load.rs
+++ b/crates/daemon/src/settings/load.rs
@@ -14,8 +14,8 @@
 use super::reader::{Located, SettingsReader};
 use super::rules::{self, NamedAddress};
 use super::{
-    AdvertisedAddresses, DEFAULT_GRACE, ListenAddresses, LogConfig, NodeConfig, SettingsOverride,
-    SettingsReport,
+    AdvertisedAddresses, BackEndConfig, DEFAULT_CHECK_INTERVAL, DEFAULT_FAILURES_TO_UNREADY, DEFAULT_GRACE,
+    ListenAddresses, LogConfig, NodeConfig, SettingsOverride, SettingsReport,
 };
 
 const LOG_FORMATS: &[(&str, LogFormat)] = &[("text", LogFormat::Text), ("json", LogFormat::Json)];
@@ -26,6 +26,7 @@
     ("error", Severity::Error),
 ];
 
+const GREATEST_FAILURES: u32 = 1_000;
 const GREATEST_RATIO: u64 = 10;
 const GREATEST_EXTRA: u64 = 1_000_000;
 
@@ -76,7 +77,7 @@
     let is_first_start = reader.switch("node.first-start").is_some_and(|first| first.value);
     let locality = read_locality(reader);
     let listen = read_listen(reader);
-    let back_end = reader.address("back-end.address");
+    let back_end = read_back_end(reader);
     let store = reader.required_address("store.address");
     let seal_key = read_seal_key(reader, directory);
     let retry_budget = read_retry_budget(reader);
@@ -92,7 +93,7 @@
         topology,
         listen,
         advertise,
-        back_end: back_end.map(value),
+        back_end: back_end?,
         store: store?.value,
         seal_key,
         retry_budget: retry_budget?,
@@ -145,6 +146,16 @@
     Some((listen, advertise))
 }
 
+/// The back end, which may be absent; `None` if its settings have a fault.
+fn read_back_end(reader: &mut SettingsReader<'_>) -> Option<Option<BackEndConfig>> {
+    let address = reader.address("back-end.address");
+    let check_interval = reader.duration("back-end.check-interval", DEFAULT_CHECK_INTERVAL);
+    let failures =
+        reader.count("back-end.failures-to-unready", 1, GREATEST_FAILURES, DEFAULT_FAILURES_TO_UNREADY);
+    let (check_interval, failures_to_unready) = (check_interval?, failures?);
+    Some(address.map(|address| BackEndConfig { address: address.value, check_interval, failures_to_unready }))
+}
+
 fn read_retry_budget(reader: &mut SettingsReader<'_>) -> Option<RetryBudgetSettings> {
     let default = RetryBudgetSettings::default();
     let ratio = reader.decimal("retries.ratio", 0, GREATEST_RATIO, default.ratio);
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -38,8 +38,8 @@
     pub listen: ListenAddresses,
     /// Addresses under which other nodes reach this one, where they differ from those listened at.
     pub advertise: AdvertisedAddresses,
-    /// Address of the back end beside this node; absent where callers enter and no back end stands.
-    pub back_end: Option<SocketAddr>,
+    /// The back end beside this node; absent where callers enter and no back end stands.
+    pub back_end: Option<BackEndConfig>,
     /// Address of the store.
     pub store: SocketAddr,
     /// Key that opens the secrets of `service`; absent if it may hold none.
@@ -76,6 +76,29 @@
     pub control: Option<SocketAddr>,
 }
 
+/// The back end beside a node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BackEndConfig {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Time between two questions whether it is well, if it does not announce itself.
+    pub check_interval: Duration,
+    /// Questions in a row without a good answer after which it gets no new work.
+    pub failures_to_unready: u32,
+}
+
+impl BackEndConfig {
+    /// A back end at `address`, with the usual times.
+    #[must_use]
+    pub const fn at(address: SocketAddr) -> Self {
+        Self {
+            address,
+            check_interval: DEFAULT_CHECK_INTERVAL,
+            failures_to_unready: DEFAULT_FAILURES_TO_UNREADY,
+        }
+    }
+}
+
 /// Log output.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LogConfig {
@@ -93,3 +116,9 @@
 
 /// Time from the request to stop until the process is killed, unless the settings say otherwise.
 pub const DEFAULT_GRACE: Duration = Duration::from_secs(30);
+
+/// Time between two questions to the back end, unless the settings say otherwise.
+pub const DEFAULT_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Questions in a row without a good answer that make a back end unready, unless the settings say otherwise.
+pub const DEFAULT_FAILURES_TO_UNREADY: u32 = 3;
--- a/crates/daemon/src/settings/reader.rs
+++ b/crates/daemon/src/settings/reader.rs
@@ -93,6 +93,28 @@
         }
     }
 
+    /// A whole number between `least` and `greatest`; `default` if it is absent.
+    pub(super) fn count(
+        &mut self,
+        key: &'static str,
+        least: u32,
+        greatest: u32,
+        default: u32,
+    ) -> Option<u32> {
+        let Some(entry) = self.entry(key) else { return Some(default) };
+        let DeValue::Integer(integer) = entry.get_ref() else {
+            return self.wrong_type(key, "a whole number", entry.get_ref(), entry);
+        };
+        let text = integer.to_string();
+        let value = text.parse().ok().filter(|value| (least..=greatest).contains(value));
+        if value.is_none() {
+            let origin = Origin::File(entry.span());
+            let (least, greatest) = (u64::from(least), u64::from(greatest));
+            self.fault(FaultKind::OutOfRange { key, value: text, least, greatest }, origin);
+        }
+        value
+    }
+
     /// A number between `least` and `greatest`; `default` if it is absent.
     pub(super) fn decimal(
         &mut self,
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -20,7 +20,7 @@
 use umberpond_net::{BoxDatagrams, BoxListener};
 use umberpond_telemetry::{Event, Telemetry};
 
-use crate::back_end::{BackEndMonitor, probe_at_start};
+use crate::back_end::{BackEndMonitor, CheckSettings, check_periodically, probe_at_start};
 use crate::configuration::{
     Activation, ConfigurationActor, ConfigurationArguments, ConfigurationMessage, ConfigurationSource,
     ReaderTask, read_store, serve_peers,
@@ -30,7 +30,7 @@
 use crate::error::StartError;
 use crate::membership::{MembershipActor, MembershipArguments, MembershipMessage, receive_datagrams};
 use crate::readiness::Unready;
-use crate::settings::NodeConfig;
+use crate::settings::{BackEndConfig, NodeConfig};
 
 /// Time between two looks for connections that were idle too long.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(2);
@@ -307,11 +307,25 @@
         ));
         tasks.spawn(follow_unreachable(Arc::clone(&self.inbound), Arc::clone(&self.back_end)));
         tasks.spawn(close_expired(Arc::clone(&self.inbound), Arc::clone(&self.outbound)));
-        if let Some(address) = self.config.back_end
-            && !self.config.is_first_start
-        {
-            let service = self.config.service.clone();
-            tasks.spawn(probe_at_start(Arc::clone(&self.back_end), service, address));
+        if let Some(back_end) = self.config.back_end {
+            self.start_asking(&mut tasks, back_end);
+        }
+    }
+
+    /// A back end that announces itself is asked only after a restart; any other is asked at regular times.
+    fn start_asking(&self, tasks: &mut JoinSet<()>, back_end: BackEndConfig) {
+        let monitor = Arc::clone(&self.back_end);
+        let service = self.config.service.clone();
+        if self.config.listen.registration.is_none() {
+            let settings = CheckSettings {
+                service,
+                address: back_end.address,
+                interval: back_end.check_interval,
+                failures: back_end.failures_to_unready,
+            };
+            tasks.spawn(check_periodically(monitor, settings));
+        } else if !self.config.is_first_start {
+            tasks.spawn(probe_at_start(monitor, service, back_end.address));
         }
     }
 }
--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -28,10 +28,17 @@
 /// Time for the last words to leave.
 const LAST_WORDS: Duration = Duration::from_millis(20);
 
+/// How a process stopped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StopReport {
+    /// Requests that were open when it ended.
+    pub cut: usize,
+}
+
 impl RunningDaemon {
     /// Stops: first nobody is sent here any more, then what is open is finished and what still comes is refused, then
     /// the process may end. Takes less than the grace of the settings.
-    pub async fn stop(&self) {
+    pub async fn stop(&self) -> StopReport {
         let began = Instant::now();
         let telemetry = &self.environment.telemetry;
         telemetry.emit(Event::DrainStarted { timeout_millis: millis(self.config.grace) });
@@ -51,7 +58,18 @@
         } else {
             Event::DrainTimedOut { cut: cut as u64 }
         });
-        self.tasks.lock().abort_all();
+        self.kill();
+        StopReport { cut }
+    }
+
+    /// Stops without finishing anything; tells what was cut.
+    pub async fn stop_at_once(&self) -> StopReport {
+        let cut = self.open();
+        self.environment.telemetry.emit(Event::StoppedAtOnce { cut: cut as u64 });
+        let _ = self.membership.send_message(MembershipMessage::Phase(MemberPhase::Left));
+        sleep(LAST_WORDS).await;
+        self.kill();
+        StopReport { cut }
     }
 
     /// Ends at once, as a killed process does: nothing is finished and nobody is told.
--- a/crates/forwarding/src/upstream/health.rs
+++ b/crates/forwarding/src/upstream/health.rs
@@ -19,8 +19,8 @@
 /// A back end that is well.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Health {
-    /// Identity of its present life.
-    pub instance: String,
+    /// Identity of its present life, if it tells.
+    pub instance: Option<String>,
     /// Requests it works on at once, if it tells.
     pub slots: Option<u32>,
 }
@@ -46,7 +46,7 @@
     write_request_head(&mut question, b"GET", path.as_bytes(), &fields, Framing::Length(0));
     writer.write_all(&question).await.ok()?;
     let head = reader.response_head(MAX_HEAD_BYTES).await.ok()?;
-    let instance = head.fields.text(dialect.instance)?.to_owned();
+    let instance = head.fields.text(dialect.instance).map(str::to_owned);
     let slots = head.fields.text(dialect.load).and_then(told_slots);
     (head.status == 200).then_some(Health { instance, slots })
 }
