--- a/crates/daemon/src/back_end/monitor.rs
+++ b/crates/daemon/src/back_end/monitor.rs
@@ -7,6 +7,7 @@
 use ractor::ActorRef;
 use tokio::time::{Instant, sleep};
 use umberpond_forwarding::{BackEnd, Inbound};
+use umberpond_membership::BackEndRecord;
 use umberpond_model::ServiceName;
 use umberpond_telemetry::{Event, Telemetry};
 
@@ -60,6 +61,12 @@
         self.carry_out(effect);
     }
 
+    /// What is told to other nodes of the back end.
+    #[must_use]
+    pub fn record(&self) -> Option<BackEndRecord> {
+        self.lives.lock().record(now())
+    }
+
     /// Takes in that the back end has just said, asked by this process, that it is well.
     pub(crate) fn confirm(self: &Arc<Self>, back_end: BackEnd) {
         let effect = self.lives.lock().on_confirmed(now(), back_end);
--- a/crates/daemon/src/configuration/activation.rs
+++ b/crates/daemon/src/configuration/activation.rs
@@ -7,7 +7,7 @@
 use umberpond_distribution::Versioned;
 use umberpond_forwarding::{OpenedSecrets, Outbound, RoutingTable};
 use umberpond_model::ServiceName;
-use umberpond_telemetry::{Event, Telemetry};
+use umberpond_telemetry::{Event, Telemetry, VersionStage};
 
 /// Puts configurations in force.
 pub struct Activation {
@@ -76,6 +76,7 @@
             return false;
         }
         *active = Some(offered.clone());
+        self.telemetry.metrics().set_version(VersionStage::Active, offered.version);
         self.telemetry.emit(Event::VersionActivated {
             version: offered.version,
             content: offered.hash,
--- a/crates/daemon/src/configuration/mod.rs
+++ b/crates/daemon/src/configuration/mod.rs
@@ -9,5 +9,5 @@
 pub use activation::Activation;
 pub(crate) use actor::{ConfigurationActor, ConfigurationArguments, ConfigurationMessage};
 pub(crate) use peers::serve_peers;
-pub(crate) use reader::{ReaderTask, read_store};
+pub(crate) use reader::{ReaderTask, finds_itself_reader, read_store};
 pub use source::{ConfigurationSource, Position, SourceError, Sourced, Waited};
--- a/crates/daemon/src/configuration/peers.rs
+++ b/crates/daemon/src/configuration/peers.rs
@@ -5,11 +5,13 @@
 
 use bitcode::{Decode, Encode};
 use ractor::ActorRef;
+use ractor::rpc::CallResult;
 use tokio::io::{ReadHalf, WriteHalf};
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 use umberpond_distribution::{Held, Transfer};
-use umberpond_net::{BoxListener, BoxStream, FrameReader, FrameWriter, Network};
+use umberpond_net::{BoxListener, BoxStream, FrameError, FrameReader, FrameWriter, Network};
+use umberpond_telemetry::{Event, Telemetry};
 
 use super::actor::ConfigurationMessage;
 
@@ -45,7 +47,11 @@
 }
 
 /// Answers the questions of other nodes, without end.
-pub(crate) async fn serve_peers(mut listener: BoxListener, configuration: ActorRef<ConfigurationMessage>) {
+pub(crate) async fn serve_peers(
+    mut listener: BoxListener,
+    configuration: ActorRef<ConfigurationMessage>,
+    telemetry: Telemetry,
+) {
     let mut connections = JoinSet::new();
     loop {
         while connections.len() >= MAX_CONNECTIONS {
@@ -60,9 +66,12 @@
         };
         match accepted {
             Ok((stream, _peer)) => {
-                let configuration = configuration.clone();
+                let (configuration, telemetry) = (configuration.clone(), telemetry.clone());
                 connections.spawn(async move {
-                    let _ = timeout(EXCHANGE_TIME, answer(stream, configuration)).await;
+                    let answered = timeout(EXCHANGE_TIME, answer(stream, configuration)).await;
+                    if let Ok(Err(error)) = answered {
+                        telemetry.emit(Event::ControlMessageRefused { reason: error.to_string() });
+                    }
                 });
             }
             Err(_one_connection) => tokio::time::sleep(ACCEPT_PAUSE).await,
@@ -70,13 +79,13 @@
     }
 }
 
-async fn answer(stream: BoxStream, configuration: ActorRef<ConfigurationMessage>) -> Option<()> {
+/// Answers the question on one connection, if there is one.
+async fn answer(stream: BoxStream, configuration: ActorRef<ConfigurationMessage>) -> Result<(), FrameError> {
     let (reader, writer) = tokio::io::split(stream);
     let mut reader: FrameReader<ReadHalf<BoxStream>, PeerQuestion> = FrameReader::new(reader);
     let mut writer: FrameWriter<WriteHalf<BoxStream>, Transfer> = FrameWriter::new(writer);
-    let (PeerQuestion::Pull(held), _size) = reader.next().await.ok()??;
+    let Some((PeerQuestion::Pull(held), _size)) = reader.next().await? else { return Ok(()) };
     let asked = configuration.call(|reply| ConfigurationMessage::Pull { held, reply }, Some(ACTOR_TIME));
-    let ractor::rpc::CallResult::Success(transfer) = asked.await.ok()? else { return None };
-    writer.send(&transfer).await.ok()?;
-    Some(())
+    let Ok(CallResult::Success(transfer)) = asked.await else { return Ok(()) };
+    writer.send(&transfer).await.map(drop)
 }
--- a/crates/daemon/src/configuration/reader.rs
+++ b/crates/daemon/src/configuration/reader.rs
@@ -63,7 +63,7 @@
 
 impl Reader {
     async fn step(&mut self) {
-        let is_reader = self.finds_itself_reader().await;
+        let is_reader = finds_itself_reader(&self.task.membership, &self.task.settings).await;
         self.tell_role(is_reader);
         if !is_reader {
             self.position = None;
@@ -76,13 +76,6 @@
         }
     }
 
-    async fn finds_itself_reader(&self) -> bool {
-        let asked = self.task.membership.call(MembershipMessage::StoreView, Some(ACTOR_TIME)).await;
-        let Ok(CallResult::Success(StoreView { own, others })) = asked else { return false };
-        let others: Vec<ReaderCandidate<'_>> = others.iter().map(candidate).collect();
-        is_reader(&self.task.settings, candidate(&own), &others)
-    }
-
     fn tell_role(&mut self, is_reader: bool) {
         if is_reader == self.is_reader {
             return;
@@ -167,6 +160,17 @@
     }
 }
 
+/// Whether this node is one of those that read the store, as its membership sees the others.
+pub(crate) async fn finds_itself_reader(
+    membership: &ActorRef<MembershipMessage>,
+    settings: &ReaderSettings,
+) -> bool {
+    let asked = membership.call(MembershipMessage::StoreView, Some(ACTOR_TIME)).await;
+    let Ok(CallResult::Success(StoreView { own, others })) = asked else { return false };
+    let others: Vec<ReaderCandidate<'_>> = others.iter().map(candidate).collect();
+    is_reader(settings, candidate(&own), &others)
+}
+
 fn candidate(contact: &StoreContact) -> ReaderCandidate<'_> {
     ReaderCandidate { node: &contact.node, store_age: contact.age }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -23,5 +23,5 @@
 pub use http_server::{BoxHandler, HttpAnswer, HttpHandler, HttpQuestion, ORDINARY_BODY_BYTES, serve_http};
 pub use readiness::Unready;
 pub use settings::NodeConfig;
-pub use start::{Daemon, Extensions, RunningDaemon};
+pub use start::{Daemon, Extensions, RunningDaemon, listen};
 pub use stop::StopReport;
--- a/crates/daemon/src/membership/actor.rs
+++ b/crates/daemon/src/membership/actor.rs
@@ -198,6 +198,7 @@
         }
         self.outbound.set_live_nodes(self.membership.reachable_count() + 1);
         let endpoints = self.told.update(&self.membership, &self.outbound);
+        self.telemetry.metrics().set_endpoints(endpoints);
         let members = self.membership.members().count() as u64 + 1;
         let reachable = self.membership.reachable_count() as u64 + 1;
         self.telemetry.emit(Event::MembershipChanged { members, reachable, endpoints: endpoints as u64 });
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -18,12 +18,13 @@
 };
 use umberpond_model::Incarnation;
 use umberpond_net::{BoxDatagrams, BoxListener};
+use umberpond_scheduling::LoadReport;
 use umberpond_telemetry::{Event, Telemetry};
 
 use crate::back_end::{BackEndMonitor, CheckSettings, check_periodically, probe_at_start};
 use crate::configuration::{
     Activation, ConfigurationActor, ConfigurationArguments, ConfigurationMessage, ConfigurationSource,
-    ReaderTask, read_store, serve_peers,
+    ReaderTask, finds_itself_reader, read_store, serve_peers,
 };
 use crate::directory::{self, MemberDirectory};
 use crate::environment::{Environment, SeedUse};
@@ -84,7 +85,10 @@
 }
 
 /// Opens a listener and tells so.
-pub(crate) async fn listen(
+///
+/// # Errors
+/// Returns [`StartError::Listen`] if that fails.
+pub async fn listen(
     environment: &Environment,
     listener: &'static str,
     address: SocketAddr,
@@ -244,6 +248,29 @@
         Ok(())
     }
 
+    /// The settings it was started with.
+    #[must_use]
+    pub const fn config(&self) -> &NodeConfig {
+        &self.config
+    }
+
+    /// Load of the back end beside this node.
+    #[must_use]
+    pub fn load(&self) -> LoadReport {
+        self.inbound.load()
+    }
+
+    /// Figures in the Prometheus text format.
+    #[must_use]
+    pub fn metrics(&self) -> String {
+        self.environment.telemetry.metrics().encode()
+    }
+
+    /// Whether this node is one of those that read the store.
+    pub async fn reads_store(&self) -> bool {
+        finds_itself_reader(&self.membership, &ReaderSettings::default()).await
+    }
+
     /// The back end beside this node.
     #[must_use]
     pub const fn back_end(&self) -> &Arc<BackEndMonitor> {
@@ -288,7 +315,7 @@
             telemetry.clone(),
         ));
         tasks.spawn(serve_inbound(listeners.inbound, Arc::clone(&self.inbound), telemetry.clone()));
-        tasks.spawn(serve_peers(listeners.control, self.configuration.clone()));
+        tasks.spawn(serve_peers(listeners.control, self.configuration.clone(), telemetry.clone()));
         tasks.spawn(receive_datagrams(listeners.datagrams, self.membership.clone(), telemetry.clone()));
         tasks.spawn(read_store(ReaderTask {
             source: Arc::clone(&self.extensions.source),
--- a/crates/forwarding/src/inbound/back_end.rs
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -274,7 +274,7 @@
                 self.telemetry.emit(Event::ExchangeLost {
                     request: text(&attempt.id),
                     instance: back_end.instance.clone(),
-                    reason: reason.to_string(),
+                    reason: reason.word(),
                     elapsed_millis: millis(permit.elapsed()),
                 });
                 AttemptResult::Unknown(reason)
@@ -294,7 +294,7 @@
         self.telemetry.emit(Event::AdmissionRefused {
             request: text(&attempt.id),
             service: attempt.service.clone(),
-            reason: not_run.reason.to_string(),
+            reason: not_run.reason.word(),
             running: load.running,
             waiting: load.waiting,
             slots: load.slots,
--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -8,7 +8,7 @@
 use umberpond_http1::RequestHead;
 use umberpond_model::{NodeName, ServiceName, Version};
 use umberpond_selection::{Choice, Observation, Query};
-use umberpond_telemetry::Event;
+use umberpond_telemetry::{Event, RequestDetail};
 
 use super::handler::Outbound;
 use super::reply::{Reply, ReplyReason, Served};
@@ -121,6 +121,7 @@
     async fn send(&self, choice: &Choice, body: RequestBody) -> AttemptResult {
         let attempt = self.attempt(choice, body);
         let outbound = self.outbound;
+        outbound.telemetry.metrics().attempt();
         outbound.selector.lock().on_sent(&self.request.service, &choice.node);
         let mut sent = SentGuard { attempts: self, node: &choice.node, is_open: true };
         let began = Instant::now();
@@ -213,6 +214,9 @@
             self.tell_retry(choice, "failed-answer");
             return Next::TryAgain;
         }
+        let metrics = self.outbound.telemetry.metrics();
+        metrics.request("answered", RequestDetail::Status(answer.status));
+        metrics.request_time(self.request.arrived.elapsed().as_secs_f64());
         self.outbound.telemetry.emit_sampled(|| Event::RequestServed {
             request: text(&self.request.id),
             route: self.request.route.name.clone(),
@@ -290,7 +294,8 @@
             request: text(&self.request.id),
             route: self.request.route.name.clone(),
             service: self.request.service.clone(),
-            reason: format!("{reason:?}"),
+            reason: reason.word(),
+            outcome: reason.outcome(),
             attempts: self.attempts(),
             version: self.request.version,
             total_millis: millis(self.request.arrived.elapsed()),
--- a/crates/forwarding/src/outbound/handler.rs
+++ b/crates/forwarding/src/outbound/handler.rs
@@ -19,7 +19,7 @@
 use umberpond_net::Network;
 use umberpond_scheduling::LoadReport;
 use umberpond_selection::{Endpoint, RetryBudget, RetryBudgetSettings, Selector, SelectorSettings};
-use umberpond_telemetry::{Event, Telemetry};
+use umberpond_telemetry::{Event, RequestDetail, Telemetry};
 
 use super::attempts::{Attempts, PreparedRequest};
 use super::reply::{Reply, ReplyReason};
@@ -330,7 +330,7 @@
 
     fn refuse(&self, id: Option<&Bytes>, reason: ReplyReason, retry_after: Option<Duration>) -> Reply {
         let request = id.map_or_else(String::new, |id| String::from_utf8_lossy(id).into_owned());
-        self.telemetry.emit(Event::RequestTurnedAway { request, reason: format!("{reason:?}") });
+        self.telemetry.emit(Event::RequestTurnedAway { request, reason: reason.word() });
         self.own_reply(reason, retry_after, id)
     }
 
@@ -341,6 +341,7 @@
         retry_after: Option<Duration>,
         id: Option<&Bytes>,
     ) -> Reply {
+        self.telemetry.metrics().request(reason.outcome(), RequestDetail::Reason(reason.word()));
         let mut reply = Reply::own(reason, retry_after, self.dialect.marks.as_ref());
         if let Some(id) = id {
             reply.fields.set(self.dialect.request_id, id.clone());
--- a/crates/forwarding/src/outbound/reply.rs
+++ b/crates/forwarding/src/outbound/reply.rs
@@ -45,20 +45,20 @@
     }
 
     /// What is known about the request: it did not run, or it may have.
-    const fn outcome(self) -> &'static str {
+    pub(crate) const fn outcome(self) -> &'static str {
         if matches!(self, Self::Unknown(_)) { "unknown" } else { "rejected" }
     }
 
     /// The reason as one word.
-    fn word(self) -> String {
+    pub(crate) const fn word(self) -> &'static str {
         match self {
-            Self::Malformed => "malformed".to_owned(),
-            Self::HeadTooLarge => "head-too-large".to_owned(),
-            Self::HeadTooSlow => "slow-sender".to_owned(),
-            Self::BodyTooLarge => "body-too-large".to_owned(),
-            Self::NoRoute => "no-route".to_owned(),
-            Self::NotRun(reason) => reason.to_string(),
-            Self::Unknown(reason) => reason.to_string(),
+            Self::Malformed => "malformed",
+            Self::HeadTooLarge => "head-too-large",
+            Self::HeadTooSlow => "slow-sender",
+            Self::BodyTooLarge => "body-too-large",
+            Self::NoRoute => "no-route",
+            Self::NotRun(reason) => reason.word(),
+            Self::Unknown(reason) => reason.word(),
         }
     }
 
@@ -93,7 +93,7 @@
         }
         if let Some(marks) = marks {
             fields.push(marks.outcome, reason.outcome());
-            fields.push(marks.reason, word.clone());
+            fields.push(marks.reason, word);
         }
         let body = AnswerBody::Whole(Bytes::from(word));
         Self { status: reason.status(), fields, body, closes: reason.closes() }
--- a/crates/forwarding/src/upstream/exchange.rs
+++ b/crates/forwarding/src/upstream/exchange.rs
@@ -1,6 +1,7 @@
 //! One request to the back end and its answer.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use tokio::time::{Instant, timeout_at};
@@ -20,6 +21,8 @@
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Longest body that is collected before it is passed on. Up to here an answer that breaks off can still be replaced.
 const MAX_WHOLE_BODY: usize = 1024 * 1024;
+/// Time after its head in which a body is collected. One that comes more slowly is passed on as it comes.
+const COLLECTING_TIME: Duration = Duration::from_millis(150);
 /// Most answers to earlier requests that are passed over on one connection.
 const MAX_SURPLUS: u32 = 4;
 
@@ -215,10 +218,12 @@
         }
         let mut decoder = BodyDecoder::new(framing);
         let mut collected = BytesMut::new();
+        let collect_until = Instant::now() + COLLECTING_TIME;
         while collected.len() <= MAX_WHOLE_BODY {
-            let part = match connection.reader.body_part(&mut decoder).await {
-                Ok(part) => part,
-                Err(_broken) => return Ok(ExchangeEnd::Unknown(UnknownReason::AnswerCut)),
+            let part = match timeout_at(collect_until, connection.reader.body_part(&mut decoder)).await {
+                Ok(Ok(part)) => part,
+                Ok(Err(_broken)) => return Ok(ExchangeEnd::Unknown(UnknownReason::AnswerCut)),
+                Err(_elapsed) => break,
             };
             let Some(part) = part else {
                 if is_kept {
@@ -237,7 +242,7 @@
         }
         let length = if let Framing::Length(length) = framing { Some(length) } else { None };
         let body = UpstreamBody {
-            first: Some(collected.freeze()),
+            first: Some(collected.freeze()).filter(|first| !first.is_empty()),
             connection: Some(connection),
             decoder,
             length,
--- a/crates/forwarding/tests/path.rs
+++ b/crates/forwarding/tests/path.rs
@@ -73,6 +73,24 @@
     assert_eq!(seen[1].body, long);
 }
 
+#[tokio::test(start_paused = true)]
+async fn an_answer_that_comes_slowly_is_passed_on_as_it_comes() {
+    let slowly = Act::Slowly {
+        first: "HTTP/1.1 200 OK\r\numberpond-request: {id}\r\nx-proof: p\r\nContent-Length: 10\r\n\r\nfirst",
+        second: "other",
+        after: 1_000,
+    };
+    let world = World::with_routes(vec![vec![slowly]]).await;
+    let mut caller = world.caller().await;
+    let began = Instant::now();
+    caller.send("/read/a", "r1").await;
+    let head = caller.read_head().await;
+    assert_eq!(head.status, 200);
+    assert!(began.elapsed().as_millis() < 300, "the head does not wait for the body");
+    assert_eq!(caller.read_rest(&head).await.unwrap(), b"firstother");
+    assert!(began.elapsed().as_millis() >= 1_000);
+}
+
 #[tokio::test(start_paused = true)]
 async fn pipelined_requests_run_at_once_and_are_answered_in_order() {
     let slow = Act::Answer { status: 200, body: "slow", after: 300 };
--- a/crates/forwarding/tests/support/back_end.rs
+++ b/crates/forwarding/tests/support/back_end.rs
@@ -19,6 +19,8 @@
     Raw(&'static str),
     /// As [`Act::Raw`], and ends the connection.
     RawThenClose(&'static str),
+    /// Writes the first part at once, and the second after some milliseconds.
+    Slowly { first: &'static str, second: &'static str, after: u64 },
     /// Says nothing and keeps the connection.
     Silence,
     /// Answers before it has read the body, and reads no more.
@@ -143,6 +145,13 @@
                 reader.peer_gone(usize::MAX).await;
                 return;
             }
+            Act::Slowly { first, second, after } => {
+                writer.write_all(first.replace("{id}", &id).as_bytes()).await.unwrap();
+                sleep(Duration::from_millis(after)).await;
+                if writer.write_all(second.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
             Act::Raw(raw) => writer.write_all(raw.replace("{id}", &id).as_bytes()).await.unwrap(),
             Act::RawThenClose(raw) => {
                 writer.write_all(raw.replace("{id}", &id).as_bytes()).await.unwrap();
--- a/crates/forwarding/tests/support/caller.rs
+++ b/crates/forwarding/tests/support/caller.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use tokio::io::{AsyncWriteExt, ReadHalf, WriteHalf};
-use umberpond_http1::{BodyDecoder, Fields, MessageReader, response_framing};
+use umberpond_http1::{BodyDecoder, Fields, MessageReader, ResponseHead, response_framing};
 use umberpond_net::{BoxStream, Network};
 
 /// An answer as the caller read it.
@@ -51,6 +51,18 @@
         Some(Read { status: head.status, fields: head.fields, body: body.map(|body| body.to_vec()) })
     }
 
+    /// The head of the next answer.
+    pub async fn read_head(&mut self) -> ResponseHead {
+        self.reader.response_head(64 * 1024).await.expect("a head")
+    }
+
+    /// The body that follows `head`; absent if it breaks off.
+    pub async fn read_rest(&mut self, head: &ResponseHead) -> Option<Vec<u8>> {
+        let mut decoder = BodyDecoder::new(response_framing(head, b"GET").unwrap());
+        let body = self.reader.whole_body(&mut decoder, 1 << 22).await.ok().flatten();
+        body.map(|body| body.to_vec())
+    }
+
     /// Sends a request and reads its answer.
     pub async fn ask(&mut self, path: &str, id: &str) -> Read {
         self.send(path, id).await;
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -31,7 +31,7 @@
 }
 
 fn example_path() -> PathBuf {
-    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/node.toml")
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/node.toml")
 }
 
 fn example() -> String {
--- /dev/null
+++ b/crates/operator/src/admin/answer.rs
@@ -0,0 +1,40 @@
+//! Answers to operators.
+
+use http::StatusCode;
+use serde::Serialize;
+use umberpond_daemon::HttpAnswer;
+
+use super::api::Refusal;
+
+/// An answer to an operator.
+pub(super) struct Answer(HttpAnswer);
+
+impl Answer {
+    pub(super) fn text(status: StatusCode, text: impl Into<bytes::Bytes>) -> Self {
+        Self(HttpAnswer::text(status, text))
+    }
+
+    pub(super) fn json(status: StatusCode, body: &impl Serialize) -> Self {
+        match serde_json::to_vec(body) {
+            Ok(body) => Self(HttpAnswer::json(status, body)),
+            Err(error) => Self::text(StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")),
+        }
+    }
+
+    pub(super) fn refusal(status: StatusCode, error: impl Into<String>) -> Self {
+        Self::json(status, &Refusal { error: error.into() })
+    }
+
+    pub(super) const fn retry_after(mut self, seconds: u64) -> Self {
+        self.0.retry_after_seconds = Some(seconds);
+        self
+    }
+
+    pub(super) const fn status(&self) -> StatusCode {
+        self.0.status
+    }
+
+    pub(super) fn into_http(self) -> HttpAnswer {
+        self.0
+    }
+}
--- /dev/null
+++ b/crates/operator/src/admin/handler.rs
@@ -0,0 +1,135 @@
+//! Which path of the operators' API does what.
+
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use async_trait::async_trait;
+use http::{Method, StatusCode};
+use umberpond_acceptance::{Acceptor, AcceptorContext, AcceptorSettings};
+use umberpond_daemon::{HttpAnswer, HttpHandler, HttpQuestion, RunningDaemon};
+use umberpond_model::{BundleName, SubmissionId, Version};
+use umberpond_platform::ObjectStore;
+use umberpond_telemetry::Event;
+
+use super::answer::Answer;
+use super::{bundles, status};
+
+/// What the parts of the API share.
+pub(super) struct AdminShared {
+    pub(super) daemon: Arc<RunningDaemon>,
+    pub(super) store: Arc<dyn ObjectStore>,
+    pub(super) acceptor: Acceptor,
+}
+
+/// Answers operators, readiness questions and the collection of figures.
+pub struct AdminHandler {
+    shared: AdminShared,
+}
+
+impl std::fmt::Debug for AdminHandler {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("AdminHandler").finish_non_exhaustive()
+    }
+}
+
+impl AdminHandler {
+    /// Answers for `daemon`, whose versions are accepted into `store`. `seed` draws the waits between tries.
+    #[must_use]
+    pub fn new(daemon: Arc<RunningDaemon>, store: Arc<dyn ObjectStore>, seed: u64) -> Self {
+        let context = AcceptorContext {
+            store: Arc::clone(&store),
+            candidates: Arc::new(Vec::new),
+            commit_index: Arc::new(|| Version::GENESIS),
+            unix_millis: Arc::new(unix_millis),
+            seed,
+        };
+        let acceptor = Acceptor::new(context, AcceptorSettings::default());
+        Self { shared: AdminShared { daemon, store, acceptor } }
+    }
+
+    async fn route(&self, question: &HttpQuestion) -> Answer {
+        let parts: Vec<&str> = question.path.trim_matches('/').split('/').collect();
+        match (&question.method, parts.as_slice()) {
+            (&Method::GET, ["livez"]) => Answer::text(StatusCode::OK, "live\n"),
+            (&Method::GET, ["readyz"]) => status::readiness(&self.shared),
+            (&Method::GET, ["metrics"]) => status::metrics(&self.shared),
+            (&Method::GET, ["v1", "status"]) => status::node(&self.shared).await,
+            (&Method::GET, ["v1", "versions", version]) => self.progress(version).await,
+            (&Method::GET, ["v1", "seal-keys"]) => bundles::seal_keys(&self.shared).await,
+            (&Method::GET, ["v1", "configuration"]) => bundles::configuration(&self.shared).await,
+            (&Method::GET, ["v1", "submissions", id]) => self.resolve(id).await,
+            (&Method::DELETE, ["v1", "submissions", id]) => self.abandon(id).await,
+            (&Method::PUT, ["v1", "bundles", name]) => self.submit(question, name, true).await,
+            (&Method::DELETE, ["v1", "bundles", name]) => self.submit(question, name, false).await,
+            (_, ["livez" | "readyz" | "metrics"])
+            | (_, ["v1", "status" | "seal-keys" | "configuration"])
+            | (_, ["v1", "versions" | "submissions" | "bundles", _]) => Answer::refusal(
+                StatusCode::METHOD_NOT_ALLOWED,
+                format!("{} is not allowed here", question.method),
+            ),
+            _ => Answer::refusal(StatusCode::NOT_FOUND, "there is no such path"),
+        }
+    }
+
+    async fn progress(&self, version: &str) -> Answer {
+        match version.parse() {
+            Ok(number) => status::progress(&self.shared, Version(number)).await,
+            Err(_) => Answer::refusal(StatusCode::BAD_REQUEST, "a version is a whole number"),
+        }
+    }
+
+    async fn resolve(&self, id: &str) -> Answer {
+        match id.parse() {
+            Ok(submission) => bundles::resolve(&self.shared, submission).await,
+            Err(_) => Answer::refusal(StatusCode::BAD_REQUEST, NOT_AN_ID),
+        }
+    }
+
+    async fn abandon(&self, id: &str) -> Answer {
+        match id.parse() {
+            Ok(submission) => bundles::abandon(&self.shared, submission).await,
+            Err(_) => Answer::refusal(StatusCode::BAD_REQUEST, NOT_AN_ID),
+        }
+    }
+
+    /// Submits the bundle in the body, or withdraws the bundle.
+    async fn submit(&self, question: &HttpQuestion, name: &str, is_submitted: bool) -> Answer {
+        let bundle = match BundleName::new(name) {
+            Ok(bundle) => bundle,
+            Err(invalid) => return Answer::refusal(StatusCode::BAD_REQUEST, invalid.to_string()),
+        };
+        let body = is_submitted.then(|| question.body.clone());
+        match submission_id(question) {
+            Some(submission) => bundles::submit(&self.shared, submission, bundle, body).await,
+            None => Answer::refusal(StatusCode::BAD_REQUEST, NOT_AN_ID),
+        }
+    }
+}
+
+#[async_trait]
+impl HttpHandler for AdminHandler {
+    async fn answer(&self, question: HttpQuestion) -> HttpAnswer {
+        let answer = self.route(&question).await;
+        let status = answer.status();
+        if status.is_client_error() {
+            let reason = format!("{} {}", question.method, question.path);
+            let refused = Event::OperatorRequestRefused { status: status.as_u16(), reason };
+            self.shared.daemon.telemetry().emit(refused);
+        }
+        answer.into_http()
+    }
+}
+
+const NOT_AN_ID: &str = "a submission is named by up to 32 hex digits, as in `?submission=…`";
+
+fn submission_id(question: &HttpQuestion) -> Option<SubmissionId> {
+    let query = question.query.as_deref()?;
+    let value = query.split('&').find_map(|pair| pair.strip_prefix("submission="))?;
+    value.parse().ok()
+}
+
+/// Time of day, for people only.
+fn unix_millis() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/operator/src/admin/mod.rs
@@ -0,0 +1,13 @@
+//! The operators' API: JSON over HTTP.
+
+mod answer;
+pub mod api;
+mod bundles;
+mod configuration;
+mod handler;
+mod status;
+
+pub use handler::AdminHandler;
+
+/// Longest body of an operator's request, in bytes: a bundle with room to spare.
+pub const ADMIN_BODY_BYTES: usize = 8 * 1024 * 1024;
--- /dev/null
+++ b/crates/operator/src/admin/status.rs
@@ -0,0 +1,110 @@
+//! State of a node, and how far a version has come.
+
+use http::StatusCode;
+use umberpond_membership::{BackEndRecord, BackEndState, MemberView, Reachability};
+use umberpond_model::Version;
+use umberpond_scheduling::LoadReport;
+
+use super::answer::Answer;
+use super::api::{BackEndStatus, MemberStatus, NodeStatus, Progress, Readiness};
+use super::handler::AdminShared;
+
+/// Most nodes that are told as being behind.
+const MAX_BEHIND: usize = 20;
+
+/// Whether callers may be sent to the node.
+pub(super) fn readiness(shared: &AdminShared) -> Answer {
+    let readiness = readiness_of(shared);
+    let status = if readiness.ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    Answer::json(status, &readiness)
+}
+
+fn readiness_of(shared: &AdminShared) -> Readiness {
+    match shared.daemon.readiness() {
+        Ok(()) => Readiness { ready: true, reason: None },
+        Err(unready) => Readiness { ready: false, reason: Some(unready.to_string()) },
+    }
+}
+
+/// Figures in the Prometheus text format.
+pub(super) fn metrics(shared: &AdminShared) -> Answer {
+    Answer::text(StatusCode::OK, shared.daemon.metrics())
+}
+
+/// State of the node.
+pub(super) async fn node(shared: &AdminShared) -> Answer {
+    let daemon = &shared.daemon;
+    let config = daemon.config();
+    let members = daemon.members().await;
+    let own = daemon.back_end().record();
+    let status = NodeStatus {
+        node: config.node.clone(),
+        service: config.service.clone(),
+        locality: config.locality.clone(),
+        readiness: readiness_of(shared),
+        version: active(shared),
+        reads_store: daemon.reads_store().await,
+        back_end: own.as_ref().map(|record| back_end(record, &daemon.load())),
+        members: members.iter().map(member).collect(),
+    };
+    Answer::json(StatusCode::OK, &status)
+}
+
+/// How far `version` has come, as this node sees it.
+pub(super) async fn progress(shared: &AdminShared, version: Version) -> Answer {
+    let members = shared.daemon.members().await;
+    let is_active = |active: Option<Version>| active.is_some_and(|active| active >= version);
+    let mut others = members.iter().map(member).filter(|member| !is_active(member.version));
+    let behind: Vec<MemberStatus> = others.by_ref().take(MAX_BEHIND).collect();
+    let behind_count = behind.len() + others.count();
+    let nodes = members.len() + 1;
+    let own_behind = usize::from(!is_active(active(shared)));
+    let active_count = nodes - behind_count - own_behind;
+    let progress = Progress {
+        version,
+        nodes: count(nodes),
+        active: count(active_count),
+        everywhere: active_count == nodes,
+        behind,
+    };
+    Answer::json(StatusCode::OK, &progress)
+}
+
+fn active(shared: &AdminShared) -> Option<Version> {
+    shared.daemon.activation().active().map(|active| active.version)
+}
+
+fn count(number: usize) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
+
+fn member(view: &MemberView) -> MemberStatus {
+    let reachability = match view.reachability {
+        Reachability::Reachable => "reachable",
+        Reachability::OneWay => "one-way",
+        Reachability::Silent => "silent",
+    };
+    MemberStatus {
+        node: view.record.node.clone(),
+        locality: view.record.locality.clone(),
+        reachability: reachability.to_owned(),
+        version: view.configuration.version,
+        back_end: view.record.back_end.as_ref().map(|record| back_end(record, &view.load)),
+    }
+}
+
+fn back_end(record: &BackEndRecord, load: &LoadReport) -> BackEndStatus {
+    let state = match record.state {
+        BackEndState::Ready => "ready",
+        BackEndState::Draining => "draining",
+        BackEndState::Unreachable => "unreachable",
+    };
+    BackEndStatus {
+        instance: record.instance.clone(),
+        service: record.service.clone(),
+        state: state.to_owned(),
+        running: load.running,
+        waiting: load.waiting,
+        slots: record.slots,
+    }
+}
--- /dev/null
+++ b/crates/operator/src/directory.rs
@@ -0,0 +1,82 @@
+//! The nodes' own entries in the product's store.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use futures_util::stream::{self, StreamExt};
+use umberpond_daemon::{DirectoryError, MemberDirectory};
+use umberpond_membership::Introduction;
+use umberpond_platform::{ObjectKind, ObjectStore, PlatformError};
+
+/// Entries read at a start. Whoever is met tells of the rest.
+const MAX_ENTRIES: usize = 48;
+/// Entries read at once.
+const CONCURRENT_READS: usize = 4;
+
+/// The nodes as the product's store lists them.
+pub struct StoreDirectory {
+    store: Arc<dyn ObjectStore>,
+}
+
+impl std::fmt::Debug for StoreDirectory {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("StoreDirectory").finish_non_exhaustive()
+    }
+}
+
+impl StoreDirectory {
+    /// Reads and writes entries in `store`.
+    #[must_use]
+    pub const fn new(store: Arc<dyn ObjectStore>) -> Self {
+        Self { store }
+    }
+
+    async fn replace(&self, name: &str, value: Bytes) -> Result<(), PlatformError> {
+        match self.store.get(ObjectKind::Nodes, name).await? {
+            Some(object) if object.value == value => Ok(()),
+            Some(object) => self.store.put_if(ObjectKind::Nodes, name, object.version, value).await.map(drop),
+            None => self.store.create(ObjectKind::Nodes, name, value).await.map(drop),
+        }
+    }
+}
+
+#[async_trait]
+impl MemberDirectory for StoreDirectory {
+    async fn announce(&self, introduction: &Introduction) -> Result<(), DirectoryError> {
+        let value = Bytes::from(serde_json::to_vec(introduction).unwrap_or_default());
+        self.replace(introduction.node.as_str(), value).await.map_err(failed)
+    }
+
+    async fn list(&self) -> Result<Vec<Introduction>, DirectoryError> {
+        let page = self.store.list(ObjectKind::Nodes, None, MAX_ENTRIES).await.map_err(failed)?;
+        let names = page.items.into_iter().map(|item| item.name);
+        let read = stream::iter(names)
+            .map(|name| async move { self.store.get(ObjectKind::Nodes, &name).await })
+            .buffered(CONCURRENT_READS);
+        let objects: Vec<_> = read.collect().await;
+        let mut introductions = Vec::with_capacity(objects.len());
+        for object in objects {
+            // An entry that has gone or can't be read is passed over.
+            let value = object.map_err(failed)?.map(|object| object.value);
+            introductions.extend(value.and_then(|value| serde_json::from_slice(&value).ok()));
+        }
+        Ok(introductions)
+    }
+
+    async fn withdraw(&self, introduction: &Introduction) -> Result<(), DirectoryError> {
+        let name = introduction.node.as_str();
+        let Some(object) = self.store.get(ObjectKind::Nodes, name).await.map_err(failed)? else {
+            return Ok(());
+        };
+        match self.store.delete(ObjectKind::Nodes, name, object.version).await {
+            Ok(()) | Err(PlatformError::NotFound) => Ok(()),
+            Err(error) => Err(failed(error)),
+        }
+    }
+}
+
+#[allow(clippy::needless_pass_by_value, reason = "used as a function of `map_err`")]
+fn failed(error: PlatformError) -> DirectoryError {
+    DirectoryError { reason: error.to_string() }
+}
--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -32,6 +32,8 @@
     Content,
     /// Aggregated status written by readers.
     Status,
+    /// What each node writes of itself, so that others find it.
+    Nodes,
     /// The machine list; it can be watched but not written.
     Machines,
 }
@@ -44,6 +46,7 @@
             Self::Head => "head",
             Self::Content => "content",
             Self::Status => "status",
+            Self::Nodes => "nodes",
             Self::Machines => "machines",
         }
     }
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -39,6 +39,8 @@
     OperatorRequestRefused { status: u16, reason: String }
         = 1016, Info, "operator-request-refused", "A request to the admin address was refused.";
 
+    LinesSuppressed { kind: u16, count: u64 }
+        = 1017, Warn, "lines-suppressed", "So many lines of one kind were left out, because there were too many of them.";
     SettingsReloaded { service: ServiceName }
         = 1020, Info, "settings-reloaded", "The settings file has changed; what may change while the process runs was taken in.";
     SettingsRefused { reason: String }
@@ -129,16 +131,16 @@
         = 4007, Debug, "request-retried", "A request is sent again, for a reason that makes it safe.";
 
     RequestServed { request: String, route: RouteName, service: ServiceName, node: NodeName, status: u16, attempts: u32, version: Version, total_millis: u64, waited_millis: u64, served_millis: u64 }
-        = 4020, Debug, "request-served", "A back end's answer was passed on; one of many is logged.";
-    RequestGivenUp { request: String, route: RouteName, service: ServiceName, reason: String, attempts: u32, version: Version, total_millis: u64, allowed_millis: u64 }
+        = 4020, Info, "request-served", "A back end's answer was passed on; one of many is logged.";
+    RequestGivenUp { request: String, route: RouteName, service: ServiceName, outcome: &'static str, reason: &'static str, attempts: u32, version: Version, total_millis: u64, allowed_millis: u64 }
         = 4021, Info, "request-given-up", "The caller was told that its request did not run, or may have run, for the reason given.";
-    RequestTurnedAway { request: String, reason: String }
+    RequestTurnedAway { request: String, reason: &'static str }
         = 4022, Info, "request-turned-away", "A request was answered without an attempt: there is no configuration, or no route takes it.";
     RequestSentAgain { request: String, after: NodeName, reason: &'static str, attempts: u32 }
         = 4023, Info, "request-sent-again", "An attempt ended without a usable answer, and another one follows.";
-    AdmissionRefused { request: String, service: ServiceName, reason: String, running: u32, waiting: u32, slots: u32, patience_millis: u64 }
+    AdmissionRefused { request: String, service: ServiceName, reason: &'static str, running: u32, waiting: u32, slots: u32, patience_millis: u64 }
         = 4024, Info, "admission-refused", "The node beside the back end refused a request; it has not run.";
-    ExchangeLost { request: String, instance: String, reason: String, elapsed_millis: u64 }
+    ExchangeLost { request: String, instance: String, reason: &'static str, elapsed_millis: u64 }
         = 4025, Info, "exchange-lost", "A request was handed to the back end and no sound answer came back.";
 
     // Platform
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -8,7 +8,9 @@
 mod entry;
 mod logging;
 mod metrics;
+mod output;
 mod page;
+mod rate;
 mod telemetry;
 
 pub use catalogue::Event;
--- a/crates/telemetry/src/logging.rs
+++ b/crates/telemetry/src/logging.rs
@@ -1,14 +1,15 @@
-//! Log output through `logforth`: one line an event, as text or as JSON, on standard error.
+//! Log output through `logforth`: one line an event, as text or as JSON, on standard output.
 
 use std::panic::Location;
+use std::sync::Arc;
 
-use logforth::append::Stderr;
 use logforth::core::Logger;
 use logforth::kv::{Key, Value};
 use logforth::layout::{JsonLayout, TextLayout};
 use logforth::record::{Level, LevelFilter, Record};
 use serde::{Deserialize, Serialize};
 
+use crate::output::{Output, OutputAppend};
 use crate::{Event, Field, FieldValue, Severity};
 
 /// Name under which all events are logged.
@@ -25,14 +26,17 @@
     Json,
 }
 
-/// A logger of its own on standard error; nothing global is set.
-pub(crate) fn logger(format: LogFormat, least: Severity) -> Logger {
+/// A logger of its own on standard output; nothing global is set.
+pub(crate) fn logger(format: LogFormat, least: Severity) -> (Logger, Arc<Output>) {
+    let output = Output::start();
     let append = match format {
-        LogFormat::Text => Stderr::default().with_layout(TextLayout::default().no_color()),
-        LogFormat::Json => Stderr::default().with_layout(JsonLayout::default()),
+        LogFormat::Text => OutputAppend::new(Arc::clone(&output), TextLayout::default().no_color()),
+        LogFormat::Json => OutputAppend::new(Arc::clone(&output), JsonLayout::default()),
     };
     let filter = LevelFilter::MoreSevereEqual(level(least));
-    logforth::core::builder().dispatch(|dispatch| dispatch.filter(filter).append(append)).build()
+    let logger =
+        logforth::core::builder().dispatch(|dispatch| dispatch.filter(filter).append(append)).build();
+    (logger, output)
 }
 
 /// Writes `event`, told at `location`, to `logger`.
--- a/crates/telemetry/src/telemetry.rs
+++ b/crates/telemetry/src/telemetry.rs
@@ -3,10 +3,13 @@
 use std::panic::Location;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Instant;
 
 use logforth::core::Logger;
 use parking_lot::Mutex;
 
+use crate::output::Output;
+use crate::rate::{RateLimit, Verdict};
 use crate::{Event, LogFormat, Metrics, Severity, logging};
 
 /// Of so many ordinary events one is logged.
@@ -45,18 +48,38 @@
 }
 
 struct Inner {
-    logger: Option<Logger>,
+    log: Option<Log>,
     least: Severity,
     observer: Option<Arc<dyn EventObserver>>,
     metrics: Metrics,
     sampled: AtomicU64,
 }
 
+/// The log on standard output.
+struct Log {
+    logger: Logger,
+    output: Arc<Output>,
+    rate: Mutex<RateLimit>,
+}
+
+impl Log {
+    fn tell(&self, event: &Event, location: &'static Location<'static>) {
+        let verdict = self.rate.lock().take(Instant::now(), event.number());
+        let Verdict::Tell { suppressed } = verdict else { return };
+        if suppressed > 0 {
+            let told = Event::LinesSuppressed { kind: event.number(), count: suppressed };
+            logging::log(&self.logger, &told, location);
+        }
+        logging::log(&self.logger, event, location);
+    }
+}
+
 impl Telemetry {
-    /// Events go to standard error, from severity `least` on.
+    /// Events go to standard output, from severity `least` on.
     #[must_use]
     pub fn to_log(format: LogFormat, least: Severity) -> Self {
-        Self::new(Some(logging::logger(format, least)), least, None)
+        let (logger, output) = logging::logger(format, least);
+        Self::new(Some(Log { logger, output, rate: Mutex::default() }), least, None)
     }
 
     /// Events go to `observer` and nowhere else.
@@ -71,10 +94,10 @@
         Self::new(None, Severity::Error, None)
     }
 
-    fn new(logger: Option<Logger>, least: Severity, observer: Option<Arc<dyn EventObserver>>) -> Self {
+    fn new(log: Option<Log>, least: Severity, observer: Option<Arc<dyn EventObserver>>) -> Self {
         Self {
             inner: Arc::new(Inner {
-                logger,
+                log,
                 least,
                 observer,
                 metrics: Metrics::default(),
@@ -86,15 +109,17 @@
     /// Whether anybody sees events of this severity. Saves the request path the making of events that nobody sees.
     #[must_use]
     pub fn is_enabled(&self, severity: Severity) -> bool {
-        let is_logged = self.inner.logger.is_some() && severity >= self.inner.least;
+        let is_logged = self.inner.log.is_some() && severity >= self.inner.least;
         is_logged || self.inner.observer.is_some()
     }
 
     /// Tells `event`.
     #[track_caller]
     pub fn emit(&self, event: Event) {
-        if let Some(logger) = &self.inner.logger {
-            logging::log(logger, &event, Location::caller());
+        if let Some(log) = &self.inner.log
+            && event.severity() >= self.inner.least
+        {
+            log.tell(&event, Location::caller());
         }
         if let Some(observer) = &self.inner.observer {
             observer.observe(&event);
@@ -105,11 +130,18 @@
     #[track_caller]
     pub fn emit_sampled(&self, event: impl FnOnce() -> Event) {
         let count = self.inner.sampled.fetch_add(1, Ordering::Relaxed);
-        if self.inner.observer.is_some() || (self.inner.logger.is_some() && count.is_multiple_of(SAMPLED)) {
+        if self.inner.observer.is_some() || (self.inner.log.is_some() && count.is_multiple_of(SAMPLED)) {
             self.emit(event());
         }
     }
 
+    /// Waits a short time until what was told is written. Call it at the end of the process.
+    pub fn flush(&self) {
+        if let Some(log) = &self.inner.log {
+            log.output.flush();
+        }
+    }
+
     /// The node's metrics.
     #[must_use]
     pub fn metrics(&self) -> &Metrics {
--- a/crates/umberpond/src/cli/admin_client.rs
+++ b/crates/umberpond/src/cli/admin_client.rs
@@ -12,7 +12,7 @@
 use thiserror::Error;
 use tokio::time::timeout;
 use umberpond_net::{HttpClientError, TcpNetwork, collect_body, send_request};
-use umberpond_node::admin::api::Refusal;
+use umberpond_operator::admin::api::Refusal;
 
 /// Admin address asked if none is given: that of examples/node.toml.
 pub(super) const DEFAULT_NODE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 7103);
--- a/crates/umberpond/src/cli/apply.rs
+++ b/crates/umberpond/src/cli/apply.rs
@@ -6,9 +6,9 @@
 use bytes::Bytes;
 use http::Method;
 use umberpond_config::{Bundle, BundleSource, SealKey};
+use umberpond_daemon::settings::parse_duration;
 use umberpond_model::{BundleName, ServiceName, SubmissionId};
-use umberpond_node::admin::api::{ServiceSealKey, SubmissionResult};
-use umberpond_node::settings::parse_duration;
+use umberpond_operator::admin::api::{ServiceSealKey, SubmissionResult};
 
 use super::admin_client::{AdminClient, AdminError};
 use super::flags;
--- a/crates/umberpond/src/cli/flags.rs
+++ b/crates/umberpond/src/cli/flags.rs
@@ -10,16 +10,14 @@
     /// again), 4 outcome unknown (ask with `umberpond submission ID`), 5 node unreachable, 6 accepted but not in
     /// force everywhere in time, 7 a node ended against plan or cut requests.
     cmd umberpond {
-        /// Run a node: beside a back end, or at an edge with --edge. Flags win over the settings file.
+        /// Run a node beside a back end, or without one where callers enter. Flags win over the settings file.
         cmd node {
             /// Settings file; examples/node.toml explains every setting.
             optional --config file: PathBuf
             /// Name of the node.
             optional --name name: String
-            /// Service of the back end; at an edge, the service in whose name callers enter.
+            /// Service of the back end, in whose name local callers call.
             optional --service name: String
-            /// Run without a back end.
-            optional --edge
             /// Region of the node.
             optional --region name: String
             /// Zone of the node.
@@ -30,30 +28,26 @@
             optional --outbound address: String
             /// Listen here for operators, metrics and probes.
             optional --admin address: String
-            /// Listen here for control connections.
+            /// Listen here for datagrams and control connections of other nodes.
             optional --control address: String
+            /// Listen here for announcements of the back end.
+            optional --registration address: String
             /// Inbound address told to other nodes.
             optional --advertise-inbound address: String
             /// Control address told to other nodes.
             optional --advertise-control address: String
-            /// Admin address told to operators.
-            optional --advertise-admin address: String
             /// Address of the back end.
             optional --back-end address: String
-            /// Address of the platform's object API.
-            optional --platform address: String
-            /// Control addresses of some other nodes, separated by commas.
-            optional --seeds addresses: String
+            /// Address of the store.
+            optional --store address: String
             /// File with the service's private seal key.
             optional --seal-key-file file: String
             /// `text` or `json`.
             optional --log-format format: String
             /// `debug`, `info`, `warn` or `error`.
             optional --log-level level: String
-            /// Longest time that a planned stop waits for requests in flight, such as 30s.
-            optional --drain-timeout duration: String
-            /// Decisions kept in memory for `umberpond replay`; 0 keeps none.
-            optional --recording-entries count: String
+            /// Time from the request to stop until the process is killed, such as 30s.
+            optional --stop-grace duration: String
         }
         /// Submit the bundle in a directory under a name. Secrets are sealed here, before anything is sent.
         cmd apply {
@@ -103,21 +97,6 @@
             /// Print the result as JSON.
             optional --json
         }
-        /// Replace witnesses of which a majority has ended for good. Tells the plan and its risk unless it is forced.
-        ///
-        /// Read docs/OPERATING.md, "When a majority of witnesses is lost", first: stop the machines, then force.
-        cmd replace-witnesses {
-            /// Name of a lost witness, or several separated by commas.
-            repeated --lost names: String
-            /// Take the risk of the plan that names this version.
-            optional --force-version number: u64
-            /// Replace under this identifier again, to settle an unknown outcome.
-            optional --submission id: String
-            /// Admin address of a node.
-            optional --node address: SocketAddr
-            /// Print the result as JSON.
-            optional --json
-        }
         /// Check bundles without a node: each directory, and all of them together as the whole.
         cmd check {
             /// Directories of bundles; each one's last part is the bundle's name.
@@ -136,15 +115,6 @@
             /// Print the result as JSON.
             optional --json
         }
-        /// Run a node's recording through the same decision core and print each decision with its reason.
-        cmd replay {
-            /// Recording, fetched from `/v1/recording` of a node's admin address.
-            required file: PathBuf
-            /// Print only inputs that led to a decision.
-            optional --decisions
-            /// Print the result as JSON, one line an input.
-            optional --json
-        }
         /// Make a service's key pair: the private key goes to a new file, the public one is printed.
         cmd keygen {
             /// File for the private key; must not exist.
--- a/crates/umberpond/src/cli/mod.rs
+++ b/crates/umberpond/src/cli/mod.rs
@@ -11,8 +11,6 @@
 mod output;
 mod plan;
 mod progress;
-mod replace_witnesses;
-mod replay;
 mod runtime;
 mod sealing;
 mod status;
@@ -42,10 +40,8 @@
         UmberpondCmd::Withdraw(flags) => withdraw::run(&flags.into()),
         UmberpondCmd::Status(flags) => status::run(&flags.into()),
         UmberpondCmd::Submission(flags) => submission::run(&flags.into()),
-        UmberpondCmd::ReplaceWitnesses(flags) => replace_witnesses::run(&flags.into()),
         UmberpondCmd::Check(flags) => check::run(&flags.into()),
         UmberpondCmd::Plan(flags) => plan::run(&flags.into()),
-        UmberpondCmd::Replay(flags) => replay::run(&flags.into()),
         UmberpondCmd::Keygen(flags) => keygen::run(&flags.into()),
     }
 }
--- a/crates/umberpond/src/cli/node.rs
+++ b/crates/umberpond/src/cli/node.rs
@@ -2,15 +2,16 @@
 
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::time::Instant;
-use umberpond_model::Incarnation;
-use umberpond_net::TcpNetwork;
-use umberpond_node::settings::{LogConfig, SettingsOverride, load};
-use umberpond_node::{Environment, Node, NodeConfig, RunningNode, StartError};
-use umberpond_telemetry::Telemetry;
+use umberpond_daemon::settings::{NodeConfig, SettingsOverride, load};
+use umberpond_daemon::{Daemon, Environment, Extensions, RunningDaemon, StartError, listen, serve_http};
+use umberpond_forwarding::Dialect;
+use umberpond_net::{Network, TcpNetwork};
+use umberpond_operator::admin::ADMIN_BODY_BYTES;
+use umberpond_operator::{AdminHandler, ChainSource, StoreDirectory, collect_now_and_then};
+use umberpond_platform::{ClientSettings, GateLimits, ObjectStore, PlatformClient, PlatformGate};
+use umberpond_telemetry::{Event, Telemetry};
 
 use super::{Exit, flags};
 
@@ -25,24 +26,21 @@
         let given = [
             ("node.name", "--name", flags.name),
             ("node.service", "--service", flags.service),
-            ("node.edge", "--edge", flags.edge.then(|| "true".to_owned())),
             ("node.region", "--region", flags.region),
             ("node.zone", "--zone", flags.zone),
             ("listen.inbound", "--inbound", flags.inbound),
             ("listen.outbound", "--outbound", flags.outbound),
             ("listen.admin", "--admin", flags.admin),
             ("listen.control", "--control", flags.control),
+            ("listen.registration", "--registration", flags.registration),
             ("advertise.inbound", "--advertise-inbound", flags.advertise_inbound),
             ("advertise.control", "--advertise-control", flags.advertise_control),
-            ("advertise.admin", "--advertise-admin", flags.advertise_admin),
             ("back-end.address", "--back-end", flags.back_end),
-            ("platform.address", "--platform", flags.platform),
-            ("overlay.seeds", "--seeds", flags.seeds),
+            ("store.address", "--store", flags.store),
             ("secrets.seal-key-file", "--seal-key-file", flags.seal_key_file),
             ("log.format", "--log-format", flags.log_format),
             ("log.level", "--log-level", flags.log_level),
-            ("drain.timeout", "--drain-timeout", flags.drain_timeout),
-            ("recording.entries", "--recording-entries", flags.recording_entries),
+            ("stop.grace", "--stop-grace", flags.stop_grace),
         ];
         let overrides = given
             .into_iter()
@@ -61,66 +59,66 @@
             return Exit::Usage;
         }
     };
-    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+    // One thread: a node has a small share of a core, and its work waits for others most of the time.
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => {
             eprintln!("the runtime can't be started: {error}");
             return Exit::Cut;
         }
     };
-    let exit = runtime.block_on(serve(config));
-    runtime.shutdown_background();
+    let telemetry = Telemetry::to_log(config.log.format, config.log.level);
+    let exit = runtime.block_on(serve(config, &telemetry, settings));
+    telemetry.flush();
     exit
 }
 
-/// The signals that end a node.
-struct StopSignals {
+/// The signals that concern a node.
+struct Signals {
     terminate: Signal,
     interrupt: Signal,
+    hang_up: Signal,
 }
 
-impl StopSignals {
+impl Signals {
     fn new() -> std::io::Result<Self> {
-        Ok(Self { terminate: signal(SignalKind::terminate())?, interrupt: signal(SignalKind::interrupt())? })
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hang_up: signal(SignalKind::hangup())?,
+        })
     }
 
-    async fn next(&mut self) {
-        tokio::select! {
-            biased;
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
+    /// Waits until the process is told to stop; meanwhile `reload` is called whenever the settings have changed.
+    async fn stop(&mut self, reload: impl Fn()) {
+        loop {
+            tokio::select! {
+                biased;
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.hang_up.recv() => reload(),
+            }
         }
     }
 }
 
-async fn serve(config: NodeConfig) -> Exit {
-    let mut signals = match StopSignals::new() {
+async fn serve(config: NodeConfig, telemetry: &Telemetry, settings: NodeSettings) -> Exit {
+    let mut signals = match Signals::new() {
         Ok(signals) => signals,
         Err(error) => {
             eprintln!("signals can't be received: {error}");
             return Exit::Cut;
         }
     };
-    let node = match Node::start(config.clone(), environment(config.log)).await {
-        Ok(node) => node,
+    let daemon = match start(config, telemetry).await {
+        Ok(daemon) => daemon,
         Err(error) => return not_started(&error),
     };
-    tokio::select! {
-        biased;
-        () = signals.next() => drain(&node, &mut signals).await,
-        () = node.failed() => {
-            node.stop_at_once().await;
-            Exit::Cut
-        }
-    }
-}
-
-/// Drains until done, or until a second signal.
-async fn drain(node: &RunningNode, signals: &mut StopSignals) -> Exit {
+    signals.stop(|| reload(&daemon, &settings)).await;
     let report = tokio::select! {
         biased;
-        () = signals.next() => node.stop_at_once().await,
-        report = node.drain() => report,
+        () = signals.stop(|| {}) => daemon.stop_at_once().await,
+        report = daemon.stop() => report,
     };
     if report.cut == 0 {
         return Exit::Ok;
@@ -129,6 +127,38 @@
     Exit::Cut
 }
 
+/// Starts the daemon over the product's own store, and the operators' API.
+async fn start(config: NodeConfig, telemetry: &Telemetry) -> Result<Arc<RunningDaemon>, StartError> {
+    let network: Arc<dyn Network> = Arc::new(TcpNetwork);
+    let gate = PlatformGate::new(GateLimits::default());
+    let client = PlatformClient::new(Arc::clone(&network), config.store, gate, ClientSettings::default());
+    let store: Arc<dyn ObjectStore> = Arc::new(client.named(config.node.clone()));
+    let environment = Environment { network, seed: rand::random(), telemetry: telemetry.clone() };
+    let extensions = Extensions {
+        source: Arc::new(ChainSource::new(Arc::clone(&store))),
+        directory: Arc::new(StoreDirectory::new(Arc::clone(&store))),
+        dialect: Dialect::OWN,
+    };
+    let admin = config.listen.admin;
+    let daemon = Arc::new(Daemon::start(config, environment.clone(), extensions).await?);
+    let handler = AdminHandler::new(Arc::clone(&daemon), Arc::clone(&store), rand::random());
+    let listener = listen(&environment, "admin", admin).await?;
+    tokio::spawn(serve_http(listener, Arc::new(handler), ADMIN_BODY_BYTES));
+    tokio::spawn(collect_now_and_then(Arc::clone(&daemon), store, rand::random()));
+    Ok(daemon)
+}
+
+/// Takes in settings that have changed. Settings that can't be used change nothing.
+fn reload(daemon: &RunningDaemon, settings: &NodeSettings) {
+    match load(settings.file.as_deref(), &settings.overrides) {
+        Ok(config) => daemon.reload(&config),
+        Err(report) => {
+            let reason = report.to_string();
+            daemon.telemetry().emit(Event::SettingsRefused { reason });
+        }
+    }
+}
+
 fn not_started(error: &StartError) -> Exit {
     eprintln!("{error}");
     if let Some(source) = std::error::Error::source(error) {
@@ -136,15 +166,3 @@
     }
     Exit::Usage
 }
-
-/// The surroundings of a daemon: TCP, a seed of its own, and the wall clock read once.
-fn environment(log: LogConfig) -> Environment {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    Environment {
-        network: Arc::new(TcpNetwork),
-        seed: rand::random(),
-        incarnation: Incarnation(u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX)),
-        started: Instant::now(),
-        telemetry: Telemetry::to_log(log.format, log.level),
-    }
-}
--- a/crates/umberpond/src/cli/plan.rs
+++ b/crates/umberpond/src/cli/plan.rs
@@ -6,7 +6,7 @@
 
 use umberpond_config::{Bundle, BundleSource, CheckReport, Plan, join};
 use umberpond_model::BundleName;
-use umberpond_node::admin::api::Configuration;
+use umberpond_operator::admin::api::Configuration;
 
 use super::admin_client::{AdminClient, AdminError};
 use super::output::Format;
--- a/crates/umberpond/src/cli/progress.rs
+++ b/crates/umberpond/src/cli/progress.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::{Instant, sleep};
 use umberpond_model::Version;
-use umberpond_node::admin::api::Progress;
+use umberpond_operator::admin::api::Progress;
 
 use super::admin_client::AdminClient;
 use super::output::Format;
--- a/crates/umberpond/src/cli/status.rs
+++ b/crates/umberpond/src/cli/status.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write;
 
 use umberpond_model::Version;
-use umberpond_node::admin::api::{NodeStatus, Progress, ZoneProgress};
+use umberpond_operator::admin::api::{BackEndStatus, MemberStatus, NodeStatus, Progress};
 
 use super::admin_client::{AdminClient, AdminError};
 use super::output::Format;
@@ -62,56 +62,50 @@
 }
 
 fn status_text(status: &NodeStatus) -> String {
-    let NodeStatus { node, service, locality, versions, readiness, .. } = status;
-    let kind = if status.edge { "edge of" } else { "beside" };
-    let mut text = format!("{node} ({kind} {service}, {locality}), role {}\n", status.role);
-    let readiness = if readiness.ready {
-        "ready".to_owned()
-    } else {
-        format!("not ready, waits for {:?}", readiness.waits_for)
-    };
-    // Writing to a string can't fail.
-    let _ = writeln!(text, "{readiness}; endpoint {:?}", status.endpoint_status);
-    let _ = writeln!(
-        text,
-        "versions: in force {}, held {}, committed {}, floor {}",
-        version_text(versions.active),
-        version_text(versions.held),
-        versions.committed,
-        version_text(versions.floor)
-    );
-    let parent = status.parent.as_ref().map_or("none".to_owned(), ToString::to_string);
-    let _ = write!(text, "parent {parent}, {} children", status.children.len());
-    text.push_str(&zones_text(&status.zones));
+    let NodeStatus { node, service, locality, readiness, .. } = status;
+    let role = if status.reads_store { ", reads the store" } else { "" };
+    let mut text = format!("{node} (beside {service}, {locality}{role})\n");
+    match &readiness.reason {
+        None => text.push_str("ready"),
+        // Writing to a string can't fail.
+        Some(reason) => drop(write!(text, "not ready: {reason}")),
+    }
+    let _ = write!(text, "; version in force {}", version_text(status.version));
+    if let Some(back_end) = &status.back_end {
+        let _ = write!(text, "\nback end {}", back_end_text(back_end));
+    }
+    text.push_str(&members_text(&status.members));
     text
 }
 
 fn progress_text(progress: &Progress) -> String {
-    let Progress { version, nodes, held, active, .. } = progress;
-    let mut text = format!("version {version}: held by {held} and in force on {active} of {nodes} nodes");
-    text.push_str(&zones_text(&progress.zones));
+    let Progress { version, nodes, active, .. } = progress;
+    let mut text = format!("version {version}: in force on {active} of {nodes} nodes");
+    text.push_str(&members_text(&progress.behind));
     text
 }
 
-fn zones_text(zones: &[ZoneProgress]) -> String {
+fn members_text(members: &[MemberStatus]) -> String {
     let mut text = String::new();
-    for zone in zones {
-        let _ = write!(text, "\n{}: {} nodes", zone.locality, zone.nodes);
-        for count in &zone.versions {
-            let _ = write!(
-                text,
-                "\n  version {}: newest held by {}, in force on {}",
-                count.version, count.held, count.active
-            );
-        }
-        for laggard in &zone.laggards {
-            let active = version_text(laggard.active);
-            let _ = write!(text, "\n  {} lags with {active} in force: {}", laggard.node, laggard.reason);
+    for member in members {
+        let version = version_text(member.version);
+        let _ = write!(
+            text,
+            "\n{} ({}): {}, version in force {version}",
+            member.node, member.locality, member.reachability
+        );
+        if let Some(back_end) = &member.back_end {
+            let _ = write!(text, ", back end {}", back_end_text(back_end));
         }
     }
     text
 }
 
+fn back_end_text(back_end: &BackEndStatus) -> String {
+    let BackEndStatus { instance, service, state, running, waiting, slots } = back_end;
+    format!("{instance} of {service}: {state}, {running} of {slots} slots in use, {waiting} requests wait")
+}
+
 fn version_text(version: Option<Version>) -> String {
     version.map_or_else(|| "none".to_owned(), |version| version.to_string())
 }
--- a/crates/umberpond/src/cli/submission.rs
+++ b/crates/umberpond/src/cli/submission.rs
@@ -4,12 +4,12 @@
 use http::{Method, Response};
 use serde::Serialize;
 use umberpond_model::{SubmissionId, Version};
-use umberpond_node::admin::api::{Progress, SubmissionResult};
+use umberpond_operator::admin::api::{Progress, SubmissionResult};
 
 use super::admin_client::{AdminClient, AdminError};
 use super::flags;
 use super::output::Format;
-use super::{Exit, replace_witnesses, runtime};
+use super::{Exit, runtime};
 
 /// Settings of `umberpond submission`.
 pub(super) struct SubmissionSettings {
@@ -76,12 +76,7 @@
     match (&output.result, &output.progress) {
         (SubmissionResult::Accepted { .. }, Some(progress)) if !progress.everywhere => Exit::NotInForce,
         (SubmissionResult::Accepted { .. }, _) => Exit::Ok,
-        (
-            SubmissionResult::Invalid { .. }
-            | SubmissionResult::Conflict { .. }
-            | SubmissionResult::NotForced { .. },
-            _,
-        ) => Exit::Refused,
+        (SubmissionResult::Invalid { .. } | SubmissionResult::Conflict { .. }, _) => Exit::Refused,
         (SubmissionResult::NotAccepted { .. }, _) => Exit::NotAccepted,
         (SubmissionResult::Unknown { .. }, _) => Exit::Unknown,
     }
@@ -98,9 +93,6 @@
         SubmissionResult::Conflict { reason, winner, report, .. } => {
             conflict_text(reason, *winner, report.as_ref())
         }
-        SubmissionResult::NotForced { plan, .. } => {
-            format!("not replaced, nothing changed\n{}", replace_witnesses::plan_text(plan))
-        }
         SubmissionResult::NotAccepted { reason, retry_after_millis, .. } => {
             format!("not accepted, nothing changed: {reason}; try again after {retry_after_millis} ms")
         }
