--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Heads are parsed by `httparse`; this crate adds what a proxy needs to know and a general library hides: how many
 //! bytes of a message were read, whether a body came to its proper end, and whether a connection may serve again.
-//! `docs/design/0100-request-path.md` tells why the request path does not run on `hyper`.
+//! `docs/design/0101-request-path.md` tells why the request path does not run on `hyper`.
 //!
 //! Every reading function is safe to cancel: bytes that have arrived stay in the [`MessageReader`].
 
