Send a large change to two nodes at a time, compressed and encoded once, and let those serve the rest

Ruled out: the store (the first reader had it 0.1 s after the write), processor time (0.022 of 0.1 core at most), the compile of the table (smaller versions were in force 20 ms after their arrival). Change: a node sends answers over 16 KiB to two others at a time and tells further ones that it is busy; they ask, after 15 to 60 ms, any node that is known to hold the newest version. The transfer is encoded once for all that hold the same, and compressed by DEFLATE. Parts of 16 KiB have a time limit each in place of one limit of 1 s on the whole. A whole first read of 67 restarted nodes still takes 1.5 s (each reads the store itself).

--- a/crates/daemon/src/configuration/actor.rs
+++ b/crates/daemon/src/configuration/actor.rs
@@ -1,29 +1,39 @@
 //! The actor that owns the configuration of this node.
 
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::Arc;
+use std::time::Duration;
 
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
-use umberpond_distribution::{Held, HeldConfiguration, Transfer, Versioned};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use tokio::time::sleep;
+use umberpond_distribution::{Held, HeldConfiguration, Holders, Transfer, TransferError, Versioned};
 use umberpond_model::Version;
 use umberpond_net::Network;
 use umberpond_telemetry::{Event, Telemetry};
 
 use super::activation::Activation;
-use super::peers::fetch;
+use super::peers::{Fetched, fetch};
 use super::source::Sourced;
 use crate::membership::MembershipMessage;
 
+/// Pause in milliseconds before another node is asked, after one that was busy.
+const BUSY_PAUSE_MILLIS: Range<u64> = 15..60;
+
 /// What the configuration actor is told and asked.
 pub(crate) enum ConfigurationMessage {
     /// Another node holds this version.
     Told { version: Version, by: SocketAddr },
-    /// What came of fetching from another node; absent if it could not be had.
-    Fetched { transfer: Option<Transfer>, from: SocketAddr },
+    /// What came of asking another node.
+    Fetched { fetched: Fetched, from: SocketAddr },
+    /// The pause after a busy node is over.
+    AskAnother,
     /// What the store holds.
     Sourced(Box<Sourced>),
-    /// Another node asks for what is newer than it holds.
-    Pull { held: Option<Held>, reply: RpcReplyPort<Transfer> },
+    /// Another node asks for what is newer than it holds; the answer is an encoded transfer.
+    Pull { held: Option<Held>, reply: RpcReplyPort<Arc<[u8]>> },
 }
 
 /// What the actor needs.
@@ -32,13 +42,7 @@
     pub(crate) membership: ActorRef<MembershipMessage>,
     pub(crate) network: Arc<dyn Network>,
     pub(crate) telemetry: Telemetry,
-}
-
-/// A version that another node was heard to hold.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Told {
-    version: Version,
-    by: SocketAddr,
+    pub(crate) seed: u64,
 }
 
 pub(crate) struct ConfigurationState {
@@ -47,9 +51,10 @@
     membership: ActorRef<MembershipMessage>,
     network: Arc<dyn Network>,
     telemetry: Telemetry,
+    holders: Holders,
+    random: SmallRng,
+    /// Whether another node is being asked, or is about to be.
     is_fetching: bool,
-    /// The highest version told since the fetch began.
-    told: Option<Told>,
 }
 
 /// The actor that owns the configuration of this node.
@@ -71,8 +76,9 @@
             membership: arguments.membership,
             network: arguments.network,
             telemetry: arguments.telemetry,
+            holders: Holders::default(),
+            random: SmallRng::seed_from_u64(arguments.seed),
             is_fetching: false,
-            told: None,
         })
     }
 
@@ -83,16 +89,23 @@
         state: &mut Self::State,
     ) -> Result<(), ActorProcessingErr> {
         match message {
-            ConfigurationMessage::Told { version, by } => state.on_told(&myself, Told { version, by }),
-            ConfigurationMessage::Fetched { transfer, from } => state.on_fetched(&myself, transfer, from),
+            ConfigurationMessage::Told { version, by } => {
+                state.holders.on_heard(by, version, state.held.version());
+                state.fetch_if_behind(&myself);
+            }
+            ConfigurationMessage::Fetched { fetched, from } => state.on_fetched(&myself, fetched, from),
+            ConfigurationMessage::AskAnother => {
+                state.is_fetching = false;
+                state.fetch_if_behind(&myself);
+            }
             ConfigurationMessage::Sourced(sourced) => {
                 // The hash is worked out only for what is new.
                 if state.held.version() < Some(sourced.version) {
-                    state.offer(Versioned::new(sourced.version, sourced.snapshot));
+                    let _ = state.offer(Versioned::new(sourced.version, sourced.snapshot));
                 }
             }
             ConfigurationMessage::Pull { held, reply } => {
-                let _ = reply.send(state.held.transfer_for(held));
+                let _ = reply.send(state.held.encoded_transfer_for(held));
             }
         }
         Ok(())
@@ -100,57 +113,67 @@
 }
 
 impl ConfigurationState {
-    fn on_told(&mut self, myself: &ActorRef<ConfigurationMessage>, told: Told) {
-        if self.held.version() >= Some(told.version) {
-            return;
-        }
+    /// Asks one of the nodes that hold something newer, if there is one and none is being asked.
+    fn fetch_if_behind(&mut self, myself: &ActorRef<ConfigurationMessage>) {
         if self.is_fetching {
-            if self.told.is_none_or(|before| before.version <= told.version) {
-                self.told = Some(told);
-            }
             return;
         }
+        let Some(from) = self.holders.choose(&mut self.random) else { return };
         self.is_fetching = true;
         let held = self.held.newest().map(Versioned::held);
         let network = Arc::clone(&self.network);
         let myself = myself.clone();
         tokio::spawn(async move {
-            let transfer = fetch(&*network, told.by, held).await;
-            let _ = myself.send_message(ConfigurationMessage::Fetched { transfer, from: told.by });
+            let fetched = fetch(&*network, from, held).await;
+            let _ = myself.send_message(ConfigurationMessage::Fetched { fetched, from });
         });
     }
 
-    fn on_fetched(
-        &mut self,
-        myself: &ActorRef<ConfigurationMessage>,
-        transfer: Option<Transfer>,
-        from: SocketAddr,
-    ) {
-        self.is_fetching = false;
-        match transfer.map(|transfer| self.held.receive(transfer)) {
-            Some(Ok(Some(received))) => self.offer(received),
-            Some(Ok(None)) => {}
-            Some(Err(error)) => {
-                let reason = error.to_string();
-                self.telemetry.emit(Event::ConfigurationFetchFailed { peer: from, reason });
-            }
-            None => {
-                let reason = "no answer".to_owned();
-                self.telemetry.emit(Event::ConfigurationFetchFailed { peer: from, reason });
-            }
-        }
-        if let Some(told) = self.told.take() {
-            self.on_told(myself, told);
+    fn on_fetched(&mut self, myself: &ActorRef<ConfigurationMessage>, fetched: Fetched, from: SocketAddr) {
+        match fetched {
+            Fetched::Busy => return self.ask_another_later(myself),
+            Fetched::NoAnswer => self.on_fetch_failed(from, "no answer".to_owned()),
+            Fetched::Transfer(bytes) => match self.receive(&bytes) {
+                Ok(Some(received)) => {
+                    if !self.offer(received) {
+                        self.holders.on_no_answer(from);
+                    }
+                }
+                Ok(None) => self.holders.on_no_answer(from),
+                Err(error) => self.on_fetch_failed(from, error.to_string()),
+            },
         }
+        self.is_fetching = false;
+        self.fetch_if_behind(myself);
+    }
+
+    fn receive(&self, bytes: &[u8]) -> Result<Option<Versioned>, TransferError> {
+        self.held.receive(Transfer::from_bytes(bytes)?)
+    }
+
+    fn on_fetch_failed(&mut self, from: SocketAddr, reason: String) {
+        self.holders.on_no_answer(from);
+        self.telemetry.emit(Event::ConfigurationFetchFailed { peer: from, reason });
     }
 
-    /// Puts a newer configuration in force and tells the others.
-    fn offer(&mut self, offered: Versioned) {
+    fn ask_another_later(&mut self, myself: &ActorRef<ConfigurationMessage>) {
+        let pause = Duration::from_millis(self.random.random_range(BUSY_PAUSE_MILLIS));
+        let myself = myself.clone();
+        tokio::spawn(async move {
+            sleep(pause).await;
+            let _ = myself.send_message(ConfigurationMessage::AskAnother);
+        });
+    }
+
+    /// Puts a newer configuration in force and tells the others; `false` if it could not be put in force.
+    fn offer(&mut self, offered: Versioned) -> bool {
         if self.held.version() >= Some(offered.version) || !self.activation.activate(&offered) {
-            return;
+            return false;
         }
         let version = offered.version;
         self.held.offer(offered);
+        self.holders.on_held(version);
         let _ = self.membership.send_message(MembershipMessage::Version(version));
+        true
     }
 }
--- a/crates/daemon/src/configuration/peers.rs
+++ b/crates/daemon/src/configuration/peers.rs
@@ -1,24 +1,37 @@
 //! Configurations from node to node: one question and one answer on a connection.
+//!
+//! A short answer is sent to everybody at once. Long ones are sent to a few at a time, so that those arrive soon and
+//! serve others in their turn; whoever else asks is told to ask elsewhere.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bitcode::{Decode, Encode};
 use ractor::ActorRef;
 use ractor::rpc::CallResult;
 use tokio::io::{ReadHalf, WriteHalf};
+use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
-use umberpond_distribution::{Held, Transfer};
+use umberpond_distribution::Held;
 use umberpond_net::{BoxListener, BoxStream, FrameError, FrameReader, FrameWriter, Network};
 use umberpond_telemetry::{Event, Telemetry};
 
 use super::actor::ConfigurationMessage;
 
-/// Longest time of a whole question and answer.
-const EXCHANGE_TIME: Duration = Duration::from_millis(1_000);
+/// Longest time to open a connection to another node.
+const CONNECT_TIME: Duration = Duration::from_millis(500);
+/// Longest time until the next part of an answer arrives.
+const PART_TIME: Duration = Duration::from_millis(1_000);
 /// Longest time that the actor takes to answer.
 const ACTOR_TIME: Duration = Duration::from_millis(1_000);
+/// Longest time of a whole exchange.
+const EXCHANGE_TIME: Duration = Duration::from_secs(10);
+/// Bytes in one part of an answer.
+const PART_BYTES: usize = 16 * 1024;
+/// Long answers sent at once. Each one more makes all of them slower.
+const LONG_ANSWERS_AT_ONCE: usize = 2;
 /// Most connections served at once.
 const MAX_CONNECTIONS: usize = 400;
 /// Pause after a connection that could not be accepted.
@@ -31,19 +44,52 @@
     Pull(Option<Held>),
 }
 
-/// Fetches what the node at `peer` holds beyond `held`; absent if it can't be had.
-pub(super) async fn fetch(network: &dyn Network, peer: SocketAddr, held: Option<Held>) -> Option<Transfer> {
-    timeout(EXCHANGE_TIME, exchange(network, peer, held)).await.ok().flatten()
+/// A part of the answer.
+#[derive(Debug, Encode, Decode)]
+enum PeerAnswer {
+    /// Bytes of the encoded transfer; more follow.
+    Part(Vec<u8>),
+    /// The last bytes of the encoded transfer.
+    LastPart(Vec<u8>),
+    /// Enough others are being served.
+    Busy,
+}
+
+/// What came of asking another node.
+#[derive(Debug)]
+pub(crate) enum Fetched {
+    /// It answered with an encoded [`Transfer`](umberpond_distribution::Transfer).
+    Transfer(Vec<u8>),
+    /// It serves others just now.
+    Busy,
+    /// It did not answer, or not to the end.
+    NoAnswer,
 }
 
-async fn exchange(network: &dyn Network, peer: SocketAddr, held: Option<Held>) -> Option<Transfer> {
-    let stream = network.connect(peer).await.ok()?;
+/// Asks the node at `peer` for what it holds beyond `held`.
+pub(super) async fn fetch(network: &dyn Network, peer: SocketAddr, held: Option<Held>) -> Fetched {
+    let exchange = timeout(EXCHANGE_TIME, exchange(network, peer, held));
+    exchange.await.ok().flatten().unwrap_or(Fetched::NoAnswer)
+}
+
+async fn exchange(network: &dyn Network, peer: SocketAddr, held: Option<Held>) -> Option<Fetched> {
+    let stream = timeout(CONNECT_TIME, network.connect(peer)).await.ok()?.ok()?;
     let (reader, writer) = tokio::io::split(stream);
     let mut writer: FrameWriter<WriteHalf<BoxStream>, PeerQuestion> = FrameWriter::new(writer);
-    let mut reader: FrameReader<ReadHalf<BoxStream>, Transfer> = FrameReader::new(reader);
+    let mut reader: FrameReader<ReadHalf<BoxStream>, PeerAnswer> = FrameReader::new(reader);
     writer.send(&PeerQuestion::Pull(held)).await.ok()?;
-    let (transfer, _size) = reader.next().await.ok()??;
-    Some(transfer)
+    let mut encoded = Vec::new();
+    loop {
+        let (part, _size) = timeout(PART_TIME, reader.next()).await.ok()?.ok()??;
+        match part {
+            PeerAnswer::Busy => return Some(Fetched::Busy),
+            PeerAnswer::Part(bytes) => encoded.extend(bytes),
+            PeerAnswer::LastPart(bytes) => {
+                encoded.extend(bytes);
+                return Some(Fetched::Transfer(encoded));
+            }
+        }
+    }
 }
 
 /// Answers the questions of other nodes, without end.
@@ -52,6 +98,7 @@
     configuration: ActorRef<ConfigurationMessage>,
     telemetry: Telemetry,
 ) {
+    let long_answers = Arc::new(Semaphore::new(LONG_ANSWERS_AT_ONCE));
     let mut connections = JoinSet::new();
     loop {
         while connections.len() >= MAX_CONNECTIONS {
@@ -67,8 +114,9 @@
         match accepted {
             Ok((stream, _peer)) => {
                 let (configuration, telemetry) = (configuration.clone(), telemetry.clone());
+                let long_answers = Arc::clone(&long_answers);
                 connections.spawn(async move {
-                    let answered = timeout(EXCHANGE_TIME, answer(stream, configuration)).await;
+                    let answered = timeout(EXCHANGE_TIME, answer(stream, configuration, &long_answers)).await;
                     if let Ok(Err(error)) = answered {
                         telemetry.emit(Event::ControlMessageRefused { reason: error.to_string() });
                     }
@@ -80,12 +128,37 @@
 }
 
 /// Answers the question on one connection, if there is one.
-async fn answer(stream: BoxStream, configuration: ActorRef<ConfigurationMessage>) -> Result<(), FrameError> {
+async fn answer(
+    stream: BoxStream,
+    configuration: ActorRef<ConfigurationMessage>,
+    long_answers: &Semaphore,
+) -> Result<(), FrameError> {
     let (reader, writer) = tokio::io::split(stream);
     let mut reader: FrameReader<ReadHalf<BoxStream>, PeerQuestion> = FrameReader::new(reader);
-    let mut writer: FrameWriter<WriteHalf<BoxStream>, Transfer> = FrameWriter::new(writer);
+    let mut writer: FrameWriter<WriteHalf<BoxStream>, PeerAnswer> = FrameWriter::new(writer);
     let Some((PeerQuestion::Pull(held), _size)) = reader.next().await? else { return Ok(()) };
     let asked = configuration.call(|reply| ConfigurationMessage::Pull { held, reply }, Some(ACTOR_TIME));
-    let Ok(CallResult::Success(transfer)) = asked.await else { return Ok(()) };
-    writer.send(&transfer).await.map(drop)
+    let Ok(CallResult::Success(encoded)) = asked.await else { return Ok(()) };
+    let is_long = encoded.len() > PART_BYTES;
+    let permit = if is_long { long_answers.try_acquire().ok() } else { None };
+    if is_long && permit.is_none() {
+        return writer.send(&PeerAnswer::Busy).await.map(drop);
+    }
+    send_in_parts(&mut writer, &encoded).await?;
+    // The answer has left this machine when the other node, which has the whole of it, ends the connection.
+    let _ = timeout(PART_TIME, reader.next()).await;
+    Ok(())
+}
+
+async fn send_in_parts(
+    writer: &mut FrameWriter<WriteHalf<BoxStream>, PeerAnswer>,
+    encoded: &[u8],
+) -> Result<(), FrameError> {
+    let mut rest = encoded;
+    while rest.len() > PART_BYTES {
+        let (part, after) = rest.split_at(PART_BYTES);
+        writer.send(&PeerAnswer::Part(part.to_vec())).await?;
+        rest = after;
+    }
+    writer.send(&PeerAnswer::LastPart(rest.to_vec())).await.map(drop)
 }
--- a/crates/daemon/src/environment.rs
+++ b/crates/daemon/src/environment.rs
@@ -33,6 +33,8 @@
     RequestPath = 2,
     /// Backoff towards the store.
     Store = 3,
+    /// Which node is asked for a configuration.
+    Fetch = 4,
 }
 
 impl Environment {
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -140,6 +140,7 @@
             membership: membership.clone(),
             network: Arc::clone(&environment.network),
             telemetry: telemetry.clone(),
+            seed: environment.seed_for(SeedUse::Fetch),
         };
         let (configuration, _) = Actor::spawn(None, ConfigurationActor, arguments).await?;
         let _ = membership.send_message(MembershipMessage::ConfigurationActor(configuration.clone()));
--- a/crates/distribution/src/held.rs
+++ b/crates/distribution/src/held.rs
@@ -8,6 +8,8 @@
 
 use crate::transfer::{Held, Transfer, TransferError};
 
+/// Encoded transfers kept for the nodes that ask for the same one.
+const KEPT_TRANSFERS: usize = 4;
 /// Earlier versions kept, so that the difference from them can be told.
 const KEPT_VERSIONS: usize = 64;
 
@@ -41,6 +43,15 @@
 pub struct HeldConfiguration {
     newest: Option<Versioned>,
     earlier: VecDeque<Versioned>,
+    /// Transfers to the newest, encoded.
+    prepared: VecDeque<PreparedTransfer>,
+}
+
+/// A transfer that several nodes may ask for.
+#[derive(Debug)]
+struct PreparedTransfer {
+    held: Option<Held>,
+    encoded: Arc<[u8]>,
 }
 
 impl HeldConfiguration {
@@ -61,6 +72,7 @@
         if self.version().is_some_and(|held| held >= offered.version) {
             return false;
         }
+        self.prepared.clear();
         if let Some(before) = self.newest.replace(offered) {
             self.earlier.push_back(before);
         }
@@ -88,6 +100,19 @@
         }
     }
 
+    /// What a node needs that holds `held`, encoded. Many nodes ask for the same after a change, so it is made once.
+    pub fn encoded_transfer_for(&mut self, held: Option<Held>) -> Arc<[u8]> {
+        if let Some(prepared) = self.prepared.iter().find(|prepared| prepared.held == held) {
+            return Arc::clone(&prepared.encoded);
+        }
+        let encoded: Arc<[u8]> = self.transfer_for(held).to_bytes().into();
+        if self.prepared.len() >= KEPT_TRANSFERS {
+            self.prepared.pop_front();
+        }
+        self.prepared.push_back(PreparedTransfer { held, encoded: Arc::clone(&encoded) });
+        encoded
+    }
+
     /// The configuration that `transfer` leads to from the one held; absent if it leads to nothing newer.
     ///
     /// # Errors
--- a/crates/distribution/tests/held.rs
+++ b/crates/distribution/tests/held.rs
@@ -1,10 +1,15 @@
 //! From one configuration to the next, and who reads the store.
 
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use umberpond_config::{RequestLimits, Snapshot};
 use umberpond_distribution::{
-    HeldConfiguration, ReaderCandidate, ReaderSettings, Transfer, TransferError, Versioned, is_reader,
+    HeldConfiguration, Holders, ReaderCandidate, ReaderSettings, Transfer, TransferError, Versioned,
+    is_reader,
 };
 use umberpond_model::{NodeName, Version};
 
@@ -51,6 +56,51 @@
     assert_eq!(giver.receive(Transfer::NothingNewer).unwrap(), None);
 }
 
+#[test]
+fn a_transfer_travels_whole_and_damaged_bytes_are_none() {
+    let long = Transfer::Whole { to: versioned(5).held(), content: vec![7; 100_000] };
+    let short = holding(&[1, 5]).transfer_for(Some(versioned(1).held()));
+    for transfer in [long, short, Transfer::NothingNewer] {
+        let bytes = transfer.to_bytes();
+        assert!(bytes.len() < 10_000, "a long transfer is compressed");
+        assert_eq!(Transfer::from_bytes(&bytes).unwrap(), transfer);
+        let cut = &bytes[..bytes.len() - 1];
+        assert_eq!(Transfer::from_bytes(cut), Err(TransferError::Damaged));
+    }
+    assert_eq!(Transfer::from_bytes(b"rubbish"), Err(TransferError::Damaged));
+}
+
+#[test]
+fn an_encoded_transfer_is_made_once_and_leads_to_the_newest() {
+    let mut giver = holding(&[1, 2]);
+    let held = Some(versioned(1).held());
+    let first = giver.encoded_transfer_for(held);
+    assert!(std::sync::Arc::ptr_eq(&first, &giver.encoded_transfer_for(held)));
+    assert!(giver.offer(versioned(5)));
+    let transfer = Transfer::from_bytes(&giver.encoded_transfer_for(held)).unwrap();
+    assert_eq!(holding(&[1]).receive(transfer).unwrap(), Some(versioned(5)));
+}
+
+#[test]
+fn one_of_those_that_hold_the_newest_is_asked() {
+    let address = |number: u8| SocketAddr::from(([10, 0, 0, number], 1));
+    let mut random = SmallRng::seed_from_u64(1);
+    let mut holders = Holders::default();
+    assert_eq!(holders.choose(&mut random), None);
+    holders.on_heard(address(1), Version(3), Some(Version(3)));
+    assert_eq!(holders.choose(&mut random), None, "nobody holds anything newer");
+    for (number, version) in [(1, 4), (2, 5), (3, 5)] {
+        holders.on_heard(address(number), Version(version), Some(Version(3)));
+    }
+    let asked: BTreeSet<SocketAddr> = (0..50).filter_map(|_| holders.choose(&mut random)).collect();
+    assert_eq!(asked, [address(2), address(3)].into());
+    holders.on_no_answer(address(2));
+    holders.on_no_answer(address(3));
+    assert_eq!(holders.choose(&mut random), Some(address(1)), "an older one is better than none");
+    holders.on_held(Version(4));
+    assert_eq!(holders.choose(&mut random), None);
+}
+
 #[test]
 fn another_content_under_the_same_version_is_replaced_whole() {
     let giver = holding(&[1, 2, 5]);
--- a/testing/network/src/fabric.rs
+++ b/testing/network/src/fabric.rs
@@ -30,6 +30,8 @@
     delay_between: fn(IpAddr, IpAddr) -> Millis,
     links: BTreeMap<(IpAddr, IpAddr), Arc<LinkState>>,
     hosts: BTreeMap<IpAddr, HostState>,
+    /// What each host sends through.
+    uplinks: BTreeMap<IpAddr, Arc<Uplink>>,
     listeners: BTreeMap<SocketAddr, Incoming>,
     datagrams: BTreeMap<SocketAddr, mpsc::UnboundedSender<Datagram>>,
     /// Addresses at which streams arrive twice, and how much later the second one is.
@@ -53,9 +55,38 @@
     pub(super) receiver: mpsc::UnboundedSender<Datagram>,
 }
 
+/// What a host sends through, to everybody together.
+#[derive(Debug, Default)]
+struct Uplink {
+    state: Mutex<UplinkState>,
+}
+
+#[derive(Debug, Default)]
+struct UplinkState {
+    /// Unlimited if absent.
+    bytes_per_second: Option<u32>,
+    /// When everything has left that was given to it so far.
+    free_at: Option<Instant>,
+}
+
+impl Uplink {
+    /// Takes `bytes` in turn; tells when the last of them has left.
+    fn send(&self, bytes: usize) -> Instant {
+        let now = Instant::now();
+        let mut state = self.state.lock();
+        let Some(bytes_per_second) = state.bytes_per_second else { return now };
+        let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
+        let sending = Duration::from_secs_f64(f64::from(bytes) / f64::from(bytes_per_second));
+        let left_at = state.free_at.unwrap_or(now).max(now) + sending;
+        state.free_at = Some(left_at);
+        left_at
+    }
+}
+
 /// One direction between two hosts.
 #[derive(Debug)]
 pub(super) struct LinkState {
+    uplink: Arc<Uplink>,
     blocked: watch::Sender<bool>,
     cut: Mutex<bool>,
     delay: Mutex<Duration>,
@@ -85,8 +116,9 @@
         *self.delay.lock() + Duration::from_micros(jitter)
     }
 
-    pub(super) fn delivery_time(&self) -> Instant {
-        Instant::now() + self.draw_delay()
+    /// When `bytes` that are sent now arrive.
+    pub(super) fn delivery_time(&self, bytes: usize) -> Instant {
+        self.uplink.send(bytes) + self.draw_delay()
     }
 
     pub(super) fn count(&self, bytes: usize) {
@@ -101,6 +133,7 @@
             delay_between,
             links: BTreeMap::new(),
             hosts: BTreeMap::new(),
+            uplinks: BTreeMap::new(),
             listeners: BTreeMap::new(),
             datagrams: BTreeMap::new(),
             doubled: BTreeMap::new(),
@@ -167,6 +200,14 @@
         *link.delay.lock() = link.base_delay + Duration::from_millis(extra.0);
     }
 
+    pub(super) fn set_bandwidth(&mut self, host: IpAddr, bytes_per_second: u32) {
+        self.uplink(host).state.lock().bytes_per_second = Some(bytes_per_second);
+    }
+
+    fn uplink(&mut self, host: IpAddr) -> Arc<Uplink> {
+        Arc::clone(self.uplinks.entry(host).or_default())
+    }
+
     pub(super) fn set_doubled(&mut self, address: SocketAddr, later: Option<Millis>) {
         match later {
             Some(later) => self.doubled.insert(address, Duration::from_millis(later.0)),
@@ -184,6 +225,7 @@
         }
         let base_delay = Duration::from_millis((self.delay_between)(from, to).0);
         let link = Arc::new(LinkState {
+            uplink: self.uplink(from),
             blocked: watch::Sender::new(self.is_frozen(from) || self.is_frozen(to)),
             cut: Mutex::new(false),
             delay: Mutex::new(base_delay),
--- a/testing/network/src/lib.rs
+++ b/testing/network/src/lib.rs
@@ -1,4 +1,4 @@
-//! In-memory links on tokio's paused clock: delay, cut, freeze, kill.
+//! In-memory links on tokio's paused clock: delay, bandwidth, cut, freeze, kill.
 //!
 //! One [`SimNetwork`] holds all hosts of a run; a host is an IP address. A stream delivers each written chunk
 //! after the delay of its link, in order. While a link is cut or a host frozen, chunks wait and come late when
@@ -88,6 +88,11 @@
         self.fabric.lock().set_extra_delay(from, to, extra);
     }
 
+    /// Lets the streams from `host`, all together, carry no more than so many bytes a second.
+    pub fn limit_bandwidth(&self, host: IpAddr, bytes_per_second: u32) {
+        self.fabric.lock().set_bandwidth(host, bytes_per_second);
+    }
+
     /// Lets every stream that is opened to `address` from now on arrive twice: what is written to it also goes over a
     /// second stream, later by the given time, whose answers nobody sees. `None` ends it.
     pub fn double(&self, address: SocketAddr, later: Option<Millis>) {
--- a/testing/network/src/stream.rs
+++ b/testing/network/src/stream.rs
@@ -230,7 +230,7 @@
         let count = bytes.len().min(room);
         if count > 0 {
             let written = Bytes::copy_from_slice(&bytes[..count]);
-            let delivery_time = self.write_link.delivery_time();
+            let delivery_time = self.write_link.delivery_time(count);
             pipe.push(delivery_time, written.clone());
             self.write_link.count(count);
             if let Some(copy) = &self.copy {
@@ -255,7 +255,7 @@
         let mut pipe = self.write.lock();
         if !pipe.ended {
             pipe.ended = true;
-            pipe.push(self.write_link.delivery_time(), Bytes::new());
+            pipe.push(self.write_link.delivery_time(0), Bytes::new());
         }
         drop(pipe);
         if let Some(copy) = &self.copy {
