Run the demo on the daemon, and tell how far a version has come by the nodes that are heard

Cause: the demo, the README's first command, failed since the command line runs the new daemon: it wrote the old engine's settings (localities, platform, overlay, drain), so no node started (run before the change: exit 1, archive-1 did not get ready). Ruled out: waiting for silent nodes, since nobody can tell a dead one from one cut off, and each fetches the newest version before it is ready again. Change: settings of the demo by the daemon's names, no seeds and no machine list; progress counts the nodes that are heard and tells the silent ones as a number of their own; control bytes, calls to the store and the reader's role are counted again, which nothing did since the change of engines.

--- a/crates/daemon/src/configuration/actor.rs
+++ b/crates/daemon/src/configuration/actor.rs
@@ -12,10 +12,10 @@
 use umberpond_distribution::{Held, HeldConfiguration, Holders, Transfer, TransferError, Versioned};
 use umberpond_model::Version;
 use umberpond_net::Network;
-use umberpond_telemetry::{Event, Telemetry};
+use umberpond_telemetry::{Direction, Event, Telemetry};
 
 use super::activation::Activation;
-use super::peers::{Fetched, fetch};
+use super::peers::{Fetched, TRANSFER, fetch};
 use super::source::Sourced;
 use crate::membership::MembershipMessage;
 
@@ -148,6 +148,7 @@
     }
 
     fn receive(&self, bytes: &[u8]) -> Result<Option<Versioned>, TransferError> {
+        self.telemetry.metrics().control(Direction::In, TRANSFER, bytes.len());
         self.held.receive(Transfer::from_bytes(bytes)?)
     }
 
--- a/crates/daemon/src/configuration/peers.rs
+++ b/crates/daemon/src/configuration/peers.rs
@@ -16,7 +16,7 @@
 use tokio::time::timeout;
 use umberpond_distribution::Held;
 use umberpond_net::{BoxListener, BoxStream, FrameError, FrameReader, FrameWriter, Network};
-use umberpond_telemetry::{Event, Telemetry};
+use umberpond_telemetry::{Direction, Event, Metrics, Telemetry};
 
 use super::actor::ConfigurationMessage;
 
@@ -55,6 +55,9 @@
     Busy,
 }
 
+/// Kind of message in the figures.
+pub(super) const TRANSFER: &str = "configuration";
+
 /// What came of asking another node.
 #[derive(Debug)]
 pub(crate) enum Fetched {
@@ -116,7 +119,8 @@
                 let (configuration, telemetry) = (configuration.clone(), telemetry.clone());
                 let long_answers = Arc::clone(&long_answers);
                 connections.spawn(async move {
-                    let answered = timeout(EXCHANGE_TIME, answer(stream, configuration, &long_answers)).await;
+                    let answering = answer(stream, configuration, &long_answers, telemetry.metrics());
+                    let answered = timeout(EXCHANGE_TIME, answering).await;
                     if let Ok(Err(error)) = answered {
                         telemetry.emit(Event::ControlMessageRefused { reason: error.to_string() });
                     }
@@ -132,6 +136,7 @@
     stream: BoxStream,
     configuration: ActorRef<ConfigurationMessage>,
     long_answers: &Semaphore,
+    metrics: &Metrics,
 ) -> Result<(), FrameError> {
     let (reader, writer) = tokio::io::split(stream);
     let mut reader: FrameReader<ReadHalf<BoxStream>, PeerQuestion> = FrameReader::new(reader);
@@ -144,6 +149,7 @@
     if is_long && permit.is_none() {
         return writer.send(&PeerAnswer::Busy).await.map(drop);
     }
+    metrics.control(Direction::Out, TRANSFER, encoded.len());
     send_in_parts(&mut writer, &encoded).await?;
     // The answer has left this machine when the other node, which has the whole of it, ends the connection.
     let _ = timeout(PART_TIME, reader.next()).await;
--- a/crates/daemon/src/configuration/reader.rs
+++ b/crates/daemon/src/configuration/reader.rs
@@ -82,6 +82,7 @@
         }
         self.is_reader = is_reader;
         let role = "store-reader";
+        self.task.telemetry.metrics().set_role(role, is_reader);
         self.task.telemetry.emit(if is_reader {
             Event::RoleGained { role }
         } else {
@@ -92,7 +93,8 @@
     /// Reads everything the first time, and what has changed from then on.
     async fn read_on(&mut self) -> Result<(), SourceError> {
         let Some(position) = self.position else { return self.read_whole().await };
-        match self.task.source.wait(position, LONGEST_WAIT).await? {
+        let waited = self.task.source.wait(position, LONGEST_WAIT).await;
+        match self.counted("wait", waited)? {
             Waited::Changed(sourced, position) => {
                 self.position = Some(position);
                 self.heard(Some(*sourced));
@@ -111,7 +113,8 @@
 
     /// A wait may have missed a change: if history has moved on, everything is read anew.
     async fn confirm(&mut self, position: Position) -> Result<(), SourceError> {
-        let present = self.task.source.position().await?;
+        let present = self.task.source.position().await;
+        let present = self.counted("position", present)?;
         if present > position {
             return self.read_whole().await;
         }
@@ -120,12 +123,24 @@
     }
 
     async fn read_whole(&mut self) -> Result<(), SourceError> {
-        let (sourced, position) = self.task.source.read().await?;
+        let read = self.task.source.read().await;
+        let (sourced, position) = self.counted("read", read)?;
         self.position = Some(position);
         self.heard(sourced);
         Ok(())
     }
 
+    /// Counts a call to the store by what came of it.
+    fn counted<T>(&self, operation: &'static str, result: Result<T, SourceError>) -> Result<T, SourceError> {
+        let outcome = match &result {
+            Ok(_) => "answered",
+            Err(SourceError::Unavailable { .. }) => "unavailable",
+            Err(SourceError::Unreadable { .. }) => "unreadable",
+        };
+        self.task.telemetry.metrics().platform_request(operation, outcome);
+        result
+    }
+
     fn heard(&self, sourced: Option<super::source::Sourced>) {
         let _ = self.task.membership.send_message(MembershipMessage::StoreHeard);
         if let Some(sourced) = sourced {
--- a/crates/daemon/src/membership/actor.rs
+++ b/crates/daemon/src/membership/actor.rs
@@ -110,7 +110,7 @@
         state: &mut Self::State,
     ) -> Result<(), ActorProcessingErr> {
         let outgoing = state.on_message(message);
-        send(&state.socket, &outgoing);
+        send(&state.socket, &outgoing, state.telemetry.metrics());
         state.tell_changes();
         Ok(())
     }
--- a/crates/daemon/src/membership/datagrams.rs
+++ b/crates/daemon/src/membership/datagrams.rs
@@ -7,19 +7,23 @@
 use tokio::time::sleep;
 use umberpond_membership::{Heartbeat, Outgoing};
 use umberpond_net::BoxDatagrams;
-use umberpond_telemetry::{Event, Telemetry};
+use umberpond_telemetry::{Direction, Event, Metrics, Telemetry};
 
 use super::actor::MembershipMessage;
 
+/// Kind of message in the figures.
+const HEARTBEAT: &str = "heartbeat";
 /// Longest datagram, in bytes; a heartbeat stays well below it.
 const MAX_DATAGRAM: usize = 8 * 1024;
 /// Pause after a failed receive.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(20);
 
 /// Sends heartbeats.
-pub(super) fn send(socket: &BoxDatagrams, outgoing: &[Outgoing]) {
+pub(super) fn send(socket: &BoxDatagrams, outgoing: &[Outgoing], metrics: &Metrics) {
     for Outgoing { to, heartbeat } in outgoing {
-        socket.send(&bitcode::encode(heartbeat), *to);
+        let bytes = bitcode::encode(heartbeat);
+        metrics.control(Direction::Out, HEARTBEAT, bytes.len());
+        socket.send(&bytes, *to);
     }
 }
 
@@ -35,6 +39,7 @@
             sleep(RECEIVE_PAUSE).await;
             continue;
         };
+        telemetry.metrics().control(Direction::In, HEARTBEAT, length);
         match bitcode::decode::<Heartbeat>(&buffer[..length]) {
             Ok(heartbeat) => {
                 let message = MembershipMessage::Heartbeat { from: sender, heartbeat: Box::new(heartbeat) };
--- a/crates/operator/src/admin/api.rs
+++ b/crates/operator/src/admin/api.rs
@@ -126,13 +126,15 @@
 pub struct Progress {
     /// The version.
     pub version: Version,
-    /// All nodes known, the asked one included.
+    /// Nodes that are heard, the asked one included.
     pub nodes: u32,
-    /// Nodes in which this version or a later one is in force.
+    /// Those of them in which this version or a later one is in force.
     pub active: u32,
     /// Whether it is in force on all of them.
     pub everywhere: bool,
-    /// Some of the nodes in which it is not.
+    /// Nodes that are not heard: down, or cut off. They fetch the newest version before they are ready again.
+    pub silent: u32,
+    /// Some of the nodes that are heard and in which it is not in force.
     pub behind: Vec<MemberStatus>,
 }
 
--- a/crates/operator/src/admin/status.rs
+++ b/crates/operator/src/admin/status.rs
@@ -1,7 +1,7 @@
 //! State of a node, and how far a version has come.
 
 use http::StatusCode;
-use umberpond_membership::{BackEndRecord, BackEndState, MemberView, Reachability};
+use umberpond_membership::{BackEndRecord, BackEndState, MemberPhase, MemberView, Reachability};
 use umberpond_model::Version;
 use umberpond_scheduling::LoadReport;
 
@@ -52,20 +52,23 @@
 
 /// How far `version` has come, as this node sees it.
 pub(super) async fn progress(shared: &AdminShared, version: Version) -> Answer {
-    let members = shared.daemon.members().await;
     let is_active = |active: Option<Version>| active.is_some_and(|active| active >= version);
-    let mut others = members.iter().map(member).filter(|member| !is_active(member.version));
-    let behind: Vec<MemberStatus> = others.by_ref().take(MAX_BEHIND).collect();
-    let behind_count = behind.len() + others.count();
-    let nodes = members.len() + 1;
+    let mut members = shared.daemon.members().await;
+    members.retain(|member| member.record.phase != MemberPhase::Left);
+    let (silent, heard): (Vec<MemberView>, Vec<MemberView>) =
+        members.into_iter().partition(|member| member.reachability == Reachability::Silent);
+    let behind: Vec<&MemberView> =
+        heard.iter().filter(|member| !is_active(member.configuration.version)).collect();
+    let nodes = heard.len() + 1;
     let own_behind = usize::from(!is_active(active(shared)));
-    let active_count = nodes - behind_count - own_behind;
+    let active_count = nodes - behind.len() - own_behind;
     let progress = Progress {
         version,
         nodes: count(nodes),
         active: count(active_count),
         everywhere: active_count == nodes,
-        behind,
+        silent: count(silent.len()),
+        behind: behind.into_iter().take(MAX_BEHIND).map(member).collect(),
     };
     Answer::json(StatusCode::OK, &progress)
 }
--- a/crates/umberpond/src/cli/status.rs
+++ b/crates/umberpond/src/cli/status.rs
@@ -79,8 +79,11 @@
 }
 
 fn progress_text(progress: &Progress) -> String {
-    let Progress { version, nodes, active, .. } = progress;
+    let Progress { version, nodes, active, silent, .. } = progress;
     let mut text = format!("version {version}: in force on {active} of {nodes} nodes");
+    if *silent > 0 {
+        let _ = write!(text, "; {silent} more are not heard");
+    }
     text.push_str(&members_text(&progress.behind));
     text
 }
--- a/xtask/src/demo/layout.rs
+++ b/xtask/src/demo/layout.rs
@@ -28,17 +28,14 @@
     pub service: &'static str,
     /// Zone it runs in.
     pub zone: &'static str,
-    /// Whether it is an edge.
-    pub is_edge: bool,
 }
 
 const fn back_end(name: &'static str, service: &'static str, zone: &'static str) -> Placement {
-    Placement { name, service, zone, is_edge: false }
+    Placement { name, service, zone }
 }
 
 /// The node where callers enter.
-pub const EDGE: Placement =
-    Placement { name: "web-1", service: CALLER_SERVICE, zone: "hall-1", is_edge: true };
+pub const EDGE: Placement = Placement { name: "web-1", service: CALLER_SERVICE, zone: "hall-1" };
 
 /// Every node beside a back end. `billing-4` runs where the bundle allows no billing, and so must never get work.
 pub const BACK_ENDS: [Placement; 12] = [
@@ -56,9 +53,6 @@
     back_end("solver-4", "solver", "hall-3"),
 ];
 
-/// The first nodes, one a zone; the others find the overlay by them.
-pub const SEED_NODES: usize = 3;
-
 /// Node that is stopped as planned.
 pub const DRAINED: &str = "solver-2";
 
--- a/xtask/src/demo/mesh.rs
+++ b/xtask/src/demo/mesh.rs
@@ -6,9 +6,8 @@
 
 use tokio::time::{Instant, sleep};
 use umberpond_standins::backend::Ledger;
-use umberpond_standins::platform::Machine;
 
-use super::layout::{BACK_ENDS, EDGE, Placement, REGION, SEED_NODES};
+use super::layout::{BACK_ENDS, EDGE, Placement};
 use super::metrics;
 use super::node::NodeProcess;
 use super::programs::Programs;
@@ -51,14 +50,9 @@
             back_ends.insert(placement.name, Standin::back_end(programs, placement, scratch).await?);
         }
         let mut mesh = Self { platform, back_ends, nodes: BTreeMap::new(), started: Instant::now() };
-        let mut seeds = Vec::new();
         for placement in BACK_ENDS.iter().chain([&EDGE]) {
-            let node = mesh.start_node(programs, *placement, &seeds, scratch).await?;
-            if seeds.len() < SEED_NODES {
-                seeds.push(node.addresses.control);
-            }
+            let node = mesh.start_node(programs, *placement, scratch).await?;
             mesh.nodes.insert(placement.name, node);
-            mesh.publish_machines().await?;
         }
         Ok(mesh)
     }
@@ -193,29 +187,15 @@
         &self,
         programs: &Programs,
         placement: Placement,
-        seeds: &[SocketAddr],
         scratch: &ScratchDirectory,
     ) -> Result<NodeProcess, XtaskError> {
         let surroundings = Surroundings {
-            platform: self.platform.address,
+            store: self.platform.address,
             back_end: self.back_ends.get(placement.name).map(|back_end| back_end.address),
-            seeds,
             seal_key_file: None,
         };
         NodeProcess::start(&programs.umberpond, placement, surroundings, scratch).await
     }
-
-    async fn publish_machines(&self) -> Result<(), XtaskError> {
-        let machine = |node: &NodeProcess| Machine {
-            node: node.placement.name.to_owned(),
-            region: REGION.to_owned(),
-            zone: node.placement.zone.to_owned(),
-            control: node.addresses.control,
-            leaving: false,
-        };
-        let machines: Vec<Machine> = self.nodes.values().map(machine).collect();
-        self.platform.set_machines(&machines).await
-    }
 }
 
 /// Stops one process by SIGTERM and waits for its end; one that does not end is killed when dropped.
--- a/xtask/src/demo/node.rs
+++ b/xtask/src/demo/node.rs
@@ -21,8 +21,6 @@
     pub outbound: SocketAddr,
     /// Operators and metrics.
     pub admin: SocketAddr,
-    /// Control connections.
-    pub control: SocketAddr,
 }
 
 /// A running node.
@@ -74,7 +72,7 @@
     /// Fails when it does not answer.
     pub async fn active_version(&self) -> Result<Option<u64>, XtaskError> {
         let status: serde_json::Value = self.admin().get_json("/v1/status").await?;
-        Ok(status.pointer("/versions/active").and_then(serde_json::Value::as_u64))
+        Ok(status.pointer("/version").and_then(serde_json::Value::as_u64))
     }
 
     /// Whether it says that it takes requests.
@@ -89,7 +87,6 @@
 struct OpenListeners {
     outbound: Option<SocketAddr>,
     admin: Option<SocketAddr>,
-    control: Option<SocketAddr>,
 }
 
 impl OpenListeners {
@@ -99,9 +96,8 @@
         match name.as_str() {
             "outbound" => self.outbound = address,
             "admin" => self.admin = address,
-            "control" => self.control = address,
             _ => {}
         }
-        Some(NodeAddresses { outbound: self.outbound?, admin: self.admin?, control: self.control? })
+        Some(NodeAddresses { outbound: self.outbound?, admin: self.admin? })
     }
 }
--- a/xtask/src/demo/settings.rs
+++ b/xtask/src/demo/settings.rs
@@ -23,31 +23,30 @@
 #[serde(rename_all = "kebab-case")]
 struct SettingsFile<'a> {
     node: NodeTable<'a>,
-    localities: BTreeMap<&'a str, &'a [&'a str]>,
+    zones: BTreeMap<&'a str, &'a str>,
     listen: ListenTable,
     #[serde(skip_serializing_if = "Option::is_none")]
     back_end: Option<BackEndTable>,
-    platform: AddressTable,
-    overlay: OverlayTable<'a>,
+    store: AddressTable,
     #[serde(skip_serializing_if = "Option::is_none")]
     secrets: Option<SecretsTable<'a>>,
+    stop: StopTable,
     log: LogTable,
-    drain: DrainTable,
 }
 
 #[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
 struct NodeTable<'a> {
     name: &'a str,
     service: &'a str,
-    edge: bool,
     region: &'a str,
     zone: &'a str,
+    first_start: bool,
 }
 
 #[derive(Serialize)]
 struct ListenTable {
-    #[serde(skip_serializing_if = "Option::is_none")]
-    inbound: Option<SocketAddr>,
+    inbound: SocketAddr,
     outbound: SocketAddr,
     admin: SocketAddr,
     control: SocketAddr,
@@ -65,11 +64,6 @@
     address: SocketAddr,
 }
 
-#[derive(Serialize)]
-struct OverlayTable<'a> {
-    seeds: &'a [SocketAddr],
-}
-
 #[derive(Serialize)]
 #[serde(rename_all = "kebab-case")]
 struct SecretsTable<'a> {
@@ -77,25 +71,23 @@
 }
 
 #[derive(Serialize)]
-struct LogTable {
-    format: &'static str,
-    level: &'static str,
+struct StopTable {
+    grace: &'static str,
 }
 
 #[derive(Serialize)]
-struct DrainTable {
-    timeout: &'static str,
+struct LogTable {
+    format: &'static str,
+    level: &'static str,
 }
 
 /// What the settings of a node depend on beside its placement.
 #[derive(Debug, Clone, Copy)]
 pub struct Surroundings<'a> {
-    /// The platform's object API.
-    pub platform: SocketAddr,
-    /// The back end beside the node; absent at an edge.
+    /// The store's object API.
+    pub store: SocketAddr,
+    /// The back end beside the node; absent where callers enter.
     pub back_end: Option<SocketAddr>,
-    /// Control addresses of nodes that run already.
-    pub seeds: &'a [SocketAddr],
     /// File with the service's private seal key, if it has one.
     pub seal_key_file: Option<&'a str>,
 }
@@ -105,23 +97,21 @@
 /// # Errors
 /// Never, in fact: every value has a form in TOML.
 pub fn settings_file(placement: &Placement, surroundings: &Surroundings<'_>) -> Result<String, XtaskError> {
-    let inbound = (!placement.is_edge).then_some(ANY_PORT);
     let file = SettingsFile {
         node: NodeTable {
             name: placement.name,
             service: placement.service,
-            edge: placement.is_edge,
             region: REGION,
             zone: placement.zone,
+            first_start: true,
         },
-        localities: BTreeMap::from([(REGION, ZONES.as_slice())]),
-        listen: ListenTable { inbound, outbound: ANY_PORT, admin: ANY_PORT, control: ANY_PORT },
+        zones: ZONES.iter().map(|zone| (*zone, REGION)).collect(),
+        listen: ListenTable { inbound: ANY_PORT, outbound: ANY_PORT, admin: ANY_PORT, control: ANY_PORT },
         back_end: surroundings.back_end.map(|address| BackEndTable { address, check_interval: "200ms" }),
-        platform: AddressTable { address: surroundings.platform },
-        overlay: OverlayTable { seeds: surroundings.seeds },
+        store: AddressTable { address: surroundings.store },
         secrets: surroundings.seal_key_file.map(|seal_key_file| SecretsTable { seal_key_file }),
+        stop: StopTable { grace: "10s" },
         log: LogTable { format: "json", level: "info" },
-        drain: DrainTable { timeout: "10s" },
     };
     Ok(toml::to_string(&file)?)
 }
