Run whole daemons as the hollow nodes of the scale run

Cause: the scale run and its hollow nodes drove the control half of the old engine, which the program no longer runs, so its figures told nothing of the product. Change: a hollow node is a whole daemon over the chain of versions and the store's directory, without requests; settings by the daemon's names; no seeds, no machine list, no leases, which the daemon does not have.

--- a/testing/hollow/src/error.rs
+++ b/testing/hollow/src/error.rs
@@ -4,8 +4,8 @@
 use std::path::PathBuf;
 
 use thiserror::Error;
+use umberpond_daemon::StartError;
 use umberpond_model::InvalidName;
-use umberpond_node::StartError;
 use umberpond_standins::program::ProgramError;
 
 /// A process of hollow nodes that could not do its work.
--- a/testing/hollow/src/fleet.rs
+++ b/testing/hollow/src/fleet.rs
@@ -3,24 +3,24 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::{Instant, sleep};
-use umberpond_model::{Incarnation, Version};
-use umberpond_net::TcpNetwork;
-use umberpond_node::settings::{
-    AdvertisedAddresses, BackEndConfig, DEFAULT_CHECK_INTERVAL, DEFAULT_DRAIN_TIMEOUT,
-    DEFAULT_FAILURES_TO_UNREADY, Limits, ListenAddresses, LogConfig,
+use tokio::time::sleep;
+use umberpond_daemon::settings::{
+    AdvertisedAddresses, DEFAULT_GRACE, ListenAddresses, LogConfig, NodeConfig,
 };
-use umberpond_node::{ControlNode, Environment, NodeConfig};
+use umberpond_daemon::{Daemon, Environment, Extensions, RunningDaemon};
+use umberpond_forwarding::Dialect;
+use umberpond_model::Version;
+use umberpond_net::{Network, TcpNetwork};
+use umberpond_operator::{ChainSource, StoreDirectory};
+use umberpond_platform::{ClientSettings, GateLimits, ObjectStore, PlatformClient, PlatformGate};
+use umberpond_selection::RetryBudgetSettings;
 use umberpond_telemetry::{Direction, Telemetry};
 
 use crate::activation_log::{ActivationLog, unix_millis};
 use crate::{
     FleetPlan, FleetReport, HollowError, NodeReport, Place, ProcessUsage, Progress, Sample, StartedFleet,
-    StartedNode,
 };
 
-const MICROS_PER_MILLI: u64 = 1_000;
-
 /// Running hollow nodes. Dropping them ends them at once.
 #[derive(Debug)]
 pub struct Fleet {
@@ -31,7 +31,7 @@
 #[derive(Debug)]
 struct HollowNode {
     number: usize,
-    node: ControlNode,
+    _daemon: RunningDaemon,
     log: Arc<ActivationLog>,
     telemetry: Telemetry,
 }
@@ -52,14 +52,10 @@
         Ok(Self { nodes, samples: Vec::new() })
     }
 
-    /// Where the nodes listen.
+    /// Which nodes run.
     #[must_use]
     pub fn started(&self) -> StartedFleet {
-        let started = self.nodes.iter();
-        let started = started
-            .map(|node| StartedNode { number: node.number, control: node.node.addresses().control })
-            .collect();
-        StartedFleet { started }
+        StartedFleet { started: self.nodes.iter().map(|node| node.number).collect() }
     }
 
     /// How far the nodes are.
@@ -84,6 +80,12 @@
         Ok(())
     }
 
+    /// Control bytes of each node at the last sample.
+    #[must_use]
+    pub fn last_control_bytes(&self) -> &[u64] {
+        self.samples.last().map_or(&[], |sample| &sample.control_bytes)
+    }
+
     /// Ends the nodes and tells what was measured.
     #[must_use]
     pub fn finish(self) -> FleetReport {
@@ -98,17 +100,20 @@
         let log = Arc::new(ActivationLog::default());
         let observer: Arc<ActivationLog> = Arc::clone(&log);
         let telemetry = Telemetry::to_observer(observer);
-        let environment = Environment {
-            network: Arc::new(TcpNetwork),
-            seed: number as u64,
-            incarnation: Incarnation(unix_millis() * MICROS_PER_MILLI),
-            started: Instant::now(),
-            telemetry: telemetry.clone(),
+        let network: Arc<dyn Network> = Arc::new(TcpNetwork);
+        let config = node_config(plan, place)?;
+        let gate = PlatformGate::new(GateLimits::default());
+        let client = PlatformClient::new(Arc::clone(&network), plan.store, gate, ClientSettings::default());
+        let store: Arc<dyn ObjectStore> = Arc::new(client.named(config.node.clone()));
+        let extensions = Extensions {
+            source: Arc::new(ChainSource::new(Arc::clone(&store))),
+            directory: Arc::new(StoreDirectory::new(store)),
+            dialect: Dialect::OWN,
         };
-        let config = node_config(plan, number, place)?;
-        let node = ControlNode::start(config, environment).await;
-        let node = node.map_err(|source| HollowError::Start { number, source })?;
-        Ok(Self { number, node, log, telemetry })
+        let environment = Environment { network, seed: number as u64, telemetry: telemetry.clone() };
+        let daemon = Daemon::start(config, environment, extensions).await;
+        let daemon = daemon.map_err(|source| HollowError::Start { number, source })?;
+        Ok(Self { number, _daemon: daemon, log, telemetry })
     }
 
     fn control_bytes(&self) -> u64 {
@@ -121,27 +126,28 @@
     }
 }
 
-/// Settings of a hollow node. The back end only says that it is no edge; nothing ever connects to it.
-fn node_config(plan: &FleetPlan, number: usize, place: Place) -> Result<NodeConfig, HollowError> {
+/// Settings of a hollow node.
+fn node_config(plan: &FleetPlan, place: Place) -> Result<NodeConfig, HollowError> {
     let address = place.address;
     Ok(NodeConfig {
         node: place.node,
         service: place.service,
+        is_first_start: true,
         locality: place.locality,
-        localities: plan.places.topology()?,
-        listen: ListenAddresses { inbound: None, outbound: address, admin: address, control: address },
+        topology: plan.places.topology()?,
+        listen: ListenAddresses {
+            inbound: address,
+            outbound: address,
+            admin: address,
+            control: address,
+            registration: Some(address),
+        },
         advertise: AdvertisedAddresses::default(),
-        back_end: Some(BackEndConfig {
-            address,
-            check_interval: DEFAULT_CHECK_INTERVAL,
-            failures_to_unready: DEFAULT_FAILURES_TO_UNREADY,
-        }),
-        platform: plan.platform,
-        seeds: plan.seeds_of(number),
+        back_end: None,
+        store: plan.store,
         seal_key: None,
-        limits: Limits::default(),
+        retry_budget: RetryBudgetSettings::default(),
         log: LogConfig::default(),
-        drain_timeout: DEFAULT_DRAIN_TIMEOUT,
-        recording_entries: 0,
+        grace: DEFAULT_GRACE,
     })
 }
--- a/testing/hollow/src/lib.rs
+++ b/testing/hollow/src/lib.rs
@@ -1,7 +1,7 @@
-//! Hollow nodes: the control half of many daemons in one process, over loopback TCP, for scale runs.
+//! Hollow nodes: many whole daemons in one process, over loopback sockets, for scale runs.
 //!
-//! A hollow node runs the daemon's own overlay and platform actors ([`umberpond_node::ControlNode`]) and has no request
-//! path. The process counts control bytes of each node and the time at which each version came in force.
+//! A hollow node is the daemon itself with a back end that never says anything, so that it has no requests. The
+//! process counts control bytes of each node and the time at which each version came in force.
 
 mod activation_log;
 mod error;
@@ -15,6 +15,6 @@
 pub use error::HollowError;
 pub use fleet::Fleet;
 pub use places::{Place, Places};
-pub use plan::{FleetPlan, Seed};
-pub use report::{FleetReport, NodeReport, Progress, Sample, StartedFleet, StartedNode};
+pub use plan::FleetPlan;
+pub use report::{FleetReport, NodeReport, Progress, Sample, StartedFleet};
 pub use usage::ProcessUsage;
--- a/testing/hollow/src/report.rs
+++ b/testing/hollow/src/report.rs
@@ -1,7 +1,5 @@
 //! What a process of hollow nodes tells: lines of JSON on standard output, and one report at the end.
 
-use std::net::SocketAddr;
-
 use serde::{Deserialize, Serialize};
 
 use crate::{Activation, ProcessUsage};
@@ -9,17 +7,8 @@
 /// The first line: every node listens.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StartedFleet {
-    /// The nodes.
-    pub started: Vec<StartedNode>,
-}
-
-/// One node that listens.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StartedNode {
-    /// Its number.
-    pub number: usize,
-    /// Its control address.
-    pub control: SocketAddr,
+    /// Numbers of the nodes.
+    pub started: Vec<usize>,
 }
 
 /// A line a second: how far the nodes are.
--- a/xtask/src/demo/http.rs
+++ b/xtask/src/demo/http.rs
@@ -55,15 +55,6 @@
         Ok(serde_json::from_slice(response.body())?)
     }
 
-    /// Sends a body and expects success.
-    ///
-    /// # Errors
-    /// Fails when no whole answer comes in time, or the status code is no success.
-    pub async fn put(&self, path: &str, body: impl Into<Bytes>) -> Result<(), XtaskError> {
-        let response = self.send(Method::PUT, path, body.into()).await?;
-        self.expect_success(response).map(|_| ())
-    }
-
     /// Sends a request, whatever the status code of the answer.
     ///
     /// # Errors
--- a/xtask/src/flags.rs
+++ b/xtask/src/flags.rs
@@ -19,9 +19,9 @@
         /// Builds everything, starts real nodes and hollow ones on loopback, changes the configuration while some
         /// of them are killed, and measures them from outside.
         cmd scale {
-            /// Real nodes, each a process with a back end (60).
+            /// Real nodes, each a process with a back end (6).
             optional --real count: usize
-            /// Hollow nodes (2000).
+            /// Hollow nodes (200).
             optional --hollow count: usize
             /// Seconds over which the hollow nodes start (5).
             optional --start-seconds seconds: u64
--- a/xtask/src/scale/course.rs
+++ b/xtask/src/scale/course.rs
@@ -1,6 +1,6 @@
 //! The course of a run: first bundles, changes, kills, the end.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rand::SeedableRng;
@@ -83,7 +83,6 @@
         activation_failures: nodes().map(|node| node.failures).sum(),
         killed_real: killed.real,
         killed_hollow: killed.hollow,
-        lease_holders: counters.lease_holders.values().collect::<BTreeSet<_>>().len(),
         open_watches: counters.open_watches,
         greatest_readers: counters.greatest_readers,
         platform_requests: requests_between(&requests_before, &counters.requests),
--- a/xtask/src/scale/fleet.rs
+++ b/xtask/src/scale/fleet.rs
@@ -7,7 +7,7 @@
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
-use umberpond_hollow::{FleetPlan, FleetReport, Progress, StartedFleet, StartedNode};
+use umberpond_hollow::{FleetPlan, FleetReport, Progress, StartedFleet};
 
 use super::real_node::HowToEnd;
 use crate::error::XtaskError;
@@ -26,7 +26,7 @@
 #[derive(Debug)]
 pub struct FleetProcess {
     /// Its nodes.
-    pub nodes: Vec<StartedNode>,
+    pub nodes: Vec<usize>,
     report: PathBuf,
     progress: Arc<Mutex<Progress>>,
     end: oneshot::Sender<HowToEnd>,
--- a/xtask/src/scale/mesh.rs
+++ b/xtask/src/scale/mesh.rs
@@ -1,12 +1,10 @@
 //! All processes of a scale run.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use tokio::time::{Instant, sleep};
-use umberpond_hollow::{FleetPlan, FleetReport, Sample, Seed};
-use umberpond_model::Locality;
-use umberpond_standins::platform::{CounterReport, Machine};
+use umberpond_hollow::{FleetPlan, FleetReport, Sample};
+use umberpond_standins::platform::CounterReport;
 
 use super::fleet::FleetProcess;
 use super::programs::ScalePrograms;
@@ -33,7 +31,6 @@
     size: Size,
     platform: Standin,
     back_ends: Vec<Standin>,
-    seeds: Vec<Seed>,
     lifetime: Duration,
 }
 
@@ -49,14 +46,12 @@
         scratch: &ScratchDirectory,
     ) -> Result<Self, XtaskError> {
         let platform = Standin::platform(&programs.common.platform, lifetime, scratch).await?;
-        let (real, fleets, back_ends, seeds) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
-        let mut mesh = Self { real, fleets, size, platform, back_ends, seeds, lifetime };
+        let (real, fleets, back_ends) = (Vec::new(), Vec::new(), Vec::new());
+        let mut mesh = Self { real, fleets, size, platform, back_ends, lifetime };
         for number in 0..size.real {
             mesh.start_real(programs, number, scratch).await?;
         }
-        mesh.publish_machines().await?;
         mesh.start_fleets(programs, scratch).await?;
-        mesh.publish_machines().await?;
         Ok(mesh)
     }
 
@@ -105,8 +100,8 @@
         Ok(samples)
     }
 
-    /// Kills `count` real nodes, the last ones started. The machine list goes on naming them, as a platform's does
-    /// for a while.
+    /// Kills `count` real nodes, the last ones started. Their entries stay in the
+    /// store.
     ///
     /// # Errors
     /// Fails when one can't be signalled.
@@ -132,22 +127,6 @@
         Ok(count)
     }
 
-    /// Tells the platform which machines there are.
-    ///
-    /// # Errors
-    /// Fails when it does not answer.
-    pub async fn publish_machines(&self) -> Result<(), XtaskError> {
-        let mut machines = Vec::new();
-        for node in &self.real {
-            machines.push(machine(node.place.node.to_string(), &node.place.locality, node.control));
-        }
-        for node in self.fleets.iter().flat_map(|fleet| &fleet.nodes) {
-            let place = self.size.places.place(node.number)?;
-            machines.push(machine(place.node.to_string(), &place.locality, node.control));
-        }
-        self.platform.set_machines(&machines).await
-    }
-
     /// Ends the hollow processes, then the real nodes, then the stand-ins; tells what the hollow ones measured.
     ///
     /// # Errors
@@ -177,12 +156,9 @@
         let places = self.size.places;
         let place = places.place(number)?;
         let back_end = Standin::back_end(&programs.common.backend, &place, self.lifetime, scratch).await?;
-        let seeds = self.fleet_plan(number, 1).seeds_of(number);
-        let surroundings =
-            Surroundings { platform: self.platform.address, back_end: back_end.address, seeds: &seeds };
+        let surroundings = Surroundings { store: self.platform.address, back_end: back_end.address };
         let program = &programs.common.umberpond;
         let node = RealNode::start(program, &places, number, surroundings, scratch).await?;
-        self.seeds.push(Seed { zone: number % places.zones, control: node.control });
         self.back_ends.push(back_end);
         self.real.push(node);
         Ok(())
@@ -209,14 +185,8 @@
             first,
             count,
             places: self.size.places,
-            platform: self.platform.address,
-            seeds: self.seeds.clone(),
+            store: self.platform.address,
             start_millis: self.size.start_seconds * SECOND_MILLIS,
         }
     }
 }
-
-fn machine(node: String, locality: &Locality, control: SocketAddr) -> Machine {
-    let (region, zone) = (locality.region.to_string(), locality.zone.to_string());
-    Machine { node, region, zone, control, leaving: false }
-}
--- a/xtask/src/scale/real_node.rs
+++ b/xtask/src/scale/real_node.rs
@@ -35,8 +35,6 @@
     pub number: usize,
     /// Its name and zone.
     pub place: Place,
-    /// Where other nodes reach it.
-    pub control: SocketAddr,
     admin: SocketAddr,
     id: u32,
     activations: Arc<Mutex<Vec<Activation>>>,
@@ -62,7 +60,7 @@
         program: &Path,
         places: &Places,
         number: usize,
-        surroundings: Surroundings<'_>,
+        surroundings: Surroundings,
         scratch: &ScratchDirectory,
     ) -> Result<Self, XtaskError> {
         let place = places.place(number)?;
@@ -70,14 +68,13 @@
         let path = scratch.write(&format!("{name}.toml"), settings_file(places, &place, surroundings)?)?;
         let arguments = ["node".to_owned(), "--config".to_owned(), path.display().to_string()];
         let mut process = ChildProcess::start(&name, program, &arguments, scratch)?;
-        let mut listeners = OpenListeners::default();
-        let (admin, control) = process.wait_for_line(START_LIMIT, |line| listeners.read(line)).await?;
+        let admin = process.wait_for_line(START_LIMIT, admin_listener).await?;
         let ended = || XtaskError::NotReady { name, log: process.log().to_owned() };
         let id = process.id().ok_or_else(ended)?;
         let activations = Arc::new(Mutex::new(Vec::new()));
         let (end, ordered) = oneshot::channel();
         let task = tokio::spawn(watch(process, Arc::clone(&activations), ordered));
-        Ok(Self { number, place, control, admin, id, activations, end, task })
+        Ok(Self { number, place, admin, id, activations, end, task })
     }
 
     /// Its admin address.
@@ -147,24 +144,10 @@
     (fields.event == ACTIVATED_EVENT).then_some(fields.version)
 }
 
-/// The listeners that a node's log has told of.
-#[derive(Default)]
-struct OpenListeners {
-    admin: Option<SocketAddr>,
-    control: Option<SocketAddr>,
-}
-
-impl OpenListeners {
-    /// Reads a line of the log; tells the admin and the control address once both are known.
-    fn read(&mut self, line: &str) -> Option<(SocketAddr, SocketAddr)> {
-        let OpenListener { name, address } = node_log::open_listener(line)?;
-        match name.as_str() {
-            "admin" => self.admin = address,
-            "control" => self.control = address,
-            _ => {}
-        }
-        Some((self.admin?, self.control?))
-    }
+/// The admin address, if `line` tells of it.
+fn admin_listener(line: &str) -> Option<SocketAddr> {
+    let OpenListener { name, address } = node_log::open_listener(line)?;
+    if name == "admin" { address } else { None }
 }
 
 /// Sum of the control bytes in a page of metrics, both directions.
--- a/xtask/src/scale/report.rs
+++ b/xtask/src/scale/report.rs
@@ -37,9 +37,7 @@
     pub killed_real: usize,
     /// Hollow nodes that were killed, all of one process.
     pub killed_hollow: usize,
-    /// Nodes that hold a reader lease at the end of the measured time.
-    pub lease_holders: usize,
-    /// Watches open at the platform at the end of the measured time; a reader has two.
+    /// Watches open at the store at the end of the measured time; a reader has one.
     pub open_watches: u64,
     /// Most distinct readers of the platform in any ten seconds, start included; told apart by the name that they
     /// give, or else by their address, so that daemons that give no name count as one.
@@ -90,8 +88,8 @@
         let requests: u64 = self.platform_requests.values().sum();
         writeln!(
             formatter,
-            "{:<30} {} lease holders, {} open watches, {} readers by name or address, {requests} requests",
-            "platform", self.lease_holders, self.open_watches, self.greatest_readers
+            "{:<30} {} open watches, {} readers by name or address, {requests} requests",
+            "store", self.open_watches, self.greatest_readers
         )?;
         for (name, count) in &self.platform_requests {
             writeln!(formatter, "  {name:<28} {count}")?;
--- a/xtask/src/scale/settings.rs
+++ b/xtask/src/scale/settings.rs
@@ -1,6 +1,6 @@
 //! The settings file of one real node.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 
 use serde::Serialize;
@@ -16,20 +16,21 @@
 #[serde(rename_all = "kebab-case")]
 struct SettingsFile<'a> {
     node: NodeTable<'a>,
-    localities: BTreeMap<RegionName, BTreeSet<ZoneName>>,
+    zones: BTreeMap<ZoneName, RegionName>,
     listen: ListenTable,
     back_end: AddressTable,
-    platform: AddressTable,
-    overlay: OverlayTable<'a>,
+    store: AddressTable,
     log: LogTable,
 }
 
 #[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
 struct NodeTable<'a> {
     name: &'a str,
     service: &'a str,
     region: &'a str,
     zone: &'a str,
+    first_start: bool,
 }
 
 #[derive(Serialize)]
@@ -45,11 +46,6 @@
     address: SocketAddr,
 }
 
-#[derive(Serialize)]
-struct OverlayTable<'a> {
-    seeds: &'a [SocketAddr],
-}
-
 #[derive(Serialize)]
 struct LogTable {
     format: &'static str,
@@ -58,13 +54,11 @@
 
 /// What the settings of a node depend on beside its place.
 #[derive(Debug, Clone, Copy)]
-pub struct Surroundings<'a> {
-    /// The platform's object API.
-    pub platform: SocketAddr,
+pub struct Surroundings {
+    /// The store's object API.
+    pub store: SocketAddr,
     /// The back end beside the node.
     pub back_end: SocketAddr,
-    /// Control addresses of nodes that run already.
-    pub seeds: &'a [SocketAddr],
 }
 
 /// The settings file of the node at `place`, as TOML.
@@ -74,20 +68,22 @@
 pub fn settings_file(
     places: &Places,
     place: &Place,
-    surroundings: Surroundings<'_>,
+    surroundings: Surroundings,
 ) -> Result<String, XtaskError> {
+    let regions = places.topology()?.into_iter();
+    let zones = regions.flat_map(|(region, zones)| zones.into_iter().map(move |zone| (zone, region.clone())));
     let file = SettingsFile {
         node: NodeTable {
             name: place.node.as_str(),
             service: place.service.as_str(),
             region: place.locality.region.as_str(),
             zone: place.locality.zone.as_str(),
+            first_start: true,
         },
-        localities: places.topology()?,
+        zones: zones.collect(),
         listen: ListenTable { inbound: ANY_PORT, outbound: ANY_PORT, admin: ANY_PORT, control: ANY_PORT },
         back_end: AddressTable { address: surroundings.back_end },
-        platform: AddressTable { address: surroundings.platform },
-        overlay: OverlayTable { seeds: surroundings.seeds },
+        store: AddressTable { address: surroundings.store },
         log: LogTable { format: "json", level: "info" },
     };
     Ok(toml::to_string(&file)?)
--- a/xtask/src/scale/size.rs
+++ b/xtask/src/scale/size.rs
@@ -14,8 +14,8 @@
 /// Services of the planned size.
 const MAX_SERVICES: usize = 420;
 
-const DEFAULT_REAL: usize = 60;
-const DEFAULT_HOLLOW: usize = 2_000;
+const DEFAULT_REAL: usize = 6;
+const DEFAULT_HOLLOW: usize = 200;
 const DEFAULT_SECONDS: u64 = 60;
 const DEFAULT_CHANGES_PER_SECOND: f64 = 1.0;
 const DEFAULT_PER_PROCESS: usize = 100;
@@ -47,7 +47,7 @@
     fn from(options: &Scale) -> Self {
         let real = options.real.unwrap_or(DEFAULT_REAL).max(1);
         let hollow = options.hollow.unwrap_or(DEFAULT_HOLLOW);
-        // The real nodes stand in as many zones as they can, so that a seed is known in each.
+        // The real nodes, through which changes are submitted, stand in as many zones as they can.
         let zones = ZONES.min(real);
         let services = (real + hollow).div_ceil(zones).clamp(2, MAX_SERVICES);
         Self {
