Remove the old engine, and what else the platform's store makes needless

Cause: two engines stood in the tree; the old one (versions, overlay, endpoints, balance, admission, proxy, node) was reached by nothing but its own tests since the demo, the scale run and the simulation run the daemon. From acceptance go witnesses, their replacement and history, the chores that kept them and the head watch (ChainSource watches now); records have schema 3. The client's leases and machine list go, and the records of the old overlay. 25 events that nothing tells any more leave the catalogue; their numbers stay reserved. crates/platform is crates/store now, so that 'platform' means the users' one only. New: became-ready and became-unready are told, and the gauge with them; both had been declared and never told. The sidecar's program does not change but for the two events, so no start-up or memory was measured anew. The stand-in of the product's store still serves leases and a machine list, which is its published protocol.

--- a/crates/acceptance/src/acceptor.rs
+++ b/crates/acceptance/src/acceptor.rs
@@ -9,26 +9,18 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::sync::Semaphore;
 use tokio::time::{Instant, timeout_at};
-use umberpond_model::{BundleName, NodeName, SubmissionId, Version};
-use umberpond_platform::{BackoffSettings, ObjectStore};
+use umberpond_model::{BundleName, SubmissionId};
+use umberpond_store::{BackoffSettings, ObjectStore};
 
 use crate::attempt::Attempt;
 use crate::base::BaseCache;
 use crate::chain::{ChainReader, Search};
 use crate::prepare::Request;
-use crate::replacement::plan;
-use crate::witness_history::WitnessHistory;
-use crate::{
-    AbandonError, Abandonment, Accepted, Change, NotAcceptedReason, ReplacementPlan, ReplacementRefusal,
-    Resolution, Step, SubmitError, WitnessCandidates, WitnessProposal, WitnessReplacement, choose_witnesses,
-};
+use crate::{AbandonError, Abandonment, Accepted, Change, NotAcceptedReason, Resolution, Step, SubmitError};
 
 /// Wall-clock time in milliseconds since the Unix epoch. Written into records for people; decides nothing.
 pub type UnixClock = Arc<dyn Fn() -> u64 + Send + Sync>;
 
-/// The commit index as far as this node knows it. It may lag behind, but must never be ahead of the truth.
-pub type CommitIndex = Arc<dyn Fn() -> Version + Send + Sync>;
-
 /// Limits of an acceptor.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AcceptorSettings {
@@ -61,11 +53,6 @@
 pub struct AcceptorContext {
     /// The platform's objects.
     pub store: Arc<dyn ObjectStore>,
-    /// The machines from which witnesses are chosen.
-    pub candidates: Arc<dyn WitnessCandidates>,
-    /// The commit index known here. While it is lower than the version that changed the witness set last, the
-    /// set stays as it is; a value that lags delays a change and does no other harm.
-    pub commit_index: CommitIndex,
     /// Wall clock for the records.
     pub unix_millis: UnixClock,
     /// Seed of the jitter.
@@ -75,8 +62,6 @@
 /// What the submissions of one node share.
 pub(crate) struct Shared {
     pub(crate) chain: ChainReader,
-    pub(crate) candidates: Arc<dyn WitnessCandidates>,
-    pub(crate) commit_index: CommitIndex,
     pub(crate) unix_millis: UnixClock,
     pub(crate) settings: AcceptorSettings,
     pub(crate) rng: Mutex<ChaCha8Rng>,
@@ -84,26 +69,6 @@
     places: Semaphore,
 }
 
-impl Shared {
-    /// The witnesses of the version after the one that `history` speaks of.
-    pub(crate) fn next_witnesses(&self, history: &WitnessHistory) -> Vec<NodeName> {
-        if history.may_change((self.commit_index)()) {
-            choose_witnesses(&self.candidates.candidates(), &history.current)
-        } else {
-            history.current.clone()
-        }
-    }
-
-    /// Works out an operator's replacement of lost witnesses.
-    pub(crate) fn plan_replacement(
-        &self,
-        history: &WitnessHistory,
-        replacement: &WitnessReplacement,
-    ) -> Result<ReplacementPlan, ReplacementRefusal> {
-        plan(history, (self.commit_index)(), &self.candidates.candidates(), replacement)
-    }
-}
-
 /// Accepts submissions. Cheap to clone; clones share their limits and caches.
 #[derive(Clone)]
 pub struct Acceptor {
@@ -125,8 +90,6 @@
     pub fn new(context: AcceptorContext, settings: AcceptorSettings) -> Self {
         let shared = Shared {
             chain: ChainReader::new(context.store),
-            candidates: context.candidates,
-            commit_index: context.commit_index,
             unix_millis: context.unix_millis,
             settings,
             rng: Mutex::new(ChaCha8Rng::seed_from_u64(context.seed)),
@@ -174,63 +137,16 @@
             Err(SubmitError::NotAccepted { reason, retry_after }) => {
                 Err(AbandonError::NotAbandoned { reason, retry_after })
             }
-            // The others speak of bundles and witnesses, which an abandonment leaves alone.
+            // The others speak of bundles, which an abandonment leaves alone.
             Err(
                 SubmitError::Unknown { .. }
                 | SubmitError::Invalid(_)
                 | SubmitError::NotInForce { .. }
-                | SubmitError::Conflict { .. }
-                | SubmitError::Replacement(_),
+                | SubmitError::Conflict { .. },
             ) => Err(AbandonError::Unknown { submission }),
         }
     }
 
-    /// Replaces witnesses that have ended for good and took the majority of a set with them, by a version without
-    /// any other change. Refuses unless it is forced for the set that the operator has seen.
-    ///
-    /// The risk, if a witness named as lost still runs: see `docs/design/0024-lost-witness-majority.md`.
-    ///
-    /// # Errors
-    /// Returns [`SubmitError::Replacement`] with the reason, or with the plan if it was not forced; otherwise
-    /// [`SubmitError`] as a submission does.
-    pub async fn replace_witnesses(
-        &self,
-        submission: SubmissionId,
-        replacement: WitnessReplacement,
-    ) -> Result<Accepted, SubmitError> {
-        self.settle(submission, &Request::ReplaceWitnesses(replacement)).await
-    }
-
-    /// Appends a version with new witnesses if the present ones are not what [`choose_witnesses`] chooses, and
-    /// the version that changed them last is committed.
-    ///
-    /// # Errors
-    /// Returns [`SubmitError`] as a submission does.
-    pub async fn propose_witnesses(&self, submission: SubmissionId) -> Result<WitnessProposal, SubmitError> {
-        if let Some(history) = self.read_witnesses().await {
-            let chosen = choose_witnesses(&self.shared.candidates.candidates(), &history.current);
-            if chosen == history.current {
-                return Ok(WitnessProposal::Unchanged);
-            }
-            if !history.may_change((self.shared.commit_index)()) {
-                return Ok(WitnessProposal::LastChangeNotCommitted(history.since));
-            }
-        }
-        let accepted = self.settle(submission, &Request::Witnesses).await?;
-        Ok(WitnessProposal::Accepted(Box::new(accepted)))
-    }
-
-    /// The witnesses of the head; `None` if it can't be read within the deadline.
-    async fn read_witnesses(&self) -> Option<WitnessHistory> {
-        let deadline = Instant::now() + self.shared.settings.deadline;
-        let read = async {
-            let seen = self.shared.chain.read_head().await.ok()??;
-            self.shared.chain.read_record(seen.head.record).await.ok()
-        };
-        let object = timeout_at(deadline, read).await.ok()??;
-        Some(WitnessHistory::of(Some(&object.record)))
-    }
-
     /// Looks a submission up in the chain, without changing anything.
     pub async fn resolve(&self, submission: SubmissionId) -> Resolution {
         let deadline = Instant::now() + self.shared.settings.deadline;
--- a/crates/acceptance/src/attempt.rs
+++ b/crates/acceptance/src/attempt.rs
@@ -18,14 +18,13 @@
 use tokio::time::{Instant, sleep, timeout_at};
 use umberpond_config::CheckReport;
 use umberpond_model::{SubmissionId, Version};
-use umberpond_platform::{Backoff, ObjectVersion, PlatformError};
+use umberpond_store::{Backoff, ObjectVersion, PlatformError};
 
 use crate::acceptor::Shared;
 use crate::base::Base;
 use crate::chain::{HeadSeen, Search};
 use crate::prepare::{Circumstances, PrepareError, Prepared, Request, prepare};
 use crate::swap::{swap_head, write_content};
-use crate::witness_history::WitnessHistory;
 use crate::{Accepted, ChainError, NotAcceptedReason, RecordObject, Step, SubmitError, Winner};
 
 /// Wait told to the operator where the platform names none.
@@ -199,30 +198,14 @@
     }
 
     fn prepare(&self, base: &Base) -> Result<Prepared, SubmitError> {
-        let history = WitnessHistory::of(base.record.as_ref().map(|(_, object)| &object.record));
-        let witnesses = self.next_witnesses(history, base.version().next())?;
         let unix_millis = (self.shared.unix_millis)();
-        let circumstances = Circumstances { submission: self.submission, witnesses, unix_millis };
+        let circumstances = Circumstances { submission: self.submission, unix_millis };
         prepare(base, self.request, circumstances).map_err(|error| match error {
             PrepareError::NotInForce { bundle, version } => SubmitError::NotInForce { bundle, version },
             PrepareError::Faulty(report) => self.faulty(base, report),
         })
     }
 
-    /// The witnesses of the next version, `version`.
-    fn next_witnesses(
-        &self,
-        history: WitnessHistory,
-        version: Version,
-    ) -> Result<WitnessHistory, SubmitError> {
-        let Request::ReplaceWitnesses(replacement) = self.request else {
-            let chosen = self.shared.next_witnesses(&history);
-            return Ok(history.followed_by(version, chosen));
-        };
-        let plan = self.shared.plan_replacement(&history, replacement)?;
-        Ok(WitnessHistory { current: plan.witnesses, since: version, previous: plan.previous_witnesses })
-    }
-
     /// A fault that appeared since the submission passed the check comes from whoever won in between.
     fn faulty(&self, base: &Base, report: CheckReport) -> SubmitError {
         let newest = base.record.as_ref().map(|(_, object)| &object.record);
--- a/crates/acceptance/src/chain.rs
+++ b/crates/acceptance/src/chain.rs
@@ -4,12 +4,12 @@
 
 use futures_util::stream::{self, StreamExt, TryStreamExt};
 use umberpond_config::{Delta, Snapshot};
-use umberpond_model::{ContentHash, Head, NodeName, SubmissionId, Version, VersionRecord};
-use umberpond_platform::{ObjectKind, ObjectStore, ObjectVersion};
+use umberpond_model::{ContentHash, Head, SubmissionId, Version, VersionRecord};
+use umberpond_store::{ObjectKind, ObjectStore, ObjectVersion};
 
 use crate::content::Content;
 use crate::encoding::decode;
-use crate::{CHECKPOINT_VERSIONS, ChainError, RecordObject};
+use crate::{CHECKPOINT_VERSIONS, ChainError, Manifest, RecordObject};
 
 /// Name of the one object of kind `head`.
 pub const HEAD_NAME: &str = "head";
@@ -43,8 +43,6 @@
 pub struct WholeConfiguration {
     /// The record.
     pub record: VersionRecord,
-    /// The last witness set that differs from the record's own; empty if none does. Copied from the record.
-    pub previous_witnesses: Vec<NodeName>,
     /// The configuration.
     pub snapshot: Snapshot,
 }
@@ -116,6 +114,14 @@
         self.content.record(hash).await
     }
 
+    /// The manifest whose hash is `hash`: every bundle in force and the hash of its content.
+    ///
+    /// # Errors
+    /// Returns [`ChainError`] if it can't be read.
+    pub async fn read_manifest(&self, hash: ContentHash) -> Result<Manifest, ChainError> {
+        self.content.manifest(hash).await
+    }
+
     /// Reads the record of `version`, searched from `head` backwards, one read per page.
     ///
     /// # Errors
@@ -210,8 +216,7 @@
         if snapshot.content_hash() != object.record.snapshot {
             return Err(ChainError::SnapshotMismatch { version });
         }
-        let previous_witnesses = object.record.previous_witnesses.clone();
-        Ok(WholeConfiguration { record: object.record.clone(), previous_witnesses, snapshot })
+        Ok(WholeConfiguration { record: object.record.clone(), snapshot })
     }
 
     /// The snapshot of version `start`, which has a checkpoint and lies on the page of `object`.
--- a/crates/acceptance/src/collect.rs
+++ b/crates/acceptance/src/collect.rs
@@ -9,7 +9,7 @@
 
 use thiserror::Error;
 use umberpond_model::{ContentHash, Version};
-use umberpond_platform::{ListItem, ObjectKind, ObjectVersion, PlatformError};
+use umberpond_store::{ListItem, ObjectKind, ObjectVersion, PlatformError};
 
 use crate::chain::{ChainReader, HeadSeen};
 use crate::objects::has_checkpoint;
--- a/crates/acceptance/src/content.rs
+++ b/crates/acceptance/src/content.rs
@@ -7,7 +7,7 @@
 use parking_lot::Mutex;
 use umberpond_config::{Bundle, DecodeError, Delta, Snapshot};
 use umberpond_model::ContentHash;
-use umberpond_platform::{ObjectKind, ObjectStore};
+use umberpond_store::{ObjectKind, ObjectStore};
 
 use crate::encoding::decode;
 use crate::{ChainError, Manifest, RecordObject};
--- a/crates/acceptance/src/encoding.rs
+++ b/crates/acceptance/src/encoding.rs
@@ -5,7 +5,7 @@
 use umberpond_config::DecodeError;
 
 /// Schema number of the head, the manifest and the record as this program writes them.
-const SCHEMA: u8 = 2;
+const SCHEMA: u8 = 3;
 
 pub(crate) fn encode<T: Encode>(value: &T) -> Bytes {
     let mut bytes = vec![SCHEMA];
--- a/crates/acceptance/src/error.rs
+++ b/crates/acceptance/src/error.rs
@@ -3,7 +3,7 @@
 use thiserror::Error;
 use umberpond_config::{CheckReport, DecodeError};
 use umberpond_model::{ContentHash, Version};
-use umberpond_platform::PlatformError;
+use umberpond_store::PlatformError;
 
 /// The chain could not be read. Nothing was changed.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
--- a/crates/acceptance/src/lib.rs
+++ b/crates/acceptance/src/lib.rs
@@ -8,29 +8,19 @@
 mod attempt;
 mod base;
 pub mod chain;
-mod chores;
 mod collect;
 mod content;
 mod encoding;
 mod error;
-mod head_watch;
 mod objects;
 mod prepare;
-mod replacement;
 mod submission;
 mod swap;
-mod witness_history;
-mod witnesses;
 
-pub use acceptor::{Acceptor, AcceptorContext, AcceptorSettings, CommitIndex, UnixClock};
-pub use chores::{Chore, ChoreInput, ChoreOutput, ChoreSettings, Chores};
+pub use acceptor::{Acceptor, AcceptorContext, AcceptorSettings, UnixClock};
 pub use collect::{CollectError, CollectReport, CollectSettings, MIN_KEPT_VERSIONS, collect};
 pub use error::ChainError;
-pub use head_watch::{HeadChange, HeadWatch, HeadWatchSettings};
 pub use objects::{CHECKPOINT_VERSIONS, EarlierVersion, Manifest, PAGE_VERSIONS, RecordObject, Step};
-pub use replacement::{ReplacementPlan, ReplacementRefusal, WitnessReplacement};
 pub use submission::{
     AbandonError, Abandonment, Accepted, Change, NotAcceptedReason, Resolution, SubmitError, Winner,
-    WitnessProposal,
 };
-pub use witnesses::{MAX_WITNESSES, WitnessCandidates, choose_witnesses};
--- a/crates/acceptance/src/objects.rs
+++ b/crates/acceptance/src/objects.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use bitcode::{Decode, Encode};
-use umberpond_model::{BundleName, ContentHash, NodeName, SubmissionId, Version, VersionRecord};
+use umberpond_model::{BundleName, ContentHash, SubmissionId, Version, VersionRecord};
 
 /// Versions in one page of the chain. A record lists the versions of its own page that come before it and names
 /// the last record of the page before, so a search reads one record per page.
@@ -36,17 +36,9 @@
         /// Name of the bundle.
         bundle: BundleName,
     },
-    /// Changes the witnesses and nothing else.
-    Witnesses,
     /// Changes nothing. The submission of this version was given up, and can't be accepted any more because
     /// its id stands in the chain.
     Abandon,
-    /// An operator's replacement of a witness set that lost its majority. Commit starts over here: it asks
-    /// nothing of sets that the record does not name.
-    ReplaceWitnesses {
-        /// Witnesses that have ended, as the operator says; sorted.
-        lost: Vec<NodeName>,
-    },
 }
 
 impl Step {
--- a/crates/acceptance/src/prepare.rs
+++ b/crates/acceptance/src/prepare.rs
@@ -9,17 +9,14 @@
 use crate::base::Base;
 use crate::encoding::encode;
 use crate::objects::has_checkpoint;
-use crate::witness_history::WitnessHistory;
-use crate::{RecordObject, Step, WitnessReplacement};
+use crate::{RecordObject, Step};
 
 /// What a submission asks for, with its content encoded once.
 #[derive(Debug, Clone)]
 pub(crate) enum Request {
     Put { name: BundleName, bundle: Arc<Bundle>, bytes: Bytes, hash: ContentHash },
     Withdraw { name: BundleName },
-    Witnesses,
     Abandon,
-    ReplaceWitnesses(WitnessReplacement),
 }
 
 impl Request {
@@ -34,11 +31,7 @@
         match self {
             Self::Put { name, hash, .. } => Step::Put { bundle: name.clone(), content: *hash },
             Self::Withdraw { name } => Step::Withdraw { bundle: name.clone() },
-            Self::Witnesses => Step::Witnesses,
             Self::Abandon => Step::Abandon,
-            Self::ReplaceWitnesses(replacement) => {
-                Step::ReplaceWitnesses { lost: replacement.lost.iter().cloned().collect() }
-            }
         }
     }
 }
@@ -65,7 +58,6 @@
 /// Facts of one try that come from outside.
 pub(crate) struct Circumstances {
     pub(crate) submission: SubmissionId,
-    pub(crate) witnesses: WitnessHistory,
     pub(crate) unix_millis: u64,
 }
 
@@ -90,9 +82,6 @@
         manifest,
         delta,
         snapshot: next.snapshot.content_hash(),
-        witnesses: circumstances.witnesses.current,
-        witnesses_since: circumstances.witnesses.since,
-        previous_witnesses: circumstances.witnesses.previous,
         accepted_at_unix_millis: circumstances.unix_millis,
     };
     let checkpoint =
@@ -119,7 +108,7 @@
             }
             next.bundles.remove(name);
         }
-        Request::Witnesses | Request::Abandon | Request::ReplaceWitnesses(_) => return Ok(next),
+        Request::Abandon => return Ok(next),
     }
     next.snapshot = join(&next.bundles).map_err(PrepareError::Faulty)?;
     Ok(next)
--- a/crates/acceptance/src/submission.rs
+++ b/crates/acceptance/src/submission.rs
@@ -6,7 +6,7 @@
 use umberpond_config::{Bundle, CheckReport};
 use umberpond_model::{BundleName, SubmissionId, Version, VersionRecord};
 
-use crate::{ChainError, ReplacementRefusal};
+use crate::ChainError;
 
 /// What a submission does with the bundle that it names.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -102,9 +102,6 @@
         /// The version that records it.
         version: Version,
     },
-    /// The witnesses were not replaced.
-    #[error("the witnesses were not replaced: {0}")]
-    Replacement(#[from] ReplacementRefusal),
     /// Nothing was accepted.
     #[error("not accepted: {reason}")]
     NotAccepted {
@@ -161,14 +158,3 @@
         submission: SubmissionId,
     },
 }
-
-/// Outcome of a proposal to replace lost witnesses.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum WitnessProposal {
-    /// The witnesses are right as they are.
-    Unchanged,
-    /// The witnesses should change, but this version changed them last and is not known here to be committed.
-    LastChangeNotCommitted(Version),
-    /// A version with new witnesses was accepted.
-    Accepted(Box<Accepted>),
-}
--- a/crates/acceptance/src/swap.rs
+++ b/crates/acceptance/src/swap.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use umberpond_model::ContentHash;
-use umberpond_platform::{ObjectKind, ObjectStore, ObjectVersion, PlatformError};
+use umberpond_store::{ObjectKind, ObjectStore, ObjectVersion, PlatformError};
 
 use crate::chain::HEAD_NAME;
 
--- a/crates/acceptance/tests/acceptance.rs
+++ b/crates/acceptance/tests/acceptance.rs
@@ -15,8 +15,8 @@
 };
 use umberpond_config::DecodeError;
 use umberpond_model::{SubmissionId, Version};
-use umberpond_platform::ObjectKind;
-use umberpond_platform::memory::{Fault, MemoryPlatform};
+use umberpond_store::ObjectKind;
+use umberpond_store::memory::{Fault, MemoryPlatform};
 
 const ID: SubmissionId = SubmissionId(7);
 
--- a/crates/acceptance/tests/collection.rs
+++ b/crates/acceptance/tests/collection.rs
@@ -11,8 +11,8 @@
     ChainError, Change, CollectError, CollectReport, CollectSettings, MIN_KEPT_VERSIONS, collect,
 };
 use umberpond_model::{ServiceName, SubmissionId, Version};
-use umberpond_platform::memory::{Fault, MemoryPlatform, Verb};
-use umberpond_platform::{ObjectKind, ObjectStore};
+use umberpond_store::memory::{Fault, MemoryPlatform, Verb};
+use umberpond_store::{ObjectKind, ObjectStore};
 
 const SETTINGS: CollectSettings = CollectSettings { keep_versions: MIN_KEPT_VERSIONS, grace_versions: 8 };
 
--- a/crates/acceptance/tests/cost.rs
+++ b/crates/acceptance/tests/cost.rs
@@ -7,7 +7,7 @@
 use support::{acceptor, platform_with_mesh, put, service};
 use umberpond_acceptance::CHECKPOINT_VERSIONS;
 use umberpond_acceptance::chain::ChainReader;
-use umberpond_platform::memory::MemoryPlatform;
+use umberpond_store::memory::MemoryPlatform;
 
 /// Versions with that many bundles in force, one service in each.
 async fn grown(bundles: u32) -> MemoryPlatform {
--- a/crates/acceptance/tests/over_http.rs
+++ b/crates/acceptance/tests/over_http.rs
@@ -9,8 +9,8 @@
 use umberpond_acceptance::chain::ChainReader;
 use umberpond_acceptance::{Acceptor, AcceptorSettings};
 use umberpond_net::{Network, TcpNetwork};
-use umberpond_platform::{ClientSettings, GateLimits, PlatformClient, PlatformGate};
 use umberpond_standins::platform::{FaultChange, Platform};
+use umberpond_store::{ClientSettings, GateLimits, PlatformClient, PlatformGate};
 
 /// Each submission loses the answers of one more of its changes than the one before: of none, of one content
 /// object, of all four, and then of the swap as well.
--- a/crates/acceptance/tests/schedules.rs
+++ b/crates/acceptance/tests/schedules.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 use umberpond_acceptance::{AbandonError, Abandonment, Change, SubmitError};
 use umberpond_model::{ContentHash, SubmissionId, Version};
-use umberpond_platform::memory::{Fault, MemoryPlatform, MemoryStore, RequestNote};
+use umberpond_store::memory::{Fault, MemoryPlatform, MemoryStore, RequestNote};
 
 const SCHEDULES: u64 = 400;
 const SEED: u64 = 20_261_202;
--- a/crates/acceptance/tests/support/mod.rs
+++ b/crates/acceptance/tests/support/mod.rs
@@ -11,9 +11,9 @@
 use umberpond_acceptance::chain::ChainReader;
 use umberpond_acceptance::{Acceptor, AcceptorContext, AcceptorSettings, Change};
 use umberpond_config::{Bundle, Origin, RequestClass, Route, RoutePolicy, Service, Sourced};
-use umberpond_model::{BundleName, Head, Locality, LocalityRule, Member, Millis, SubmissionId, Version};
-use umberpond_platform::memory::{Fault, MemoryPlatform, MemoryStore, RequestNote, Verb};
-use umberpond_platform::{ObjectKind, ObjectStore};
+use umberpond_model::{BundleName, Head, LocalityRule, Millis, SubmissionId};
+use umberpond_store::memory::{Fault, MemoryPlatform, MemoryStore, RequestNote, Verb};
+use umberpond_store::{ObjectKind, ObjectStore};
 
 pub fn name<T: std::str::FromStr>(text: &str) -> T
 where
@@ -60,20 +60,8 @@
     Bundle { routes: BTreeMap::from([(name(route), sourced(4, value))]), ..Bundle::default() }
 }
 
-pub fn member(node: &str, zone: &str) -> Member {
-    let locality = Locality { region: name("north"), zone: name(zone) };
-    Member { node: name(node), locality, control: ([127, 0, 0, 1], 1).into() }
-}
-
-/// Three machines in three zones; everything is committed.
 pub fn context(store: impl ObjectStore, seed: u64) -> AcceptorContext {
-    AcceptorContext {
-        store: Arc::new(store),
-        candidates: Arc::new(|| vec![member("n1", "a"), member("n2", "b"), member("n3", "c")]),
-        commit_index: Arc::new(|| Version(u64::MAX)),
-        unix_millis: Arc::new(|| 1),
-        seed,
-    }
+    AcceptorContext { store: Arc::new(store), unix_millis: Arc::new(|| 1), seed }
 }
 
 pub fn acceptor(store: MemoryStore, seed: u64) -> Acceptor {
--- a/crates/daemon/src/configuration/activation.rs
+++ b/crates/daemon/src/configuration/activation.rs
@@ -75,7 +75,7 @@
         if self.outbound.activate(Arc::new(table)).is_err() {
             return false;
         }
-        *active = Some(offered.clone());
+        let is_first = active.replace(offered.clone()).is_none();
         self.telemetry.metrics().set_version(VersionStage::Active, offered.version);
         self.telemetry.emit(Event::VersionActivated {
             version: offered.version,
@@ -83,6 +83,10 @@
             routes: offered.snapshot.routes.len() as u64,
             secrets: offered.snapshot.secrets.len() as u64,
         });
+        if is_first {
+            self.telemetry.metrics().set_ready(true);
+            self.telemetry.emit(Event::BecameReady { version: offered.version });
+        }
         true
     }
 
--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -9,6 +9,7 @@
 use umberpond_telemetry::Event;
 
 use crate::membership::MembershipMessage;
+use crate::readiness::Unready;
 use crate::start::RunningDaemon;
 
 /// Looks at the readiness that callers have to miss before they stay away.
@@ -44,6 +45,8 @@
         let began = Instant::now();
         let telemetry = &self.environment.telemetry;
         telemetry.emit(Event::DrainStarted { timeout_millis: millis(self.config.grace) });
+        telemetry.metrics().set_ready(false);
+        telemetry.emit(Event::BecameUnready { reason: Unready::Stopping.to_string() });
         self.control.leave(began + self.config.grace.saturating_sub(ANSWER_RESERVE));
         tokio::join!(self.retire_back_end(began), self.refuse_late_callers(began));
         let cut = self.wait_until_finished(began).await;
--- a/crates/model/src/record.rs
+++ b/crates/model/src/record.rs
@@ -3,7 +3,7 @@
 use bitcode::{Decode, Encode};
 use serde::{Deserialize, Serialize};
 
-use crate::{ContentHash, NodeName, SubmissionId, Version};
+use crate::{ContentHash, SubmissionId, Version};
 
 /// One accepted version. Immutable; stored on the platform under its content hash.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode, Serialize, Deserialize)]
@@ -20,14 +20,6 @@
     pub delta: ContentHash,
     /// Content hash of the whole snapshot of this version; a delta's result is compared with it.
     pub snapshot: ContentHash,
-    /// Witnesses from this version on. A version may be activated once a majority of its own witnesses and a
-    /// majority of the witnesses of the version before hold it.
-    pub witnesses: Vec<NodeName>,
-    /// The version that changed the witness set last, this one included; [`Version::GENESIS`] if none did.
-    pub witnesses_since: Version,
-    /// The witness set before that change, so the last one that differs from `witnesses`; empty if none did.
-    /// After an operator's replacement of lost witnesses: the set that still has a say, empty if none has.
-    pub previous_witnesses: Vec<NodeName>,
     /// Wall-clock time of acceptance, in milliseconds since the Unix epoch. For people and measurements only.
     pub accepted_at_unix_millis: u64,
 }
--- a/crates/operator/src/admin/configuration.rs
+++ b/crates/operator/src/admin/configuration.rs
@@ -4,17 +4,14 @@
 
 use bytes::Bytes;
 use futures_util::stream::{self, StreamExt, TryStreamExt};
-use umberpond_acceptance::{ChainError, Manifest};
-use umberpond_config::{Bundle, DecodeError};
+use umberpond_acceptance::ChainError;
+use umberpond_config::Bundle;
 use umberpond_model::{BundleName, ContentHash};
-use umberpond_platform::ObjectKind;
+use umberpond_store::ObjectKind;
 
 use super::api::Configuration;
 use super::handler::AdminShared;
 
-/// Schema number in front of the manifest's bytes, as `umberpond_acceptance` writes it.
-const MANIFEST_SCHEMA: u8 = 2;
-
 /// Bundles read at once.
 const CONCURRENT_READS: usize = 4;
 
@@ -26,7 +23,7 @@
     let chain = shared.acceptor.chain();
     let Some(seen) = chain.read_head().await? else { return Ok(Configuration::default()) };
     let record = chain.read_record(seen.head.record).await?;
-    let manifest = read_manifest(shared, record.record.manifest).await?;
+    let manifest = chain.read_manifest(record.record.manifest).await?;
     let bundles: BTreeMap<BundleName, Bundle> = stream::iter(manifest.bundles)
         .map(|(name, hash)| async move { Ok::<_, ChainError>((name, read_bundle(shared, hash).await?)) })
         .buffered(CONCURRENT_READS)
@@ -35,16 +32,6 @@
     Ok(Configuration { version: seen.head.version, bundles })
 }
 
-async fn read_manifest(shared: &AdminShared, hash: ContentHash) -> Result<Manifest, ChainError> {
-    let bytes = read_content(shared, hash).await?;
-    let decoded = match bytes.split_first() {
-        None => Err(DecodeError::Empty),
-        Some((&MANIFEST_SCHEMA, content)) => bitcode::decode(content).map_err(|_| DecodeError::Malformed),
-        Some((&found, _)) => Err(DecodeError::UnknownSchema { found }),
-    };
-    decoded.map_err(|source| ChainError::Content { hash, source })
-}
-
 async fn read_bundle(shared: &AdminShared, hash: ContentHash) -> Result<Bundle, ChainError> {
     let bytes = read_content(shared, hash).await?;
     Bundle::from_bytes(&bytes).map_err(|source| ChainError::Content { hash, source })
--- a/crates/operator/src/admin/handler.rs
+++ b/crates/operator/src/admin/handler.rs
@@ -7,7 +7,7 @@
 use umberpond_acceptance::{Acceptor, AcceptorContext, AcceptorSettings};
 use umberpond_daemon::{HttpAnswer, HttpHandler, HttpQuestion, RunningDaemon};
 use umberpond_model::{BundleName, SubmissionId, Version};
-use umberpond_platform::ObjectStore;
+use umberpond_store::ObjectStore;
 use umberpond_telemetry::Event;
 
 use super::answer::Answer;
@@ -39,13 +39,7 @@
     /// into versions for people only; `seed` draws the waits between tries.
     #[must_use]
     pub fn new(daemon: Arc<RunningDaemon>, store: Arc<dyn ObjectStore>, clock: TimeOfDay, seed: u64) -> Self {
-        let context = AcceptorContext {
-            store: Arc::clone(&store),
-            candidates: Arc::new(Vec::new),
-            commit_index: Arc::new(|| Version::GENESIS),
-            unix_millis: clock,
-            seed,
-        };
+        let context = AcceptorContext { store: Arc::clone(&store), unix_millis: clock, seed };
         let acceptor = Acceptor::new(context, AcceptorSettings::default());
         Self { shared: AdminShared { daemon, store, acceptor } }
     }
--- a/crates/operator/src/chain_source.rs
+++ b/crates/operator/src/chain_source.rs
@@ -12,7 +12,7 @@
 use umberpond_config::Snapshot;
 use umberpond_daemon::configuration::{ConfigurationSource, Position, SourceError, Sourced, Waited};
 use umberpond_model::{ContentHash, Head, Version};
-use umberpond_platform::{ObjectKind, ObjectStore, Revision, WatchError, WatchEvent, WatchStream};
+use umberpond_store::{ObjectKind, ObjectStore, Revision, WatchError, WatchEvent, WatchStream};
 
 /// Versions that are read step by step; for a larger gap the whole is read.
 const MAX_STEPS: u64 = 64;
--- a/crates/operator/src/collection.rs
+++ b/crates/operator/src/collection.rs
@@ -9,7 +9,7 @@
 use umberpond_acceptance::chain::ChainReader;
 use umberpond_acceptance::{CollectSettings, collect};
 use umberpond_daemon::RunningDaemon;
-use umberpond_platform::ObjectStore;
+use umberpond_store::ObjectStore;
 use umberpond_telemetry::Event;
 
 /// Mean time between two collections of one node.
--- a/crates/operator/src/directory.rs
+++ b/crates/operator/src/directory.rs
@@ -7,7 +7,7 @@
 use futures_util::stream::{self, StreamExt};
 use umberpond_daemon::{DirectoryError, MemberDirectory};
 use umberpond_membership::Introduction;
-use umberpond_platform::{ObjectKind, ObjectStore, PlatformError};
+use umberpond_store::{ObjectKind, ObjectStore, PlatformError};
 
 /// Entries read at a start. Whoever is met tells of the rest.
 const MAX_ENTRIES: usize = 48;
--- a/crates/platform/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,4 +1,4 @@
-//! Client of the platform's object API: versioned objects, watches, leases and the machine list.
+//! Client of the store's object API: versioned objects and watches.
 //!
 //! The platform is the only durable store and bears few readers, so every request of a process passes one
 //! [`PlatformGate`]. Every failed change says whether it may have happened; see [`PlatformError`].
@@ -8,8 +8,6 @@
 mod error;
 mod exchange;
 mod gate;
-mod lease;
-mod machines;
 #[cfg(feature = "testing")]
 pub mod memory;
 mod object;
@@ -20,8 +18,6 @@
 pub use client::{ClientSettings, PlatformClient};
 pub use error::{NotSentCause, PlatformError, UnknownCause};
 pub use gate::{GateLimits, PlatformGate};
-pub use lease::LeaseAnswer;
-pub use machines::{MachineEntry, MachineList};
 pub use object::{ListItem, ListPage, Object, ObjectKind, ObjectVersion, Revision, WatchEvent};
 pub use store::{ObjectStore, WatchStream};
 pub use watch::WatchError;
--- a/crates/platform/src/object.rs
+++ b/crates/store/src/object.rs
@@ -34,8 +34,6 @@
     Status,
     /// What each node writes of itself, so that others find it.
     Nodes,
-    /// The machine list; it can be watched but not written.
-    Machines,
 }
 
 impl ObjectKind {
@@ -47,7 +45,6 @@
             Self::Content => "content",
             Self::Status => "status",
             Self::Nodes => "nodes",
-            Self::Machines => "machines",
         }
     }
 }
--- a/crates/platform/tests/backoff.rs
+++ b/crates/store/tests/backoff.rs
@@ -6,7 +6,7 @@
 use quickcheck::quickcheck;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use umberpond_platform::{Backoff, BackoffSettings};
+use umberpond_store::{Backoff, BackoffSettings};
 
 const SETTINGS: BackoffSettings =
     BackoffSettings { base: Duration::from_millis(100), cap: Duration::from_secs(10) };
--- a/crates/platform/tests/client.rs
+++ b/crates/store/tests/client.rs
@@ -11,7 +11,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
 use tokio::time::{Instant, sleep};
 use umberpond_net::{BoxListener, BoxStream, Network};
-use umberpond_platform::{
+use umberpond_store::{
     ClientSettings, GateLimits, NotSentCause, ObjectKind, ObjectStore, ObjectVersion, PlatformClient,
     PlatformError, PlatformGate, Revision, UnknownCause, WatchError,
 };
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -1,6 +1,9 @@
 //! The catalogue of events. A number is never used twice, nor for another event once it was published.
 //!
-//! Ranges: 1xxx program, 2xxx configuration and overlay, 3xxx endpoints, 4xxx requests, 5xxx platform.
+//! Ranges: 1xxx program, 2xxx configuration and membership, 3xxx back ends, 4xxx requests, 5xxx store. Numbers of events
+//! that are told no longer, never to be used again: 1014, 2001, 2002, 2004, 2010, 2013, 2014, 2015,
+//! 2017, 2018, 2019, 3001, 3002, 3004, 3005, 4001, 4002, 4003,
+//! 4004, 4006, 4007, 5001, 5002, 5005, 5006.
 
 #[macro_use]
 mod declare;
@@ -8,8 +11,7 @@
 use std::net::SocketAddr;
 
 use umberpond_model::{
-    BundleName, ContentHash, EndpointStatus, Incarnation, NodeName, RouteName, SecretName, ServiceName,
-    SubmissionId, Version,
+    BundleName, ContentHash, Incarnation, NodeName, RouteName, SecretName, ServiceName, SubmissionId, Version,
 };
 
 use crate::{CatalogueEntry, Field, FieldValue, Severity};
@@ -21,7 +23,7 @@
     Listening { listener: &'static str, address: SocketAddr }
         = 1002, Info, "listening", "A listener is open.";
     BecameReady { version: Version }
-        = 1003, Info, "became-ready", "A configuration is in force, its version floor is proved and the back end takes work.";
+        = 1003, Info, "became-ready", "A configuration is in force: callers may be sent here.";
     BecameUnready { reason: String }
         = 1004, Warn, "became-unready", "The node is not ready, for the reason given.";
     DrainStarted { timeout_millis: u64 }
@@ -32,8 +34,6 @@
         = 1012, Error, "drain-timed-out", "The drain timeout has passed; the requests still in flight are cut.";
     StoppedAtOnce { cut: u64 }
         = 1013, Warn, "stopped-at-once", "A second signal: the process leaves at once and cuts what is in flight.";
-    ActorFailed { actor: &'static str, reason: String }
-        = 1014, Error, "actor-failed", "A control actor has ended against plan; the process leaves so that it is started afresh.";
     AcceptFailed { listener: &'static str, reason: String }
         = 1015, Warn, "accept-failed", "A connection could not be accepted; the listener stays open.";
     OperatorRequestRefused { status: u16, reason: String }
@@ -46,39 +46,19 @@
     SettingsRefused { reason: String }
         = 1021, Error, "settings-refused", "The settings file has changed and can't be used; nothing changes.";
 
-    // Configuration and overlay
-    VersionHeld { version: Version }
-        = 2001, Debug, "version-held", "A newer version has arrived; it is not in force yet.";
-    VersionCommitted { version: Version }
-        = 2002, Debug, "version-committed", "A majority of the witnesses holds the version, so it may be put in force.";
+    // Configuration and membership
     VersionActivated { version: Version, content: ContentHash, routes: u64, secrets: u64 }
         = 2003, Info, "version-activated", "The version is in force on this node.";
-    FloorProved { version: Version }
-        = 2004, Info, "floor-proved", "No version above this one was in force anywhere before the node started.";
     ActivationFailed { version: Version, reason: String }
         = 2005, Error, "activation-failed", "The version could not be compiled; what was in force stays in force.";
     SecretNotOpened { secret: SecretName, reason: String }
         = 2006, Error, "secret-not-opened", "A secret could not be opened with the node's seal key; routes that need it are refused.";
-    OverlayDecision { decision: String }
-        = 2010, Debug, "overlay-decision", "The overlay has decided something; the recording holds the reason.";
     RoleGained { role: &'static str }
         = 2011, Info, "role-gained", "The node has taken a control role.";
     RoleLost { role: &'static str }
         = 2012, Info, "role-lost", "The node has given a control role up.";
-    ControlConnected { peer: SocketAddr }
-        = 2013, Debug, "control-connected", "A control connection stands.";
-    ControlConnectFailed { peer: SocketAddr, reason: String }
-        = 2014, Debug, "control-connect-failed", "A control connection could not be made.";
-    ControlDisconnected { reason: String }
-        = 2015, Debug, "control-disconnected", "A control connection has ended.";
     ControlMessageRefused { reason: String }
         = 2016, Warn, "control-message-refused", "A peer sent a frame that is no message of this protocol; the connection is closed and nothing changes.";
-    Superseded { by: Incarnation }
-        = 2017, Error, "superseded", "A later process runs under this node's name; this one no longer tells anything about its back end.";
-    WitnessesReplaced { version: Version }
-        = 2018, Info, "witnesses-replaced", "Machines that were witnesses have left or were given up by an operator; a version with others was accepted.";
-    WitnessReplacementRefused { submission: SubmissionId, reason: String }
-        = 2019, Warn, "witness-replacement-refused", "An operator's replacement of lost witnesses was not accepted, or not forced yet.";
     SubmissionAccepted { bundle: BundleName, submission: SubmissionId, version: Version }
         = 2020, Info, "submission-accepted", "A bundle was accepted and became a version.";
     SubmissionRefused { bundle: BundleName, submission: SubmissionId, reason: String }
@@ -97,17 +77,9 @@
     ConfigurationFetchFailed { peer: SocketAddr, reason: String }
         = 2033, Warn, "configuration-fetch-failed", "A newer configuration could not be fetched from another node.";
 
-    // Endpoints
-    OwnStatusChanged { status: EndpointStatus }
-        = 3001, Info, "own-status-changed", "The status of the back end beside this node has changed.";
-    EndpointsChanged { count: u64 }
-        = 3002, Debug, "endpoints-changed", "The endpoint records that this node's callers use have changed.";
+    // Back ends
     BackEndUnhealthy { reason: String }
         = 3003, Warn, "back-end-unhealthy", "The back end failed its health check.";
-    EndpointEjected { endpoint: NodeName }
-        = 3004, Warn, "endpoint-ejected", "An endpoint kept failing and is left out for a while.";
-    EndpointReadmitted { endpoint: NodeName }
-        = 3005, Info, "endpoint-readmitted", "An ejected endpoint takes requests again.";
     BackEndStateChanged { instance: String, state: &'static str }
         = 3010, Info, "back-end-state-changed", "The back end beside this node takes new work, takes none, or has to be asked first.";
     AnnouncementRefused { reason: String }
@@ -115,20 +87,8 @@
 
 
     // Requests
-    RequestAnswered { request: String, status: u16, micros: u64 }
-        = 4001, Debug, "request-answered", "The head of the back end's answer was passed on.";
-    RequestRefused { request: String, reason: &'static str }
-        = 4002, Debug, "request-refused", "A request was refused; it did not run.";
-    OutcomeUnknown { request: String, reason: &'static str }
-        = 4003, Warn, "outcome-unknown", "A request was sent and its answer was lost: it may have run.";
-    AnswerCut { request: String, reason: &'static str }
-        = 4004, Warn, "answer-cut", "An answer broke off; the caller's connection was broken too, so that it can't be taken for whole.";
     DuplicateRefused { request: String }
         = 4005, Info, "duplicate-refused", "A request that was admitted before arrived again and was refused.";
-    AttemptFailed { request: String, attempt: u32, stage: &'static str, failure: &'static str }
-        = 4006, Debug, "attempt-failed", "One attempt of a request failed; the reason decides whether there is another.";
-    RequestRetried { request: String, attempt: u32, reason: &'static str }
-        = 4007, Debug, "request-retried", "A request is sent again, for a reason that makes it safe.";
 
     RequestServed { request: String, route: RouteName, service: ServiceName, node: NodeName, status: u16, attempts: u32, version: Version, total_millis: u64, waited_millis: u64, served_millis: u64 }
         = 4020, Info, "request-served", "A back end's answer was passed on; one of many is logged.";
@@ -143,19 +103,11 @@
     ExchangeLost { request: String, instance: String, reason: &'static str, elapsed_millis: u64 }
         = 4025, Info, "exchange-lost", "A request was handed to the back end and no sound answer came back.";
 
-    // Platform
-    LeaseGranted { lease: String }
-        = 5001, Info, "lease-granted", "The node holds a reader lease.";
-    LeaseLost { lease: String }
-        = 5002, Info, "lease-lost", "The reader lease was refused, lost or given back.";
+    // Store
     PlatformUnavailable { operation: &'static str, reason: String }
         = 5003, Warn, "platform-unavailable", "The platform did not answer; the node goes on with what it has and tries again with backoff.";
     PlatformAvailable {}
         = 5004, Info, "platform-available", "The platform answers again.";
-    WatchStarted { after: u64 }
-        = 5005, Info, "watch-started", "The node watches the head on the platform.";
-    WatchTooOld { oldest: u64 }
-        = 5006, Info, "watch-too-old", "The platform has dropped the watched changes; the whole state is read instead.";
     ObjectUnreadable { object: String, reason: String }
         = 5007, Error, "object-unreadable", "An object on the platform can't be understood; nothing is changed by it.";
     ObjectsCollected { deleted: u64 }
--- a/crates/telemetry/src/entry.rs
+++ b/crates/telemetry/src/entry.rs
@@ -5,8 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 use umberpond_model::{
-    BundleName, ContentHash, EndpointStatus, Incarnation, Locality, NodeName, RouteName, SecretName,
-    ServiceName, SubmissionId, Version,
+    BundleName, ContentHash, Incarnation, Locality, NodeName, RouteName, SecretName, ServiceName,
+    SubmissionId, Version,
 };
 
 /// How much an event matters to an operator.
@@ -129,15 +129,3 @@
         Self::Number(incarnation.0)
     }
 }
-
-impl From<&EndpointStatus> for FieldValue {
-    fn from(status: &EndpointStatus) -> Self {
-        let name = match status {
-            EndpointStatus::Starting => "starting",
-            EndpointStatus::Ready => "ready",
-            EndpointStatus::Draining => "draining",
-            EndpointStatus::Gone => "gone",
-        };
-        Self::Text(name.to_owned())
-    }
-}
--- a/crates/telemetry/src/page.rs
+++ b/crates/telemetry/src/page.rs
@@ -13,7 +13,7 @@
 ";
 
 const RANGES: &[(u16, &str)] =
-    &[(1, "Program"), (2, "Configuration and overlay"), (3, "Endpoints"), (4, "Requests"), (5, "Platform")];
+    &[(1, "Program"), (2, "Configuration and membership"), (3, "Back ends"), (4, "Requests"), (5, "Store")];
 
 const NUMBERS_PER_RANGE: u16 = 1_000;
 
--- a/crates/telemetry/tests/telemetry.rs
+++ b/crates/telemetry/tests/telemetry.rs
@@ -11,11 +11,11 @@
 fn observer_sees_events_in_order_with_typed_fields() {
     let recorder = Arc::new(MemoryRecorder::default());
     let telemetry = Telemetry::to_observer(recorder.clone());
-    telemetry.emit(Event::FloorProved { version: Version(7) });
+    telemetry.emit(Event::BecameReady { version: Version(7) });
     telemetry.emit(Event::BecameUnready { reason: "back end".to_owned() });
 
     let events = recorder.events();
-    assert_eq!(events.iter().map(Event::number).collect::<Vec<_>>(), [2004, 1004]);
+    assert_eq!(events.iter().map(Event::number).collect::<Vec<_>>(), [1003, 1004]);
     assert_eq!(events[0].fields()[0].value, FieldValue::Number(7));
     assert_eq!(events[1].fields()[0].value, FieldValue::Text("back end".to_owned()));
 }
--- a/crates/umberpond/src/cli/node.rs
+++ b/crates/umberpond/src/cli/node.rs
@@ -11,7 +11,7 @@
 use umberpond_net::{Network, TcpNetwork};
 use umberpond_operator::admin::ADMIN_BODY_BYTES;
 use umberpond_operator::{AdminHandler, ChainSource, StoreDirectory, collect_now_and_then};
-use umberpond_platform::{ClientSettings, GateLimits, ObjectStore, PlatformClient, PlatformGate};
+use umberpond_store::{ClientSettings, GateLimits, ObjectStore, PlatformClient, PlatformGate};
 use umberpond_telemetry::{Event, Telemetry};
 
 use super::{Exit, flags};
--- a/testing/hollow/src/fleet.rs
+++ b/testing/hollow/src/fleet.rs
@@ -12,8 +12,8 @@
 use umberpond_model::Version;
 use umberpond_net::{Network, TcpNetwork};
 use umberpond_operator::{ChainSource, StoreDirectory};
-use umberpond_platform::{ClientSettings, GateLimits, ObjectStore, PlatformClient, PlatformGate};
 use umberpond_selection::RetryBudgetSettings;
+use umberpond_store::{ClientSettings, GateLimits, ObjectStore, PlatformClient, PlatformGate};
 use umberpond_telemetry::{Direction, Telemetry};
 
 use crate::activation_log::{ActivationLog, unix_millis};
--- a/testing/sim/src/cluster/chain.rs
+++ b/testing/sim/src/cluster/chain.rs
@@ -7,7 +7,7 @@
 use umberpond_config::Snapshot;
 use umberpond_model::{ContentHash, ServiceName, SubmissionId, Version};
 use umberpond_net::Network;
-use umberpond_platform::{ClientSettings, GateLimits, PlatformClient, PlatformGate};
+use umberpond_store::{ClientSettings, GateLimits, PlatformClient, PlatformGate};
 
 use super::layout;
 
--- a/testing/sim/src/cluster/process.rs
+++ b/testing/sim/src/cluster/process.rs
@@ -15,9 +15,9 @@
 use umberpond_net::Network;
 use umberpond_operator::admin::ADMIN_BODY_BYTES;
 use umberpond_operator::{AdminHandler, ChainSource, StoreDirectory};
-use umberpond_platform::{ClientSettings, GateLimits, ObjectStore, PlatformClient, PlatformGate};
 use umberpond_selection::RetryBudgetSettings;
 use umberpond_standins::backend::{Backend, BackendSettings, FaultChange, Ledger};
+use umberpond_store::{ClientSettings, GateLimits, ObjectStore, PlatformClient, PlatformGate};
 use umberpond_telemetry::Telemetry;
 
 use super::layout::{self, Place};
--- a/testing/standins/tests/platform_client.rs
+++ b/testing/standins/tests/platform_client.rs
@@ -8,13 +8,12 @@
 use bytes::Bytes;
 use futures_util::StreamExt;
 use support::{ANY_PORT, network};
-use umberpond_model::NodeName;
 use umberpond_net::Network;
-use umberpond_platform::{
-    ClientSettings, GateLimits, LeaseAnswer, ObjectKind, ObjectStore, ObjectVersion, PlatformClient,
-    PlatformError, PlatformGate, Revision, WatchError,
+use umberpond_standins::platform::{FaultChange, Platform};
+use umberpond_store::{
+    ClientSettings, GateLimits, ObjectKind, ObjectStore, ObjectVersion, PlatformClient, PlatformError,
+    PlatformGate, Revision, WatchError,
 };
-use umberpond_standins::platform::{FaultChange, Machine, Platform};
 
 async fn fixture() -> (Platform, PlatformClient) {
     let network: Arc<dyn Network> = network();
@@ -68,23 +67,3 @@
     };
     assert!(matches!(too_old, WatchError::TooOld { .. }), "{too_old:?}");
 }
-
-#[tokio::test(start_paused = true)]
-async fn leases_and_machines_are_understood() {
-    let (platform, client) = fixture().await;
-    let (one, two) = (NodeName::new("one").unwrap(), NodeName::new("two").unwrap());
-    let second = Duration::from_secs(1);
-    assert!(matches!(client.acquire_lease("a", &one, second).await, Ok(LeaseAnswer::Granted { .. })));
-    assert!(matches!(client.acquire_lease("a", &two, second).await, Ok(LeaseAnswer::Held { .. })));
-    client.release_lease("a", &one).await.unwrap();
-    assert!(matches!(client.acquire_lease("a", &two, second).await, Ok(LeaseAnswer::Granted { .. })));
-    platform.set_machines(vec![Machine {
-        node: "one".to_owned(),
-        region: "eu-north".to_owned(),
-        zone: "hall-a".to_owned(),
-        control: ANY_PORT,
-        leaving: true,
-    }]);
-    let list = client.machines().await.unwrap();
-    assert_eq!((list.machines[0].node.as_str(), list.machines[0].leaving), ("one", true));
-}
