Add a fault soak with real processes behind proxies; fetch configurations from the address a node tells

Building it showed one fault: a configuration was fetched from the address that a heartbeat's datagram came from, not from the one that its sender advertises, so that behind any other front address (advertise.control) nobody could fetch from that node. Change: cargo xtask soak starts the store's stand-in, seven back ends with their nodes and an edge; a proxy stands before each node's listeners (streams and datagrams) and before each node's way to the store. A seed draws kills, planned stops, pauses, silence, cuts one way, delays, resets, and store faults for one node or all. Checked: calls against the back ends' ledgers (at most once, true refusals, whole own answers, localities), versions per process never back, everything in force 10 s after the last fault, every call answered after that. The fetch goes to the advertised address. Ruled out for now: clocks and disks that misbehave, since nothing here decides by the time of day or keeps anything on disk. Real time: a seed names the faults, not every interleaving.

--- a/crates/daemon/src/membership/actor.rs
+++ b/crates/daemon/src/membership/actor.rs
@@ -172,8 +172,12 @@
         if let Some((node, service)) = self.membership.back_end_of(heartbeat.word.order()) {
             self.outbound.on_report(service, node, heartbeat.load);
         }
-        if let (Some(actor), Some(version)) = (&self.configuration, heartbeat.configuration.version) {
-            let _ = actor.send_message(ConfigurationMessage::Told { version, by: from });
+        // The sender's own word counts, not where its datagram came from: it may stand behind another address.
+        let control = self.membership.control_of(heartbeat.word.order());
+        if let (Some(actor), Some(version), Some(by)) =
+            (&self.configuration, heartbeat.configuration.version, control)
+        {
+            let _ = actor.send_message(ConfigurationMessage::Told { version, by });
         }
         outgoing
     }
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -4,6 +4,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom;
 use umberpond_model::{Incarnation, NodeName, ServiceName, Version};
 use umberpond_scheduling::LoadReport;
 
@@ -100,6 +103,13 @@
         Some((&member.record.node, &member.record.back_end.as_ref()?.service))
     }
 
+    /// Address at which the node whose record has this order takes control connections, by its own word.
+    #[must_use]
+    pub fn control_of(&self, order: RecordOrder) -> Option<SocketAddr> {
+        let member = self.members.values().find(|member| member.record.order() == order)?;
+        Some(member.record.control)
+    }
+
     /// Count of the other nodes that can be reached.
     #[must_use]
     pub fn reachable_count(&self) -> usize {
@@ -116,13 +126,20 @@
         self.load = load;
     }
 
-    /// Sets the version of the configuration in force, and tells everybody at once.
+    /// Sets the version of the configuration in force, and tells at once some of those that are not known to hold it:
+    /// everybody who learns of it does the same.
     pub fn set_version(&mut self, now: Instant, version: Version) -> Vec<Outgoing> {
         if self.version >= Some(version) {
             return Vec::new();
         }
         self.version = Some(version);
-        self.tell_all(now)
+        let behind = self.members.iter().filter(|(_, member)| {
+            member.record.phase != MemberPhase::Left && member.configuration.version < Some(version)
+        });
+        let behind = behind.map(|(node, member)| (node.clone(), member.record.control));
+        let mut random = SmallRng::seed_from_u64(self.own.life ^ version.0);
+        let told = behind.sample(&mut random, self.settings.version_fanout);
+        self.tell(now, told)
     }
 
     /// Takes in that the store itself has answered this node.
@@ -272,7 +289,12 @@
             .filter(|(_, member)| member.record.phase != MemberPhase::Left)
             .map(|(node, member)| (node.clone(), member.record.control))
             .collect();
-        all.into_iter().filter_map(|(node, control)| self.heartbeat_to(now, &node, control, false)).collect()
+        self.tell(now, all)
+    }
+
+    fn tell(&mut self, now: Instant, nodes: Vec<(NodeName, SocketAddr)>) -> Vec<Outgoing> {
+        let heartbeats = nodes.into_iter();
+        heartbeats.filter_map(|(node, control)| self.heartbeat_to(now, &node, control, false)).collect()
     }
 
     /// A process that bears this node's name: an earlier one whose datagram was late, or a later one, which this one
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -15,6 +15,8 @@
     pub call_back_interval: Duration,
     /// Time after which a node that is out of reach is forgotten.
     pub forget_after: Duration,
+    /// Nodes that are told at once of a new version; these tell others, and heartbeats heal what is left.
+    pub version_fanout: usize,
     /// Records of other nodes in a heartbeat that carries any.
     pub others_told: usize,
     /// Of so many heartbeats one carries records of other nodes.
@@ -29,6 +31,7 @@
             missed_intervals: 4,
             call_back_interval: Duration::from_millis(500),
             forget_after: Duration::from_secs(600),
+            version_fanout: 12,
             others_told: 3,
             others_every: 8,
         }
--- a/crates/membership/tests/membership.rs
+++ b/crates/membership/tests/membership.rs
@@ -38,6 +38,29 @@
     }
 }
 
+/// Were everybody told by everybody, one change would cost as many datagrams as the square of the nodes.
+#[test]
+fn a_version_is_told_at_once_to_a_few_of_those_that_lack_it() {
+    let mut world = World::joined(7, 40);
+    world.run_millis(1_500);
+    let mut told_at_once = |node: usize, version: u64| {
+        let mut count = 0;
+        world.tell(node, |membership, now| {
+            let outgoing = membership.set_version(now, Version(version));
+            count = outgoing.len();
+            outgoing
+        });
+        world.run_millis(400);
+        count
+    };
+    assert_eq!(told_at_once(0, 5), 12);
+    for node in 1..36 {
+        told_at_once(node, 5);
+    }
+    assert_eq!(told_at_once(36, 5), 3, "only those that are not known to hold it are told");
+    assert_eq!(told_at_once(0, 5), 0, "a version is told once");
+}
+
 #[test]
 fn a_lost_word_is_repeated_until_it_arrives() {
     let mut world = World::joined(4, 3);
--- a/xtask/src/demo/bundle.rs
+++ b/xtask/src/demo/bundle.rs
@@ -37,10 +37,24 @@
 /// # Errors
 /// Fails when a file can't be read or written.
 pub fn second_version(scratch: &ScratchDirectory) -> Result<PathBuf, XtaskError> {
-    let folder = scratch.file("gridwell-second-version");
+    version_with("gridwell-second-version", ADDED_ROUTE, scratch)
+}
+
+/// Writes into `scratch` the version that differs from all others by the time limit of its added route.
+///
+/// # Errors
+/// Fails when a file can't be read or written.
+pub fn numbered_version(number: u64, scratch: &ScratchDirectory) -> Result<PathBuf, XtaskError> {
+    let limit = format!("timeout_millis = {}", 3_000 + number);
+    let route = ADDED_ROUTE.replace("timeout_millis = 3000", &limit);
+    version_with(&format!("gridwell-version-{number}"), &route, scratch)
+}
+
+fn version_with(name: &str, route: &str, scratch: &ScratchDirectory) -> Result<PathBuf, XtaskError> {
+    let folder = scratch.file(name);
     copy_folder(&first_version(), &folder)?;
     let added = folder.join("search.toml");
-    fs::write(&added, ADDED_ROUTE).map_err(XtaskError::file(&added))?;
+    fs::write(&added, route).map_err(XtaskError::file(&added))?;
     Ok(folder)
 }
 
--- a/xtask/src/demo/http.rs
+++ b/xtask/src/demo/http.rs
@@ -55,6 +55,15 @@
         Ok(serde_json::from_slice(response.body())?)
     }
 
+    /// Sends a body and expects success.
+    ///
+    /// # Errors
+    /// Fails when no whole answer comes in time, or the status code is no success.
+    pub async fn post(&self, path: &str, body: impl Into<Bytes>) -> Result<(), XtaskError> {
+        let response = self.send(Method::POST, path, body.into()).await?;
+        self.expect_success(response).map(|_| ())
+    }
+
     /// Sends a request, whatever the status code of the answer.
     ///
     /// # Errors
--- a/xtask/src/demo/mesh.rs
+++ b/xtask/src/demo/mesh.rs
@@ -192,6 +192,8 @@
         let surroundings = Surroundings {
             store: self.platform.address,
             back_end: self.back_ends.get(placement.name).map(|back_end| back_end.address),
+            advertise: None,
+            life: 0,
             seal_key_file: None,
         };
         NodeProcess::start(&programs.umberpond, placement, surroundings, scratch).await
--- a/xtask/src/demo/mod.rs
+++ b/xtask/src/demo/mod.rs
@@ -1,17 +1,17 @@
 //! `cargo xtask demo`: a small mesh of processes on loopback, from the first bundle to the last planned stop.
 
-mod bundle;
+pub mod bundle;
 pub mod http;
-mod layout;
-mod load;
+pub mod layout;
+pub mod load;
 mod mesh;
 mod metrics;
-mod node;
+pub mod node;
 mod operator;
 pub mod programs;
 mod scenario;
-mod settings;
-mod standins;
+pub mod settings;
+pub mod standins;
 
 use std::process::ExitCode;
 use std::time::Duration;
--- a/xtask/src/demo/node.rs
+++ b/xtask/src/demo/node.rs
@@ -21,6 +21,10 @@
     pub outbound: SocketAddr,
     /// Operators and metrics.
     pub admin: SocketAddr,
+    /// Requests of other nodes.
+    pub inbound: SocketAddr,
+    /// Datagrams and control connections of other nodes.
+    pub control: SocketAddr,
 }
 
 /// A running node.
@@ -54,7 +58,8 @@
         let text = settings_file(&placement, &surroundings)?;
         let path = scratch.write(&format!("{}.toml", placement.name), text)?;
         let arguments = ["node".to_owned(), "--config".to_owned(), path.display().to_string()];
-        let mut process = ChildProcess::start(placement.name, program, &arguments, scratch)?;
+        let name = process_name(placement.name, surroundings.life);
+        let mut process = ChildProcess::start(&name, program, &arguments, scratch)?;
         let mut listeners = OpenListeners::default();
         let addresses = process.wait_for_line(START_LIMIT, |line| listeners.read(line)).await?;
         Ok(Self { placement, addresses, process })
@@ -82,11 +87,18 @@
     }
 }
 
+/// Name of a node's process, and of its log: each life has one of its own.
+fn process_name(node: &str, life: u32) -> String {
+    if life == 0 { node.to_owned() } else { format!("{node}-life-{life}") }
+}
+
 /// The listeners that a node's log has told of.
 #[derive(Default)]
 struct OpenListeners {
     outbound: Option<SocketAddr>,
     admin: Option<SocketAddr>,
+    inbound: Option<SocketAddr>,
+    control: Option<SocketAddr>,
 }
 
 impl OpenListeners {
@@ -96,8 +108,15 @@
         match name.as_str() {
             "outbound" => self.outbound = address,
             "admin" => self.admin = address,
+            "inbound" => self.inbound = address,
+            "control" => self.control = address,
             _ => {}
         }
-        Some(NodeAddresses { outbound: self.outbound?, admin: self.admin? })
+        Some(NodeAddresses {
+            outbound: self.outbound?,
+            admin: self.admin?,
+            inbound: self.inbound?,
+            control: self.control?,
+        })
     }
 }
--- a/xtask/src/demo/settings.rs
+++ b/xtask/src/demo/settings.rs
@@ -26,6 +26,8 @@
     zones: BTreeMap<&'a str, &'a str>,
     listen: ListenTable,
     #[serde(skip_serializing_if = "Option::is_none")]
+    advertise: Option<AdvertiseTable>,
+    #[serde(skip_serializing_if = "Option::is_none")]
     back_end: Option<BackEndTable>,
     store: AddressTable,
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -52,6 +54,15 @@
     control: SocketAddr,
 }
 
+/// Addresses told to other nodes, where they differ from those listened at.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct AdvertiseTable {
+    /// For requests.
+    pub inbound: SocketAddr,
+    /// For datagrams and control connections.
+    pub control: SocketAddr,
+}
+
 #[derive(Serialize)]
 #[serde(rename_all = "kebab-case")]
 struct BackEndTable {
@@ -88,6 +99,10 @@
     pub store: SocketAddr,
     /// The back end beside the node; absent where callers enter.
     pub back_end: Option<SocketAddr>,
+    /// Addresses told to other nodes, where they differ from those listened at.
+    pub advertise: Option<AdvertiseTable>,
+    /// Number of the process among those of the node, from 0 on.
+    pub life: u32,
     /// File with the service's private seal key, if it has one.
     pub seal_key_file: Option<&'a str>,
 }
@@ -103,10 +118,11 @@
             service: placement.service,
             region: REGION,
             zone: placement.zone,
-            first_start: true,
+            first_start: surroundings.life == 0,
         },
         zones: ZONES.iter().map(|zone| (*zone, REGION)).collect(),
         listen: ListenTable { inbound: ANY_PORT, outbound: ANY_PORT, admin: ANY_PORT, control: ANY_PORT },
+        advertise: surroundings.advertise,
         back_end: surroundings.back_end.map(|address| BackEndTable { address, check_interval: "200ms" }),
         store: AddressTable { address: surroundings.store },
         secrets: surroundings.seal_key_file.map(|seal_key_file| SecretsTable { seal_key_file }),
--- a/xtask/src/demo/standins.rs
+++ b/xtask/src/demo/standins.rs
@@ -5,7 +5,7 @@
 
 use umberpond_standins::backend::Ledger;
 use umberpond_standins::caller::{CallerReport, LoadPlan};
-use umberpond_standins::platform::CounterReport;
+use umberpond_standins::platform::{CounterReport, FaultChange};
 use umberpond_standins::program::ReadyLine;
 
 use super::http::Peer;
@@ -18,7 +18,7 @@
 const START_LIMIT: Duration = Duration::from_secs(5);
 
 /// Time after which a stand-in ends by itself, should nobody end it.
-const LIFETIME_SECONDS: &str = "180";
+const LIFETIME_SECONDS: &str = "900";
 
 /// Service time of the back ends, in milliseconds.
 const SERVICE_MILLIS: &str = "2";
@@ -90,6 +90,14 @@
         self.peer().get_json("/standin/counters").await
     }
 
+    /// Changes what the store does wrong.
+    ///
+    /// # Errors
+    /// Fails when it does not answer.
+    pub async fn change_faults(&self, change: &FaultChange) -> Result<(), XtaskError> {
+        self.peer().post("/standin/faults", serde_json::to_vec(change)?).await
+    }
+
     async fn ready(mut process: ChildProcess) -> Result<Self, XtaskError> {
         let read = |line: &str| serde_json::from_str::<ReadyLine>(line).ok();
         let ready = process.wait_for_line(START_LIMIT, read).await?;
--- a/xtask/src/flags.rs
+++ b/xtask/src/flags.rs
@@ -36,6 +36,17 @@
             /// Keep the log files, also after success.
             optional --keep-logs
         }
+
+        /// Builds everything, starts a small mesh behind proxies on loopback, plays random faults on it from outside, and
+        /// checks what callers and back ends saw.
+        cmd soak {
+            /// Name of the faults (drawn).
+            optional --seed seed: u64
+            /// Seconds in which faults begin and end (60).
+            optional --seconds seconds: u64
+            /// Keep the log files, also after success.
+            optional --keep-logs
+        }
     }
 }
 // generated start
@@ -50,6 +61,7 @@
 pub enum XtaskCmd {
     Demo(Demo),
     Scale(Scale),
+    Soak(Soak),
 }
 
 #[derive(Debug)]
@@ -70,6 +82,13 @@
     pub keep_logs: bool,
 }
 
+#[derive(Debug)]
+pub struct Soak {
+    pub seed: Option<u64>,
+    pub seconds: Option<u64>,
+    pub keep_logs: bool,
+}
+
 impl Xtask {
     #[allow(dead_code)]
     pub fn from_env_or_exit() -> Self {
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,4 +1,4 @@
-//! Repository tasks: `cargo xtask demo` and `cargo xtask scale`.
+//! Repository tasks: `cargo xtask demo`, `cargo xtask scale` and `cargo xtask soak`.
 
 mod demo;
 mod error;
@@ -6,6 +6,7 @@
 mod node_log;
 mod report;
 mod scale;
+mod soak;
 mod supervise;
 
 use std::process::ExitCode;
@@ -19,6 +20,7 @@
     let result = match flags.subcommand {
         XtaskCmd::Demo(options) => demo::run(&options).await,
         XtaskCmd::Scale(options) => scale::run(&options).await,
+        XtaskCmd::Soak(options) => soak::run(&options).await,
     };
     match result {
         Ok(code) => code,
--- a/xtask/src/supervise/child.rs
+++ b/xtask/src/supervise/child.rs
@@ -112,6 +112,22 @@
         self.send(Signal::KILL)
     }
 
+    /// Stops the process without its noticing (SIGSTOP), by its id.
+    ///
+    /// # Errors
+    /// Fails when the signal can't be sent.
+    pub fn pause(&self) -> Result<(), XtaskError> {
+        self.send(Signal::STOP)
+    }
+
+    /// Lets a paused process go on (SIGCONT), by its id.
+    ///
+    /// # Errors
+    /// Fails when the signal can't be sent.
+    pub fn resume(&self) -> Result<(), XtaskError> {
+        self.send(Signal::CONT)
+    }
+
     /// Waits for the end of the process, at most for `limit`.
     ///
     /// # Errors
