Tell why a back end's state changed, of which service, and by which of its words

Cause: tracing two incidents from logs alone, event 3010 said 'closed' without instance, service or reason, and again for every heartbeat of a leaving back end (three lines for one leave). Change: instance, service, reason and the count of the announcement in each line; a leave is told once.

--- a/crates/daemon/src/back_end/lives.rs
+++ b/crates/daemon/src/back_end/lives.rs
@@ -11,6 +11,26 @@
 /// Earlier lives remembered, so that a late word of one does not bring it back.
 const REMEMBERED_LIVES: usize = 32;
 
+/// Why a back end takes no new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CloseReason {
+    /// It said that it is going to leave.
+    Leaves,
+    /// It said that it ends.
+    Ends,
+}
+
+impl CloseReason {
+    /// The reason in words, for logs.
+    #[must_use]
+    pub const fn words(self) -> &'static str {
+        match self {
+            Self::Leaves => "it said that it leaves",
+            Self::Ends => "it said that it ends",
+        }
+    }
+}
+
 /// What follows from a word of the back end.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Effect {
@@ -18,8 +38,8 @@
     None,
     /// New work is taken for this back end.
     Open(BackEnd),
-    /// No new work is taken from now on.
-    Close,
+    /// No new work is taken from now on, for this reason.
+    Close(CloseReason),
     /// Whether it is well has to be asked before new work is taken.
     Confirm(BackEnd),
 }
@@ -78,7 +98,7 @@
         if let Some(life) = &mut self.present {
             life.state = BackEndState::Draining;
         }
-        Effect::Close
+        Effect::Close(CloseReason::Ends)
     }
 
     /// Takes in that `back_end` has just said, asked by this process, that it is well.
@@ -140,6 +160,12 @@
         })
     }
 
+    /// The back end of the present life, and the count of its last announcement; 0 if none was made to this process.
+    #[must_use]
+    pub fn present(&self) -> Option<(&BackEnd, u64)> {
+        self.present.as_ref().map(|life| (&life.back_end, life.sequence.unwrap_or(0)))
+    }
+
     /// When the present life stops being slow from its start.
     #[must_use]
     pub fn cold_for(&self, now: Instant) -> Duration {
@@ -149,8 +175,9 @@
     fn on_word(&mut self, announcement: &Announcement) -> Effect {
         let Some(life) = &mut self.present else { return Effect::None };
         if announcement.state == AnnouncedState::Draining {
+            let is_news = life.state != BackEndState::Draining;
             life.state = BackEndState::Draining;
-            return Effect::Close;
+            return if is_news { Effect::Close(CloseReason::Leaves) } else { Effect::None };
         }
         match life.state {
             BackEndState::Draining => Effect::None,
@@ -185,7 +212,7 @@
         match state {
             BackEndState::Ready => Effect::Open(back_end),
             BackEndState::Unreachable => Effect::Confirm(back_end),
-            BackEndState::Draining => Effect::Close,
+            BackEndState::Draining => Effect::Close(CloseReason::Leaves),
         }
     }
 
--- a/crates/daemon/src/back_end/mod.rs
+++ b/crates/daemon/src/back_end/mod.rs
@@ -9,6 +9,6 @@
 pub use announcement::{AnnouncedState, Announcement};
 pub use check::CheckSettings;
 pub(crate) use check::check_periodically;
-pub use lives::{BackEndLives, Effect};
+pub use lives::{BackEndLives, CloseReason, Effect};
 pub use monitor::BackEndMonitor;
 pub(crate) use probe::probe_at_start;
--- a/crates/daemon/src/back_end/monitor.rs
+++ b/crates/daemon/src/back_end/monitor.rs
@@ -102,16 +102,19 @@
         match effect {
             Effect::None => return,
             Effect::Open(back_end) => {
-                self.tell(&back_end.instance, "ready");
+                self.tell("ready", "it is well");
                 self.inbound.open(back_end);
                 self.activation.on_back_end_changed();
             }
-            Effect::Close => {
-                self.tell("", "closed");
+            Effect::Close(reason) => {
+                self.tell("closed", reason.words());
                 self.inbound.close();
             }
             Effect::Confirm(back_end) => {
-                self.tell(&back_end.instance, "to-be-confirmed");
+                self.tell(
+                    "to-be-confirmed",
+                    "it could not be reached, or an earlier process may have closed it",
+                );
                 self.inbound.close();
                 tokio::spawn(Arc::clone(self).confirm_later(back_end));
             }
@@ -119,8 +122,12 @@
         self.tell_others();
     }
 
-    fn tell(&self, instance: &str, state: &'static str) {
-        self.telemetry.emit(Event::BackEndStateChanged { instance: instance.to_owned(), state });
+    fn tell(&self, state: &'static str, reason: &'static str) {
+        let lives = self.lives.lock();
+        let Some((back_end, sequence)) = lives.present() else { return };
+        let (instance, service) = (back_end.instance.clone(), back_end.service.to_string());
+        drop(lives);
+        self.telemetry.emit(Event::BackEndStateChanged { instance, service, state, reason, sequence });
     }
 
     fn tell_others(&self) {
--- a/crates/daemon/tests/lives.rs
+++ b/crates/daemon/tests/lives.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use quickcheck::quickcheck;
-use umberpond_daemon::back_end::{AnnouncedState, Announcement, BackEndLives, Effect};
+use umberpond_daemon::back_end::{AnnouncedState, Announcement, BackEndLives, CloseReason, Effect};
 use umberpond_forwarding::BackEnd;
 use umberpond_membership::BackEndState;
 
@@ -54,7 +54,7 @@
     let now = Instant::now();
     let mut lives = BackEndLives::new(false);
     lives.on_announcement(now, &ready("a", 1));
-    assert_eq!(lives.on_announcement(now, &draining("a", 3)), Effect::Close);
+    assert_eq!(lives.on_announcement(now, &draining("a", 3)), Effect::Close(CloseReason::Leaves));
     assert_eq!(lives.on_announcement(now, &ready("a", 2)), Effect::None);
     assert_eq!(lives.on_announcement(now, &ready("a", 4)), Effect::None, "a leave is for good");
     assert_eq!(state(&lives), Some(BackEndState::Draining));
@@ -65,7 +65,7 @@
     let now = Instant::now();
     let mut lives = BackEndLives::new(false);
     lives.on_announcement(now, &ready("a", 1));
-    assert_eq!(lives.on_withdrawn("a"), Effect::Close);
+    assert_eq!(lives.on_withdrawn("a"), Effect::Close(CloseReason::Ends));
     assert_eq!(lives.on_announcement(now, &ready("a", 2)), Effect::None);
     assert_eq!(lives.on_confirmed(now, back_end("a")), Effect::None);
     assert_eq!(state(&lives), Some(BackEndState::Draining));
@@ -98,7 +98,7 @@
     let mut lives = BackEndLives::new(true);
     assert_eq!(lives.on_confirmed(now, back_end("a")), Effect::Open(back_end("a")));
     assert_eq!(lives.on_announcement(now, &ready("a", 3)), Effect::None);
-    assert_eq!(lives.on_announcement(now, &draining("a", 4)), Effect::Close);
+    assert_eq!(lives.on_announcement(now, &draining("a", 4)), Effect::Close(CloseReason::Leaves));
 }
 
 #[test]
@@ -146,7 +146,7 @@
             {
                 return false;
             }
-            left[number] |= effect == Effect::Close;
+            left[number] |= matches!(effect, Effect::Close(_));
         }
         true
     }
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -80,8 +80,8 @@
     // Back ends
     BackEndUnhealthy { reason: String }
         = 3003, Warn, "back-end-unhealthy", "The back end failed its health check.";
-    BackEndStateChanged { instance: String, state: &'static str }
-        = 3010, Info, "back-end-state-changed", "The back end beside this node takes new work, takes none, or has to be asked first.";
+    BackEndStateChanged { instance: String, service: String, state: &'static str, reason: &'static str, sequence: u64 }
+        = 3010, Info, "back-end-state-changed", "The back end beside this node takes new work, takes none, or has to be asked first; `sequence` counts its announcements, 0 if none was made to this process.";
     AnnouncementRefused { reason: String }
         = 3011, Warn, "announcement-refused", "What a back end says of itself can't be understood; nothing changes.";
 
