Let an early request wait only where its answer is expected within two thirds of its objective

What can't be mended is the lack of slots. What can: a request was admitted if it was expected to be answered by the very end of its objective, so with a full queue every second answer came after it: 3,462 of archive-fetch's answers late against 3,747 in aim. Change: an early request waits only where its answer is expected within 0.65 of the objective.

--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -23,6 +23,8 @@
 const COME_BACK: Duration = Duration::from_millis(200);
 /// Share of the objective within which a refusal is early.
 const EARLY_SHARE: f64 = 0.2;
+/// Share of the objective at which an answer has to be expected: half of those expected at its very end come after it.
+const EXPECTED_SHARE: f64 = 0.65;
 /// Rank of the requests on which other requests depend.
 const FIRST_RANK: u8 = 0;
 /// Most attempts that never came near a back end; they are free, but each takes time.
@@ -162,7 +164,7 @@
         let now = Instant::now();
         let is_early = now < self.request.arrived + self.request.route.objective.mul_f64(EARLY_SHARE);
         let end = if is_early && self.request.route.priority > FIRST_RANK {
-            self.request.arrived + self.request.route.objective
+            self.request.arrived + self.request.route.objective.mul_f64(EXPECTED_SHARE)
         } else {
             self.deadline
         };
--- /dev/null
+++ b/crates/forwarding/tests/overload.rs
@@ -0,0 +1,54 @@
+//! More requests than a back end can answer in time.
+
+mod support;
+
+use support::World;
+use support::back_end::Act;
+use tokio::time::Instant;
+
+/// Time that the back end takes for a request, in milliseconds. It has two slots, and the objective is 500 ms.
+const WORK_MILLIS: u64 = 100;
+
+/// What became of one request.
+struct Outcome {
+    status: u16,
+    millis: u128,
+    says_when_to_come_back: bool,
+}
+
+/// Were all admitted that are expected to be answered at the very end of the objective, half of them would be late,
+/// and a full queue would be no better than a short one.
+#[tokio::test(start_paused = true)]
+async fn under_overload_answers_come_well_inside_the_objective_and_refusals_at_once() {
+    let act = Act::Answer { status: 200, body: "a", after: WORK_MILLIS };
+    let world = World::with_routes(vec![vec![act]]).await;
+    for number in 0..6 {
+        assert_eq!(world.caller().await.ask("/read/a", &format!("w{number}")).await.status, 200);
+    }
+    let mut asking = Vec::new();
+    for number in 0..14 {
+        let mut caller = world.caller().await;
+        asking.push(tokio::spawn(async move {
+            let began = Instant::now();
+            let answer = caller.ask("/read/a", &format!("r{number}")).await;
+            Outcome {
+                status: answer.status,
+                millis: began.elapsed().as_millis(),
+                says_when_to_come_back: answer.fields.contains("retry-after"),
+            }
+        }));
+    }
+    let mut answered = 0;
+    for asked in asking {
+        let outcome = asked.await.unwrap();
+        if outcome.status == 200 {
+            answered += 1;
+            assert!(outcome.millis <= 375, "{} ms is near the end of the objective", outcome.millis);
+        } else {
+            assert_eq!(outcome.status, 503);
+            assert!(outcome.says_when_to_come_back);
+            assert!(outcome.millis <= 20, "refused after {} ms", outcome.millis);
+        }
+    }
+    assert!((4..=7).contains(&answered), "{answered} were answered");
+}
