umberpond explain: the lines of one request from several nodes' logs, and where it ended

Cause: on-call has only logs; following one request meant searching each process's log by hand and putting lines in order.

--- a/crates/umberpond/src/cli/flags.rs
+++ b/crates/umberpond/src/cli/flags.rs
@@ -115,6 +115,15 @@
             /// Print the result as JSON.
             optional --json
         }
+        /// Gather the lines of one request from nodes' JSON logs, and say where it ended and why.
+        cmd explain {
+            /// Identity of the request, as its caller knows it.
+            required request: String
+            /// Log files, one a process.
+            repeated files: PathBuf
+            /// Print the result as JSON.
+            optional --json
+        }
         /// Make a service's key pair: the private key goes to a new file, the public one is printed.
         cmd keygen {
             /// File for the private key; must not exist.
--- a/crates/umberpond/src/cli/mod.rs
+++ b/crates/umberpond/src/cli/mod.rs
@@ -4,6 +4,7 @@
 mod apply;
 mod check;
 mod exit;
+mod explain;
 mod flags;
 mod help;
 mod keygen;
@@ -42,6 +43,7 @@
         UmberpondCmd::Submission(flags) => submission::run(&flags.into()),
         UmberpondCmd::Check(flags) => check::run(&flags.into()),
         UmberpondCmd::Plan(flags) => plan::run(&flags.into()),
+        UmberpondCmd::Explain(flags) => explain::run(&flags.into()),
         UmberpondCmd::Keygen(flags) => keygen::run(&flags.into()),
     }
 }
