Write the nodes' settings of demo, scale run and soak in one place

Cause: two files of xtask built the same tables of a settings file. Change: the scale run gives its names to the demo's writer.

--- a/xtask/src/demo/mesh.rs
+++ b/xtask/src/demo/mesh.rs
@@ -189,13 +189,8 @@
         placement: Placement,
         scratch: &ScratchDirectory,
     ) -> Result<NodeProcess, XtaskError> {
-        let surroundings = Surroundings {
-            store: self.platform.address,
-            back_end: self.back_ends.get(placement.name).map(|back_end| back_end.address),
-            advertise: None,
-            life: 0,
-            seal_key_file: None,
-        };
+        let back_end = self.back_ends.get(placement.name).map(|back_end| back_end.address);
+        let surroundings = Surroundings::plain(self.platform.address, back_end);
         NodeProcess::start(&programs.umberpond, placement, surroundings, scratch).await
     }
 }
--- a/xtask/src/demo/node.rs
+++ b/xtask/src/demo/node.rs
@@ -6,7 +6,7 @@
 
 use super::http::Peer;
 use super::layout::Placement;
-use super::settings::{Surroundings, seal_key, settings_file};
+use super::settings::{NodeFacts, Surroundings, seal_key, settings_file};
 use crate::error::XtaskError;
 use crate::node_log::{self, OpenListener};
 use crate::supervise::{ChildProcess, ScratchDirectory};
@@ -55,7 +55,7 @@
             scratch.write(&key_file, key)?;
             surroundings.seal_key_file = Some(&key_file);
         }
-        let text = settings_file(&placement, &surroundings)?;
+        let text = settings_file(&NodeFacts::from(&placement), &surroundings)?;
         let path = scratch.write(&format!("{}.toml", placement.name), text)?;
         let arguments = ["node".to_owned(), "--config".to_owned(), path.display().to_string()];
         let name = process_name(placement.name, surroundings.life);
--- a/xtask/src/demo/settings.rs
+++ b/xtask/src/demo/settings.rs
@@ -23,7 +23,7 @@
 #[serde(rename_all = "kebab-case")]
 struct SettingsFile<'a> {
     node: NodeTable<'a>,
-    zones: BTreeMap<&'a str, &'a str>,
+    zones: &'a BTreeMap<String, String>,
     listen: ListenTable,
     #[serde(skip_serializing_if = "Option::is_none")]
     advertise: Option<AdvertiseTable>,
@@ -92,7 +92,7 @@
     level: &'static str,
 }
 
-/// What the settings of a node depend on beside its placement.
+/// What the settings of a node depend on beside itself.
 #[derive(Debug, Clone, Copy)]
 pub struct Surroundings<'a> {
     /// The store's object API.
@@ -107,20 +107,55 @@
     pub seal_key_file: Option<&'a str>,
 }
 
+impl Surroundings<'_> {
+    /// A first process that is reached where it listens.
+    #[must_use]
+    pub const fn plain(store: SocketAddr, back_end: Option<SocketAddr>) -> Self {
+        Self { store, back_end, advertise: None, life: 0, seal_key_file: None }
+    }
+}
+
+/// Which node the settings are for.
+#[derive(Debug, Clone)]
+pub struct NodeFacts {
+    /// Its name.
+    pub name: String,
+    /// Service of its back end, or of its callers.
+    pub service: String,
+    /// Its region.
+    pub region: String,
+    /// Its zone.
+    pub zone: String,
+    /// The region of every zone.
+    pub zones: BTreeMap<String, String>,
+}
+
+impl From<&Placement> for NodeFacts {
+    fn from(placement: &Placement) -> Self {
+        Self {
+            name: placement.name.to_owned(),
+            service: placement.service.to_owned(),
+            region: REGION.to_owned(),
+            zone: placement.zone.to_owned(),
+            zones: ZONES.iter().map(|zone| ((*zone).to_owned(), REGION.to_owned())).collect(),
+        }
+    }
+}
+
 /// The settings file of a node, as TOML.
 ///
 /// # Errors
 /// Never, in fact: every value has a form in TOML.
-pub fn settings_file(placement: &Placement, surroundings: &Surroundings<'_>) -> Result<String, XtaskError> {
+pub fn settings_file(node: &NodeFacts, surroundings: &Surroundings<'_>) -> Result<String, XtaskError> {
     let file = SettingsFile {
         node: NodeTable {
-            name: placement.name,
-            service: placement.service,
-            region: REGION,
-            zone: placement.zone,
+            name: &node.name,
+            service: &node.service,
+            region: &node.region,
+            zone: &node.zone,
             first_start: surroundings.life == 0,
         },
-        zones: ZONES.iter().map(|zone| (*zone, REGION)).collect(),
+        zones: &node.zones,
         listen: ListenTable { inbound: ANY_PORT, outbound: ANY_PORT, admin: ANY_PORT, control: ANY_PORT },
         advertise: surroundings.advertise,
         back_end: surroundings.back_end.map(|address| BackEndTable { address, check_interval: "200ms" }),
--- a/xtask/src/scale/mesh.rs
+++ b/xtask/src/scale/mesh.rs
@@ -9,9 +9,9 @@
 use super::fleet::FleetProcess;
 use super::programs::ScalePrograms;
 use super::real_node::{HowToEnd, RealNode};
-use super::settings::Surroundings;
 use super::size::Size;
 use super::standin::Standin;
+use crate::demo::settings::Surroundings;
 use crate::error::XtaskError;
 use crate::supervise::ScratchDirectory;
 
@@ -156,9 +156,9 @@
         let places = self.size.places;
         let place = places.place(number)?;
         let back_end = Standin::back_end(&programs.common.backend, &place, self.lifetime, scratch).await?;
-        let surroundings = Surroundings { store: self.platform.address, back_end: back_end.address };
+        let surroundings = Surroundings::plain(self.platform.address, Some(back_end.address));
         let program = &programs.common.umberpond;
-        let node = RealNode::start(program, &places, number, surroundings, scratch).await?;
+        let node = RealNode::start(program, &places, number, &surroundings, scratch).await?;
         self.back_ends.push(back_end);
         self.real.push(node);
         Ok(())
--- a/xtask/src/scale/real_node.rs
+++ b/xtask/src/scale/real_node.rs
@@ -10,8 +10,9 @@
 use tokio::task::JoinHandle;
 use umberpond_hollow::{Activation, Place, Places, ProcessUsage, Sample, unix_millis};
 
-use super::settings::{Surroundings, settings_file};
+use super::settings::settings_of;
 use crate::demo::http::Peer;
+use crate::demo::settings::Surroundings;
 use crate::error::XtaskError;
 use crate::node_log::{self, OpenListener};
 use crate::supervise::{ChildProcess, ScratchDirectory};
@@ -60,12 +61,12 @@
         program: &Path,
         places: &Places,
         number: usize,
-        surroundings: Surroundings,
+        surroundings: &Surroundings<'_>,
         scratch: &ScratchDirectory,
     ) -> Result<Self, XtaskError> {
         let place = places.place(number)?;
         let name = place.node.to_string();
-        let path = scratch.write(&format!("{name}.toml"), settings_file(places, &place, surroundings)?)?;
+        let path = scratch.write(&format!("{name}.toml"), settings_of(places, &place, surroundings)?)?;
         let arguments = ["node".to_owned(), "--config".to_owned(), path.display().to_string()];
         let mut process = ChildProcess::start(&name, program, &arguments, scratch)?;
         let admin = process.wait_for_line(START_LIMIT, admin_listener).await?;
