Simulated requests that must not repeat run long enough for faults to meet them

Ruled out: a route without further attempts (billing has three), a body already spent, no time left; the trace gives all three. Change: callers also send requests to billing that run 600 ms. Conclusion: the most precious promise is now tried by the simulation as well.

--- a/testing/sim/src/cluster/callers.rs
+++ b/testing/sim/src/cluster/callers.rs
@@ -24,6 +24,8 @@
 const FIRST_ANSWER_BYTES: usize = 2_000;
 /// Time after which a caller gives a request up, above every route's time limit.
 const PATIENCE_MILLIS: u64 = 8_000;
+/// Time that a request which must not repeat runs on its back end, in milliseconds.
+const LONG_RUN_MILLIS: u64 = 600;
 
 /// Answers of one caller, when it began, and whether it repeats the requests of another.
 pub struct Answers {
@@ -121,6 +123,8 @@
         kind("billing", false, 6),
         CallKind { send_key: true, ..kind("billing", false, 2) },
         CallKind { upload_bytes: 100_000, ..kind("billing", false, 1) },
+        // Long enough that faults meet it while it runs: what becomes of its lost answer is what matters most.
+        CallKind { hold_millis: Some(LONG_RUN_MILLIS), ..kind("billing", false, 3) },
         CallKind { stream_millis: 800, answer_bytes: 50_000, ..kind("solver", true, 2) },
         CallKind { hold_millis: Some(1_500), ..kind("solver", true, 1) },
     ]
