Remove the scale run and its hollow nodes

Ruled out: keeping the hollow nodes for the simulation; it runs whole daemons on a virtual clock without them.

--- a/testing/sim/src/main.rs
+++ b/testing/sim/src/main.rs
@@ -1,4 +1,4 @@
-//! `umberpond-sim`: invariants under faults, replay of a seed, and the scale run.
+//! `umberpond-sim`: invariants under faults, and replay of a seed.
 
 mod cli;
 
--- a/xtask/src/error.rs
+++ b/xtask/src/error.rs
@@ -107,9 +107,6 @@
     /// A name breaks the naming rule.
     #[error("bad name")]
     Name(#[from] InvalidName),
-    /// A place, plan or report of hollow nodes can't be used.
-    #[error("the hollow nodes can't be planned")]
-    Hollow(#[from] umberpond_hollow::HollowError),
     /// The operator API did not accept a change.
     #[error("{through} did not accept the change: {answer}")]
     NotAccepted {
--- a/xtask/src/flags.rs
+++ b/xtask/src/flags.rs
@@ -16,27 +16,6 @@
             optional --keep-logs
         }
 
-        /// Builds everything, starts real nodes and hollow ones on loopback, changes the configuration while some
-        /// of them are killed, and measures them from outside.
-        cmd scale {
-            /// Real nodes, each a process with a back end (6).
-            optional --real count: usize
-            /// Hollow nodes (200).
-            optional --hollow count: usize
-            /// Seconds over which the hollow nodes start (5).
-            optional --start-seconds seconds: u64
-            /// Measured seconds (60).
-            optional --seconds seconds: u64
-            /// Changes of configuration a second, on average (1).
-            optional --changes rate: f64
-            /// Hollow nodes of one process (100).
-            optional --per-process count: usize
-            /// Also write every figure to this file, as JSON.
-            optional --json file: PathBuf
-            /// Keep the log files, also after success.
-            optional --keep-logs
-        }
-
         /// Builds everything, starts a small mesh behind proxies on loopback, plays random faults on it from outside, and
         /// checks what callers and back ends saw.
         cmd soak {
@@ -60,7 +39,6 @@
 #[derive(Debug)]
 pub enum XtaskCmd {
     Demo(Demo),
-    Scale(Scale),
     Soak(Soak),
 }
 
@@ -70,18 +48,6 @@
     pub keep_logs: bool,
 }
 
-#[derive(Debug)]
-pub struct Scale {
-    pub real: Option<usize>,
-    pub hollow: Option<usize>,
-    pub start_seconds: Option<u64>,
-    pub seconds: Option<u64>,
-    pub changes: Option<f64>,
-    pub per_process: Option<usize>,
-    pub json: Option<PathBuf>,
-    pub keep_logs: bool,
-}
-
 #[derive(Debug)]
 pub struct Soak {
     pub seed: Option<u64>,
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,11 +1,10 @@
-//! Repository tasks: `cargo xtask demo`, `cargo xtask scale` and `cargo xtask soak`.
+//! Repository tasks: `cargo xtask demo` and `cargo xtask soak`.
 
 mod demo;
 mod error;
 mod flags;
 mod node_log;
 mod report;
-mod scale;
 mod soak;
 mod supervise;
 
@@ -19,7 +18,6 @@
     let flags = Xtask::from_env_or_exit();
     let result = match flags.subcommand {
         XtaskCmd::Demo(options) => demo::run(&options).await,
-        XtaskCmd::Scale(options) => scale::run(&options).await,
         XtaskCmd::Soak(options) => soak::run(&options).await,
     };
     match result {
