--- a/xtask/src/error.rs
+++ b/xtask/src/error.rs
@@ -46,14 +46,6 @@
         /// Its log file.
         log: PathBuf,
     },
-    /// A process stopped telling its progress.
-    #[error("{name} told no progress any more; its log is {log}", log = log.display())]
-    NoProgress {
-        /// Name of the process.
-        name: String,
-        /// Its log file.
-        log: PathBuf,
-    },
     /// A process did not end in time.
     #[error("{name} did not end in time; its log is {log}", log = log.display())]
     NotEnded {
@@ -107,14 +99,6 @@
     /// A name breaks the naming rule.
     #[error("bad name")]
     Name(#[from] InvalidName),
-    /// The operator API did not accept a change.
-    #[error("{through} did not accept the change: {answer}")]
-    NotAccepted {
-        /// Name of the node that was asked.
-        through: String,
-        /// Its answer.
-        answer: String,
-    },
     /// A condition did not come about in time.
     #[error("gave up waiting until {condition}")]
     TimedOut {
--- a/xtask/src/supervise/child.rs
+++ b/xtask/src/supervise/child.rs
@@ -63,12 +63,6 @@
         &self.name
     }
 
-    /// Its process id; `None` once it was waited for.
-    #[must_use]
-    pub fn id(&self) -> Option<u32> {
-        self.child.id()
-    }
-
     /// Its log file.
     #[must_use]
     pub fn log(&self) -> &Path {
