Move a long request body only when its request has a slot and the link has room

Cause: a body of up to 256 kB was collected at the caller's node and sent together with its request.

Change: bodies over 16 kB lie with the caller until the node beside the back end asks for them, window by window, after the request has a turn on the link (two at once, the most urgent first, by the rate told in the settings) and a slot. What would come too late is refused before it moves and can go elsewhere. A surplus answer to an earlier request no longer spoils that of a long body, and an answer that comes before a body is read is looked at also when the rest of the body can't be written.

The simulated network no longer lets loopback use up a host's link.

--- a/crates/daemon/src/settings/load.rs
+++ b/crates/daemon/src/settings/load.rs
@@ -29,6 +29,8 @@
 const GREATEST_FAILURES: u32 = 1_000;
 const GREATEST_RATIO: u64 = 10;
 const GREATEST_EXTRA: u64 = 1_000_000;
+const GREATEST_MEGABITS: u64 = 1_000_000;
+const BYTES_PER_MEGABIT: f64 = 125_000.0;
 
 /// Reads the settings file, if any, and the flags, which win. Checks everything and starts nothing.
 ///
@@ -80,6 +82,7 @@
     let back_end = read_back_end(reader);
     let store = reader.required_address("store.address");
     let seal_key = read_seal_key(reader, directory);
+    let link_rate = read_link_rate(reader);
     let retry_budget = read_retry_budget(reader);
     let log = read_log(reader);
     let grace = reader.duration("stop.grace", DEFAULT_GRACE);
@@ -96,6 +99,7 @@
         back_end: back_end?,
         store: store?.value,
         seal_key,
+        link_rate: link_rate?,
         retry_budget: retry_budget?,
         log: log?,
         grace: grace?,
@@ -156,6 +160,12 @@
     Some(address.map(|address| BackEndConfig { address: address.value, check_interval, failures_to_unready }))
 }
 
+/// Bytes a second of the node's link, which may be unknown; `None` if the setting has a fault.
+fn read_link_rate(reader: &mut SettingsReader<'_>) -> Option<Option<f64>> {
+    let megabits = reader.decimal("link.megabits-per-second", 0, GREATEST_MEGABITS, 0.0)?;
+    Some((megabits > 0.0).then_some(megabits * BYTES_PER_MEGABIT))
+}
+
 fn read_retry_budget(reader: &mut SettingsReader<'_>) -> Option<RetryBudgetSettings> {
     let default = RetryBudgetSettings::default();
     let ratio = reader.decimal("retries.ratio", 0, GREATEST_RATIO, default.ratio);
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -44,6 +44,8 @@
     pub store: SocketAddr,
     /// Key that opens the secrets of `service`; absent if it may hold none.
     pub seal_key: Option<Arc<SealKeyPair>>,
+    /// Bytes a second that the node's link bears; absent if that is not known.
+    pub link_rate: Option<f64>,
     /// The retry budget of each service, over all nodes together.
     pub retry_budget: RetryBudgetSettings,
     /// Log output.
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -119,7 +119,7 @@
         let own = own_record(&config, &environment, &listeners);
         let inbound = Arc::new(Inbound::new(
             extensions.dialect,
-            InboundSettings::default(),
+            InboundSettings { link_rate: config.link_rate, ..InboundSettings::default() },
             Arc::clone(&environment.network),
             telemetry.clone(),
         ));
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -152,3 +152,15 @@
     }
     QuickCheck::new().tests(200).quickcheck(property as fn(Vec<u8>) -> TestResult);
 }
+
+#[test]
+fn the_rate_of_the_link_is_read_and_may_be_unknown() {
+    let rate_with = |test: &str, text: &str| {
+        let file = SettingsFile::new(test, format!("{}\n{text}", example()).as_bytes());
+        load(Some(&file.path()), &[]).map(|config| config.link_rate)
+    };
+    assert_eq!(rate_with("link-absent", "").unwrap(), None);
+    assert_eq!(rate_with("link-slow", "[link]\nmegabits-per-second = 10.0\n").unwrap(), Some(1_250_000.0));
+    assert_eq!(rate_with("link-whole", "[link]\nmegabits-per-second = 200\n").unwrap(), Some(25_000_000.0));
+    assert!(rate_with("link-below", "[link]\nmegabits-per-second = -1\n").is_err());
+}
--- a/crates/forwarding/src/hop/client.rs
+++ b/crates/forwarding/src/hop/client.rs
@@ -13,9 +13,8 @@
 use umberpond_net::{BoxStream, FrameReader, FrameWriter, Network};
 
 use super::protocol::{HopAnswer, HopBody, HopRequest, HopResponse, OpenHop, decode_fields};
-use crate::message::{
-    Answer, AnswerBody, Attempt, AttemptResult, BodyStream, BrokenAnswer, NotRun, RequestBody,
-};
+use crate::body::{BodyStream, BrokenBody, PendingBody};
+use crate::message::{Answer, AnswerBody, Attempt, AttemptResult, BrokenAnswer, NotRun, RequestBody};
 use crate::outcome::{NotRunReason, UnknownReason};
 
 /// Time beyond the deadline in which the other node's last word arrives.
@@ -129,12 +128,12 @@
                 }
                 (connection.reader.next().await, true)
             }
-            RequestBody::Stream(mut stream) => {
-                let open = OpenHop::of(attempt, HopBody::Parts(stream.length));
+            RequestBody::Pending(pending) => {
+                let open = OpenHop::of(attempt, HopBody::Parts(pending.length()));
                 if connection.writer.send(&HopRequest::Open(Box::new(open))).await.is_err() {
                     return lost;
                 }
-                send_while_waiting(&mut connection, &mut stream).await
+                send_on_demand(&mut connection, &pending).await
             }
             RequestBody::Spent => {
                 return AttemptResult::NotRun(NotRun::before_back_end(NotRunReason::BodyBroken));
@@ -157,7 +156,10 @@
                 }
                 AttemptResult::Unknown(reason)
             }
-            HopResponse::BodyPart(_) | HopResponse::BodyEnd | HopResponse::BodyBroken => lost,
+            HopResponse::SendBody(_)
+            | HopResponse::BodyPart(_)
+            | HopResponse::BodyEnd
+            | HopResponse::BodyBroken => lost,
         }
     }
 
@@ -204,38 +206,94 @@
 
 type Frame = Result<Option<(HopResponse, usize)>, umberpond_net::FrameError>;
 
-/// Sends the body while it arrives, until an answer comes; tells the answer and whether the whole body was sent.
-async fn send_while_waiting(connection: &mut HopConnection, stream: &mut BodyStream) -> (Frame, bool) {
+/// Sends the body as the other node asks for it, until an answer comes; tells the answer, and whether the connection is
+/// at the boundary of two exchanges then.
+async fn send_on_demand(connection: &mut HopConnection, pending: &PendingBody) -> (Frame, bool) {
     let HopConnection { reader, writer, .. } = connection;
-    let mut is_sent_whole = false;
-    let sending = send_stream(writer, stream);
-    tokio::pin!(sending);
+    let mut sender = BodySender::new(pending);
     loop {
+        let wants_part = sender.wants_part();
         tokio::select! {
             biased;
-            frame = reader.next() => return (frame, is_sent_whole),
-            sent = &mut sending, if !is_sent_whole => {
-                if !sent {
-                    // The caller's body broke off: the other node is told by the end of the connection.
-                    return (Ok(None), false);
-                }
-                is_sent_whole = true;
+            frame = reader.next() => match frame {
+                Ok(Some((HopResponse::SendBody(bytes), _size))) => sender.grant(bytes),
+                other => return (other, sender.is_at_boundary()),
+            },
+            part = sender.next_part(), if wants_part => {
+                // The caller's body broke off: the other node is told by the end of the connection.
+                let Ok(part) = part else { return (Ok(None), false) };
+                sender.on_part(part);
             }
         }
+        if sender.send(writer).await.is_err() {
+            return (Ok(None), false);
+        }
     }
 }
 
-async fn send_stream(
-    writer: &mut FrameWriter<WriteHalf<BoxStream>, HopRequest>,
-    stream: &mut BodyStream,
-) -> bool {
-    while let Some(part) = stream.parts.recv().await {
-        let Ok(part) = part else { return false };
-        if writer.send(&HopRequest::BodyPart(part.to_vec())).await.is_err() {
-            return false;
+/// Sends the parts of one body within what the other node has granted.
+struct BodySender<'a> {
+    pending: &'a PendingBody,
+    stream: Option<BodyStream>,
+    /// What was taken from the stream and not granted yet.
+    rest: Bytes,
+    /// Bytes that may be sent.
+    granted: usize,
+    has_ended: bool,
+    is_sent_whole: bool,
+}
+
+impl<'a> BodySender<'a> {
+    fn new(pending: &'a PendingBody) -> Self {
+        Self { pending, stream: None, rest: Bytes::new(), granted: 0, has_ended: false, is_sent_whole: false }
+    }
+
+    fn grant(&mut self, bytes: u32) {
+        self.granted += bytes as usize;
+        if self.stream.is_none() {
+            self.stream = self.pending.begin();
         }
     }
-    writer.send(&HopRequest::BodyEnd).await.is_ok()
+
+    fn wants_part(&self) -> bool {
+        self.stream.is_some() && self.rest.is_empty() && self.granted > 0 && !self.has_ended
+    }
+
+    /// The next part of the stream. Safe to cancel.
+    async fn next_part(&mut self) -> Result<Option<Bytes>, BrokenBody> {
+        let Some(stream) = &mut self.stream else { return Err(BrokenBody) };
+        stream.next().await.transpose()
+    }
+
+    fn on_part(&mut self, part: Option<Bytes>) {
+        match part {
+            Some(part) => self.rest = part,
+            None => self.has_ended = true,
+        }
+    }
+
+    /// Sends what may be sent of the rest, and the end of the body once it has come.
+    async fn send(
+        &mut self,
+        writer: &mut FrameWriter<WriteHalf<BoxStream>, HopRequest>,
+    ) -> Result<(), umberpond_net::FrameError> {
+        let length = self.rest.len().min(self.granted);
+        if length > 0 {
+            let part = self.rest.split_to(length);
+            self.granted -= length;
+            writer.send(&HopRequest::BodyPart(part.to_vec())).await?;
+        }
+        if self.has_ended && !self.is_sent_whole {
+            writer.send(&HopRequest::BodyEnd).await?;
+            self.is_sent_whole = true;
+        }
+        Ok(())
+    }
+
+    /// Whether nothing of the body was sent, or all of it.
+    const fn is_at_boundary(&self) -> bool {
+        self.stream.is_none() || self.is_sent_whole
+    }
 }
 
 /// The rest of a long body that comes from another node.
--- a/crates/forwarding/src/hop/protocol.rs
+++ b/crates/forwarding/src/hop/protocol.rs
@@ -26,6 +26,8 @@
 /// From the node beside the back end to the caller's node.
 #[derive(Debug, Encode, Decode)]
 pub(crate) enum HopResponse {
+    /// So many more bytes of the request's body may be sent.
+    SendBody(u32),
     /// The back end answered.
     Answered(Box<HopAnswer>),
     /// The request did not run and never will.
@@ -52,7 +54,7 @@
 pub(crate) enum HopBody {
     /// Inside this message.
     Whole(Vec<u8>),
-    /// In parts that follow; with its length, if known.
+    /// In parts that follow, with its length, if known. Those of a request wait for [`HopResponse::SendBody`].
     Parts(Option<u64>),
 }
 
--- a/crates/forwarding/src/hop/server.rs
+++ b/crates/forwarding/src/hop/server.rs
@@ -1,15 +1,16 @@
 //! The side of an exchange between nodes that lies beside the back end.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 
-use bytes::Bytes;
 use tokio::io::{ReadHalf, WriteHalf};
 use tokio::sync::mpsc;
 use umberpond_net::{BoxStream, FrameReader, FrameWriter};
 
 use super::protocol::{HopAnswer, HopBody, HopRequest, HopResponse, OpenHop};
+use crate::body::{BodyDemand, BodyPart, PendingBody};
 use crate::inbound::Inbound;
-use crate::message::{Answer, AnswerBody, AttemptResult, BodyStream, BrokenBody, RequestBody};
+use crate::message::{Answer, AnswerBody, AttemptResult, RequestBody};
 
 /// Parts of a body that are held before the sender has to wait.
 const BODY_PARTS: usize = 4;
@@ -25,7 +26,7 @@
     while let Ok(Some((request, _size))) = reader.next().await {
         // Parts of a body that was answered before its end are passed over.
         let HopRequest::Open(open) = request else { continue };
-        let Some(result) = serve_exchange(&mut reader, *open, &inbound).await else { return };
+        let Some(result) = serve_exchange(&mut reader, &mut writer, *open, &inbound).await else { return };
         if send_result(&mut writer, result).await.is_err() {
             return;
         }
@@ -33,7 +34,12 @@
 }
 
 /// The result of one exchange; absent if the other node gave it up, in which case it is given up here too.
-async fn serve_exchange(reader: &mut Reader, mut open: OpenHop, inbound: &Inbound) -> Option<AttemptResult> {
+async fn serve_exchange(
+    reader: &mut Reader,
+    writer: &mut Writer,
+    mut open: OpenHop,
+    inbound: &Inbound,
+) -> Option<AttemptResult> {
     let body = std::mem::replace(&mut open.body, HopBody::Parts(None));
     match body {
         HopBody::Whole(whole) => {
@@ -45,42 +51,54 @@
             }
         }
         HopBody::Parts(length) => {
+            let (granted, mut grants) = mpsc::unbounded_channel();
             let (sender, parts) = mpsc::channel(BODY_PARTS);
-            let attempt = open.into_attempt(RequestBody::Stream(BodyStream { length, parts }));
-            let serving = inbound.serve(attempt);
+            let demand = BodyDemand::new(granted, inbound.body_window());
+            let pending = PendingBody::from_node(length, parts, demand);
+            let serving = inbound.serve(open.into_attempt(RequestBody::Pending(pending)));
             tokio::pin!(serving);
-            let is_whole = tokio::select! {
-                biased;
-                // An answer before the end of the body.
-                result = &mut serving => return Some(result),
-                is_whole = receive_body(reader, sender) => is_whole,
-            };
-            if !is_whole {
-                return None;
-            }
-            tokio::select! {
-                biased;
-                result = &mut serving => Some(result),
-                _unasked = reader.next() => None,
+            let mut receiver = BodyReceiver { sender: Some(sender), arrived: VecDeque::new() };
+            loop {
+                tokio::select! {
+                    biased;
+                    // It may come before the end of the body.
+                    result = &mut serving => return Some(result),
+                    () = receiver.pass_on(), if !receiver.arrived.is_empty() => {}
+                    Some(bytes) = grants.recv() => writer.send(&HopResponse::SendBody(bytes)).await.ok().map(drop)?,
+                    frame = reader.next() => receiver.on_frame(frame.ok()??.0)?,
+                }
             }
         }
     }
 }
 
-/// Passes the parts of a body on; `false` if it broke off.
-async fn receive_body(reader: &mut Reader, sender: mpsc::Sender<Result<Bytes, BrokenBody>>) -> bool {
-    loop {
-        match reader.next().await {
-            Ok(Some((HopRequest::BodyPart(part), _size))) => {
-                if sender.send(Ok(part.into())).await.is_err() {
-                    // The exchange needs no more of it; its result follows.
-                    std::future::pending::<()>().await;
-                }
-            }
-            Ok(Some((HopRequest::BodyEnd, _size))) => return true,
+/// Takes the parts of a body in and passes them on. What arrives is bounded by what was asked for.
+struct BodyReceiver {
+    sender: Option<mpsc::Sender<BodyPart>>,
+    arrived: VecDeque<HopRequest>,
+}
+
+impl BodyReceiver {
+    /// Absent if the other node breaks the protocol.
+    fn on_frame(&mut self, frame: HopRequest) -> Option<()> {
+        let is_body = matches!(frame, HopRequest::BodyPart(_) | HopRequest::BodyEnd);
+        if !is_body || self.sender.is_none() {
+            return None;
+        }
+        self.arrived.push_back(frame);
+        Some(())
+    }
+
+    /// Passes the first part on once there is room. Safe to cancel.
+    async fn pass_on(&mut self) {
+        let Some(sender) = &self.sender else { return self.arrived.clear() };
+        // If nobody takes it any more, the result of the exchange follows.
+        let Ok(room) = sender.reserve().await else { return std::future::pending().await };
+        match self.arrived.pop_front() {
+            Some(HopRequest::BodyPart(part)) => room.send(Ok(part.into())),
             _ => {
-                let _ = sender.send(Err(BrokenBody)).await;
-                return false;
+                drop(room);
+                self.sender = None;
             }
         }
     }
--- a/crates/forwarding/src/inbound/back_end.rs
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -16,6 +16,7 @@
 use umberpond_telemetry::{Event, Telemetry};
 
 use super::admission::{Admission, Permit};
+use super::body_link::BodyLink;
 use crate::dialect::Dialect;
 use crate::message::{Answer, AnswerBody, Attempt, AttemptResult, NotRun, RequestBody};
 use crate::outcome::{NotRunReason, UnknownReason};
@@ -24,17 +25,19 @@
 };
 
 /// Limits of the inbound half.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct InboundSettings {
     /// Longest time to open a connection to the back end.
     pub connect_time: Duration,
     /// Most idle connections kept to the back end.
     pub idle_connections: usize,
+    /// Bytes a second that this node's link bears; absent if that is not known.
+    pub link_rate: Option<f64>,
 }
 
 impl Default for InboundSettings {
     fn default() -> Self {
-        Self { connect_time: Duration::from_millis(300), idle_connections: 64 }
+        Self { connect_time: Duration::from_millis(300), idle_connections: 64, link_rate: None }
     }
 }
 
@@ -65,6 +68,7 @@
     network: Arc<dyn Network>,
     telemetry: Telemetry,
     admission: Arc<Admission>,
+    link: BodyLink,
     current: Mutex<Option<Current>>,
     duplicates: Mutex<DuplicateWindow>,
     unreachable: Mutex<Option<mpsc::UnboundedSender<String>>>,
@@ -93,6 +97,7 @@
             network,
             telemetry,
             admission: Arc::default(),
+            link: BodyLink::new(settings.link_rate),
             current: Mutex::new(None),
             duplicates: Mutex::default(),
             unreachable: Mutex::new(None),
@@ -122,6 +127,7 @@
             _ => self.new_pool(back_end.address),
         };
         self.admission.open(back_end.slots);
+        self.link.open();
         *current = Some(Current { back_end, pool, is_open: true });
     }
 
@@ -131,6 +137,7 @@
             current.is_open = false;
         }
         self.admission.close();
+        self.link.close();
     }
 
     /// Service of the back end, if one is known.
@@ -162,8 +169,13 @@
         ask_health(&*self.network, &self.dialect, address, path).await
     }
 
+    /// Most bytes of one body that are on their way from another node at once.
+    pub(crate) const fn body_window(&self) -> u32 {
+        self.link.window()
+    }
+
     /// Serves one attempt. Dropping the future gives it up, also at the back end.
-    pub(crate) async fn serve(&self, attempt: Attempt) -> AttemptResult {
+    pub(crate) async fn serve(&self, mut attempt: Attempt) -> AttemptResult {
         let (back_end, pool) = match self.target(&attempt) {
             Ok(target) => target,
             Err(reason) => return self.refused(&attempt, NotRun::before_back_end(reason)),
@@ -173,7 +185,7 @@
             return AttemptResult::Unknown(reason);
         }
         let arrived = Instant::now();
-        let permit = match self.admission.admit(work_item(&attempt)).await {
+        let permit = match self.admit(&mut attempt).await {
             Ok(permit) => permit,
             Err(refusal) => {
                 self.withdraw(&attempt);
@@ -183,6 +195,24 @@
         self.hand_over(attempt, &back_end, &pool, permit, arrived.elapsed()).await
     }
 
+    /// Waits for a slot; a request whose body comes over the link waits for its turn there first, so that it holds no
+    /// slot meanwhile.
+    async fn admit(&self, attempt: &mut Attempt) -> Result<Permit, Refusal> {
+        let pending = match &attempt.body {
+            RequestBody::Pending(pending) if pending.crosses_link() => Some(pending.clone()),
+            _ => None,
+        };
+        if let Some(pending) = pending {
+            let began = Instant::now();
+            let turn = self.link.turn(work_item(attempt), pending.length()).await?;
+            attempt.patience = attempt.patience.saturating_sub(began.elapsed());
+            if let Some(turn) = turn {
+                pending.hold_turn(turn);
+            }
+        }
+        self.admission.admit(work_item(attempt)).await
+    }
+
     /// Takes in that a request is admitted that must not run twice.
     fn admit_once(&self, attempt: &Attempt) -> Result<(), UnknownReason> {
         if attempt.is_idempotent {
--- a/crates/forwarding/src/inbound/mod.rs
+++ b/crates/forwarding/src/inbound/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod back_end;
+mod body_link;
 
 pub(crate) use admission::Permit;
 pub(crate) use back_end::millis;
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -8,6 +8,7 @@
 //! Every attempt ends as *answered*, *not run* (proved) or *unknown*. Only what is proved not to have run is refused
 //! with a promise, and only that or an idempotent request is sent again.
 
+mod body;
 mod dialect;
 mod hop;
 mod inbound;
--- a/crates/forwarding/src/message.rs
+++ b/crates/forwarding/src/message.rs
@@ -3,54 +3,46 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::sync::mpsc;
 use tokio::time::Instant;
 use umberpond_http1::Fields;
 use umberpond_model::ServiceName;
 use umberpond_scheduling::LoadReport;
 
+use crate::body::PendingBody;
 use crate::hop::HopAnswerBody;
 use crate::outcome::{NotRunReason, UnknownReason};
 use crate::upstream::UpstreamBody;
 
-/// A request body that broke off or came too slowly.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct BrokenBody;
-
-/// A request body that arrives while the request is being sent on.
-#[derive(Debug)]
-pub struct BodyStream {
-    /// Length, if the sender told it.
-    pub length: Option<u64>,
-    /// The parts, closed after the last one.
-    pub parts: mpsc::Receiver<Result<Bytes, BrokenBody>>,
-}
-
 /// Body of a request.
 #[derive(Debug)]
 pub enum RequestBody {
     /// The whole body; it can be sent again.
     Whole(Bytes),
-    /// A body that is still arriving; it can be sent once.
-    Stream(BodyStream),
-    /// A body that arrived while it was sent on, and is spent.
+    /// A body that is still arriving; it can be sent once, by the first attempt that begins to.
+    Pending(PendingBody),
+    /// A body that was taken away.
     Spent,
 }
 
 impl RequestBody {
-    /// The body for one attempt; a stream can be taken only once.
-    pub fn take(&mut self) -> Option<Self> {
+    /// The body for one attempt; absent if it can't be sent any more.
+    #[must_use]
+    pub fn for_attempt(&self) -> Option<Self> {
         match self {
             Self::Whole(whole) => Some(Self::Whole(whole.clone())),
-            Self::Stream(_) => Some(std::mem::replace(self, Self::Spent)),
-            Self::Spent => None,
+            Self::Pending(pending) if !pending.is_begun() => Some(Self::Pending(pending.clone())),
+            Self::Pending(_) | Self::Spent => None,
         }
     }
 
-    /// Whether the body can be sent at all any more.
+    /// Whether the body can't be sent any more.
     #[must_use]
-    pub const fn is_spent(&self) -> bool {
-        matches!(self, Self::Spent)
+    pub fn is_spent(&self) -> bool {
+        match self {
+            Self::Whole(_) => false,
+            Self::Pending(pending) => pending.is_begun(),
+            Self::Spent => true,
+        }
     }
 }
 
--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -95,7 +95,7 @@
         let mut last = NotRun::before_back_end(NotRunReason::NoEndpoint);
         loop {
             let Some(choice) = self.choose() else { return self.not_run(last) };
-            let Some(body) = self.request.body.take() else { return self.not_run(last) };
+            let Some(body) = self.request.body.for_attempt() else { return self.not_run(last) };
             let result = self.send(&choice, body).await;
             match self.on_result(&choice, result, &mut last) {
                 Next::Reply(reply) => return reply,
--- a/crates/forwarding/src/server/receive.rs
+++ b/crates/forwarding/src/server/receive.rs
@@ -8,10 +8,11 @@
 use tokio::time::timeout;
 use umberpond_http1::{BodyDecoder, BodyError, Framing, MessageReader};
 
-use crate::message::{BodyStream, BrokenBody, RequestBody};
+use crate::body::{BodyPart, BrokenBody, PendingBody};
+use crate::message::RequestBody;
 
-/// Longest body that is collected before the request is sent on; it can be sent again then.
-const MAX_COLLECTED: usize = 256 * 1024;
+/// Longest body in bytes that is collected before the request is sent on; it can be sent again then.
+const MAX_COLLECTED: usize = 16 * 1024;
 /// Parts of a longer body that are held before the caller has to wait.
 const HELD_PARTS: usize = 4;
 /// Longest pause between two parts of a body.
@@ -20,7 +21,7 @@
 /// A body that is still arriving.
 pub(super) struct Receiving {
     decoder: BodyDecoder,
-    sender: mpsc::Sender<Result<Bytes, BrokenBody>>,
+    sender: mpsc::Sender<BodyPart>,
     left_over_limit: u64,
 }
 
@@ -56,8 +57,8 @@
     let (sender, parts) = mpsc::channel(HELD_PARTS);
     // The channel is new, so there is room.
     let _ = sender.try_send(Ok(collected.freeze()));
-    let stream = RequestBody::Stream(BodyStream { length, parts });
-    Ok((stream, Some(Receiving { decoder, sender, left_over_limit })))
+    let body = RequestBody::Pending(PendingBody::from_caller(length, parts));
+    Ok((body, Some(Receiving { decoder, sender, left_over_limit })))
 }
 
 async fn next_part<R: AsyncRead + Unpin>(
--- a/crates/forwarding/src/upstream/exchange.rs
+++ b/crates/forwarding/src/upstream/exchange.rs
@@ -4,17 +4,20 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use tokio::io::ReadHalf;
 use tokio::time::{Instant, timeout_at};
 use umberpond_http1::{
-    BodyDecoder, Fields, Framing, ResponseHead, response_framing, write_chunk, write_last_chunk,
-    write_request_head,
+    BodyDecoder, Fields, Framing, MessageReader, ResponseHead, response_framing, write_chunk,
+    write_last_chunk, write_request_head,
 };
+use umberpond_net::BoxStream;
 
 use super::body::UpstreamBody;
 use super::connection::UpstreamConnection;
 use super::pool::UpstreamPool;
+use crate::body::{BodyStream, PendingBody};
 use crate::dialect::Dialect;
-use crate::message::{AnswerBody, BodyStream, RequestBody};
+use crate::message::{AnswerBody, RequestBody};
 use crate::outcome::{NotRunReason, UnknownReason};
 
 /// Longest head of an answer, in bytes.
@@ -77,11 +80,13 @@
         }
     }
 
-    async fn exchange(&self, request: &ExchangeRequest<'_>, mut body: RequestBody) -> ExchangeEnd {
+    async fn exchange(&self, request: &ExchangeRequest<'_>, body: RequestBody) -> ExchangeEnd {
         // A connection that the back end closed a moment ago takes no byte; a new one follows.
         while let Some(connection) = self.pool.idle() {
-            let Some(part) = body.take() else { return ExchangeEnd::NotSent(NotRunReason::BodyBroken) };
-            match self.on_connection(connection, request, part).await {
+            let Some(body) = body.for_attempt() else {
+                return ExchangeEnd::NotSent(NotRunReason::BodyBroken);
+            };
+            match self.on_connection(connection, request, body).await {
                 Err(HeadFailure::NothingWritten) => {}
                 Err(HeadFailure::Unknown(reason)) => return ExchangeEnd::Unknown(reason),
                 Ok(end) => return end,
@@ -90,8 +95,8 @@
         let Some(connection) = self.pool.connect(request.deadline).await else {
             return ExchangeEnd::NotSent(NotRunReason::BackEndUnreachable);
         };
-        let Some(part) = body.take() else { return ExchangeEnd::NotSent(NotRunReason::BodyBroken) };
-        match self.on_connection(connection, request, part).await {
+        let Some(body) = body.for_attempt() else { return ExchangeEnd::NotSent(NotRunReason::BodyBroken) };
+        match self.on_connection(connection, request, body).await {
             Err(HeadFailure::NothingWritten) => ExchangeEnd::NotSent(NotRunReason::BackEndUnreachable),
             Err(HeadFailure::Unknown(reason)) => ExchangeEnd::Unknown(reason),
             Ok(end) => end,
@@ -109,52 +114,55 @@
                 let is_sent_whole = write_whole(&mut connection, request, &whole).await?;
                 (self.own_answer(&mut connection, request).await?, is_sent_whole)
             }
-            RequestBody::Stream(stream) => self.with_stream(&mut connection, request, stream).await?,
+            RequestBody::Pending(pending) => self.with_pending(&mut connection, request, &pending).await?,
             RequestBody::Spent => return Ok(ExchangeEnd::NotSent(NotRunReason::BodyBroken)),
         };
         self.read_answer(connection, request, head, is_sent_whole).await
     }
 
-    /// Sends a body while it arrives, and reads the answer, which may come before the body has been sent. Tells
+    /// Begins a body, sends it while it arrives, and reads the answer, which may come before the body has been sent. Tells
     /// whether the whole body was sent; if not, the connection can't serve again.
-    async fn with_stream(
+    async fn with_pending(
         &self,
         connection: &mut UpstreamConnection,
         request: &ExchangeRequest<'_>,
-        mut stream: BodyStream,
+        pending: &PendingBody,
     ) -> Result<(ResponseHead, bool), HeadFailure> {
-        let framing = stream.length.map_or(Framing::Chunked, Framing::Length);
+        let framing = pending.length().map_or(Framing::Chunked, Framing::Length);
         let mut head = BytesMut::new();
         write_request_head(&mut head, request.method, request.target, request.fields, framing);
         connection.write(&head).await.map_err(|failure| unknown_if(failure.is_begun))?;
+        let Some(mut stream) = pending.begin() else {
+            return Err(HeadFailure::Unknown(UnknownReason::BodyBroken));
+        };
         let UpstreamConnection { reader, writer, .. } = connection;
-        let mut is_sent_whole = false;
+        let (mut is_sending, mut is_sent_whole) = (true, false);
+        let mut surplus = 0;
         let sending = send_stream(writer, &mut stream, framing);
         tokio::pin!(sending);
-        let head = loop {
+        loop {
             tokio::select! {
                 biased;
                 head = reader.response_head(MAX_HEAD_BYTES) => {
-                    let head = head.map_err(|_broken| HeadFailure::Unknown(UnknownReason::BackEndClosed))?;
-                    if !is_interim(&head) {
-                        break head;
+                    let head = head.map_err(head_failure)?;
+                    if is_interim(&head) {
+                        continue;
+                    }
+                    if self.is_own(&head, request.id) {
+                        return Ok((head, is_sent_whole));
                     }
+                    self.pass_over_surplus(reader, &head, request.method, &mut surplus).await?;
                 }
-                sent = &mut sending, if !is_sent_whole => {
+                sent = &mut sending, if is_sending => {
+                    is_sending = false;
                     match sent {
                         Ok(()) => is_sent_whole = true,
                         Err(StreamFailure::Caller) => return Err(HeadFailure::Unknown(UnknownReason::BodyBroken)),
-                        Err(StreamFailure::BackEnd) => {
-                            return Err(HeadFailure::Unknown(UnknownReason::BackEndClosed));
-                        }
+                        // It may have answered before it read everything, so what it said is looked at.
+                        Err(StreamFailure::BackEnd) => {}
                     }
                 }
             }
-        };
-        if self.is_own(&head, request.id) {
-            Ok((head, is_sent_whole))
-        } else {
-            Err(HeadFailure::Unknown(UnknownReason::AnswerSpoiled))
         }
     }
 
@@ -171,19 +179,27 @@
             if is_interim(&head) {
                 continue;
             }
-            let echoed = head.fields.get(self.dialect.request_id);
             if self.is_own(&head, request.id) {
                 return Ok(head);
             }
-            let spoiled = HeadFailure::Unknown(UnknownReason::AnswerSpoiled);
-            surplus += 1;
-            if echoed.is_none()
-                || surplus > MAX_SURPLUS
-                || !pass_over(connection, &head, request.method).await
-            {
-                return Err(spoiled);
-            }
+            self.pass_over_surplus(&mut connection.reader, &head, request.method, &mut surplus).await?;
+        }
+    }
+
+    /// Reads the answer that `head` begins and that belongs to an earlier request.
+    async fn pass_over_surplus(
+        &self,
+        reader: &mut MessageReader<ReadHalf<BoxStream>>,
+        head: &ResponseHead,
+        method: &[u8],
+        surplus: &mut u32,
+    ) -> Result<(), HeadFailure> {
+        *surplus += 1;
+        let names_another = head.fields.get(self.dialect.request_id).is_some();
+        if names_another && *surplus <= MAX_SURPLUS && pass_over(reader, head, method).await {
+            return Ok(());
         }
+        Err(HeadFailure::Unknown(UnknownReason::AnswerSpoiled))
     }
 
     /// Whether an answer belongs to the request called `id`. A back end that turns a request away need not name it.
@@ -321,7 +337,7 @@
 ) -> Result<(), StreamFailure> {
     use tokio::io::AsyncWriteExt;
     let mut buffer = BytesMut::new();
-    while let Some(part) = stream.parts.recv().await {
+    while let Some(part) = stream.next().await {
         let part = part.map_err(|_broken| StreamFailure::Caller)?;
         if framing == Framing::Chunked {
             write_chunk(&mut buffer, &part);
@@ -339,11 +355,15 @@
 }
 
 /// Reads the body of an answer that belongs to an earlier request; `false` if it has no certain end.
-async fn pass_over(connection: &mut UpstreamConnection, head: &ResponseHead, method: &[u8]) -> bool {
+async fn pass_over(
+    reader: &mut MessageReader<ReadHalf<BoxStream>>,
+    head: &ResponseHead,
+    method: &[u8],
+) -> bool {
     let Ok(framing) = response_framing(head, method) else { return false };
     if framing == Framing::UntilClose || head.fields.lists("connection", "close") {
         return false;
     }
     let mut decoder = BodyDecoder::new(framing);
-    matches!(connection.reader.whole_body(&mut decoder, MAX_WHOLE_BODY).await, Ok(Some(_)))
+    matches!(reader.whole_body(&mut decoder, MAX_WHOLE_BODY).await, Ok(Some(_)))
 }
--- a/crates/forwarding/tests/support/mod.rs
+++ b/crates/forwarding/tests/support/mod.rs
@@ -52,7 +52,7 @@
 const CALLERS: u8 = 1;
 const INBOUND_PORT: u16 = 100;
 const OUTBOUND_PORT: u16 = 101;
-const BACK_END_PORT: u16 = 102;
+pub const BACK_END_PORT: u16 = 102;
 /// Requests that a scripted back end works on at once.
 pub const SLOTS: u32 = 2;
 
@@ -71,6 +71,7 @@
     pub recorder: Arc<MemoryRecorder>,
     pub served: Vec<Served>,
     callers: Arc<dyn Network>,
+    link_rate: Option<f64>,
 }
 
 /// The routes of every test: two of the host `x.example` to `archive`.
@@ -117,11 +118,22 @@
 impl World {
     /// One node of callers and a node for each script.
     pub async fn new(scripts: Vec<Script>) -> Self {
+        Self::on_links(scripts, None).await
+    }
+
+    /// As [`World::with_routes`], with nodes that know their links to bear `rate` bytes a second.
+    pub async fn with_link(scripts: Vec<Script>, rate: f64) -> Self {
+        let world = Self::on_links(scripts, Some(rate)).await;
+        world.activate(1, &snapshot());
+        world
+    }
+
+    async fn on_links(scripts: Vec<Script>, link_rate: Option<f64>) -> Self {
         let network = SimNetwork::new(1, |_, _| Millis(1));
         let recorder = Arc::new(MemoryRecorder::default());
         let telemetry = Telemetry::to_observer(Arc::clone(&recorder) as _);
         let callers = network.host(host(CALLERS));
-        let inbound = inbound(&callers, &telemetry);
+        let inbound = inbound(&callers, &telemetry, link_rate);
         let outbound = Outbound::new(
             OutboundIdentity {
                 node: name("callers"),
@@ -142,7 +154,7 @@
         let at = SocketAddr::new(host(CALLERS), OUTBOUND_PORT);
         let listener = callers.listen(at).await.unwrap();
         tokio::spawn(serve_outbound(listener, Arc::clone(&outbound), control.clone(), telemetry.clone()));
-        let mut world = Self { network, outbound, control, recorder, served: Vec::new(), callers };
+        let mut world = Self { network, outbound, control, recorder, served: Vec::new(), callers, link_rate };
         for script in scripts {
             world.add_node(script, &telemetry).await;
         }
@@ -167,7 +179,7 @@
     async fn add_node(&mut self, script: Script, telemetry: &Telemetry) {
         let number = 10 + u8::try_from(self.served.len()).unwrap();
         let network = self.network.host(host(number));
-        let inbound = inbound(&network, telemetry);
+        let inbound = inbound(&network, telemetry, self.link_rate);
         let instance = format!("life-{number}");
         let at = SocketAddr::new(host(number), BACK_END_PORT);
         let back_end = ScriptedBackEnd::start(&network, at, &instance, script).await;
@@ -212,8 +224,8 @@
     Locality { region: name("north"), zone: name("a") }
 }
 
-fn inbound(network: &Arc<dyn Network>, telemetry: &Telemetry) -> Arc<Inbound> {
-    let settings = InboundSettings::default();
+fn inbound(network: &Arc<dyn Network>, telemetry: &Telemetry, link_rate: Option<f64>) -> Arc<Inbound> {
+    let settings = InboundSettings { link_rate, ..InboundSettings::default() };
     Arc::new(Inbound::new(DIALECT, settings, Arc::clone(network), telemetry.clone()))
 }
 
--- a/testing/network/src/fabric.rs
+++ b/testing/network/src/fabric.rs
@@ -225,7 +225,7 @@
         }
         let base_delay = Duration::from_millis((self.delay_between)(from, to).0);
         let link = Arc::new(LinkState {
-            uplink: self.uplink(from),
+            uplink: if from == to { Arc::default() } else { self.uplink(from) },
             blocked: watch::Sender::new(self.is_frozen(from) || self.is_frozen(to)),
             cut: Mutex::new(false),
             delay: Mutex::new(base_delay),
--- a/testing/sim/src/cluster/process.rs
+++ b/testing/sim/src/cluster/process.rs
@@ -247,6 +247,7 @@
             }),
             store: layout::PLATFORM,
             seal_key: place.is_edge.then(|| Arc::new(layout::caller_key())),
+            link_rate: None,
             retry_budget: RetryBudgetSettings::default(),
             log: LogConfig::default(),
             grace: GRACE,
