Tell refused callers to come back over the time they have, not all at once

Cause: a caller refused by a full service was told to come back after its expected wait, 0.2 to 0.3 s. It has two or three tries and spent them within half a second, while back ends are cold for three seconds after a loss of power or a burst lasts as long.

Change: it is told seven to ten tenths of a third of the time that it still waits, drawn anew each time, so that those refused together don't come back together. The refusal itself goes out at once, as before.

Ruled out: holding the request; a fixed longer time, which would fit one deadline.

--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use rand::RngExt;
 use tokio::time::Instant;
 use umberpond_http1::RequestHead;
 use umberpond_model::{NodeName, ServiceName, Version};
@@ -21,6 +22,11 @@
 const SHORTEST_ATTEMPT: Duration = Duration::from_millis(10);
 /// When a caller comes back whose request did not run, if nothing better is known.
 const COME_BACK: Duration = Duration::from_millis(200);
+/// Share of the time that a caller still waits after which it comes back to a service without room: of the few tries that
+/// it has, none is made while the service is known to be full, and callers heed no longer time than this.
+const COME_BACK_SHARE: f64 = 1.0 / 3.0;
+/// Least part of that time told, so that callers refused together don't come back together.
+const COME_BACK_LEAST: f64 = 0.7;
 /// Share of the objective within which a refusal is early.
 const EARLY_SHARE: f64 = 0.2;
 /// Share of the objective at which an answer has to be expected: half of those expected at its very end come after it.
@@ -45,6 +51,8 @@
     pub(super) arrived: Instant,
     /// Longest time from the arrival to the answer.
     pub(super) time: Duration,
+    /// Time that the caller waits, by its own word, or else that of the route.
+    pub(super) caller_time: Duration,
 }
 
 /// A request on its way through its attempts.
@@ -287,10 +295,21 @@
         if let Some(reason) = self.may_have_run {
             return self.reply(ReplyReason::Unknown(reason), None);
         }
-        let come_back = not_run.retry_after.unwrap_or(COME_BACK);
+        let come_back = self.come_back(not_run);
         self.reply(ReplyReason::NotRun(not_run.reason), Some(come_back))
     }
 
+    /// When the caller of a request that did not run does best to send it again.
+    fn come_back(&self, not_run: NotRun) -> Duration {
+        let soonest = not_run.retry_after.unwrap_or(COME_BACK);
+        if not_run.reason != NotRunReason::Overloaded {
+            return soonest;
+        }
+        let left = self.request.caller_time.saturating_sub(self.request.arrived.elapsed());
+        let part = self.outbound.random.lock().random_range(COME_BACK_LEAST..=1.0);
+        soonest.max(left.mul_f64(COME_BACK_SHARE * part))
+    }
+
     fn reply(&self, reason: ReplyReason, retry_after: Option<Duration>) -> Reply {
         self.outbound.telemetry.emit(Event::RequestGivenUp {
             request: text(&self.request.id),
--- a/crates/forwarding/src/outbound/handler.rs
+++ b/crates/forwarding/src/outbound/handler.rs
@@ -286,6 +286,7 @@
         let time = told.map_or(route.timeout, |millis| {
             Duration::from_millis(millis).saturating_sub(ANSWER_RESERVE).min(route.timeout)
         });
+        let caller_time = told.map_or(route.timeout, Duration::from_millis);
         let service = route.draw_destination(&mut *self.random.lock()).clone();
         let id = id.unwrap_or_else(|| self.new_id());
         let version = table.version();
@@ -300,6 +301,7 @@
             version,
             arrived,
             time,
+            caller_time,
         })
     }
 
--- a/crates/forwarding/tests/overload.rs
+++ b/crates/forwarding/tests/overload.rs
@@ -52,3 +52,38 @@
     }
     assert!((4..=7).contains(&answered), "{answered} were answered");
 }
+
+/// A caller has a few tries. Refused at once and told to come back soon, it spends them all while the service is full.
+#[tokio::test(start_paused = true)]
+async fn the_tries_of_a_refused_caller_are_spread_over_its_time() {
+    let act = Act::Answer { status: 200, body: "a", after: WORK_MILLIS };
+    let world = World::with_routes(vec![vec![act]]).await;
+    for number in 0..6 {
+        assert_eq!(world.caller().await.ask("/read/a", &format!("w{number}")).await.status, 200);
+    }
+    let mut asking = Vec::new();
+    for number in 0..40 {
+        let mut caller = world.caller().await;
+        asking.push(tokio::spawn(async move {
+            caller.write(with_time("/read/a", &format!("r{number}"), 2_400)).await;
+            caller.read().await.unwrap()
+        }));
+    }
+    let mut told = Vec::new();
+    for asked in asking {
+        let answer = asked.await.unwrap();
+        if answer.status == 503 {
+            told.push(answer.fields.text("retry-after").unwrap().parse::<f64>().unwrap());
+        }
+    }
+    assert!(told.len() > 20);
+    assert!(told.iter().all(|after| (0.5..=0.8).contains(after)), "{told:?}");
+    let (first, last) = told.iter().fold((f64::MAX, 0.0_f64), |(low, high), x| (low.min(*x), high.max(*x)));
+    assert!(last - first > 0.1, "all come back together: {first} to {last}");
+}
+
+fn with_time(path: &str, id: &str, millis: u64) -> String {
+    format!(
+        "GET {path} HTTP/1.1\r\nHost: x.example\r\numberpond-request: {id}\r\numberpond-deadline: {millis}\r\n\r\n"
+    )
+}
