Reckon with the requests that overtake one that waits

Cause: the expected wait counted the work that lies before a request when it comes.

Change: the queue keeps the work admitted lately by the time that its requests had left, and stretches the expected wait by the share of the slots that goes to those with less.

Ruled out: another order of the queue; the urgent ones do come first rightly, their callers hold a slot elsewhere meanwhile.

--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -3,6 +3,7 @@
 //! The node beside a back end is the only way to it, so this is the one authority on what runs. The core has no I/O
 //! and reads no clock: the present time is an argument.
 
+mod admitted_work;
 mod duplicates;
 mod load;
 mod queue;
--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -5,6 +5,7 @@
 
 use thiserror::Error;
 
+use crate::admitted_work::AdmittedWork;
 use crate::{LoadReport, ServiceTime};
 
 /// Most requests that may wait, as a multiple of the slots.
@@ -13,6 +14,8 @@
 const UNKNOWN_SERVICE_TIME: Duration = Duration::from_millis(50);
 /// Share of its expected time that a request must have left to be started: some take less than expected.
 const HOPELESS_SHARE: f64 = 0.7;
+/// Most of the slots that more urgent requests are reckoned to take from one that waits.
+const MOST_OVERTAKING_SHARE: f64 = 0.8;
 /// Weight of one request in the share of failed ones.
 const FAILURE_WEIGHT: f64 = 0.03;
 
@@ -37,6 +40,11 @@
         now + self.service.mul_f64(HOPELESS_SHARE) >= self.deadline
     }
 
+    /// Time left until the end of its objective.
+    fn left(&self, now: Instant) -> Duration {
+        self.objective_at.saturating_duration_since(now)
+    }
+
     /// Whether it can no longer be expected to meet its objective.
     fn is_late(&self, now: Instant) -> bool {
         now + self.service > self.objective_at
@@ -109,6 +117,7 @@
     service_time: ServiceTime,
     failed_share: f64,
     reports: u64,
+    admitted: AdmittedWork,
 }
 
 impl WorkQueue {
@@ -125,6 +134,7 @@
             service_time: ServiceTime::default(),
             failed_share: 0.0,
             reports: 0,
+            admitted: AdmittedWork::default(),
         }
     }
 
@@ -167,15 +177,17 @@
         }
         if self.running < self.slots && self.waiting.is_empty() {
             self.running += 1;
+            self.admitted.record(now, item.left(now), item.service);
             return Decision::Start;
         }
-        let expected = self.expected_wait(item);
+        let expected = self.expected_wait(now, item);
         if expected > item.patience {
             return Decision::Refuse(Refusal::WaitTooLong { expected });
         }
         if self.waiting.len() >= WAITING_PER_SLOT * self.slots.max(1) as usize {
             return Decision::Refuse(Refusal::QueueFull);
         }
+        self.admitted.record(now, item.left(now), item.service);
         Decision::Wait(self.enqueue(item))
     }
 
@@ -215,10 +227,10 @@
         self.failed_share += (sample - self.failed_share) * FAILURE_WEIGHT;
     }
 
-    /// Expected wait of a request like `item`, if it were offered now: until the requests before it have run, and a
-    /// slot is free.
+    /// Expected wait of a request like `item`, if it were offered now: until the requests before it and those that
+    /// will overtake it have run, and a slot is free.
     #[must_use]
-    pub fn expected_wait(&self, item: WorkItem) -> Duration {
+    pub fn expected_wait(&mut self, now: Instant, item: WorkItem) -> Duration {
         let place = Place {
             priority: item.priority,
             is_late: false,
@@ -227,7 +239,13 @@
         };
         let ahead: Duration = self.waiting.range(..place).map(|(_, waiting)| waiting.service).sum();
         let is_free = self.running < self.slots && ahead.is_zero();
-        if is_free { Duration::ZERO } else { (ahead + self.mean_service_time()) / self.slots.max(1) }
+        if is_free {
+            return Duration::ZERO;
+        }
+        let slots = self.slots.max(1);
+        let overtaking = self.admitted.overtaking_rate(now, item.left(now)) / f64::from(slots);
+        let left_share = 1.0 - overtaking.min(MOST_OVERTAKING_SHARE);
+        ((ahead + self.mean_service_time()) / slots).div_f64(left_share)
     }
 
     /// What others are told.
--- a/crates/scheduling/tests/queue.rs
+++ b/crates/scheduling/tests/queue.rs
@@ -181,3 +181,23 @@
         true
     }
 }
+
+#[test]
+fn the_expected_wait_reckons_with_those_that_will_overtake() {
+    let mut now = Instant::now();
+    let mut queue = open_queue(2);
+    // For a second, more urgent requests come one after another and keep half of the slots busy.
+    for _ in 0..20 {
+        assert_eq!(queue.offer(now, item(now, 1, 100)), Decision::Start);
+        queue.finish(Some(millis(50)));
+        now += millis(50);
+    }
+    assert_eq!(queue.offer(now, item(now, 1, 500)), Decision::Start);
+    assert_eq!(queue.offer(now, item(now, 1, 500)), Decision::Start);
+    let patient = queue.expected_wait(now, item(now, 1, 500));
+    let urgent = queue.expected_wait(now, item(now, 1, 100));
+    assert_eq!(urgent, millis(25), "one of two slots of 50 ms gets free");
+    assert!(patient >= millis(35), "{patient:?} leaves out those that come meanwhile");
+    now += millis(5_000);
+    assert!(queue.expected_wait(now, item(now, 1, 500)) < millis(26), "none has come for a while");
+}
