Serve first tries before later ones, told apart by the time that callers say they will wait

Cause: in overload a refused caller comes back, and its later try competed with first tries as an equal. An answer to a first try is of full use; the later one's caller has waited before.

Change: by route, the commonest times told by callers are those of first tries; a rarer and shorter one is what is left of one of them. Several kinds of callers with times of their own are learnt as such. Later tries go behind the first ones that can still meet their objective, and before those that can't; their expected wait reckons with that.

Ruled out: taking the longest time for that of first tries: a few patient callers would make all others later tries.

--- a/crates/forwarding/src/hop/protocol.rs
+++ b/crates/forwarding/src/hop/protocol.rs
@@ -74,6 +74,7 @@
     deadline_left: u64,
     patience: u64,
     service_time: u64,
+    is_later_try: bool,
     pub(crate) body: HopBody,
 }
 
@@ -118,6 +119,7 @@
             deadline_left: micros(attempt.deadline.saturating_duration_since(now)),
             patience: micros(attempt.patience),
             service_time: micros(attempt.service_time),
+            is_later_try: attempt.is_later_try,
             body,
         }
     }
@@ -140,6 +142,7 @@
             deadline: now + Duration::from_micros(self.deadline_left),
             patience: Duration::from_micros(self.patience),
             service_time: Duration::from_micros(self.service_time),
+            is_later_try: self.is_later_try,
         }
     }
 }
--- a/crates/forwarding/src/inbound/back_end.rs
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -381,6 +381,7 @@
         deadline: attempt.deadline.into_std(),
         patience: attempt.patience,
         service: attempt.service_time,
+        is_later_try: attempt.is_later_try,
     }
 }
 
--- a/crates/forwarding/src/message.rs
+++ b/crates/forwarding/src/message.rs
@@ -77,6 +77,8 @@
     pub patience: Duration,
     /// Time that the back end is expected to take.
     pub service_time: Duration,
+    /// Whether the caller has sent the request before, under another identity, and was refused.
+    pub is_later_try: bool,
 }
 
 /// What is known about an attempt at its end.
--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -53,6 +53,8 @@
     pub(super) time: Duration,
     /// Time that the caller waits, by its own word, or else that of the route.
     pub(super) caller_time: Duration,
+    /// Whether the caller has sent it before and was refused.
+    pub(super) is_later_try: bool,
 }
 
 /// A request on its way through its attempts.
@@ -162,6 +164,7 @@
             deadline: self.deadline,
             patience: self.patience(choice.service),
             service_time: choice.service,
+            is_later_try: request.is_later_try,
         }
     }
 
--- a/crates/forwarding/src/outbound/handler.rs
+++ b/crates/forwarding/src/outbound/handler.rs
@@ -22,6 +22,7 @@
 use umberpond_telemetry::{Event, RequestDetail, Telemetry};
 
 use super::attempts::{Attempts, PreparedRequest};
+use super::caller_times::CallerTimes;
 use super::reply::{Reply, ReplyReason};
 use crate::dialect::Dialect;
 use crate::hop::{HopPool, HopPoolSettings};
@@ -94,6 +95,7 @@
     table: ArcSwapOption<RoutingTable>,
     budgets: Mutex<BTreeMap<ServiceName, RetryBudget>>,
     live_nodes: AtomicUsize,
+    caller_times: Mutex<CallerTimes>,
 }
 
 impl std::fmt::Debug for Outbound {
@@ -146,6 +148,7 @@
             table: ArcSwapOption::empty(),
             budgets: Mutex::default(),
             live_nodes: AtomicUsize::new(1),
+            caller_times: Mutex::default(),
         })
     }
 
@@ -287,6 +290,7 @@
             Duration::from_millis(millis).saturating_sub(ANSWER_RESERVE).min(route.timeout)
         });
         let caller_time = told.map_or(route.timeout, Duration::from_millis);
+        let is_later_try = told.is_some() && self.caller_times.lock().record(&route.name, caller_time);
         let service = route.draw_destination(&mut *self.random.lock()).clone();
         let id = id.unwrap_or_else(|| self.new_id());
         let version = table.version();
@@ -302,6 +306,7 @@
             arrived,
             time,
             caller_time,
+            is_later_try,
         })
     }
 
--- a/crates/forwarding/src/outbound/mod.rs
+++ b/crates/forwarding/src/outbound/mod.rs
@@ -1,6 +1,7 @@
 //! The half beside the caller: finds the route, chooses back ends, sends attempts and answers the caller.
 
 mod attempts;
+mod caller_times;
 mod handler;
 mod reply;
 
--- a/crates/forwarding/tests/overload.rs
+++ b/crates/forwarding/tests/overload.rs
@@ -82,6 +82,44 @@
     assert!(last - first > 0.1, "all come back together: {first} to {last}");
 }
 
+/// An answer to a first try is of full use, one to a later try only of part: its caller has waited before.
+#[tokio::test(start_paused = true)]
+async fn a_first_try_goes_before_a_later_one_and_callers_with_other_times_are_no_later_tries() {
+    let act = Act::Answer { status: 200, body: "a", after: WORK_MILLIS };
+    let world = World::with_routes(vec![vec![act]]).await;
+    let ask = async |id: String, time: u64| {
+        let mut caller = world.caller().await;
+        tokio::spawn(async move {
+            caller.write(with_time("/read/a", &id, time)).await;
+            let answer = caller.read().await.unwrap();
+            (answer.status, Instant::now())
+        })
+    };
+    // Two kinds of callers, which wait for 2.4 and for 1.2 s.
+    for number in 0..40 {
+        let time = if number % 2 == 0 { 2_400 } else { 1_200 };
+        assert_eq!(ask(format!("w{number}"), time).await.await.unwrap().0, 200);
+    }
+    for (number, (waits_first, waits_next, next_is_first)) in
+        [(1_730, 2_400, true), (1_730, 1_200, true), (1_200, 2_400, false)].into_iter().enumerate()
+    {
+        let mut busy = Vec::new();
+        for slot in 0..4 {
+            busy.push(ask(format!("b{number}-{slot}"), 2_400).await);
+        }
+        support::pause(5).await;
+        let first = ask(format!("f{number}"), waits_first).await;
+        support::pause(5).await;
+        let next = ask(format!("n{number}"), waits_next).await;
+        let (first, next) = (first.await.unwrap(), next.await.unwrap());
+        assert_eq!((first.0, next.0), (200, 200));
+        assert_eq!(next.1 < first.1, next_is_first, "{waits_first} before {waits_next}");
+        for busy in busy {
+            busy.await.unwrap();
+        }
+    }
+}
+
 fn with_time(path: &str, id: &str, millis: u64) -> String {
     format!(
         "GET {path} HTTP/1.1\r\nHost: x.example\r\numberpond-request: {id}\r\numberpond-deadline: {millis}\r\n\r\n"
--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -32,6 +32,8 @@
     pub patience: Duration,
     /// Time that the back end is expected to take for it.
     pub service: Duration,
+    /// Whether its caller has sent it before and was refused: its objective can be met only in part by now.
+    pub is_later_try: bool,
 }
 
 impl WorkItem {
@@ -95,16 +97,30 @@
     Expire(Ticket),
 }
 
-/// Place in the queue: by priority; then those that can still meet their objective, the most urgent first; then those
-/// that can't, so that they don't make others late.
+/// Place in the queue: by priority; then those that can still meet their objective, first tries before later ones and the
+/// most urgent first; then those that can't, so that they don't make others late.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Place {
     priority: u8,
     is_late: bool,
+    is_later_try: bool,
     objective_at: Instant,
     ticket: Ticket,
 }
 
+impl Place {
+    /// The place of an item that can still meet its objective.
+    const fn of(item: &WorkItem, ticket: Ticket) -> Self {
+        Self {
+            priority: item.priority,
+            is_late: false,
+            is_later_try: item.is_later_try,
+            objective_at: item.objective_at,
+            ticket,
+        }
+    }
+}
+
 /// The queue before one back end, and what is known of its speed.
 #[derive(Debug)]
 pub struct WorkQueue {
@@ -231,12 +247,7 @@
     /// will overtake it have run, and a slot is free.
     #[must_use]
     pub fn expected_wait(&mut self, now: Instant, item: WorkItem) -> Duration {
-        let place = Place {
-            priority: item.priority,
-            is_late: false,
-            objective_at: item.objective_at,
-            ticket: Ticket(self.next_ticket),
-        };
+        let place = Place::of(&item, Ticket(self.next_ticket));
         let ahead: Duration = self.waiting.range(..place).map(|(_, waiting)| waiting.service).sum();
         let is_free = self.running < self.slots && ahead.is_zero();
         if is_free {
@@ -280,8 +291,7 @@
     fn enqueue(&mut self, item: WorkItem) -> Ticket {
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
-        let place =
-            Place { priority: item.priority, is_late: false, objective_at: item.objective_at, ticket };
+        let place = Place::of(&item, ticket);
         self.insert(place, item);
         ticket
     }
--- a/crates/scheduling/tests/queue.rs
+++ b/crates/scheduling/tests/queue.rs
@@ -16,6 +16,7 @@
         deadline: now + millis(10_000),
         patience: millis(10_000),
         service: millis(50),
+        is_later_try: false,
     }
 }
 
@@ -201,3 +202,20 @@
     now += millis(5_000);
     assert!(queue.expected_wait(now, item(now, 1, 500)) < millis(26), "none has come for a while");
 }
+
+#[test]
+fn first_tries_go_before_later_ones_of_the_same_kind() {
+    let now = Instant::now();
+    let mut queue = open_queue(1);
+    assert_eq!(queue.offer(now, item(now, 1, 500)), Decision::Start);
+    let later = waits(queue.offer(now, WorkItem { is_later_try: true, ..item(now, 1, 400) }));
+    let first = waits(queue.offer(now, item(now, 1, 600)));
+    let less_urgent = waits(queue.offer(now, item(now, 2, 300)));
+    let order: Vec<Option<Started>> = (0..3)
+        .map(|_| {
+            queue.finish(Some(millis(10)));
+            queue.start_next(now)
+        })
+        .collect();
+    assert_eq!(order, [first, later, less_urgent].map(|ticket| Some(Started::Run(ticket))));
+}
