Hold a request untried for less than half of its caller's time

Cause: a request that could no longer be refused early waited for a slot until its deadline.

The wait that it is taken in with is bounded likewise.

Ruled out: refusing as soon as the objective is missed; a late answer is worth something where slots are left over.

--- a/crates/forwarding/src/inbound/back_end.rs
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -379,6 +379,7 @@
         priority: attempt.priority,
         objective_at: attempt.objective_at.into_std(),
         deadline: attempt.deadline.into_std(),
+        hold_until: attempt.hold_until.into_std(),
         patience: attempt.patience,
         service: attempt.service_time,
         is_later_try: attempt.is_later_try,
@@ -389,7 +390,7 @@
     match refusal {
         Refusal::Closed => NotRun::before_back_end(NotRunReason::Draining),
         Refusal::Expired => NotRun::before_back_end(NotRunReason::DeadlineBeforeRun),
-        Refusal::QueueFull => NotRun::before_back_end(NotRunReason::Overloaded),
+        Refusal::QueueFull | Refusal::HeldTooLong => NotRun::before_back_end(NotRunReason::Overloaded),
         Refusal::WaitTooLong { expected } => {
             NotRun { retry_after: Some(expected), ..NotRun::before_back_end(NotRunReason::Overloaded) }
         }
--- a/crates/forwarding/src/message.rs
+++ b/crates/forwarding/src/message.rs
@@ -73,7 +73,9 @@
     pub objective_at: Instant,
     /// End of the time within which an answer is of any use.
     pub deadline: Instant,
-    /// Longest time that the request may wait for a slot.
+    /// When the request is given up if it still waits for a slot.
+    pub hold_until: Instant,
+    /// Longest time that the request may be expected to wait for a slot.
     pub patience: Duration,
     /// Time that the back end is expected to take.
     pub service_time: Duration,
--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -31,6 +31,8 @@
 const EARLY_SHARE: f64 = 0.2;
 /// Share of the objective at which an answer has to be expected: half of those expected at its very end come after it.
 const EXPECTED_SHARE: f64 = 0.65;
+/// Share of the time that a caller waits for which a request is held without having been handed to a back end.
+const HOLD_SHARE: f64 = 0.45;
 /// Rank of the requests on which other requests depend.
 const FIRST_RANK: u8 = 0;
 /// Most attempts that never came near a back end; they are free, but each takes time.
@@ -62,6 +64,8 @@
     outbound: &'a Arc<Outbound>,
     request: PreparedRequest,
     deadline: Instant,
+    /// When it is given up if no back end has been handed it: its caller still has time to come back then.
+    hold_until: Instant,
     tried: Vec<NodeName>,
     /// Back ends at which the request has arrived.
     reached: u32,
@@ -79,10 +83,12 @@
 impl<'a> Attempts<'a> {
     pub(super) fn new(outbound: &'a Arc<Outbound>, request: PreparedRequest) -> Self {
         let deadline = request.arrived + request.time;
+        let hold_until = request.arrived + request.caller_time.mul_f64(HOLD_SHARE);
         Self {
             outbound,
             request,
             deadline,
+            hold_until,
             tried: Vec::new(),
             reached: 0,
             free_attempts: 0,
@@ -163,6 +169,7 @@
             objective_at: request.arrived + request.route.objective,
             deadline: self.deadline,
             patience: self.patience(choice.service),
+            hold_until: self.hold_until,
             service_time: choice.service,
             is_later_try: request.is_later_try,
         }
@@ -174,12 +181,12 @@
     fn patience(&self, service: Duration) -> Duration {
         let now = Instant::now();
         let is_early = now < self.request.arrived + self.request.route.objective.mul_f64(EARLY_SHARE);
-        let end = if is_early && self.request.route.priority > FIRST_RANK {
-            self.request.arrived + self.request.route.objective.mul_f64(EXPECTED_SHARE)
-        } else {
-            self.deadline
-        };
-        end.saturating_duration_since(now).saturating_sub(service)
+        let until_deadline = self.deadline.saturating_duration_since(now).saturating_sub(service);
+        if is_early && self.request.route.priority > FIRST_RANK {
+            let expected_by = self.request.arrived + self.request.route.objective.mul_f64(EXPECTED_SHARE);
+            return expected_by.saturating_duration_since(now).saturating_sub(service);
+        }
+        until_deadline.min(self.hold_until.saturating_duration_since(now))
     }
 
     /// Tells the selector how the attempt ended.
@@ -286,7 +293,8 @@
     }
 
     fn has_time(&self) -> bool {
-        self.deadline.saturating_duration_since(Instant::now()) >= SHORTEST_ATTEMPT
+        let end = self.deadline.min(self.hold_until);
+        end.saturating_duration_since(Instant::now()) >= SHORTEST_ATTEMPT
     }
 
     fn attempts(&self) -> u32 {
--- a/crates/forwarding/tests/overload.rs
+++ b/crates/forwarding/tests/overload.rs
@@ -4,6 +4,7 @@
 
 use support::World;
 use support::back_end::Act;
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 /// Time that the back end takes for a request, in milliseconds. It has two slots, and the objective is 500 ms.
@@ -87,30 +88,22 @@
 async fn a_first_try_goes_before_a_later_one_and_callers_with_other_times_are_no_later_tries() {
     let act = Act::Answer { status: 200, body: "a", after: WORK_MILLIS };
     let world = World::with_routes(vec![vec![act]]).await;
-    let ask = async |id: String, time: u64| {
-        let mut caller = world.caller().await;
-        tokio::spawn(async move {
-            caller.write(with_time("/read/a", &id, time)).await;
-            let answer = caller.read().await.unwrap();
-            (answer.status, Instant::now())
-        })
-    };
     // Two kinds of callers, which wait for 2.4 and for 1.2 s.
     for number in 0..40 {
         let time = if number % 2 == 0 { 2_400 } else { 1_200 };
-        assert_eq!(ask(format!("w{number}"), time).await.await.unwrap().0, 200);
+        assert_eq!(start_asking(&world, format!("w{number}"), time).await.await.unwrap().0, 200);
     }
     for (number, (waits_first, waits_next, next_is_first)) in
         [(1_730, 2_400, true), (1_730, 1_200, true), (1_200, 2_400, false)].into_iter().enumerate()
     {
         let mut busy = Vec::new();
         for slot in 0..4 {
-            busy.push(ask(format!("b{number}-{slot}"), 2_400).await);
+            busy.push(start_asking(&world, format!("b{number}-{slot}"), 2_400).await);
         }
         support::pause(5).await;
-        let first = ask(format!("f{number}"), waits_first).await;
+        let first = start_asking(&world, format!("f{number}"), waits_first).await;
         support::pause(5).await;
-        let next = ask(format!("n{number}"), waits_next).await;
+        let next = start_asking(&world, format!("n{number}"), waits_next).await;
         let (first, next) = (first.await.unwrap(), next.await.unwrap());
         assert_eq!((first.0, next.0), (200, 200));
         assert_eq!(next.1 < first.1, next_is_first, "{waits_first} before {waits_next}");
@@ -120,6 +113,44 @@
     }
 }
 
+/// A request that came late, since other nodes were tried first, waits as long as that helps: not to its caller's end.
+#[tokio::test(start_paused = true)]
+async fn no_request_is_held_untried_for_more_than_half_of_its_callers_time() {
+    let act = Act::Answer { status: 200, body: "a", after: 1_900 };
+    let world = World::with_routes(vec![vec![act], vec![support::back_end::ok("b")]]).await;
+    // The second node is silent: to find that out takes 300 ms, and the refusal would no longer come early.
+    world.network.cut(support::host(1), support::host(11));
+    let mut asking = Vec::new();
+    for number in 0..12 {
+        let mut caller = world.caller().await;
+        asking.push(tokio::spawn(async move {
+            let began = Instant::now();
+            caller.write(with_time("/read/a", &format!("r{number}"), 2_000)).await;
+            let answer = caller.read().await.unwrap();
+            (answer.status, began.elapsed().as_millis())
+        }));
+    }
+    let mut refused = 0;
+    for asked in asking {
+        let (status, taken) = asked.await.unwrap();
+        if status == 503 {
+            refused += 1;
+            assert!(taken <= 1_000, "refused after {taken} ms of 2,000");
+        }
+    }
+    assert!(refused >= 6, "{refused} were refused");
+}
+
+/// Sends a request whose caller waits for `time` ms; tells the status of its answer, and when it came.
+async fn start_asking(world: &World, id: String, time: u64) -> JoinHandle<(u16, Instant)> {
+    let mut caller = world.caller().await;
+    tokio::spawn(async move {
+        caller.write(with_time("/read/a", &id, time)).await;
+        let answer = caller.read().await.unwrap();
+        (answer.status, Instant::now())
+    })
+}
+
 fn with_time(path: &str, id: &str, millis: u64) -> String {
     format!(
         "GET {path} HTTP/1.1\r\nHost: x.example\r\numberpond-request: {id}\r\numberpond-deadline: {millis}\r\n\r\n"
--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -28,7 +28,9 @@
     pub objective_at: Instant,
     /// End of the time within which an answer is of any use.
     pub deadline: Instant,
-    /// Longest time that the sender lets the request wait here.
+    /// When it is given up if it still waits.
+    pub hold_until: Instant,
+    /// Longest wait with which it is taken in, as far as can be expected.
     pub patience: Duration,
     /// Time that the back end is expected to take for it.
     pub service: Duration,
@@ -72,6 +74,9 @@
     /// Too many requests wait already.
     #[error("too many requests wait already")]
     QueueFull,
+    /// It has waited for as long as its sender lets it.
+    #[error("it has waited for as long as it may")]
+    HeldTooLong,
     /// The deadline passed while the request waited.
     #[error("the deadline passed in the queue")]
     Expired,
--- a/crates/scheduling/tests/queue.rs
+++ b/crates/scheduling/tests/queue.rs
@@ -14,6 +14,7 @@
         priority,
         objective_at: now + millis(objective),
         deadline: now + millis(10_000),
+        hold_until: now + millis(10_000),
         patience: millis(10_000),
         service: millis(50),
         is_later_try: false,
