Let an early request wait only where its answer is expected within 0.55 of its objective

Cause: in overload the queue's length is all that decides whether answers come in time; the slots are full either way.

Change: 0.55.

--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -30,7 +30,7 @@
 /// Share of the objective within which a refusal is early.
 const EARLY_SHARE: f64 = 0.2;
 /// Share of the objective at which an answer has to be expected: half of those expected at its very end come after it.
-const EXPECTED_SHARE: f64 = 0.65;
+const EXPECTED_SHARE: f64 = 0.55;
 /// Share of the time that a caller waits for which a request is held without having been handed to a back end.
 const HOLD_SHARE: f64 = 0.45;
 /// Rank of the requests on which other requests depend.
