Hold a kilobyte for an idle side of a connection, in place of eight

Cause: memory at its peak is the dearest price of the new deployments. A busy node has some 1,900 sockets open in a burst, and each side of each held 8 kB from its first byte on: frames to and from other nodes, and the reader of every HTTP message.

Change: both begin with 1 kB. The reader of messages asks for four times as much when a read fills its space, up to 16 kB, and for less when reads stay small, so that long bodies still come in few reads.

Ruled out: link-time optimisation with one code generation unit (processor time 4% less, memory the same, build 1 min 55 s in place of 17 s).

--- a/crates/http1/src/reader.rs
+++ b/crates/http1/src/reader.rs
@@ -10,8 +10,12 @@
 use crate::error::{BodyError, HeadError};
 use crate::head::{Head, RequestHead, ResponseHead};
 
-/// Space asked for before each read, in bytes.
-const READ_BYTES: usize = 8 * 1024;
+/// Space asked for before the first read of a connection, in bytes.
+const FIRST_SPACE: usize = 1024;
+/// Most space asked for before a read, in bytes.
+const MOST_SPACE: usize = 16 * 1024;
+/// Factor by which the space grows when a read fills it.
+const SPACE_GROWTH: usize = 4;
 
 /// Limits on reading the next request of a connection.
 #[derive(Debug, Clone, Copy)]
@@ -27,6 +31,8 @@
 pub struct MessageReader<R> {
     stream: R,
     buffer: BytesMut,
+    /// Space asked for before the next read, in bytes.
+    space: usize,
     /// When the first byte of the head being read arrived.
     head_began: Option<Instant>,
 }
@@ -34,7 +40,7 @@
 impl<R: AsyncRead + Unpin> MessageReader<R> {
     /// A reader at the start of a connection.
     pub fn new(stream: R) -> Self {
-        Self { stream, buffer: BytesMut::new(), head_began: None }
+        Self { stream, buffer: BytesMut::new(), space: FIRST_SPACE, head_began: None }
     }
 
     /// Whether no byte is waiting to be taken as part of a message.
@@ -165,7 +171,21 @@
     }
 
     async fn read_some(&mut self) -> std::io::Result<usize> {
-        self.buffer.reserve(READ_BYTES);
-        self.stream.read_buf(&mut self.buffer).await
+        self.buffer.reserve(self.space);
+        let count = self.stream.read_buf(&mut self.buffer).await?;
+        self.space = next_space(self.space, count);
+        Ok(count)
+    }
+}
+
+/// Space for the read after one that took `count` bytes into `space`: long bodies come in few reads, and connections that
+/// carry little hold little.
+fn next_space(space: usize, count: usize) -> usize {
+    if count >= space {
+        (space * SPACE_GROWTH).min(MOST_SPACE)
+    } else if count * SPACE_GROWTH < space {
+        (space / 2).max(FIRST_SPACE)
+    } else {
+        space
     }
 }
--- a/crates/net/src/framing.rs
+++ b/crates/net/src/framing.rs
@@ -24,6 +24,10 @@
     Undecodable(#[source] bitcode::Error),
 }
 
+/// Space for one side of a connection at its start, in bytes; it grows with what passes. Most connections carry small
+/// messages, and a busy node has more than a thousand of them.
+const FIRST_SPACE: usize = 1024;
+
 fn codec() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
 }
@@ -38,7 +42,7 @@
 impl<R: AsyncRead + Unpin, M: DecodeOwned> FrameReader<R, M> {
     /// Reads frames from `stream`.
     pub fn new(stream: R) -> Self {
-        Self { frames: FramedRead::new(stream, codec()), message: PhantomData }
+        Self { frames: FramedRead::with_capacity(stream, codec(), FIRST_SPACE), message: PhantomData }
     }
 
     /// Reads the next message and its size on the wire in bytes; `None` at a clean end between two frames.
@@ -68,7 +72,7 @@
 impl<W: AsyncWrite + Unpin, M: Encode> FrameWriter<W, M> {
     /// Writes frames to `stream`.
     pub fn new(stream: W) -> Self {
-        Self { frames: FramedWrite::new(stream, codec()), message: PhantomData }
+        Self { frames: FramedWrite::with_capacity(stream, codec(), FIRST_SPACE), message: PhantomData }
     }
 
     /// Writes and flushes one message; tells its size on the wire in bytes.
