Expect half of the objective of a route of which no answer has come yet

Cause: a node that has just started took 0.1 s for every request's time in the back end.

Change: until the first answer on a route its requests are expected to take half of their objective, times how slow the endpoint is by its own word, relative to the others. The operator sets objectives with the work in mind.

--- a/crates/forwarding/tests/bodies.rs
+++ b/crates/forwarding/tests/bodies.rs
@@ -81,6 +81,10 @@
 async fn small_requests_pass_between_long_bodies_on_a_slow_link() {
     let world = World::with_link(vec![vec![ok("a")]], SLOW_LINK).await;
     widen(&world, 12);
+    // So that it is known how fast the back end is.
+    for number in 0..3 {
+        assert_eq!(world.caller().await.ask("/write/a", &format!("w{number}")).await.status, 200);
+    }
     world.network.limit_bandwidth(host(CALLERS), 1_250_000);
     let mut uploads = Vec::new();
     for number in 0..4 {
--- a/crates/selection/tests/choice.rs
+++ b/crates/selection/tests/choice.rs
@@ -189,3 +189,18 @@
     assert_eq!(world.choose(&[]), None);
     assert_eq!(world.selector.count(&world.service), 0);
 }
+
+#[test]
+fn of_a_route_without_an_answer_its_objective_is_what_is_known() {
+    let mut world = World::new(vec![endpoint("one", "north", "a")]);
+    world.told("one", report(1, 2, 0, 20));
+    let query =
+        |objective| Query { route: &world.route, tried: &[], objective: Duration::from_millis(objective) };
+    let service = |objective| {
+        let mut random = ChaCha8Rng::seed_from_u64(1);
+        let chosen = world.selector.choose(world.now, &mut random, &world.service, query(objective));
+        chosen.unwrap().service
+    };
+    assert_eq!(service(500), Duration::from_millis(250));
+    assert_eq!(service(1_000), Duration::from_millis(500));
+}
