Draw two endpoints of each distance at random and take the better one

Cause: every node took the least cost of all endpoints, by reports as old as its last exchange with each, so all nodes took the same few: with 41 back ends of one service the busiest got 2.5 times the mean, and refusals and repeats followed.

Change: two endpoints of the own zone, two of the rest of the region and two of other regions are drawn, and the least cost among these wins. On small deployments that is nearly all of them, on large ones the power of two choices.

Ruled out: four of all, whatever their distance, as good on the users' deployment and blind to regions elsewhere; the deterministic aperture, which bounds connections, and these are kept short already: it would fix who is crowded.

--- a/crates/selection/src/selector.rs
+++ b/crates/selection/src/selector.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use rand::seq::IteratorRandom;
 use rand::{Rng, RngExt};
 use umberpond_model::{Locality, NodeName, RouteName, ServiceName};
 use umberpond_scheduling::LoadReport;
@@ -22,6 +23,8 @@
 const CROWDED_SHARE: f64 = 0.75;
 /// Shortest objective reckoned with, in seconds.
 const SHORTEST_OBJECTIVE_SECONDS: f64 = 0.001;
+/// Endpoints of each distance that are drawn at random for one choice.
+const DRAWN: usize = 2;
 /// Relative size of the random part, which keeps nodes with the same knowledge from choosing alike.
 const JITTER: f64 = 0.1;
 
@@ -100,8 +103,12 @@
         }
     }
 
-    /// The endpoint from which an answer is expected first, a preference for near ones included; absent if none is
-    /// left that was not tried.
+    /// Of a few endpoints drawn at random the one from which an answer is expected first, a preference for near ones
+    /// included; absent if none is left that was not tried.
+    ///
+    /// What is known of other nodes' load is as old as their last word. If every node took the best of all, all would choose
+    /// the same few until the next word; a draw spreads them, and two of each distance are nearly as good as the best
+    /// (Mitzenmacher, *The Power of Two Choices in Randomized Load Balancing*).
     pub fn choose(
         &self,
         now: Instant,
@@ -111,7 +118,8 @@
     ) -> Option<Choice> {
         let endpoints = self.services.get(service)?;
         let typical = typical_service_seconds(endpoints);
-        let costs = usable(endpoints, now, query).map(|tracked| {
+        let drawn = self.draw(usable(endpoints, now, query), random);
+        let costs = drawn.into_iter().map(|tracked| {
             let estimate = self.estimate(now, tracked, typical, query);
             let factor = 1.0 + JITTER * random.random::<f64>();
             (estimate.cost * factor, estimate, tracked)
@@ -171,6 +179,20 @@
         }
     }
 
+    /// Some endpoints of each distance.
+    fn draw<'a>(
+        &self,
+        endpoints: impl Iterator<Item = &'a Tracked>,
+        random: &mut impl Rng,
+    ) -> Vec<&'a Tracked> {
+        let mut by_distance: [Vec<&Tracked>; Distance::COUNT] = Default::default();
+        for tracked in endpoints {
+            by_distance[self.distance(&tracked.endpoint.locality) as usize].push(tracked);
+        }
+        let drawn = by_distance.into_iter().flat_map(|near| near.into_iter().sample(random, DRAWN));
+        drawn.collect()
+    }
+
     fn tracked(&mut self, service: &ServiceName, node: &NodeName) -> Option<&mut Tracked> {
         self.services.get_mut(service)?.get_mut(node)
     }
@@ -188,21 +210,44 @@
         let lateness = (time / query.objective.as_secs_f64().max(SHORTEST_OBJECTIVE_SECONDS)).powi(2);
         let failures = tracked.failures_now(now).min(1.0).max(tracked.failed_share());
         let failing = failures * self.settings.failure_cost;
-        let cost = lateness + failing + self.distance(&tracked.endpoint.locality);
+        let cost = lateness + failing + self.distance_cost(&tracked.endpoint.locality);
         Estimate { cost, wait, service }
     }
 
-    fn distance(&self, locality: &Locality) -> f64 {
+    fn distance(&self, locality: &Locality) -> Distance {
         if *locality == self.own {
-            0.0
+            Distance::Zone
         } else if locality.region == self.own.region {
-            self.settings.zone_cost
+            Distance::Region
         } else {
-            self.settings.zone_cost + self.settings.region_cost
+            Distance::Abroad
+        }
+    }
+
+    fn distance_cost(&self, locality: &Locality) -> f64 {
+        match self.distance(locality) {
+            Distance::Zone => 0.0,
+            Distance::Region => self.settings.zone_cost,
+            Distance::Abroad => self.settings.zone_cost + self.settings.region_cost,
         }
     }
 }
 
+/// How far an endpoint is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Distance {
+    /// In the own zone.
+    Zone,
+    /// In another zone of the own region.
+    Region,
+    /// In another region.
+    Abroad,
+}
+
+impl Distance {
+    const COUNT: usize = 3;
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Estimate {
     cost: f64,
--- a/crates/selection/tests/choice.rs
+++ b/crates/selection/tests/choice.rs
@@ -204,3 +204,16 @@
     assert_eq!(service(500), Duration::from_millis(250));
     assert_eq!(service(1_000), Duration::from_millis(500));
 }
+
+#[test]
+fn many_nodes_with_the_same_old_word_do_not_all_choose_the_same_back_end() {
+    let names: Vec<String> = (0..30).map(|number| format!("node-{number}")).collect();
+    let mut world = World::new(names.iter().map(|node| endpoint(node, "north", "b")).collect());
+    for (number, node) in (0..).zip(&names) {
+        world.told(node, report(1, 4 + number % 4, 0, 100));
+    }
+    let shares = world.shares(3_000);
+    let most = shares.values().max().unwrap();
+    assert!(*most < 300, "one of thirty is chosen {most} times of 3,000");
+    assert!(shares.len() >= 20, "{} of thirty are chosen", shares.len());
+}
