--- a/xtask/src/flags.rs
+++ b/xtask/src/flags.rs
@@ -26,6 +26,15 @@
             /// Keep the log files, also after success.
             optional --keep-logs
         }
+
+        /// Compares two folders of reports of measured runs, run by run: worth, credit by kind of request, worth lost by
+        /// reason, and the mean difference with its standard error.
+        cmd rounds {
+            /// Reports from before the change.
+            required --before folder: PathBuf
+            /// Reports from after it.
+            required --after folder: PathBuf
+        }
     }
 }
 // generated start
@@ -40,6 +49,7 @@
 pub enum XtaskCmd {
     Demo(Demo),
     Soak(Soak),
+    Rounds(Rounds),
 }
 
 #[derive(Debug)]
@@ -55,6 +65,12 @@
     pub keep_logs: bool,
 }
 
+#[derive(Debug)]
+pub struct Rounds {
+    pub before: PathBuf,
+    pub after: PathBuf,
+}
+
 impl Xtask {
     #[allow(dead_code)]
     pub fn from_env_or_exit() -> Self {
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,10 +1,11 @@
-//! Repository tasks: `cargo xtask demo` and `cargo xtask soak`.
+//! Repository tasks: `cargo xtask demo`, `cargo xtask soak` and `cargo xtask rounds`.
 
 mod demo;
 mod error;
 mod flags;
 mod node_log;
 mod report;
+mod rounds;
 mod soak;
 mod supervise;
 
@@ -19,6 +20,7 @@
     let result = match flags.subcommand {
         XtaskCmd::Demo(options) => demo::run(&options).await,
         XtaskCmd::Soak(options) => soak::run(&options).await,
+        XtaskCmd::Rounds(options) => rounds::run(&options),
     };
     match result {
         Ok(code) => code,
