Take back the expectation of half the objective of a route without an answer

Five seconds were expected, more than the time left, so nothing was tried and nothing was ever learnt. Any deployment with objectives beyond its callers' time would have stood still.

--- a/crates/forwarding/tests/overload.rs
+++ b/crates/forwarding/tests/overload.rs
@@ -6,6 +6,8 @@
 use support::back_end::Act;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
+use umberpond_config::{Entry, Route, RoutePolicy};
+use umberpond_model::Millis;
 
 /// Time that the back end takes for a request, in milliseconds. It has two slots, and the objective is 500 ms.
 const WORK_MILLIS: u64 = 100;
@@ -141,6 +143,24 @@
     assert!(refused >= 6, "{refused} were refused");
 }
 
+/// What is expected of a request of which nothing is known must not keep it from being tried: then nothing is ever known.
+#[tokio::test(start_paused = true)]
+async fn a_route_whose_objective_exceeds_its_callers_time_is_served_from_the_first_request_on() {
+    let act = Act::Answer { status: 200, body: "a", after: WORK_MILLIS };
+    let world = World::new(vec![vec![act]]).await;
+    let mut snapshot = support::snapshot();
+    let route = support::route("/read/", true);
+    let policy = RoutePolicy { objective: Some(Millis(10_000)), ..route.policy };
+    let route = Route { policy, timeout: Millis(10_000), ..route };
+    snapshot.routes.insert(route.name.clone(), Entry::new(route));
+    world.activate(1, &snapshot);
+    for number in 0..3 {
+        let mut caller = world.caller().await;
+        caller.write(with_time("/read/a", &format!("r{number}"), 3_000)).await;
+        assert_eq!(caller.read().await.unwrap().status, 200);
+    }
+}
+
 /// Sends a request whose caller waits for `time` ms; tells the status of its answer, and when it came.
 async fn start_asking(world: &World, id: String, time: u64) -> JoinHandle<(u16, Instant)> {
     let mut caller = world.caller().await;
--- a/crates/selection/src/selector.rs
+++ b/crates/selection/src/selector.rs
@@ -14,9 +14,6 @@
 
 /// Assumed service time in seconds while nothing is known of any endpoint.
 const UNKNOWN_SERVICE_SECONDS: f64 = 0.1;
-/// Time in the back end that is assumed of a route's requests while none has been answered, as a share of the objective:
-/// objectives are set at two to three times what the work takes.
-const UNKNOWN_SERVICE_SHARE: f64 = 0.5;
 /// How much slower a back end is taken to be that has just started and has told nothing yet.
 const COLD_FACTOR: f64 = 2.0;
 /// Share of the slots from which on a back end counts as crowded: its queue may be longer than the last report told.
@@ -202,9 +199,8 @@
     fn estimate(&self, now: Instant, tracked: &Tracked, typical: f64, query: Query<'_>) -> Estimate {
         let cold = if tracked.endpoint.is_cold { COLD_FACTOR } else { 1.0 };
         let mean = tracked.service_seconds().unwrap_or(typical * cold);
-        let relative = mean / typical;
-        let of_route = self.times.expected(query.route, &tracked.endpoint.node, relative);
-        let service = of_route.unwrap_or(query.objective.as_secs_f64() * UNKNOWN_SERVICE_SHARE * relative);
+        let of_route = self.times.expected(query.route, &tracked.endpoint.node, mean / typical);
+        let service = of_route.unwrap_or(mean);
         let wait = expected_wait(tracked.held(), tracked.slots(), mean);
         let time = wait + service + tracked.overhead_seconds();
         let lateness = (time / query.objective.as_secs_f64().max(SHORTEST_OBJECTIVE_SECONDS)).powi(2);
