Heartbeats between neighbours, news by gossip, and few calls to the store

Cause: at 195 nodes each told every other one of itself 200 times a second in all, four fifths of the bytes between zones; the interval to one node grew with their count, so silence was seen after 3.9 s; each node read the configuration from the store while it had not heard of a reader, and announced itself and listed all others at its start.

Change (docs/design/0106): a ring of neighbours in each zone and one watched node of each other zone; two findings leave a node out, a later record refutes them; changes are passed on by gossip, sums of buckets find what was missed. Up to 16 nodes, all watch all with the same code. Word from the store travels on every heartbeat, readers step in by doubling, the list of nodes is read from the store's older copy, an entry that stands is not written again, a configuration is fetched within the zone.

--- a/crates/daemon/src/configuration/actor.rs
+++ b/crates/daemon/src/configuration/actor.rs
@@ -24,8 +24,8 @@
 
 /// What the configuration actor is told and asked.
 pub(crate) enum ConfigurationMessage {
-    /// Another node holds this version.
-    Told { version: Version, by: SocketAddr },
+    /// Another node, perhaps one of the same zone, holds this version.
+    Told { version: Version, by: SocketAddr, is_near: bool },
     /// What came of asking another node.
     Fetched { fetched: Fetched, from: SocketAddr },
     /// The pause after a busy node is over.
@@ -89,8 +89,8 @@
         state: &mut Self::State,
     ) -> Result<(), ActorProcessingErr> {
         match message {
-            ConfigurationMessage::Told { version, by } => {
-                state.holders.on_heard(by, version, state.held.version());
+            ConfigurationMessage::Told { version, by, is_near } => {
+                state.holders.on_heard(by, version, state.held.version(), is_near);
                 state.fetch_if_behind(&myself);
             }
             ConfigurationMessage::Fetched { fetched, from } => state.on_fetched(&myself, fetched, from),
--- a/crates/daemon/src/configuration/reader.rs
+++ b/crates/daemon/src/configuration/reader.rs
@@ -8,12 +8,13 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use tokio::time::sleep;
-use umberpond_distribution::{ReaderCandidate, ReaderSettings, is_reader};
+use umberpond_distribution::{ReaderQuestion, ReaderSettings, is_reader};
+use umberpond_model::NodeName;
 use umberpond_telemetry::{Event, Telemetry};
 
 use super::actor::ConfigurationMessage;
 use super::source::{ConfigurationSource, Position, SourceError, Waited};
-use crate::membership::{MembershipMessage, StoreContact, StoreView};
+use crate::membership::{MembershipMessage, StoreView};
 
 /// Time between two looks whether this node reads.
 const ROLE_INTERVAL: Duration = Duration::from_millis(250);
@@ -181,11 +182,8 @@
     settings: &ReaderSettings,
 ) -> bool {
     let asked = membership.call(MembershipMessage::StoreView, Some(ACTOR_TIME)).await;
-    let Ok(CallResult::Success(StoreView { own, others })) = asked else { return false };
-    let others: Vec<ReaderCandidate<'_>> = others.iter().map(candidate).collect();
-    is_reader(settings, candidate(&own), &others)
-}
-
-fn candidate(contact: &StoreContact) -> ReaderCandidate<'_> {
-    ReaderCandidate { node: &contact.node, store_age: contact.age }
+    let Ok(CallResult::Success(view)) = asked else { return false };
+    let StoreView { own, others, silent_for, has_joined } = view;
+    let others: Vec<&NodeName> = others.iter().collect();
+    has_joined && is_reader(settings, ReaderQuestion { own: &own, others: &others, silent_for })
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,7 +17,7 @@
 mod start;
 mod stop;
 
-pub use directory::{DirectoryError, MemberDirectory};
+pub use directory::{DirectoryError, Listing, MemberDirectory};
 pub use environment::Environment;
 pub use error::StartError;
 pub use http_server::{BoxHandler, HttpAnswer, HttpHandler, HttpQuestion, ORDINARY_BODY_BYTES, serve_http};
--- a/crates/daemon/src/membership/actor.rs
+++ b/crates/daemon/src/membership/actor.rs
@@ -8,7 +8,8 @@
 use tokio::time::{Instant, MissedTickBehavior, interval};
 use umberpond_forwarding::{Inbound, Outbound};
 use umberpond_membership::{
-    BackEndRecord, Heartbeat, Introduction, MemberPhase, MemberView, Membership, Outgoing, Reachability,
+    BackEndRecord, Datagram, Introduction, MemberPhase, MemberRecord, MemberView, Membership, MembershipNote,
+    Outgoing,
 };
 use umberpond_model::{NodeName, Version};
 use umberpond_net::BoxDatagrams;
@@ -18,17 +19,22 @@
 use super::endpoints::ToldEndpoints;
 use crate::configuration::ConfigurationMessage;
 
-/// Time between two looks for heartbeats that are due.
-const TICK: Duration = Duration::from_millis(100);
+/// Time between two looks for heartbeats that are due: a quarter of the shortest interval between two to one node.
+const TICK: Duration = Duration::from_millis(50);
+/// Time within which the store is expected to have named the other nodes. Until then this node reads no configuration
+/// from it: the others may have it.
+const JOIN_TIME: Duration = Duration::from_millis(1_500);
 
 /// What the membership is told and asked.
 pub(crate) enum MembershipMessage {
     /// Time has passed.
     Tick,
-    /// Another node's heartbeat.
-    Heartbeat { from: SocketAddr, heartbeat: Box<Heartbeat> },
+    /// Another node's datagram.
+    Datagram { from: SocketAddr, datagram: Box<Datagram> },
     /// Nodes that the store names.
     Introductions(Vec<Introduction>),
+    /// The store has named all nodes that were there before this one.
+    Joined,
     /// This node's word of its back end.
     BackEnd(Option<BackEndRecord>),
     /// This process goes on to another phase.
@@ -45,18 +51,16 @@
     StoreView(RpcReplyPort<StoreView>),
 }
 
-/// A node and the time since it heard from the store, as far as known here.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct StoreContact {
-    pub(crate) node: NodeName,
-    pub(crate) age: Option<Duration>,
-}
-
-/// Who could read the store: this node and the others that can be reached.
+/// Who could read the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct StoreView {
-    pub(crate) own: StoreContact,
-    pub(crate) others: Vec<StoreContact>,
+    pub(crate) own: NodeName,
+    /// The others that can be reached, or that the store has just named.
+    pub(crate) others: Vec<NodeName>,
+    /// Time since any node heard from the store, as far as known here, or since this process started.
+    pub(crate) silent_for: Duration,
+    /// Whether the others are known, as far as the store can name them.
+    pub(crate) has_joined: bool,
 }
 
 /// What the actor needs.
@@ -76,6 +80,8 @@
     telemetry: Telemetry,
     told: ToldEndpoints,
     configuration: Option<ActorRef<ConfigurationMessage>>,
+    started_at: std::time::Instant,
+    has_joined: bool,
 }
 
 /// The actor that owns the membership.
@@ -100,6 +106,8 @@
             telemetry: arguments.telemetry,
             told: ToldEndpoints::default(),
             configuration: None,
+            started_at: Instant::now().into_std(),
+            has_joined: false,
         })
     }
 
@@ -109,9 +117,11 @@
         message: Self::Msg,
         state: &mut Self::State,
     ) -> Result<(), ActorProcessingErr> {
+        let is_tick = matches!(message, MembershipMessage::Tick);
         let outgoing = state.on_message(message);
         send(&state.socket, &outgoing, state.telemetry.metrics());
-        state.tell_changes();
+        state.tell_notes();
+        state.tell_changes(is_tick);
         Ok(())
     }
 }
@@ -135,11 +145,15 @@
                 self.membership.set_load(self.inbound.load());
                 self.membership.on_tick(now)
             }
-            MembershipMessage::Heartbeat { from, heartbeat } => self.on_heartbeat(now, from, &heartbeat),
+            MembershipMessage::Datagram { from, datagram } => self.on_datagram(now, from, &datagram),
             MembershipMessage::Introductions(introductions) => {
                 self.membership.on_introductions(now, introductions);
                 self.membership.on_tick(now)
             }
+            MembershipMessage::Joined => {
+                self.has_joined = true;
+                Vec::new()
+            }
             MembershipMessage::BackEnd(back_end) => self.membership.set_back_end(now, back_end),
             MembershipMessage::Phase(phase) => self.membership.set_phase(now, phase),
             MembershipMessage::Version(version) => self.membership.set_version(now, version),
@@ -162,42 +176,53 @@
         }
     }
 
-    fn on_heartbeat(
+    fn on_datagram(
         &mut self,
         now: std::time::Instant,
         from: SocketAddr,
-        heartbeat: &Heartbeat,
+        datagram: &Datagram,
     ) -> Vec<Outgoing> {
-        let outgoing = self.membership.on_heartbeat(now, from, heartbeat);
+        let outgoing = self.membership.on_datagram(now, from, datagram);
+        let Datagram::Heartbeat(heartbeat) = datagram else { return outgoing };
         if let Some((node, service)) = self.membership.back_end_of(heartbeat.word.order()) {
             self.outbound.on_report(service, node, heartbeat.load);
         }
-        // The sender's own word counts, not where its datagram came from: it may stand behind another address.
-        let control = self.membership.control_of(heartbeat.word.order());
-        if let (Some(actor), Some(version), Some(by)) =
-            (&self.configuration, heartbeat.configuration.version, control)
+        let sender = self.membership.record_of(heartbeat.word.order());
+        if let (Some(actor), Some(version), Some(sender)) =
+            (&self.configuration, heartbeat.configuration.version, sender)
         {
-            let _ = actor.send_message(ConfigurationMessage::Told { version, by });
+            // The sender's own word counts, not where its datagram came from: it may stand behind another address.
+            let by = sender.control;
+            let is_near = sender.locality == self.membership.own().locality;
+            let _ = actor.send_message(ConfigurationMessage::Told { version, by, is_near });
         }
         outgoing
     }
 
     fn store_view(&self, now: std::time::Instant) -> StoreView {
-        let own = StoreContact {
-            node: self.membership.own().node.clone(),
-            age: self.membership.store_heard_at().map(|at| now.saturating_duration_since(at)),
-        };
-        let reachable =
-            self.membership.members().filter(|member| member.reachability == Reachability::Reachable);
-        let running = reachable.filter(|member| member.record.phase == MemberPhase::Running);
-        let others = running
-            .map(|member| StoreContact { age: member.store_age(now), node: member.record.node })
-            .collect();
-        StoreView { own, others }
+        let running = |record: &&MemberRecord| record.phase == MemberPhase::Running;
+        let reachable = self.membership.reachable().filter(running).map(|record| record.node.clone());
+        let heard_at = self.membership.store_word_at().unwrap_or(self.started_at);
+        StoreView {
+            own: self.membership.own().node.clone(),
+            others: reachable.chain(self.membership.expected_strangers(now).cloned()).collect(),
+            silent_for: now.saturating_duration_since(heard_at),
+            has_joined: self.has_joined || now.saturating_duration_since(self.started_at) > JOIN_TIME,
+        }
     }
 
-    fn tell_changes(&mut self) {
-        if !self.membership.take_changed() {
+    fn tell_notes(&mut self) {
+        for note in self.membership.take_notes() {
+            self.telemetry.emit(event_of(note));
+        }
+    }
+
+    /// Tells the request path what has changed: at once if somebody takes no requests any more, otherwise with the next
+    /// tick, so that many that come together are told together.
+    fn tell_changes(&mut self, is_tick: bool) {
+        let is_due =
+            if is_tick { self.membership.take_changed() } else { self.membership.take_urgent_change() };
+        if !is_due {
             return;
         }
         self.outbound.set_live_nodes(self.membership.reachable_count() + 1);
@@ -208,3 +233,30 @@
         self.telemetry.emit(Event::MembershipChanged { members, reachable, endpoints: endpoints as u64 });
     }
 }
+
+fn event_of(note: MembershipNote) -> Event {
+    match note {
+        MembershipNote::FoundSilent { node, silent_for } => {
+            Event::NeighbourSilent { node, silent_millis: millis(silent_for) }
+        }
+        MembershipNote::LeftOut { node, accusers, known_for } => {
+            Event::NodeLeftOut { node, accusers: accusers as u64, known_millis: millis(known_for) }
+        }
+        MembershipNote::Refuted { sequence } => Event::LeavingOutRefuted { sequence },
+        MembershipNote::ZoneCut { locality, silent } => {
+            Event::ZoneCutOff { zone: locality.to_string(), silent: silent as u64 }
+        }
+        MembershipNote::ZoneBack { locality } => Event::ZoneBack { zone: locality.to_string() },
+        MembershipNote::Stalled { stalled_for } => {
+            Event::ProcessStalled { stalled_millis: millis(stalled_for) }
+        }
+        MembershipNote::RepairAsked { bucket, differs_for } => {
+            let bucket = u64::from(bucket);
+            Event::MembershipRepairAsked { bucket, differs_millis: millis(differs_for) }
+        }
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/daemon/src/membership/datagrams.rs
+++ b/crates/daemon/src/membership/datagrams.rs
@@ -1,33 +1,31 @@
-//! Heartbeats on the wire.
+//! Datagrams of the membership on the wire.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use ractor::ActorRef;
 use tokio::time::sleep;
-use umberpond_membership::{Heartbeat, Outgoing};
+use umberpond_membership::{Datagram, Outgoing};
 use umberpond_net::BoxDatagrams;
 use umberpond_telemetry::{Direction, Event, Metrics, Telemetry};
 
 use super::actor::MembershipMessage;
 
-/// Kind of message in the figures.
-const HEARTBEAT: &str = "heartbeat";
-/// Longest datagram, in bytes; a heartbeat stays well below it.
+/// Longest datagram, in bytes; all stay well below it.
 const MAX_DATAGRAM: usize = 8 * 1024;
 /// Pause after a failed receive.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(20);
 
-/// Sends heartbeats.
+/// Sends datagrams.
 pub(super) fn send(socket: &BoxDatagrams, outgoing: &[Outgoing], metrics: &Metrics) {
-    for Outgoing { to, heartbeat } in outgoing {
-        let bytes = bitcode::encode(heartbeat);
-        metrics.control(Direction::Out, HEARTBEAT, bytes.len());
+    for Outgoing { to, datagram } in outgoing {
+        let bytes = bitcode::encode(datagram);
+        metrics.control(Direction::Out, datagram.kind(), bytes.len());
         socket.send(&bytes, *to);
     }
 }
 
-/// Hands every heartbeat to the membership. Ends with the membership.
+/// Hands every datagram to the membership. Ends with the membership.
 pub(crate) async fn receive_datagrams(
     socket: Arc<BoxDatagrams>,
     membership: ActorRef<MembershipMessage>,
@@ -39,10 +37,10 @@
             sleep(RECEIVE_PAUSE).await;
             continue;
         };
-        telemetry.metrics().control(Direction::In, HEARTBEAT, length);
-        match bitcode::decode::<Heartbeat>(&buffer[..length]) {
-            Ok(heartbeat) => {
-                let message = MembershipMessage::Heartbeat { from: sender, heartbeat: Box::new(heartbeat) };
+        match bitcode::decode::<Datagram>(&buffer[..length]) {
+            Ok(datagram) => {
+                telemetry.metrics().control(Direction::In, datagram.kind(), length);
+                let message = MembershipMessage::Datagram { from: sender, datagram: Box::new(datagram) };
                 if membership.send_message(message).is_err() {
                     return;
                 }
--- a/crates/daemon/src/membership/endpoints.rs
+++ b/crates/daemon/src/membership/endpoints.rs
@@ -3,9 +3,7 @@
 use std::collections::BTreeMap;
 
 use umberpond_forwarding::Outbound;
-use umberpond_membership::{
-    BackEndRecord, BackEndState, MemberPhase, MemberRecord, Membership, Reachability,
-};
+use umberpond_membership::{BackEndRecord, BackEndState, MemberPhase, MemberRecord, Membership};
 use umberpond_model::ServiceName;
 use umberpond_selection::Endpoint;
 
@@ -36,10 +34,8 @@
 
 fn find(membership: &Membership) -> BTreeMap<ServiceName, Vec<Endpoint>> {
     let mut found: BTreeMap<ServiceName, Vec<Endpoint>> = BTreeMap::new();
-    let others = membership.members().filter(|member| member.reachability == Reachability::Reachable);
-    let records = others.map(|member| member.record).chain([membership.own().clone()]);
-    for record in records {
-        if let Some(back_end) = usable_back_end(&record) {
+    for record in membership.reachable().chain([membership.own()]) {
+        if let Some(back_end) = usable_back_end(record) {
             let endpoint = Endpoint {
                 node: record.node.clone(),
                 address: record.inbound,
--- a/crates/daemon/src/membership/mod.rs
+++ b/crates/daemon/src/membership/mod.rs
@@ -4,5 +4,5 @@
 mod datagrams;
 mod endpoints;
 
-pub(crate) use actor::{MembershipActor, MembershipArguments, MembershipMessage, StoreContact, StoreView};
+pub(crate) use actor::{MembershipActor, MembershipArguments, MembershipMessage, StoreView};
 pub(crate) use datagrams::receive_datagrams;
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -26,7 +26,7 @@
     Activation, ConfigurationActor, ConfigurationArguments, ConfigurationMessage, ConfigurationSource,
     ReaderTask, finds_itself_reader, read_store, serve_peers,
 };
-use crate::directory::{self, MemberDirectory};
+use crate::directory::{JoinTask, MemberDirectory, join};
 use crate::environment::{Environment, SeedUse};
 use crate::error::StartError;
 use crate::membership::{MembershipActor, MembershipArguments, MembershipMessage, receive_datagrams};
@@ -126,7 +126,11 @@
         let outbound = start_outbound(&config, &environment, extensions.dialect, &inbound);
         let activation =
             Arc::new(Activation::new(Arc::clone(&outbound), config.seal_key.clone(), telemetry.clone()));
-        let introduction = Introduction { node: own.node.clone(), control: own.control };
+        let introduction = Introduction {
+            node: own.node.clone(),
+            control: own.control,
+            locality: Some(own.locality.clone()),
+        };
         let arguments = MembershipArguments {
             membership: Membership::new(MembershipSettings::default(), own),
             socket: Arc::clone(&listeners.datagrams),
@@ -326,13 +330,14 @@
             telemetry: telemetry.clone(),
             seed: self.environment.seed_for(SeedUse::Store),
         }));
-        tasks.spawn(directory::join(
-            Arc::clone(&self.extensions.directory),
-            self.introduction.clone(),
-            self.membership.clone(),
-            self.environment.seed_for(SeedUse::Store).wrapping_add(1),
+        tasks.spawn(join(JoinTask {
+            directory: Arc::clone(&self.extensions.directory),
+            own: self.introduction.clone(),
+            membership: self.membership.clone(),
+            is_first_start: self.config.is_first_start,
+            seed: self.environment.seed_for(SeedUse::Store).wrapping_add(1),
             telemetry,
-        ));
+        }));
         tasks.spawn(follow_unreachable(Arc::clone(&self.inbound), Arc::clone(&self.back_end)));
         tasks.spawn(close_expired(Arc::clone(&self.inbound), Arc::clone(&self.outbound)));
         if let Some(back_end) = self.config.back_end {
--- a/crates/distribution/src/readers.rs
+++ b/crates/distribution/src/readers.rs
@@ -9,40 +9,55 @@
 pub struct ReaderSettings {
     /// Nodes that read the store while all is well.
     pub readers: usize,
-    /// Time without word from the store, over all nodes, after which any node reads it itself.
+    /// Time without word from the store, over all nodes, after which the next nodes read it too.
     pub step_in_after: Duration,
+    /// What each doubling of the nodes adds to that time: word from the store passes from node to node, and the nodes step in
+    /// by and by, each time as many as those before them, so that they don't all ask a store that is in trouble at once.
+    pub time_per_doubling: Duration,
+    /// Nodes up to which all hear a reader directly.
+    pub heard_directly: usize,
 }
 
 impl Default for ReaderSettings {
     fn default() -> Self {
-        Self { readers: 2, step_in_after: Duration::from_millis(1_200) }
+        Self {
+            readers: 2,
+            step_in_after: Duration::from_millis(1_200),
+            time_per_doubling: Duration::from_millis(150),
+            heard_directly: 16,
+        }
     }
 }
 
-/// A node that could read the store.
+/// What a node knows when it finds out whether it reads the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ReaderCandidate<'a> {
+pub struct ReaderQuestion<'a> {
     /// The node.
-    pub node: &'a NodeName,
-    /// Time since it heard from the store, as far as known here.
-    pub store_age: Option<Duration>,
+    pub own: &'a NodeName,
+    /// The others that could read.
+    pub others: &'a [&'a NodeName],
+    /// Time since any node heard from the store, as far as known here; since the start of this process if none is known to
+    /// have.
+    pub silent_for: Duration,
 }
 
-/// Whether `own` reads the store. The others are those that can be reached. No node grants this to another: two nodes
-/// that see the others differently may both read, which costs reads and nothing else.
+/// Whether the node reads the store. No node grants this to another: two nodes that see the others differently may both
+/// read, which costs reads and nothing else.
 #[must_use]
-pub fn is_reader(
-    settings: &ReaderSettings,
-    own: ReaderCandidate<'_>,
-    others: &[ReaderCandidate<'_>],
-) -> bool {
-    let own_rank = rank(own.node);
-    let before = others.iter().filter(|other| rank(other.node) < own_rank).count();
+pub fn is_reader(settings: &ReaderSettings, question: ReaderQuestion<'_>) -> bool {
+    let own_rank = rank(question.own);
+    let before = question.others.iter().filter(|other| rank(other) < own_rank).count();
     if before < settings.readers {
         return true;
     }
-    let ages = others.iter().chain([&own]).filter_map(|candidate| candidate.store_age);
-    ages.min().is_none_or(|freshest| freshest > settings.step_in_after)
+    let spreading = doublings(question.others.len() + 1, settings.heard_directly);
+    let turn = doublings(before, settings.readers);
+    question.silent_for > settings.step_in_after + settings.time_per_doubling * (spreading + turn)
+}
+
+/// How often `from` can be doubled without exceeding `count`.
+fn doublings(count: usize, from: usize) -> u32 {
+    (count / from.max(1)).checked_ilog2().unwrap_or(0)
 }
 
 /// Order in which nodes read the store: by a hash, so that it follows neither names nor places.
--- a/crates/membership/src/heartbeat.rs
+++ b/crates/membership/src/heartbeat.rs
@@ -1,9 +1,10 @@
-//! The one kind of datagram.
+//! What nodes tell one another in datagrams.
 
 use bitcode::{Decode, Encode};
 use umberpond_model::Version;
 use umberpond_scheduling::LoadReport;
 
+use crate::digest::BucketDigest;
 use crate::record::{MemberRecord, RecordOrder};
 
 /// The last heartbeat that the sender received from the receiver.
@@ -20,7 +21,8 @@
 pub struct ConfigurationWord {
     /// Version in force; absent before the first.
     pub version: Option<Version>,
-    /// Time since the node last heard from the store itself, in milliseconds; absent if it never did or does not ask.
+    /// Time since any node last heard from the store itself, as far as the sender knows, in milliseconds; absent if it
+    /// knows of none.
     pub store_age_millis: Option<u32>,
 }
 
@@ -29,7 +31,7 @@
 pub enum SenderWord {
     /// The whole record.
     Whole(Box<MemberRecord>),
-    /// The record of this order, which the receiver has said that it holds.
+    /// The record of this order, which the receiver has said that it holds, or has been told by others.
     Held(RecordOrder),
 }
 
@@ -59,8 +61,74 @@
     pub load: LoadReport,
     /// The configuration that the sender holds.
     pub configuration: ConfigurationWord,
-    /// Records of some other nodes.
-    pub others: Vec<MemberRecord>,
+    /// Part of what the sender knows of all nodes, for comparison.
+    pub digests: Vec<BucketDigest>,
+    /// Time in milliseconds between two heartbeats that the sender expects of the receiver; 0 if it does not watch it.
+    pub watch_millis: u16,
+    /// By whom the receiver was found silent, if it is left out for that.
+    pub accusers: Vec<u64>,
     /// Whether the receiver should answer at once.
     pub wants_answer: bool,
+    /// Whether the receiver should send all records that it holds.
+    pub wants_records: bool,
+}
+
+/// A neighbour's finding that a node is silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
+pub struct Accusation {
+    /// The record of the silent node; a later record of it refutes the finding.
+    pub against: RecordOrder,
+    /// Process that found it.
+    pub by: u64,
+}
+
+/// What has changed in the membership, passed on from node to node.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Encode, Decode)]
+pub struct News {
+    /// Newer records.
+    pub records: Vec<MemberRecord>,
+    /// Findings of neighbours.
+    pub accusations: Vec<Accusation>,
+    /// Whether only the receiver lacks them, so that they are not passed on.
+    pub is_repair: bool,
+}
+
+impl News {
+    /// Whether there is nothing in it.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.records.is_empty() && self.accusations.is_empty()
+    }
+}
+
+/// What a node knows of one bucket, sent to a node whose digest of it differs.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct BucketOrders {
+    /// The bucket.
+    pub bucket: u8,
+    /// Orders of the records that the sender holds in it.
+    pub orders: Vec<RecordOrder>,
+}
+
+/// One datagram.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub enum Datagram {
+    /// Shows that the sender runs.
+    Heartbeat(Box<Heartbeat>),
+    /// Changes, passed on.
+    News(News),
+    /// Asks for the records of a bucket that the sender lacks.
+    Orders(BucketOrders),
+}
+
+impl Datagram {
+    /// Its kind in the metrics.
+    #[must_use]
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Heartbeat(_) => "heartbeat",
+            Self::News(_) => "news",
+            Self::Orders(_) => "repair",
+        }
+    }
 }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,19 +1,28 @@
 //! Which nodes there are, which of them can be reached, and what each says of its back end.
 //!
-//! Every node tells every other one about itself in datagrams; only a node itself writes its record, and the later
-//! record wins, so lost, doubled and crossed datagrams do no harm. Whether a node can be reached is each node's own
-//! finding and is told to nobody, so a cut between two nodes concerns these two only.
+//! Every node holds the record of every other one; only a node itself writes its record, and the later record wins, so lost,
+//! doubled and crossed datagrams do no harm. Heartbeats pass between a few neighbours only, so what a node spends does not
+//! grow with the count of nodes. What changes is passed on by everybody who learns of it to a few others, and sums of what
+//! two nodes know show what was missed. A node that two of its neighbours find silent is left out by all, until it writes a
+//! later record.
 //!
 //! The core has no I/O and reads no clock: time is an argument, datagrams are results.
 
+mod digest;
 mod heartbeat;
 mod member;
 mod membership;
+mod neighbours;
+mod note;
 mod record;
 mod settings;
 
-pub use heartbeat::{ConfigurationWord, Echo, Heartbeat, SenderWord};
+pub use digest::{BUCKETS, BucketDigest};
+pub use heartbeat::{
+    Accusation, BucketOrders, ConfigurationWord, Datagram, Echo, Heartbeat, News, SenderWord,
+};
 pub use member::{MemberView, Reachability};
 pub use membership::{Membership, Outgoing};
+pub use note::MembershipNote;
 pub use record::{BackEndRecord, BackEndState, Introduction, MemberPhase, MemberRecord, RecordOrder};
 pub use settings::MembershipSettings;
--- a/crates/membership/src/record.rs
+++ b/crates/membership/src/record.rs
@@ -92,4 +92,7 @@
     pub node: NodeName,
     /// Its address for datagrams.
     pub control: SocketAddr,
+    /// Where it runs; absent in entries of versions that did not write it.
+    #[serde(default)]
+    pub locality: Option<Locality>,
 }
--- a/crates/operator/src/directory.rs
+++ b/crates/operator/src/directory.rs
@@ -5,7 +5,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use futures_util::stream::{self, StreamExt};
-use umberpond_daemon::{DirectoryError, MemberDirectory};
+use umberpond_daemon::{DirectoryError, Listing, MemberDirectory};
 use umberpond_membership::Introduction;
 use umberpond_store::{ObjectKind, ObjectStore, PlatformError};
 
@@ -48,7 +48,7 @@
         self.replace(introduction.node.as_str(), value).await.map_err(failed)
     }
 
-    async fn list(&self) -> Result<Vec<Introduction>, DirectoryError> {
+    async fn list(&self) -> Result<Listing, DirectoryError> {
         let page = self.store.list(ObjectKind::Nodes, None, MAX_ENTRIES).await.map_err(failed)?;
         let names = page.items.into_iter().map(|item| item.name);
         let read = stream::iter(names)
@@ -61,7 +61,7 @@
             let value = object.map_err(failed)?.map(|object| object.value);
             introductions.extend(value.and_then(|value| serde_json::from_slice(&value).ok()));
         }
-        Ok(introductions)
+        Ok(Listing { introductions, may_be_stale: false })
     }
 
     async fn withdraw(&self, introduction: &Introduction) -> Result<(), DirectoryError> {
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -76,6 +76,20 @@
         = 2032, Warn, "datagram-refused", "A datagram is no heartbeat of this protocol; nothing changes.";
     ConfigurationFetchFailed { peer: SocketAddr, reason: String }
         = 2033, Warn, "configuration-fetch-failed", "A newer configuration could not be fetched from another node.";
+    NeighbourSilent { node: NodeName, silent_millis: u64 }
+        = 2034, Info, "neighbour-silent", "This node hears nothing of a neighbour and tells others; the time is that since it was heard last, or else since it became known.";
+    NodeLeftOut { node: NodeName, accusers: u64, known_millis: u64 }
+        = 2035, Warn, "node-left-out", "So many neighbours of a node find it silent that it gets no new work from here until it writes a later record.";
+    LeavingOutRefuted { sequence: u64 }
+        = 2036, Warn, "leaving-out-refuted", "Others have found this node silent; it runs, and has written a later record.";
+    ZoneCutOff { zone: String, silent: u64 }
+        = 2037, Warn, "zone-cut-off", "Nothing passes between this node and a zone: its nodes get no new work from here.";
+    ZoneBack { zone: String }
+        = 2038, Info, "zone-back", "Something passes between this node and the zone again.";
+    ProcessStalled { stalled_millis: u64 }
+        = 2039, Warn, "process-stalled", "This process did not run for a while; it judges nobody by what it did not hear meanwhile.";
+    MembershipRepairAsked { bucket: u64, differs_millis: u64 }
+        = 2040, Info, "membership-repair-asked", "What this node knows of some others differs from what another one knows; the records are asked for.";
 
     // Back ends
     BackEndUnhealthy { reason: String }
