Later readers pause longer after a refused call, in proportion to how many read

Ruled out: the join (0.1 of a call each, few restarts then) and the readers of calm times (5.7 calls a second in all).

Change: each doubling of the readers doubles the pauses of the newcomers, up to eightfold. The turn is found out anew while a node waits, so one that becomes a first reader goes on at once. Test of the core: calls in one pause at 195 nodes under 40, where they were 195.

--- a/crates/daemon/src/configuration/reader.rs
+++ b/crates/daemon/src/configuration/reader.rs
@@ -7,8 +7,8 @@
 use ractor::rpc::CallResult;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use tokio::time::sleep;
-use umberpond_distribution::{ReaderQuestion, ReaderSettings, is_reader};
+use tokio::time::{Instant, sleep};
+use umberpond_distribution::{ReaderQuestion, ReaderSettings, ReaderTurn, reader_turn};
 use umberpond_model::NodeName;
 use umberpond_telemetry::{Event, Telemetry};
 
@@ -44,6 +44,7 @@
         task,
         position: None,
         is_reader: false,
+        failure: None,
         pause: FIRST_PAUSE,
         is_available: true,
     };
@@ -58,25 +59,39 @@
     /// Place in the store's history up to which everything is known.
     position: Option<Position>,
     is_reader: bool,
+    /// When the last call failed, and the pause after it of a first reader; absent after a call that was answered.
+    failure: Option<(Instant, Duration)>,
     pause: Duration,
     is_available: bool,
 }
 
 impl Reader {
     async fn step(&mut self) {
-        let is_reader = finds_itself_reader(&self.task.membership, &self.task.settings).await;
-        self.tell_role(is_reader);
-        if !is_reader {
+        let turn = turn_of_own(&self.task.membership, &self.task.settings).await;
+        self.tell_role(turn.is_some());
+        let Some(turn) = turn else {
             self.position = None;
             sleep(ROLE_INTERVAL).await;
             return;
+        };
+        // The turn is found out anew while it waits: a node that becomes one of the first readers goes on at once.
+        if let Some(left) = self.pause_left(turn) {
+            sleep(left.min(ROLE_INTERVAL)).await;
+            return;
         }
         match self.read_on().await {
             Ok(()) => self.on_available(),
-            Err(error) => self.on_failed(error).await,
+            Err(error) => self.on_failed(error),
         }
     }
 
+    /// What is left of the pause after a failed call.
+    fn pause_left(&self, turn: ReaderTurn) -> Option<Duration> {
+        let (failed_at, pause) = self.failure?;
+        let left = (pause * turn.pause_factor).saturating_sub(failed_at.elapsed());
+        (!left.is_zero()).then_some(left)
+    }
+
     fn tell_role(&mut self, is_reader: bool) {
         if is_reader == self.is_reader {
             return;
@@ -150,6 +165,7 @@
     }
 
     fn on_available(&mut self) {
+        self.failure = None;
         self.pause = FIRST_PAUSE;
         if !self.is_available {
             self.is_available = true;
@@ -157,7 +173,7 @@
         }
     }
 
-    async fn on_failed(&mut self, error: SourceError) {
+    fn on_failed(&mut self, error: SourceError) {
         match error {
             SourceError::Unavailable { reason } => {
                 if self.is_available {
@@ -172,7 +188,7 @@
         }
         let pause = self.pause.mul_f64(0.5 + 0.5 * self.random.random::<f64>());
         self.pause = (self.pause * 2).min(LONGEST_PAUSE);
-        sleep(pause).await;
+        self.failure = Some((Instant::now(), pause));
     }
 }
 
@@ -181,9 +197,17 @@
     membership: &ActorRef<MembershipMessage>,
     settings: &ReaderSettings,
 ) -> bool {
+    turn_of_own(membership, settings).await.is_some()
+}
+
+async fn turn_of_own(
+    membership: &ActorRef<MembershipMessage>,
+    settings: &ReaderSettings,
+) -> Option<ReaderTurn> {
     let asked = membership.call(MembershipMessage::StoreView, Some(ACTOR_TIME)).await;
-    let Ok(CallResult::Success(view)) = asked else { return false };
+    let Ok(CallResult::Success(view)) = asked else { return None };
     let StoreView { own, others, silent_for, has_joined } = view;
     let others: Vec<&NodeName> = others.iter().collect();
-    has_joined && is_reader(settings, ReaderQuestion { own: &own, others: &others, silent_for })
+    let turn = reader_turn(settings, ReaderQuestion { own: &own, others: &others, silent_for });
+    turn.filter(|_| has_joined)
 }
--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -11,5 +11,5 @@
 
 pub use held::{HeldConfiguration, Versioned};
 pub use holders::Holders;
-pub use readers::{ReaderQuestion, ReaderSettings, is_reader};
+pub use readers::{ReaderQuestion, ReaderSettings, ReaderTurn, reader_turn};
 pub use transfer::{Held, Transfer, TransferError};
--- a/crates/distribution/src/readers.rs
+++ b/crates/distribution/src/readers.rs
@@ -41,18 +41,33 @@
     pub silent_for: Duration,
 }
 
-/// Whether the node reads the store. No node grants this to another: two nodes that see the others differently may both
-/// read, which costs reads and nothing else.
+/// How a node reads the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReaderTurn {
+    /// By how much its pauses after a failed call are longer than those of the first readers. Each doubling of the readers
+    /// doubles the pauses of the newcomers, so that the calls to a store that refuses all grow with the logarithm of the
+    /// nodes only.
+    pub pause_factor: u32,
+}
+
+/// Longest pauses of a node that has stepped in, in pauses of a first reader: where the store serves only a few machines, one
+/// of them has to find that out within some seconds.
+const MAX_PAUSE_FACTOR: u32 = 8;
+
+/// Whether the node reads the store, and how. No node grants this to another: two nodes that see the others differently may
+/// both read, which costs reads and nothing else.
 #[must_use]
-pub fn is_reader(settings: &ReaderSettings, question: ReaderQuestion<'_>) -> bool {
+pub fn reader_turn(settings: &ReaderSettings, question: ReaderQuestion<'_>) -> Option<ReaderTurn> {
     let own_rank = rank(question.own);
     let before = question.others.iter().filter(|other| rank(other) < own_rank).count();
     if before < settings.readers {
-        return true;
+        return Some(ReaderTurn { pause_factor: 1 });
     }
     let spreading = doublings(question.others.len() + 1, settings.heard_directly);
     let turn = doublings(before, settings.readers);
-    question.silent_for > settings.step_in_after + settings.time_per_doubling * (spreading + turn)
+    let steps_in_after = settings.step_in_after + settings.time_per_doubling * (spreading + turn);
+    let pause_factor = 2_u32.saturating_pow(turn).min(MAX_PAUSE_FACTOR);
+    (question.silent_for > steps_in_after).then_some(ReaderTurn { pause_factor })
 }
 
 /// How often `from` can be doubled without exceeding `count`.
--- a/crates/distribution/tests/held.rs
+++ b/crates/distribution/tests/held.rs
@@ -8,7 +8,8 @@
 use rand::rngs::SmallRng;
 use umberpond_config::{RequestLimits, Snapshot};
 use umberpond_distribution::{
-    HeldConfiguration, Holders, ReaderQuestion, ReaderSettings, Transfer, TransferError, Versioned, is_reader,
+    HeldConfiguration, Holders, ReaderQuestion, ReaderSettings, Transfer, TransferError, Versioned,
+    reader_turn,
 };
 use umberpond_model::{NodeName, Version};
 
@@ -146,7 +147,7 @@
     let mut readers = Vec::new();
     for own in nodes {
         let others: Vec<&NodeName> = nodes.iter().filter(|node| *node != own).collect();
-        if is_reader(&settings, ReaderQuestion { own, others: &others, silent_for }) {
+        if reader_turn(&settings, ReaderQuestion { own, others: &others, silent_for }).is_some() {
             readers.push(own);
         }
     }
@@ -168,6 +169,23 @@
     assert_eq!(readers(&nodes, Duration::from_secs(3)).len(), 12);
 }
 
+/// A store that refuses everybody hears from the next nodes as rarely as there are more of them.
+#[test]
+fn the_calls_to_a_store_that_refuses_all_grow_slower_than_the_nodes() {
+    let calls_in_a_pause = |count: usize| -> f64 {
+        let nodes = nodes(count);
+        let settings = ReaderSettings::default();
+        let silent_for = Duration::from_secs(10);
+        let turns = nodes.iter().map(|own| {
+            let others: Vec<&NodeName> = nodes.iter().filter(|node| *node != own).collect();
+            reader_turn(&settings, ReaderQuestion { own, others: &others, silent_for }).unwrap()
+        });
+        turns.map(|turn| 1.0 / f64::from(turn.pause_factor)).sum()
+    };
+    assert!((calls_in_a_pause(4) - 4.0).abs() < 0.01);
+    assert!(calls_in_a_pause(195) < 40.0, "{}", calls_in_a_pause(195));
+}
+
 /// Were it all of them at once, 195 nodes would ask a store that has just begun to refuse.
 #[test]
 fn nodes_step_in_by_and_by_each_time_as_many_as_before() {
@@ -198,6 +216,9 @@
     let silent_for = Duration::from_millis(1_500);
     for own in &nodes {
         let others: Vec<&NodeName> = nodes.iter().filter(|node| *node != own).collect();
-        assert!(is_reader(&ReaderSettings::default(), ReaderQuestion { own, others: &others, silent_for }));
+        assert!(
+            reader_turn(&ReaderSettings::default(), ReaderQuestion { own, others: &others, silent_for })
+                .is_some()
+        );
     }
 }
