--- a/crates/daemon/src/directory.rs
+++ b/crates/daemon/src/directory.rs
@@ -4,6 +4,9 @@
 //! old, as long as it holds this node's own entry, for then it holds all that were written before; and an entry that an
 //! earlier process of this node has written is not written again.
 
+#[cfg(test)]
+mod tests;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -115,10 +118,10 @@
     /// Writes the entry if it is missing, and reads the list; tells whether that was the last step.
     async fn step(&self, entry: &mut OwnEntry) -> Result<bool, DirectoryError> {
         if *entry == OwnEntry::Missing {
-            self.directory.announce(&self.own).await?;
+            self.counted("announce", self.directory.announce(&self.own).await)?;
             *entry = OwnEntry::Written;
         }
-        let listing = self.directory.list().await?;
+        let listing = self.counted("list", self.directory.list().await)?;
         let has_own = listing.introductions.contains(&self.own);
         if *entry == OwnEntry::Unknown && !has_own {
             *entry = OwnEntry::Missing;
@@ -128,4 +131,15 @@
         let _ = self.membership.send_message(MembershipMessage::Introductions(listing.introductions));
         Ok(*entry != OwnEntry::Missing && (has_own || !listing.may_be_stale))
     }
+
+    /// Counts a call to the directory by what came of it.
+    fn counted<T>(
+        &self,
+        operation: &'static str,
+        result: Result<T, DirectoryError>,
+    ) -> Result<T, DirectoryError> {
+        let outcome = if result.is_ok() { "answered" } else { "unavailable" };
+        self.telemetry.metrics().platform_request(operation, outcome);
+        result
+    }
 }
--- a/xtask/src/error.rs
+++ b/xtask/src/error.rs
@@ -93,7 +93,22 @@
     /// A text that should be JSON is not, or a value can't be written as JSON.
     #[error("bad JSON")]
     Json(#[from] serde_json::Error),
-    /// Settings can't be written as TOML.
+    /// A file is no TOML, or has other keys than expected.
+    #[error("the file {path} can't be understood", path = path.display())]
+    Unreadable {
+        /// Its path.
+        path: PathBuf,
+        /// Why.
+        #[source]
+        source: Box<toml::de::Error>,
+    },
+    /// Files of the users would be written into the repository.
+    #[error("{path} is inside the repository; choose a folder outside it", path = path.display())]
+    InsideRepository {
+        /// The folder asked for.
+        path: PathBuf,
+    },
+    /// A table can't be written as TOML.
     #[error("bad TOML")]
     Toml(#[from] toml::ser::Error),
     /// A name breaks the naming rule.
--- a/xtask/src/flags.rs
+++ b/xtask/src/flags.rs
@@ -35,6 +35,14 @@
             /// Reports from after it.
             required --after folder: PathBuf
         }
+
+        /// Writes variants of a site file of the users' bench, by the recipes in `testing/variants/`.
+        cmd variants {
+            /// The site file; it stays as it is.
+            required --site file: PathBuf
+            /// Folder for the variants, outside the repository.
+            required --into folder: PathBuf
+        }
     }
 }
 // generated start
@@ -50,6 +58,7 @@
     Demo(Demo),
     Soak(Soak),
     Rounds(Rounds),
+    Variants(Variants),
 }
 
 #[derive(Debug)]
@@ -71,6 +80,12 @@
     pub after: PathBuf,
 }
 
+#[derive(Debug)]
+pub struct Variants {
+    pub site: PathBuf,
+    pub into: PathBuf,
+}
+
 impl Xtask {
     #[allow(dead_code)]
     pub fn from_env_or_exit() -> Self {
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,4 +1,4 @@
-//! Repository tasks: `cargo xtask demo`, `cargo xtask soak` and `cargo xtask rounds`.
+//! Repository tasks: `cargo xtask demo`, `cargo xtask soak`, `cargo xtask rounds` and `cargo xtask variants`.
 
 mod demo;
 mod error;
@@ -8,6 +8,7 @@
 mod rounds;
 mod soak;
 mod supervise;
+mod variants;
 
 use std::process::ExitCode;
 
@@ -21,6 +22,7 @@
         XtaskCmd::Demo(options) => demo::run(&options).await,
         XtaskCmd::Soak(options) => soak::run(&options).await,
         XtaskCmd::Rounds(options) => rounds::run(&options),
+        XtaskCmd::Variants(options) => variants::run(&options),
     };
     match result {
         Ok(code) => code,
