--- a/crates/daemon/src/configuration/actor.rs
+++ b/crates/daemon/src/configuration/actor.rs
@@ -5,37 +5,22 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
+use ractor::{Actor, ActorProcessingErr, ActorRef};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use tokio::time::sleep;
-use umberpond_distribution::{Held, HeldConfiguration, Holders, Transfer, TransferError, Versioned};
-use umberpond_model::Version;
+use umberpond_distribution::{HeldConfiguration, Holders, Transfer, TransferError, Versioned};
 use umberpond_net::Network;
 use umberpond_telemetry::{Direction, Event, Telemetry};
 
 use super::activation::Activation;
-use super::peers::{Fetched, TRANSFER, fetch};
-use super::source::Sourced;
+use super::message::{ConfigurationMessage, Fetched};
+use super::peers::{TRANSFER, fetch};
 use crate::membership::MembershipMessage;
 
 /// Pause in milliseconds before another node is asked, after one that was busy.
 const BUSY_PAUSE_MILLIS: Range<u64> = 15..60;
 
-/// What the configuration actor is told and asked.
-pub(crate) enum ConfigurationMessage {
-    /// Another node, perhaps one of the same zone, holds this version.
-    Told { version: Version, by: SocketAddr, is_near: bool },
-    /// What came of asking another node.
-    Fetched { fetched: Fetched, from: SocketAddr },
-    /// The pause after a busy node is over.
-    AskAnother,
-    /// What the store holds.
-    Sourced(Box<Sourced>),
-    /// Another node asks for what is newer than it holds; the answer is an encoded transfer.
-    Pull { held: Option<Held>, reply: RpcReplyPort<Arc<[u8]>> },
-}
-
 /// What the actor needs.
 pub(crate) struct ConfigurationArguments {
     pub(crate) activation: Arc<Activation>,
--- a/crates/daemon/src/configuration/peers.rs
+++ b/crates/daemon/src/configuration/peers.rs
@@ -18,7 +18,7 @@
 use umberpond_net::{BoxListener, BoxStream, FrameError, FrameReader, FrameWriter, Network};
 use umberpond_telemetry::{Direction, Event, Metrics, Telemetry};
 
-use super::actor::ConfigurationMessage;
+use super::message::{ConfigurationMessage, Fetched};
 
 /// Longest time to open a connection to another node.
 const CONNECT_TIME: Duration = Duration::from_millis(500);
@@ -58,17 +58,6 @@
 /// Kind of message in the figures.
 pub(super) const TRANSFER: &str = "configuration";
 
-/// What came of asking another node.
-#[derive(Debug)]
-pub(crate) enum Fetched {
-    /// It answered with an encoded [`Transfer`](umberpond_distribution::Transfer).
-    Transfer(Vec<u8>),
-    /// It serves others just now.
-    Busy,
-    /// It did not answer, or not to the end.
-    NoAnswer,
-}
-
 /// Asks the node at `peer` for what it holds beyond `held`.
 pub(super) async fn fetch(network: &dyn Network, peer: SocketAddr, held: Option<Held>) -> Fetched {
     let exchange = timeout(EXCHANGE_TIME, exchange(network, peer, held));
--- a/crates/daemon/src/configuration/reader.rs
+++ b/crates/daemon/src/configuration/reader.rs
@@ -12,7 +12,7 @@
 use umberpond_model::NodeName;
 use umberpond_telemetry::{Event, Telemetry};
 
-use super::actor::ConfigurationMessage;
+use super::message::ConfigurationMessage;
 use super::source::{ConfigurationSource, Position, SourceError, Waited};
 use crate::membership::{MembershipMessage, StoreView};
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod back_end;
 pub mod configuration;
 mod directory;
+mod duration;
 mod environment;
 mod error;
 mod http_server;
--- a/crates/daemon/src/membership/actor.rs
+++ b/crates/daemon/src/membership/actor.rs
@@ -4,20 +4,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
+use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::time::{Instant, MissedTickBehavior, interval};
 use umberpond_forwarding::{Inbound, Outbound};
-use umberpond_membership::{
-    BackEndRecord, Datagram, Introduction, MemberPhase, MemberRecord, MemberView, Membership, MembershipNote,
-    Outgoing,
-};
-use umberpond_model::{NodeName, Version};
+use umberpond_membership::{Datagram, MemberPhase, MemberRecord, Membership, MembershipNote, Outgoing};
 use umberpond_net::BoxDatagrams;
 use umberpond_telemetry::{Event, Telemetry};
 
 use super::datagrams::send;
 use super::endpoints::ToldEndpoints;
+use super::message::{MembershipMessage, StoreView};
 use crate::configuration::ConfigurationMessage;
+use crate::duration::millis;
 
 /// Time between two looks for heartbeats that are due: a quarter of the shortest interval between two to one node.
 const TICK: Duration = Duration::from_millis(50);
@@ -25,44 +23,6 @@
 /// from it: the others may have it.
 const JOIN_TIME: Duration = Duration::from_millis(1_500);
 
-/// What the membership is told and asked.
-pub(crate) enum MembershipMessage {
-    /// Time has passed.
-    Tick,
-    /// Another node's datagram.
-    Datagram { from: SocketAddr, datagram: Box<Datagram> },
-    /// Nodes that the store names.
-    Introductions(Vec<Introduction>),
-    /// The store has named all nodes that were there before this one.
-    Joined,
-    /// This node's word of its back end.
-    BackEnd(Option<BackEndRecord>),
-    /// This process goes on to another phase.
-    Phase(MemberPhase),
-    /// The version in force on this node.
-    Version(Version),
-    /// The store itself has answered this node.
-    StoreHeard,
-    /// Where configurations are to be fetched.
-    ConfigurationActor(ActorRef<ConfigurationMessage>),
-    /// Asks for all other nodes.
-    Members(RpcReplyPort<Vec<MemberView>>),
-    /// Asks who could read the store.
-    StoreView(RpcReplyPort<StoreView>),
-}
-
-/// Who could read the store.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct StoreView {
-    pub(crate) own: NodeName,
-    /// The others that can be reached, or that the store has just named.
-    pub(crate) others: Vec<NodeName>,
-    /// Time since any node heard from the store, as far as known here, or since this process started.
-    pub(crate) silent_for: Duration,
-    /// Whether the others are known, as far as the store can name them.
-    pub(crate) has_joined: bool,
-}
-
 /// What the actor needs.
 pub(crate) struct MembershipArguments {
     pub(crate) membership: Membership,
@@ -256,7 +216,3 @@
         }
     }
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/daemon/src/membership/datagrams.rs
+++ b/crates/daemon/src/membership/datagrams.rs
@@ -9,7 +9,7 @@
 use umberpond_net::BoxDatagrams;
 use umberpond_telemetry::{Direction, Event, Metrics, Telemetry};
 
-use super::actor::MembershipMessage;
+use super::message::MembershipMessage;
 
 /// Longest datagram, in bytes; all stay well below it.
 const MAX_DATAGRAM: usize = 8 * 1024;
--- /dev/null
+++ b/crates/daemon/src/membership/message.rs
@@ -0,0 +1,48 @@
+//! Messages of the membership actor.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ractor::{ActorRef, RpcReplyPort};
+use umberpond_membership::{BackEndRecord, Datagram, Introduction, MemberPhase, MemberView};
+use umberpond_model::{NodeName, Version};
+
+use crate::configuration::ConfigurationMessage;
+
+/// What the membership is told and asked.
+pub(crate) enum MembershipMessage {
+    /// Time has passed.
+    Tick,
+    /// Another node's datagram.
+    Datagram { from: SocketAddr, datagram: Box<Datagram> },
+    /// Nodes that the store names.
+    Introductions(Vec<Introduction>),
+    /// The store has named all nodes that were there before this one.
+    Joined,
+    /// This node's word of its back end.
+    BackEnd(Option<BackEndRecord>),
+    /// This process goes on to another phase.
+    Phase(MemberPhase),
+    /// The version in force on this node.
+    Version(Version),
+    /// The store itself has answered this node.
+    StoreHeard,
+    /// Where configurations are to be fetched.
+    ConfigurationActor(ActorRef<ConfigurationMessage>),
+    /// Asks for all other nodes.
+    Members(RpcReplyPort<Vec<MemberView>>),
+    /// Asks who could read the store.
+    StoreView(RpcReplyPort<StoreView>),
+}
+
+/// Who could read the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct StoreView {
+    pub(crate) own: NodeName,
+    /// The others that can be reached, or that the store has just named.
+    pub(crate) others: Vec<NodeName>,
+    /// Time since any node heard from the store, as far as known here, or since this process started.
+    pub(crate) silent_for: Duration,
+    /// Whether the others are known, as far as the store can name them.
+    pub(crate) has_joined: bool,
+}
--- a/crates/daemon/src/membership/mod.rs
+++ b/crates/daemon/src/membership/mod.rs
@@ -3,6 +3,8 @@
 mod actor;
 mod datagrams;
 mod endpoints;
+mod message;
 
-pub(crate) use actor::{MembershipActor, MembershipArguments, MembershipMessage, StoreView};
+pub(crate) use actor::{MembershipActor, MembershipArguments};
 pub(crate) use datagrams::receive_datagrams;
+pub(crate) use message::{MembershipMessage, StoreView};
--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -8,6 +8,7 @@
 use umberpond_membership::MemberPhase;
 use umberpond_telemetry::Event;
 
+use crate::duration::millis;
 use crate::membership::MembershipMessage;
 use crate::readiness::Unready;
 use crate::start::RunningDaemon;
@@ -122,7 +123,3 @@
         self.control.open_requests() + load.running as usize + load.waiting as usize
     }
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
