Tell a version also to nodes met since the last tick; step in for the first configuration after 80 ms

The first reader puts its configuration in force some 10 ms after its start, when it has just met the others; told were only the members known at the last tick, so the rest heard of it with a heartbeat up to 200 ms later. The test "a version is told to nodes that were met since the last tick" failed before: 0 of 3 were told.

Change: where all are neighbours of all, everybody known is told; a process that has heard of no reader reads after 80 ms, 60 ms more for each doubling, in place of 150 and 100.

--- a/crates/distribution/src/readers.rs
+++ b/crates/distribution/src/readers.rs
@@ -30,8 +30,8 @@
             step_in_after: Duration::from_millis(1_200),
             time_per_doubling: Duration::from_millis(150),
             heard_directly: 16,
-            first_step_in_after: Duration::from_millis(150),
-            first_time_per_doubling: Duration::from_millis(100),
+            first_step_in_after: Duration::from_millis(80),
+            first_time_per_doubling: Duration::from_millis(60),
         }
     }
 }
--- a/crates/membership/src/membership/spread.rs
+++ b/crates/membership/src/membership/spread.rs
@@ -164,7 +164,8 @@
             })
         };
         if self.is_full_mesh() {
-            return self.zones.all().filter(is_behind).cloned().collect();
+            // All that are known, also those that were met since the neighbours were chosen last.
+            return self.members.keys().filter(is_behind).cloned().collect();
         }
         let near = self.zones.near.iter().filter(is_behind);
         let mut told: Vec<NodeName> =
--- a/crates/membership/tests/membership.rs
+++ b/crates/membership/tests/membership.rs
@@ -4,7 +4,7 @@
 
 use quickcheck::quickcheck;
 use support::{World, address, back_end, node};
-use umberpond_membership::{BackEndState, MemberPhase, Reachability};
+use umberpond_membership::{BackEndState, Datagram, MemberPhase, News, Reachability};
 use umberpond_model::Version;
 
 #[test]
@@ -215,6 +215,30 @@
     }
 }
 
+/// After a start of all at once the first one that has a configuration has just met the others.
+#[test]
+fn a_version_is_told_to_nodes_that_were_met_since_the_last_tick() {
+    let mut world = World::new(15);
+    for number in 0..4 {
+        world.start(number);
+    }
+    world.run_millis(50);
+    for number in 1..4 {
+        let record = world.nodes[&number].own().clone();
+        world.tell(0, |membership, now| {
+            let news = News { records: vec![record], is_repair: true, ..News::default() };
+            membership.on_datagram(now, address(number), &Datagram::News(news))
+        });
+    }
+    let mut told = 0;
+    world.tell(0, |membership, now| {
+        let outgoing = membership.set_version(now, Version(3));
+        told = outgoing.len();
+        outgoing
+    });
+    assert_eq!(told, 3);
+}
+
 #[test]
 fn heartbeats_a_second_are_bounded_however_many_nodes_there_are() {
     let mut world = World::joined(12, 60);
