Passing on news copies no zones, and a newer record searches no list

Each newer record looked for its node in the list of all nodes that are not out, each piece of news copied the list of the own zone and of all others, a repair went through the orders twice, and findings were judged by a structure of which half was unused. All of it grew with the number of nodes on the path of every datagram.

Ruled out: an index by address for a newcomer that takes over another's address; that scan happens once for each new member and stays. Indexing the records by bucket; a repair is rare.

Change: the record itself tells whether the node was out; the nodes to be told are drawn from the zone as it stands; one pass over the orders; plain arguments in place of the structure. No decision differs: the same nodes may be told, with the same chances.

--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -54,15 +54,6 @@
     until: Instant,
 }
 
-/// What all findings about one moment are based on.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Judgement {
-    pub(crate) now: Instant,
-    pub(crate) accusers_needed: usize,
-    /// Whether nothing passes between this node and the member's zone.
-    pub(crate) is_zone_cut: bool,
-}
-
 #[derive(Debug)]
 pub(crate) struct Member {
     pub(crate) record: MemberRecord,
@@ -315,9 +306,10 @@
     }
 
     /// Finds out anew whether the node can be reached; tells whether that changed.
-    pub(crate) fn update_reachability(&mut self, judgement: Judgement) -> bool {
-        let own_finding = self.own_finding(judgement.now).filter(|_| !self.is_unheard_since_left_out());
-        let by_others = if self.accused_out_at.is_some() || judgement.is_zone_cut {
+    /// `is_zone_cut` tells that nothing passes between this node and the member's zone.
+    pub(crate) fn update_reachability(&mut self, now: Instant, is_zone_cut: bool) -> bool {
+        let own_finding = self.own_finding(now).filter(|_| !self.is_unheard_since_left_out());
+        let by_others = if self.accused_out_at.is_some() || is_zone_cut {
             Reachability::Silent
         } else {
             Reachability::Reachable
@@ -342,11 +334,10 @@
     }
 
     /// Takes in that the process `by` has found the node silent. Tells whether that is new.
-    pub(crate) fn on_accusation(&mut self, judgement: Judgement, by: u64) -> bool {
+    pub(crate) fn on_accusation(&mut self, now: Instant, accusers_needed: usize, by: u64) -> bool {
         if self.is_out() {
             return false;
         }
-        let Judgement { now, accusers_needed, .. } = judgement;
         let known = self.accusers.iter_mut().find(|(accuser, _)| *accuser == by);
         if let Some((_, at)) = known {
             let is_repeated = now.saturating_duration_since(*at) >= ACCUSE_AGAIN / 2;
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -16,7 +16,7 @@
 
 use crate::digest::{BUCKETS, Digests, bucket_of, contribution_of, rank_of};
 use crate::heartbeat::{ConfigurationWord, Datagram, Heartbeat};
-use crate::member::{Judgement, Member, MemberView, Reachability};
+use crate::member::{Member, MemberView, Reachability};
 use crate::neighbours::Zones;
 use crate::note::MembershipNote;
 use crate::record::{BackEndRecord, BackEndState, MemberPhase, MemberRecord, RecordOrder};
@@ -155,6 +155,11 @@
         (member.record.order() == order).then_some(member)
     }
 
+    /// Whether the node can be reached, as far as it is known at all.
+    fn is_reachable(&self, node: &NodeName) -> bool {
+        self.members.get(node).is_some_and(|member| member.reachability == Reachability::Reachable)
+    }
+
     /// Count of the other nodes that can be reached.
     #[must_use]
     pub fn reachable_count(&self) -> usize {
@@ -268,13 +273,9 @@
     fn settle(&mut self, now: Instant, node: &NodeName) {
         let is_full_mesh = self.is_full_mesh();
         let Some(member) = self.members.get_mut(node) else { return };
-        let judgement = Judgement {
-            now,
-            accusers_needed: self.settings.accusers_needed,
-            is_zone_cut: self.cut.contains(&member.record.locality),
-        };
+        let is_zone_cut = self.cut.contains(&member.record.locality);
         let was_usable = member.reachability == Reachability::Reachable;
-        let has_changed = member.update_reachability(judgement);
+        let has_changed = member.update_reachability(now, is_zone_cut);
         let is_left_out = member.is_out() || (is_full_mesh && member.reachability == Reachability::Silent);
         let contribution = member.wanted_contribution(is_left_out);
         self.digests.replace(bucket_of(member.rank), member.contribution, contribution);
--- a/crates/membership/src/membership/joining.rs
+++ b/crates/membership/src/membership/joining.rs
@@ -8,7 +8,6 @@
 use umberpond_model::{Locality, NodeName};
 
 use super::{Membership, Outgoing};
-use crate::member::Reachability;
 use crate::record::Introduction;
 
 /// A node that the store names and that is not known otherwise.
@@ -121,11 +120,6 @@
         called.extend(far.into_iter().sample(&mut self.random, count - called.len()));
         called.into_iter().map(|stranger| stranger.control).collect()
     }
-
-    /// Whether the node can be reached, as far as it is known at all.
-    pub(super) fn is_reachable(&self, node: &NodeName) -> bool {
-        self.members.get(node).is_some_and(|member| member.reachability == Reachability::Reachable)
-    }
 }
 
 impl Joining {
--- a/crates/membership/src/membership/receive.rs
+++ b/crates/membership/src/membership/receive.rs
@@ -9,7 +9,7 @@
 use super::{Membership, Outgoing, takes_requests};
 use crate::digest::{BucketDigest, bucket_of};
 use crate::heartbeat::{Accusation, BucketOrders, Datagram, Heartbeat, News, SenderWord};
-use crate::member::{Judgement, Member, Reachability};
+use crate::member::{Member, Reachability};
 use crate::note::MembershipNote;
 use crate::record::{MemberPhase, MemberRecord, RecordOrder};
 
@@ -166,16 +166,16 @@
             return;
         }
         let took_requests = takes_requests(&member.record);
+        let was_out = member.is_out();
         let before = member.record.clone();
         member.replace_record(now, record.clone());
+        let is_out = member.is_out();
         if before.life != record.life {
             self.lives.remove(&before.life);
             self.lives.insert(record.life, record.node.clone());
         }
-        self.are_zones_stale |= before.life != record.life
-            || before.phase != record.phase
-            || before.locality != record.locality
-            || !self.zones.all().any(|node| *node == record.node);
+        self.are_zones_stale |=
+            was_out != is_out || before.life != record.life || before.locality != record.locality;
         self.suspects.remove(&record.node);
         self.settle(now, &record.node);
         let is_closed = took_requests && !takes_requests(record);
@@ -235,14 +235,12 @@
         if accusation.against.life == self.own.life {
             return self.on_own_accusation(now, accusation);
         }
-        let accusers_needed = self.settings.accusers_needed;
         let Some(node) = self.member_of(accusation.against).map(|member| member.record.node.clone()) else {
             return Vec::new();
         };
         let Some(member) = self.members.get_mut(&node) else { return Vec::new() };
-        let judgement = Judgement { now, accusers_needed, is_zone_cut: false };
         let known_for = now.saturating_duration_since(member.known_since);
-        if !member.on_accusation(judgement, accusation.by) {
+        if !member.on_accusation(now, self.settings.accusers_needed, accusation.by) {
             return Vec::new();
         }
         let accusers = member.accusers_out().len();
@@ -313,15 +311,16 @@
         let missing = records.filter(|record| !theirs.orders.contains(&record.order())).cloned();
         let mut missing: Vec<MemberRecord> = missing.collect();
         let mut accusations = Vec::new();
-        // What the other node holds of nodes that are out.
-        let out = theirs.orders.iter().filter_map(|order| self.member_of(*order));
-        for member in out.filter(|member| member.is_out()) {
-            let accusers = member.accusers_out();
-            accusations.extend(accusers.into_iter().map(|by| member.accusation(by)));
+        // What the other node still holds of nodes that are out.
+        for order in &theirs.orders {
+            let node = self.lives.get(&order.life);
+            let Some(member) = node.and_then(|node| self.members.get(node)) else { continue };
+            if member.record.phase == MemberPhase::Left {
+                missing.push(member.record.clone());
+            } else if member.record.order() == *order {
+                accusations.extend(member.accusers_out().into_iter().map(|by| member.accusation(by)));
+            }
         }
-        let left = theirs.orders.iter().filter_map(|order| self.members.get(self.lives.get(&order.life)?));
-        let left = left.filter(|member| member.record.phase == MemberPhase::Left);
-        missing.extend(left.map(|member| member.record.clone()));
         Self::repair_to(from, missing, accusations)
     }
 
--- a/crates/membership/src/membership/spread.rs
+++ b/crates/membership/src/membership/spread.rs
@@ -4,7 +4,7 @@
 //! hops. Between zones news travel less often, since those bytes are dear: the node concerned tells one node of each other
 //! zone, and those of its zone that learn of it tell a few more, whoever of them it is.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -14,7 +14,7 @@
 
 use super::{Membership, Outgoing};
 use crate::heartbeat::{Accusation, Datagram, News};
-use crate::member::Reachability;
+use crate::member::{Member, Reachability};
 use crate::record::MemberRecord;
 
 /// Most records in one datagram; one has about 150 bytes.
@@ -99,20 +99,31 @@
                 .is_some_and(|member| member.record.locality == self.own.locality)
         };
         from_here.accusations = near.accusations.iter().filter(is_from_here).copied().collect();
-        let mut outgoing = self.send_news(&near, &self.zones.near.clone(), self.settings.news_fanout);
-        outgoing.extend(self.flush_to_other_zones(reach, &from_here));
+        let mut outgoing = self.send_to_own_zone(&near);
+        outgoing.extend(self.send_to_other_zones(reach, &from_here));
         outgoing
     }
 
-    fn flush_to_other_zones(&mut self, reach: Reach, news: &News) -> Vec<Outgoing> {
+    fn send_to_own_zone(&mut self, news: &News) -> Vec<Outgoing> {
+        if news.is_empty() {
+            return Vec::new();
+        }
+        let listening = listening(&self.zones.near, &self.members, &self.suspects);
+        let told = listening.sample(&mut self.random, self.settings.news_fanout);
+        told.into_iter().flat_map(|to| addressed(to, news)).collect()
+    }
+
+    fn send_to_other_zones(&mut self, reach: Reach, news: &News) -> Vec<Outgoing> {
         if news.is_empty() {
             return Vec::new();
         }
         let mut outgoing = Vec::new();
         let chance = self.relay_chance();
-        for nodes in self.zones.far.values().cloned().collect::<Vec<_>>() {
+        for nodes in self.zones.far.values() {
             if reach == Reach::Origin || self.random.random_bool(chance) {
-                outgoing.extend(self.send_news(news, &nodes, 1));
+                let listening = listening(nodes, &self.members, &self.suspects);
+                let told = listening.choose(&mut self.random);
+                outgoing.extend(told.into_iter().flat_map(|to| addressed(to, news)));
             }
         }
         outgoing
@@ -126,34 +137,13 @@
         (self.settings.relays_between_zones / f64::from(count)).min(1.0)
     }
 
-    fn send_news(&mut self, news: &News, nodes: &[NodeName], fanout: usize) -> Vec<Outgoing> {
-        if news.is_empty() {
-            return Vec::new();
-        }
-        let parts = in_parts(news);
-        let members = nodes.iter().filter_map(|node| self.members.get(node));
-        // Those that some find silent would not pass it on.
-        let listening = members.filter(|member| {
-            member.reachability == Reachability::Reachable && !self.suspects.contains(&member.record.node)
-        });
-        let chosen = listening.sample(&mut self.random, fanout);
-        let addresses = chosen.into_iter().map(|member| member.record.control);
-        addresses
-            .flat_map(|to| {
-                parts.iter().map(move |part| Outgoing { to, datagram: Datagram::News(part.clone()) })
-            })
-            .collect()
-    }
-
     /// What a node lacks.
     pub(super) fn repair_to(
         to: SocketAddr,
         records: Vec<MemberRecord>,
         accusations: Vec<Accusation>,
     ) -> Vec<Outgoing> {
-        let news = News { records, accusations, is_repair: true };
-        let parts = in_parts(&news).into_iter();
-        parts.map(|part| Outgoing { to, datagram: Datagram::News(part) }).collect()
+        addressed(to, &News { records, accusations, is_repair: true })
     }
 
     /// Nodes to be told of a version: some of the own zone that are not known to hold it, and now and then one of another.
@@ -181,6 +171,24 @@
     }
 }
 
+/// Addresses of those of `nodes` that can be reached. One that some find silent would not pass news on.
+fn listening<'a>(
+    nodes: &'a [NodeName],
+    members: &'a BTreeMap<NodeName, Member>,
+    suspects: &'a BTreeSet<NodeName>,
+) -> impl Iterator<Item = SocketAddr> + 'a {
+    let reachable = nodes.iter().filter_map(|node| members.get(node));
+    let reachable = reachable.filter(|member| member.reachability == Reachability::Reachable);
+    let trusted = reachable.filter(|member| !suspects.contains(&member.record.node));
+    trusted.map(|member| member.record.control)
+}
+
+/// The datagrams in which news travel to one node.
+fn addressed(to: SocketAddr, news: &News) -> Vec<Outgoing> {
+    let parts = in_parts(news).into_iter();
+    parts.map(|part| Outgoing { to, datagram: Datagram::News(part) }).collect()
+}
+
 fn in_parts(news: &News) -> Vec<News> {
     let records = news.records.chunks(MAX_RECORDS);
     let mut parts: Vec<News> =
--- a/crates/membership/src/membership/tick.rs
+++ b/crates/membership/src/membership/tick.rs
@@ -8,7 +8,8 @@
 
 use super::spread::Reach;
 use super::{Membership, Outgoing};
-use crate::member::Reachability;
+use crate::digest::bucket_of;
+use crate::member::{Member, Reachability};
 use crate::neighbours::{Zones, neighbours};
 use crate::note::MembershipNote;
 use crate::record::MemberPhase;
@@ -228,7 +229,7 @@
         }
         self.forget_next_at = Some(now + FORGET_INTERVAL);
         let forget_after = self.settings.forget_after;
-        let is_old = |member: &crate::member::Member| {
+        let is_old = |member: &Member| {
             let limit = if member.record.phase == MemberPhase::Left || member.is_retired() {
                 REMEMBER_LEFT
             } else {
@@ -243,7 +244,7 @@
         for (node, life) in nodes {
             // What it added to its bucket's digest goes with it.
             if let Some(member) = self.members.remove(&node) {
-                self.digests.replace(crate::digest::bucket_of(member.rank), member.contribution, 0);
+                self.digests.replace(bucket_of(member.rank), member.contribution, 0);
             }
             self.lives.remove(&life);
             self.active.remove(&node);
