Four circles of imports less: types that two files share stand in files of their own

Change, moves only: how far a process is on its way out (forwarding), entries with the place that defines them and kinds of entries (config), what submissions share (acceptance). Ruled out here: attempts and handler of the outbound half, which need an interface between them, and the circle through the program's settings, of which one arrow is a name read wrongly (a module called settings is not taken from main.rs).

--- a/crates/acceptance/src/acceptor.rs
+++ b/crates/acceptance/src/acceptor.rs
@@ -10,44 +10,15 @@
 use tokio::sync::Semaphore;
 use tokio::time::{Instant, timeout_at};
 use umberpond_model::{BundleName, SubmissionId};
-use umberpond_store::{BackoffSettings, ObjectStore};
+use umberpond_store::ObjectStore;
 
 use crate::attempt::Attempt;
 use crate::base::BaseCache;
 use crate::chain::{ChainReader, Search};
 use crate::prepare::Request;
+use crate::shared::{AcceptorSettings, Shared, UnixClock};
 use crate::{AbandonError, Abandonment, Accepted, Change, NotAcceptedReason, Resolution, Step, SubmitError};
 
-/// Wall-clock time in milliseconds since the Unix epoch. Written into records for people; decides nothing.
-pub type UnixClock = Arc<dyn Fn() -> u64 + Send + Sync>;
-
-/// Limits of an acceptor.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct AcceptorSettings {
-    /// Longest time for one submission.
-    pub deadline: Duration,
-    /// Rounds that a submission may lose to others.
-    pub max_tries: u32,
-    /// Submissions under way at once on this node; more are refused at once.
-    pub max_concurrent: usize,
-    /// Largest encoded bundle, in bytes.
-    pub max_bundle_bytes: usize,
-    /// Waits between rounds.
-    pub backoff: BackoffSettings,
-}
-
-impl Default for AcceptorSettings {
-    fn default() -> Self {
-        Self {
-            deadline: Duration::from_secs(10),
-            max_tries: 32,
-            max_concurrent: 8,
-            max_bundle_bytes: 4 * 1024 * 1024,
-            backoff: BackoffSettings { base: Duration::from_millis(20), cap: Duration::from_secs(1) },
-        }
-    }
-}
-
 /// What an acceptor works with.
 #[derive(Clone)]
 pub struct AcceptorContext {
@@ -59,16 +30,6 @@
     pub seed: u64,
 }
 
-/// What the submissions of one node share.
-pub(crate) struct Shared {
-    pub(crate) chain: ChainReader,
-    pub(crate) unix_millis: UnixClock,
-    pub(crate) settings: AcceptorSettings,
-    pub(crate) rng: Mutex<ChaCha8Rng>,
-    pub(crate) bases: BaseCache,
-    places: Semaphore,
-}
-
 /// Accepts submissions. Cheap to clone; clones share their limits and caches.
 #[derive(Clone)]
 pub struct Acceptor {
--- a/crates/acceptance/src/attempt.rs
+++ b/crates/acceptance/src/attempt.rs
@@ -20,10 +20,10 @@
 use umberpond_model::{SubmissionId, Version};
 use umberpond_store::{Backoff, ObjectVersion, PlatformError};
 
-use crate::acceptor::Shared;
 use crate::base::Base;
 use crate::chain::{HeadSeen, Search};
 use crate::prepare::{Circumstances, PrepareError, Prepared, Request, prepare};
+use crate::shared::Shared;
 use crate::swap::{swap_head, write_content};
 use crate::{Accepted, ChainError, NotAcceptedReason, RecordObject, Step, SubmitError, Winner};
 
--- a/crates/acceptance/src/lib.rs
+++ b/crates/acceptance/src/lib.rs
@@ -14,13 +14,15 @@
 mod error;
 mod objects;
 mod prepare;
+mod shared;
 mod submission;
 mod swap;
 
-pub use acceptor::{Acceptor, AcceptorContext, AcceptorSettings, UnixClock};
+pub use acceptor::{Acceptor, AcceptorContext};
 pub use collect::{CollectError, CollectReport, CollectSettings, MIN_KEPT_VERSIONS, collect};
 pub use error::ChainError;
 pub use objects::{CHECKPOINT_VERSIONS, EarlierVersion, Manifest, PAGE_VERSIONS, RecordObject, Step};
+pub use shared::{AcceptorSettings, UnixClock};
 pub use submission::{
     AbandonError, Abandonment, Accepted, Change, NotAcceptedReason, Resolution, SubmitError, Winner,
 };
--- a/crates/config/src/check/mod.rs
+++ b/crates/config/src/check/mod.rs
@@ -3,6 +3,7 @@
 mod entries;
 mod fault;
 mod fault_kind;
+mod located;
 mod report;
 mod routes;
 mod whole;
--- a/crates/config/src/check/routes.rs
+++ b/crates/config/src/check/routes.rs
@@ -4,7 +4,7 @@
 
 use umberpond_model::ServiceName;
 
-use super::whole::Located;
+use super::located::Located;
 use super::{EntryKind, Fault, FaultKind};
 use crate::Route;
 
--- a/crates/config/src/check/whole.rs
+++ b/crates/config/src/check/whole.rs
@@ -5,31 +5,10 @@
 
 use umberpond_model::{BundleName, LocalityRule, RegionName, RouteName, SecretName, ServiceName, ZoneName};
 
+use super::located::Located;
 use super::routes::check_ambiguity;
-use super::{EntryKind, EntryName, Fault, FaultKind};
-use crate::{
-    Bundle, Entries, Entry, Origin, Record, RequestLimits, Route, Secret, Service, Snapshot, Sourced,
-};
-
-/// An entry with the bundle, file and line that define it.
-pub(super) struct Located<'a, T> {
-    pub(super) bundle: Option<&'a BundleName>,
-    pub(super) origin: &'a Origin,
-    pub(super) value: &'a T,
-}
-
-impl<T> Located<'_, T> {
-    /// A fault of the entry called `name`.
-    pub(super) fn fault(&self, kind: EntryKind, name: &str, key: &str, fault: FaultKind) -> Fault {
-        Fault {
-            bundle: self.bundle.cloned(),
-            origin: self.origin.clone(),
-            entry: Some(EntryName { kind, name: name.to_owned() }),
-            key: Some(key.to_owned()),
-            kind: fault,
-        }
-    }
-}
+use super::{EntryKind, Fault, FaultKind};
+use crate::{Bundle, Entries, Entry, Record, RequestLimits, Route, Secret, Service, Snapshot, Sourced};
 
 /// Everything that the bundles in force define, each name once.
 pub(super) struct Whole<'a> {
--- a/crates/config/src/content_hasher.rs
+++ b/crates/config/src/content_hasher.rs
@@ -3,7 +3,8 @@
 
 use umberpond_model::ContentHash;
 
-use crate::entries::{Entries, Record};
+use crate::entries::Entries;
+use crate::record::Record;
 use crate::{RequestLimits, Topology};
 
 /// Domain separation from every other use of BLAKE3; changes with the meaning of the hash.
--- a/crates/config/src/route_index.rs
+++ b/crates/config/src/route_index.rs
@@ -7,7 +7,7 @@
 use umberpond_model::{RouteName, SecretName, ServiceName};
 
 use crate::Route;
-use crate::entries::RecordIndex;
+use crate::record::RecordIndex;
 
 /// Routes by the service behind them, by caller and by secret.
 #[derive(Debug, Clone, Default)]
--- a/crates/forwarding/src/server/caller.rs
+++ b/crates/forwarding/src/server/caller.rs
@@ -10,7 +10,7 @@
 };
 use umberpond_net::BoxStream;
 
-use super::listener::{ServerControl, ServerPhase};
+use super::control::{ServerControl, ServerPhase};
 use super::pending::{PendingRequests, Ready};
 use super::receive::{BodyRefusal, Receiving, receive};
 use super::writer::{Written, write_reply};
--- a/crates/forwarding/src/server/listener.rs
+++ b/crates/forwarding/src/server/listener.rs
@@ -1,16 +1,14 @@
 //! Accepts the connections of one listener until the process leaves.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep_until};
 use umberpond_net::BoxListener;
 use umberpond_telemetry::{Event, Telemetry};
 
 use super::caller::CallerConnection;
+use super::control::ServerControl;
 use crate::hop::serve_hop_connection;
 use crate::inbound::Inbound;
 use crate::outbound::Outbound;
@@ -20,95 +18,6 @@
 /// Most connections that one listener serves at once.
 const MAX_CONNECTIONS: usize = 1_500;
 
-/// How far a process is on its way out.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum ServerPhase {
-    /// Requests are served.
-    Serving,
-    /// Requests are served, and each answer ends its connection.
-    Leaving,
-    /// New requests are refused; those that are open are finished.
-    Refusing,
-}
-
-/// How far the process is on its way out, and what is still open.
-#[derive(Debug, Clone)]
-pub struct ServerControl {
-    phase: watch::Sender<ServerPhase>,
-    /// When every request has to have its final answer; absent while the process serves.
-    last_answers: watch::Sender<Option<Instant>>,
-    open_requests: Arc<AtomicUsize>,
-}
-
-impl Default for ServerControl {
-    fn default() -> Self {
-        Self {
-            phase: watch::Sender::new(ServerPhase::Serving),
-            last_answers: watch::Sender::new(None),
-            open_requests: Arc::default(),
-        }
-    }
-}
-
-impl ServerControl {
-    /// Starts to leave: each answer to a caller ends its connection, and every request has its final answer by
-    /// `last_answers`.
-    pub fn leave(&self, last_answers: Instant) {
-        self.last_answers.send_replace(Some(last_answers));
-        self.advance(ServerPhase::Leaving);
-    }
-
-    /// When every request has to have its final answer; absent while the process serves.
-    #[must_use]
-    pub fn last_answers(&self) -> Option<Instant> {
-        *self.last_answers.borrow()
-    }
-
-    /// Waits until every request has to have its final answer.
-    pub(crate) async fn reached_last_answers(&self) {
-        let mut last_answers = self.last_answers.subscribe();
-        let Ok(Some(at)) = last_answers.wait_for(Option::is_some).await.map(|at| *at) else {
-            return std::future::pending().await;
-        };
-        sleep_until(at).await;
-    }
-
-    /// Goes on to `phase`; never back.
-    pub fn advance(&self, phase: ServerPhase) {
-        self.phase.send_modify(|present| *present = phase.max(*present));
-    }
-
-    /// The phase reached.
-    #[must_use]
-    pub fn phase(&self) -> ServerPhase {
-        *self.phase.borrow()
-    }
-
-    /// Requests of callers that have no whole answer yet.
-    #[must_use]
-    pub fn open_requests(&self) -> usize {
-        self.open_requests.load(Ordering::Relaxed)
-    }
-
-    /// Counts a request as open until the guard is dropped.
-    pub(super) fn open_request(&self) -> OpenRequest {
-        self.open_requests.fetch_add(1, Ordering::Relaxed);
-        OpenRequest { open_requests: Arc::clone(&self.open_requests) }
-    }
-}
-
-/// One open request.
-#[derive(Debug)]
-pub(super) struct OpenRequest {
-    open_requests: Arc<AtomicUsize>,
-}
-
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        self.open_requests.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Serves the callers beside this node. Dropping the future cuts every connection.
 pub async fn serve_outbound(
     mut listener: BoxListener,
--- a/crates/forwarding/src/server/mod.rs
+++ b/crates/forwarding/src/server/mod.rs
@@ -1,9 +1,11 @@
 //! Accepting connections, and the requests of callers on them.
 
 mod caller;
+mod control;
 mod listener;
 mod pending;
 mod receive;
 mod writer;
 
-pub use listener::{ServerControl, ServerPhase, serve_inbound, serve_outbound};
+pub use control::{ServerControl, ServerPhase};
+pub use listener::{serve_inbound, serve_outbound};
--- a/crates/forwarding/src/server/pending.rs
+++ b/crates/forwarding/src/server/pending.rs
@@ -5,7 +5,7 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use super::listener::OpenRequest;
+use super::control::OpenRequest;
 use crate::outbound::Reply;
 
 type Handling = Pin<Box<dyn Future<Output = Reply> + Send>>;
