The last circles of imports: what the outbound half knows stands apart from how it takes a request

Cause: attempts and handler of the outbound half used each other, as did the parts of the operators' API, client and watch of the store, and faults and run of the simulation, so none could be read alone.

Change, moves only: outbound/state.rs holds the configuration, endpoints and budgets, handler.rs takes requests by it; what the parts of the API share, the client's settings, the decoding of an answer and the operator's small change stand where both sides take them from.

--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -11,8 +11,8 @@
 use umberpond_selection::{Choice, Observation, Query};
 use umberpond_telemetry::{Event, RequestDetail};
 
-use super::handler::Outbound;
 use super::reply::{Reply, ReplyReason, Served};
+use super::state::Outbound;
 use crate::inbound::millis;
 use crate::message::{Answer, Attempt, AttemptResult, NotRun, RequestBody};
 use crate::outcome::{NotRunReason, UnknownReason};
--- a/crates/forwarding/src/outbound/mod.rs
+++ b/crates/forwarding/src/outbound/mod.rs
@@ -4,6 +4,7 @@
 mod caller_times;
 mod handler;
 mod reply;
+mod state;
 
-pub use handler::{Outbound, OutboundIdentity, OutboundSettings, StaleVersion};
 pub(crate) use reply::{Reply, ReplyReason};
+pub use state::{Outbound, OutboundIdentity, OutboundSettings, StaleVersion};
--- /dev/null
+++ b/crates/forwarding/src/outbound/state.rs
@@ -0,0 +1,283 @@
+//! What the outbound half of one node knows: its configuration, the endpoints and the retry budgets.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use bytes::Bytes;
+use parking_lot::Mutex;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use thiserror::Error;
+use tokio::time::Instant;
+use umberpond_config::RequestLimits;
+use umberpond_model::{Locality, NodeName, ServiceName, Version};
+use umberpond_net::Network;
+use umberpond_scheduling::LoadReport;
+use umberpond_selection::{Endpoint, RetryBudget, RetryBudgetSettings, Selector, SelectorSettings};
+use umberpond_telemetry::{RequestDetail, Telemetry};
+
+use super::caller_times::CallerTimes;
+use super::reply::{Reply, ReplyReason};
+use crate::dialect::Dialect;
+use crate::hop::{HopPool, HopPoolSettings};
+use crate::inbound::Inbound;
+use crate::routing::RoutingTable;
+
+/// Limits of the outbound half.
+#[derive(Debug, Clone, PartialEq)]
+pub struct OutboundSettings {
+    /// Longest time to open a connection to another node.
+    pub connect_time: Duration,
+    /// Longest time that an idle connection to another node is kept.
+    pub idle_time: Duration,
+    /// Most idle connections kept to one node.
+    pub idle_per_node: usize,
+    /// Weights of the choice of a back end.
+    pub selector: SelectorSettings,
+    /// The retry budget of each service.
+    pub retry_budget: RetryBudgetSettings,
+}
+
+impl Default for OutboundSettings {
+    fn default() -> Self {
+        Self {
+            connect_time: Duration::from_millis(300),
+            idle_time: Duration::from_secs(30),
+            idle_per_node: 32,
+            selector: SelectorSettings::default(),
+            retry_budget: RetryBudgetSettings::default(),
+        }
+    }
+}
+
+/// A configuration that is not newer than the one in force; it was not put in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("version {offered} is not newer than version {active}, which is in force")]
+pub struct StaleVersion {
+    /// Version offered.
+    pub offered: Version,
+    /// Version in force.
+    pub active: Version,
+}
+
+/// The outbound half of one node.
+pub struct Outbound {
+    pub(super) dialect: Dialect,
+    pub(super) settings: OutboundSettings,
+    pub(super) telemetry: Telemetry,
+    pub(super) inbound: Arc<Inbound>,
+    pub(super) node: NodeName,
+    pub(super) hops: Arc<HopPool>,
+    pub(super) selector: Mutex<Selector>,
+    pub(super) random: Mutex<SmallRng>,
+    locality: Locality,
+    /// Endpoints as they were told, before the configuration's localities are applied.
+    told: Mutex<BTreeMap<ServiceName, Vec<Endpoint>>>,
+    caller: ArcSwap<ServiceName>,
+    pub(super) table: ArcSwapOption<RoutingTable>,
+    budgets: Mutex<BTreeMap<ServiceName, RetryBudget>>,
+    live_nodes: AtomicUsize,
+    pub(super) caller_times: Mutex<CallerTimes>,
+}
+
+impl std::fmt::Debug for Outbound {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("Outbound").field("node", &self.node).finish_non_exhaustive()
+    }
+}
+
+/// What an outbound half needs to know of its node.
+#[derive(Debug, Clone)]
+pub struct OutboundIdentity {
+    /// Name of the node.
+    pub node: NodeName,
+    /// Where it runs.
+    pub locality: Locality,
+    /// Service on whose behalf local callers send.
+    pub caller: ServiceName,
+    /// Seed of all randomness of the request path.
+    pub seed: u64,
+}
+
+impl Outbound {
+    /// The outbound half of a node without configuration.
+    #[must_use]
+    pub fn new(
+        identity: OutboundIdentity,
+        dialect: Dialect,
+        settings: OutboundSettings,
+        network: Arc<dyn Network>,
+        telemetry: Telemetry,
+        inbound: Arc<Inbound>,
+    ) -> Arc<Self> {
+        let hop_settings = HopPoolSettings {
+            connect_time: settings.connect_time,
+            idle_time: settings.idle_time,
+            idle_per_node: settings.idle_per_node,
+        };
+        Arc::new(Self {
+            dialect,
+            telemetry,
+            inbound,
+            hops: HopPool::new(network, hop_settings),
+            selector: Mutex::new(Selector::new(identity.locality.clone(), settings.selector)),
+            locality: identity.locality,
+            told: Mutex::default(),
+            settings,
+            random: Mutex::new(SmallRng::seed_from_u64(identity.seed)),
+            node: identity.node,
+            caller: ArcSwap::from_pointee(identity.caller),
+            table: ArcSwapOption::empty(),
+            budgets: Mutex::default(),
+            live_nodes: AtomicUsize::new(1),
+            caller_times: Mutex::default(),
+        })
+    }
+
+    /// Puts a routing table in force, by one swap.
+    ///
+    /// # Errors
+    /// Returns [`StaleVersion`] and changes nothing if the table is not newer than the one in force.
+    pub fn activate(&self, table: Arc<RoutingTable>) -> Result<(), StaleVersion> {
+        if let Some(active) = self.active_version()
+            && table.version() <= active
+        {
+            return Err(StaleVersion { offered: table.version(), active });
+        }
+        // First the endpoints, so that no request of the new table meets one that it forbids.
+        self.apply_localities(&table);
+        self.table.store(Some(table));
+        Ok(())
+    }
+
+    fn apply_localities(&self, table: &RoutingTable) {
+        let told = self.told.lock();
+        let mut selector = self.selector.lock();
+        for (service, endpoints) in &*told {
+            selector.set_endpoints(service, allowed(table, service, endpoints));
+        }
+        drop(selector);
+        self.apply_own_locality(table);
+    }
+
+    /// The node beside a back end serves it only where the configuration allows, whatever callers' nodes believe.
+    fn apply_own_locality(&self, table: &RoutingTable) {
+        if let Some(service) = self.inbound.service() {
+            self.inbound.set_may_serve(table.allows(&service, &self.locality));
+        }
+    }
+
+    /// Takes in that the back end beside this node may be of another service now.
+    pub fn on_back_end_changed(&self) {
+        if let Some(table) = &*self.table.load() {
+            self.apply_own_locality(table);
+        }
+    }
+
+    /// Version in force.
+    #[must_use]
+    pub fn active_version(&self) -> Option<Version> {
+        self.table.load().as_ref().map(|table| table.version())
+    }
+
+    /// Limits on what callers send.
+    #[must_use]
+    pub fn limits(&self) -> RequestLimits {
+        self.table.load().as_ref().map_or_else(RequestLimits::default, |table| *table.limits())
+    }
+
+    /// Service on whose behalf local callers send.
+    #[must_use]
+    pub fn caller(&self) -> Arc<ServiceName> {
+        self.caller.load_full()
+    }
+
+    /// Sets the service on whose behalf local callers send.
+    pub fn set_caller(&self, caller: ServiceName) {
+        self.caller.store(Arc::new(caller));
+    }
+
+    /// Sets the endpoints of `service` that take new work.
+    pub fn set_endpoints(&self, service: &ServiceName, endpoints: Vec<Endpoint>) {
+        let mut told = self.told.lock();
+        let usable = match &*self.table.load() {
+            Some(table) => allowed(table, service, &endpoints),
+            None => endpoints.clone(),
+        };
+        if endpoints.is_empty() {
+            told.remove(service);
+        } else {
+            told.insert(service.clone(), endpoints);
+        }
+        self.selector.lock().set_endpoints(service, usable);
+    }
+
+    /// Takes in what a node told of the load of its back end.
+    pub fn on_report(&self, service: &ServiceName, node: &NodeName, report: LoadReport) {
+        self.selector.lock().on_report(service, node, report);
+    }
+
+    /// Sets the number of live nodes, which share the retry budget.
+    pub fn set_live_nodes(&self, count: usize) {
+        self.live_nodes.store(count.max(1), Ordering::Relaxed);
+    }
+
+    /// Closes connections that were idle too long.
+    pub fn close_expired(&self) {
+        self.hops.close_expired();
+    }
+
+    /// Where the node called `node` runs, if it is a known endpoint of `service`.
+    pub(super) fn locality_of(&self, service: &ServiceName, node: &NodeName) -> Option<Locality> {
+        let told = self.told.lock();
+        let endpoint = told.get(service)?.iter().find(|endpoint| endpoint.node == *node)?;
+        Some(endpoint.locality.clone())
+    }
+
+    /// An answer of this node's own to the request called `id`.
+    pub(super) fn own_reply(
+        &self,
+        reason: ReplyReason,
+        retry_after: Option<Duration>,
+        id: Option<&Bytes>,
+    ) -> Reply {
+        self.telemetry.metrics().request(reason.outcome(), RequestDetail::Reason(reason.word()));
+        let mut reply = Reply::own(reason, retry_after, self.dialect.marks.as_ref());
+        if let Some(id) = id {
+            reply.fields.set(self.dialect.request_id, id.clone());
+        }
+        reply
+    }
+
+    /// Counts a request for `service`.
+    pub(super) fn count_request(&self, service: &ServiceName) {
+        let now = Instant::now().into_std();
+        self.budgets
+            .lock()
+            .entry(service.clone())
+            .or_default()
+            .count_request(now, &self.settings.retry_budget);
+    }
+
+    /// Takes one repeat out of the budget of `service`; `false` if it is spent.
+    pub(super) fn take_retry(&self, service: &ServiceName) -> bool {
+        let now = Instant::now().into_std();
+        let nodes = self.live_nodes.load(Ordering::Relaxed);
+        let mut budgets = self.budgets.lock();
+        budgets.entry(service.clone()).or_default().take(now, nodes, &self.settings.retry_budget)
+    }
+
+    /// Whether `address` is this node's own.
+    pub(super) fn is_own(&self, node: &NodeName, _address: SocketAddr) -> bool {
+        *node == self.node
+    }
+}
+
+/// The endpoints that the configuration allows.
+fn allowed(table: &RoutingTable, service: &ServiceName, endpoints: &[Endpoint]) -> Vec<Endpoint> {
+    endpoints.iter().filter(|endpoint| table.allows(service, &endpoint.locality)).cloned().collect()
+}
--- a/crates/operator/src/admin/bundles.rs
+++ b/crates/operator/src/admin/bundles.rs
@@ -11,7 +11,7 @@
 use super::answer::Answer;
 use super::api::{ServiceSealKey, SubmissionName, SubmissionResult};
 use super::configuration;
-use super::handler::AdminShared;
+use super::shared::AdminShared;
 
 /// When to ask again about a submission whose outcome is unknown, in seconds.
 const UNKNOWN_RETRY_SECONDS: u64 = 1;
--- a/crates/operator/src/admin/configuration.rs
+++ b/crates/operator/src/admin/configuration.rs
@@ -10,7 +10,7 @@
 use umberpond_store::ObjectKind;
 
 use super::api::Configuration;
-use super::handler::AdminShared;
+use super::shared::AdminShared;
 
 /// Bundles read at once.
 const CONCURRENT_READS: usize = 4;
--- a/crates/operator/src/admin/handler.rs
+++ b/crates/operator/src/admin/handler.rs
@@ -11,18 +11,12 @@
 use umberpond_telemetry::Event;
 
 use super::answer::Answer;
+use super::shared::AdminShared;
 use super::{bundles, status};
 
 /// Tells milliseconds since the Unix epoch.
 pub type TimeOfDay = Arc<dyn Fn() -> u64 + Send + Sync>;
 
-/// What the parts of the API share.
-pub(super) struct AdminShared {
-    pub(super) daemon: Arc<RunningDaemon>,
-    pub(super) store: Arc<dyn ObjectStore>,
-    pub(super) acceptor: Acceptor,
-}
-
 /// Answers operators, readiness questions and the collection of figures.
 pub struct AdminHandler {
     shared: AdminShared,
--- a/crates/operator/src/admin/mod.rs
+++ b/crates/operator/src/admin/mod.rs
@@ -5,6 +5,7 @@
 mod bundles;
 mod configuration;
 mod handler;
+mod shared;
 mod status;
 
 pub use handler::{AdminHandler, TimeOfDay};
--- a/crates/operator/src/admin/status.rs
+++ b/crates/operator/src/admin/status.rs
@@ -7,7 +7,7 @@
 
 use super::answer::Answer;
 use super::api::{BackEndStatus, MemberStatus, NodeStatus, Progress, Readiness};
-use super::handler::AdminShared;
+use super::shared::AdminShared;
 
 /// Most nodes that are told as being behind.
 const MAX_BEHIND: usize = 20;
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -3,43 +3,20 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use async_trait::async_trait;
 use bytes::Bytes;
 use http::{Method, Response, StatusCode};
-use serde::de::DeserializeOwned;
 use umberpond_model::NodeName;
 use umberpond_net::Network;
 
-use crate::exchange::{Exchange, RequestParts, object_version, refusal};
+use crate::exchange::{Exchange, RequestParts, decode_json, object_version, refusal};
 use crate::watch::open_watch;
 use crate::{
-    ListPage, Object, ObjectKind, ObjectStore, ObjectVersion, PlatformError, PlatformGate, Revision,
-    UnknownCause, WatchError, WatchStream,
+    ClientSettings, ListPage, Object, ObjectKind, ObjectStore, ObjectVersion, PlatformError, PlatformGate,
+    Revision, UnknownCause, WatchError, WatchStream,
 };
 
-/// Time and size limits of a client.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ClientSettings {
-    /// Longest time for one request, its wait at the gate included.
-    pub request_limit: Duration,
-    /// Longest silence of a watch. The platform sends a heartbeat every five seconds.
-    pub heartbeat_limit: Duration,
-    /// Largest object or answer, in bytes.
-    pub max_object_bytes: usize,
-}
-
-impl Default for ClientSettings {
-    fn default() -> Self {
-        Self {
-            request_limit: Duration::from_secs(3),
-            heartbeat_limit: Duration::from_secs(12),
-            max_object_bytes: 16 * 1024 * 1024,
-        }
-    }
-}
-
 /// Client of one platform address. Cheap to clone; all clones share the gate.
 #[derive(Clone)]
 pub struct PlatformClient {
@@ -75,11 +52,6 @@
     }
 }
 
-/// Decodes a JSON answer.
-pub(crate) fn decode_json<T: DeserializeOwned>(body: &Bytes) -> Result<T, PlatformError> {
-    serde_json::from_slice(body).map_err(|_| PlatformError::OutcomeUnknown { cause: UnknownCause::Malformed })
-}
-
 fn object_path(kind: ObjectKind, name: &str) -> String {
     format!("/v1/objects/{kind}/{name}")
 }
--- a/crates/store/src/exchange.rs
+++ b/crates/store/src/exchange.rs
@@ -11,6 +11,7 @@
 use http::header::{HOST, IF_MATCH, RETRY_AFTER};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
+use serde::de::DeserializeOwned;
 use tokio::time::{Instant, timeout_at};
 use umberpond_model::NodeName;
 use umberpond_net::{
@@ -179,3 +180,8 @@
 fn retry_after<B>(response: &Response<B>) -> Option<Duration> {
     response.headers().get(RETRY_AFTER)?.to_str().ok()?.parse().ok().map(Duration::from_secs)
 }
+
+/// Decodes a JSON answer.
+pub(crate) fn decode_json<T: DeserializeOwned>(body: &Bytes) -> Result<T, PlatformError> {
+    serde_json::from_slice(body).map_err(|_| PlatformError::OutcomeUnknown { cause: UnknownCause::Malformed })
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod backoff;
 mod client;
+mod client_settings;
 mod error;
 mod exchange;
 mod gate;
@@ -15,7 +16,8 @@
 mod watch;
 
 pub use backoff::{Backoff, BackoffSettings};
-pub use client::{ClientSettings, PlatformClient};
+pub use client::PlatformClient;
+pub use client_settings::ClientSettings;
 pub use error::{NotSentCause, PlatformError, UnknownCause};
 pub use gate::{GateLimits, PlatformGate};
 pub use object::{ListItem, ListPage, Object, ObjectKind, ObjectVersion, Revision, WatchEvent};
--- a/crates/store/src/watch.rs
+++ b/crates/store/src/watch.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, timeout, timeout_at};
 use umberpond_net::{HttpExchange, collect_body};
 
-use crate::exchange::{Exchange, RequestParts, refusal};
+use crate::exchange::{Exchange, RequestParts, decode_json, refusal};
 use crate::{ClientSettings, ObjectKind, PlatformError, Revision, UnknownCause, WatchEvent, WatchStream};
 
 /// Why a watch did not open or ended.
@@ -79,7 +79,7 @@
         .await
         .map_err(|_| unknown(UnknownCause::TimeLimit))?
         .map_err(|_| unknown(UnknownCause::Broken))?;
-    let answer: TooOldAnswer = crate::client::decode_json(response.body())?;
+    let answer: TooOldAnswer = decode_json(response.body())?;
     Ok(WatchError::TooOld { oldest: answer.oldest })
 }
 
--- a/testing/sim/src/cluster/faults.rs
+++ b/testing/sim/src/cluster/faults.rs
@@ -10,9 +10,8 @@
 use umberpond_standins::platform::{FaultChange, Platform};
 
 use super::layout::{self, Place};
-use super::operators::Operator;
+use super::operators::{Operator, submit_changes};
 use super::process::{NodeSlot, Surroundings};
-use super::run::submit_changes;
 use crate::history::Event;
 use crate::schedule::{Fault, FaultKind};
 
--- a/testing/sim/src/cluster/operators.rs
+++ b/testing/sim/src/cluster/operators.rs
@@ -13,6 +13,7 @@
 use umberpond_net::{Network, collect_body, send_request};
 use umberpond_operator::admin::api::SubmissionResult;
 
+use super::layout;
 use super::observer::Recorder;
 use crate::history::{Event, SubmissionClaim};
 
@@ -89,3 +90,12 @@
         | SubmissionResult::NotAccepted { .. } => SubmissionClaim::NotAccepted,
     }
 }
+
+/// Submits one small change through the node that `number` chooses. `salt` tells apart changes of equal number.
+pub(super) async fn submit_changes(operator: Operator, admins: Vec<SocketAddr>, number: u64, salt: u64) {
+    let content = layout::extra_bundle(number);
+    let bundle = layout::extra_bundle_name(number);
+    let id = SubmissionId(u128::from(number) << 64 | u128::from(salt) << 8 | 2);
+    let through = usize::try_from(number).unwrap_or(0) % admins.len();
+    operator.submit(admins[through], &admins, Submission { id, bundle, content }).await;
+}
--- a/testing/sim/src/cluster/run.rs
+++ b/testing/sim/src/cluster/run.rs
@@ -1,7 +1,6 @@
 //! One run: a seed and its schedule in, a history and a verdict out.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,7 +15,7 @@
 use super::faults::Cluster;
 use super::layout::{self, Place};
 use super::observer::{Activation, Recorder};
-use super::operators::{Operator, Submission};
+use super::operators::{Operator, Submission, submit_changes};
 use super::process::{NodeSlot, Surroundings};
 use crate::checkers::{CONVERGENCE_LIMIT, Invariant, Violation};
 use crate::history::{Event, History, Recorded};
@@ -167,15 +166,6 @@
     }
 }
 
-/// Submits one small change through the node that `number` chooses. `salt` tells apart changes of equal number.
-pub(super) async fn submit_changes(operator: Operator, admins: Vec<SocketAddr>, number: u64, salt: u64) {
-    let content = layout::extra_bundle(number);
-    let bundle = layout::extra_bundle_name(number);
-    let id = SubmissionId(u128::from(number) << 64 | u128::from(salt) << 8 | 2);
-    let through = usize::try_from(number).unwrap_or(0) % admins.len();
-    operator.submit(admins[through], &admins, Submission { id, bundle, content }).await;
-}
-
 fn judge(places: &[Place], recorder: &Recorder, chain: &Chain, mut events: Vec<Recorded>) -> RunReport {
     let record = recorder.take();
     events.extend(record.events);
