--- a/crates/daemon/src/back_end/announcement.rs
+++ b/crates/daemon/src/back_end/announcement.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use umberpond_model::ServiceName;
+use umberpond_model::{ReleaseName, ServiceName};
 
 /// State of a back end by its own word.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -21,6 +21,8 @@
     pub instance: String,
     /// Service that it serves.
     pub service: ServiceName,
+    /// Version of its software.
+    pub release: Option<ReleaseName>,
     /// Address at which it takes requests.
     pub address: SocketAddr,
     /// Requests it works on at once.
--- a/crates/daemon/src/back_end/check.rs
+++ b/crates/daemon/src/back_end/check.rs
@@ -52,6 +52,7 @@
         monitor.confirm(BackEnd {
             instance: instance.clone(),
             service: settings.service.clone(),
+            release: None,
             address: settings.address,
             slots: health.slots.or(configured).unwrap_or(DEFAULT_SLOTS),
         });
--- a/crates/daemon/src/back_end/lives.rs
+++ b/crates/daemon/src/back_end/lives.rs
@@ -154,6 +154,7 @@
         Some(BackEndRecord {
             instance: life.back_end.instance.clone(),
             service: life.back_end.service.clone(),
+            release: life.back_end.release.clone(),
             slots: life.back_end.slots,
             state: life.state,
             is_cold: life.cold_until > now,
@@ -235,6 +236,7 @@
     BackEnd {
         instance: announcement.instance.clone(),
         service: announcement.service.clone(),
+        release: announcement.release.clone(),
         address: announcement.address,
         slots: announcement.slots,
     }
--- a/crates/daemon/src/back_end/probe.rs
+++ b/crates/daemon/src/back_end/probe.rs
@@ -25,7 +25,7 @@
             if let Some(health) = health
                 && let (Some(instance), Some(slots)) = (health.instance, health.slots)
             {
-                monitor.confirm(BackEnd { instance, service, address, slots });
+                monitor.confirm(BackEnd { instance, service, release: None, address, slots });
                 return;
             }
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 mod http_server;
 mod membership;
 mod readiness;
+pub mod rollouts;
 pub mod settings;
 mod start;
 mod stop;
--- a/crates/daemon/src/membership/actor.rs
+++ b/crates/daemon/src/membership/actor.rs
@@ -5,17 +5,21 @@
 use std::time::Duration;
 
 use ractor::{Actor, ActorProcessingErr, ActorRef};
+use tokio::sync::mpsc;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 use umberpond_forwarding::{Inbound, Outbound};
 use umberpond_membership::{Datagram, MemberPhase, MemberRecord, Membership, MembershipNote, Outgoing};
 use umberpond_net::BoxDatagrams;
+use umberpond_rollouts::ReleaseEvidence;
 use umberpond_telemetry::{Event, Telemetry};
 
 use super::datagrams::send;
-use super::endpoints::ToldEndpoints;
+use super::endpoints::{ToldEndpoints, count_by_release};
 use super::message::{MembershipMessage, StoreView};
+use super::plans::PlansInForce;
 use crate::configuration::ConfigurationMessage;
 use crate::duration::millis;
+use crate::rollouts::RolloutView;
 
 /// Time between two looks for heartbeats that are due: a quarter of the shortest interval between two to one node.
 const TICK: Duration = Duration::from_millis(50);
@@ -30,6 +34,8 @@
     pub(crate) inbound: Arc<Inbound>,
     pub(crate) outbound: Arc<Outbound>,
     pub(crate) telemetry: Telemetry,
+    /// Reports on releases, for the task that coordinates rollouts.
+    pub(crate) evidence: mpsc::UnboundedSender<ReleaseEvidence>,
 }
 
 pub(crate) struct MembershipState {
@@ -39,6 +45,8 @@
     outbound: Arc<Outbound>,
     telemetry: Telemetry,
     told: ToldEndpoints,
+    plans: PlansInForce,
+    evidence: mpsc::UnboundedSender<ReleaseEvidence>,
     configuration: Option<ActorRef<ConfigurationMessage>>,
     started_at: std::time::Instant,
     has_joined: bool,
@@ -65,6 +73,8 @@
             outbound: arguments.outbound,
             telemetry: arguments.telemetry,
             told: ToldEndpoints::default(),
+            plans: PlansInForce::default(),
+            evidence: arguments.evidence,
             configuration: None,
             started_at: Instant::now().into_std(),
             has_joined: false,
@@ -129,6 +139,19 @@
                 self.configuration = Some(actor);
                 Vec::new()
             }
+            MembershipMessage::Rollouts(plans) => {
+                let outgoing = self.membership.set_rollouts(now, plans);
+                self.follow_plans(now);
+                outgoing
+            }
+            MembershipMessage::ReportEvidence(evidence) => self.report(evidence),
+            MembershipMessage::RolloutView(reply) => {
+                let _ = reply.send(RolloutView {
+                    held: self.plans.held(),
+                    endpoints: count_by_release(&self.membership),
+                });
+                Vec::new()
+            }
             MembershipMessage::Members(reply) => {
                 let _ = reply.send(self.membership.members().collect());
                 Vec::new()
@@ -142,6 +165,11 @@
         from: SocketAddr,
         datagram: &Datagram,
     ) -> Vec<Outgoing> {
+        if let Datagram::Evidence(evidence) = datagram {
+            // The task ends with the process.
+            let _ = self.evidence.send((**evidence).clone());
+            return Vec::new();
+        }
         let outgoing = self.membership.on_datagram(now, from, datagram);
         let Datagram::Heartbeat(heartbeat) = datagram else { return outgoing };
         if let Some((node, service)) = self.membership.back_end_of(heartbeat.word.order()) {
@@ -159,6 +187,22 @@
         outgoing
     }
 
+    /// Sends what the own back end has answered to the coordinators of its rollout.
+    fn report(&self, evidence: Box<ReleaseEvidence>) -> Vec<Outgoing> {
+        let coordinators = self.membership.coordinators_of(&evidence.service);
+        if !self.membership.own().rollouts.is_empty() {
+            // The task ends with the process.
+            let _ = self.evidence.send((*evidence).clone());
+        }
+        let outgoing = coordinators.into_iter();
+        outgoing.map(|to| Outgoing { to, datagram: Datagram::Evidence(evidence.clone()) }).collect()
+    }
+
+    /// Puts the latest plans that any node tells in force.
+    fn follow_plans(&mut self, now: std::time::Instant) {
+        self.plans.follow(now, &self.membership, &self.inbound, &self.outbound, &self.telemetry);
+    }
+
     fn store_view(&self, now: std::time::Instant) -> StoreView {
         let running = |record: &&MemberRecord| record.phase == MemberPhase::Running;
         let reachable = self.membership.reachable().filter(running).map(|record| record.node.clone());
@@ -187,6 +231,7 @@
         if !is_due {
             return;
         }
+        self.follow_plans(Instant::now().into_std());
         self.outbound.set_live_nodes(self.membership.reachable_count() + 1);
         let endpoints = self.told.update(&self.membership, &self.outbound);
         self.telemetry.metrics().set_endpoints(endpoints);
--- a/crates/daemon/src/membership/endpoints.rs
+++ b/crates/daemon/src/membership/endpoints.rs
@@ -5,6 +5,7 @@
 use umberpond_forwarding::Outbound;
 use umberpond_membership::{BackEndRecord, BackEndState, MemberPhase, MemberRecord, Membership};
 use umberpond_model::ServiceName;
+use umberpond_rollouts::EndpointCounts;
 use umberpond_selection::Endpoint;
 
 /// The endpoints told to the request path last.
@@ -32,6 +33,19 @@
     }
 }
 
+/// The back ends that can be reached and have told their release, by service.
+pub(super) fn count_by_release(membership: &Membership) -> BTreeMap<ServiceName, EndpointCounts> {
+    let mut counts: BTreeMap<ServiceName, EndpointCounts> = BTreeMap::new();
+    for record in membership.reachable().chain([membership.own()]) {
+        let Some(back_end) = usable_back_end(record) else { continue };
+        let Some(release) = &back_end.release else { continue };
+        let of_service = counts.entry(back_end.service.clone()).or_default();
+        let of_release = of_service.ready.entry(release.clone()).or_default();
+        of_release.push((record.node.clone(), back_end.slots));
+    }
+    counts
+}
+
 fn find(membership: &Membership) -> BTreeMap<ServiceName, Vec<Endpoint>> {
     let mut found: BTreeMap<ServiceName, Vec<Endpoint>> = BTreeMap::new();
     for record in membership.reachable().chain([membership.own()]) {
@@ -41,6 +55,7 @@
                 address: record.inbound,
                 locality: record.locality.clone(),
                 instance: back_end.instance.clone(),
+                release: back_end.release.clone(),
                 slots: back_end.slots,
                 is_cold: back_end.is_cold,
             };
--- a/crates/daemon/src/membership/message.rs
+++ b/crates/daemon/src/membership/message.rs
@@ -6,8 +6,10 @@
 use ractor::{ActorRef, RpcReplyPort};
 use umberpond_membership::{BackEndRecord, Datagram, Introduction, MemberPhase, MemberView};
 use umberpond_model::{NodeName, Version};
+use umberpond_rollouts::{ReleaseEvidence, RolloutPlan};
 
 use crate::configuration::ConfigurationMessage;
+use crate::rollouts::RolloutView;
 
 /// What the membership is told and asked.
 pub(crate) enum MembershipMessage {
@@ -29,6 +31,12 @@
     StoreHeard,
     /// Where configurations are to be fetched.
     ConfigurationActor(ActorRef<ConfigurationMessage>),
+    /// The plans that this node tells as a coordinator of rollouts; empty if it is none.
+    Rollouts(Vec<RolloutPlan>),
+    /// What the own back end has answered, for the coordinators of its rollout.
+    ReportEvidence(Box<ReleaseEvidence>),
+    /// Asks for what is known of rollouts.
+    RolloutView(RpcReplyPort<RolloutView>),
     /// Asks for all other nodes.
     Members(RpcReplyPort<Vec<MemberView>>),
     /// Asks who could read the store.
--- a/crates/daemon/src/membership/mod.rs
+++ b/crates/daemon/src/membership/mod.rs
@@ -4,6 +4,7 @@
 mod datagrams;
 mod endpoints;
 mod message;
+mod plans;
 
 pub(crate) use actor::{MembershipActor, MembershipArguments};
 pub(crate) use datagrams::receive_datagrams;
--- /dev/null
+++ b/crates/daemon/src/rollouts/task.rs
@@ -0,0 +1,255 @@
+//! The task by which a node takes part in rollouts.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ractor::ActorRef;
+use ractor::rpc::CallResult;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep};
+use umberpond_distribution::ReaderSettings;
+use umberpond_forwarding::Inbound;
+use umberpond_model::{NodeName, ReleaseName, ServiceName};
+use umberpond_rollouts::{
+    CoordinatorAction, EndpointCounts, HeldPlans, ReleaseEvidence, RolloutCoordinator, RolloutPlan,
+    RolloutSettings, RolloutState, Verdict,
+};
+use umberpond_telemetry::{Event, Telemetry};
+
+use super::store::{RolloutStore, WriteError};
+use crate::back_end::BackEndMonitor;
+use crate::configuration::finds_itself_reader;
+use crate::membership::MembershipMessage;
+
+/// Time between two looks while no rollout goes on.
+const IDLE_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two reports and two decisions while one does: short against the half second in which a bad release has to be
+/// found, long against the time in which a report arrives.
+const BUSY_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two readings of the store while no rollout goes on. New back ends need more than a second to start.
+const LIST_INTERVAL: Duration = Duration::from_millis(1_500);
+/// The same while one does, to see an order that is taken back.
+const BUSY_LIST_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Pause after a call to the store that failed.
+const FAILURE_PAUSE: Duration = Duration::from_millis(400);
+/// Longest time that the membership takes to answer.
+const ACTOR_TIME: Duration = Duration::from_millis(500);
+
+/// What the membership knows of rollouts.
+#[derive(Debug)]
+pub(crate) struct RolloutView {
+    /// The plans in force.
+    pub(crate) held: HeldPlans,
+    /// Back ends that can be reached.
+    pub(crate) endpoints: BTreeMap<ServiceName, EndpointCounts>,
+}
+
+/// What the task needs.
+pub(crate) struct RolloutTask {
+    pub(crate) node: NodeName,
+    pub(crate) store: Arc<dyn RolloutStore>,
+    pub(crate) settings: RolloutSettings,
+    pub(crate) inbound: Arc<Inbound>,
+    pub(crate) back_end: Arc<BackEndMonitor>,
+    pub(crate) membership: ActorRef<MembershipMessage>,
+    /// Reports of other nodes, and of this one.
+    pub(crate) evidence: mpsc::UnboundedReceiver<ReleaseEvidence>,
+    pub(crate) telemetry: Telemetry,
+}
+
+/// Takes part in rollouts without end.
+pub(crate) async fn run_rollouts(task: RolloutTask) {
+    let coordinator = RolloutCoordinator::new(task.settings);
+    let mut participant = Participant {
+        task,
+        coordinator,
+        told: BTreeMap::new(),
+        reports: 0,
+        list_at: Instant::now(),
+        is_coordinator: false,
+    };
+    loop {
+        let is_busy = participant.step().await;
+        sleep(if is_busy { BUSY_INTERVAL } else { IDLE_INTERVAL }).await;
+    }
+}
+
+struct Participant {
+    task: RolloutTask,
+    coordinator: RolloutCoordinator,
+    /// The plans that this node tells as a coordinator.
+    told: BTreeMap<ServiceName, RolloutPlan>,
+    reports: u64,
+    list_at: Instant,
+    is_coordinator: bool,
+}
+
+impl Participant {
+    /// Takes one step; tells whether a rollout goes on.
+    async fn step(&mut self) -> bool {
+        let asked = self.task.membership.call(MembershipMessage::RolloutView, Some(ACTOR_TIME)).await;
+        let Ok(CallResult::Success(view)) = asked else { return false };
+        let is_running = view.held.iter().any(|plan| plan.stage.is_running());
+        if is_running {
+            self.report(&view.held);
+        }
+        self.coordinate(&view).await;
+        is_running || !self.coordinator.is_idle()
+    }
+
+    /// Reports the answers of the own back end to the coordinators, if a rollout concerns it.
+    fn report(&mut self, held: &HeldPlans) {
+        let Some(record) = self.task.back_end.record() else { return };
+        let Some(release) = record.release else { return };
+        let is_concerned = held.get(&record.service).is_some_and(|plan| plan.stage.is_running());
+        if !is_concerned {
+            return;
+        }
+        self.reports += 1;
+        let load = self.task.inbound.load();
+        let evidence = ReleaseEvidence {
+            node: self.task.node.clone(),
+            instance: record.instance,
+            number: self.reports,
+            service: record.service,
+            release,
+            is_cold: record.is_cold,
+            is_closed: !self.task.inbound.is_release_open(),
+            in_flight: load.running + load.waiting,
+            routes: self.task.inbound.answers(),
+        };
+        let _ = self.task.membership.send_message(MembershipMessage::ReportEvidence(Box::new(evidence)));
+    }
+
+    async fn coordinate(&mut self, view: &RolloutView) {
+        let is_reader = finds_itself_reader(&self.task.membership, &ReaderSettings::default()).await;
+        if !is_reader {
+            self.stop_coordinating();
+            return;
+        }
+        self.is_coordinator = true;
+        for plan in view.held.iter() {
+            self.hold_told(plan);
+        }
+        while let Ok(evidence) = self.task.evidence.try_recv() {
+            self.coordinator.on_evidence(evidence);
+        }
+        if Instant::now() >= self.list_at {
+            self.list(&view.held).await;
+        }
+        let now = Instant::now().into_std();
+        let actions = self.coordinator.on_tick(now, &view.held, &view.endpoints);
+        self.carry_out(actions).await;
+        self.tell_others();
+    }
+
+    fn stop_coordinating(&mut self) {
+        if !std::mem::take(&mut self.is_coordinator) {
+            return;
+        }
+        self.coordinator.clear();
+        self.told.clear();
+        self.list_at = Instant::now();
+        while self.task.evidence.try_recv().is_ok() {}
+        self.tell_others();
+    }
+
+    /// Tells a plan on that somebody else has made, so that nodes which join hear of it.
+    fn hold_told(&mut self, plan: &RolloutPlan) {
+        if self.told.get(&plan.service).is_none_or(|told| plan.supersedes(told)) {
+            self.told.insert(plan.service.clone(), plan.clone());
+        }
+    }
+
+    async fn list(&mut self, held: &HeldPlans) {
+        let listed = self.task.store.list().await;
+        let outcome = if listed.is_ok() { "answered" } else { "unavailable" };
+        self.task.telemetry.metrics().platform_request("rollouts", outcome);
+        let now = Instant::now();
+        match listed {
+            Ok(stored) => {
+                let actions = self.coordinator.on_stored(now.into_std(), held, stored);
+                let interval = if self.coordinator.is_idle() { LIST_INTERVAL } else { BUSY_LIST_INTERVAL };
+                self.list_at = now + interval;
+                self.carry_out(actions).await;
+            }
+            Err(error) => {
+                self.list_at = now + FAILURE_PAUSE;
+                self.task.telemetry.emit(Event::RolloutsUnread { reason: error.to_string() });
+            }
+        }
+    }
+
+    async fn carry_out(&mut self, actions: Vec<CoordinatorAction>) {
+        for action in actions {
+            match action {
+                CoordinatorAction::Tell { plan, reason, verdict, answers } => {
+                    self.tell_decision(&plan, reason, verdict, answers);
+                    self.hold_told(&plan);
+                }
+                CoordinatorAction::Write { service, target, revision, state } => {
+                    self.write(&service, &target, revision, state).await;
+                }
+            }
+        }
+    }
+
+    async fn write(
+        &mut self,
+        service: &ServiceName,
+        target: &ReleaseName,
+        revision: u64,
+        state: RolloutState,
+    ) {
+        // What is decided is told before the store is asked: it may be slow.
+        self.tell_others();
+        let written = self.task.store.write(service, target, revision, state).await;
+        let outcome = match &written {
+            Ok(_) => "written",
+            Err(WriteError::Conflict) => "conflict",
+            Err(WriteError::Unavailable { .. }) => "unavailable",
+        };
+        self.task.telemetry.metrics().platform_request("rollout-state", outcome);
+        self.task.telemetry.emit(Event::RolloutStateWritten {
+            service: service.clone(),
+            target: target.to_string(),
+            state: state.word(),
+            revision,
+            outcome,
+        });
+        match written {
+            Ok(revision) => self.coordinator.on_written(service, state, revision),
+            // What stands there now is read with the next step.
+            Err(_) => self.list_at = Instant::now(),
+        }
+        if state.is_final() {
+            self.list_at = Instant::now();
+        }
+    }
+
+    fn tell_others(&self) {
+        let plans = self.told.values().cloned().collect();
+        let _ = self.task.membership.send_message(MembershipMessage::Rollouts(plans));
+    }
+
+    fn tell_decision(&self, plan: &RolloutPlan, reason: &'static str, verdict: Verdict, answers: u32) {
+        let (bad, target_millis, others_millis) = match verdict {
+            Verdict::Sound => (0, 0, 0),
+            Verdict::Fails { bad, .. } => (bad, 0, 0),
+            Verdict::Slow { millis, others_millis, .. } => (0, millis, others_millis),
+        };
+        self.task.telemetry.emit(Event::RolloutDecided {
+            service: plan.service.clone(),
+            target: plan.target.to_string(),
+            stage: plan.stage.word(),
+            permille: plan.stage.target_permille(),
+            reason,
+            elapsed_millis: plan.elapsed_millis,
+            answers,
+            bad,
+            target_millis,
+            others_millis,
+        });
+    }
+}
--- a/crates/daemon/src/settings/load.rs
+++ b/crates/daemon/src/settings/load.rs
@@ -7,6 +7,7 @@
 use toml::de::DeTable;
 use umberpond_config::{SealKeyPair, SecretValue, Topology};
 use umberpond_model::Locality;
+use umberpond_rollouts::RolloutSettings;
 use umberpond_selection::RetryBudgetSettings;
 use umberpond_telemetry::{LogFormat, Severity};
 
@@ -84,6 +85,7 @@
     let seal_key = read_seal_key(reader, directory);
     let link_rate = read_link_rate(reader);
     let retry_budget = read_retry_budget(reader);
+    let rollouts = read_rollouts(reader);
     let log = read_log(reader);
     let grace = reader.duration("stop.grace", DEFAULT_GRACE);
     let (locality, topology) = locality?;
@@ -101,6 +103,7 @@
         seal_key,
         link_rate: link_rate?,
         retry_budget: retry_budget?,
+        rollouts: rollouts?,
         log: log?,
         grace: grace?,
     })
@@ -174,6 +177,12 @@
     Some(RetryBudgetSettings { ratio: ratio?, extra: extra?, window: window?, ..default })
 }
 
+/// Bounds of rollouts, in which the node may take no part; `None` if a setting has a fault.
+fn read_rollouts(reader: &mut SettingsReader<'_>) -> Option<Option<RolloutSettings>> {
+    let canary_share = reader.decimal("rollouts.canary-share", 0, 1, 0.0)?;
+    Some((canary_share > 0.0).then_some(RolloutSettings { canary_share }))
+}
+
 fn read_seal_key(reader: &mut SettingsReader<'_>, directory: &Path) -> Option<Arc<SealKeyPair>> {
     const KEY: &str = "secrets.seal-key-file";
     let text = reader.text(KEY)?;
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -13,6 +13,7 @@
 
 use umberpond_config::{SealKeyPair, Topology};
 use umberpond_model::{Locality, NodeName, ServiceName};
+use umberpond_rollouts::RolloutSettings;
 use umberpond_selection::RetryBudgetSettings;
 use umberpond_telemetry::{LogFormat, Severity};
 
@@ -48,6 +49,8 @@
     pub link_rate: Option<f64>,
     /// The retry budget of each service, over all nodes together.
     pub retry_budget: RetryBudgetSettings,
+    /// Bounds of rollouts; absent if the node takes part in none.
+    pub rollouts: Option<RolloutSettings>,
     /// Log output.
     pub log: LogConfig,
     /// Time from the request to stop until the process is killed.
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -7,6 +7,7 @@
 
 use parking_lot::Mutex;
 use ractor::{Actor, ActorRef};
+use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use umberpond_distribution::ReaderSettings;
 use umberpond_forwarding::{
@@ -18,6 +19,7 @@
 };
 use umberpond_model::Incarnation;
 use umberpond_net::{BoxDatagrams, BoxListener};
+use umberpond_rollouts::ReleaseEvidence;
 use umberpond_scheduling::LoadReport;
 use umberpond_telemetry::{Event, Telemetry};
 
@@ -31,6 +33,7 @@
 use crate::error::StartError;
 use crate::membership::{MembershipActor, MembershipArguments, MembershipMessage, receive_datagrams};
 use crate::readiness::Unready;
+use crate::rollouts::{RolloutStore, RolloutTask, run_rollouts};
 use crate::settings::{BackEndConfig, NodeConfig};
 
 /// Time between two looks for connections that were idle too long.
@@ -45,6 +48,8 @@
     pub source: Arc<dyn ConfigurationSource>,
     /// Where nodes find one another.
     pub directory: Arc<dyn MemberDirectory>,
+    /// Where orders of rollouts come from; absent if there are none.
+    pub rollouts: Option<Arc<dyn RolloutStore>>,
     /// Names of the header fields.
     pub dialect: Dialect,
 }
@@ -131,12 +136,14 @@
             control: own.control,
             locality: Some(own.locality.clone()),
         };
+        let (evidence, reports) = mpsc::unbounded_channel();
         let arguments = MembershipArguments {
             membership: Membership::new(MembershipSettings::default(), own),
             socket: Arc::clone(&listeners.datagrams),
             inbound: Arc::clone(&inbound),
             outbound: Arc::clone(&outbound),
             telemetry: telemetry.clone(),
+            evidence,
         };
         let (membership, _) = Actor::spawn(None, MembershipActor, arguments).await?;
         let arguments = ConfigurationArguments {
@@ -170,7 +177,7 @@
             unready_answers: AtomicU32::new(0),
             tasks: Mutex::default(),
         };
-        daemon.start_tasks(listeners);
+        daemon.start_tasks(listeners, reports);
         Ok(daemon)
     }
 }
@@ -187,6 +194,7 @@
         locality: config.locality.clone(),
         phase: MemberPhase::Running,
         back_end: None,
+        rollouts: Vec::new(),
     }
 }
 
@@ -310,7 +318,7 @@
         }
     }
 
-    fn start_tasks(&self, listeners: Listeners) {
+    fn start_tasks(&self, listeners: Listeners, evidence: mpsc::UnboundedReceiver<ReleaseEvidence>) {
         let telemetry = self.environment.telemetry.clone();
         let mut tasks = self.tasks.lock();
         tasks.spawn(serve_outbound(
@@ -336,8 +344,20 @@
             membership: self.membership.clone(),
             is_first_start: self.config.is_first_start,
             seed: self.environment.seed_for(SeedUse::Store).wrapping_add(1),
-            telemetry,
+            telemetry: telemetry.clone(),
         }));
+        if let (Some(store), Some(settings)) = (&self.extensions.rollouts, self.config.rollouts) {
+            tasks.spawn(run_rollouts(RolloutTask {
+                node: self.config.node.clone(),
+                store: Arc::clone(store),
+                settings,
+                inbound: Arc::clone(&self.inbound),
+                back_end: Arc::clone(&self.back_end),
+                membership: self.membership.clone(),
+                evidence,
+                telemetry,
+            }));
+        }
         tasks.spawn(follow_unreachable(Arc::clone(&self.inbound), Arc::clone(&self.back_end)));
         tasks.spawn(close_expired(Arc::clone(&self.inbound), Arc::clone(&self.outbound)));
         if let Some(back_end) = self.config.back_end {
--- a/crates/daemon/tests/lives.rs
+++ b/crates/daemon/tests/lives.rs
@@ -10,6 +10,7 @@
 fn announcement(instance: &str, state: AnnouncedState, sequence: u64) -> Announcement {
     Announcement {
         instance: instance.to_owned(),
+        release: None,
         service: "archive".parse().unwrap(),
         address: "10.0.0.1:80".parse().unwrap(),
         slots: 9,
@@ -30,6 +31,7 @@
 fn back_end(instance: &str) -> BackEnd {
     BackEnd {
         instance: instance.to_owned(),
+        release: None,
         service: "archive".parse().unwrap(),
         address: "10.0.0.1:80".parse().unwrap(),
         slots: 9,
--- a/crates/forwarding/src/inbound/back_end.rs
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -10,8 +10,9 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use umberpond_http1::Fields;
-use umberpond_model::ServiceName;
+use umberpond_model::{ReleaseName, ServiceName};
 use umberpond_net::Network;
+use umberpond_rollouts::{AnswerTally, RouteTally};
 use umberpond_scheduling::{DuplicateWindow, LoadReport, Refusal, WorkItem};
 use umberpond_telemetry::{Event, Telemetry};
 
@@ -24,6 +25,9 @@
     ExchangeEnd, ExchangeRequest, Exchanger, Health, MISDIRECTED, UpstreamPool, UpstreamSettings, ask_health,
 };
 
+/// Lowest status of an answer that is a failure of the back end.
+const FIRST_FAILURE: u16 = 500;
+
 /// Limits of the inbound half.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct InboundSettings {
@@ -48,6 +52,8 @@
     pub instance: String,
     /// Service that it serves.
     pub service: ServiceName,
+    /// Version of its software; absent if it has not told it.
+    pub release: Option<ReleaseName>,
     /// Address at which it takes requests.
     pub address: SocketAddr,
     /// Requests it works on at once.
@@ -74,6 +80,9 @@
     unreachable: Mutex<Option<mpsc::UnboundedSender<String>>>,
     /// Whether the configuration in force lets the back end's service be served where this node runs.
     may_serve: AtomicBool,
+    /// Whether the rollout of the service leaves the back end's release any requests.
+    is_release_open: AtomicBool,
+    answers: Mutex<AnswerTally>,
 }
 
 impl std::fmt::Debug for Inbound {
@@ -102,6 +111,8 @@
             duplicates: Mutex::default(),
             unreachable: Mutex::new(None),
             may_serve: AtomicBool::new(true),
+            is_release_open: AtomicBool::new(true),
+            answers: Mutex::default(),
         }
     }
 
@@ -121,6 +132,7 @@
         if !is_same {
             self.admission.close();
             self.admission.forget_service_time();
+            self.answers.lock().clear();
         }
         let pool = match current.take() {
             Some(held) if is_same => held.pool,
@@ -151,6 +163,24 @@
         self.may_serve.store(may_serve, Ordering::Relaxed);
     }
 
+    /// Sets whether the rollout of the service leaves the back end's release any requests. Without any, what waits or runs is
+    /// finished, and nothing new is taken.
+    pub fn set_release_open(&self, is_open: bool) {
+        self.is_release_open.store(is_open, Ordering::Relaxed);
+    }
+
+    /// Whether the rollout of the service leaves the back end's release any requests.
+    #[must_use]
+    pub fn is_release_open(&self) -> bool {
+        self.is_release_open.load(Ordering::Relaxed)
+    }
+
+    /// Answers of the back end by route.
+    #[must_use]
+    pub fn answers(&self) -> Vec<RouteTally> {
+        self.answers.lock().routes()
+    }
+
     /// The load of the back end.
     #[must_use]
     pub fn load(&self) -> LoadReport {
@@ -246,7 +276,7 @@
         if !self.may_serve.load(Ordering::Relaxed) {
             return Err(NotRunReason::WrongLocality);
         }
-        if !current.is_open {
+        if !current.is_open || !self.is_release_open() {
             return Err(NotRunReason::Draining);
         }
         Ok((current.back_end.clone(), Arc::clone(&current.pool)))
@@ -276,6 +306,7 @@
                 permit.on_answered();
                 self.admission.record_answer(true);
                 let served_in = permit.elapsed();
+                self.answers.lock().record(attempt.route, status < FIRST_FAILURE, served_in);
                 let body = holding(body, permit);
                 let load = self.load();
                 AttemptResult::Answered(Answer { status, fields, body, served_in, waited, load })
--- a/crates/forwarding/src/message.rs
+++ b/crates/forwarding/src/message.rs
@@ -67,6 +67,8 @@
     pub body: RequestBody,
     /// Whether the request may run more than once.
     pub is_idempotent: bool,
+    /// Hash of the name of the route, by which the node beside the back end counts answers.
+    pub route: u32,
     /// Rank among the requests for the back end.
     pub priority: u8,
     /// End of the time within which an answer is of full use.
--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 use umberpond_http1::RequestHead;
 use umberpond_model::{NodeName, ServiceName, Version};
-use umberpond_selection::{Choice, Observation, Query};
+use umberpond_selection::{Choice, Observation, Query, ReleaseGroup};
 use umberpond_telemetry::{Event, RequestDetail};
 
 use super::reply::{Reply, ReplyReason, Served};
@@ -67,6 +67,8 @@
     /// When it is given up if no back end has been handed it: its caller still has time to come back then.
     hold_until: Instant,
     tried: Vec<NodeName>,
+    /// Releases to which the next attempt goes.
+    group: ReleaseGroup,
     /// Back ends at which the request has arrived.
     reached: u32,
     free_attempts: u32,
@@ -90,6 +92,7 @@
             deadline,
             hold_until,
             tried: Vec::new(),
+            group: ReleaseGroup::Others,
             reached: 0,
             free_attempts: 0,
             may_have_run: None,
@@ -99,6 +102,7 @@
     /// Sends attempts until the request is answered or given up, at the latest when `cut_off` is reached.
     pub(super) async fn run(mut self, cut_off: impl Future<Output = ()>) -> Reply {
         self.outbound.count_request(&self.request.service);
+        self.group = self.outbound.selector.lock().deal_release(&self.request.service);
         let answered = tokio::select! {
             biased;
             reply = self.send_all() => Some(reply),
@@ -110,7 +114,7 @@
     async fn send_all(&mut self) -> Reply {
         let mut last = NotRun::before_back_end(NotRunReason::NoEndpoint);
         loop {
-            let Some(choice) = self.choose() else { return self.not_run(last) };
+            let Some(choice) = self.choose_in_turn() else { return self.not_run(last) };
             let Some(body) = self.request.body.for_attempt() else { return self.not_run(last) };
             let result = self.send(&choice, body).await;
             match self.on_result(&choice, result, &mut last) {
@@ -120,13 +124,26 @@
         }
     }
 
+    /// An endpoint that was not tried; of the other releases if the one to which the request was dealt has none.
+    fn choose_in_turn(&mut self) -> Option<Choice> {
+        if let Some(choice) = self.choose() {
+            return Some(choice);
+        }
+        if self.group == ReleaseGroup::Others {
+            return None;
+        }
+        self.group = ReleaseGroup::Others;
+        self.choose()
+    }
+
     /// An endpoint that was not tried.
     fn choose(&self) -> Option<Choice> {
         let now = Instant::now().into_std();
         let selector = self.outbound.selector.lock();
         let mut random = self.outbound.random.lock();
         let route = &self.request.route;
-        let query = Query { route: &route.name, tried: &self.tried, objective: route.objective };
+        let query =
+            Query { route: &route.name, tried: &self.tried, group: self.group, objective: route.objective };
         match &self.request.key {
             // The caller's repetition has to meet the node that remembers the key.
             Some(key) if !route.is_idempotent => {
@@ -165,6 +182,7 @@
             fields: request.head.fields.clone(),
             body,
             is_idempotent: request.route.is_idempotent,
+            route: request.route.number,
             priority: request.route.priority,
             objective_at: request.arrived + request.route.objective,
             deadline: self.deadline,
@@ -210,6 +228,8 @@
 
     fn on_result(&mut self, choice: &Choice, result: AttemptResult, last: &mut NotRun) -> Next {
         self.tried.push(choice.node.clone());
+        // A release that is tried out gets no request a second time.
+        self.group = ReleaseGroup::Others;
         match result {
             AttemptResult::Answered(answer) => {
                 self.reached += 1;
--- a/crates/forwarding/src/outbound/state.rs
+++ b/crates/forwarding/src/outbound/state.rs
@@ -17,7 +17,9 @@
 use umberpond_model::{Locality, NodeName, ServiceName, Version};
 use umberpond_net::Network;
 use umberpond_scheduling::LoadReport;
-use umberpond_selection::{Endpoint, RetryBudget, RetryBudgetSettings, Selector, SelectorSettings};
+use umberpond_selection::{
+    Endpoint, ReleaseShare, RetryBudget, RetryBudgetSettings, Selector, SelectorSettings,
+};
 use umberpond_telemetry::{RequestDetail, Telemetry};
 
 use super::caller_times::CallerTimes;
@@ -158,7 +160,7 @@
         let told = self.told.lock();
         let mut selector = self.selector.lock();
         for (service, endpoints) in &*told {
-            selector.set_endpoints(service, allowed(table, service, endpoints));
+            selector.set_endpoints(now(), service, allowed(table, service, endpoints));
         }
         drop(selector);
         self.apply_own_locality(table);
@@ -213,7 +215,13 @@
         } else {
             told.insert(service.clone(), endpoints);
         }
-        self.selector.lock().set_endpoints(service, usable);
+        self.selector.lock().set_endpoints(now(), service, usable);
+    }
+
+    /// Sets the share of a release in the requests of `service`.
+    pub fn set_release_share(&self, service: &ServiceName, share: ReleaseShare) {
+        let mut selector = self.selector.lock();
+        selector.set_release_share(now(), &mut *self.random.lock(), service, share);
     }
 
     /// Takes in what a node told of the load of its back end.
@@ -277,6 +285,10 @@
     }
 }
 
+fn now() -> std::time::Instant {
+    Instant::now().into_std()
+}
+
 /// The endpoints that the configuration allows.
 fn allowed(table: &RoutingTable, service: &ServiceName, endpoints: &[Endpoint]) -> Vec<Endpoint> {
     endpoints.iter().filter(|endpoint| table.allows(service, &endpoint.locality)).cloned().collect()
--- a/crates/forwarding/src/routing/compile.rs
+++ b/crates/forwarding/src/routing/compile.rs
@@ -87,6 +87,7 @@
     let timeout = duration(route.timeout);
     Ok(CompiledRoute {
         name: route.name.clone(),
+        number: route_number(&route.name),
         destinations: destinations(route),
         is_idempotent: route.idempotent,
         priority: route.policy.priority.unwrap_or_else(|| class_priority(route.class)),
@@ -97,6 +98,13 @@
     })
 }
 
+/// Hash of a route's name.
+fn route_number(route: &RouteName) -> u32 {
+    let mut first = [0; 4];
+    first.copy_from_slice(&blake3::hash(route.as_str().as_bytes()).as_bytes()[..4]);
+    u32::from_le_bytes(first)
+}
+
 fn destinations(route: &Route) -> Vec<WeightedService> {
     if route.split.is_empty() {
         return vec![WeightedService { service: route.service.clone(), weight: 1 }];
--- a/crates/forwarding/src/routing/table.rs
+++ b/crates/forwarding/src/routing/table.rs
@@ -23,6 +23,8 @@
 pub struct CompiledRoute {
     /// Name of the route.
     pub name: RouteName,
+    /// Hash of the name; all nodes use the same.
+    pub number: u32,
     /// Services among which the requests are divided; never empty.
     pub destinations: Vec<WeightedService>,
     /// Whether a request may run more than once.
--- a/crates/forwarding/tests/bodies.rs
+++ b/crates/forwarding/tests/bodies.rs
@@ -28,6 +28,7 @@
     let served = &world.served[0];
     served.inbound.open(BackEnd {
         instance: served.endpoint.instance.clone(),
+        release: None,
         service: "archive".parse().unwrap(),
         address: std::net::SocketAddr::new(host(10), support::BACK_END_PORT),
         slots,
--- a/crates/forwarding/tests/leaving.rs
+++ b/crates/forwarding/tests/leaving.rs
@@ -57,7 +57,13 @@
 async fn a_back_end_of_another_service_gets_no_request_meant_for_the_one_before_it() {
     let world = World::with_routes(vec![vec![ok("a")]]).await;
     let address = "10.0.0.10:102".parse().unwrap();
-    let other = BackEnd { instance: "another".to_owned(), service: name("billing"), address, slots: SLOTS };
+    let other = BackEnd {
+        instance: "another".to_owned(),
+        service: name("billing"),
+        release: None,
+        address,
+        slots: SLOTS,
+    };
     world.served[0].inbound.open(other);
     assert_eq!(world.caller().await.ask("/write/a", "r1").await.status, 503);
     assert_eq!(world.arrivals(), 0);
@@ -67,8 +73,13 @@
 async fn a_back_end_that_can_not_be_reached_is_told_to_its_node() {
     let world = World::with_routes(vec![vec![ok("a")], vec![ok("b")]]).await;
     let nowhere = "10.0.0.10:999".parse().unwrap();
-    let gone =
-        BackEnd { instance: "life-10".to_owned(), service: name("archive"), address: nowhere, slots: SLOTS };
+    let gone = BackEnd {
+        instance: "life-10".to_owned(),
+        service: name("archive"),
+        release: None,
+        address: nowhere,
+        slots: SLOTS,
+    };
     let mut unreachable = world.served[0].inbound.watch_unreachable();
     world.served[0].inbound.open(gone);
     for number in 0..6 {
--- a/crates/forwarding/tests/support/mod.rs
+++ b/crates/forwarding/tests/support/mod.rs
@@ -186,6 +186,7 @@
         inbound.open(BackEnd {
             instance: instance.clone(),
             service: name("archive"),
+            release: None,
             address: at,
             slots: SLOTS,
         });
@@ -197,6 +198,7 @@
             address,
             locality: locality(),
             instance,
+            release: None,
             slots: SLOTS,
             is_cold: false,
         };
--- a/crates/membership/src/heartbeat.rs
+++ b/crates/membership/src/heartbeat.rs
@@ -2,6 +2,7 @@
 
 use bitcode::{Decode, Encode};
 use umberpond_model::Version;
+use umberpond_rollouts::ReleaseEvidence;
 use umberpond_scheduling::LoadReport;
 
 use crate::digest::BucketDigest;
@@ -119,6 +120,8 @@
     News(News),
     /// Asks for the records of a bucket that the sender lacks.
     Orders(BucketOrders),
+    /// Tells a coordinator of a rollout what a back end has answered.
+    Evidence(Box<ReleaseEvidence>),
 }
 
 impl Datagram {
@@ -129,6 +132,7 @@
             Self::Heartbeat(_) => "heartbeat",
             Self::News(_) => "news",
             Self::Orders(_) => "repair",
+            Self::Evidence(_) => "evidence",
         }
     }
 }
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -12,6 +12,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use umberpond_model::{Incarnation, Locality, NodeName, ServiceName, Version};
+use umberpond_rollouts::RolloutPlan;
 use umberpond_scheduling::LoadReport;
 
 use crate::digest::{BUCKETS, Digests, bucket_of, contribution_of, rank_of};
@@ -226,6 +227,24 @@
         self.change_own(now)
     }
 
+    /// Sets the plans that this node tells as a coordinator of rollouts, and tells them at once.
+    pub fn set_rollouts(&mut self, now: Instant, plans: Vec<RolloutPlan>) -> Vec<Outgoing> {
+        if self.own.rollouts == plans {
+            return Vec::new();
+        }
+        self.own.rollouts = plans;
+        self.change_own(now)
+    }
+
+    /// Addresses of the other nodes that coordinate the rollout of `service`.
+    #[must_use]
+    pub fn coordinators_of(&self, service: &ServiceName) -> Vec<SocketAddr> {
+        let is_coordinator = |record: &&MemberRecord| {
+            record.rollouts.iter().any(|plan| plan.service == *service && plan.stage.is_running())
+        };
+        self.reachable().filter(is_coordinator).map(|record| record.control).collect()
+    }
+
     /// Sets the phase of this process, and tells it at once.
     pub fn set_phase(&mut self, now: Instant, phase: MemberPhase) -> Vec<Outgoing> {
         if self.own.phase == phase {
--- a/crates/membership/src/membership/receive.rs
+++ b/crates/membership/src/membership/receive.rs
@@ -31,6 +31,8 @@
             Datagram::Heartbeat(heartbeat) => self.on_heartbeat(now, from, heartbeat),
             Datagram::News(news) => self.on_news(now, news),
             Datagram::Orders(orders) => self.on_orders(from, orders),
+            // It concerns the rollout, not the membership.
+            Datagram::Evidence(_) => Vec::new(),
         }
     }
 
--- a/crates/membership/src/record.rs
+++ b/crates/membership/src/record.rs
@@ -4,7 +4,8 @@
 
 use bitcode::{Decode, Encode};
 use serde::{Deserialize, Serialize};
-use umberpond_model::{Incarnation, Locality, NodeName, ServiceName};
+use umberpond_model::{Incarnation, Locality, NodeName, ReleaseName, ServiceName};
+use umberpond_rollouts::RolloutPlan;
 
 /// How far a node's process is in its life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Encode, Decode)]
@@ -35,6 +36,8 @@
     pub instance: String,
     /// Service that it serves.
     pub service: ServiceName,
+    /// Version of its software; absent if it has not told it to this process.
+    pub release: Option<ReleaseName>,
     /// Requests it works on at once.
     pub slots: u32,
     /// Whether it takes new work.
@@ -64,6 +67,8 @@
     pub phase: MemberPhase,
     /// The back end beside it, if one is known.
     pub back_end: Option<BackEndRecord>,
+    /// The plans of rollouts that the node tells, if it is one of those that coordinate them.
+    pub rollouts: Vec<RolloutPlan>,
 }
 
 /// Order of the records of one node; the later one wins.
--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -53,6 +53,7 @@
         locality: locality(named, zones),
         phase: MemberPhase::Running,
         back_end: None,
+        rollouts: Vec::new(),
     }
 }
 
@@ -60,6 +61,7 @@
     BackEndRecord {
         instance: instance.to_owned(),
         service: name("archive"),
+        release: None,
         slots: 10,
         state,
         is_cold: false,
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -15,8 +15,8 @@
 pub use incarnation::Incarnation;
 pub use locality::{Locality, LocalityRule};
 pub use names::{
-    BundleName, InvalidName, MAX_NAME_BYTES, NodeName, RegionName, RouteName, SecretName, ServiceName,
-    ZoneName,
+    BundleName, InvalidName, MAX_NAME_BYTES, NodeName, RegionName, ReleaseName, RouteName, SecretName,
+    ServiceName, ZoneName,
 };
 pub use record::{Head, VersionRecord};
 pub use time::Millis;
--- a/crates/model/src/names.rs
+++ b/crates/model/src/names.rs
@@ -133,6 +133,11 @@
     ServiceName,
     "service"
 );
+checked_name!(
+    /// Name of a release: a version of the software of a service's back ends.
+    ReleaseName,
+    "release"
+);
 checked_name!(
     /// Name of a route.
     RouteName,
--- /dev/null
+++ b/crates/rollouts/src/schedule.rs
@@ -0,0 +1,76 @@
+//! How fast the share of the target grows.
+
+use std::time::Duration;
+
+use crate::plan::ALL_PERMILLE;
+
+/// Bounds of every rollout, from the settings.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RolloutSettings {
+    /// Greatest share of all requests of a service, from the order to the end of its time, that a bad release may get.
+    pub canary_share: f64,
+}
+
+impl Default for RolloutSettings {
+    fn default() -> Self {
+        Self { canary_share: 0.1 }
+    }
+}
+
+/// One step: the target's share, and for how long it stays.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Step {
+    pub(crate) permille: u16,
+    /// Shortest stay, as a share of the rollout's whole time.
+    pub(crate) stay_share: f64,
+    /// Answers of the target that have to be seen at least before the next step.
+    pub(crate) answers: u32,
+}
+
+/// Steps by the shares that a canary share of 0.1 allows. Up to the last one they take 0.043 of all requests of the time of the
+/// rollout, so that a release which turns bad under full load, and is found within half a second, stays below 0.1 in a
+/// time of 12 s. The first one outlasts the 3 s in which new back ends are cold, for a time of 12 s and more.
+const STEPS: [Step; 4] = [
+    Step { permille: 50, stay_share: 0.26, answers: 60 },
+    Step { permille: 150, stay_share: 0.07, answers: 120 },
+    Step { permille: 300, stay_share: 0.07, answers: 200 },
+    Step { permille: ALL_PERMILLE, stay_share: 0.0, answers: 0 },
+];
+/// Canary share for which [`STEPS`] are made.
+const STEPS_MADE_FOR: f64 = 0.1;
+/// Share of the time after which a step is taken also with fewer answers than wanted: a service may have few requests.
+const HURRY_SHARE: f64 = 0.45;
+/// Fewest answers then.
+const HURRY_ANSWERS: u32 = 8;
+
+/// The step with number `number`; the last one for all greater numbers.
+pub(crate) fn step(settings: &RolloutSettings, number: usize) -> Step {
+    let step = STEPS[number.min(STEPS.len() - 1)];
+    if step.permille == ALL_PERMILLE {
+        return step;
+    }
+    let factor = (settings.canary_share / STEPS_MADE_FOR).min(1.0);
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "between 1 and 1000")]
+    let permille = (f64::from(step.permille) * factor).round().max(1.0) as u16;
+    Step { permille, ..step }
+}
+
+/// Number of the step whose share is at least `permille`.
+pub(crate) fn step_of(settings: &RolloutSettings, permille: u16) -> usize {
+    (0..STEPS.len()).find(|number| step(settings, *number).permille >= permille).unwrap_or(STEPS.len() - 1)
+}
+
+/// Whether the step is over, `stayed` after it began and `elapsed` after the order.
+pub(crate) fn is_over(
+    step: Step,
+    duration: Duration,
+    elapsed: Duration,
+    stayed: Duration,
+    answers: u32,
+) -> bool {
+    if stayed < duration.mul_f64(step.stay_share) {
+        return false;
+    }
+    let is_late = elapsed >= duration.mul_f64(HURRY_SHARE);
+    answers >= if is_late { HURRY_ANSWERS } else { step.answers }
+}
--- /dev/null
+++ b/crates/rollouts/tests/support/mod.rs
@@ -0,0 +1,244 @@
+//! A service of some back ends of two releases, whose nodes report to one or two coordinators; time passes in steps.
+
+#![allow(dead_code, reason = "not every test uses every part")]
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use umberpond_model::{NodeName, ReleaseName, ServiceName};
+use umberpond_rollouts::{
+    AnswerTally, CoordinatorAction, EndpointCounts, HeldPlans, PlanStage, ReleaseEvidence,
+    RolloutCoordinator, RolloutOrder, RolloutSettings, RolloutState, StoredRollout,
+};
+
+pub fn name<N: std::str::FromStr>(text: &str) -> N {
+    text.parse().ok().expect("a valid name")
+}
+
+pub const STEP: Duration = Duration::from_millis(200);
+pub const ROUTE: u32 = 7;
+const SLOTS: u32 = 6;
+
+/// How back ends of one release answer.
+#[derive(Debug, Clone, Copy)]
+pub struct Behaviour {
+    /// Every so many answers one fails; 0 for none.
+    pub fails_every: u32,
+    pub millis: u64,
+    /// Thousandths of the requests from which on it behaves so; below, it behaves as [`SOUND`].
+    pub from_permille: u16,
+}
+
+pub const SOUND: Behaviour = Behaviour { fails_every: 0, millis: 200, from_permille: 0 };
+
+struct Node {
+    name: NodeName,
+    release: ReleaseName,
+    tally: AnswerTally,
+    answers: u32,
+    in_flight: u32,
+}
+
+/// The store, as far as one rollout is concerned.
+pub struct Store {
+    pub rollout: Option<StoredRollout>,
+    pub is_up: bool,
+    pub writes: Vec<RolloutState>,
+}
+
+impl Store {
+    fn write(&mut self, revision: u64, state: RolloutState) -> Option<u64> {
+        let rollout = self.rollout.as_mut().filter(|rollout| self.is_up && rollout.revision == revision)?;
+        rollout.state = Some(state);
+        rollout.revision += 1;
+        self.writes.push(state);
+        Some(rollout.revision)
+    }
+}
+
+pub struct World {
+    pub now: Instant,
+    pub began: Instant,
+    pub service: ServiceName,
+    pub target: ReleaseName,
+    pub held: HeldPlans,
+    pub store: Store,
+    pub coordinators: Vec<RolloutCoordinator>,
+    nodes: Vec<Node>,
+    pub old: Behaviour,
+    pub new: Behaviour,
+    /// Requests in one step, and those that have gone to the target and to all so far.
+    pub per_step: u32,
+    pub to_target: u32,
+    pub to_all: u32,
+    owed: f64,
+    reports: u64,
+}
+
+impl World {
+    pub fn new(duration: Duration, coordinators: usize) -> Self {
+        let now = Instant::now();
+        let service: ServiceName = name("archive");
+        let target: ReleaseName = name("v2");
+        let order = RolloutOrder { service: service.clone(), target: target.clone(), duration };
+        let mut world = Self {
+            now,
+            began: now,
+            service,
+            target,
+            held: HeldPlans::default(),
+            store: Store {
+                rollout: Some(StoredRollout { order, state: None, revision: 10, made: 10 }),
+                is_up: true,
+                writes: Vec::new(),
+            },
+            coordinators: Vec::new(),
+            nodes: Vec::new(),
+            old: SOUND,
+            new: SOUND,
+            per_step: 80,
+            to_target: 0,
+            to_all: 0,
+            owed: 0.0,
+            reports: 0,
+        };
+        for _ in 0..coordinators {
+            world.coordinators.push(RolloutCoordinator::new(RolloutSettings::default()));
+        }
+        world.add_nodes("v1", 10);
+        world
+    }
+
+    pub fn add_nodes(&mut self, release: &str, count: usize) {
+        for number in 0..count {
+            self.nodes.push(Node {
+                name: name(&format!("node-{release}-{number}")),
+                release: name(release),
+                tally: AnswerTally::default(),
+                answers: 0,
+                in_flight: 0,
+            });
+        }
+    }
+
+    pub fn stage(&self) -> Option<PlanStage> {
+        self.held.get(&self.service).map(|plan| plan.stage)
+    }
+
+    /// Takes steps until `is_reached`, or for `longest`; tells whether it was reached.
+    pub fn run_until(&mut self, longest: Duration, is_reached: impl Fn(&Self) -> bool) -> bool {
+        let end = self.now + longest;
+        while self.now < end {
+            if is_reached(self) {
+                return true;
+            }
+            self.step();
+        }
+        is_reached(self)
+    }
+
+    pub fn step(&mut self) {
+        self.now += STEP;
+        self.send_requests();
+        for number in 0..self.coordinators.len() {
+            self.coordinate(number);
+        }
+    }
+
+    fn send_requests(&mut self) {
+        let stage = self.stage().unwrap_or(PlanStage::Share(0));
+        let permille = stage.target_permille();
+        for request in 0..self.per_step {
+            self.owed += f64::from(permille) / 1000.0;
+            let is_target = self.owed >= 1.0;
+            if is_target {
+                self.owed -= 1.0;
+            }
+            let release: ReleaseName = if is_target { self.target.clone() } else { name("v1") };
+            let of_release: Vec<usize> =
+                (0..self.nodes.len()).filter(|number| self.nodes[*number].release == release).collect();
+            if of_release.is_empty() {
+                continue;
+            }
+            self.to_all += 1;
+            self.to_target += u32::from(is_target);
+            let mut behaviour = if is_target { self.new } else { self.old };
+            if permille < behaviour.from_permille {
+                behaviour = SOUND;
+            }
+            let node = &mut self.nodes[of_release[request as usize % of_release.len()]];
+            node.answers += 1;
+            let fails = behaviour.fails_every > 0 && node.answers.is_multiple_of(behaviour.fails_every);
+            node.tally.record(ROUTE, !fails, Duration::from_millis(behaviour.millis));
+        }
+    }
+
+    /// A request that the nodes of `release` do not finish, or nothing.
+    pub fn set_in_flight(&mut self, release: &str, in_flight: u32) {
+        for node in &mut self.nodes {
+            if node.release.as_str() == release {
+                node.in_flight = in_flight;
+            }
+        }
+    }
+
+    pub fn endpoints(&self) -> BTreeMap<ServiceName, EndpointCounts> {
+        let mut counts = EndpointCounts::default();
+        for node in &self.nodes {
+            counts.ready.entry(node.release.clone()).or_default().push((node.name.clone(), SLOTS));
+        }
+        BTreeMap::from([(self.service.clone(), counts)])
+    }
+
+    fn coordinate(&mut self, number: usize) {
+        let endpoints = self.endpoints();
+        let mut coordinator = std::mem::replace(
+            &mut self.coordinators[number],
+            RolloutCoordinator::new(RolloutSettings::default()),
+        );
+        for evidence in self.evidence() {
+            coordinator.on_evidence(evidence);
+        }
+        if self.store.is_up {
+            let stored = self.store.rollout.clone().into_iter().collect();
+            let actions = coordinator.on_stored(self.now, &self.held, stored);
+            self.carry_out(&mut coordinator, actions);
+        }
+        let actions = coordinator.on_tick(self.now, &self.held, &endpoints);
+        self.carry_out(&mut coordinator, actions);
+        self.coordinators[number] = coordinator;
+    }
+
+    fn carry_out(&mut self, coordinator: &mut RolloutCoordinator, actions: Vec<CoordinatorAction>) {
+        for action in actions {
+            match action {
+                CoordinatorAction::Tell { plan, .. } => {
+                    self.held.take_in(self.now, &plan);
+                }
+                CoordinatorAction::Write { service, revision, state, .. } => {
+                    if let Some(revision) = self.store.write(revision, state) {
+                        coordinator.on_written(&service, state, revision);
+                    }
+                }
+            }
+        }
+    }
+
+    fn evidence(&mut self) -> Vec<ReleaseEvidence> {
+        self.reports += 1;
+        let stage = self.stage().unwrap_or(PlanStage::Share(0));
+        let target = self.target.clone();
+        let evidence = self.nodes.iter().map(|node| ReleaseEvidence {
+            node: node.name.clone(),
+            instance: node.name.to_string(),
+            number: self.reports,
+            service: self.service.clone(),
+            release: node.release.clone(),
+            is_cold: false,
+            is_closed: if node.release == target { stage.closes_target() } else { stage.closes_others() },
+            in_flight: node.in_flight,
+            routes: node.tally.routes(),
+        });
+        evidence.collect()
+    }
+}
--- a/crates/selection/src/choice.rs
+++ b/crates/selection/src/choice.rs
@@ -5,6 +5,8 @@
 
 use umberpond_model::{NodeName, RouteName};
 
+use crate::releases::ReleaseGroup;
+
 /// What is known of a request when its endpoint is chosen.
 #[derive(Debug, Clone, Copy)]
 pub struct Query<'a> {
@@ -12,6 +14,8 @@
     pub route: &'a RouteName,
     /// Nodes to which the request was sent before.
     pub tried: &'a [NodeName],
+    /// Releases to which the request was dealt.
+    pub group: ReleaseGroup,
     /// Time within which an answer is of full use.
     pub objective: Duration,
 }
--- a/crates/selection/src/endpoint.rs
+++ b/crates/selection/src/endpoint.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use umberpond_model::{Locality, NodeName};
+use umberpond_model::{Locality, NodeName, ReleaseName};
 use umberpond_scheduling::LoadReport;
 
 /// Weight of one new latency sample.
@@ -24,6 +24,8 @@
     pub locality: Locality,
     /// Identity of the back end's present life.
     pub instance: String,
+    /// Version of its software, if it is known.
+    pub release: Option<ReleaseName>,
     /// Requests it works on at once.
     pub slots: u32,
     /// Whether it is slow because it has just started.
--- a/crates/selection/src/lib.rs
+++ b/crates/selection/src/lib.rs
@@ -5,10 +5,12 @@
 mod budget;
 mod choice;
 mod endpoint;
+mod releases;
 mod route_times;
 mod selector;
 
 pub use budget::{RetryBudget, RetryBudgetSettings};
 pub use choice::{Choice, Query};
 pub use endpoint::{Endpoint, Observation};
+pub use releases::{ReleaseGroup, ReleaseShare};
 pub use selector::{Selector, SelectorSettings};
--- a/crates/selection/src/selector.rs
+++ b/crates/selection/src/selector.rs
@@ -10,6 +10,7 @@
 
 use crate::choice::{Choice, Query};
 use crate::endpoint::{Endpoint, Observation, Tracked};
+use crate::releases::{ReleaseGroup, ReleaseShare, Releases};
 use crate::route_times::ServiceTimes;
 
 /// Assumed service time in seconds while nothing is known of any endpoint.
@@ -50,6 +51,7 @@
     own: Locality,
     settings: SelectorSettings,
     services: BTreeMap<ServiceName, Endpoints>,
+    releases: BTreeMap<ServiceName, Releases>,
     times: ServiceTimes,
 }
 
@@ -57,11 +59,18 @@
     /// A selector of a node at `own` that knows no endpoint.
     #[must_use]
     pub fn new(own: Locality, settings: SelectorSettings) -> Self {
-        Self { own, settings, services: BTreeMap::new(), times: ServiceTimes::default() }
+        Self {
+            own,
+            settings,
+            services: BTreeMap::new(),
+            releases: BTreeMap::new(),
+            times: ServiceTimes::default(),
+        }
     }
 
     /// Sets the endpoints of `service` that take new work; all others of it are forgotten.
-    pub fn set_endpoints(&mut self, service: &ServiceName, endpoints: Vec<Endpoint>) {
+    pub fn set_endpoints(&mut self, now: Instant, service: &ServiceName, endpoints: Vec<Endpoint>) {
+        self.releases.entry(service.clone()).or_default().on_endpoints(now, endpoints.iter());
         let mut before = self.services.remove(service).unwrap_or_default();
         let mut after = Endpoints::new();
         for endpoint in endpoints {
@@ -82,6 +91,25 @@
         }
     }
 
+    /// Sets the share of a release in the requests of `service`.
+    pub fn set_release_share(
+        &mut self,
+        now: Instant,
+        random: &mut impl Rng,
+        service: &ServiceName,
+        share: ReleaseShare,
+    ) {
+        let releases = self.releases.entry(service.clone()).or_default();
+        releases.set_share(share, random);
+        let endpoints = self.services.get(service).into_iter().flatten();
+        releases.on_endpoints(now, endpoints.map(|(_, tracked)| &tracked.endpoint));
+    }
+
+    /// Deals one request of `service` to the releases that may get it.
+    pub fn deal_release(&mut self, service: &ServiceName) -> ReleaseGroup {
+        self.releases.get_mut(service).map_or(ReleaseGroup::Others, Releases::deal)
+    }
+
     /// Services with at least one endpoint.
     pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
         self.services.keys()
@@ -115,7 +143,7 @@
     ) -> Option<Choice> {
         let endpoints = self.services.get(service)?;
         let typical = typical_service_seconds(endpoints);
-        let drawn = self.draw(usable(endpoints, now, query), random);
+        let drawn = self.draw(self.usable(endpoints, now, service, query), random);
         let costs = drawn.into_iter().map(|tracked| {
             let estimate = self.estimate(now, tracked, typical, query);
             let factor = 1.0 + JITTER * random.random::<f64>();
@@ -136,7 +164,7 @@
     ) -> Option<Choice> {
         let endpoints = self.services.get(service)?;
         let typical = typical_service_seconds(endpoints);
-        let ranked = usable(endpoints, now, query);
+        let ranked = self.usable(endpoints, now, service, query);
         let tracked = ranked.max_by_key(|tracked| key_weight(key, &tracked.endpoint.node))?;
         Some(choice(tracked, &self.estimate(now, tracked, typical, query)))
     }
@@ -176,6 +204,22 @@
         }
     }
 
+    /// The endpoints that were not tried, can be reached, and are of a release that may get the request.
+    fn usable<'a>(
+        &'a self,
+        endpoints: &'a Endpoints,
+        now: Instant,
+        service: &ServiceName,
+        query: Query<'a>,
+    ) -> impl Iterator<Item = &'a Tracked> {
+        let releases = self.releases.get(service);
+        let is_allowed = move |tracked: &&Tracked| {
+            releases.is_none_or(|releases| releases.allows(now, query.group, &tracked.endpoint))
+        };
+        let untried = endpoints.values().filter(move |tracked| !query.tried.contains(&tracked.endpoint.node));
+        untried.filter(move |tracked| tracked.is_reachable(now)).filter(is_allowed)
+    }
+
     /// Some endpoints of each distance.
     fn draw<'a>(
         &self,
@@ -270,12 +314,6 @@
     per_slot * (over + crowded)
 }
 
-/// The endpoints that were not tried and can be reached.
-fn usable<'a>(endpoints: &'a Endpoints, now: Instant, query: Query<'a>) -> impl Iterator<Item = &'a Tracked> {
-    let untried = endpoints.values().filter(move |tracked| !query.tried.contains(&tracked.endpoint.node));
-    untried.filter(move |tracked| tracked.is_reachable(now))
-}
-
 fn choice(tracked: &Tracked, estimate: &Estimate) -> Choice {
     Choice {
         node: tracked.endpoint.node.clone(),
--- a/crates/selection/tests/choice.rs
+++ b/crates/selection/tests/choice.rs
@@ -7,7 +7,7 @@
 use rand_chacha::ChaCha8Rng;
 use umberpond_model::{Locality, NodeName, RouteName, ServiceName};
 use umberpond_scheduling::LoadReport;
-use umberpond_selection::{Endpoint, Observation, Query, Selector, SelectorSettings};
+use umberpond_selection::{Endpoint, Observation, Query, ReleaseGroup, Selector, SelectorSettings};
 
 fn name<N: std::str::FromStr>(text: &str) -> N {
     text.parse().ok().expect("a valid name")
@@ -23,6 +23,7 @@
         address: "10.0.0.1:80".parse().unwrap(),
         locality: locality(region, zone),
         instance: format!("life-of-{node}"),
+        release: None,
         slots: 10,
         is_cold: false,
     }
@@ -51,7 +52,7 @@
     fn new(endpoints: Vec<Endpoint>) -> Self {
         let mut selector = Selector::new(locality("north", "a"), SelectorSettings::default());
         let service = name("archive");
-        selector.set_endpoints(&service, endpoints);
+        selector.set_endpoints(Instant::now(), &service, endpoints);
         Self {
             selector,
             random: ChaCha8Rng::seed_from_u64(1),
@@ -66,7 +67,12 @@
     }
 
     fn choose(&mut self, tried: &[NodeName]) -> Option<NodeName> {
-        let query = Query { route: &self.route, tried, objective: Duration::from_millis(300) };
+        let query = Query {
+            route: &self.route,
+            tried,
+            group: ReleaseGroup::Others,
+            objective: Duration::from_millis(300),
+        };
         let choice = self.selector.choose(self.now, &mut self.random, &self.service, query);
         choice.map(|choice| choice.node)
     }
@@ -178,7 +184,7 @@
     world.told("other", report(9, 2, 0, 100));
     let anew = Endpoint { instance: "another-life".to_owned(), ..endpoint("one", "north", "a") };
     let service = world.service.clone();
-    world.selector.set_endpoints(&service, vec![anew, endpoint("other", "north", "b")]);
+    world.selector.set_endpoints(world.now, &service, vec![anew, endpoint("other", "north", "b")]);
     world.told("one", report(1, 0, 0, 100));
     assert!(world.shares(50)["one"] > 25);
 }
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -91,6 +91,15 @@
     MembershipRepairAsked { bucket: u64, differs_millis: u64 }
         = 2040, Info, "membership-repair-asked", "What this node knows of some others differs from what another one knows; the records are asked for.";
 
+    RolloutDecided { service: ServiceName, target: String, stage: &'static str, permille: u16, reason: &'static str, elapsed_millis: u32, answers: u32, bad: u32, target_millis: u64, others_millis: u64 }
+        = 2050, Info, "rollout-decided", "This node, as a coordinator, has decided on the next step of a rollout: the share of the target, the reason, the answers of the target seen so far, those that failed lately, and, if the target is too slow, the mean times.";
+    RolloutPlanInForce { service: ServiceName, target: String, stage: &'static str, permille: u16, elapsed_millis: u32 }
+        = 2051, Info, "rollout-plan-in-force", "From now on this node sends so many thousandths of a service's requests to back ends of the target.";
+    RolloutStateWritten { service: ServiceName, target: String, state: &'static str, revision: u64, outcome: &'static str }
+        = 2052, Info, "rollout-state-written", "The state of a rollout was written to the store under the condition that its revision is the one told, or was not, by the outcome.";
+    RolloutsUnread { reason: String }
+        = 2053, Warn, "rollouts-unread", "The orders of rollouts could not be read; those known go on.";
+
     // Back ends
     BackEndUnhealthy { reason: String }
         = 3003, Warn, "back-end-unhealthy", "The back end failed its health check.";
--- a/crates/umberpond/src/cli/node.rs
+++ b/crates/umberpond/src/cli/node.rs
@@ -138,6 +138,7 @@
     let extensions = Extensions {
         source: Arc::new(ChainSource::new(Arc::clone(&store))),
         directory: Arc::new(StoreDirectory::new(Arc::clone(&store))),
+        rollouts: None,
         dialect: Dialect::OWN,
     };
     let admin = config.listen.admin;
--- a/testing/sim/src/cluster/process.rs
+++ b/testing/sim/src/cluster/process.rs
@@ -177,6 +177,7 @@
         let extensions = Extensions {
             source: Arc::new(ChainSource::new(Arc::clone(&store))),
             directory: Arc::new(StoreDirectory::new(Arc::clone(&store))),
+            rollouts: None,
             dialect: Dialect::OWN,
         };
         let daemon = Arc::new(Daemon::start(self.config(), environment.clone(), extensions).await?);
@@ -249,6 +250,7 @@
             seal_key: place.is_edge.then(|| Arc::new(layout::caller_key())),
             link_rate: None,
             retry_budget: RetryBudgetSettings::default(),
+            rollouts: None,
             log: LogConfig::default(),
             grace: GRACE,
         }
