Requests of a split route are dealt evenly instead of drawn

Cause: each node drew each request for itself; over 300 requests the standard deviation of a share of a quarter is 0.025, and over single nodes much more, whatever the number of nodes.

Change: a low-discrepancy sequence a route and node (steps of the inverse golden ratio) with a random start, which goes on when a newer configuration comes. Ruled out: smooth weighted round robin, which needs state a part and starts anew with changed weights. What a part has no room for is refused there as before, not moved.

--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -23,6 +23,8 @@
 pub use inbound::{BackEnd, Inbound, InboundSettings};
 pub use outbound::{Outbound, OutboundIdentity, OutboundSettings, StaleVersion};
 pub use outcome::{NotRunReason, UnknownReason};
-pub use routing::{CompileError, CompiledRoute, NoRoute, OpenedSecrets, RoutingTable, WeightedService};
+pub use routing::{
+    CompileError, CompiledRoute, NoRoute, OpenedSecrets, RoutingTable, SplitSequences, WeightedService,
+};
 pub use server::{ServerControl, ServerPhase, serve_inbound, serve_outbound};
 pub use upstream::Health;
--- a/crates/forwarding/src/outbound/handler.rs
+++ b/crates/forwarding/src/outbound/handler.rs
@@ -73,7 +73,7 @@
         });
         let caller_time = told.map_or(route.timeout, Duration::from_millis);
         let is_later_try = told.is_some() && self.caller_times.lock().record(&route.name, caller_time);
-        let service = route.draw_destination(&mut *self.random.lock()).clone();
+        let service = self.splits.lock().next(&mut *self.random.lock(), &route).clone();
         let id = id.unwrap_or_else(|| self.new_id());
         let version = table.version();
         let key = self.dialect.caller_key.and_then(|name| head.fields.get(name)).cloned();
--- a/crates/forwarding/src/outbound/state.rs
+++ b/crates/forwarding/src/outbound/state.rs
@@ -27,7 +27,7 @@
 use crate::dialect::Dialect;
 use crate::hop::{HopPool, HopPoolSettings};
 use crate::inbound::Inbound;
-use crate::routing::RoutingTable;
+use crate::routing::{RoutingTable, SplitSequences};
 
 /// Limits of the outbound half.
 #[derive(Debug, Clone, PartialEq)]
@@ -84,6 +84,7 @@
     budgets: Mutex<BTreeMap<ServiceName, RetryBudget>>,
     live_nodes: AtomicUsize,
     pub(super) caller_times: Mutex<CallerTimes>,
+    pub(super) splits: Mutex<SplitSequences>,
 }
 
 impl std::fmt::Debug for Outbound {
@@ -137,6 +138,7 @@
             budgets: Mutex::default(),
             live_nodes: AtomicUsize::new(1),
             caller_times: Mutex::default(),
+            splits: Mutex::default(),
         })
     }
 
--- a/crates/forwarding/src/routing/mod.rs
+++ b/crates/forwarding/src/routing/mod.rs
@@ -1,7 +1,9 @@
 //! Which route a request takes.
 
 mod compile;
+mod split;
 mod table;
 
 pub use compile::{CompileError, OpenedSecrets};
+pub use split::SplitSequences;
 pub use table::{CompiledRoute, NoRoute, RoutingTable, WeightedService};
--- a/crates/forwarding/src/routing/table.rs
+++ b/crates/forwarding/src/routing/table.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::{Rng, RngExt};
 use thiserror::Error;
 use umberpond_config::{Entries, RequestLimits, Service};
 use umberpond_model::{Locality, RouteName, ServiceName, Version};
@@ -41,24 +40,6 @@
     pub credentials: Vec<(String, Vec<u8>)>,
 }
 
-impl CompiledRoute {
-    /// The service for one request, drawn by weight.
-    pub fn draw_destination(&self, random: &mut impl Rng) -> &ServiceName {
-        let sum: u32 = self.destinations.iter().map(|destination| destination.weight).sum();
-        if self.destinations.len() == 1 || sum == 0 {
-            return &self.destinations[0].service;
-        }
-        let mut drawn = random.random_range(0..sum);
-        for destination in &self.destinations {
-            if drawn < destination.weight {
-                return &destination.service;
-            }
-            drawn -= destination.weight;
-        }
-        &self.destinations[0].service
-    }
-}
-
 /// A request that no route matches.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 pub enum NoRoute {
