Rollouts go on beside a silent store and with few requests; full and silent connections are known

Change: calls to the store run beside the steps; steps are taken with few answers from 0.4 of the time on, and with any from 0.6. A node that accepts no further connection of callers says that it is not ready (test: path.rs; before, it said ready and left new connections waiting). After an exchange with another node whose last word never came, the idle connections to it are dropped too, and connections are probed after a second without a byte, so that one that went silent is found in 3 s.

Ruled out: more steps in a row in one tick (they would skip the comparison).

--- a/crates/daemon/src/rollouts/task.rs
+++ b/crates/daemon/src/rollouts/task.rs
@@ -1,25 +1,26 @@
 //! The task by which a node takes part in rollouts.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use ractor::ActorRef;
 use ractor::rpc::CallResult;
 use tokio::sync::mpsc;
+use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 use umberpond_distribution::ReaderSettings;
 use umberpond_forwarding::Inbound;
 use umberpond_model::{NodeName, ReleaseName, ServiceName};
 use umberpond_rollouts::{
     CoordinatorAction, EndpointCounts, HeldPlans, ReleaseEvidence, RolloutCoordinator, RolloutPlan,
-    RolloutSettings, RolloutState, Verdict,
+    RolloutSettings, RolloutState, StoredRollout, Verdict,
 };
 use umberpond_telemetry::{Event, Telemetry};
 
 use super::store::{RolloutStore, WriteError};
 use crate::back_end::BackEndMonitor;
-use crate::configuration::finds_itself_reader;
+use crate::configuration::{SourceError, finds_itself_reader};
 use crate::membership::MembershipMessage;
 
 /// Time between two looks while no rollout goes on.
@@ -68,6 +69,9 @@
         reports: 0,
         list_at: Instant::now(),
         is_coordinator: false,
+        calls: JoinSet::new(),
+        is_listing: false,
+        writing: BTreeSet::new(),
     };
     loop {
         let is_busy = participant.step().await;
@@ -75,6 +79,18 @@
     }
 }
 
+/// What has come of a call to the store. Calls run beside the steps: a store that is silent holds up no report and no decision.
+enum StoreOutcome {
+    Listed(Result<Vec<StoredRollout>, SourceError>),
+    Written {
+        service: ServiceName,
+        target: ReleaseName,
+        revision: u64,
+        state: RolloutState,
+        written: Result<u64, WriteError>,
+    },
+}
+
 struct Participant {
     task: RolloutTask,
     coordinator: RolloutCoordinator,
@@ -83,6 +99,10 @@
     reports: u64,
     list_at: Instant,
     is_coordinator: bool,
+    calls: JoinSet<StoreOutcome>,
+    is_listing: bool,
+    /// Services whose state is being written.
+    writing: BTreeSet<ServiceName>,
 }
 
 impl Participant {
@@ -135,12 +155,17 @@
         while let Ok(evidence) = self.task.evidence.try_recv() {
             self.coordinator.on_evidence(evidence);
         }
-        if Instant::now() >= self.list_at {
-            self.list(&view.held).await;
+        while let Some(Ok(outcome)) = self.calls.try_join_next() {
+            self.on_outcome(&view.held, outcome);
+        }
+        let now = Instant::now();
+        if now >= self.list_at && !self.is_listing {
+            self.is_listing = true;
+            let store = Arc::clone(&self.task.store);
+            self.calls.spawn(async move { StoreOutcome::Listed(store.list().await) });
         }
-        let now = Instant::now().into_std();
-        let actions = self.coordinator.on_tick(now, &view.held, &view.endpoints);
-        self.carry_out(actions).await;
+        let actions = self.coordinator.on_tick(now.into_std(), &view.held, &view.endpoints);
+        self.carry_out(actions);
         self.tell_others();
     }
 
@@ -152,6 +177,10 @@
         self.told.clear();
         self.list_at = Instant::now();
         while self.task.evidence.try_recv().is_ok() {}
+        self.calls.abort_all();
+        self.calls = JoinSet::new();
+        self.is_listing = false;
+        self.writing.clear();
         self.tell_others();
     }
 
@@ -162,8 +191,20 @@
         }
     }
 
-    async fn list(&mut self, held: &HeldPlans) {
-        let listed = self.task.store.list().await;
+    fn on_outcome(&mut self, held: &HeldPlans, outcome: StoreOutcome) {
+        match outcome {
+            StoreOutcome::Listed(listed) => {
+                self.is_listing = false;
+                self.on_listed(held, listed);
+            }
+            StoreOutcome::Written { service, target, revision, state, written } => {
+                self.writing.remove(&service);
+                self.on_written(service, &target, revision, state, written);
+            }
+        }
+    }
+
+    fn on_listed(&mut self, held: &HeldPlans, listed: Result<Vec<StoredRollout>, SourceError>) {
         let outcome = if listed.is_ok() { "answered" } else { "unavailable" };
         self.task.telemetry.metrics().platform_request("rollouts", outcome);
         let now = Instant::now();
@@ -172,7 +213,7 @@
                 let actions = self.coordinator.on_stored(now.into_std(), held, stored);
                 let interval = if self.coordinator.is_idle() { LIST_INTERVAL } else { BUSY_LIST_INTERVAL };
                 self.list_at = now + interval;
-                self.carry_out(actions).await;
+                self.carry_out(actions);
             }
             Err(error) => {
                 self.list_at = now + FAILURE_PAUSE;
@@ -181,30 +222,14 @@
         }
     }
 
-    async fn carry_out(&mut self, actions: Vec<CoordinatorAction>) {
-        for action in actions {
-            match action {
-                CoordinatorAction::Tell { plan, reason, verdict, answers } => {
-                    self.tell_decision(&plan, reason, verdict, answers);
-                    self.hold_told(&plan);
-                }
-                CoordinatorAction::Write { service, target, revision, state } => {
-                    self.write(&service, &target, revision, state).await;
-                }
-            }
-        }
-    }
-
-    async fn write(
+    fn on_written(
         &mut self,
-        service: &ServiceName,
+        service: ServiceName,
         target: &ReleaseName,
         revision: u64,
         state: RolloutState,
+        written: Result<u64, WriteError>,
     ) {
-        // What is decided is told before the store is asked: it may be slow.
-        self.tell_others();
-        let written = self.task.store.write(service, target, revision, state).await;
         let outcome = match &written {
             Ok(_) => "written",
             Err(WriteError::Conflict) => "conflict",
@@ -218,16 +243,40 @@
             revision,
             outcome,
         });
-        match written {
-            Ok(revision) => self.coordinator.on_written(service, state, revision),
-            // What stands there now is read with the next step.
-            Err(_) => self.list_at = Instant::now(),
+        if let Ok(revision) = written {
+            self.coordinator.on_written(&service, state, revision);
         }
-        if state.is_final() {
+        // What stands there now, an end by this node included, is read with the next step.
+        if written.is_err() || state.is_final() {
             self.list_at = Instant::now();
         }
     }
 
+    fn carry_out(&mut self, actions: Vec<CoordinatorAction>) {
+        for action in actions {
+            match action {
+                CoordinatorAction::Tell { plan, reason, verdict, answers } => {
+                    self.tell_decision(&plan, reason, verdict, answers);
+                    self.hold_told(&plan);
+                }
+                CoordinatorAction::Write { service, target, revision, state } => {
+                    self.write(service, target, revision, state);
+                }
+            }
+        }
+    }
+
+    fn write(&mut self, service: ServiceName, target: ReleaseName, revision: u64, state: RolloutState) {
+        if !self.writing.insert(service.clone()) {
+            return;
+        }
+        let store = Arc::clone(&self.task.store);
+        self.calls.spawn(async move {
+            let written = store.write(&service, &target, revision, state).await;
+            StoreOutcome::Written { service, target, revision, state, written }
+        });
+    }
+
     fn tell_others(&self) {
         let plans = self.told.values().cloned().collect();
         let _ = self.task.membership.send_message(MembershipMessage::Rollouts(plans));
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -255,6 +255,9 @@
             self.unready_answers.fetch_add(1, Ordering::Relaxed);
             return Err(Unready::Stopping);
         }
+        if self.control.is_full() {
+            return Err(Unready::NoConnections);
+        }
         if self.activation.active().is_none() {
             return Err(Unready::NoConfiguration);
         }
--- a/crates/forwarding/src/hop/client.rs
+++ b/crates/forwarding/src/hop/client.rs
@@ -76,7 +76,11 @@
         // The other node keeps the same deadline and can say whether the request ran; its word is awaited a little.
         match timeout_at(deadline + LAST_WORD, exchange).await {
             Ok(result) => result,
-            Err(_elapsed) => AttemptResult::Unknown(UnknownReason::TimedOut),
+            Err(_elapsed) => {
+                // Not even the last word came: the other connections to that node may have gone silent as well.
+                self.idle.lock().remove(&address);
+                AttemptResult::Unknown(UnknownReason::TimedOut)
+            }
         }
     }
 
--- a/crates/forwarding/src/server/control.rs
+++ b/crates/forwarding/src/server/control.rs
@@ -1,7 +1,7 @@
 //! How far the process is on its way out, as all connections of callers see it.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
@@ -24,6 +24,8 @@
     /// When every request has to have its final answer; absent while the process serves.
     last_answers: watch::Sender<Option<Instant>>,
     open_requests: Arc<AtomicUsize>,
+    /// Whether so many connections of callers are open that no further one is accepted.
+    is_full: Arc<AtomicBool>,
 }
 
 impl Default for ServerControl {
@@ -32,6 +34,7 @@
             phase: watch::Sender::new(ServerPhase::Serving),
             last_answers: watch::Sender::new(None),
             open_requests: Arc::default(),
+            is_full: Arc::default(),
         }
     }
 }
@@ -76,6 +79,16 @@
         self.open_requests.load(Ordering::Relaxed)
     }
 
+    /// Whether so many connections of callers are open that no further one is accepted.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        self.is_full.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn set_full(&self, is_full: bool) {
+        self.is_full.store(is_full, Ordering::Relaxed);
+    }
+
     /// Counts a request as open until the guard is dropped.
     pub(super) fn open_request(&self) -> OpenRequest {
         self.open_requests.fetch_add(1, Ordering::Relaxed);
--- a/crates/forwarding/src/server/listener.rs
+++ b/crates/forwarding/src/server/listener.rs
@@ -27,6 +27,9 @@
 ) {
     let mut connections = JoinSet::new();
     loop {
+        control.set_full(connections.len() >= MAX_CONNECTIONS);
+        make_room(&mut connections).await;
+        control.set_full(false);
         let Some(stream) = accept(&mut listener, &mut connections, "outbound", &telemetry).await else {
             continue;
         };
@@ -39,6 +42,7 @@
 pub async fn serve_inbound(mut listener: BoxListener, inbound: Arc<Inbound>, telemetry: Telemetry) {
     let mut connections = JoinSet::new();
     loop {
+        make_room(&mut connections).await;
         let Some(stream) = accept(&mut listener, &mut connections, "inbound", &telemetry).await else {
             continue;
         };
@@ -46,15 +50,19 @@
     }
 }
 
+/// Waits until a further connection may be served.
+async fn make_room(connections: &mut JoinSet<()>) {
+    while connections.len() >= MAX_CONNECTIONS {
+        connections.join_next().await;
+    }
+}
+
 async fn accept(
     listener: &mut BoxListener,
     connections: &mut JoinSet<()>,
     name: &'static str,
     telemetry: &Telemetry,
 ) -> Option<umberpond_net::BoxStream> {
-    while connections.len() >= MAX_CONNECTIONS {
-        connections.join_next().await;
-    }
     let accepted = loop {
         tokio::select! {
             biased;
--- a/crates/forwarding/tests/path.rs
+++ b/crates/forwarding/tests/path.rs
@@ -211,3 +211,22 @@
     pause(5_100).await;
     assert!(caller.read().await.is_none());
 }
+
+/// A node whose callers can open no further connection has to say so, or new ones are sent to it and wait.
+#[tokio::test(start_paused = true)]
+async fn a_node_that_accepts_no_further_connection_knows_it() {
+    const MOST_CONNECTIONS: usize = 1_500;
+    let world = World::with_routes(vec![vec![ok("whole")]]).await;
+    let mut callers = Vec::new();
+    for _ in 0..MOST_CONNECTIONS {
+        callers.push(world.caller().await);
+    }
+    pause(50).await;
+    assert!(world.control.is_full());
+    callers.pop();
+    callers.pop();
+    pause(50).await;
+    assert!(!world.control.is_full());
+    let mut caller = world.caller().await;
+    assert_eq!(caller.ask("/read/a", "r1").await.status, 200);
+}
--- a/crates/net/src/tcp.rs
+++ b/crates/net/src/tcp.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use socket2::SockRef;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
 use crate::{BoxDatagrams, BoxListener, BoxStream, Datagrams, Listener, Network};
@@ -13,6 +13,10 @@
 /// Time after which a connection is given up whose peer acknowledges nothing that was sent.
 const UNACKNOWLEDGED_TIME: Duration = Duration::from_secs(3);
 
+/// Time without a byte after which the peer's system is asked whether the connection still stands, and between two
+/// questions: a connection that has gone silent while an answer is awaited is found after [`UNACKNOWLEDGED_TIME`] too.
+const KEEP_ALIVE_TIME: Duration = Duration::from_secs(1);
+
 /// TCP with Nagle's algorithm off, and UDP.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct TcpNetwork;
@@ -59,7 +63,10 @@
 fn prepare(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     // Without it a dead peer is found later; that is no reason to refuse the connection.
-    let _ = SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIME));
+    let socket = SockRef::from(stream);
+    let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIME));
+    let keep_alive = TcpKeepalive::new().with_time(KEEP_ALIVE_TIME).with_interval(KEEP_ALIVE_TIME);
+    let _ = socket.set_tcp_keepalive(&keep_alive);
     Ok(())
 }
 
--- a/crates/rollouts/src/schedule.rs
+++ b/crates/rollouts/src/schedule.rs
@@ -38,10 +38,13 @@
 ];
 /// Canary share for which [`STEPS`] are made.
 const STEPS_MADE_FOR: f64 = 0.1;
-/// Share of the time after which a step is taken also with fewer answers than wanted: a service may have few requests.
-const HURRY_SHARE: f64 = 0.45;
+/// Share of the time after which a step is taken also with fewer answers than wanted: a service may have few requests, of
+/// which a bad release gets few too.
+const HURRY_SHARE: f64 = 0.4;
 /// Fewest answers then.
-const HURRY_ANSWERS: u32 = 8;
+const HURRY_ANSWERS: u32 = 4;
+/// Share of the time after which steps are taken with any number of answers: the rest is needed to move the requests.
+const LAST_SHARE: f64 = 0.6;
 
 /// The step with number `number`; the last one for all greater numbers.
 pub(crate) fn step(settings: &RolloutSettings, number: usize) -> Step {
@@ -71,6 +74,10 @@
     if stayed < duration.mul_f64(step.stay_share) {
         return false;
     }
-    let is_late = elapsed >= duration.mul_f64(HURRY_SHARE);
-    answers >= if is_late { HURRY_ANSWERS } else { step.answers }
+    let wanted = match elapsed {
+        elapsed if elapsed >= duration.mul_f64(LAST_SHARE) => 0,
+        elapsed if elapsed >= duration.mul_f64(HURRY_SHARE) => HURRY_ANSWERS,
+        _ => step.answers,
+    };
+    answers >= wanted
 }
