Three nodes are asked for a slot at most, not nine

Hypothesis: where three nodes of a service are full, all are; the further attempts cost bytes, processor time and time of the caller.

Change: free attempts 8 -> 2.

--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -35,8 +35,9 @@
 const HOLD_SHARE: f64 = 0.45;
 /// Rank of the requests on which other requests depend.
 const FIRST_RANK: u8 = 0;
-/// Most attempts that never came near a back end; they are free, but each takes time.
-const MAX_FREE_ATTEMPTS: u32 = 8;
+/// Most attempts after the first one that never came near a back end. Where three nodes of a service are full, all are; what
+/// more attempts find is not worth their bytes and processor time.
+const MAX_FREE_ATTEMPTS: u32 = 2;
 
 /// A request with its route.
 #[derive(Debug)]
