Another zone costs more at first, and less once the own one has refused

Hypothesis: requests leave their zone while it still has room in time, which costs bytes; and one cost for all attempts either does that or keeps requests in a full zone while others have room.

Change: 0.35 -> 0.9 for the first attempt (a zone is left when its answer would come at the end of the objective), 0.3 after a refusal. Test: another_zone_is_sooner_asked_once_the_own_one_has_refused (fails before).

--- a/crates/selection/src/selector.rs
+++ b/crates/selection/src/selector.rs
@@ -29,8 +29,10 @@
 /// Weights of the choice. The unit of all costs is that of an answer at the very end of the objective.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct SelectorSettings {
-    /// Cost of an endpoint in another zone: bytes between zones are dear.
+    /// Cost of an endpoint in another zone, as long as none has refused the request: bytes between zones are dear.
     pub zone_cost: f64,
+    /// The same once one has: the own zone may be fuller than others.
+    pub zone_cost_after_refusal: f64,
     /// Cost of an endpoint in another region, on top.
     pub region_cost: f64,
     /// Cost of an answer that is lost.
@@ -39,7 +41,7 @@
 
 impl Default for SelectorSettings {
     fn default() -> Self {
-        Self { zone_cost: 0.35, region_cost: 0.5, failure_cost: 1.5 }
+        Self { zone_cost: 0.9, zone_cost_after_refusal: 0.3, region_cost: 0.5, failure_cost: 1.5 }
     }
 }
 
@@ -250,7 +252,7 @@
         let lateness = (time / query.objective.as_secs_f64().max(SHORTEST_OBJECTIVE_SECONDS)).powi(2);
         let failures = tracked.failures_now(now).min(1.0).max(tracked.failed_share());
         let failing = failures * self.settings.failure_cost;
-        let cost = lateness + failing + self.distance_cost(&tracked.endpoint.locality);
+        let cost = lateness + failing + self.distance_cost(&tracked.endpoint.locality, query);
         Estimate { cost, wait, service }
     }
 
@@ -264,11 +266,14 @@
         }
     }
 
-    fn distance_cost(&self, locality: &Locality) -> f64 {
+    fn distance_cost(&self, locality: &Locality, query: Query<'_>) -> f64 {
+        let is_first = query.tried.is_empty();
+        let zone_cost =
+            if is_first { self.settings.zone_cost } else { self.settings.zone_cost_after_refusal };
         match self.distance(locality) {
             Distance::Zone => 0.0,
-            Distance::Region => self.settings.zone_cost,
-            Distance::Abroad => self.settings.zone_cost + self.settings.region_cost,
+            Distance::Region => zone_cost,
+            Distance::Abroad => zone_cost + self.settings.region_cost,
         }
     }
 }
--- a/crates/selection/tests/choice.rs
+++ b/crates/selection/tests/choice.rs
@@ -208,3 +208,19 @@
     assert!(*most < 300, "one of thirty is chosen {most} times of 3,000");
     assert!(shares.len() >= 20, "{} of thirty are chosen", shares.len());
 }
+
+/// Bytes between zones are dear, but a zone may be fuller than others.
+#[test]
+fn another_zone_is_sooner_asked_once_the_own_one_has_refused() {
+    let near = [endpoint("tried", "north", "a"), endpoint("near", "north", "a")];
+    let mut world = World::new(near.into_iter().chain([endpoint("far", "north", "b")]).collect());
+    for node in ["tried", "near"] {
+        world.told(node, report(1, 10, 9, 100));
+    }
+    world.told("far", report(1, 0, 0, 100));
+    let count = |world: &mut World, tried: &[NodeName]| {
+        (0..100).filter(|_| world.choose(tried) == Some(name("far"))).count()
+    };
+    assert_eq!(count(&mut world, &[]), 0);
+    assert_eq!(count(&mut world, &[name("tried")]), 100);
+}
