A body of more than 512 bytes crosses to another zone only once its request has a slot there

Cause: in overload most requests that go to another zone are refused there, with their bodies (4 kB of a renewal) already sent. The way of long bodies, which move on demand, was there.

Change: the caller's node keeps such a body until the other node asks for it; it can be sent again, unlike one that still arrives.

Ruled out: asking inside the zone too (bytes there cost nothing, a round trip does). Tests: bodies.rs, two (the first fails before: 24,000 bytes sent for nothing).

--- a/crates/forwarding/src/hop/client.rs
+++ b/crates/forwarding/src/hop/client.rs
@@ -9,6 +9,7 @@
 use futures_util::FutureExt;
 use parking_lot::Mutex;
 use tokio::io::{ReadHalf, WriteHalf};
+use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout_at};
 use umberpond_net::{BoxStream, FrameReader, FrameWriter, Network};
 
@@ -17,6 +18,9 @@
 use crate::message::{Answer, AnswerBody, Attempt, AttemptResult, BrokenAnswer, NotRun, RequestBody};
 use crate::outcome::{NotRunReason, UnknownReason};
 
+/// Length in bytes up to which a body is sent along with the head of its request, also to another zone: asking for it would cost
+/// about as much.
+const PUSHED_LENGTH: usize = 512;
 /// Time beyond the deadline in which the other node's last word arrives.
 const LAST_WORD: Duration = Duration::from_millis(40);
 
@@ -124,6 +128,7 @@
         body: RequestBody,
     ) -> AttemptResult {
         let lost = AttemptResult::Unknown(UnknownReason::NodeLost);
+        let body = if attempt.is_far { on_demand(body) } else { body };
         let (first, is_sent_whole) = match body {
             RequestBody::Whole(whole) => {
                 let open = OpenHop::of(attempt, HopBody::Whole(whole.to_vec()));
@@ -208,6 +213,21 @@
     }
 }
 
+/// The body as it is sent to a node in another zone: bytes between zones are dear, so a body that is not short crosses only once its
+/// request has a slot there.
+fn on_demand(body: RequestBody) -> RequestBody {
+    match body {
+        RequestBody::Whole(whole) if whole.len() > PUSHED_LENGTH => {
+            let length = whole.len() as u64;
+            let (sender, parts) = mpsc::channel(1);
+            // The channel has room for the only part, and its receiver is still there.
+            let _ = sender.try_send(Ok(whole));
+            RequestBody::Pending(PendingBody::from_caller(Some(length), parts))
+        }
+        other => other,
+    }
+}
+
 type Frame = Result<Option<(HopResponse, usize)>, umberpond_net::FrameError>;
 
 /// Sends the body as the other node asks for it, until an answer comes; tells the answer, and whether the connection is
--- a/crates/forwarding/src/hop/protocol.rs
+++ b/crates/forwarding/src/hop/protocol.rs
@@ -143,6 +143,7 @@
             is_idempotent: self.is_idempotent,
             route: self.route,
             priority: self.priority,
+            is_far: false,
             objective_at: now + Duration::from_micros(self.objective_left),
             deadline: now + Duration::from_micros(self.deadline_left),
             hold_until: now + Duration::from_micros(self.hold_left),
--- a/crates/forwarding/src/inbound/body_link.rs
+++ b/crates/forwarding/src/inbound/body_link.rs
@@ -12,6 +12,8 @@
 
 /// Bodies that come at once: while one is waited for, another one uses the link.
 const BODIES_AT_ONCE: u32 = 2;
+/// Length in bytes up to which a body waits for no turn: it is on the link for a moment only, and in one window.
+const SHORT_LENGTH: u64 = MIN_WINDOW as u64;
 /// Length in bytes that a body is taken to have if it was not told.
 const ASSUMED_LENGTH: u64 = 64 * 1024;
 /// Time for which one window keeps the link busy: longer than a round trip within a region.
@@ -54,6 +56,9 @@
     /// Waits for the turn of a body of `length` bytes, whose request is `item`; absent if the link is not known.
     pub(super) async fn turn(&self, item: WorkItem, length: Option<u64>) -> Result<Option<Permit>, Refusal> {
         let Some(rate) = self.rate else { return Ok(None) };
+        if length.is_some_and(|length| length <= SHORT_LENGTH) {
+            return Ok(None);
+        }
         self.turns.admit(on_link(item, transfer_time(rate, length))).await.map(Some)
     }
 }
--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -185,6 +185,7 @@
             is_idempotent: request.route.is_idempotent,
             route: request.route.number,
             priority: request.route.priority,
+            is_far: !choice.is_near,
             objective_at: request.arrived + request.route.objective,
             deadline: self.deadline,
             patience: self.patience(choice.service),
--- a/crates/forwarding/tests/bodies.rs
+++ b/crates/forwarding/tests/bodies.rs
@@ -201,3 +201,48 @@
     let answer = caller.read().await.unwrap();
     assert_eq!((answer.status, answer.text()), (200, "own"));
 }
+
+/// Moves the first node to another zone than that of the callers.
+fn move_away(world: &mut World) {
+    world.served[0].endpoint.locality.zone = "b".parse().unwrap();
+    world.tell_endpoints();
+}
+
+/// Bytes between zones are dear, and in overload most of what is sent there is refused.
+#[tokio::test(start_paused = true)]
+async fn a_body_of_some_kilobytes_crosses_to_another_zone_only_with_a_slot() {
+    let mut world = World::with_routes(vec![vec![ok("a")]]).await;
+    move_away(&mut world);
+    let body = photo(6_000);
+    let mut caller = world.caller().await;
+    caller.write(upload_head("r1", body.len())).await;
+    caller.write(&body).await;
+    assert_eq!(caller.read().await.unwrap().status, 200);
+    assert_eq!(world.served[0].back_end.seen()[0].body, body);
+    let before = world.network.bytes_sent(host(CALLERS), host(10));
+    world.served[0].inbound.close();
+    for number in 0..4 {
+        let mut caller = world.caller().await;
+        caller.write(upload_head(&format!("refused{number}"), body.len())).await;
+        caller.write(&body).await;
+        assert_eq!(caller.read().await.unwrap().status, 503);
+    }
+    let sent = world.network.bytes_sent(host(CALLERS), host(10)) - before;
+    assert!(sent < 3_000, "{sent} bytes were sent for nothing");
+}
+
+/// Its body can be sent again, unlike that of a caller that is still sending.
+#[tokio::test(start_paused = true)]
+async fn a_request_refused_in_another_zone_is_served_elsewhere_with_its_whole_body() {
+    let mut world = World::with_routes(vec![vec![ok("a")], vec![ok("b")]]).await;
+    move_away(&mut world);
+    world.served[0].inbound.close();
+    let body = photo(6_000);
+    for number in 0..6 {
+        let mut caller = world.caller().await;
+        caller.write(upload_head(&format!("r{number}"), body.len())).await;
+        caller.write(&body).await;
+        assert_eq!(caller.read().await.unwrap().text(), "b");
+    }
+    assert!(world.served[1].back_end.seen().iter().all(|seen| seen.body == body));
+}
--- a/crates/selection/src/choice.rs
+++ b/crates/selection/src/choice.rs
@@ -27,6 +27,8 @@
     pub node: NodeName,
     /// Address at which that node takes requests.
     pub address: SocketAddr,
+    /// Whether it is in the own zone.
+    pub is_near: bool,
     /// The life of the back end that is meant.
     pub instance: String,
     /// Expected time in the back end.
--- a/crates/selection/src/selector.rs
+++ b/crates/selection/src/selector.rs
@@ -152,7 +152,7 @@
             (estimate.cost * factor, estimate, tracked)
         });
         let (_cost, estimate, tracked) = costs.min_by(|left, right| left.0.total_cmp(&right.0))?;
-        Some(choice(tracked, &estimate))
+        Some(self.choice(tracked, &estimate))
     }
 
     /// The endpoint to which a caller's own key belongs, so that a repetition of the request meets the node that
@@ -168,7 +168,7 @@
         let typical = typical_service_seconds(endpoints);
         let ranked = self.usable(endpoints, now, service, query);
         let tracked = ranked.max_by_key(|tracked| key_weight(key, &tracked.endpoint.node))?;
-        Some(choice(tracked, &self.estimate(now, tracked, typical, query)))
+        Some(self.choice(tracked, &self.estimate(now, tracked, typical, query)))
     }
 
     /// Takes in that a request was sent.
@@ -256,6 +256,17 @@
         Estimate { cost, wait, service }
     }
 
+    fn choice(&self, tracked: &Tracked, estimate: &Estimate) -> Choice {
+        Choice {
+            node: tracked.endpoint.node.clone(),
+            address: tracked.endpoint.address,
+            is_near: self.distance(&tracked.endpoint.locality) == Distance::Zone,
+            instance: tracked.endpoint.instance.clone(),
+            service: Duration::from_secs_f64(estimate.service),
+            wait: Duration::from_secs_f64(estimate.wait),
+        }
+    }
+
     fn distance(&self, locality: &Locality) -> Distance {
         if *locality == self.own {
             Distance::Zone
@@ -319,16 +330,6 @@
     per_slot * (over + crowded)
 }
 
-fn choice(tracked: &Tracked, estimate: &Estimate) -> Choice {
-    Choice {
-        node: tracked.endpoint.node.clone(),
-        address: tracked.endpoint.address,
-        instance: tracked.endpoint.instance.clone(),
-        service: Duration::from_secs_f64(estimate.service),
-        wait: Duration::from_secs_f64(estimate.wait),
-    }
-}
-
 /// Weight of a node for a key: the same on every node that asks.
 fn key_weight(key: &[u8], node: &NodeName) -> u64 {
     let mut hasher = blake3::Hasher::new();
