A request that waits is given up at 0.6 of its objective

Cause: renewals were held for a median of 1,168 ms of an objective of 1,000 ms and then refused; holding without serving costs callers more the longer it lasts, and begun so late most are late anyway.

Change: besides 0.45 of the caller's time, 0.6 of the objective bounds the time in a queue.

--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -31,8 +31,11 @@
 const EARLY_SHARE: f64 = 0.2;
 /// Share of the objective at which an answer has to be expected: half of those expected at its very end come after it.
 const EXPECTED_SHARE: f64 = 0.55;
-/// Share of the time that a caller waits for which a request is held without having been handed to a back end.
+/// Share of the time that a caller waits for which a request is held at most without having been handed to a back end.
 const HOLD_SHARE: f64 = 0.45;
+/// Share of its objective for which it is: begun later, most requests are late, and holding one without serving it costs its
+/// caller more the longer it lasts.
+const HOLD_OBJECTIVE_SHARE: f64 = 0.6;
 /// Rank of the requests on which other requests depend.
 const FIRST_RANK: u8 = 0;
 /// Most attempts after the first one that never came near a back end. Where three nodes of a service are full, all are; what
@@ -86,7 +89,9 @@
 impl<'a> Attempts<'a> {
     pub(super) fn new(outbound: &'a Arc<Outbound>, request: PreparedRequest) -> Self {
         let deadline = request.arrived + request.time;
-        let hold_until = request.arrived + request.caller_time.mul_f64(HOLD_SHARE);
+        let hold_share = request.caller_time.mul_f64(HOLD_SHARE);
+        let hold = hold_share.min(request.route.objective.mul_f64(HOLD_OBJECTIVE_SHARE));
+        let hold_until = request.arrived + hold;
         Self {
             outbound,
             request,
