What can't meet its objective takes no slot for which one that can is about to come

Change: for the time in which one slot becomes free after the refusal of a request in time, those that are late or come back get no slot, by rank. Test: a_late_request_takes_no_free_slot_just_after_one_in_time_was_refused.

--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -16,6 +16,9 @@
 const HOPELESS_SHARE: f64 = 0.7;
 /// Most of the slots that more urgent requests are reckoned to take from one that waits.
 const MOST_OVERTAKING_SHARE: f64 = 0.8;
+/// How long a queue counts as contended after it refused a request that could still have met its objective, in times in which one slot
+/// becomes free. Meanwhile those that can't any more get no free slot: the next one that can comes within about that time.
+const CONTENDED_TURNS: f64 = 1.0;
 /// Weight of one request in the share of failed ones.
 const FAILURE_WEIGHT: f64 = 0.03;
 
@@ -139,6 +142,8 @@
     failed_share: f64,
     reports: u64,
     admitted: AdmittedWork,
+    /// When a request that could still have met its objective was refused last, by rank.
+    refused_at: BTreeMap<u8, Instant>,
 }
 
 impl WorkQueue {
@@ -156,6 +161,7 @@
             failed_share: 0.0,
             reports: 0,
             admitted: AdmittedWork::default(),
+            refused_at: BTreeMap::new(),
         }
     }
 
@@ -196,6 +202,10 @@
         if item.is_hopeless(now) {
             return Decision::Refuse(Refusal::Expired);
         }
+        let has_missed = item.is_later_try || item.is_late(now);
+        if has_missed && self.is_contended(now, item.priority) {
+            return Decision::Refuse(Refusal::WaitTooLong { expected: self.mean_service_time() });
+        }
         if self.running < self.slots && self.waiting.is_empty() {
             self.running += 1;
             self.admitted.record(now, item.left(now), item.service);
@@ -203,6 +213,9 @@
         }
         let expected = self.expected_wait(now, item);
         if expected > item.patience {
+            if !has_missed {
+                self.refused_at.insert(item.priority, now);
+            }
             return Decision::Refuse(Refusal::WaitTooLong { expected });
         }
         if self.waiting.len() >= WAITING_PER_SLOT * self.slots.max(1) as usize {
@@ -277,6 +290,14 @@
         }
     }
 
+    /// Whether requests of this rank or a more urgent one that could still meet their objective were refused a moment ago.
+    fn is_contended(&self, now: Instant, priority: u8) -> bool {
+        let turn = self.mean_service_time() / self.slots.max(1);
+        let moment = turn.mul_f64(CONTENDED_TURNS);
+        let mut refused = self.refused_at.range(..=priority);
+        refused.any(|(_, at)| now.saturating_duration_since(*at) < moment)
+    }
+
     fn mean_service_time(&self) -> Duration {
         self.service_time.mean().unwrap_or(UNKNOWN_SERVICE_TIME)
     }
--- a/crates/scheduling/tests/queue.rs
+++ b/crates/scheduling/tests/queue.rs
@@ -220,3 +220,26 @@
         .collect();
     assert_eq!(order, [first, later, less_urgent].map(|ticket| Some(Started::Run(ticket))));
 }
+
+/// What can't meet its objective any more takes no slot for which another one is about to come.
+#[test]
+fn a_late_request_takes_no_free_slot_just_after_one_in_time_was_refused() {
+    let begun = Instant::now();
+    let mut queue = WorkQueue::new();
+    queue.set_slots(1);
+    queue.open();
+    let in_time = item(begun, 1, 1_000);
+    assert_eq!(queue.offer(begun, in_time), Decision::Start);
+    queue.finish(Some(Duration::from_millis(100)));
+    assert_eq!(queue.offer(begun, in_time), Decision::Start);
+    let impatient = WorkItem { patience: Duration::ZERO, ..in_time };
+    assert!(matches!(queue.offer(begun, impatient), Decision::Refuse(_)));
+    queue.finish(Some(Duration::from_millis(100)));
+    let later = WorkItem { is_later_try: true, ..in_time };
+    let soon = begun + Duration::from_millis(40);
+    assert!(matches!(queue.offer(soon, later), Decision::Refuse(Refusal::WaitTooLong { .. })));
+    let more_urgent = WorkItem { priority: 0, ..later };
+    assert_eq!(queue.offer(soon, more_urgent), Decision::Start, "nothing of its own rank was refused");
+    queue.finish(Some(Duration::from_millis(100)));
+    assert_eq!(queue.offer(begun + Duration::from_millis(110), later), Decision::Start);
+}
