--- a/crates/forwarding/src/outbound/handler.rs
+++ b/crates/forwarding/src/outbound/handler.rs
@@ -17,8 +17,13 @@
 use crate::routing::CompiledRoute;
 use crate::server::ServerControl;
 
-/// When a caller comes back that found no configuration or no back end.
-const COME_BACK: Duration = Duration::from_millis(300);
+/// When a caller comes back that found no configuration: a process that has just started gets it within about a second over a
+/// slow link, and a caller has two or three tries only.
+const COME_BACK_AFTER_START: Duration = Duration::from_secs(1);
+/// Share of the time that it waits after which it does at the latest; callers heed no longer time.
+const COME_BACK_SHARE: f64 = 1.0 / 3.0;
+/// Least part of that time told, so that callers refused together don't come back together.
+const COME_BACK_LEAST: f64 = 0.7;
 
 /// When a caller comes back whose node was about to end.
 const COME_BACK_AFTER_RESTART: Duration = Duration::from_millis(700);
@@ -60,18 +65,17 @@
         let id = head.fields.get(self.dialect.request_id).cloned();
         let Some(table) = self.table.load_full() else {
             let reason = ReplyReason::NotRun(NotRunReason::NoConfiguration);
-            return Err(self.refuse(id.as_ref(), reason, Some(COME_BACK)));
+            let come_back = self.come_back_after_start(&head);
+            return Err(self.refuse(id.as_ref(), reason, Some(come_back)));
         };
         let host = head.fields.text("host").unwrap_or_default();
         let target = std::str::from_utf8(&head.target).unwrap_or_default();
         let Ok(route) = table.find(host, &head.method, target).map(Arc::clone) else {
             return Err(self.refuse(id.as_ref(), ReplyReason::NoRoute, None));
         };
-        let told = head.fields.text(self.dialect.deadline_millis).and_then(|millis| millis.parse().ok());
-        let time = told.map_or(route.timeout, |millis| {
-            Duration::from_millis(millis).saturating_sub(ANSWER_RESERVE).min(route.timeout)
-        });
-        let caller_time = told.map_or(route.timeout, Duration::from_millis);
+        let told = self.told_time(&head);
+        let time = told.map_or(route.timeout, |told| told.saturating_sub(ANSWER_RESERVE).min(route.timeout));
+        let caller_time = told.unwrap_or(route.timeout);
         let is_later_try = told.is_some() && self.caller_times.lock().record(&route.name, caller_time);
         let service = self.splits.lock().next(&mut *self.random.lock(), &route).clone();
         let id = id.unwrap_or_else(|| self.new_id());
@@ -92,6 +96,19 @@
         })
     }
 
+    /// Time that the caller waits, by its own word.
+    fn told_time(&self, head: &RequestHead) -> Option<Duration> {
+        let millis = head.fields.text(self.dialect.deadline_millis)?.parse().ok()?;
+        Some(Duration::from_millis(millis))
+    }
+
+    /// When a caller does best to come back to a process that has no configuration yet.
+    fn come_back_after_start(&self, head: &RequestHead) -> Duration {
+        let heeded = self.told_time(head).map(|told| told.mul_f64(COME_BACK_SHARE));
+        let longest = heeded.map_or(COME_BACK_AFTER_START, |heeded| heeded.min(COME_BACK_AFTER_START));
+        longest.mul_f64(self.random.lock().random_range(COME_BACK_LEAST..=1.0))
+    }
+
     /// The head as every attempt sends it.
     fn passed_on(&self, mut head: RequestHead, route: &CompiledRoute) -> RequestHead {
         head.fields.remove_connection_fields();
