--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -33,14 +33,17 @@
 const EXPECTED_SHARE: f64 = 0.55;
 /// Share of the time that a caller waits for which a request is held at most without having been handed to a back end.
 const HOLD_SHARE: f64 = 0.45;
-/// Share of its objective for which it is: begun later, most requests are late, and holding one without serving it costs its
-/// caller more the longer it lasts.
-const HOLD_OBJECTIVE_SHARE: f64 = 0.6;
+/// Share of its objective for which it is: begun later it is late for certain, and holding it without serving it costs its caller
+/// more the longer it lasts. With 0.6 calls of other requests, whose objectives are short, were given up while they still
+/// served their purpose.
+const HOLD_OBJECTIVE_SHARE: f64 = 1.0;
 /// Rank of the requests on which other requests depend.
 const FIRST_RANK: u8 = 0;
-/// Most attempts after the first one that never came near a back end. Where three nodes of a service are full, all are; what
-/// more attempts find is not worth their bytes and processor time.
-const MAX_FREE_ATTEMPTS: u32 = 2;
+/// Attempts after the first one that never came near a back end, after which only nodes are asked where a slot should be free. Where
+/// three nodes of a service are full, most are; what more attempts find is not worth their bytes and processor time.
+const BLIND_ATTEMPTS: u32 = 2;
+/// Most attempts that never came near a back end; they are free, but each takes time.
+const MAX_FREE_ATTEMPTS: u32 = 8;
 
 /// A request with its route.
 #[derive(Debug)]
@@ -121,6 +124,9 @@
         let mut last = NotRun::before_back_end(NotRunReason::NoEndpoint);
         loop {
             let Some(choice) = self.choose_in_turn() else { return self.not_run(last) };
+            if self.free_attempts > BLIND_ATTEMPTS && !choice.has_room {
+                return self.not_run(last);
+            }
             let Some(body) = self.request.body.for_attempt() else { return self.not_run(last) };
             let result = self.send(&choice, body).await;
             match self.on_result(&choice, result, &mut last) {
--- a/crates/selection/tests/choice.rs
+++ b/crates/selection/tests/choice.rs
@@ -224,3 +224,20 @@
     assert_eq!(count(&mut world, &[]), 0);
     assert_eq!(count(&mut world, &[name("tried")]), 100);
 }
+
+/// After some refusals only nodes are asked that should have room.
+#[test]
+fn a_choice_says_whether_a_slot_should_be_free() {
+    let mut world = World::new(vec![endpoint("one", "north", "a")]);
+    for (number, held, has_room) in [(1, 9, true), (2, 10, false), (3, 14, false), (4, 3, true)] {
+        world.told("one", report(number, held.min(10), held.saturating_sub(10), 100));
+        let query = Query {
+            route: &world.route,
+            tried: &[],
+            group: ReleaseGroup::Others,
+            objective: Duration::from_millis(300),
+        };
+        let choice = world.selector.choose(world.now, &mut world.random, &world.service, query).unwrap();
+        assert_eq!(choice.has_room, has_room, "{held} of 10 slots");
+    }
+}
