The time to come back is told in one place

The share of a caller's time after which it comes back, and its spread, stood twice after the change for callers that find no configuration. One function now.

--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use rand::RngExt;
 use tokio::time::Instant;
 use umberpond_http1::RequestHead;
 use umberpond_model::{NodeName, ServiceName, Version};
 use umberpond_selection::{Choice, Observation, Query, ReleaseGroup};
 use umberpond_telemetry::{Event, RequestDetail};
 
+use super::come_back::come_back_within;
 use super::reply::{Reply, ReplyReason, Served};
 use super::state::Outbound;
 use crate::inbound::millis;
@@ -22,11 +22,6 @@
 const SHORTEST_ATTEMPT: Duration = Duration::from_millis(10);
 /// When a caller comes back whose request did not run, if nothing better is known.
 const COME_BACK: Duration = Duration::from_millis(200);
-/// Share of the time that a caller still waits after which it comes back to a service without room: of the few tries that
-/// it has, none is made while the service is known to be full, and callers heed no longer time than this.
-const COME_BACK_SHARE: f64 = 1.0 / 3.0;
-/// Least part of that time told, so that callers refused together don't come back together.
-const COME_BACK_LEAST: f64 = 0.7;
 /// Share of the objective within which a refusal is early.
 const EARLY_SHARE: f64 = 0.2;
 /// Share of the objective at which an answer has to be expected: half of those expected at its very end come after it.
@@ -350,8 +345,7 @@
             return soonest;
         }
         let left = self.request.caller_time.saturating_sub(self.request.arrived.elapsed());
-        let part = self.outbound.random.lock().random_range(COME_BACK_LEAST..=1.0);
-        soonest.max(left.mul_f64(COME_BACK_SHARE * part))
+        soonest.max(come_back_within(left, &mut *self.outbound.random.lock()))
     }
 
     fn reply(&self, reason: ReplyReason, retry_after: Option<Duration>) -> Reply {
--- a/crates/forwarding/src/outbound/handler.rs
+++ b/crates/forwarding/src/outbound/handler.rs
@@ -10,6 +10,7 @@
 use umberpond_telemetry::Event;
 
 use super::attempts::{Attempts, PreparedRequest};
+use super::come_back::come_back_within;
 use super::reply::{Reply, ReplyReason};
 use super::state::Outbound;
 use crate::message::RequestBody;
@@ -17,13 +18,9 @@
 use crate::routing::CompiledRoute;
 use crate::server::ServerControl;
 
-/// When a caller comes back that found no configuration: a process that has just started gets it within about a second over a
-/// slow link, and a caller has two or three tries only.
-const COME_BACK_AFTER_START: Duration = Duration::from_secs(1);
-/// Share of the time that it waits after which it does at the latest; callers heed no longer time.
-const COME_BACK_SHARE: f64 = 1.0 / 3.0;
-/// Least part of that time told, so that callers refused together don't come back together.
-const COME_BACK_LEAST: f64 = 0.7;
+/// Most of the time that a caller waits which counts when it finds no configuration. It comes back within a second then: a process that has
+/// just started gets its configuration within about that time over a slow link, and a caller has two or three tries only.
+const TIME_AFTER_START: Duration = Duration::from_secs(3);
 
 /// When a caller comes back whose node was about to end.
 const COME_BACK_AFTER_RESTART: Duration = Duration::from_millis(700);
@@ -104,9 +101,8 @@
 
     /// When a caller does best to come back to a process that has no configuration yet.
     fn come_back_after_start(&self, head: &RequestHead) -> Duration {
-        let heeded = self.told_time(head).map(|told| told.mul_f64(COME_BACK_SHARE));
-        let longest = heeded.map_or(COME_BACK_AFTER_START, |heeded| heeded.min(COME_BACK_AFTER_START));
-        longest.mul_f64(self.random.lock().random_range(COME_BACK_LEAST..=1.0))
+        let left = self.told_time(head).map_or(TIME_AFTER_START, |told| told.min(TIME_AFTER_START));
+        come_back_within(left, &mut *self.random.lock())
     }
 
     /// The head as every attempt sends it.
--- a/crates/forwarding/src/outbound/mod.rs
+++ b/crates/forwarding/src/outbound/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempts;
 mod caller_times;
+mod come_back;
 mod handler;
 mod reply;
 mod state;
