Sight: repeats are counted by node and service, and calls of repeated runs are known

No log line told how much of the retry budget a node had taken, for which service, and when it refused. 4027 tells it once a second, 4026 for each request that is not sent again, 4023 names the service. An attempt says whether it is a repeat; the node beside the back end keeps the identities of the runs there, and a request whose identity continues one of them is known as a call of that run. Nothing is decided by it yet.

--- a/crates/forwarding/src/dialect.rs
+++ b/crates/forwarding/src/dialect.rs
@@ -40,6 +40,9 @@
 pub struct Dialect {
     /// Identity of the request, given by the caller and passed on.
     pub request_id: &'static str,
+    /// What stands between the identity of a request and the rest of that of a call which its run makes; absent if calls can't be
+    /// told from other requests. The calls of a repeated run count as repeats of the called service.
+    pub call_separator: Option<u8>,
     /// Whether back ends repeat it in their answers, so that an answer without it is none.
     pub is_echoed: bool,
     /// The caller's own key, under which a request must run once even if the caller repeats it; absent if callers
@@ -67,6 +70,7 @@
     /// The product's own names.
     pub const OWN: Self = Self {
         request_id: "umberpond-request-id",
+        call_separator: Some(b'.'),
         is_echoed: false,
         caller_key: Some("idempotency-key"),
         deadline_millis: "umberpond-deadline",
--- a/crates/forwarding/src/hop/protocol.rs
+++ b/crates/forwarding/src/hop/protocol.rs
@@ -77,6 +77,7 @@
     patience: u64,
     service_time: u64,
     is_later_try: bool,
+    is_repeat: bool,
     pub(crate) body: HopBody,
 }
 
@@ -124,6 +125,7 @@
             patience: micros(attempt.patience),
             service_time: micros(attempt.service_time),
             is_later_try: attempt.is_later_try,
+            is_repeat: attempt.is_repeat,
             body,
         }
     }
@@ -150,6 +152,7 @@
             patience: Duration::from_micros(self.patience),
             service_time: Duration::from_micros(self.service_time),
             is_later_try: self.is_later_try,
+            is_repeat: self.is_repeat,
         }
     }
 }
--- a/crates/forwarding/src/inbound/back_end.rs
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -21,6 +21,7 @@
 use crate::dialect::Dialect;
 use crate::message::{Answer, AnswerBody, Attempt, AttemptResult, NotRun, RequestBody};
 use crate::outcome::{NotRunReason, UnknownReason};
+use crate::repeats::OpenRuns;
 use crate::upstream::{
     ExchangeEnd, ExchangeRequest, Exchanger, Health, MISDIRECTED, UpstreamPool, UpstreamSettings, ask_health,
 };
@@ -83,6 +84,7 @@
     /// Whether the rollout of the service leaves the back end's release any requests.
     is_release_open: AtomicBool,
     answers: Mutex<AnswerTally>,
+    runs: Arc<OpenRuns>,
 }
 
 impl std::fmt::Debug for Inbound {
@@ -113,6 +115,7 @@
             may_serve: AtomicBool::new(true),
             is_release_open: AtomicBool::new(true),
             answers: Mutex::default(),
+            runs: Arc::new(OpenRuns::new(dialect.call_separator)),
         }
     }
 
@@ -204,6 +207,11 @@
         self.link.window()
     }
 
+    /// The runs at the back end.
+    pub(crate) fn runs(&self) -> &OpenRuns {
+        &self.runs
+    }
+
     /// Serves one attempt. Dropping the future gives it up, also at the back end.
     pub(crate) async fn serve(&self, mut attempt: Attempt) -> AttemptResult {
         let (back_end, pool) = match self.target(&attempt) {
@@ -300,8 +308,10 @@
             deadline: attempt.deadline,
         };
         let exchanger = Exchanger { pool, dialect: &self.dialect };
+        let run = self.runs.begin(&attempt.id, attempt.is_repeat, attempt.deadline);
         match exchanger.run(&request, body).await {
             ExchangeEnd::Answered { status, mut fields, body } => {
+                run.end();
                 fields.remove_connection_fields();
                 permit.on_answered();
                 self.admission.record_answer(true);
@@ -312,6 +322,7 @@
                 AttemptResult::Answered(Answer { status, fields, body, served_in, waited, load })
             }
             ExchangeEnd::NotSent(reason) => {
+                run.end();
                 drop(permit);
                 self.withdraw(&attempt);
                 if reason == NotRunReason::BackEndUnreachable {
@@ -321,6 +332,7 @@
                 self.refused(&attempt, NotRun::before_back_end(reason))
             }
             ExchangeEnd::Rejected { status } => {
+                run.end();
                 drop(permit);
                 self.withdraw(&attempt);
                 let reason = if status == MISDIRECTED {
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -15,6 +15,7 @@
 mod message;
 mod outbound;
 mod outcome;
+mod repeats;
 mod routing;
 mod server;
 mod upstream;
--- a/crates/forwarding/src/message.rs
+++ b/crates/forwarding/src/message.rs
@@ -85,6 +85,8 @@
     pub service_time: Duration,
     /// Whether the caller has sent the request before, under another identity, and was refused.
     pub is_later_try: bool,
+    /// Whether it is sent again after it had reached a back end, or is a call of a run that was.
+    pub is_repeat: bool,
 }
 
 /// What is known about an attempt at its end.
--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -16,6 +16,7 @@
 use crate::inbound::millis;
 use crate::message::{Answer, Attempt, AttemptResult, NotRun, RequestBody};
 use crate::outcome::{NotRunReason, UnknownReason};
+use crate::repeats::CallOrigin;
 use crate::routing::CompiledRoute;
 
 /// Time that must be left for another attempt.
@@ -59,6 +60,7 @@
     pub(super) caller_time: Duration,
     /// Whether the caller has sent it before and was refused.
     pub(super) is_later_try: bool,
+    pub(super) origin: CallOrigin,
 }
 
 /// A request on its way through its attempts.
@@ -105,7 +107,7 @@
 
     /// Sends attempts until the request is answered or given up, at the latest when `cut_off` is reached.
     pub(super) async fn run(mut self, cut_off: impl Future<Output = ()>) -> Reply {
-        self.outbound.count_request(&self.request.service);
+        self.outbound.ledger.count_request(&self.request.service, self.request.origin);
         self.group = self.outbound.selector.lock().deal_release(&self.request.service);
         let answered = tokio::select! {
             biased;
@@ -198,6 +200,7 @@
             hold_until: self.hold_until,
             service_time: choice.service,
             is_later_try: request.is_later_try,
+            is_repeat: self.reached > 0 || request.origin == CallOrigin::RepeatedRun,
         }
     }
 
@@ -314,10 +317,16 @@
 
     /// Whether another back end may be given the request: by the route, the time left, the body and the budget.
     fn may_reach_another(&self) -> bool {
-        self.reached < self.request.route.attempts
-            && self.has_time()
-            && !self.request.body.is_spent()
-            && self.outbound.take_retry(&self.request.service)
+        let is_allowed =
+            self.reached < self.request.route.attempts && self.has_time() && !self.request.body.is_spent();
+        if !is_allowed {
+            return false;
+        }
+        let is_taken = self.outbound.ledger.take(&self.request.service);
+        if !is_taken {
+            self.tell_withheld();
+        }
+        is_taken
     }
 
     fn has_time(&self) -> bool {
@@ -363,9 +372,19 @@
         self.outbound.own_reply(reason, retry_after, Some(&self.request.id))
     }
 
+    fn tell_withheld(&self) {
+        self.outbound.telemetry.emit(Event::RetryWithheld {
+            request: text(&self.request.id),
+            service: self.request.service.clone(),
+            attempts: self.attempts(),
+            origin: self.request.origin.word(),
+        });
+    }
+
     fn tell_retry(&self, choice: &Choice, reason: &'static str) {
         self.outbound.telemetry.emit(Event::RequestSentAgain {
             request: text(&self.request.id),
+            service: self.request.service.clone(),
             after: choice.node.clone(),
             reason,
             attempts: self.attempts(),
--- a/crates/forwarding/src/outbound/state.rs
+++ b/crates/forwarding/src/outbound/state.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -17,9 +16,7 @@
 use umberpond_model::{Locality, NodeName, ServiceName, Version};
 use umberpond_net::Network;
 use umberpond_scheduling::LoadReport;
-use umberpond_selection::{
-    Endpoint, ReleaseShare, RetryBudget, RetryBudgetSettings, Selector, SelectorSettings,
-};
+use umberpond_selection::{Endpoint, ReleaseShare, RetryBudgetSettings, Selector, SelectorSettings};
 use umberpond_telemetry::{RequestDetail, Telemetry};
 
 use super::caller_times::CallerTimes;
@@ -27,6 +24,7 @@
 use crate::dialect::Dialect;
 use crate::hop::{HopPool, HopPoolSettings};
 use crate::inbound::Inbound;
+use crate::repeats::RetryLedger;
 use crate::routing::{RoutingTable, SplitSequences};
 
 /// Limits of the outbound half.
@@ -69,7 +67,6 @@
 /// The outbound half of one node.
 pub struct Outbound {
     pub(super) dialect: Dialect,
-    pub(super) settings: OutboundSettings,
     pub(super) telemetry: Telemetry,
     pub(super) inbound: Arc<Inbound>,
     pub(super) node: NodeName,
@@ -81,8 +78,7 @@
     told: Mutex<BTreeMap<ServiceName, Vec<Endpoint>>>,
     caller: ArcSwap<ServiceName>,
     pub(super) table: ArcSwapOption<RoutingTable>,
-    budgets: Mutex<BTreeMap<ServiceName, RetryBudget>>,
-    live_nodes: AtomicUsize,
+    pub(super) ledger: RetryLedger,
     pub(super) caller_times: Mutex<CallerTimes>,
     pub(super) splits: Mutex<SplitSequences>,
 }
@@ -124,19 +120,17 @@
         };
         Arc::new(Self {
             dialect,
+            ledger: RetryLedger::new(settings.retry_budget, telemetry.clone()),
             telemetry,
             inbound,
             hops: HopPool::new(network, hop_settings),
             selector: Mutex::new(Selector::new(identity.locality.clone(), settings.selector)),
             locality: identity.locality,
             told: Mutex::default(),
-            settings,
             random: Mutex::new(SmallRng::seed_from_u64(identity.seed)),
             node: identity.node,
             caller: ArcSwap::from_pointee(identity.caller),
             table: ArcSwapOption::empty(),
-            budgets: Mutex::default(),
-            live_nodes: AtomicUsize::new(1),
             caller_times: Mutex::default(),
             splits: Mutex::default(),
         })
@@ -233,7 +227,7 @@
 
     /// Sets the number of live nodes, which share the retry budget.
     pub fn set_live_nodes(&self, count: usize) {
-        self.live_nodes.store(count.max(1), Ordering::Relaxed);
+        self.ledger.set_live_nodes(count);
     }
 
     /// Closes connections that were idle too long.
@@ -263,24 +257,6 @@
         reply
     }
 
-    /// Counts a request for `service`.
-    pub(super) fn count_request(&self, service: &ServiceName) {
-        let now = Instant::now().into_std();
-        self.budgets
-            .lock()
-            .entry(service.clone())
-            .or_default()
-            .count_request(now, &self.settings.retry_budget);
-    }
-
-    /// Takes one repeat out of the budget of `service`; `false` if it is spent.
-    pub(super) fn take_retry(&self, service: &ServiceName) -> bool {
-        let now = Instant::now().into_std();
-        let nodes = self.live_nodes.load(Ordering::Relaxed);
-        let mut budgets = self.budgets.lock();
-        budgets.entry(service.clone()).or_default().take(now, nodes, &self.settings.retry_budget)
-    }
-
     /// Whether `address` is this node's own.
     pub(super) fn is_own(&self, node: &NodeName, _address: SocketAddr) -> bool {
         *node == self.node
--- a/crates/forwarding/tests/support/mod.rs
+++ b/crates/forwarding/tests/support/mod.rs
@@ -29,6 +29,7 @@
 /// Names like those of a platform with signatures.
 pub const DIALECT: Dialect = Dialect {
     request_id: "umberpond-request",
+    call_separator: Some(b'.'),
     is_echoed: true,
     caller_key: Some("x-key"),
     deadline_millis: "umberpond-deadline",
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -119,12 +119,16 @@
         = 4021, Info, "request-given-up", "The caller was told that its request did not run, or may have run, for the reason given.";
     RequestTurnedAway { request: String, reason: &'static str }
         = 4022, Info, "request-turned-away", "A request was answered without an attempt: there is no configuration, or no route takes it.";
-    RequestSentAgain { request: String, after: NodeName, reason: &'static str, attempts: u32 }
+    RequestSentAgain { request: String, service: ServiceName, after: NodeName, reason: &'static str, attempts: u32 }
         = 4023, Info, "request-sent-again", "An attempt ended without a usable answer, and another one follows.";
     AdmissionRefused { request: String, service: ServiceName, reason: &'static str, running: u32, waiting: u32, slots: u32, patience_millis: u64 }
         = 4024, Info, "admission-refused", "The node beside the back end refused a request; it has not run.";
     ExchangeLost { request: String, instance: String, reason: &'static str, elapsed_millis: u64 }
         = 4025, Info, "exchange-lost", "A request was handed to the back end and no sound answer came back.";
+    RetryWithheld { request: String, service: ServiceName, attempts: u32, origin: &'static str }
+        = 4026, Info, "retry-withheld", "The retry budget of the service is spent at this node: the request is not sent again. `origin` tells whether a caller has made it, or a first or repeated run at the back end beside this node.";
+    RetriesCounted { service: ServiceName, requests: u64, repeats: u64, repeated_calls: u64, withheld: u64, nodes: u64, period_millis: u64 }
+        = 4027, Info, "retries-counted", "What this node has counted of a service in the period, if any of it was a repeat: requests, requests sent to another back end after they had reached one, calls of runs that were repeats, repeats that the budget did not allow, and the nodes that share the budget.";
 
     // Store
     PlatformUnavailable { operation: &'static str, reason: String }
