Tests that fail: calls of repeated runs, and restarts, overspend the retry budget

Ten nodes over a virtual network, two services, back ends that turn requests away and runs that fail for want of their calls. Arrivals are counted as the rule does: beyond the first of each request, and calls of runs that were repeats; requests of the window, the one before or half a window before. The method that tells how many nodes share the budget is renamed, no logic changes.

--- a/crates/daemon/src/membership/actor.rs
+++ b/crates/daemon/src/membership/actor.rs
@@ -232,7 +232,7 @@
             return;
         }
         self.follow_plans(Instant::now().into_std());
-        self.outbound.set_live_nodes(self.membership.reachable_count() + 1);
+        self.outbound.set_sharing_nodes(self.membership.reachable_count() + 1);
         let endpoints = self.told.update(&self.membership, &self.outbound);
         self.telemetry.metrics().set_endpoints(endpoints);
         let members = self.membership.members().count() as u64 + 1;
--- a/crates/forwarding/src/outbound/state.rs
+++ b/crates/forwarding/src/outbound/state.rs
@@ -226,8 +226,8 @@
     }
 
     /// Sets the number of live nodes, which share the retry budget.
-    pub fn set_live_nodes(&self, count: usize) {
-        self.ledger.set_live_nodes(count);
+    pub fn set_sharing_nodes(&self, count: usize) {
+        self.ledger.set_sharing_nodes(count);
     }
 
     /// Closes connections that were idle too long.
--- a/crates/forwarding/src/repeats/ledger.rs
+++ b/crates/forwarding/src/repeats/ledger.rs
@@ -54,7 +54,7 @@
     }
 
     /// Sets the number of live nodes, which share the budget.
-    pub(crate) fn set_live_nodes(&self, count: usize) {
+    pub(crate) fn set_sharing_nodes(&self, count: usize) {
         self.live_nodes.store(count.max(1), Ordering::Relaxed);
     }
 
--- /dev/null
+++ b/crates/forwarding/tests/support/fleet.rs
@@ -0,0 +1,370 @@
+//! Nodes with back ends of two services: the runs of `desk` make calls to `ledger`, whose back ends turn requests away.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::io::AsyncWriteExt;
+use tokio::time::{Instant, sleep, sleep_until};
+use umberpond_config::{RequestClass, Route, RoutePolicy, Service, Snapshot};
+use umberpond_forwarding::{
+    BackEnd, Inbound, InboundSettings, OpenedSecrets, Outbound, OutboundIdentity, OutboundSettings,
+    RoutingTable, ServerControl, serve_inbound, serve_outbound,
+};
+use umberpond_http1::{MessageReader, ReadLimits};
+use umberpond_model::{Millis, ServiceName, Version};
+use umberpond_net::{BoxStream, Network};
+use umberpond_selection::{Endpoint, RetryBudgetSettings};
+use umberpond_telemetry::{MemoryRecorder, Telemetry};
+use umberpond_virtual_network::SimNetwork;
+
+use super::caller::Caller;
+use super::{BACK_END_PORT, DIALECT, host, locality, name, route};
+
+/// What all nodes together may repeat.
+pub fn budget() -> RetryBudgetSettings {
+    let window = Duration::from_secs(10);
+    RetryBudgetSettings { ratio: 0.2, extra: 20.0, window, ..RetryBudgetSettings::default() }
+}
+
+/// Requests that a back end works on at once.
+const SLOTS: u32 = 12;
+/// Nodes beside back ends of `desk`; those of `ledger` follow.
+const DESKS: usize = 6;
+const LEDGERS: usize = 4;
+/// Calls of a run, made together; a part of the runs makes none.
+const CALLS: usize = 4;
+/// Of ten runs at `desk` so many make calls.
+const CALLING_RUNS: usize = 3;
+/// Time after its start in which a node doesn't know the others.
+const LONELY_TIME: Duration = Duration::from_millis(400);
+
+/// What the back ends saw and the callers sent.
+#[derive(Debug, Default)]
+pub struct History {
+    /// When a request for `ledger` was sent.
+    pub requests: Vec<Instant>,
+    /// When a request arrived at `ledger` beyond the first time, or as a call of a repeated run.
+    pub repeats: Vec<Instant>,
+    /// Of these, the calls of repeated runs.
+    pub repeated_calls: usize,
+    /// Answers by status.
+    pub statuses: HashMap<u16, usize>,
+    arrivals: HashMap<String, usize>,
+    runs: HashMap<String, usize>,
+    rejections: usize,
+}
+
+struct Shared {
+    history: Mutex<History>,
+    /// Of twenty requests the back ends of `ledger` turn so many away.
+    turned_away: AtomicUsize,
+}
+
+struct Node {
+    outbound: Arc<Outbound>,
+    at: SocketAddr,
+    endpoint: Endpoint,
+    inbound: Arc<Inbound>,
+    lives: u16,
+}
+
+/// Nodes of two services.
+#[derive(Clone)]
+pub struct Fleet {
+    network: SimNetwork,
+    nodes: Arc<Mutex<Vec<Node>>>,
+    shared: Arc<Shared>,
+    telemetry: Telemetry,
+}
+
+impl Fleet {
+    pub async fn start() -> Self {
+        let fleet = Self {
+            network: SimNetwork::new(7, |_, _| Millis(1)),
+            nodes: Arc::default(),
+            shared: Arc::new(Shared { history: Mutex::default(), turned_away: AtomicUsize::new(0) }),
+            telemetry: Telemetry::to_observer(Arc::new(MemoryRecorder::default()) as _),
+        };
+        for number in 0..DESKS + LEDGERS {
+            fleet.serve_back_end(number).await;
+            let node = fleet.start_node(number, 1).await;
+            fleet.nodes.lock().push(node);
+        }
+        fleet.tell_endpoints();
+        fleet.tell_count();
+        fleet
+    }
+
+    pub fn count(&self) -> usize {
+        DESKS + LEDGERS
+    }
+
+    /// Of twenty requests the back ends of `ledger` turn `count` away from now on.
+    pub fn turn_away(&self, count: usize) {
+        self.shared.turned_away.store(count, Ordering::Relaxed);
+    }
+
+    pub fn history<T>(&self, look: impl FnOnce(&History) -> T) -> T {
+        look(&self.shared.history.lock())
+    }
+
+    /// Ends the process of a node and starts it again: it forgets everything, and for a moment knows no other node.
+    pub async fn restart(&self, number: usize) {
+        let lives = {
+            let nodes = self.nodes.lock();
+            nodes[number].inbound.close();
+            nodes[number].lives + 1
+        };
+        let node = self.start_node(number, lives).await;
+        self.nodes.lock()[number] = node;
+        self.tell_endpoints();
+        let fleet = self.clone();
+        tokio::spawn(async move {
+            sleep(LONELY_TIME).await;
+            fleet.tell_count();
+        });
+    }
+
+    /// Sends requests at an even pace until `end`, each to the next node.
+    pub async fn send_until(&self, path: &'static str, per_second: u32, end: Instant) {
+        let mut next = Instant::now();
+        let mut number = 0;
+        while next < end {
+            sleep_until(next).await;
+            next += Duration::from_secs(1) / per_second;
+            number += 1;
+            let fleet = self.clone();
+            let id = format!("{}{number}", &path[1..2]);
+            tokio::spawn(async move { fleet.send(path, &id, number % fleet.count()).await });
+        }
+    }
+
+    async fn send(&self, path: &str, id: &str, node: usize) {
+        if path.starts_with("/ledger") {
+            self.shared.history.lock().requests.push(Instant::now());
+        }
+        let status = self.ask(path, id, node).await;
+        *self.shared.history.lock().statuses.entry(status).or_default() += 1;
+    }
+
+    async fn ask(&self, path: &str, id: &str, node: usize) -> u16 {
+        let at = self.nodes.lock()[node].at;
+        let mut caller = Caller::connect(&self.network.host(host(address_of(node))), at).await;
+        caller.send(path, id).await;
+        caller.read().await.map_or(0, |answer| answer.status)
+    }
+
+    fn tell_endpoints(&self) {
+        let nodes = self.nodes.lock();
+        for service in ["desk", "ledger"] {
+            let of_service = nodes.iter().enumerate().filter(|(number, _)| service_of(*number) == service);
+            let endpoints: Vec<Endpoint> = of_service.map(|(_, node)| node.endpoint.clone()).collect();
+            for node in &*nodes {
+                node.outbound.set_endpoints(&name::<ServiceName>(service), endpoints.clone());
+            }
+        }
+    }
+
+    fn tell_count(&self) {
+        for node in &*self.nodes.lock() {
+            node.outbound.set_sharing_nodes(self.count());
+        }
+    }
+
+    async fn start_node(&self, number: usize, lives: u16) -> Node {
+        let network = self.network.host(host(address_of(number)));
+        let inbound = Arc::new(Inbound::new(
+            DIALECT,
+            InboundSettings::default(),
+            Arc::clone(&network),
+            self.telemetry.clone(),
+        ));
+        let identity = OutboundIdentity {
+            node: name(&format!("node-{number}")),
+            locality: locality(),
+            caller: name(service_of(number)),
+            seed: number as u64 * 100 + u64::from(lives),
+        };
+        let settings = OutboundSettings { retry_budget: budget(), ..OutboundSettings::default() };
+        let outbound = Outbound::new(
+            identity,
+            DIALECT,
+            settings,
+            Arc::clone(&network),
+            self.telemetry.clone(),
+            Arc::clone(&inbound),
+        );
+        let instance = format!("life-{number}");
+        let back_end = BackEnd {
+            instance: instance.clone(),
+            service: name(service_of(number)),
+            release: None,
+            address: SocketAddr::new(host(address_of(number)), BACK_END_PORT),
+            slots: SLOTS,
+        };
+        inbound.open(back_end);
+        let inbound_at = SocketAddr::new(host(address_of(number)), 200 + 2 * lives);
+        let at = SocketAddr::new(host(address_of(number)), 201 + 2 * lives);
+        let listener = network.listen(inbound_at).await.unwrap();
+        tokio::spawn(serve_inbound(listener, Arc::clone(&inbound), self.telemetry.clone()));
+        let listener = network.listen(at).await.unwrap();
+        let control = ServerControl::default();
+        tokio::spawn(serve_outbound(listener, Arc::clone(&outbound), control, self.telemetry.clone()));
+        let table =
+            RoutingTable::compile(Version(1), &snapshot(), &OpenedSecrets::new(), &name(service_of(number)));
+        outbound.activate(Arc::new(table.unwrap())).unwrap();
+        let endpoint = Endpoint {
+            node: name(&format!("node-{number}")),
+            address: inbound_at,
+            locality: locality(),
+            instance,
+            release: None,
+            slots: SLOTS,
+            is_cold: false,
+        };
+        Node { outbound, at, endpoint, inbound, lives }
+    }
+
+    async fn serve_back_end(&self, number: usize) {
+        let at = SocketAddr::new(host(address_of(number)), BACK_END_PORT);
+        let mut listener = self.network.host(host(address_of(number))).listen(at).await.unwrap();
+        let fleet = self.clone();
+        tokio::spawn(async move {
+            loop {
+                let (stream, _peer) = listener.accept().await.unwrap();
+                tokio::spawn(fleet.clone().serve_connection(number, stream));
+            }
+        });
+    }
+
+    async fn serve_connection(self, number: usize, stream: BoxStream) {
+        let (reader, mut writer) = tokio::io::split(stream);
+        let mut reader = MessageReader::new(reader);
+        let limits = ReadLimits { head_bytes: 64 * 1024, head_time: Duration::from_secs(60) };
+        while let Ok(Some(head)) = reader.request_head(limits).await {
+            let id = head.fields.text("umberpond-request").unwrap_or_default().to_owned();
+            let answer = match service_of(number) {
+                "desk" => self.run_at_desk(number, &id).await,
+                _ => self.run_at_ledger(&id).await,
+            };
+            if writer.write_all(answer.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Makes the calls of a run; the run fails if one of them does.
+    async fn run_at_desk(&self, number: usize, id: &str) -> String {
+        let runs = {
+            let mut history = self.shared.history.lock();
+            let runs = history.runs.entry(id.to_owned()).or_default();
+            *runs += 1;
+            *runs
+        };
+        sleep(Duration::from_millis(20)).await;
+        let digits: String = id.chars().filter(char::is_ascii_digit).collect();
+        let makes_calls = digits.parse::<usize>().unwrap_or_default() % 10 < CALLING_RUNS;
+        let calls = if makes_calls { CALLS } else { 0 };
+        let mut calling = Vec::new();
+        for call in 0..calls {
+            let (fleet, id) = (self.clone(), format!("{id}.run{runs}call{call}"));
+            calling.push(tokio::spawn(async move {
+                fleet.shared.history.lock().requests.push(Instant::now());
+                fleet.ask("/ledger/check/", &id, number).await
+            }));
+        }
+        let mut is_whole = true;
+        for called in calling {
+            is_whole &= called.await.unwrap() == 200;
+        }
+        answer(if is_whole { 200 } else { 500 }, id)
+    }
+
+    /// Turns a part of the requests away.
+    async fn run_at_ledger(&self, id: &str) -> String {
+        let is_rejected = {
+            let mut history = self.shared.history.lock();
+            let arrivals = history.arrivals.entry(id.to_owned()).or_default();
+            *arrivals += 1;
+            let is_later = *arrivals > 1;
+            let is_call_of_repeat = id.contains(".run") && !id.contains(".run1");
+            if is_later || is_call_of_repeat {
+                history.repeats.push(Instant::now());
+                history.repeated_calls += usize::from(is_call_of_repeat);
+            }
+            history.rejections += self.shared.turned_away.load(Ordering::Relaxed);
+            let is_rejected = history.rejections >= 20;
+            history.rejections %= 20;
+            is_rejected
+        };
+        if is_rejected {
+            return "HTTP/1.1 503 Full\r\numberpond-rejected: 1\r\nContent-Length: 0\r\n\r\n".to_owned();
+        }
+        sleep(Duration::from_millis(15)).await;
+        answer(200, id)
+    }
+}
+
+impl History {
+    /// The window with the most repeats beyond what is allowed, as repeats, requests and what is allowed. The requests are those of the
+    /// window, of the one before it or of the one half a window before it, whichever are most.
+    pub fn worst_window(&self, budget: &RetryBudgetSettings) -> (usize, usize, f64) {
+        let count = |times: &[Instant], from: Instant| {
+            times.iter().filter(|at| **at >= from && **at < from + budget.window).count()
+        };
+        let windows = self.repeats.iter().map(|from| {
+            let requests = [Duration::ZERO, budget.window / 2, budget.window]
+                .map(|earlier| count(&self.requests, *from - earlier))
+                .into_iter()
+                .max()
+                .unwrap_or_default();
+            let allowed = budget.ratio * f64::from(u32::try_from(requests).unwrap()) + budget.extra;
+            (count(&self.repeats, *from), requests, allowed)
+        });
+        let excess = |window: &(usize, usize, f64)| f64::from(u32::try_from(window.0).unwrap()) - window.2;
+        windows.max_by(|one, other| excess(one).total_cmp(&excess(other))).unwrap_or_default()
+    }
+}
+
+fn service_of(number: usize) -> &'static str {
+    if number < DESKS { "desk" } else { "ledger" }
+}
+
+fn address_of(number: usize) -> u8 {
+    10 + u8::try_from(number).unwrap()
+}
+
+fn answer(status: u16, id: &str) -> String {
+    format!("HTTP/1.1 {status} Said\r\numberpond-request: {id}\r\nx-proof: p\r\nContent-Length: 2\r\n\r\nok")
+}
+
+fn snapshot() -> Snapshot {
+    let mut snapshot = Snapshot::default();
+    for service in ["desk", "ledger"] {
+        let service = Service {
+            name: name(service),
+            allowed: Vec::new(),
+            slots: 0,
+            connections: 100,
+            seal_key: None,
+            health_path: None,
+        };
+        snapshot.services.insert(service.name.clone(), umberpond_config::Entry::new(service));
+    }
+    for (prefix, service, is_idempotent) in
+        [("/desk/", "desk", true), ("/ledger/check/", "ledger", true), ("/ledger/book/", "ledger", false)]
+    {
+        let route = Route {
+            service: name(service),
+            policy: RoutePolicy { attempts: 3, objective: Some(Millis(500)), priority: Some(1) },
+            class: RequestClass::Status,
+            ..route(prefix, is_idempotent)
+        };
+        snapshot.routes.insert(route.name.clone(), umberpond_config::Entry::new(route));
+    }
+    snapshot
+}
