The retry budget holds over all nodes: calls of repeated runs are paid for, and a process that starts has saved nothing

Cause: each node spent half of the allowance in a window of its own, and the other half was to cover what it could not see. Class: a shared limit kept by local windows, with a constant in place of an account.

Ruled out: attempts counted as free that had arrived (the counts of back ends and nodes agree); a smaller spent share (costs callers everywhere, and a longer chain or another restart exceeds it again); leases from the store.

Now a request earns half of the ratio and a node saves at most the other half of its last window's, so the parts fit whatever restarts, is cut off or moves; the extra is divided by all nodes known, and comes in by and by. A call of a repeated run pays for its arrival or is refused as not run, and a repeat whose calls nobody could pay for is not begun: its caller gets the failure that the first back end answered, not 502.

The budget test of the request path checks an exact band in place of 120 to 131.

--- a/crates/daemon/src/membership/actor.rs
+++ b/crates/daemon/src/membership/actor.rs
@@ -122,6 +122,7 @@
             }
             MembershipMessage::Joined => {
                 self.has_joined = true;
+                self.tell_sharing_nodes();
                 Vec::new()
             }
             MembershipMessage::BackEnd(back_end) => self.membership.set_back_end(now, back_end),
@@ -223,6 +224,14 @@
         }
     }
 
+    /// Tells the request path who shares the retry budgets: all nodes that are known, since those that can't be reached from here spend their parts
+    /// too. Before the store has named the others that isn't known.
+    fn tell_sharing_nodes(&self) {
+        if self.has_joined {
+            self.outbound.set_sharing_nodes(self.membership.members().count() + 1);
+        }
+    }
+
     /// Tells the request path what has changed: at once if somebody takes no requests any more, otherwise with the next
     /// tick, so that many that come together are told together.
     fn tell_changes(&mut self, is_tick: bool) {
@@ -232,7 +241,7 @@
             return;
         }
         self.follow_plans(Instant::now().into_std());
-        self.outbound.set_sharing_nodes(self.membership.reachable_count() + 1);
+        self.tell_sharing_nodes();
         let endpoints = self.told.update(&self.membership, &self.outbound);
         self.telemetry.metrics().set_endpoints(endpoints);
         let members = self.membership.members().count() as u64 + 1;
--- a/crates/daemon/src/settings/load.rs
+++ b/crates/daemon/src/settings/load.rs
@@ -174,7 +174,7 @@
     let ratio = reader.decimal("retries.ratio", 0, GREATEST_RATIO, default.ratio);
     let extra = reader.decimal("retries.extra", 0, GREATEST_EXTRA, default.extra);
     let window = reader.duration("retries.window", default.window);
-    Some(RetryBudgetSettings { ratio: ratio?, extra: extra?, window: window?, ..default })
+    Some(RetryBudgetSettings { ratio: ratio?, extra: extra?, window: window? })
 }
 
 /// Bounds of rollouts, in which the node may take no part; `None` if a setting has a fault.
--- a/crates/forwarding/src/inbound/back_end.rs
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -1,8 +1,8 @@
 //! What is known of the back end beside this node, and how a request gets to it.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -21,7 +21,7 @@
 use crate::dialect::Dialect;
 use crate::message::{Answer, AnswerBody, Attempt, AttemptResult, NotRun, RequestBody};
 use crate::outcome::{NotRunReason, UnknownReason};
-use crate::repeats::OpenRuns;
+use crate::repeats::{OpenRuns, RetryLedger};
 use crate::upstream::{
     ExchangeEnd, ExchangeRequest, Exchanger, Health, MISDIRECTED, UpstreamPool, UpstreamSettings, ask_health,
 };
@@ -85,6 +85,8 @@
     is_release_open: AtomicBool,
     answers: Mutex<AnswerTally>,
     runs: Arc<OpenRuns>,
+    /// The budgets that pay for the calls of repeated runs.
+    ledger: OnceLock<Arc<RetryLedger>>,
 }
 
 impl std::fmt::Debug for Inbound {
@@ -116,6 +118,7 @@
             is_release_open: AtomicBool::new(true),
             answers: Mutex::default(),
             runs: Arc::new(OpenRuns::new(dialect.call_separator)),
+            ledger: OnceLock::new(),
         }
     }
 
@@ -207,6 +210,11 @@
         self.link.window()
     }
 
+    /// Sets the budgets that pay for the calls of repeated runs; they stay the same.
+    pub(crate) fn set_ledger(&self, ledger: Arc<RetryLedger>) {
+        let _ = self.ledger.set(ledger);
+    }
+
     /// The runs at the back end.
     pub(crate) fn runs(&self) -> &OpenRuns {
         &self.runs
@@ -218,6 +226,9 @@
             Ok(target) => target,
             Err(reason) => return self.refused(&attempt, NotRun::before_back_end(reason)),
         };
+        if !self.bears_calls_of(&attempt) {
+            return self.refused(&attempt, NotRun::before_back_end(NotRunReason::RetryBudget));
+        }
         if let Err(reason) = self.admit_once(&attempt) {
             self.telemetry.emit(Event::DuplicateRefused { request: text(&attempt.id) });
             return AttemptResult::Unknown(reason);
@@ -230,9 +241,24 @@
                 return self.refused(&attempt, not_admitted(refusal));
             }
         };
+        // Others may have begun while this one waited.
+        if !self.bears_calls_of(&attempt) {
+            drop(permit);
+            self.withdraw(&attempt);
+            return self.refused(&attempt, NotRun::before_back_end(NotRunReason::RetryBudget));
+        }
         self.hand_over(attempt, &back_end, &pool, permit, arrived.elapsed()).await
     }
 
+    /// Whether the calls that a repeated run would make are paid for. Without them it would fail, and hold a slot until then.
+    fn bears_calls_of(&self, attempt: &Attempt) -> bool {
+        if !attempt.is_repeat {
+            return true;
+        }
+        let Some(ledger) = self.ledger.get() else { return true };
+        ledger.bears_calls(attempt.route, self.runs.repeated_runs(attempt.route) + 1)
+    }
+
     /// Waits for a slot; a request whose body comes over the link waits for its turn there first, so that it holds no
     /// slot meanwhile.
     async fn admit(&self, attempt: &mut Attempt) -> Result<Permit, Refusal> {
@@ -308,10 +334,13 @@
             deadline: attempt.deadline,
         };
         let exchanger = Exchanger { pool, dialect: &self.dialect };
-        let run = self.runs.begin(&attempt.id, attempt.is_repeat, attempt.deadline);
+        let run = self.runs.begin(&attempt);
         match exchanger.run(&request, body).await {
             ExchangeEnd::Answered { status, mut fields, body } => {
-                run.end();
+                let calls = run.end();
+                if let Some(ledger) = self.ledger.get() {
+                    ledger.record_calls(attempt.route, &calls);
+                }
                 fields.remove_connection_fields();
                 permit.on_answered();
                 self.admission.record_answer(true);
--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -11,12 +11,13 @@
 use umberpond_telemetry::{Event, RequestDetail};
 
 use super::come_back::come_back_within;
+use super::failed_answer::FailedAnswer;
 use super::reply::{Reply, ReplyReason, Served};
 use super::state::Outbound;
 use crate::inbound::millis;
 use crate::message::{Answer, Attempt, AttemptResult, NotRun, RequestBody};
 use crate::outcome::{NotRunReason, UnknownReason};
-use crate::repeats::CallOrigin;
+use crate::repeats::{CallOrigin, RetryGrant};
 use crate::routing::CompiledRoute;
 
 /// Time that must be left for another attempt.
@@ -78,6 +79,10 @@
     free_attempts: u32,
     /// Why an earlier attempt may have run, if one may.
     may_have_run: Option<UnknownReason>,
+    /// A repeat that is paid for and has not arrived yet.
+    grant: Option<RetryGrant>,
+    /// The failure that a back end answered, for the case that nothing better comes.
+    failure: Option<FailedAnswer>,
 }
 
 /// How an attempt ended, as far as the next step is concerned.
@@ -102,6 +107,8 @@
             reached: 0,
             free_attempts: 0,
             may_have_run: None,
+            grant: None,
+            failure: None,
         }
     }
 
@@ -118,6 +125,9 @@
     }
 
     async fn send_all(&mut self) -> Reply {
+        if self.request.origin == CallOrigin::RepeatedRun && !self.take_retry(true) {
+            return self.not_run(NotRun::before_back_end(NotRunReason::RetryBudget));
+        }
         let mut last = NotRun::before_back_end(NotRunReason::NoEndpoint);
         loop {
             let Some(choice) = self.choose_in_turn() else { return self.not_run(last) };
@@ -243,7 +253,7 @@
         self.group = ReleaseGroup::Others;
         match result {
             AttemptResult::Answered(answer) => {
-                self.reached += 1;
+                self.on_reached();
                 self.on_answer(choice, answer)
             }
             AttemptResult::NotRun(not_run) => {
@@ -251,20 +261,31 @@
                 self.on_not_run(choice, not_run)
             }
             AttemptResult::Unknown(reason) => {
-                self.reached += 1;
+                self.on_reached();
                 self.may_have_run = Some(reason);
                 self.on_unknown(choice, reason)
             }
         }
     }
 
+    fn on_reached(&mut self) {
+        self.reached += 1;
+        self.grant = None;
+    }
+
     fn on_answer(&mut self, choice: &Choice, answer: Answer) -> Next {
         let is_worth_repeating = matches!(answer.status, 500 | 502 | 503) && self.request.route.is_idempotent;
         if is_worth_repeating && self.may_reach_another() {
             self.may_have_run = Some(UnknownReason::AnswerSpoiled);
             self.tell_retry(choice, "failed-answer");
+            self.failure = FailedAnswer::keep(&choice.node, answer);
             return Next::TryAgain;
         }
+        Next::Reply(self.answer(&choice.node, answer))
+    }
+
+    /// Passes the answer of a back end on.
+    fn answer(&self, node: &NodeName, answer: Answer) -> Reply {
         let metrics = self.outbound.telemetry.metrics();
         metrics.request("answered", RequestDetail::Status(answer.status));
         metrics.request_time(self.request.arrived.elapsed().as_secs_f64());
@@ -272,7 +293,7 @@
             request: text(&self.request.id),
             route: self.request.route.name.clone(),
             service: self.request.service.clone(),
-            node: choice.node.clone(),
+            node: node.clone(),
             status: answer.status,
             attempts: self.attempts(),
             version: self.request.version,
@@ -281,16 +302,16 @@
             served_millis: millis(answer.served_in),
         });
         let served = Served {
-            node: &choice.node,
-            locality: self.outbound.locality_of(&self.request.service, &choice.node),
+            node,
+            locality: self.outbound.locality_of(&self.request.service, node),
             version: self.request.version,
         };
-        Next::Reply(Reply::of_answer(answer, self.outbound.dialect.marks.as_ref(), &served))
+        Reply::of_answer(answer, self.outbound.dialect.marks.as_ref(), &served)
     }
 
     fn on_not_run(&mut self, choice: &Choice, not_run: NotRun) -> Next {
         if not_run.reached_back_end {
-            self.reached += 1;
+            self.on_reached();
         } else {
             self.free_attempts += 1;
         }
@@ -299,34 +320,37 @@
         } else {
             self.has_time() && self.free_attempts <= MAX_FREE_ATTEMPTS && !self.request.body.is_spent()
         };
-        if is_allowed && not_run.reason != NotRunReason::DeadlineBeforeRun {
+        let is_final = matches!(not_run.reason, NotRunReason::DeadlineBeforeRun | NotRunReason::RetryBudget);
+        if is_allowed && !is_final {
             self.tell_retry(choice, "not-run");
             return Next::TryAgain;
         }
         Next::Reply(self.not_run(not_run))
     }
 
-    fn on_unknown(&self, choice: &Choice, reason: UnknownReason) -> Next {
+    fn on_unknown(&mut self, choice: &Choice, reason: UnknownReason) -> Next {
         let is_retried = self.request.route.is_idempotent && reason != UnknownReason::TimedOut;
         if is_retried && self.may_reach_another() {
             self.tell_retry(choice, "lost-answer");
             return Next::TryAgain;
         }
-        Next::Reply(self.reply(ReplyReason::Unknown(reason), None))
+        Next::Reply(self.unknown(reason))
     }
 
     /// Whether another back end may be given the request: by the route, the time left, the body and the budget.
-    fn may_reach_another(&self) -> bool {
+    fn may_reach_another(&mut self) -> bool {
         let is_allowed =
             self.reached < self.request.route.attempts && self.has_time() && !self.request.body.is_spent();
-        if !is_allowed {
-            return false;
-        }
-        let is_taken = self.outbound.ledger.take(&self.request.service);
-        if !is_taken {
+        is_allowed && self.take_retry(false)
+    }
+
+    /// Takes a repeat out of the budget of the service.
+    fn take_retry(&mut self, is_first_arrival: bool) -> bool {
+        self.grant = self.outbound.ledger.take(&self.request.service, is_first_arrival);
+        if self.grant.is_none() {
             self.tell_withheld();
         }
-        is_taken
+        self.grant.is_some()
     }
 
     fn has_time(&self) -> bool {
@@ -339,14 +363,28 @@
     }
 
     /// The answer to a request that did not run on its last attempt: a promise, unless it may have run earlier.
-    fn not_run(&self, not_run: NotRun) -> Reply {
+    fn not_run(&mut self, not_run: NotRun) -> Reply {
+        if let Some(grant) = self.grant.take() {
+            grant.give_back();
+        }
         if let Some(reason) = self.may_have_run {
-            return self.reply(ReplyReason::Unknown(reason), None);
+            return self.unknown(reason);
         }
         let come_back = self.come_back(not_run);
         self.reply(ReplyReason::NotRun(not_run.reason), Some(come_back))
     }
 
+    /// The answer to a request that may have run: the failure that a back end has answered, if one has.
+    fn unknown(&mut self, reason: UnknownReason) -> Reply {
+        match self.failure.take() {
+            Some(failure) => {
+                let node = failure.node.clone();
+                self.answer(&node, failure.into_answer())
+            }
+            None => self.reply(ReplyReason::Unknown(reason), None),
+        }
+    }
+
     /// When the caller of a request that did not run does best to send it again.
     fn come_back(&self, not_run: NotRun) -> Duration {
         let soonest = not_run.retry_after.unwrap_or(COME_BACK);
@@ -413,6 +451,8 @@
     match (not_run.reason, not_run.load) {
         (NotRunReason::NodeUnreachable | NotRunReason::WrongInstance | NotRunReason::Draining, _)
         | (NotRunReason::BackEndUnreachable, _) => Observation::Unreachable,
+        // It says nothing of the back end's load.
+        (NotRunReason::RetryBudget, _) => Observation::Abandoned,
         (_, Some(load)) => Observation::Refused(load),
         (_, None) => Observation::Abandoned,
     }
--- /dev/null
+++ b/crates/forwarding/src/outbound/failed_answer.rs
@@ -0,0 +1,39 @@
+//! A failure that a back end has answered, kept while the request is tried elsewhere.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use umberpond_http1::Fields;
+use umberpond_model::NodeName;
+use umberpond_scheduling::LoadReport;
+
+use crate::message::{Answer, AnswerBody};
+
+/// A failure that a back end has answered, with its whole body. It goes to the caller if nothing better comes: the service's own word tells
+/// more than this node's.
+#[derive(Debug)]
+pub(super) struct FailedAnswer {
+    /// Node beside the back end.
+    pub(super) node: NodeName,
+    status: u16,
+    fields: Fields,
+    body: Bytes,
+    served_in: Duration,
+    waited: Duration,
+    load: LoadReport,
+}
+
+impl FailedAnswer {
+    /// Keeps `answer`; absent if its body has not come whole.
+    pub(super) fn keep(node: &NodeName, answer: Answer) -> Option<Self> {
+        let Answer { status, fields, body, served_in, waited, load } = answer;
+        let AnswerBody::Whole(body) = body else { return None };
+        Some(Self { node: node.clone(), status, fields, body, served_in, waited, load })
+    }
+
+    /// The answer as it came.
+    pub(super) fn into_answer(self) -> Answer {
+        let Self { node: _, status, fields, body, served_in, waited, load } = self;
+        Answer { status, fields, body: AnswerBody::Whole(body), served_in, waited, load }
+    }
+}
--- a/crates/forwarding/src/outbound/mod.rs
+++ b/crates/forwarding/src/outbound/mod.rs
@@ -3,6 +3,7 @@
 mod attempts;
 mod caller_times;
 mod come_back;
+mod failed_answer;
 mod handler;
 mod reply;
 mod state;
--- a/crates/forwarding/src/outbound/state.rs
+++ b/crates/forwarding/src/outbound/state.rs
@@ -78,7 +78,7 @@
     told: Mutex<BTreeMap<ServiceName, Vec<Endpoint>>>,
     caller: ArcSwap<ServiceName>,
     pub(super) table: ArcSwapOption<RoutingTable>,
-    pub(super) ledger: RetryLedger,
+    pub(super) ledger: Arc<RetryLedger>,
     pub(super) caller_times: Mutex<CallerTimes>,
     pub(super) splits: Mutex<SplitSequences>,
 }
@@ -118,9 +118,11 @@
             idle_time: settings.idle_time,
             idle_per_node: settings.idle_per_node,
         };
+        let ledger = Arc::new(RetryLedger::new(settings.retry_budget, telemetry.clone()));
+        inbound.set_ledger(Arc::clone(&ledger));
         Arc::new(Self {
             dialect,
-            ledger: RetryLedger::new(settings.retry_budget, telemetry.clone()),
+            ledger,
             telemetry,
             inbound,
             hops: HopPool::new(network, hop_settings),
@@ -225,7 +227,8 @@
         self.selector.lock().on_report(service, node, report);
     }
 
-    /// Sets the number of live nodes, which share the retry budget.
+    /// Sets the number of nodes that share the retry budgets, this one included, also those that can't be reached now: they spend their
+    /// parts too. Until it is set, this node has no part of what is allowed beside the requests.
     pub fn set_sharing_nodes(&self, count: usize) {
         self.ledger.set_sharing_nodes(count);
     }
--- a/crates/forwarding/src/outcome.rs
+++ b/crates/forwarding/src/outcome.rs
@@ -31,6 +31,8 @@
     BackEndRejected,
     /// The caller's body broke off before the request was handed on.
     BodyBroken,
+    /// The request, or a call that its run would make, is a repeat that the retry budget does not bear.
+    RetryBudget,
 }
 
 impl NotRunReason {
@@ -50,6 +52,7 @@
             Self::BackEndUnreachable => "back-end-unreachable",
             Self::BackEndRejected => "back-end-rejected",
             Self::BodyBroken => "body-broken",
+            Self::RetryBudget => "retry-budget",
         }
     }
 }
--- a/crates/forwarding/src/repeats/ledger.rs
+++ b/crates/forwarding/src/repeats/ledger.rs
@@ -1,7 +1,7 @@
 //! The retry budget of each service at this node, and what was counted against it.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -10,7 +10,9 @@
 use umberpond_selection::{RetryBudget, RetryBudgetSettings};
 use umberpond_telemetry::{Event, Telemetry};
 
+use super::call_rates::{CallRates, RunCalls};
 use super::open_runs::CallOrigin;
+use super::sharing::SharingNodes;
 
 /// Time between two lines about one service.
 const TELL_INTERVAL: Duration = Duration::from_secs(1);
@@ -23,7 +25,7 @@
     repeats: u64,
     /// Calls of runs that were repeats.
     repeated_calls: u64,
-    /// Repeats that the budget did not allow.
+    /// Repeats and calls of repeated runs that the budget did not allow.
     withheld: u64,
 }
 
@@ -44,72 +46,146 @@
 pub(crate) struct RetryLedger {
     settings: RetryBudgetSettings,
     telemetry: Telemetry,
-    live_nodes: AtomicUsize,
+    sharing: SharingNodes,
     accounts: Mutex<BTreeMap<ServiceName, RetryAccount>>,
+    rates: Mutex<CallRates>,
+}
+
+impl std::fmt::Debug for RetryLedger {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("RetryLedger")
+            .field("accounts", &*self.accounts.lock())
+            .finish_non_exhaustive()
+    }
 }
 
 impl RetryLedger {
     pub(crate) fn new(settings: RetryBudgetSettings, telemetry: Telemetry) -> Self {
-        Self { settings, telemetry, live_nodes: AtomicUsize::new(1), accounts: Mutex::default() }
+        let sharing = SharingNodes::new(settings.window);
+        Self { settings, telemetry, sharing, accounts: Mutex::default(), rates: Mutex::default() }
     }
 
-    /// Sets the number of live nodes, which share the budget.
+    /// Sets the number of nodes that share the budgets, this one included.
     pub(crate) fn set_sharing_nodes(&self, count: usize) {
-        self.live_nodes.store(count.max(1), Ordering::Relaxed);
+        self.sharing.set(count);
     }
 
-    /// Counts a request for `service`.
+    /// Counts a request for `service`. That of a repeated run earns no repeats: it is one.
     pub(crate) fn count_request(&self, service: &ServiceName, origin: CallOrigin) {
-        let now = Instant::now();
-        self.with_account(service, |account| {
-            account.budget.count_request(now.into_std(), &self.settings);
+        let now = Instant::now().into_std();
+        self.with_account(service, |account, nodes| {
             account.counts.requests += 1;
-            if origin == CallOrigin::RepeatedRun {
-                account.counts.repeated_calls += 1;
+            if origin != CallOrigin::RepeatedRun {
+                account.budget.count_request(now, nodes, &self.settings);
             }
         });
     }
 
-    /// Takes one repeat out of the budget of `service`; `false` if it is spent.
-    pub(crate) fn take(&self, service: &ServiceName) -> bool {
-        let now = Instant::now();
-        let nodes = self.live_nodes.load(Ordering::Relaxed);
-        self.with_account(service, |account| {
-            let is_taken = account.budget.take(now.into_std(), nodes, &self.settings);
-            let count = if is_taken { &mut account.counts.repeats } else { &mut account.counts.withheld };
+    /// Takes a repeat out of the budget of `service`, or the first arrival of a call of a repeated run; absent if the budget is spent.
+    pub(crate) fn take(
+        self: &Arc<Self>,
+        service: &ServiceName,
+        is_first_arrival: bool,
+    ) -> Option<RetryGrant> {
+        let now = Instant::now().into_std();
+        let is_taken = self.with_account(service, |account, nodes| {
+            let is_taken = account.budget.take(now, nodes, &self.settings);
+            let counts = &mut account.counts;
+            let count = match (is_taken, is_first_arrival) {
+                (false, _) => &mut counts.withheld,
+                (true, true) => &mut counts.repeated_calls,
+                (true, false) => &mut counts.repeats,
+            };
             *count += 1;
             is_taken
+        });
+        is_taken.then(|| RetryGrant { ledger: Arc::clone(self), service: service.clone(), has_arrived: true })
+    }
+
+    /// Whether the budgets of the called services bear the calls of `runs` repeated runs of `route` at the back end beside this node.
+    pub(crate) fn bears_calls(&self, route: u32, runs: u32) -> bool {
+        let now = Instant::now().into_std();
+        let rates = self.rates.lock();
+        rates.of_route(route).all(|(service, rate)| {
+            let left =
+                self.with_account(service, |account, nodes| account.budget.left(now, nodes, &self.settings));
+            left >= rate * f64::from(runs)
         })
     }
 
+    /// Takes in the calls of a run of `route` that has ended.
+    pub(crate) fn record_calls(&self, route: u32, calls: &RunCalls) {
+        self.rates.lock().record(route, calls);
+    }
+
+    fn end_grant(&self, service: &ServiceName, has_arrived: bool) {
+        self.with_account(service, |account, _nodes| {
+            if has_arrived {
+                account.budget.on_arrived();
+            } else {
+                account.budget.give_back();
+            }
+        });
+    }
+
     /// Changes an account, and tells what was counted of it if that is due.
-    fn with_account<T>(&self, service: &ServiceName, change: impl FnOnce(&mut RetryAccount) -> T) -> T {
+    fn with_account<T>(
+        &self,
+        service: &ServiceName,
+        change: impl FnOnce(&mut RetryAccount, Option<usize>) -> T,
+    ) -> T {
         let now = Instant::now();
+        let nodes = self.sharing.get();
         let mut accounts = self.accounts.lock();
         let account = accounts.entry(service.clone()).or_default();
-        let changed = change(account);
+        let changed = change(account, nodes);
         let period = now.saturating_duration_since(*account.told_at.get_or_insert(now));
         if period < TELL_INTERVAL {
             return changed;
         }
         account.told_at = Some(now);
         let counts = std::mem::take(&mut account.counts);
+        let left = account.budget.left(now.into_std(), nodes, &self.settings);
         drop(accounts);
         if counts.has_repeats() {
-            self.tell(service, &counts, period);
+            self.telemetry.emit(Event::RetriesCounted {
+                service: service.clone(),
+                requests: counts.requests,
+                repeats: counts.repeats,
+                repeated_calls: counts.repeated_calls,
+                withheld: counts.withheld,
+                left: whole(left),
+                nodes: nodes.unwrap_or_default() as u64,
+                period_millis: crate::inbound::millis(period),
+            });
         }
         changed
     }
+}
 
-    fn tell(&self, service: &ServiceName, counts: &RetryCounts, period: Duration) {
-        self.telemetry.emit(Event::RetriesCounted {
-            service: service.clone(),
-            requests: counts.requests,
-            repeats: counts.repeats,
-            repeated_calls: counts.repeated_calls,
-            withheld: counts.withheld,
-            nodes: self.live_nodes.load(Ordering::Relaxed) as u64,
-            period_millis: crate::inbound::millis(period),
-        });
+/// A repeat that was taken out of a budget. It counts as sent when it is dropped, also with a request whose caller has left.
+#[derive(Debug)]
+pub(crate) struct RetryGrant {
+    ledger: Arc<RetryLedger>,
+    service: ServiceName,
+    has_arrived: bool,
+}
+
+impl RetryGrant {
+    /// Gives the repeat back: it arrived at no back end.
+    pub(crate) fn give_back(mut self) {
+        self.has_arrived = false;
     }
 }
+
+impl Drop for RetryGrant {
+    fn drop(&mut self) {
+        self.ledger.end_grant(&self.service, self.has_arrived);
+    }
+}
+
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a small count, never negative")]
+fn whole(count: f64) -> u64 {
+    count as u64
+}
--- a/crates/forwarding/src/repeats/open_runs.rs
+++ b/crates/forwarding/src/repeats/open_runs.rs
@@ -7,6 +7,10 @@
 use bytes::Bytes;
 use parking_lot::Mutex;
 use tokio::time::Instant;
+use umberpond_model::ServiceName;
+
+use super::call_rates::RunCalls;
+use crate::message::Attempt;
 
 /// Time between two looks for runs that are long over.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -36,6 +40,9 @@
 #[derive(Debug)]
 struct Run {
     is_repeat: bool,
+    /// Hash of the name of its route.
+    route: u32,
+    calls: RunCalls,
     /// When a run whose answer did not come is over at the latest.
     over_at: Option<Instant>,
 }
@@ -60,33 +67,45 @@
         Self { separator, state: Mutex::default() }
     }
 
-    /// Takes in that the back end is handed the request called `id`, which it is to work on until `deadline` at most.
-    pub(crate) fn begin(self: &Arc<Self>, id: &Bytes, is_repeat: bool, deadline: Instant) -> OpenRun {
+    /// Takes in that the back end is handed a request.
+    pub(crate) fn begin(self: &Arc<Self>, attempt: &Attempt) -> OpenRun {
         let now = Instant::now();
         let mut state = self.state.lock();
         if state.swept_at.is_none_or(|at| now.saturating_duration_since(at) >= SWEEP_INTERVAL) {
             state.swept_at = Some(now);
             state.runs.retain(|_id, run| run.over_at.is_none_or(|at| at > now));
         }
-        state.runs.insert(id.clone(), Run { is_repeat, over_at: None });
-        OpenRun { runs: Arc::clone(self), id: id.clone(), deadline }
+        let Attempt { id, is_repeat, route, deadline, .. } = attempt;
+        let run = Run { is_repeat: *is_repeat, route: *route, calls: RunCalls::new(), over_at: None };
+        state.runs.insert(id.clone(), run);
+        OpenRun { runs: Arc::clone(self), id: id.clone(), deadline: *deadline }
     }
 
-    /// Where the request called `id` comes from.
-    pub(crate) fn origin(&self, id: &[u8]) -> CallOrigin {
+    /// Takes in that the request called `id` goes to `service`, and tells where it comes from.
+    pub(crate) fn on_request(&self, id: &[u8], service: &ServiceName) -> CallOrigin {
         let Some(separator) = self.separator else { return CallOrigin::Outside };
-        let state = self.state.lock();
-        let ends = (1..id.len()).rev().filter(|at| id[*at] == separator);
-        let run = ends.into_iter().find_map(|at| state.runs.get(&id[..at]));
-        match run {
-            None => CallOrigin::Outside,
-            Some(Run { is_repeat: false, .. }) => CallOrigin::FirstRun,
-            Some(Run { is_repeat: true, .. }) => CallOrigin::RepeatedRun,
+        let mut state = self.state.lock();
+        let mut ends = (1..id.len()).rev().filter(|at| id[*at] == separator);
+        let Some(end) = ends.find(|end| state.runs.contains_key(&id[..*end])) else {
+            return CallOrigin::Outside;
+        };
+        let Some(run) = state.runs.get_mut(&id[..end]) else { return CallOrigin::Outside };
+        match run.calls.iter_mut().find(|(called, _)| called == service) {
+            Some((_, count)) => *count += 1,
+            None => run.calls.push((service.clone(), 1)),
         }
+        if run.is_repeat { CallOrigin::RepeatedRun } else { CallOrigin::FirstRun }
+    }
+
+    /// Repeated runs of `route` at the back end.
+    pub(crate) fn repeated_runs(&self, route: u32) -> u32 {
+        let state = self.state.lock();
+        let is_counted = |run: &&Run| run.is_repeat && run.route == route;
+        u32::try_from(state.runs.values().filter(is_counted).count()).unwrap_or(u32::MAX)
     }
 
-    fn answered(&self, id: &[u8]) {
-        self.state.lock().runs.remove(id);
+    fn answered(&self, id: &[u8]) -> RunCalls {
+        self.state.lock().runs.remove(id).map(|run| run.calls).unwrap_or_default()
     }
 
     fn abandoned(&self, id: &[u8], over_at: Instant) {
@@ -106,9 +125,9 @@
 }
 
 impl OpenRun {
-    /// Takes in that the back end is done with the request.
-    pub(crate) fn end(self) {
-        self.runs.answered(&self.id);
+    /// Takes in that the back end is done with the request; tells the calls that the run has made.
+    pub(crate) fn end(self) -> RunCalls {
+        self.runs.answered(&self.id)
     }
 }
 
--- a/crates/forwarding/tests/outcomes.rs
+++ b/crates/forwarding/tests/outcomes.rs
@@ -7,6 +7,7 @@
 use support::back_end::{Act, ok};
 use support::{World, host, pause};
 use tokio::time::Instant;
+use umberpond_selection::RetryBudgetSettings;
 
 const NOT_RUN: Act = Act::Raw("HTTP/1.1 503 Full\r\numberpond-rejected: 1\r\nContent-Length: 0\r\n\r\n");
 const SPOILED: Act = Act::RawThenClose("this is no answer\r\n\r\n");
@@ -240,12 +241,19 @@
 #[tokio::test(start_paused = true)]
 async fn the_retry_budget_bounds_what_is_sent_again() {
     let failed = Act::Answer { status: 500, body: "sorry", after: 1 };
-    let world = World::with_routes(vec![vec![failed.clone()], vec![failed]]).await;
-    // 100 on top and a tenth of the requests, for this one node.
+    let budget = RetryBudgetSettings { ratio: 0.2, extra: 100.0, window: Duration::from_secs(10) };
+    let world = World::with_budget(vec![vec![failed.clone()], vec![failed]], budget).await;
+    world.outbound.set_sharing_nodes(1);
     let mut caller = world.caller().await;
+    caller.ask("/read/a", "first").await;
+    assert_eq!(world.arrivals(), 1, "a process that has just started has saved nothing");
+    pause(10_000).await;
+    let began = Instant::now();
     for number in 0..300 {
         caller.ask("/read/a", &format!("r{number}")).await;
     }
-    let repeats = world.arrivals() - 300;
-    assert!((120..=131).contains(&repeats), "{repeats}");
+    // Half of the extra was saved, the other half comes in meanwhile, and each request earns a tenth.
+    let saved = 50.0 + 30.0 + 50.0 * began.elapsed().as_secs_f64() / 10.0;
+    let repeats = u32::try_from(world.arrivals() - 301).unwrap();
+    assert!((saved - 2.0..=saved).contains(&f64::from(repeats)), "{repeats} of {saved}");
 }
--- a/crates/forwarding/tests/support/fleet.rs
+++ b/crates/forwarding/tests/support/fleet.rs
@@ -27,7 +27,7 @@
 /// What all nodes together may repeat.
 pub fn budget() -> RetryBudgetSettings {
     let window = Duration::from_secs(10);
-    RetryBudgetSettings { ratio: 0.2, extra: 20.0, window, ..RetryBudgetSettings::default() }
+    RetryBudgetSettings { ratio: 0.2, extra: 20.0, window }
 }
 
 /// Requests that a back end works on at once.
--- a/crates/forwarding/tests/support/mod.rs
+++ b/crates/forwarding/tests/support/mod.rs
@@ -51,6 +51,9 @@
     IpAddr::from([10, 0, 0, number])
 }
 
+/// A budget that allows every repeat.
+const AMPLE_BUDGET: RetryBudgetSettings =
+    RetryBudgetSettings { ratio: 100.0, extra: 0.0, window: Duration::from_secs(10) };
 const CALLERS: u8 = 1;
 const INBOUND_PORT: u16 = 100;
 const OUTBOUND_PORT: u16 = 101;
@@ -120,17 +123,24 @@
 impl World {
     /// One node of callers and a node for each script.
     pub async fn new(scripts: Vec<Script>) -> Self {
-        Self::on_links(scripts, None).await
+        Self::on_links(scripts, None, AMPLE_BUDGET).await
+    }
+
+    /// As [`World::with_routes`], with a retry budget of its own.
+    pub async fn with_budget(scripts: Vec<Script>, budget: RetryBudgetSettings) -> Self {
+        let world = Self::on_links(scripts, None, budget).await;
+        world.activate(1, &snapshot());
+        world
     }
 
     /// As [`World::with_routes`], with nodes that know their links to bear `rate` bytes a second.
     pub async fn with_link(scripts: Vec<Script>, rate: f64) -> Self {
-        let world = Self::on_links(scripts, Some(rate)).await;
+        let world = Self::on_links(scripts, Some(rate), AMPLE_BUDGET).await;
         world.activate(1, &snapshot());
         world
     }
 
-    async fn on_links(scripts: Vec<Script>, link_rate: Option<f64>) -> Self {
+    async fn on_links(scripts: Vec<Script>, link_rate: Option<f64>, budget: RetryBudgetSettings) -> Self {
         let network = SimNetwork::new(1, |_, _| Millis(1));
         let recorder = Arc::new(MemoryRecorder::default());
         let telemetry = Telemetry::to_observer(Arc::clone(&recorder) as _);
@@ -144,10 +154,7 @@
                 seed: 1,
             },
             DIALECT,
-            OutboundSettings {
-                retry_budget: RetryBudgetSettings { extra: 100.0, spent_share: 1.0, ..Default::default() },
-                ..OutboundSettings::default()
-            },
+            OutboundSettings { retry_budget: budget, ..OutboundSettings::default() },
             Arc::clone(&callers),
             telemetry.clone(),
             inbound,
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -127,8 +127,8 @@
         = 4025, Info, "exchange-lost", "A request was handed to the back end and no sound answer came back.";
     RetryWithheld { request: String, service: ServiceName, attempts: u32, origin: &'static str }
         = 4026, Info, "retry-withheld", "The retry budget of the service is spent at this node: the request is not sent again. `origin` tells whether a caller has made it, or a first or repeated run at the back end beside this node.";
-    RetriesCounted { service: ServiceName, requests: u64, repeats: u64, repeated_calls: u64, withheld: u64, nodes: u64, period_millis: u64 }
-        = 4027, Info, "retries-counted", "What this node has counted of a service in the period, if any of it was a repeat: requests, requests sent to another back end after they had reached one, calls of runs that were repeats, repeats that the budget did not allow, and the nodes that share the budget.";
+    RetriesCounted { service: ServiceName, requests: u64, repeats: u64, repeated_calls: u64, withheld: u64, left: u64, nodes: u64, period_millis: u64 }
+        = 4027, Info, "retries-counted", "What this node has counted of a service in the period, if any of it was a repeat: requests, requests sent to another back end after they had reached one, calls of runs that were repeats, repeats that the budget did not allow, repeats that it allows now, and the nodes that share it, 0 while that is not known.";
 
     // Store
     PlatformUnavailable { operation: &'static str, reason: String }
