--- a/testing/sim/src/checkers/mod.rs
+++ b/testing/sim/src/checkers/mod.rs
@@ -1,5 +1,6 @@
 //! One checker for each promise of the system, as a plain function over a recorded history.
 
+mod budget;
 mod convergence;
 mod lifecycle;
 mod requests;
@@ -8,10 +9,11 @@
 
 use std::fmt;
 
-use umberpond_model::{Millis, NodeName, SubmissionId, Version};
+use umberpond_model::{Millis, NodeName, ServiceName, SubmissionId, Version};
 
 use crate::history::{CallerOutcome, History, RequestKey, SubmissionClaim};
 
+pub use budget::retry_budget_kept;
 pub use convergence::{CONVERGENCE_LIMIT, in_force_within_seconds};
 pub use lifecycle::{DRAIN_LIMIT, leaving_back_end_gets_no_new_work, planned_stop_cuts_nothing};
 pub use requests::{
@@ -49,11 +51,13 @@
     SubmissionToldTrue,
     /// Within seconds of the end of the last fault every request is answered.
     ServingAfterFaults,
+    /// All nodes together send no more requests again than the retry budget of their service allows in any window.
+    RetryBudgetKept,
 }
 
 impl Invariant {
     /// All invariants.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::NeverBack,
         Self::NoDanglingReference,
         Self::NeverAppliedInPart,
@@ -66,6 +70,7 @@
         Self::AllowedLocalityOnly,
         Self::SubmissionToldTrue,
         Self::ServingAfterFaults,
+        Self::RetryBudgetKept,
     ];
 
     /// Name on the command line and in reports.
@@ -84,6 +89,7 @@
             Self::AllowedLocalityOnly => "allowed-locality-only",
             Self::SubmissionToldTrue => "submission-told-true",
             Self::ServingAfterFaults => "serving-after-faults",
+            Self::RetryBudgetKept => "retry-budget-kept",
         }
     }
 
@@ -103,6 +109,7 @@
             Self::AllowedLocalityOnly => allowed_locality_only(history),
             Self::SubmissionToldTrue => submission_told_true(history),
             Self::ServingAfterFaults => serving_after_faults(history),
+            Self::RetryBudgetKept => retry_budget_kept(history),
         }
     }
 }
@@ -178,6 +185,15 @@
         /// The later request.
         request: RequestKey,
     },
+    /// A service ran more requests again than the retry budget allows in one window.
+    BudgetOverspent {
+        /// The service.
+        service: ServiceName,
+        /// Runs beyond the first of each request, in the window that begins at the time of the violation.
+        repeats: u32,
+        /// Requests that the budget counts for that window.
+        requests: u32,
+    },
     /// A request was not answered although every fault was long over.
     NotServed {
         /// The request.
--- a/testing/sim/tests/checkers.rs
+++ b/testing/sim/tests/checkers.rs
@@ -244,3 +244,38 @@
     assert_eq!(first.digest(), history(vec![(0, accepted(1))]).digest());
     assert_ne!(first.digest(), history(vec![(1, accepted(1))]).digest());
 }
+
+#[test]
+fn repeats_beyond_the_retry_budget_are_reported() {
+    // 100 requests allow 10 and the extra 10.
+    let with = |repeats: u64| {
+        let request = |number: u64| Event::Sent {
+            request: RequestKey(number),
+            service: ServiceName::new("billing").unwrap(),
+            idempotent: true,
+            repeats: false,
+        };
+        let run = |number: u64, node: &str| {
+            let locality: Locality =
+                serde_json::from_str(r#"{"region":"eu-north","zone":"hall-a"}"#).unwrap();
+            Event::Executed {
+                request: RequestKey(number),
+                node: NodeName::new(node).unwrap(),
+                locality,
+                caller_key: None,
+                locality_allowed: true,
+            }
+        };
+        let sent = (0..100).map(|number| (number, request(number)));
+        let first = (0..100).map(|number| (200 + number, run(number, "billing-1")));
+        let again = (0..repeats).map(|number| (400 + number, run(number, "billing-2")));
+        sent.chain(first).chain(again).collect()
+    };
+    assert_only_breaks(Invariant::RetryBudgetKept, with(20), with(21));
+    let doubled = with(20).into_iter().chain(with(20)).collect();
+    assert_eq!(
+        Invariant::RetryBudgetKept.check(&history(doubled)),
+        Vec::new(),
+        "the network has doubled them"
+    );
+}
