The soak plays series of faults, restarts a node where callers enter, and checks the retry budget

Faults came one by one, no process with callers of its own was ever ended, and no check looked at sums. `--nodes` takes up to 12 nodes with back ends. A seed still plays the single faults that it always did: the series are drawn beside them. The windows of the check are shared with the simulation's (testing/standins).

--- a/testing/sim/src/checkers/budget.rs
+++ b/testing/sim/src/checkers/budget.rs
@@ -4,6 +4,7 @@
 
 use umberpond_model::{Millis, NodeName, ServiceName};
 use umberpond_selection::RetryBudgetSettings;
+use umberpond_standins::{OverspentWindow, RetryAllowance};
 
 use crate::checkers::{Breach, Invariant, Violation};
 use crate::history::{Event, History, RequestKey};
@@ -15,28 +16,23 @@
     repeats: Vec<u64>,
 }
 
-/// Checks that in no window a service runs more requests again than the retry budget of all nodes together allows. The requests are those of
-/// the window, of the one before it or of the one half a window before it, whichever are most: a repeat may follow its request in the next one.
+/// Checks that in no window a service runs more requests again than the retry budget of all nodes together allows.
 #[must_use]
 pub fn retry_budget_kept(history: &History) -> Vec<Violation> {
     let budget = RetryBudgetSettings::default();
-    let window = u64::try_from(budget.window.as_millis()).unwrap_or(u64::MAX);
+    let allowance = RetryAllowance {
+        ratio: budget.ratio,
+        extra: budget.extra,
+        window_millis: u64::try_from(budget.window.as_millis()).unwrap_or(u64::MAX),
+        clock_error_millis: 0,
+    };
     let mut violations = Vec::new();
     for (service, times) in times_by_service(history) {
-        for from in &times.repeats {
-            let repeats = count(&times.repeats, *from, window);
-            let earlier = [0, window / 2, window].map(|earlier| from.saturating_sub(earlier));
-            let requests = earlier.map(|from| count(&times.requests, from, window)).into_iter().max();
-            let requests = requests.unwrap_or_default();
-            let allowed = budget.ratio * f64::from(requests) + budget.extra;
-            if f64::from(repeats) > allowed {
-                let breach = Breach::BudgetOverspent { service: service.clone(), repeats, requests };
-                violations.push(Violation {
-                    invariant: Invariant::RetryBudgetKept,
-                    at: Millis(*from),
-                    breach,
-                });
-            }
+        for overspent in allowance.overspent(&times.requests, &times.repeats) {
+            let OverspentWindow { from_millis, repeats, requests } = overspent;
+            let breach = Breach::BudgetOverspent { service: service.clone(), repeats, requests };
+            let at = Millis(from_millis);
+            violations.push(Violation { invariant: Invariant::RetryBudgetKept, at, breach });
         }
     }
     violations
@@ -64,9 +60,3 @@
     }
     times
 }
-
-/// Count of `times` in the window that begins at `from`.
-fn count(times: &[u64], from: u64, window: u64) -> u32 {
-    let is_inside = |at: &&u64| **at >= from && **at < from + window;
-    u32::try_from(times.iter().filter(is_inside).count()).unwrap_or(u32::MAX)
-}
--- a/testing/standins/src/lib.rs
+++ b/testing/standins/src/lib.rs
@@ -11,7 +11,9 @@
 pub mod platform;
 pub mod program;
 mod reconcile;
+mod retry_window;
 
 pub use content::{AnswerContent, Upload};
 pub use http_answer::{AnswerBody, BodyCut};
 pub use reconcile::{AllowedLocalities, Finding, FindingKind, Reconciliation, reconcile};
+pub use retry_window::{OverspentWindow, RetryAllowance};
--- a/xtask/src/demo/layout.rs
+++ b/xtask/src/demo/layout.rs
@@ -37,6 +37,9 @@
 /// The node where callers enter.
 pub const EDGE: Placement = Placement { name: "web-1", service: CALLER_SERVICE, zone: "hall-1" };
 
+/// A second node where callers enter, for runs in which such nodes end too.
+pub const SECOND_EDGE: Placement = Placement { name: "web-2", service: CALLER_SERVICE, zone: "hall-2" };
+
 /// Every node beside a back end. `billing-4` runs where the bundle allows no billing, and so must never get work.
 pub const BACK_ENDS: [Placement; 12] = [
     back_end("archive-1", "archive", "hall-1"),
--- a/xtask/src/demo/standins.rs
+++ b/xtask/src/demo/standins.rs
@@ -3,9 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde::Serialize;
+use tokio::time::Instant;
 use umberpond_standins::backend::Ledger;
 use umberpond_standins::caller::{CallerReport, LoadPlan};
-use umberpond_standins::platform::{CounterReport, FaultChange};
+use umberpond_standins::platform::CounterReport;
 use umberpond_standins::program::ReadyLine;
 
 use super::http::Peer;
@@ -33,6 +35,8 @@
     pub process: ChildProcess,
     /// Where it listens.
     pub address: SocketAddr,
+    /// When it had started; its own times count from there, but for some milliseconds.
+    pub started_at: Instant,
 }
 
 impl Standin {
@@ -90,18 +94,18 @@
         self.peer().get_json("/standin/counters").await
     }
 
-    /// Changes what the store does wrong.
+    /// Changes what it does wrong.
     ///
     /// # Errors
     /// Fails when it does not answer.
-    pub async fn change_faults(&self, change: &FaultChange) -> Result<(), XtaskError> {
+    pub async fn change_faults(&self, change: &impl Serialize) -> Result<(), XtaskError> {
         self.peer().post("/standin/faults", serde_json::to_vec(change)?).await
     }
 
     async fn ready(mut process: ChildProcess) -> Result<Self, XtaskError> {
         let read = |line: &str| serde_json::from_str::<ReadyLine>(line).ok();
         let ready = process.wait_for_line(START_LIMIT, read).await?;
-        Ok(Self { process, address: ready.address })
+        Ok(Self { process, address: ready.address, started_at: Instant::now() })
     }
 }
 
@@ -111,6 +115,8 @@
     process: ChildProcess,
     report: std::path::PathBuf,
     limit: Duration,
+    /// When its first call was under way; its own times count from there, but for some milliseconds.
+    pub started_at: Instant,
 }
 
 impl RunningCaller {
@@ -133,7 +139,7 @@
         let mut process = ChildProcess::start(&name, &programs.caller, &arguments, scratch)?;
         process.wait_for_line(START_LIMIT, |line| line.contains("\"started\"").then_some(())).await?;
         let limit = Duration::from_millis(plan.duration_millis) + CALLER_GRACE;
-        Ok(Self { process, report, limit })
+        Ok(Self { process, report, limit, started_at: Instant::now() })
     }
 
     /// Waits until all calls have ended and reads the record of their answers.
--- a/xtask/src/flags.rs
+++ b/xtask/src/flags.rs
@@ -23,6 +23,8 @@
             optional --seed seed: u64
             /// Seconds in which faults begin and end (60).
             optional --seconds seconds: u64
+            /// Nodes with a back end (7), at most 12.
+            optional --nodes nodes: usize
             /// Keep the log files, also after success.
             optional --keep-logs
         }
@@ -71,6 +73,7 @@
 pub struct Soak {
     pub seed: Option<u64>,
     pub seconds: Option<u64>,
+    pub nodes: Option<usize>,
     pub keep_logs: bool,
 }
 
--- a/xtask/src/soak/mesh.rs
+++ b/xtask/src/soak/mesh.rs
@@ -1,15 +1,16 @@
 //! The processes of a soak, each behind proxies of its own.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 
 use tokio::time::{Instant, sleep};
-use umberpond_standins::backend::Ledger;
+use umberpond_standins::backend;
 use umberpond_standins::platform::FaultChange;
 
 use super::proxy::{FaultProxy, Interference};
 use super::schedule::{Fault, FaultKind};
-use crate::demo::layout::{BACK_ENDS, EDGE, Placement};
+use crate::demo::layout::{BACK_ENDS, EDGE, Placement, SECOND_EDGE};
 use crate::demo::node::NodeProcess;
 use crate::demo::programs::Programs;
 use crate::demo::settings::{AdvertiseTable, Surroundings};
@@ -17,8 +18,10 @@
 use crate::error::XtaskError;
 use crate::supervise::ScratchDirectory;
 
-/// Nodes with a back end: two of each service where it may be served, and billing where it may not.
-pub const NODES: usize = 7;
+/// Nodes with a back end if nothing else is said: archive twice, solver once, billing where it may be served and where it may not.
+pub const DEFAULT_NODES: usize = 7;
+/// Most nodes with a back end.
+pub const MOST_NODES: usize = BACK_ENDS.len();
 /// Longest time of a planned stop, above the grace in the settings.
 const STOP_LIMIT: Duration = Duration::from_secs(12);
 /// Time added by a delay.
@@ -27,6 +30,8 @@
 const STORE_DELAY_MILLIS: u64 = 700;
 /// Answers that the store loses in one fault.
 const LOST_ANSWERS: u64 = 3;
+/// Bytes after which a back end's answers break off.
+const CUT_AFTER_BYTES: usize = 300;
 /// Time between two looks at a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -35,6 +40,7 @@
 pub struct SoakNode {
     placement: Placement,
     back_end: Option<Standin>,
+    outbound: FaultProxy,
     inbound: FaultProxy,
     control: FaultProxy,
     store: FaultProxy,
@@ -50,7 +56,7 @@
         store: &Standin,
         scratch: &ScratchDirectory,
     ) -> Result<Self, XtaskError> {
-        let back_end = if placement.name == EDGE.name {
+        let back_end = if placement.service == EDGE.service {
             None
         } else {
             Some(Standin::back_end(programs, &placement, scratch).await?)
@@ -60,6 +66,7 @@
         Ok(Self {
             placement,
             back_end,
+            outbound: FaultProxy::start().await?,
             inbound: FaultProxy::start().await?,
             control: FaultProxy::start().await?,
             store: before_store,
@@ -83,6 +90,7 @@
         };
         let node = NodeProcess::start(&programs.umberpond, self.placement, surroundings, scratch).await?;
         self.lives += 1;
+        self.outbound.set_target(Some(node.addresses.outbound));
         self.inbound.set_target(Some(node.addresses.inbound));
         self.control.set_target(Some(node.addresses.control));
         self.logs.push(node.process.log().to_owned());
@@ -93,9 +101,21 @@
     /// Takes the running process out; nothing reaches it through the proxies any more.
     fn take(&mut self) -> Option<NodeProcess> {
         let process = self.process.take()?;
+        self.close_proxies();
+        Some(process)
+    }
+
+    fn close_proxies(&self) {
+        self.outbound.set_target(None);
         self.inbound.set_target(None);
         self.control.set_target(None);
-        Some(process)
+    }
+
+    async fn change_back_end(&self, change: backend::FaultChange) -> Result<(), XtaskError> {
+        match &self.back_end {
+            Some(back_end) => back_end.change_faults(&change).await,
+            None => Ok(()),
+        }
     }
 
     fn interfere(&self, interference: Interference) {
@@ -115,8 +135,7 @@
                 if let Some(mut node) = self.process.take() {
                     node.process.terminate()?;
                     node.process.wait_for_end(STOP_LIMIT).await?;
-                    self.inbound.set_target(None);
-                    self.control.set_target(None);
+                    self.close_proxies();
                 }
             }
             FaultKind::Pause => {
@@ -146,6 +165,20 @@
                 ..Interference::default()
             }),
             FaultKind::StoreReset => self.store.reset_all(),
+            FaultKind::Reload => {
+                if let Some(node) = &self.process {
+                    node.process.hang_up()?;
+                }
+            }
+            FaultKind::BackEndRefuses => {
+                let change = backend::FaultChange { refuse: Some(true), ..backend::FaultChange::default() };
+                self.change_back_end(change).await?;
+            }
+            FaultKind::BackEndCuts => {
+                let cut_after_bytes = Some(Some(CUT_AFTER_BYTES));
+                let change = backend::FaultChange { cut_after_bytes, ..backend::FaultChange::default() };
+                self.change_back_end(change).await?;
+            }
             _ => {}
         }
         Ok(())
@@ -168,6 +201,15 @@
                 self.interfere(Interference::default())
             }
             FaultKind::StoreCut => self.store.interfere(Interference::default()),
+            FaultKind::BackEndRefuses => {
+                let change = backend::FaultChange { refuse: Some(false), ..backend::FaultChange::default() };
+                self.change_back_end(change).await?;
+            }
+            FaultKind::BackEndCuts => {
+                let change =
+                    backend::FaultChange { cut_after_bytes: Some(None), ..backend::FaultChange::default() };
+                self.change_back_end(change).await?;
+            }
             _ => {}
         }
         Ok(())
@@ -180,7 +222,7 @@
     programs: &'a Programs,
     scratch: &'a ScratchDirectory,
     store: Standin,
-    /// The nodes; each has a lock of its own, so that a long fault holds up no other.
+    /// The nodes that faults hit, the second one where callers enter last; each has a lock of its own, so that a long fault holds up no other.
     nodes: Vec<tokio::sync::Mutex<SoakNode>>,
     /// The node where callers and operators enter; nothing is done to it but through the others.
     edge: SoakNode,
@@ -191,10 +233,14 @@
     ///
     /// # Errors
     /// Fails when one does not get ready.
-    pub async fn start(programs: &'a Programs, scratch: &'a ScratchDirectory) -> Result<Self, XtaskError> {
+    pub async fn start(
+        programs: &'a Programs,
+        back_ends: usize,
+        scratch: &'a ScratchDirectory,
+    ) -> Result<Self, XtaskError> {
         let store = Standin::platform(programs, scratch).await?;
-        let mut nodes = Vec::with_capacity(NODES);
-        for placement in BACK_ENDS.into_iter().take(NODES) {
+        let mut nodes = Vec::with_capacity(back_ends + 1);
+        for placement in BACK_ENDS.into_iter().take(back_ends).chain([SECOND_EDGE]) {
             let mut node = SoakNode::new(programs, placement, &store, scratch).await?;
             node.start(programs, scratch).await?;
             nodes.push(tokio::sync::Mutex::new(node));
@@ -273,15 +319,24 @@
         versions
     }
 
-    /// What all back ends ran.
+    /// Where callers enter at the node whose process the faults end and start anew; the address stays.
+    ///
+    /// # Errors
+    /// Never, as that node is there from the start.
+    pub async fn second_edge(&self) -> Result<SocketAddr, XtaskError> {
+        let node = self.nodes.last().ok_or(XtaskError::TimedOut { condition: "the second edge is there" })?;
+        Ok(node.lock().await.outbound.front)
+    }
+
+    /// What all back ends ran, and when each of them had started.
     ///
     /// # Errors
     /// Fails when one does not answer.
-    pub async fn ledgers(&self) -> Result<Vec<Ledger>, XtaskError> {
+    pub async fn ledgers(&self) -> Result<Vec<(Instant, backend::Ledger)>, XtaskError> {
         let mut ledgers = Vec::new();
         for node in &self.nodes {
             if let Some(back_end) = &node.lock().await.back_end {
-                ledgers.push(back_end.ledger().await?);
+                ledgers.push((back_end.started_at, back_end.ledger().await?));
             }
         }
         Ok(ledgers)
--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -1,6 +1,7 @@
 //! `cargo xtask soak`: real processes on loopback under random faults from outside, checked by what callers and back
 //! ends see. A seed names the faults; time is real, so a seed does not repeat a run exactly.
 
+mod budget;
 mod mesh;
 mod proxy;
 mod schedule;
@@ -15,7 +16,8 @@
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 use tokio::time::{Instant, sleep};
-use umberpond_standins::caller::Outcome;
+use umberpond_standins::backend::Ledger;
+use umberpond_standins::caller::{Answer, Outcome};
 use umberpond_standins::reconcile;
 
 use crate::demo::bundle::{BUNDLE, numbered_version};
@@ -28,7 +30,8 @@
 use crate::flags::Soak;
 use crate::node_log;
 use crate::supervise::{ChildProcess, ScratchDirectory};
-use mesh::{NODES, SoakMesh};
+use budget::RetryRecord;
+use mesh::{DEFAULT_NODES, MOST_NODES, SoakMesh};
 use schedule::FaultKind;
 
 /// Length of the faults if none is given, in seconds.
@@ -57,6 +60,8 @@
     rejected: u64,
     unknown: u64,
     truncated: u64,
+    /// Runs beyond the first of each request.
+    repeats: usize,
     processes: usize,
     /// Promises that were broken; empty if all held.
     broken: Vec<String>,
@@ -71,11 +76,12 @@
     let mut scratch = ScratchDirectory::create("soak")?;
     let seed = options.seed.unwrap_or_else(rand::random);
     let length = Duration::from_secs(options.seconds.unwrap_or(DEFAULT_SECONDS));
-    eprintln!("soak: seed {seed}, {} s of faults", length.as_secs());
+    let nodes = options.nodes.unwrap_or(DEFAULT_NODES).clamp(DEFAULT_NODES, MOST_NODES);
+    eprintln!("soak: seed {seed}, {nodes} nodes, {} s of faults", length.as_secs());
     let result = tokio::select! {
         biased;
         interrupted = wait_for_interrupt() => Err(interrupted),
-        result = play(&programs, &scratch, seed, length) => result,
+        result = play(&programs, &scratch, nodes, seed, length) => result,
     };
     let is_whole = result.as_ref().is_ok_and(|report| report.broken.is_empty());
     if !is_whole || options.keep_logs {
@@ -89,28 +95,35 @@
 async fn play(
     programs: &Programs,
     scratch: &ScratchDirectory,
+    nodes: usize,
     seed: u64,
     length: Duration,
 ) -> Result<SoakReport, XtaskError> {
-    let mesh = SoakMesh::start(programs, scratch).await?;
+    let began = Instant::now();
+    let mesh = SoakMesh::start(programs, nodes, scratch).await?;
     let mut report = SoakReport { seed, ..SoakReport::default() };
     submit(programs, &mesh, 0, scratch).await?;
     let behind = mesh.wait_until_converged(FIRST_LIMIT).await;
     if !behind.is_empty() {
         return Err(XtaskError::TimedOut { condition: "the first version is in force everywhere" });
     }
-    let faults = schedule::draw(&mut ChaCha8Rng::seed_from_u64(seed), length, NODES);
+    let mut faults = schedule::draw(&mut ChaCha8Rng::seed_from_u64(seed), length, nodes);
+    // The series hit the second edge too.
+    faults.extend(schedule::draw_series(&mut ChaCha8Rng::seed_from_u64(!seed), length, nodes + 1));
     for fault in &faults {
         *report.faults.entry(FaultKind::to_string(&fault.kind)).or_default() += 1;
     }
-    let targets = Targets::edge(mesh.edge()?.addresses.outbound);
-    let plan = load::mixed_calls("soak", &targets, length.as_secs())?;
-    let caller = RunningCaller::start(programs, &plan, scratch).await?;
+    let entrances = [
+        ("edge", Targets::edge(mesh.edge()?.addresses.outbound)),
+        ("second-edge", Targets::edge(mesh.second_edge().await?)),
+    ];
+    let callers = start_callers(programs, &entrances, "soak", length.as_secs(), scratch).await?;
     let playing = try_join_all(faults.into_iter().map(|fault| mesh.play(fault)));
     let (played, versions) = tokio::join!(playing, submit_regularly(programs, &mesh, length, scratch));
     played?;
     report.versions = versions;
-    let during = caller.finish().await?;
+    let mut record = RetryRecord::new(began);
+    let during = finish_callers(callers, &mut record).await?;
     let faults_over = Instant::now();
     let behind = mesh.wait_until_converged(RECOVERY_LIMIT).await;
     report
@@ -118,11 +131,15 @@
         .extend(behind.into_iter().map(|node| format!("{node} lacks the newest version after 10 s")));
     sleep(RECOVERY_LIMIT.saturating_sub(faults_over.elapsed())).await;
 
-    let plan = load::mixed_calls("calm", &targets, CALM_SECONDS)?;
-    let calm = RunningCaller::start(programs, &plan, scratch).await?.finish().await?;
-    let ledgers = mesh.ledgers().await?;
+    let callers = start_callers(programs, &entrances, "calm", CALM_SECONDS, scratch).await?;
+    let calm = finish_callers(callers, &mut record).await?;
+    let timed_ledgers = mesh.ledgers().await?;
+    record.add_runs(&timed_ledgers);
+    report.repeats = record.repeats();
+    report.broken.extend(record.overspent());
+    let ledgers: Vec<Ledger> = timed_ledgers.into_iter().map(|(_started_at, ledger)| ledger).collect();
     let allowed = allowed_localities()?;
-    for (phase, answers) in [("under faults", &during.answers), ("after them", &calm.answers)] {
+    for (phase, answers) in [("under faults", &during), ("after them", &calm)] {
         let compared = reconcile(answers, &ledgers, &allowed);
         let findings = compared.findings.iter();
         report.broken.extend(
@@ -136,7 +153,7 @@
         report.unknown += compared.unknown;
         report.truncated += compared.truncated;
     }
-    let failed = calm.answers.iter().filter(|answer| answer.outcome != Outcome::Answered);
+    let failed = calm.iter().filter(|answer| answer.outcome != Outcome::Answered);
     report
         .broken
         .extend(failed.map(|answer| format!("after the faults {}: {}", answer.outcome, answer.path)));
@@ -148,6 +165,37 @@
     Ok(report)
 }
 
+/// Starts one caller for each entrance. Callers keep their connections from call to call, until the process behind them is gone.
+async fn start_callers(
+    programs: &Programs,
+    entrances: &[(&str, Targets)],
+    phase: &str,
+    seconds: u64,
+    scratch: &ScratchDirectory,
+) -> Result<Vec<RunningCaller>, XtaskError> {
+    let mut callers = Vec::new();
+    for (entrance, targets) in entrances {
+        let plan = load::mixed_calls(&format!("{phase}-{entrance}"), targets, seconds)?;
+        callers.push(RunningCaller::start(programs, &plan, scratch).await?);
+    }
+    Ok(callers)
+}
+
+/// Waits for all callers; tells what each call got.
+async fn finish_callers(
+    callers: Vec<RunningCaller>,
+    record: &mut RetryRecord,
+) -> Result<Vec<Answer>, XtaskError> {
+    let mut answers = Vec::new();
+    for caller in callers {
+        let started_at = caller.started_at;
+        let report = caller.finish().await?;
+        record.add_calls(started_at, &report.answers);
+        answers.extend(report.answers);
+    }
+    Ok(answers)
+}
+
 /// Submits changes until `length` has passed; tells how many were accepted. Under faults a submission may fail.
 async fn submit_regularly(
     programs: &Programs,
--- a/xtask/src/soak/schedule.rs
+++ b/xtask/src/soak/schedule.rs
@@ -11,6 +11,15 @@
 /// Shortest and longest pause before the next fault, in milliseconds. Faults overlap.
 const PAUSE_MILLIS: std::ops::Range<u64> = 300..2_000;
 
+/// Shortest and longest time between two series, in milliseconds. Series overlap with one another and with single faults.
+const SERIES_PAUSE_MILLIS: std::ops::Range<u64> = 500..3_000;
+/// Shortest and longest time between two faults of a series, in milliseconds.
+const SERIES_GAP_MILLIS: std::ops::Range<u64> = 50..800;
+/// Shortest and longest time of a fault of a series, in milliseconds.
+const SERIES_FAULT_MILLIS: std::ops::Range<u64> = 200..1_500;
+/// Least and most nodes that a series hits; fewer than all, so that somebody serves.
+const SERIES_NODES: std::ops::Range<usize> = 2..5;
+
 /// What a fault does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -43,11 +52,17 @@
     StoreSlow,
     /// Changes take effect in the store, and their answers are lost.
     StoreLosesAnswers,
+    /// The process of a node is told that its settings have changed.
+    Reload,
+    /// The back end of a node turns all work away.
+    BackEndRefuses,
+    /// The answers of a node's back end break off.
+    BackEndCuts,
 }
 
 impl FaultKind {
-    /// All kinds.
-    pub const ALL: [Self; 14] = [
+    /// The kinds that come one by one. New kinds come in series only, so that a seed plays the faults that it always did.
+    const SINGLE: [Self; 14] = [
         Self::Kill,
         Self::PlannedStop,
         Self::Pause,
@@ -63,6 +78,17 @@
         Self::StoreSlow,
         Self::StoreLosesAnswers,
     ];
+
+    /// The kinds that hit some nodes one after the other.
+    const IN_SERIES: [Self; 7] = [
+        Self::PlannedStop,
+        Self::Kill,
+        Self::Pause,
+        Self::Reset,
+        Self::Reload,
+        Self::BackEndRefuses,
+        Self::BackEndCuts,
+    ];
 }
 
 impl fmt::Display for FaultKind {
@@ -95,7 +121,29 @@
         if at_millis + millis > length {
             return faults;
         }
-        let kind = FaultKind::ALL[random.random_range(0..FaultKind::ALL.len())];
+        let kind = FaultKind::SINGLE[random.random_range(0..FaultKind::SINGLE.len())];
         faults.push(Fault { at_millis, millis, kind, node: random.random_range(0..nodes) });
     }
 }
+
+/// The series of faults of a soak of `length` on `nodes` nodes; all are over at its end.
+pub fn draw_series(random: &mut impl Rng, length: Duration, nodes: usize) -> Vec<Fault> {
+    let length = u64::try_from(length.as_millis()).unwrap_or(u64::MAX);
+    let mut faults = Vec::new();
+    let mut series_at = 0;
+    while series_at < length {
+        series_at += random.random_range(SERIES_PAUSE_MILLIS);
+        let kind = FaultKind::IN_SERIES[random.random_range(0..FaultKind::IN_SERIES.len())];
+        let first = random.random_range(0..nodes);
+        let gap = random.random_range(SERIES_GAP_MILLIS);
+        for number in 0..random.random_range(SERIES_NODES) {
+            let at_millis = series_at + gap * number as u64;
+            let millis = random.random_range(SERIES_FAULT_MILLIS);
+            let node = (first + number) % nodes;
+            if at_millis + millis <= length {
+                faults.push(Fault { at_millis, millis, kind, node });
+            }
+        }
+    }
+    faults
+}
--- a/xtask/src/supervise/child.rs
+++ b/xtask/src/supervise/child.rs
@@ -98,6 +98,14 @@
         self.send(Signal::TERM)
     }
 
+    /// Tells the process that its settings have changed (SIGHUP), by its id.
+    ///
+    /// # Errors
+    /// Fails when the signal can't be sent.
+    pub fn hang_up(&self) -> Result<(), XtaskError> {
+        self.send(Signal::HUP)
+    }
+
     /// Kills the process (SIGKILL), by its id.
     ///
     /// # Errors
