--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -1,6 +1,5 @@
 //! Starts a daemon: opens every listener, then the actors and tasks around them.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -18,7 +17,6 @@
     Introduction, MemberPhase, MemberRecord, MemberView, Membership, MembershipSettings,
 };
 use umberpond_model::Incarnation;
-use umberpond_net::{BoxDatagrams, BoxListener};
 use umberpond_rollouts::ReleaseEvidence;
 use umberpond_scheduling::LoadReport;
 use umberpond_telemetry::{Event, Telemetry};
@@ -31,6 +29,7 @@
 use crate::directory::{JoinTask, MemberDirectory, join};
 use crate::environment::{Environment, SeedUse};
 use crate::error::StartError;
+use crate::listeners::Listeners;
 use crate::membership::{MembershipActor, MembershipArguments, MembershipMessage, receive_datagrams};
 use crate::readiness::Unready;
 use crate::rollouts::{RolloutStore, RolloutTask, run_rollouts};
@@ -64,46 +63,6 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Daemon;
 
-/// Listeners of a daemon, open.
-struct Listeners {
-    inbound: BoxListener,
-    outbound: BoxListener,
-    control: BoxListener,
-    datagrams: Arc<BoxDatagrams>,
-}
-
-impl Listeners {
-    async fn open(config: &NodeConfig, environment: &Environment) -> Result<Self, StartError> {
-        let control = listen(environment, "control", config.listen.control).await?;
-        // Datagrams go to the port at which control connections are taken.
-        let at = control.local_addr();
-        let datagrams = environment.network.datagrams(at).await;
-        let datagrams =
-            datagrams.map_err(|source| StartError::Listen { listener: "datagrams", address: at, source })?;
-        Ok(Self {
-            inbound: listen(environment, "inbound", config.listen.inbound).await?,
-            outbound: listen(environment, "outbound", config.listen.outbound).await?,
-            control,
-            datagrams: Arc::new(datagrams),
-        })
-    }
-}
-
-/// Opens a listener and tells so.
-///
-/// # Errors
-/// Returns [`StartError::Listen`] if that fails.
-pub async fn listen(
-    environment: &Environment,
-    listener: &'static str,
-    address: SocketAddr,
-) -> Result<BoxListener, StartError> {
-    let opened = environment.network.listen(address).await;
-    let opened = opened.map_err(|source| StartError::Listen { listener, address, source })?;
-    environment.telemetry.emit(Event::Listening { listener, address: opened.local_addr() });
-    Ok(opened)
-}
-
 impl Daemon {
     /// Starts a daemon. It runs until [`RunningDaemon::stop`].
     ///
--- a/crates/forwarding/src/repeats/ledger.rs
+++ b/crates/forwarding/src/repeats/ledger.rs
@@ -162,7 +162,7 @@
                 withheld: counts.withheld,
                 left: whole(left),
                 nodes: nodes.unwrap_or_default() as u64,
-                period_millis: crate::inbound::millis(period),
+                period_millis: u64::try_from(period.as_millis()).unwrap_or(u64::MAX),
             });
         }
         changed
