--- a/crates/forwarding/tests/support/fleet.rs
+++ b/crates/forwarding/tests/support/fleet.rs
@@ -9,7 +9,7 @@
 use parking_lot::Mutex;
 use tokio::io::AsyncWriteExt;
 use tokio::time::{Instant, sleep, sleep_until};
-use umberpond_config::{RequestClass, Route, RoutePolicy, Service, Snapshot};
+use umberpond_config::{Entry, RequestClass, Route, RoutePolicy, Snapshot};
 use umberpond_forwarding::{
     BackEnd, Inbound, InboundSettings, OpenedSecrets, Outbound, OutboundIdentity, OutboundSettings,
     RoutingTable, ServerControl, serve_inbound, serve_outbound,
@@ -22,7 +22,7 @@
 use umberpond_virtual_network::SimNetwork;
 
 use super::caller::Caller;
-use super::{BACK_END_PORT, DIALECT, host, locality, name, route};
+use super::{BACK_END_PORT, DIALECT, host, locality, name, route, service};
 
 /// What all nodes together may repeat.
 pub fn budget() -> RetryBudgetSettings {
@@ -344,16 +344,8 @@
 
 fn snapshot() -> Snapshot {
     let mut snapshot = Snapshot::default();
-    for service in ["desk", "ledger"] {
-        let service = Service {
-            name: name(service),
-            allowed: Vec::new(),
-            slots: 0,
-            connections: 100,
-            seal_key: None,
-            health_path: None,
-        };
-        snapshot.services.insert(service.name.clone(), umberpond_config::Entry::new(service));
+    for service in [service("desk"), service("ledger")] {
+        snapshot.services.insert(service.name.clone(), Entry::new(service));
     }
     for (prefix, service, is_idempotent) in
         [("/desk/", "desk", true), ("/ledger/check/", "ledger", true), ("/ledger/book/", "ledger", false)]
@@ -364,7 +356,7 @@
             class: RequestClass::Status,
             ..route(prefix, is_idempotent)
         };
-        snapshot.routes.insert(route.name.clone(), umberpond_config::Entry::new(route));
+        snapshot.routes.insert(route.name.clone(), Entry::new(route));
     }
     snapshot
 }
--- a/crates/forwarding/tests/support/mod.rs
+++ b/crates/forwarding/tests/support/mod.rs
@@ -85,15 +85,8 @@
         limits: RequestLimits { head_bytes: 4096, body_bytes: 600_000, ..RequestLimits::default() },
         ..Snapshot::default()
     };
-    for service in ["archive", "billing"] {
-        let service = Service {
-            name: name(service),
-            allowed: Vec::new(),
-            slots: 0,
-            connections: 100,
-            seal_key: None,
-            health_path: Some("/well".to_owned()),
-        };
+    for service in [service("archive"), service("billing")] {
+        let service = Service { health_path: Some("/well".to_owned()), ..service };
         snapshot.services.insert(service.name.clone(), Entry::new(service));
     }
     for (prefix, is_idempotent) in [("/read/", true), ("/write/", false)] {
@@ -103,6 +96,17 @@
     snapshot
 }
 
+pub fn service(of: &str) -> Service {
+    Service {
+        name: name(of),
+        allowed: Vec::new(),
+        slots: 0,
+        connections: 100,
+        seal_key: None,
+        health_path: None,
+    }
+}
+
 pub fn route(prefix: &str, is_idempotent: bool) -> Route {
     Route {
         name: name(&prefix.trim_matches('/').replace('/', "-")),
