The property of the retry budget takes cases in which hardly anything is repeated

No window was overspent. The property itself is unchanged; that enough is repeated to prove something is asserted by an_even_load_spends_what_is_allowed_and_no_more, whose excess has to lie within 12 of what is allowed. The case stays as a test of its own.

--- a/crates/selection/tests/budget.rs
+++ b/crates/selection/tests/budget.rs
@@ -154,7 +154,6 @@
             repeats.push(at);
         }
     }
-    assert!(repeats.len() > 100, "{} repeats prove nothing", repeats.len());
     repeats.iter().map(|from| excess(&requests, &repeats, *from)).fold(f64::MIN, f64::max)
 }
 
@@ -165,6 +164,11 @@
     assert!((-12.0..=0.0).contains(&excess), "{excess} beyond what is allowed");
 }
 
+#[test]
+fn a_process_that_starts_again_all_the_time_saves_nothing() {
+    assert!(worst_excess(&[(0, 0, 1)]) <= 0.0);
+}
+
 quickcheck! {
     /// Wherever requests move, however long repeats are on the way and whichever processes start again, no window of all nodes together
     /// has more repeats than are allowed.
