The times that the checks of the retry budget compare stand once; a request copies no service name

Read as a newcomer: the simulation and the soak each had the same record of requests and repeats of a service; it stands beside the windows that judge it now. The ledger copied the service's name at each request, though its account is nearly always there. The origin of a request has a comment. No decision changes; tests of the forwarding crate and of the checkers pass.

--- a/crates/forwarding/src/outbound/prepared.rs
+++ b/crates/forwarding/src/outbound/prepared.rs
@@ -44,6 +44,7 @@
     pub(super) caller_time: Duration,
     /// Whether the caller has sent it before and was refused.
     pub(super) is_later_try: bool,
+    /// Whether a run at the back end beside this node has made it, and which.
     pub(super) origin: CallOrigin,
 }
 
--- a/crates/forwarding/src/repeats/ledger.rs
+++ b/crates/forwarding/src/repeats/ledger.rs
@@ -143,7 +143,11 @@
         let now = Instant::now();
         let nodes = self.sharing.get();
         let mut accounts = self.accounts.lock();
-        let account = accounts.entry(service.clone()).or_default();
+        // Each request comes by here: a name is copied only once for each service.
+        let account = match accounts.get_mut(service) {
+            Some(account) => account,
+            None => accounts.entry(service.clone()).or_default(),
+        };
         let changed = change(account, nodes);
         let period = now.saturating_duration_since(*account.told_at.get_or_insert(now));
         if period < TELL_INTERVAL {
--- a/testing/sim/src/checkers/budget.rs
+++ b/testing/sim/src/checkers/budget.rs
@@ -4,18 +4,11 @@
 
 use umberpond_model::{Millis, NodeName, ServiceName};
 use umberpond_selection::RetryBudgetSettings;
-use umberpond_standins::{OverspentWindow, RetryAllowance};
+use umberpond_standins::{OverspentWindow, RetryAllowance, ServiceTimes};
 
 use crate::checkers::{Breach, Invariant, Violation};
 use crate::history::{Event, History, RequestKey};
 
-/// When requests for one service were sent, and when they ran beyond the first time.
-#[derive(Debug, Default)]
-struct ServiceTimes {
-    requests: Vec<u64>,
-    repeats: Vec<u64>,
-}
-
 /// Checks that in no window a service runs more requests again than the retry budget of all nodes together allows.
 #[must_use]
 pub fn retry_budget_kept(history: &History) -> Vec<Violation> {
@@ -28,7 +21,7 @@
     };
     let mut violations = Vec::new();
     for (service, times) in times_by_service(history) {
-        for overspent in allowance.overspent(&times.requests, &times.repeats) {
+        for overspent in allowance.overspent(&times) {
             let OverspentWindow { from_millis, repeats, requests } = overspent;
             let breach = Breach::BudgetOverspent { service: service.clone(), repeats, requests };
             let at = Millis(from_millis);
--- a/testing/standins/src/lib.rs
+++ b/testing/standins/src/lib.rs
@@ -16,4 +16,4 @@
 pub use content::{AnswerContent, Upload};
 pub use http_answer::{AnswerBody, BodyCut};
 pub use reconcile::{AllowedLocalities, Finding, FindingKind, Reconciliation, reconcile};
-pub use retry_window::{OverspentWindow, RetryAllowance};
+pub use retry_window::{OverspentWindow, RetryAllowance, ServiceTimes};
--- a/testing/standins/src/retry_window.rs
+++ b/testing/standins/src/retry_window.rs
@@ -1,5 +1,14 @@
 //! What all nodes together may send again, checked from outside by what was sent and what ran.
 
+/// When requests for one service were sent, and when they ran beyond the first time, in milliseconds.
+#[derive(Debug, Default)]
+pub struct ServiceTimes {
+    /// Each request.
+    pub requests: Vec<u64>,
+    /// Each run of a request but its first one.
+    pub repeats: Vec<u64>,
+}
+
 /// The retry budget of a service.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryAllowance {
@@ -29,16 +38,16 @@
     /// The windows with more repeats than their requests allow. The requests are those of the window, of the one before it or of the one half a
     /// window before it, whichever are most: a repeat may follow its request in the next one.
     #[must_use]
-    pub fn overspent(&self, requests: &[u64], repeats: &[u64]) -> Vec<OverspentWindow> {
-        repeats.iter().filter_map(|from| self.judge(requests, repeats, *from)).collect()
+    pub fn overspent(&self, times: &ServiceTimes) -> Vec<OverspentWindow> {
+        times.repeats.iter().filter_map(|from| self.judge(times, *from)).collect()
     }
 
-    fn judge(&self, requests: &[u64], repeats: &[u64], from: u64) -> Option<OverspentWindow> {
+    fn judge(&self, times: &ServiceTimes, from: u64) -> Option<OverspentWindow> {
         let window = self.window_millis;
         let error = self.clock_error_millis;
-        let repeats = count(repeats, from, window);
+        let repeats = count(&times.repeats, from, window);
         let begins = [0, window / 2, window].map(|earlier| from.saturating_sub(earlier + error));
-        let counts = begins.map(|begin| count(requests, begin, window + 2 * error));
+        let counts = begins.map(|begin| count(&times.requests, begin, window + 2 * error));
         let requests = counts.into_iter().max().unwrap_or_default();
         let allowed = self.ratio * f64::from(requests) + self.extra;
         (f64::from(repeats) > allowed).then_some(OverspentWindow { from_millis: from, repeats, requests })
--- a/xtask/src/soak/budget.rs
+++ b/xtask/src/soak/budget.rs
@@ -4,21 +4,14 @@
 
 use tokio::time::Instant;
 use umberpond_model::ServiceName;
-use umberpond_standins::RetryAllowance;
 use umberpond_standins::backend::Ledger;
 use umberpond_standins::caller::Answer;
+use umberpond_standins::{RetryAllowance, ServiceTimes};
 
 /// The budget of nodes whose settings don't name one.
 const ALLOWANCE: RetryAllowance =
     RetryAllowance { ratio: 0.1, extra: 10.0, window_millis: 10_000, clock_error_millis: 200 };
 
-/// When requests for one service were sent, and when they ran beyond the first time, in milliseconds.
-#[derive(Debug, Default)]
-struct ServiceTimes {
-    requests: Vec<u64>,
-    repeats: Vec<u64>,
-}
-
 /// What callers sent and back ends ran, on one clock.
 #[derive(Debug)]
 pub struct RetryRecord {
@@ -56,7 +49,7 @@
     /// The windows in which a service received more repeats than are allowed, for people.
     pub fn overspent(&self) -> Vec<String> {
         let of_service = |(service, times): (&ServiceName, &ServiceTimes)| {
-            let overspent = ALLOWANCE.overspent(&times.requests, &times.repeats);
+            let overspent = ALLOWANCE.overspent(times);
             let worst = overspent.into_iter().max_by_key(|window| window.repeats)?;
             let (repeats, requests) = (worst.repeats, worst.requests);
             Some(format!("{service}: {repeats} repeats in 10 s for {requests} requests"))
