Sight: a request has a fingerprint, and the end of a back end names what ran there

Cause: the logs could not tell which of the requests that ran when a back end ended had been there at the ends before; a request's identity is new with each attempt. The node beside a back end asks whether it still takes connections when one breaks, and tells 3012 with the fingerprints of all that ran there, also when the next life shows that the one before has ended. Ruled out: taking every broken connection for an end; answers are lost and full back ends reset, and those live on. A back end that has said that it leaves may end.

--- a/crates/forwarding/src/body.rs
+++ b/crates/forwarding/src/body.rs
@@ -90,14 +90,21 @@
 #[derive(Debug, Clone)]
 pub struct PendingBody {
     length: Option<u64>,
+    /// The part that was there before the request was sent on; empty if the body comes from another node.
+    beginning: Bytes,
     crosses_link: bool,
     stream: Arc<Mutex<Option<BodyStream>>>,
 }
 
 impl PendingBody {
-    /// A body of `length` bytes, if that is known, that comes from a caller beside this node.
-    pub(crate) fn from_caller(length: Option<u64>, parts: mpsc::Receiver<BodyPart>) -> Self {
-        Self::new(length, parts, None)
+    /// A body of `length` bytes, if that is known, that comes from a caller beside this node; `beginning` is the part that has come, and the first of
+    /// `parts`.
+    pub(crate) fn from_caller(
+        length: Option<u64>,
+        beginning: Bytes,
+        parts: mpsc::Receiver<BodyPart>,
+    ) -> Self {
+        Self::new(length, beginning, parts, None)
     }
 
     /// A body that another node sends when `demand` asks for it.
@@ -106,13 +113,23 @@
         parts: mpsc::Receiver<BodyPart>,
         demand: BodyDemand,
     ) -> Self {
-        Self::new(length, parts, Some(demand))
+        Self::new(length, Bytes::new(), parts, Some(demand))
     }
 
-    fn new(length: Option<u64>, parts: mpsc::Receiver<BodyPart>, demand: Option<BodyDemand>) -> Self {
+    fn new(
+        length: Option<u64>,
+        beginning: Bytes,
+        parts: mpsc::Receiver<BodyPart>,
+        demand: Option<BodyDemand>,
+    ) -> Self {
         let crosses_link = demand.is_some();
         let stream = BodyStream { parts, demand, turn: None };
-        Self { length, crosses_link, stream: Arc::new(Mutex::new(Some(stream))) }
+        Self { length, beginning, crosses_link, stream: Arc::new(Mutex::new(Some(stream))) }
+    }
+
+    /// The part that was there before the request was sent on; empty if the body comes from another node.
+    pub(crate) fn beginning(&self) -> &[u8] {
+        &self.beginning
     }
 
     /// Length in bytes, if the sender told it.
--- a/crates/forwarding/src/hop/client.rs
+++ b/crates/forwarding/src/hop/client.rs
@@ -222,7 +222,7 @@
             let (sender, parts) = mpsc::channel(1);
             // The channel has room for the only part, and its receiver is still there.
             let _ = sender.try_send(Ok(whole));
-            RequestBody::Pending(PendingBody::from_caller(Some(length), parts))
+            RequestBody::Pending(PendingBody::from_caller(Some(length), Bytes::new(), parts))
         }
         other => other,
     }
--- a/crates/forwarding/src/hop/protocol.rs
+++ b/crates/forwarding/src/hop/protocol.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 use umberpond_http1::Fields;
 use umberpond_model::ServiceName;
+use umberpond_quarantine::RequestFingerprint;
 use umberpond_scheduling::LoadReport;
 
 use crate::message::{Answer, Attempt, NotRun, RequestBody};
@@ -62,6 +63,7 @@
 #[derive(Debug, Encode, Decode)]
 pub(crate) struct OpenHop {
     id: Vec<u8>,
+    fingerprint: RequestFingerprint,
     key: Option<Vec<u8>>,
     service: ServiceName,
     caller: ServiceName,
@@ -110,6 +112,7 @@
         let now = Instant::now();
         Self {
             id: attempt.id.to_vec(),
+            fingerprint: attempt.fingerprint,
             key: attempt.key.as_ref().map(|key| key.to_vec()),
             service: attempt.service.clone(),
             caller: attempt.caller.clone(),
@@ -135,6 +138,7 @@
         let now = Instant::now();
         Attempt {
             id: self.id.into(),
+            fingerprint: self.fingerprint,
             key: self.key.map(Bytes::from),
             service: self.service,
             caller: self.caller,
--- a/crates/forwarding/src/inbound/back_end.rs
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -1,5 +1,6 @@
 //! What is known of the back end beside this node, and how a request gets to it.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
@@ -12,12 +13,14 @@
 use umberpond_http1::Fields;
 use umberpond_model::{ReleaseName, ServiceName};
 use umberpond_net::Network;
+use umberpond_quarantine::RequestFingerprint;
 use umberpond_rollouts::{AnswerTally, RouteTally};
 use umberpond_scheduling::{DuplicateWindow, LoadReport, Refusal, WorkItem};
 use umberpond_telemetry::{Event, Telemetry};
 
 use super::admission::{Admission, Permit};
 use super::body_link::BodyLink;
+use super::crash_watch::{CrashWatch, LifeSign};
 use crate::dialect::Dialect;
 use crate::message::{Answer, AnswerBody, Attempt, AttemptResult, NotRun, RequestBody};
 use crate::outcome::{NotRunReason, UnknownReason};
@@ -65,9 +68,17 @@
 struct Current {
     back_end: BackEnd,
     pool: Arc<UpstreamPool>,
+    watch: Arc<CrashWatch>,
     is_open: bool,
 }
 
+/// Where a request goes.
+struct Target {
+    back_end: BackEnd,
+    pool: Arc<UpstreamPool>,
+    watch: Arc<CrashWatch>,
+}
+
 /// The inbound half of one node.
 pub struct Inbound {
     dialect: Dialect,
@@ -140,13 +151,24 @@
             self.admission.forget_service_time();
             self.answers.lock().clear();
         }
-        let pool = match current.take() {
-            Some(held) if is_same => held.pool,
-            _ => self.new_pool(back_end.address),
+        let (pool, watch) = match current.take() {
+            Some(held) if is_same => (held.pool, held.watch),
+            before => {
+                self.replace(before);
+                (self.new_pool(back_end.address), Arc::default())
+            }
         };
         self.admission.open(back_end.slots);
         self.link.open();
-        *current = Some(Current { back_end, pool, is_open: true });
+        *current = Some(Current { back_end, pool, watch, is_open: true });
+    }
+
+    /// Takes in that another life of the back end has come after `before`. If that one took work until now it has ended without a word.
+    fn replace(&self, before: Option<Current>) {
+        let Some(before) = before.filter(|before| before.is_open) else { return };
+        if let Some(requests) = before.watch.end() {
+            self.on_crash(&before.back_end, "replaced", &requests);
+        }
     }
 
     /// Takes no new work from now on; what waits is refused, what runs goes on.
@@ -222,7 +244,7 @@
 
     /// Serves one attempt. Dropping the future gives it up, also at the back end.
     pub(crate) async fn serve(&self, mut attempt: Attempt) -> AttemptResult {
-        let (back_end, pool) = match self.target(&attempt) {
+        let target = match self.target(&attempt) {
             Ok(target) => target,
             Err(reason) => return self.refused(&attempt, NotRun::before_back_end(reason)),
         };
@@ -247,7 +269,7 @@
             self.withdraw(&attempt);
             return self.refused(&attempt, NotRun::before_back_end(NotRunReason::RetryBudget));
         }
-        self.hand_over(attempt, &back_end, &pool, permit, arrived.elapsed()).await
+        self.hand_over(attempt, &target, permit, arrived.elapsed()).await
     }
 
     /// Whether the calls that a repeated run would make are paid for. Without them it would fail, and hold a slot until then.
@@ -301,7 +323,7 @@
         }
     }
 
-    fn target(&self, attempt: &Attempt) -> Result<(BackEnd, Arc<UpstreamPool>), NotRunReason> {
+    fn target(&self, attempt: &Attempt) -> Result<Target, NotRunReason> {
         let current = self.current.lock();
         let Some(current) = current.as_ref() else { return Err(NotRunReason::WrongInstance) };
         if current.back_end.service != attempt.service {
@@ -313,17 +335,21 @@
         if !current.is_open || !self.is_release_open() {
             return Err(NotRunReason::Draining);
         }
-        Ok((current.back_end.clone(), Arc::clone(&current.pool)))
+        Ok(Target {
+            back_end: current.back_end.clone(),
+            pool: Arc::clone(&current.pool),
+            watch: Arc::clone(&current.watch),
+        })
     }
 
     async fn hand_over(
         &self,
         mut attempt: Attempt,
-        back_end: &BackEnd,
-        pool: &Arc<UpstreamPool>,
+        target: &Target,
         mut permit: Permit,
         waited: Duration,
     ) -> AttemptResult {
+        let Target { back_end, pool, watch } = target;
         let body = std::mem::replace(&mut attempt.body, RequestBody::Spent);
         let fields = self.fields_for(&attempt, back_end);
         let request = ExchangeRequest {
@@ -335,9 +361,11 @@
         };
         let exchanger = Exchanger { pool, dialect: &self.dialect };
         let run = self.runs.begin(&attempt);
+        let watched = watch.begin(attempt.fingerprint);
         match exchanger.run(&request, body).await {
             ExchangeEnd::Answered { status, mut fields, body } => {
                 let calls = run.end();
+                watched.answered();
                 if let Some(ledger) = self.ledger.get() {
                     ledger.record_calls(attempt.route, &calls);
                 }
@@ -352,9 +380,11 @@
             }
             ExchangeEnd::NotSent(reason) => {
                 run.end();
+                watched.not_sent();
                 drop(permit);
                 self.withdraw(&attempt);
                 if reason == NotRunReason::BackEndUnreachable {
+                    self.find_crash(target).await;
                     pool.clear();
                     self.tell_unreachable(&back_end.instance);
                 }
@@ -362,6 +392,7 @@
             }
             ExchangeEnd::Rejected { status } => {
                 run.end();
+                watched.answered();
                 drop(permit);
                 self.withdraw(&attempt);
                 let reason = if status == MISDIRECTED {
@@ -373,8 +404,13 @@
             }
             ExchangeEnd::Unknown(reason) => {
                 self.admission.record_answer(false);
+                drop(watched);
+                if reason.is_broken_connection() {
+                    self.find_crash(target).await;
+                }
                 self.telemetry.emit(Event::ExchangeLost {
                     request: text(&attempt.id),
+                    fingerprint: attempt.fingerprint.to_string(),
                     instance: back_end.instance.clone(),
                     reason: reason.word(),
                     elapsed_millis: millis(permit.elapsed()),
@@ -384,6 +420,34 @@
         }
     }
 
+    /// Finds out whether the back end has ended after a connection to it broke or could not be opened. One that has said that it leaves may end.
+    async fn find_crash(&self, target: &Target) {
+        if !self.takes_work(target) {
+            return;
+        }
+        if let LifeSign::JustEnded(requests) = target.watch.find_life(&target.pool).await {
+            self.on_crash(&target.back_end, "refused", &requests);
+        }
+    }
+
+    /// Whether the life that `target` means is the present one and takes new work.
+    fn takes_work(&self, target: &Target) -> bool {
+        let current = self.current.lock();
+        current.as_ref().is_some_and(|current| current.is_open && Arc::ptr_eq(&current.watch, &target.watch))
+    }
+
+    /// Takes in that the back end has ended while `requests` ran there; `found` tells by what that is known.
+    fn on_crash(&self, back_end: &BackEnd, found: &'static str, requests: &BTreeSet<RequestFingerprint>) {
+        let fingerprints: Vec<String> = requests.iter().map(RequestFingerprint::to_string).collect();
+        self.telemetry.emit(Event::BackEndCrashed {
+            instance: back_end.instance.clone(),
+            service: back_end.service.clone(),
+            found,
+            requests: requests.len() as u64,
+            fingerprints: fingerprints.join(","),
+        });
+    }
+
     fn tell_unreachable(&self, instance: &str) {
         if let Some(watcher) = &*self.unreachable.lock() {
             // Nobody watches any more when the process leaves.
--- /dev/null
+++ b/crates/forwarding/src/inbound/crash_watch.rs
@@ -0,0 +1,151 @@
+//! Which requests ran at the back end when it ended.
+//!
+//! A broken connection alone says little: an answer is lost, a full back end resets. A back end has ended if it takes no connections any more, or if another life
+//! of it is there though the one before did not say that it leaves.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::time::Instant;
+use umberpond_quarantine::RequestFingerprint;
+
+use crate::upstream::{Contact, UpstreamPool};
+
+/// Longest time in which a back end that lives takes a connection. It is on the same machine, and every request whose connection broke waits for this.
+const CONTACT_TIME: Duration = Duration::from_millis(50);
+/// Time for which a run without an answer counts as one during which the back end may have ended: longer than a back end takes to start anew.
+const LOST_TIME: Duration = Duration::from_secs(10);
+/// Most of them remembered.
+const MAX_LOST: usize = 256;
+
+#[derive(Debug)]
+struct WatchedRun {
+    fingerprint: RequestFingerprint,
+    began_at: Instant,
+}
+
+/// A run that has no answer and awaits none any more.
+#[derive(Debug)]
+struct LostRun {
+    fingerprint: RequestFingerprint,
+    lost_at: Instant,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// Runs by their number.
+    running: HashMap<u64, WatchedRun>,
+    begun: u64,
+    lost: Vec<LostRun>,
+    has_ended: bool,
+    /// When the last question began whether the back end still takes connections.
+    asked_at: Option<Instant>,
+}
+
+/// The runs of one life of the back end.
+#[derive(Debug, Default)]
+pub(super) struct CrashWatch {
+    state: Mutex<State>,
+    /// Held while the back end is asked.
+    asking: tokio::sync::Mutex<()>,
+}
+
+/// Whether a back end still lives of which a connection broke.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum LifeSign {
+    /// It takes connections, or that isn't clear.
+    Lives,
+    /// It has ended, which was known.
+    Ended,
+    /// It has ended, and these requests ran there.
+    JustEnded(BTreeSet<RequestFingerprint>),
+}
+
+impl CrashWatch {
+    /// Takes in that a request is handed to the back end.
+    pub(super) fn begin(self: &Arc<Self>, fingerprint: RequestFingerprint) -> RunWatch {
+        let mut state = self.state.lock();
+        state.begun += 1;
+        let number = state.begun;
+        let began_at = Instant::now();
+        state.running.insert(number, WatchedRun { fingerprint, began_at });
+        RunWatch { watch: Arc::clone(self), number }
+    }
+
+    /// Takes in that the back end of this life is no more, without having said so; tells the requests that ran there. Absent if that was known.
+    pub(super) fn end(&self) -> Option<BTreeSet<RequestFingerprint>> {
+        let now = Instant::now();
+        let mut state = self.state.lock();
+        if std::mem::replace(&mut state.has_ended, true) {
+            return None;
+        }
+        let running: Vec<WatchedRun> = state.running.drain().map(|(_number, run)| run).collect();
+        let lost = std::mem::take(&mut state.lost).into_iter();
+        let recent = lost.filter(|lost| now.saturating_duration_since(lost.lost_at) < LOST_TIME);
+        let fingerprints = recent.map(|lost| lost.fingerprint);
+        Some(running.into_iter().map(|run| run.fingerprint).chain(fingerprints).collect())
+    }
+
+    /// Finds out whether the back end still lives, after a connection of `pool` to it broke. One of those that ask does; the others use what it has found.
+    pub(super) async fn find_life(&self, pool: &UpstreamPool) -> LifeSign {
+        let broke_at = Instant::now();
+        let _asking = self.asking.lock().await;
+        {
+            let mut state = self.state.lock();
+            if state.has_ended {
+                return LifeSign::Ended;
+            }
+            if state.asked_at >= Some(broke_at) {
+                return LifeSign::Lives;
+            }
+            state.asked_at = Some(Instant::now());
+        }
+        match pool.contact(CONTACT_TIME).await {
+            Contact::Refused => self.end().map_or(LifeSign::Ended, LifeSign::JustEnded),
+            Contact::Taken | Contact::Unclear => LifeSign::Lives,
+        }
+    }
+
+    /// Takes in that a run has ended; `is_answered` tells whether by an answer of the back end.
+    fn finish(&self, number: u64, is_answered: bool) {
+        let now = Instant::now();
+        let mut state = self.state.lock();
+        let Some(run) = state.running.remove(&number) else { return };
+        if is_answered {
+            // The back end has lived on after whatever was lost before.
+            state.lost.retain(|lost| lost.lost_at > run.began_at);
+            return;
+        }
+        if state.lost.len() >= MAX_LOST {
+            state.lost.remove(0);
+        }
+        state.lost.push(LostRun { fingerprint: run.fingerprint, lost_at: now });
+    }
+}
+
+/// A run that is watched. If nothing else is told of it, it has no answer when this is dropped.
+#[derive(Debug)]
+pub(super) struct RunWatch {
+    watch: Arc<CrashWatch>,
+    number: u64,
+}
+
+impl RunWatch {
+    /// Takes in that the back end has answered, or has said that it did not run the request.
+    pub(super) fn answered(self) {
+        self.watch.finish(self.number, true);
+    }
+
+    /// Takes in that nothing of the request has reached the back end.
+    pub(super) fn not_sent(self) {
+        self.watch.state.lock().running.remove(&self.number);
+    }
+}
+
+impl Drop for RunWatch {
+    fn drop(&mut self) {
+        self.watch.finish(self.number, false);
+    }
+}
--- a/crates/forwarding/src/inbound/mod.rs
+++ b/crates/forwarding/src/inbound/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod back_end;
 mod body_link;
+mod crash_watch;
 
 pub(crate) use admission::Permit;
 pub(crate) use back_end::millis;
--- a/crates/forwarding/src/message.rs
+++ b/crates/forwarding/src/message.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 use umberpond_http1::Fields;
 use umberpond_model::ServiceName;
+use umberpond_quarantine::RequestFingerprint;
 use umberpond_scheduling::LoadReport;
 
 use crate::body::PendingBody;
@@ -35,6 +36,24 @@
         }
     }
 
+    /// Length in bytes; absent if it is not known before the body's end.
+    pub(crate) fn length(&self) -> Option<u64> {
+        match self {
+            Self::Whole(whole) => Some(whole.len() as u64),
+            Self::Pending(pending) => pending.length(),
+            Self::Spent => None,
+        }
+    }
+
+    /// The body, or the part of a longer one that was there before it was sent on.
+    pub(crate) fn beginning(&self) -> &[u8] {
+        match self {
+            Self::Whole(whole) => whole,
+            Self::Pending(pending) => pending.beginning(),
+            Self::Spent => &[],
+        }
+    }
+
     /// Whether the body can't be sent any more.
     #[must_use]
     pub fn is_spent(&self) -> bool {
@@ -51,6 +70,8 @@
 pub struct Attempt {
     /// Identity of the request, given by the caller.
     pub id: Bytes,
+    /// What is the same of the request each time it is sent.
+    pub fingerprint: RequestFingerprint,
     /// The caller's own key, if it gave one.
     pub key: Option<Bytes>,
     /// Service that is meant.
--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -148,6 +148,7 @@
         let request = &self.request;
         Attempt {
             id: request.id.clone(),
+            fingerprint: request.fingerprint,
             key: request.key.clone(),
             service: request.service.clone(),
             caller: (*self.outbound.caller()).clone(),
--- a/crates/forwarding/src/outbound/handler.rs
+++ b/crates/forwarding/src/outbound/handler.rs
@@ -7,6 +7,7 @@
 use rand::RngExt;
 use tokio::time::Instant;
 use umberpond_http1::RequestHead;
+use umberpond_quarantine::{RequestContent, RequestFingerprint};
 use umberpond_telemetry::Event;
 
 use super::attempts::Attempts;
@@ -80,8 +81,16 @@
         let origin = self.inbound.runs().on_request(&id, &service);
         let version = table.version();
         let key = self.dialect.caller_key.and_then(|name| head.fields.get(name)).cloned();
+        let fingerprint = RequestFingerprint::of(&RequestContent {
+            method: &head.method,
+            host,
+            target: &head.target,
+            body_length: body.length(),
+            body: body.beginning(),
+        });
         Ok(PreparedRequest {
             id,
+            fingerprint,
             key,
             head: self.passed_on(head, &route),
             body,
--- a/crates/forwarding/src/outcome.rs
+++ b/crates/forwarding/src/outcome.rs
@@ -80,6 +80,11 @@
 }
 
 impl UnknownReason {
+    /// Whether the connection to the back end broke, which is also how its end shows.
+    pub(crate) const fn is_broken_connection(self) -> bool {
+        matches!(self, Self::BackEndClosed | Self::AnswerCut)
+    }
+
     /// The reason as one word, for logs, figures and callers.
     #[must_use]
     pub const fn word(self) -> &'static str {
--- a/crates/forwarding/src/repeats/tests.rs
+++ b/crates/forwarding/src/repeats/tests.rs
@@ -7,6 +7,7 @@
 use tokio::time::{Instant, sleep};
 use umberpond_http1::Fields;
 use umberpond_model::ServiceName;
+use umberpond_quarantine::{RequestContent, RequestFingerprint};
 use umberpond_selection::RetryBudgetSettings;
 use umberpond_telemetry::{MemoryRecorder, Telemetry};
 
@@ -25,6 +26,13 @@
     let now = Instant::now();
     Attempt {
         id: Bytes::from_static(id.as_bytes()),
+        fingerprint: RequestFingerprint::of(&RequestContent {
+            method: b"GET",
+            host: "",
+            target: b"/",
+            body_length: None,
+            body: b"",
+        }),
         key: None,
         service: service("desk"),
         caller: service("desk"),
--- a/crates/forwarding/src/server/receive.rs
+++ b/crates/forwarding/src/server/receive.rs
@@ -7,12 +7,13 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 use umberpond_http1::{BodyDecoder, BodyError, Framing, MessageReader};
+use umberpond_quarantine::FINGERPRINTED_BYTES;
 
 use crate::body::{BodyPart, BrokenBody, PendingBody};
 use crate::message::RequestBody;
 
-/// Longest body in bytes that is collected before the request is sent on; it can be sent again then.
-const MAX_COLLECTED: usize = 16 * 1024;
+/// Longest body in bytes that is collected before the request is sent on; it can be sent again then, and its fingerprint is that of the whole.
+const MAX_COLLECTED: usize = FINGERPRINTED_BYTES;
 /// Parts of a longer body that are held before the caller has to wait.
 const HELD_PARTS: usize = 4;
 /// Longest pause between two parts of a body.
@@ -56,8 +57,9 @@
     let left_over_limit = body_limit.saturating_sub(collected.len() as u64);
     let (sender, parts) = mpsc::channel(HELD_PARTS);
     // The channel is new, so there is room.
-    let _ = sender.try_send(Ok(collected.freeze()));
-    let body = RequestBody::Pending(PendingBody::from_caller(length, parts));
+    let beginning = collected.freeze();
+    let _ = sender.try_send(Ok(beginning.clone()));
+    let body = RequestBody::Pending(PendingBody::from_caller(length, beginning, parts));
     Ok((body, Some(Receiving { decoder, sender, left_over_limit })))
 }
 
--- a/crates/forwarding/src/upstream/mod.rs
+++ b/crates/forwarding/src/upstream/mod.rs
@@ -10,4 +10,4 @@
 pub(crate) use exchange::{ExchangeEnd, ExchangeRequest, Exchanger, MISDIRECTED};
 pub use health::Health;
 pub(crate) use health::ask_health;
-pub(crate) use pool::{UpstreamPool, UpstreamSettings};
+pub(crate) use pool::{Contact, UpstreamPool, UpstreamSettings};
--- a/crates/forwarding/src/upstream/pool.rs
+++ b/crates/forwarding/src/upstream/pool.rs
@@ -1,11 +1,12 @@
 //! Idle connections to one back end.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 use umberpond_net::Network;
 
 use super::connection::UpstreamConnection;
@@ -20,6 +21,18 @@
 }
 
 /// Opens connections to one back end and keeps those that may serve again.
+/// Whether a back end takes connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Contact {
+    /// It has taken one.
+    Taken,
+    /// Nothing listens at its address.
+    Refused,
+    /// No answer in time, or the connection failed on this side.
+    Unclear,
+}
+
+/// Idle connections to one back end.
 pub(crate) struct UpstreamPool {
     network: Arc<dyn Network>,
     address: SocketAddr,
@@ -53,6 +66,18 @@
         connecting.await.ok()?.ok().map(UpstreamConnection::new)
     }
 
+    /// Finds out within `longest` whether the back end takes connections.
+    pub(crate) async fn contact(&self, longest: Duration) -> Contact {
+        match timeout(longest, self.network.connect(self.address)).await {
+            Ok(Ok(stream)) => {
+                self.put_back(UpstreamConnection::new(stream));
+                Contact::Taken
+            }
+            Ok(Err(error)) if is_refusal(&error) => Contact::Refused,
+            Ok(Err(_)) | Err(_) => Contact::Unclear,
+        }
+    }
+
     /// Takes back a connection whose exchange has come to its proper end.
     pub(crate) fn put_back(&self, connection: UpstreamConnection) {
         let mut idle = self.idle.lock();
@@ -72,6 +97,11 @@
     }
 }
 
+/// Whether the other machine has said that nothing listens there. Other failures, such as a want of descriptors, say nothing of the back end.
+fn is_refusal(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset)
+}
+
 impl std::fmt::Debug for UpstreamPool {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         formatter.debug_struct("UpstreamPool").field("address", &self.address).finish_non_exhaustive()
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -107,7 +107,8 @@
         = 3010, Info, "back-end-state-changed", "The back end beside this node takes new work, takes none, or has to be asked first; `sequence` counts its announcements, 0 if none was made to this process.";
     AnnouncementRefused { reason: String }
         = 3011, Warn, "announcement-refused", "What a back end says of itself can't be understood; nothing changes.";
-
+    BackEndCrashed { instance: String, service: ServiceName, found: &'static str, requests: u64, fingerprints: String }
+        = 3012, Warn, "back-end-crashed", "The back end has ended without having said that it leaves: it refuses connections, or another life of it is there (`replaced`). `fingerprints` are those of the requests that ran there.";
 
     // Requests
     DuplicateRefused { request: String }
@@ -123,8 +124,8 @@
         = 4023, Info, "request-sent-again", "An attempt ended without a usable answer, and another one follows.";
     AdmissionRefused { request: String, service: ServiceName, reason: &'static str, running: u32, waiting: u32, slots: u32, patience_millis: u64 }
         = 4024, Info, "admission-refused", "The node beside the back end refused a request; it has not run.";
-    ExchangeLost { request: String, instance: String, reason: &'static str, elapsed_millis: u64 }
-        = 4025, Info, "exchange-lost", "A request was handed to the back end and no sound answer came back.";
+    ExchangeLost { request: String, fingerprint: String, instance: String, reason: &'static str, elapsed_millis: u64 }
+        = 4025, Info, "exchange-lost", "A request was handed to the back end and no sound answer came back. `fingerprint` is the same each time the same is asked.";
     RetryWithheld { request: String, service: ServiceName, attempts: u32, origin: &'static str }
         = 4026, Info, "retry-withheld", "The retry budget of the service is spent at this node: the request is not sent again. `origin` tells whether a caller has made it, or a first or repeated run at the back end beside this node.";
     RetriesCounted { service: ServiceName, requests: u64, repeats: u64, repeated_calls: u64, withheld: u64, left: u64, nodes: u64, period_millis: u64 }
