A request that ends back ends is known again at every node, and refused from the third end on

Cause: a request was known by the identity of one attempt of its caller, and each node forgot what had run at the end of its own back end. Each new attempt was new to all. Change: the node beside a back end that ends blames what ran there; an answer of any back end clears. Findings are joined in any order (crates/quarantine), told to all nodes at once, compared each second, and what is certain is kept in the store. A request that was at one end runs beside no other one under suspicion and goes to the same back end wherever it enters; after a second end it waits 4 s; from the third on it is refused as not run. What was blamed before explains an end, so what ran beside it is not blamed. Ruled out: counting ends alone, which convicts a popular path that is there at each of them; judging by each node alone; a lease before each repeat (a call to the store on the path of requests). Back ends that end for another reason: everything is served as before.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 mod http_server;
 mod listeners;
 mod membership;
+pub mod quarantine;
 mod readiness;
 pub mod rollouts;
 pub mod settings;
--- a/crates/daemon/src/membership/actor.rs
+++ b/crates/daemon/src/membership/actor.rs
@@ -17,6 +17,7 @@
 use super::endpoints::{ToldEndpoints, count_by_release};
 use super::message::{MembershipMessage, StoreView};
 use super::plans::PlansInForce;
+use super::suspects::SuspectSpread;
 use crate::configuration::ConfigurationMessage;
 use crate::duration::millis;
 use crate::rollouts::RolloutView;
@@ -46,6 +47,7 @@
     telemetry: Telemetry,
     told: ToldEndpoints,
     plans: PlansInForce,
+    suspects: SuspectSpread,
     evidence: mpsc::UnboundedSender<ReleaseEvidence>,
     configuration: Option<ActorRef<ConfigurationMessage>>,
     started_at: std::time::Instant,
@@ -67,6 +69,7 @@
     ) -> Result<Self::State, ActorProcessingErr> {
         tokio::spawn(tick(myself));
         Ok(MembershipState {
+            suspects: SuspectSpread::new(Arc::clone(arguments.inbound.quarantine())),
             membership: arguments.membership,
             socket: arguments.socket,
             inbound: arguments.inbound,
@@ -113,7 +116,9 @@
         match message {
             MembershipMessage::Tick => {
                 self.membership.set_load(self.inbound.load());
-                self.membership.on_tick(now)
+                let mut outgoing = self.membership.on_tick(now);
+                outgoing.extend(self.suspects.on_tick(now, &mut self.membership));
+                outgoing
             }
             MembershipMessage::Datagram { from, datagram } => self.on_datagram(now, from, &datagram),
             MembershipMessage::Introductions(introductions) => {
@@ -123,8 +128,9 @@
             MembershipMessage::Joined => {
                 self.has_joined = true;
                 self.tell_sharing_nodes();
-                Vec::new()
+                self.suspects.on_joined(&mut self.membership)
             }
+            MembershipMessage::TellSuspects(records) => SuspectSpread::tell(&mut self.membership, &records),
             MembershipMessage::BackEnd(back_end) => self.membership.set_back_end(now, back_end),
             MembershipMessage::Phase(phase) => self.membership.set_phase(now, phase),
             MembershipMessage::Version(version) => self.membership.set_version(now, version),
@@ -171,6 +177,9 @@
             let _ = self.evidence.send((**evidence).clone());
             return Vec::new();
         }
+        if let Datagram::Suspects(news) = datagram {
+            return self.suspects.on_news(&mut self.membership, from, news);
+        }
         let outgoing = self.membership.on_datagram(now, from, datagram);
         let Datagram::Heartbeat(heartbeat) = datagram else { return outgoing };
         if let Some((node, service)) = self.membership.back_end_of(heartbeat.word.order()) {
--- a/crates/daemon/src/membership/message.rs
+++ b/crates/daemon/src/membership/message.rs
@@ -6,6 +6,7 @@
 use ractor::{ActorRef, RpcReplyPort};
 use umberpond_membership::{BackEndRecord, Datagram, Introduction, MemberPhase, MemberView};
 use umberpond_model::{NodeName, Version};
+use umberpond_quarantine::SuspectRecord;
 use umberpond_rollouts::{ReleaseEvidence, RolloutPlan};
 
 use crate::configuration::ConfigurationMessage;
@@ -35,6 +36,8 @@
     Rollouts(Vec<RolloutPlan>),
     /// What the own back end has answered, for the coordinators of its rollout.
     ReportEvidence(Box<ReleaseEvidence>),
+    /// What was found here of requests that may end back ends.
+    TellSuspects(Vec<SuspectRecord>),
     /// Asks for what is known of rollouts.
     RolloutView(RpcReplyPort<RolloutView>),
     /// Asks for all other nodes.
--- a/crates/daemon/src/membership/mod.rs
+++ b/crates/daemon/src/membership/mod.rs
@@ -5,6 +5,7 @@
 mod endpoints;
 mod message;
 mod plans;
+mod suspects;
 
 pub(crate) use actor::{MembershipActor, MembershipArguments};
 pub(crate) use datagrams::receive_datagrams;
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -31,6 +31,7 @@
 use crate::error::StartError;
 use crate::listeners::Listeners;
 use crate::membership::{MembershipActor, MembershipArguments, MembershipMessage, receive_datagrams};
+use crate::quarantine::{QuarantineStore, QuarantineTask, keep_quarantine, tell_news};
 use crate::readiness::Unready;
 use crate::rollouts::{RolloutStore, RolloutTask, run_rollouts};
 use crate::settings::{BackEndConfig, NodeConfig};
@@ -49,6 +50,8 @@
     pub directory: Arc<dyn MemberDirectory>,
     /// Where orders of rollouts come from; absent if there are none.
     pub rollouts: Option<Arc<dyn RolloutStore>>,
+    /// Where requests that end back ends are remembered when all processes end; absent if nowhere.
+    pub quarantine: Option<Arc<dyn QuarantineStore>>,
     /// Names of the header fields.
     pub dialect: Dialect,
 }
@@ -308,6 +311,15 @@
             seed: self.environment.seed_for(SeedUse::Store).wrapping_add(1),
             telemetry: telemetry.clone(),
         }));
+        tasks.spawn(tell_news(Arc::clone(self.inbound.quarantine()), self.membership.clone()));
+        if let Some(store) = &self.extensions.quarantine {
+            tasks.spawn(keep_quarantine(QuarantineTask {
+                store: Arc::clone(store),
+                quarantine: Arc::clone(self.inbound.quarantine()),
+                membership: self.membership.clone(),
+                telemetry: telemetry.clone(),
+            }));
+        }
         if let (Some(store), Some(settings)) = (&self.extensions.rollouts, self.config.rollouts) {
             tasks.spawn(run_rollouts(RolloutTask {
                 node: self.config.node.clone(),
--- a/crates/forwarding/src/inbound/back_end.rs
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -1,6 +1,5 @@
 //! What is known of the back end beside this node, and how a request gets to it.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
@@ -13,17 +12,19 @@
 use umberpond_http1::Fields;
 use umberpond_model::{ReleaseName, ServiceName};
 use umberpond_net::Network;
-use umberpond_quarantine::RequestFingerprint;
+use umberpond_quarantine::{RequestKey, Standing};
 use umberpond_rollouts::{AnswerTally, RouteTally};
 use umberpond_scheduling::{DuplicateWindow, LoadReport, Refusal, WorkItem};
 use umberpond_telemetry::{Event, Telemetry};
 
 use super::admission::{Admission, Permit};
 use super::body_link::BodyLink;
-use super::crash_watch::{CrashWatch, LifeSign};
+use super::crash_watch::{CrashReport, CrashWatch, LifeSign};
+use super::suspect_lane::SuspectLane;
 use crate::dialect::Dialect;
 use crate::message::{Answer, AnswerBody, Attempt, AttemptResult, NotRun, RequestBody};
 use crate::outcome::{NotRunReason, UnknownReason};
+use crate::quarantine::Quarantine;
 use crate::repeats::{OpenRuns, RetryLedger};
 use crate::upstream::{
     ExchangeEnd, ExchangeRequest, Exchanger, Health, MISDIRECTED, UpstreamPool, UpstreamSettings, ask_health,
@@ -96,6 +97,8 @@
     is_release_open: AtomicBool,
     answers: Mutex<AnswerTally>,
     runs: Arc<OpenRuns>,
+    quarantine: Arc<Quarantine>,
+    suspect_lane: Arc<SuspectLane>,
     /// The budgets that pay for the calls of repeated runs.
     ledger: OnceLock<Arc<RetryLedger>>,
 }
@@ -115,6 +118,7 @@
         network: Arc<dyn Network>,
         telemetry: Telemetry,
     ) -> Self {
+        let quarantine = Arc::new(Quarantine::new(telemetry.clone()));
         Self {
             dialect,
             settings,
@@ -129,6 +133,8 @@
             is_release_open: AtomicBool::new(true),
             answers: Mutex::default(),
             runs: Arc::new(OpenRuns::new(dialect.call_separator)),
+            suspect_lane: SuspectLane::new(Arc::clone(&quarantine)),
+            quarantine,
             ledger: OnceLock::new(),
         }
     }
@@ -166,8 +172,8 @@
     /// Takes in that another life of the back end has come after `before`. If that one took work until now it has ended without a word.
     fn replace(&self, before: Option<Current>) {
         let Some(before) = before.filter(|before| before.is_open) else { return };
-        if let Some(requests) = before.watch.end() {
-            self.on_crash(&before.back_end, "replaced", &requests);
+        if let Some(report) = before.watch.end(&before.back_end.instance) {
+            self.on_crash(&before.back_end, "replaced", &report);
         }
     }
 
@@ -237,6 +243,12 @@
         let _ = self.ledger.set(ledger);
     }
 
+    /// The requests under suspicion of ending back ends.
+    #[must_use]
+    pub const fn quarantine(&self) -> &Arc<Quarantine> {
+        &self.quarantine
+    }
+
     /// The runs at the back end.
     pub(crate) fn runs(&self) -> &OpenRuns {
         &self.runs
@@ -251,6 +263,12 @@
         if !self.bears_calls_of(&attempt) {
             return self.refused(&attempt, NotRun::before_back_end(NotRunReason::RetryBudget));
         }
+        let key = attempt.request_key();
+        let waits_until = attempt.hold_until.min(attempt.deadline);
+        let mut lane = match self.suspect_lane.enter(&target.watch, &key, waits_until).await {
+            Ok(turn) => turn,
+            Err(not_run) => return self.refused(&attempt, not_run),
+        };
         if let Err(reason) = self.admit_once(&attempt) {
             self.telemetry.emit(Event::DuplicateRefused { request: text(&attempt.id) });
             return AttemptResult::Unknown(reason);
@@ -269,7 +287,22 @@
             self.withdraw(&attempt);
             return self.refused(&attempt, NotRun::before_back_end(NotRunReason::RetryBudget));
         }
-        self.hand_over(attempt, &target, permit, arrived.elapsed()).await
+        // It may have come under suspicion, or the suspicion may have become certain, while it waited.
+        if lane.is_none() || self.quarantine.standing(&key) > Standing::Suspected {
+            match self.suspect_lane.try_enter(&target.watch, &key) {
+                Ok(turn) => lane = turn,
+                Err(not_run) => {
+                    drop(permit);
+                    self.withdraw(&attempt);
+                    return self.refused(&attempt, not_run);
+                }
+            }
+        }
+        let result = self.hand_over(attempt, &target, key, permit, arrived.elapsed()).await;
+        drop(lane);
+        // Another one under suspicion may wait for the end of this run.
+        self.quarantine.moved().notify_waiters();
+        result
     }
 
     /// Whether the calls that a repeated run would make are paid for. Without them it would fail, and hold a slot until then.
@@ -346,6 +379,7 @@
         &self,
         mut attempt: Attempt,
         target: &Target,
+        key: RequestKey,
         mut permit: Permit,
         waited: Duration,
     ) -> AttemptResult {
@@ -361,11 +395,12 @@
         };
         let exchanger = Exchanger { pool, dialect: &self.dialect };
         let run = self.runs.begin(&attempt);
-        let watched = watch.begin(attempt.fingerprint);
+        let watched = watch.begin(attempt.id.clone(), key);
         match exchanger.run(&request, body).await {
             ExchangeEnd::Answered { status, mut fields, body } => {
                 let calls = run.end();
                 watched.answered();
+                self.quarantine.on_answered(&key);
                 if let Some(ledger) = self.ledger.get() {
                     ledger.record_calls(attempt.route, &calls);
                 }
@@ -405,9 +440,8 @@
             ExchangeEnd::Unknown(reason) => {
                 self.admission.record_answer(false);
                 drop(watched);
-                if reason.is_broken_connection() {
-                    self.find_crash(target).await;
-                }
+                let has_crashed = reason.is_broken_connection() && self.find_crash(target).await;
+                let reason = if has_crashed { UnknownReason::BackEndCrashed } else { reason };
                 self.telemetry.emit(Event::ExchangeLost {
                     request: text(&attempt.id),
                     fingerprint: attempt.fingerprint.to_string(),
@@ -421,12 +455,20 @@
     }
 
     /// Finds out whether the back end has ended after a connection to it broke or could not be opened. One that has said that it leaves may end.
-    async fn find_crash(&self, target: &Target) {
-        if !self.takes_work(target) {
-            return;
+    async fn find_crash(&self, target: &Target) -> bool {
+        let Target { back_end, pool, watch } = target;
+        if !watch.has_ended() && !self.takes_work(target) {
+            return false;
         }
-        if let LifeSign::JustEnded(requests) = target.watch.find_life(&target.pool).await {
-            self.on_crash(&target.back_end, "refused", &requests);
+        match watch.find_life(&back_end.instance, pool).await {
+            LifeSign::Lives => false,
+            LifeSign::Ended => true,
+            LifeSign::JustEnded(report) => {
+                self.on_crash(back_end, "refused", &report);
+                pool.clear();
+                self.tell_unreachable(&back_end.instance);
+                true
+            }
         }
     }
 
@@ -436,16 +478,17 @@
         current.as_ref().is_some_and(|current| current.is_open && Arc::ptr_eq(&current.watch, &target.watch))
     }
 
-    /// Takes in that the back end has ended while `requests` ran there; `found` tells by what that is known.
-    fn on_crash(&self, back_end: &BackEnd, found: &'static str, requests: &BTreeSet<RequestFingerprint>) {
-        let fingerprints: Vec<String> = requests.iter().map(RequestFingerprint::to_string).collect();
+    /// Takes in that the back end has ended; `found` tells by what that is known.
+    fn on_crash(&self, back_end: &BackEnd, found: &'static str, report: &CrashReport) {
+        let fingerprints: Vec<String> = report.requests.iter().map(|key| key.content.to_string()).collect();
         self.telemetry.emit(Event::BackEndCrashed {
             instance: back_end.instance.clone(),
             service: back_end.service.clone(),
             found,
-            requests: requests.len() as u64,
+            requests: report.requests.len() as u64,
             fingerprints: fingerprints.join(","),
         });
+        self.quarantine.on_crash(report.crash, &report.requests);
     }
 
     fn tell_unreachable(&self, instance: &str) {
--- a/crates/forwarding/src/inbound/crash_watch.rs
+++ b/crates/forwarding/src/inbound/crash_watch.rs
@@ -7,9 +7,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use parking_lot::Mutex;
 use tokio::time::Instant;
-use umberpond_quarantine::RequestFingerprint;
+use umberpond_quarantine::{CrashId, RequestKey};
 
 use crate::upstream::{Contact, UpstreamPool};
 
@@ -22,15 +23,11 @@
 
 #[derive(Debug)]
 struct WatchedRun {
-    fingerprint: RequestFingerprint,
+    id: Bytes,
+    key: RequestKey,
     began_at: Instant,
-}
-
-/// A run that has no answer and awaits none any more.
-#[derive(Debug)]
-struct LostRun {
-    fingerprint: RequestFingerprint,
-    lost_at: Instant,
+    /// When it ended without an answer; absent while one is awaited.
+    lost_at: Option<Instant>,
 }
 
 #[derive(Debug, Default)]
@@ -38,7 +35,7 @@
     /// Runs by their number.
     running: HashMap<u64, WatchedRun>,
     begun: u64,
-    lost: Vec<LostRun>,
+    lost: Vec<WatchedRun>,
     has_ended: bool,
     /// When the last question began whether the back end still takes connections.
     asked_at: Option<Instant>,
@@ -59,23 +56,41 @@
     Lives,
     /// It has ended, which was known.
     Ended,
-    /// It has ended, and these requests ran there.
-    JustEnded(BTreeSet<RequestFingerprint>),
+    /// It has ended, which was not known.
+    JustEnded(CrashReport),
+}
+
+/// The end of one life of a back end.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct CrashReport {
+    pub(super) crash: CrashId,
+    /// What ran there.
+    pub(super) requests: BTreeSet<RequestKey>,
 }
 
 impl CrashWatch {
-    /// Takes in that a request is handed to the back end.
-    pub(super) fn begin(self: &Arc<Self>, fingerprint: RequestFingerprint) -> RunWatch {
+    /// Takes in that the request called `id` is handed to the back end.
+    pub(super) fn begin(self: &Arc<Self>, id: Bytes, key: RequestKey) -> RunWatch {
         let mut state = self.state.lock();
         state.begun += 1;
         let number = state.begun;
-        let began_at = Instant::now();
-        state.running.insert(number, WatchedRun { fingerprint, began_at });
+        let run = WatchedRun { id, key, began_at: Instant::now(), lost_at: None };
+        state.running.insert(number, run);
         RunWatch { watch: Arc::clone(self), number }
     }
 
-    /// Takes in that the back end of this life is no more, without having said so; tells the requests that ran there. Absent if that was known.
-    pub(super) fn end(&self) -> Option<BTreeSet<RequestFingerprint>> {
+    /// Whether the back end of this life is known to have ended.
+    pub(super) fn has_ended(&self) -> bool {
+        self.state.lock().has_ended
+    }
+
+    /// Whether a request runs for which `is_meant` holds.
+    pub(super) fn runs_any(&self, is_meant: impl Fn(&RequestKey) -> bool) -> bool {
+        self.state.lock().running.values().any(|run| is_meant(&run.key))
+    }
+
+    /// Takes in that the back end of this life, which was called `instance`, is no more without having said so. Absent if that was known.
+    pub(super) fn end(&self, instance: &str) -> Option<CrashReport> {
         let now = Instant::now();
         let mut state = self.state.lock();
         if std::mem::replace(&mut state.has_ended, true) {
@@ -83,13 +98,18 @@
         }
         let running: Vec<WatchedRun> = state.running.drain().map(|(_number, run)| run).collect();
         let lost = std::mem::take(&mut state.lost).into_iter();
-        let recent = lost.filter(|lost| now.saturating_duration_since(lost.lost_at) < LOST_TIME);
-        let fingerprints = recent.map(|lost| lost.fingerprint);
-        Some(running.into_iter().map(|run| run.fingerprint).chain(fingerprints).collect())
+        let is_recent = |run: &WatchedRun| {
+            run.lost_at.is_none_or(|lost_at| now.saturating_duration_since(lost_at) < LOST_TIME)
+        };
+        let runs: Vec<WatchedRun> = running.into_iter().chain(lost).filter(is_recent).collect();
+        Some(CrashReport {
+            crash: CrashId::of(instance, runs.iter().map(|run| &run.id[..])),
+            requests: runs.iter().map(|run| run.key).collect(),
+        })
     }
 
     /// Finds out whether the back end still lives, after a connection of `pool` to it broke. One of those that ask does; the others use what it has found.
-    pub(super) async fn find_life(&self, pool: &UpstreamPool) -> LifeSign {
+    pub(super) async fn find_life(&self, instance: &str, pool: &UpstreamPool) -> LifeSign {
         let broke_at = Instant::now();
         let _asking = self.asking.lock().await;
         {
@@ -103,7 +123,7 @@
             state.asked_at = Some(Instant::now());
         }
         match pool.contact(CONTACT_TIME).await {
-            Contact::Refused => self.end().map_or(LifeSign::Ended, LifeSign::JustEnded),
+            Contact::Refused => self.end(instance).map_or(LifeSign::Ended, LifeSign::JustEnded),
             Contact::Taken | Contact::Unclear => LifeSign::Lives,
         }
     }
@@ -112,16 +132,17 @@
     fn finish(&self, number: u64, is_answered: bool) {
         let now = Instant::now();
         let mut state = self.state.lock();
-        let Some(run) = state.running.remove(&number) else { return };
+        let Some(mut run) = state.running.remove(&number) else { return };
         if is_answered {
             // The back end has lived on after whatever was lost before.
-            state.lost.retain(|lost| lost.lost_at > run.began_at);
+            state.lost.retain(|lost| lost.lost_at > Some(run.began_at));
             return;
         }
         if state.lost.len() >= MAX_LOST {
             state.lost.remove(0);
         }
-        state.lost.push(LostRun { fingerprint: run.fingerprint, lost_at: now });
+        run.lost_at = Some(now);
+        state.lost.push(run);
     }
 }
 
--- a/crates/forwarding/src/inbound/mod.rs
+++ b/crates/forwarding/src/inbound/mod.rs
@@ -4,6 +4,7 @@
 mod back_end;
 mod body_link;
 mod crash_watch;
+mod suspect_lane;
 
 pub(crate) use admission::Permit;
 pub(crate) use back_end::millis;
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -15,6 +15,7 @@
 mod message;
 mod outbound;
 mod outcome;
+mod quarantine;
 mod repeats;
 mod routing;
 mod server;
@@ -24,6 +25,7 @@
 pub use inbound::{BackEnd, Inbound, InboundSettings};
 pub use outbound::{Outbound, OutboundIdentity, OutboundSettings, StaleVersion};
 pub use outcome::{NotRunReason, UnknownReason};
+pub use quarantine::{FindingSource, Quarantine};
 pub use routing::{
     CompileError, CompiledRoute, NoRoute, OpenedSecrets, RoutingTable, SplitSequences, WeightedService,
 };
--- a/crates/forwarding/src/message.rs
+++ b/crates/forwarding/src/message.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 use umberpond_http1::Fields;
 use umberpond_model::ServiceName;
-use umberpond_quarantine::RequestFingerprint;
+use umberpond_quarantine::{RequestFingerprint, RequestKey};
 use umberpond_scheduling::LoadReport;
 
 use crate::body::PendingBody;
@@ -70,7 +70,7 @@
 pub struct Attempt {
     /// Identity of the request, given by the caller.
     pub id: Bytes,
-    /// What is the same of the request each time it is sent.
+    /// What is the same of the request each time it is sent, whoever does.
     pub fingerprint: RequestFingerprint,
     /// The caller's own key, if it gave one.
     pub key: Option<Bytes>,
@@ -110,6 +110,13 @@
     pub is_repeat: bool,
 }
 
+impl Attempt {
+    /// What the request is known by.
+    pub(crate) fn request_key(&self) -> RequestKey {
+        RequestKey::new(self.fingerprint, self.caller.as_str())
+    }
+}
+
 /// What is known about an attempt at its end.
 #[derive(Debug)]
 pub enum AttemptResult {
--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -5,6 +5,7 @@
 
 use tokio::time::Instant;
 use umberpond_model::NodeName;
+use umberpond_quarantine::Standing;
 use umberpond_selection::{Choice, Observation, Query, ReleaseGroup};
 use umberpond_telemetry::{Event, RequestDetail};
 
@@ -28,6 +29,9 @@
 /// Most attempts that never came near a back end; they are free, but each takes time.
 const MAX_FREE_ATTEMPTS: u32 = 8;
 
+/// When a caller comes back whose request has ended back ends: nothing is better for it before it is mended.
+const COME_BACK_AFTER_MENDING: Duration = Duration::from_secs(60);
+
 /// A request on its way through its attempts.
 pub(super) struct Attempts<'a> {
     outbound: &'a Arc<Outbound>,
@@ -42,6 +46,8 @@
     may_have_run: Option<UnknownReason>,
     /// A repeat that is paid for and has not arrived yet.
     grant: Option<RetryGrant>,
+    /// Whether a back end has ended while it ran the request.
+    has_crashed: bool,
     /// The failure that a back end answered, for the case that nothing better comes.
     failure: Option<FailedAnswer>,
 }
@@ -63,6 +69,7 @@
             free_attempts: 0,
             may_have_run: None,
             grant: None,
+            has_crashed: false,
             failure: None,
         }
     }
@@ -85,6 +92,9 @@
         }
         let mut last = NotRun::before_back_end(NotRunReason::NoEndpoint);
         loop {
+            if let Some(not_run) = self.kept_away() {
+                return self.not_run(not_run);
+            }
             let Some(choice) = self.choose_in_turn() else { return self.not_run(last) };
             if self.free_attempts > BLIND_ATTEMPTS && !choice.has_room {
                 return self.not_run(last);
@@ -98,6 +108,18 @@
         }
     }
 
+    /// Why the request is kept away from all back ends, if it is.
+    fn kept_away(&self) -> Option<NotRun> {
+        match self.outbound.quarantine().standing(&self.request.request_key) {
+            Standing::Clear | Standing::Suspected => None,
+            Standing::Paused(left) => Some(NotRun {
+                retry_after: Some(left),
+                ..NotRun::before_back_end(NotRunReason::SuspectPaused)
+            }),
+            Standing::Quarantined => Some(NotRun::before_back_end(NotRunReason::Quarantined)),
+        }
+    }
+
     /// An endpoint that was not tried; of the other releases if the one to which the request was dealt has none.
     fn choose_in_turn(&mut self) -> Option<Choice> {
         if let Some(choice) = self.choose() {
@@ -110,6 +132,11 @@
         self.choose()
     }
 
+    /// Whether the request may have ended a back end.
+    fn is_suspect(&self) -> bool {
+        self.has_crashed || self.outbound.quarantine().is_suspect(&self.request.request_key)
+    }
+
     /// An endpoint that was not tried.
     fn choose(&self) -> Option<Choice> {
         let now = Instant::now().into_std();
@@ -118,6 +145,11 @@
         let route = &self.request.route;
         let query =
             Query { route: &route.name, tried: &self.tried, group: self.group, objective: route.objective };
+        if self.is_suspect() {
+            // Wherever it enters it goes to the same back end, so that it can't end several at the same time.
+            let fingerprint = self.request.request_key.content;
+            return selector.choose_for_key(now, &self.request.service, fingerprint.as_bytes(), query);
+        }
         match &self.request.key {
             // The caller's repetition has to meet the node that remembers the key.
             Some(key) if !route.is_idempotent => {
@@ -148,7 +180,7 @@
         let request = &self.request;
         Attempt {
             id: request.id.clone(),
-            fingerprint: request.fingerprint,
+            fingerprint: request.request_key.content,
             key: request.key.clone(),
             service: request.service.clone(),
             caller: (*self.outbound.caller()).clone(),
@@ -176,7 +208,9 @@
             AttemptResult::Answered(answer) => Observation::Answered(answer.load),
             AttemptResult::NotRun(not_run) => not_run_observation(not_run),
             AttemptResult::Unknown(UnknownReason::BodyBroken) => Observation::Abandoned,
-            AttemptResult::Unknown(UnknownReason::NodeLost) => Observation::Unreachable,
+            AttemptResult::Unknown(UnknownReason::NodeLost | UnknownReason::BackEndCrashed) => {
+                Observation::Unreachable
+            }
             AttemptResult::Unknown(_) => Observation::Failed,
         };
         let mut selector = self.outbound.selector.lock();
@@ -205,6 +239,7 @@
             AttemptResult::Unknown(reason) => {
                 self.on_reached();
                 self.may_have_run = Some(reason);
+                self.has_crashed |= reason == UnknownReason::BackEndCrashed;
                 self.on_unknown(choice, reason)
             }
         }
@@ -262,7 +297,13 @@
         } else {
             self.has_time() && self.free_attempts <= MAX_FREE_ATTEMPTS && !self.request.body.is_spent()
         };
-        let is_final = matches!(not_run.reason, NotRunReason::DeadlineBeforeRun | NotRunReason::RetryBudget);
+        let is_final = matches!(
+            not_run.reason,
+            NotRunReason::DeadlineBeforeRun
+                | NotRunReason::RetryBudget
+                | NotRunReason::Quarantined
+                | NotRunReason::SuspectPaused
+        );
         if is_allowed && !is_final {
             self.tell_retry(choice, "not-run");
             return Next::TryAgain;
@@ -329,6 +370,9 @@
 
     /// When the caller of a request that did not run does best to send it again.
     fn come_back(&self, not_run: NotRun) -> Duration {
+        if not_run.reason == NotRunReason::Quarantined {
+            return COME_BACK_AFTER_MENDING;
+        }
         let soonest = not_run.retry_after.unwrap_or(COME_BACK);
         if not_run.reason != NotRunReason::Overloaded {
             return soonest;
@@ -393,8 +437,9 @@
     match (not_run.reason, not_run.load) {
         (NotRunReason::NodeUnreachable | NotRunReason::WrongInstance | NotRunReason::Draining, _)
         | (NotRunReason::BackEndUnreachable, _) => Observation::Unreachable,
-        // It says nothing of the back end's load.
-        (NotRunReason::RetryBudget, _) => Observation::Abandoned,
+        // They say nothing of the back end's load.
+        (NotRunReason::RetryBudget | NotRunReason::Quarantined, _)
+        | (NotRunReason::SuspectPaused | NotRunReason::SuspectBusy, _) => Observation::Abandoned,
         (_, Some(load)) => Observation::Refused(load),
         (_, None) => Observation::Abandoned,
     }
--- a/crates/forwarding/src/outbound/handler.rs
+++ b/crates/forwarding/src/outbound/handler.rs
@@ -7,7 +7,7 @@
 use rand::RngExt;
 use tokio::time::Instant;
 use umberpond_http1::RequestHead;
-use umberpond_quarantine::{RequestContent, RequestFingerprint};
+use umberpond_quarantine::{RequestContent, RequestFingerprint, RequestKey};
 use umberpond_telemetry::Event;
 
 use super::attempts::Attempts;
@@ -90,7 +90,7 @@
         });
         Ok(PreparedRequest {
             id,
-            fingerprint,
+            request_key: RequestKey::new(fingerprint, self.caller().as_str()),
             key,
             head: self.passed_on(head, &route),
             body,
--- a/crates/forwarding/src/outbound/prepared.rs
+++ b/crates/forwarding/src/outbound/prepared.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 use umberpond_http1::RequestHead;
 use umberpond_model::{ServiceName, Version};
-use umberpond_quarantine::RequestFingerprint;
+use umberpond_quarantine::RequestKey;
 
 use crate::message::RequestBody;
 use crate::repeats::CallOrigin;
@@ -30,8 +30,8 @@
 #[derive(Debug)]
 pub(super) struct PreparedRequest {
     pub(super) id: Bytes,
-    /// What is the same of it each time it is sent.
-    pub(super) fingerprint: RequestFingerprint,
+    /// What it is known by, the same each time it is sent.
+    pub(super) request_key: RequestKey,
     /// The caller's own key, if it gave one.
     pub(super) key: Option<Bytes>,
     pub(super) head: RequestHead,
--- a/crates/forwarding/src/outbound/state.rs
+++ b/crates/forwarding/src/outbound/state.rs
@@ -24,6 +24,7 @@
 use crate::dialect::Dialect;
 use crate::hop::{HopPool, HopPoolSettings};
 use crate::inbound::Inbound;
+use crate::quarantine::Quarantine;
 use crate::repeats::RetryLedger;
 use crate::routing::{RoutingTable, SplitSequences};
 
@@ -233,6 +234,11 @@
         self.ledger.set_sharing_nodes(count);
     }
 
+    /// The requests under suspicion of ending back ends.
+    pub(super) fn quarantine(&self) -> &Quarantine {
+        self.inbound.quarantine()
+    }
+
     /// Closes connections that were idle too long.
     pub fn close_expired(&self) {
         self.hops.close_expired();
--- a/crates/forwarding/src/outcome.rs
+++ b/crates/forwarding/src/outcome.rs
@@ -33,6 +33,12 @@
     BodyBroken,
     /// The request, or a call that its run would make, is a repeat that the retry budget does not bear.
     RetryBudget,
+    /// It has ended as many back ends as a request may.
+    Quarantined,
+    /// It may have ended back ends a moment ago, and these have to be there again first.
+    SuspectPaused,
+    /// It may have ended a back end, and another such request was at this one for as long as it could wait.
+    SuspectBusy,
 }
 
 impl NotRunReason {
@@ -53,6 +59,9 @@
             Self::BackEndRejected => "back-end-rejected",
             Self::BodyBroken => "body-broken",
             Self::RetryBudget => "retry-budget",
+            Self::Quarantined => "quarantined",
+            Self::SuspectPaused => "suspect-paused",
+            Self::SuspectBusy => "suspect-busy",
         }
     }
 }
@@ -65,6 +74,8 @@
     NodeLost,
     /// The connection to the back end broke before an answer.
     BackEndClosed,
+    /// The back end has ended while it ran the request.
+    BackEndCrashed,
     /// What the back end sent is no answer to this request.
     AnswerSpoiled,
     /// The answer broke off.
@@ -91,6 +102,7 @@
         match self {
             Self::NodeLost => "node-lost",
             Self::BackEndClosed => "back-end-closed",
+            Self::BackEndCrashed => "back-end-crashed",
             Self::AnswerSpoiled => "answer-spoiled",
             Self::AnswerCut => "answer-cut",
             Self::TimedOut => "timed-out",
--- a/crates/membership/src/heartbeat.rs
+++ b/crates/membership/src/heartbeat.rs
@@ -2,6 +2,7 @@
 
 use bitcode::{Decode, Encode};
 use umberpond_model::Version;
+use umberpond_quarantine::SuspectRecord;
 use umberpond_rollouts::ReleaseEvidence;
 use umberpond_scheduling::LoadReport;
 
@@ -111,6 +112,22 @@
     pub orders: Vec<RecordOrder>,
 }
 
+/// What nodes tell one another of the requests under suspicion of ending back ends.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub enum SuspectNews {
+    /// Findings, passed on.
+    Told(Vec<SuspectRecord>),
+    /// Sum of what every node has to know, for comparison.
+    Digest(u64),
+    /// What the receiver may lack, so that it is not passed on.
+    Repair {
+        /// Findings.
+        records: Vec<SuspectRecord>,
+        /// Whether the sender may lack some itself.
+        wants_answer: bool,
+    },
+}
+
 /// One datagram.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub enum Datagram {
@@ -122,6 +139,8 @@
     Orders(BucketOrders),
     /// Tells a coordinator of a rollout what a back end has answered.
     Evidence(Box<ReleaseEvidence>),
+    /// Tells of requests that may end back ends.
+    Suspects(SuspectNews),
 }
 
 impl Datagram {
@@ -133,6 +152,7 @@
             Self::News(_) => "news",
             Self::Orders(_) => "repair",
             Self::Evidence(_) => "evidence",
+            Self::Suspects(_) => "suspects",
         }
     }
 }
--- a/crates/membership/src/membership/receive.rs
+++ b/crates/membership/src/membership/receive.rs
@@ -32,7 +32,7 @@
             Datagram::News(news) => self.on_news(now, news),
             Datagram::Orders(orders) => self.on_orders(from, orders),
             // It concerns the rollout, not the membership.
-            Datagram::Evidence(_) => Vec::new(),
+            Datagram::Evidence(_) | Datagram::Suspects(_) => Vec::new(),
         }
     }
 
--- a/crates/membership/src/membership/spread.rs
+++ b/crates/membership/src/membership/spread.rs
@@ -146,6 +146,25 @@
         addressed(to, &News { records, accusations, is_repair: true })
     }
 
+    /// Whether what concerns all nodes is told to all of them by whoever finds it.
+    #[must_use]
+    pub fn tells_all(&self) -> bool {
+        self.is_full_mesh()
+    }
+
+    /// Addresses of the nodes that are told at once what concerns all nodes: all, or some that pass it on.
+    pub fn audience(&mut self) -> Vec<SocketAddr> {
+        let count = if self.tells_all() { usize::MAX } else { self.settings.news_fanout };
+        self.draw_reachable(count)
+    }
+
+    /// Addresses of up to `count` nodes that can be reached, drawn at random.
+    pub fn draw_reachable(&mut self, count: usize) -> Vec<SocketAddr> {
+        let reachable = self.members.values().filter(|member| member.reachability == Reachability::Reachable);
+        let addresses = reachable.map(|member| member.record.control);
+        addresses.sample(&mut self.random, count)
+    }
+
     /// Nodes to be told of a version: some of the own zone that are not known to hold it, and now and then one of another.
     pub(super) fn behind(&mut self, now: Instant, version: Version) -> Vec<NodeName> {
         let is_behind = |node: &&NodeName| {
--- a/crates/quarantine/src/fingerprint.rs
+++ b/crates/quarantine/src/fingerprint.rs
@@ -35,6 +35,30 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
 pub struct RequestFingerprint([u8; LENGTH]);
 
+/// What a request is known by: its content, and its content with the service that asks. Whoever asks it, a request that ends back ends is found by the first; if one
+/// service is answered what ends back ends for another one, the first is cleared again and again, and the second finds it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestKey {
+    /// Fingerprint of its content.
+    pub content: RequestFingerprint,
+    /// Fingerprint of its content and of the service on whose behalf it is sent.
+    pub by_caller: RequestFingerprint,
+}
+
+impl RequestKey {
+    /// The key of what has the fingerprint `content`, asked by the service `caller`.
+    #[must_use]
+    pub fn new(content: RequestFingerprint, caller: &str) -> Self {
+        Self { content, by_caller: content.asked_by(caller) }
+    }
+
+    /// Both fingerprints.
+    #[must_use]
+    pub const fn fingerprints(&self) -> [RequestFingerprint; 2] {
+        [self.content, self.by_caller]
+    }
+}
+
 /// A text that is no fingerprint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 #[error("a fingerprint is 32 hexadecimal digits")]
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -99,6 +99,10 @@
         = 2052, Info, "rollout-state-written", "The state of a rollout was written to the store under the condition that its revision is the one told, or was not, by the outcome.";
     RolloutsUnread { reason: String }
         = 2053, Warn, "rollouts-unread", "The orders of rollouts could not be read; those known go on.";
+    QuarantineUnread { reason: String }
+        = 2054, Warn, "quarantine-unread", "The requests that are refused because they end back ends could not be read from the store; what other nodes tell holds.";
+    QuarantineWritten { fingerprint: String, change: &'static str }
+        = 2055, Info, "quarantine-written", "The store holds a request that is refused because it ends back ends (`added`), or no longer does (`removed`).";
 
     // Back ends
     BackEndUnhealthy { reason: String }
@@ -130,6 +134,12 @@
         = 4026, Info, "retry-withheld", "The retry budget of the service is spent at this node: the request is not sent again. `origin` tells whether a caller has made it, or a first or repeated run at the back end beside this node.";
     RetriesCounted { service: ServiceName, requests: u64, repeats: u64, repeated_calls: u64, withheld: u64, left: u64, nodes: u64, period_millis: u64 }
         = 4027, Info, "retries-counted", "What this node has counted of a service in the period, if any of it was a repeat: requests, requests sent to another back end after they had reached one, calls of runs that were repeats, repeats that the budget did not allow, repeats that it allows now, and the nodes that share it, 0 while that is not known.";
+    RequestSuspected { fingerprint: String, crashes: u64, source: &'static str }
+        = 4028, Info, "request-suspected", "Whatever has this fingerprint ran at so many ends of back ends and was not answered since: it runs beside no other one under suspicion, and is refused for some seconds after the last end before it counts as certain. `source` tells whether that was found at the back end beside this node, or comes from another node or the store.";
+    RequestCleared { fingerprint: String, source: &'static str }
+        = 4029, Info, "request-cleared", "A back end has answered what has this fingerprint, which was under suspicion until now.";
+    RequestQuarantined { fingerprint: String, crashes: u64, source: &'static str }
+        = 4030, Warn, "request-quarantined", "Whatever has this fingerprint has ended so many back ends and was never answered: it is refused from now on.";
 
     // Store
     PlatformUnavailable { operation: &'static str, reason: String }
--- a/crates/umberpond/src/cli/node.rs
+++ b/crates/umberpond/src/cli/node.rs
@@ -139,6 +139,7 @@
         source: Arc::new(ChainSource::new(Arc::clone(&store))),
         directory: Arc::new(StoreDirectory::new(Arc::clone(&store))),
         rollouts: None,
+        quarantine: None,
         dialect: Dialect::OWN,
     };
     let admin = config.listen.admin;
--- a/testing/sim/src/cluster/process.rs
+++ b/testing/sim/src/cluster/process.rs
@@ -178,6 +178,7 @@
             source: Arc::new(ChainSource::new(Arc::clone(&store))),
             directory: Arc::new(StoreDirectory::new(Arc::clone(&store))),
             rollouts: None,
+            quarantine: None,
             dialect: Dialect::OWN,
         };
         let daemon = Arc::new(Daemon::start(self.config(), environment.clone(), extensions).await?);
