--- a/crates/quarantine/tests/ledger.rs
+++ b/crates/quarantine/tests/ledger.rs
@@ -239,10 +239,13 @@
     QuickCheck::new().tests(2_000).quickcheck(property as fn(Vec<Step>) -> bool);
 }
 
+/// A request, the ends and whether it was cleared of each, and an age.
+type ToldRecord = (u8, Vec<(u64, bool)>, u32);
+
 /// What another node sends may hold anything.
 #[test]
 fn any_record_is_joined_within_bounds() {
-    fn property(records: Vec<(u8, Vec<(u64, bool)>, u32)>) -> bool {
+    fn property(records: Vec<ToldRecord>) -> bool {
         let start = Instant::now();
         let mut ledger = ledger();
         let records: Vec<SuspectRecord> = records
@@ -262,5 +265,5 @@
         ledger.repair_records(start).len() <= SETTINGS.capacity
             && ledger.repair_records(start).iter().all(|record| record.findings.len() <= 8)
     }
-    QuickCheck::new().tests(1_000).quickcheck(property as fn(Vec<(u8, Vec<(u64, bool)>, u32)>) -> bool);
+    QuickCheck::new().tests(1_000).quickcheck(property as fn(Vec<ToldRecord>) -> bool);
 }
