A life of a back end that has ended is over, also if the next one has the same name; a request's key is worked out once at each node

Cause: the watch of the runs was kept for a back end that is confirmed again under the name that it had, and stayed in the state of an ended one: a second end was not seen. Change: such a back end begins a new life with a new watch and new connections. The attempt carries the key of its request, so that a node hashes it once and not three times.

--- a/crates/forwarding/src/hop/protocol.rs
+++ b/crates/forwarding/src/hop/protocol.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 use umberpond_http1::Fields;
 use umberpond_model::ServiceName;
-use umberpond_quarantine::RequestFingerprint;
+use umberpond_quarantine::{RequestFingerprint, RequestKey};
 use umberpond_scheduling::LoadReport;
 
 use crate::message::{Answer, Attempt, NotRun, RequestBody};
@@ -112,7 +112,7 @@
         let now = Instant::now();
         Self {
             id: attempt.id.to_vec(),
-            fingerprint: attempt.fingerprint,
+            fingerprint: attempt.request_key.content,
             key: attempt.key.as_ref().map(|key| key.to_vec()),
             service: attempt.service.clone(),
             caller: attempt.caller.clone(),
@@ -138,7 +138,7 @@
         let now = Instant::now();
         Attempt {
             id: self.id.into(),
-            fingerprint: self.fingerprint,
+            request_key: RequestKey::new(self.fingerprint, self.caller.as_str()),
             key: self.key.map(Bytes::from),
             service: self.service,
             caller: self.caller,
--- a/crates/forwarding/src/inbound/back_end.rs
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -158,7 +158,8 @@
             self.answers.lock().clear();
         }
         let (pool, watch) = match current.take() {
-            Some(held) if is_same => (held.pool, held.watch),
+            Some(held) if is_same && !held.watch.has_ended() => (held.pool, held.watch),
+            // Also one that has ended and is there again under the same name.
             before => {
                 self.replace(before);
                 (self.new_pool(back_end.address), Arc::default())
@@ -263,7 +264,7 @@
         if !self.bears_calls_of(&attempt) {
             return self.refused(&attempt, NotRun::before_back_end(NotRunReason::RetryBudget));
         }
-        let key = attempt.request_key();
+        let key = attempt.request_key;
         let waits_until = attempt.hold_until.min(attempt.deadline);
         let slots = target.back_end.slots;
         let mut place = match self.suspect_lane.enter(&target.watch, &key, slots, waits_until).await {
@@ -396,7 +397,7 @@
         };
         let exchanger = Exchanger { pool, dialect: &self.dialect };
         let run = self.runs.begin(&attempt);
-        let key = attempt.request_key();
+        let key = attempt.request_key;
         let watched = watch.begin(attempt.id.clone(), key, place.is_some());
         match exchanger.run(&request, body).await {
             ExchangeEnd::Answered { status, mut fields, body } => {
@@ -446,7 +447,7 @@
                 let reason = if has_crashed { UnknownReason::BackEndCrashed } else { reason };
                 self.telemetry.emit(Event::ExchangeLost {
                     request: text(&attempt.id),
-                    fingerprint: attempt.fingerprint.to_string(),
+                    fingerprint: attempt.request_key.content.to_string(),
                     instance: back_end.instance.clone(),
                     reason: reason.word(),
                     elapsed_millis: millis(permit.elapsed()),
--- a/crates/forwarding/src/message.rs
+++ b/crates/forwarding/src/message.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 use umberpond_http1::Fields;
 use umberpond_model::ServiceName;
-use umberpond_quarantine::{RequestFingerprint, RequestKey};
+use umberpond_quarantine::RequestKey;
 use umberpond_scheduling::LoadReport;
 
 use crate::body::PendingBody;
@@ -70,8 +70,8 @@
 pub struct Attempt {
     /// Identity of the request, given by the caller.
     pub id: Bytes,
-    /// What is the same of the request each time it is sent, whoever does.
-    pub fingerprint: RequestFingerprint,
+    /// What the request is known by, the same each time it is sent.
+    pub request_key: RequestKey,
     /// The caller's own key, if it gave one.
     pub key: Option<Bytes>,
     /// Service that is meant.
@@ -110,13 +110,6 @@
     pub is_repeat: bool,
 }
 
-impl Attempt {
-    /// What the request is known by.
-    pub(crate) fn request_key(&self) -> RequestKey {
-        RequestKey::new(self.fingerprint, self.caller.as_str())
-    }
-}
-
 /// What is known about an attempt at its end.
 #[derive(Debug)]
 pub enum AttemptResult {
--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -180,7 +180,7 @@
         let request = &self.request;
         Attempt {
             id: request.id.clone(),
-            fingerprint: request.request_key.content,
+            request_key: request.request_key,
             key: request.key.clone(),
             service: request.service.clone(),
             caller: (*self.outbound.caller()).clone(),
--- a/crates/forwarding/src/repeats/tests.rs
+++ b/crates/forwarding/src/repeats/tests.rs
@@ -7,7 +7,7 @@
 use tokio::time::{Instant, sleep};
 use umberpond_http1::Fields;
 use umberpond_model::ServiceName;
-use umberpond_quarantine::{RequestContent, RequestFingerprint};
+use umberpond_quarantine::{RequestContent, RequestFingerprint, RequestKey};
 use umberpond_selection::RetryBudgetSettings;
 use umberpond_telemetry::{MemoryRecorder, Telemetry};
 
@@ -18,6 +18,9 @@
 const ROUTE: u32 = 7;
 const WINDOW: Duration = Duration::from_secs(10);
 
+const CONTENT: RequestContent<'static> =
+    RequestContent { method: b"GET", host: "", target: b"/", body_length: None, body: b"" };
+
 fn service(name: &str) -> ServiceName {
     ServiceName::new(name).unwrap()
 }
@@ -26,13 +29,7 @@
     let now = Instant::now();
     Attempt {
         id: Bytes::from_static(id.as_bytes()),
-        fingerprint: RequestFingerprint::of(&RequestContent {
-            method: b"GET",
-            host: "",
-            target: b"/",
-            body_length: None,
-            body: b"",
-        }),
+        request_key: RequestKey::new(RequestFingerprint::of(&CONTENT), "desk"),
         key: None,
         service: service("desk"),
         caller: service("desk"),
