A back end that starts again under its identity is another life: when it began tells the two apart

Cause: lives were told apart by the identity alone. A later start is a new life at once, whatever its count; a word of a life that is over changes nothing, unless that life was only taken for over and goes on speaking. A life that seems to have begun earlier, since the clock went back, is believed when the one before is out of reach or was silent for 6 s. After a back end was out of reach its next word tells which life it is. One that tells no start is treated as before. Ruled out: the count alone, and the greater start alone, which never believes a back end whose clock went back.

--- a/crates/daemon/src/back_end/announcement.rs
+++ b/crates/daemon/src/back_end/announcement.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use umberpond_model::{ReleaseName, ServiceName};
+use umberpond_model::{BackEndLife, ReleaseName, ServiceName};
 
 /// State of a back end by its own word.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -17,8 +17,8 @@
 /// What a back end says of itself at regular times.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Announcement {
-    /// Identity of its present life.
-    pub instance: String,
+    /// Its present life.
+    pub life: BackEndLife,
     /// Service that it serves.
     pub service: ServiceName,
     /// Version of its software.
--- a/crates/daemon/src/back_end/check.rs
+++ b/crates/daemon/src/back_end/check.rs
@@ -6,7 +6,7 @@
 
 use tokio::time::{MissedTickBehavior, interval};
 use umberpond_forwarding::BackEnd;
-use umberpond_model::ServiceName;
+use umberpond_model::{BackEndLife, ServiceName};
 
 use super::monitor::BackEndMonitor;
 
@@ -42,7 +42,7 @@
         let Some(health) = monitor.inbound().ask_health(settings.address, &path).await else {
             failures += 1;
             if failures == settings.failures {
-                monitor.unreachable(&instance);
+                monitor.unreachable(&BackEndLife::of(&instance));
             }
             continue;
         };
@@ -50,7 +50,7 @@
         instance = health.instance.unwrap_or_else(|| UNNAMED.to_owned());
         let configured = monitor.configured_slots(&settings.service);
         monitor.confirm(BackEnd {
-            instance: instance.clone(),
+            life: BackEndLife::of(&instance),
             service: settings.service.clone(),
             release: None,
             address: settings.address,
--- a/crates/daemon/src/back_end/lives.rs
+++ b/crates/daemon/src/back_end/lives.rs
@@ -5,11 +5,15 @@
 
 use umberpond_forwarding::BackEnd;
 use umberpond_membership::{BackEndRecord, BackEndState};
+use umberpond_model::BackEndLife;
 
 use super::announcement::{AnnouncedState, Announcement};
 
 /// Earlier lives remembered, so that a late word of one does not bring it back.
 const REMEMBERED_LIVES: usize = 32;
+/// Time after the last word of a life from which on one that seems to have begun before it is believed: longer than a word is late. The clock of the back end's machine may
+/// have gone back between two of its lives.
+const LATEST_WORD: Duration = Duration::from_secs(6);
 
 /// Why a back end takes no new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -51,13 +55,27 @@
     sequence: Option<u64>,
     state: BackEndState,
     cold_until: Instant,
+    /// When it has said something last, or was asked and has.
+    heard_at: Instant,
+    /// Whether it was out of reach and is well again, so that it may be another life of the same back end until its next word.
+    is_reopened: bool,
+}
+
+/// A life that is over.
+#[derive(Debug, Clone)]
+struct EndedLife {
+    life: BackEndLife,
+    /// Count of its last announcement.
+    sequence: Option<u64>,
+    /// Whether it has said that it leaves or ends; otherwise another one has come in its place.
+    has_left: bool,
 }
 
 /// The lives of the back end beside this node.
 #[derive(Debug)]
 pub struct BackEndLives {
     present: Option<Life>,
-    ended: VecDeque<String>,
+    ended: VecDeque<EndedLife>,
     /// Whether an earlier process may have acknowledged that the present life leaves.
     may_be_leaving: bool,
 }
@@ -72,64 +90,74 @@
 
     /// Takes in an announcement.
     pub fn on_announcement(&mut self, now: Instant, announcement: &Announcement) -> Effect {
-        if self.has_ended(&announcement.instance) {
-            return Effect::None;
+        let Some(life) = &mut self.present else {
+            return if self.has_ended(announcement) {
+                Effect::None
+            } else {
+                self.on_new_life(now, announcement)
+            };
+        };
+        if !life.may_say(announcement) {
+            let is_late = self.has_ended(announcement) || !self.may_be_followed_by(now, &announcement.life);
+            return if is_late { Effect::None } else { self.on_new_life(now, announcement) };
         }
-        match &mut self.present {
-            Some(life) if life.back_end.instance == announcement.instance => {
-                if life.sequence.is_some_and(|known| known >= announcement.sequence) {
-                    return Effect::None;
-                }
-                life.sequence = Some(announcement.sequence);
-                life.cold_until = now + announcement.cold_for;
-                self.on_word(announcement)
-            }
-            _ => self.on_new_life(now, announcement),
+        if !life.is_reopened && life.sequence.is_some_and(|known| known >= announcement.sequence) {
+            return Effect::None;
         }
+        life.sequence = Some(announcement.sequence);
+        life.cold_until = now + announcement.cold_for;
+        life.heard_at = now;
+        self.on_word(announcement)
     }
 
-    /// Takes in that the life called `instance` ends.
-    pub fn on_withdrawn(&mut self, instance: &str) -> Effect {
-        let is_present = self.present.as_ref().is_some_and(|life| life.back_end.instance == instance);
-        self.end(instance.to_owned());
-        if !is_present {
+    /// Takes in that `life` ends.
+    pub fn on_withdrawn(&mut self, life: &BackEndLife) -> Effect {
+        let Some(present) = self.present.as_mut().filter(|present| present.back_end.life.may_be(life)) else {
+            self.end(EndedLife { life: life.clone(), sequence: None, has_left: true });
             return Effect::None;
-        }
-        if let Some(life) = &mut self.present {
-            life.state = BackEndState::Draining;
-        }
+        };
+        present.state = BackEndState::Draining;
+        let ended =
+            EndedLife { life: present.back_end.life.clone(), sequence: present.sequence, has_left: true };
+        self.end(ended);
         Effect::Close(CloseReason::Ends)
     }
 
-    /// Takes in that `back_end` has just said, asked by this process, that it is well.
+    /// Takes in that `back_end` has just said, asked by this process, that it is well. It does not say which life of it that is.
     pub fn on_confirmed(&mut self, now: Instant, back_end: BackEnd) -> Effect {
-        if self.has_ended(&back_end.instance) {
+        let is_present = self.present.as_ref().is_some_and(|life| life.back_end.life.may_be(&back_end.life));
+        if !is_present && self.ended.iter().any(|ended| ended.life.may_be(&back_end.life)) {
             return Effect::None;
         }
         self.may_be_leaving = false;
         match &mut self.present {
-            Some(life) if life.back_end.instance == back_end.instance => {
-                let is_news = life.state == BackEndState::Unreachable
-                    || (life.sequence.is_none() && life.back_end != back_end);
+            Some(life) if is_present => {
+                let was_out_of_reach = life.state == BackEndState::Unreachable;
+                let is_news = was_out_of_reach || (life.sequence.is_none() && life.back_end != back_end);
                 if life.state == BackEndState::Draining || !is_news {
                     return Effect::None;
                 }
                 life.state = BackEndState::Ready;
+                life.heard_at = now;
+                life.is_reopened = was_out_of_reach;
                 if life.sequence.is_none() {
                     life.back_end = back_end;
                 }
-                Effect::Open(life.back_end.clone())
+                Effect::Open(BackEnd {
+                    life: BackEndLife::of(&life.back_end.life.instance),
+                    ..life.back_end.clone()
+                })
             }
             Some(life) if life.sequence.is_some() => Effect::None,
             _ => {
-                if let Some(before) = self.present.take() {
-                    self.end(before.back_end.instance);
-                }
+                self.replace_present();
                 self.present = Some(Life {
                     back_end: back_end.clone(),
                     sequence: None,
                     state: BackEndState::Ready,
                     cold_until: now,
+                    heard_at: now,
+                    is_reopened: false,
                 });
                 Effect::Open(back_end)
             }
@@ -137,9 +165,9 @@
     }
 
     /// Takes in that the back end can't be reached by its node.
-    pub fn on_unreachable(&mut self, instance: &str) -> Effect {
+    pub fn on_unreachable(&mut self, told: &BackEndLife) -> Effect {
         match &mut self.present {
-            Some(life) if life.back_end.instance == instance && life.state == BackEndState::Ready => {
+            Some(life) if life.back_end.life.may_be(told) && life.state == BackEndState::Ready => {
                 life.state = BackEndState::Unreachable;
                 Effect::Confirm(life.back_end.clone())
             }
@@ -152,7 +180,7 @@
     pub fn record(&self, now: Instant) -> Option<BackEndRecord> {
         let life = self.present.as_ref()?;
         Some(BackEndRecord {
-            instance: life.back_end.instance.clone(),
+            instance: life.back_end.life.to_string(),
             service: life.back_end.service.clone(),
             release: life.back_end.release.clone(),
             slots: life.back_end.slots,
@@ -185,16 +213,16 @@
             BackEndState::Unreachable => Effect::Confirm(life.back_end.clone()),
             BackEndState::Ready => {
                 let said = back_end(announcement);
-                let is_same = said == life.back_end;
+                let is_news = said != life.back_end || life.is_reopened;
                 life.back_end = said.clone();
-                if is_same { Effect::None } else { Effect::Open(said) }
+                life.is_reopened = false;
+                if is_news { Effect::Open(said) } else { Effect::None }
             }
         }
     }
 
     fn on_new_life(&mut self, now: Instant, announcement: &Announcement) -> Effect {
-        if let Some(before) = self.present.take() {
-            self.end(before.back_end.instance);
+        if self.replace_present() {
             self.may_be_leaving = false;
         }
         let is_ready = announcement.state == AnnouncedState::Ready;
@@ -209,6 +237,8 @@
             sequence: Some(announcement.sequence),
             state,
             cold_until: now + announcement.cold_for,
+            heard_at: now,
+            is_reopened: false,
         });
         match state {
             BackEndState::Ready => Effect::Open(back_end),
@@ -217,24 +247,55 @@
         }
     }
 
-    fn has_ended(&self, instance: &str) -> bool {
-        self.ended.iter().any(|ended| ended == instance)
+    /// Whether a life that does not seem to be the present one may have come after it: it began later, or the present one is known to be out of reach, or has been silent for
+    /// longer than a word of an earlier life is late.
+    fn may_be_followed_by(&self, now: Instant, life: &BackEndLife) -> bool {
+        let Some(present) = &self.present else { return true };
+        let is_silent = now.saturating_duration_since(present.heard_at) > LATEST_WORD;
+        let is_over = present.state == BackEndState::Unreachable || is_silent;
+        is_over || !life.began_before(&present.back_end.life)
     }
 
-    fn end(&mut self, instance: String) {
-        if self.has_ended(&instance) {
-            return;
-        }
+    /// Whether an announcement is a late one of a life that is over. One that was taken for over and goes on speaking, though it began after the present one, is not.
+    fn has_ended(&self, announcement: &Announcement) -> bool {
+        let is_meant = |ended: &&EndedLife| ended.life == announcement.life;
+        let Some(ended) = self.ended.iter().find(is_meant) else { return false };
+        let present = self.present.as_ref().map(|present| &present.back_end.life);
+        let began_after = present.is_some_and(|present| present.began_before(&ended.life));
+        let goes_on = ended.sequence.is_some_and(|known| announcement.sequence > known);
+        ended.has_left || !began_after || !goes_on
+    }
+
+    /// Takes in that another life takes the place of the present one; `false` if there is none.
+    fn replace_present(&mut self) -> bool {
+        let Some(before) = self.present.take() else { return false };
+        let has_left = before.state == BackEndState::Draining;
+        self.end(EndedLife { life: before.back_end.life, sequence: before.sequence, has_left });
+        true
+    }
+
+    fn end(&mut self, ended: EndedLife) {
+        self.ended.retain(|known| known.life != ended.life);
         if self.ended.len() >= REMEMBERED_LIVES {
             self.ended.pop_front();
         }
-        self.ended.push_back(instance);
+        self.ended.push_back(ended);
+    }
+}
+
+impl Life {
+    /// Whether an announcement may be of this life. Until the next word after it was out of reach it may be any life of the back end, but for one that began before.
+    fn may_say(&self, announcement: &Announcement) -> bool {
+        let (known, told) = (&self.back_end.life, &announcement.life);
+        let may_have_changed =
+            self.is_reopened && known.instance == told.instance && !told.began_before(known);
+        known.may_be(told) || may_have_changed
     }
 }
 
 fn back_end(announcement: &Announcement) -> BackEnd {
     BackEnd {
-        instance: announcement.instance.clone(),
+        life: announcement.life.clone(),
         service: announcement.service.clone(),
         release: announcement.release.clone(),
         address: announcement.address,
--- a/crates/daemon/src/back_end/monitor.rs
+++ b/crates/daemon/src/back_end/monitor.rs
@@ -8,7 +8,7 @@
 use tokio::time::{Instant, sleep};
 use umberpond_forwarding::{BackEnd, Inbound};
 use umberpond_membership::BackEndRecord;
-use umberpond_model::ServiceName;
+use umberpond_model::{BackEndLife, ServiceName};
 use umberpond_telemetry::{Event, Telemetry};
 
 use super::announcement::Announcement;
@@ -55,9 +55,9 @@
         self.tell_warm_later();
     }
 
-    /// Takes in that the life called `instance` ends. When this returns, that is in force on this node.
-    pub fn withdraw(self: &Arc<Self>, instance: &str) {
-        let effect = self.lives.lock().on_withdrawn(instance);
+    /// Takes in that `life` ends. When this returns, that is in force on this node.
+    pub fn withdraw(self: &Arc<Self>, life: &BackEndLife) {
+        let effect = self.lives.lock().on_withdrawn(life);
         self.carry_out(effect);
     }
 
@@ -74,8 +74,8 @@
     }
 
     /// Takes in that the back end can't be reached.
-    pub(crate) fn unreachable(self: &Arc<Self>, instance: &str) {
-        let effect = self.lives.lock().on_unreachable(instance);
+    pub(crate) fn unreachable(self: &Arc<Self>, life: &BackEndLife) {
+        let effect = self.lives.lock().on_unreachable(life);
         if effect != Effect::None {
             let reason = "it can't be reached".to_owned();
             self.telemetry.emit(Event::BackEndUnhealthy { reason });
@@ -125,7 +125,7 @@
     fn tell(&self, state: &'static str, reason: &'static str) {
         let lives = self.lives.lock();
         let Some((back_end, sequence)) = lives.present() else { return };
-        let (instance, service) = (back_end.instance.clone(), back_end.service.to_string());
+        let (instance, service) = (back_end.life.to_string(), back_end.service.to_string());
         drop(lives);
         self.telemetry.emit(Event::BackEndStateChanged { instance, service, state, reason, sequence });
     }
@@ -154,7 +154,7 @@
             if let Some(path) = self.health_path(&back_end.service) {
                 let health = self.inbound.ask_health(back_end.address, &path).await;
                 if let Some(health) = health
-                    && health.instance.as_ref() == Some(&back_end.instance)
+                    && health.instance.as_ref() == Some(&back_end.life.instance)
                 {
                     self.confirm(back_end);
                     return;
--- a/crates/daemon/src/back_end/probe.rs
+++ b/crates/daemon/src/back_end/probe.rs
@@ -6,7 +6,7 @@
 
 use tokio::time::sleep;
 use umberpond_forwarding::BackEnd;
-use umberpond_model::ServiceName;
+use umberpond_model::{BackEndLife, ServiceName};
 
 use super::monitor::BackEndMonitor;
 
@@ -25,7 +25,8 @@
             if let Some(health) = health
                 && let (Some(instance), Some(slots)) = (health.instance, health.slots)
             {
-                monitor.confirm(BackEnd { instance, service, release: None, address, slots });
+                let life = BackEndLife::of(&instance);
+                monitor.confirm(BackEnd { life, service, release: None, address, slots });
                 return;
             }
         }
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -359,8 +359,8 @@
 
 async fn follow_unreachable(inbound: Arc<Inbound>, back_end: Arc<BackEndMonitor>) {
     let mut unreachable = inbound.watch_unreachable();
-    while let Some(instance) = unreachable.recv().await {
-        back_end.unreachable(&instance);
+    while let Some(life) = unreachable.recv().await {
+        back_end.unreachable(&life);
     }
 }
 
--- a/crates/forwarding/src/inbound/back_end.rs
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -10,7 +10,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use umberpond_http1::Fields;
-use umberpond_model::{ReleaseName, ServiceName};
+use umberpond_model::{BackEndLife, ReleaseName, ServiceName};
 use umberpond_net::Network;
 use umberpond_quarantine::Standing;
 use umberpond_rollouts::{AnswerTally, RouteTally};
@@ -53,8 +53,8 @@
 /// One life of the back end.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BackEnd {
-    /// Identity of this life.
-    pub instance: String,
+    /// This life of it.
+    pub life: BackEndLife,
     /// Service that it serves.
     pub service: ServiceName,
     /// Version of its software; absent if it has not told it.
@@ -90,7 +90,7 @@
     link: BodyLink,
     current: Mutex<Option<Current>>,
     duplicates: Mutex<DuplicateWindow>,
-    unreachable: Mutex<Option<mpsc::UnboundedSender<String>>>,
+    unreachable: Mutex<Option<mpsc::UnboundedSender<BackEndLife>>>,
     /// Whether the configuration in force lets the back end's service be served where this node runs.
     may_serve: AtomicBool,
     /// Whether the rollout of the service leaves the back end's release any requests.
@@ -140,7 +140,7 @@
     }
 
     /// The lives of the back end that could not be reached, from now on.
-    pub fn watch_unreachable(&self) -> mpsc::UnboundedReceiver<String> {
+    pub fn watch_unreachable(&self) -> mpsc::UnboundedReceiver<BackEndLife> {
         let (sender, receiver) = mpsc::unbounded_channel();
         *self.unreachable.lock() = Some(sender);
         receiver
@@ -150,7 +150,7 @@
     pub fn open(&self, back_end: BackEnd) {
         let mut current = self.current.lock();
         let is_same = current.as_ref().is_some_and(|held| {
-            held.back_end.instance == back_end.instance && held.back_end.address == back_end.address
+            held.back_end.life.may_be(&back_end.life) && held.back_end.address == back_end.address
         });
         if !is_same {
             self.admission.close();
@@ -173,7 +173,7 @@
     /// Takes in that another life of the back end has come after `before`. If that one took work until now it has ended without a word.
     fn replace(&self, before: Option<Current>) {
         let Some(before) = before.filter(|before| before.is_open) else { return };
-        if let Some(report) = before.watch.end(&before.back_end.instance) {
+        if let Some(report) = before.watch.end(&before.back_end.life.instance) {
             self.on_crash(&before.back_end, "replaced", &report);
         }
     }
@@ -424,7 +424,7 @@
                 if reason == NotRunReason::BackEndUnreachable {
                     self.find_crash(target).await;
                     pool.clear();
-                    self.tell_unreachable(&back_end.instance);
+                    self.tell_unreachable(&back_end.life);
                 }
                 self.refused(&attempt, NotRun::before_back_end(reason))
             }
@@ -448,7 +448,7 @@
                 self.telemetry.emit(Event::ExchangeLost {
                     request: text(&attempt.id),
                     fingerprint: attempt.request_key.content.to_string(),
-                    instance: back_end.instance.clone(),
+                    instance: back_end.life.to_string(),
                     reason: reason.word(),
                     elapsed_millis: millis(permit.elapsed()),
                 });
@@ -463,13 +463,13 @@
         if !watch.has_ended() && !self.takes_work(target) {
             return false;
         }
-        match watch.find_life(&back_end.instance, pool).await {
+        match watch.find_life(&back_end.life.instance, pool).await {
             LifeSign::Lives => false,
             LifeSign::Ended => true,
             LifeSign::JustEnded(report) => {
                 self.on_crash(back_end, "refused", &report);
                 pool.clear();
-                self.tell_unreachable(&back_end.instance);
+                self.tell_unreachable(&back_end.life);
                 true
             }
         }
@@ -485,7 +485,7 @@
     fn on_crash(&self, back_end: &BackEnd, found: &'static str, report: &CrashReport) {
         let fingerprints: Vec<String> = report.requests.iter().map(|key| key.content.to_string()).collect();
         self.telemetry.emit(Event::BackEndCrashed {
-            instance: back_end.instance.clone(),
+            instance: back_end.life.to_string(),
             service: back_end.service.clone(),
             found,
             requests: report.requests.len() as u64,
@@ -494,10 +494,10 @@
         self.quarantine.on_crash(report.crash, &report.requests);
     }
 
-    fn tell_unreachable(&self, instance: &str) {
+    fn tell_unreachable(&self, life: &BackEndLife) {
         if let Some(watcher) = &*self.unreachable.lock() {
             // Nobody watches any more when the process leaves.
-            let _ = watcher.send(instance.to_owned());
+            let _ = watcher.send(life.clone());
         }
     }
 
@@ -520,7 +520,7 @@
         let left = attempt.deadline.saturating_duration_since(Instant::now());
         fields.set(self.dialect.request_id, attempt.id.clone());
         fields.set(self.dialect.deadline_millis, number(millis(left)));
-        fields.set(self.dialect.expected_instance, back_end.instance.clone().into_bytes());
+        fields.set(self.dialect.expected_instance, back_end.life.instance.clone().into_bytes());
         fields.set(self.dialect.caller, Bytes::copy_from_slice(attempt.caller.as_str().as_bytes()));
         fields
     }
--- a/crates/forwarding/tests/support/fleet.rs
+++ b/crates/forwarding/tests/support/fleet.rs
@@ -15,7 +15,7 @@
     RoutingTable, ServerControl, serve_inbound, serve_outbound,
 };
 use umberpond_http1::{MessageReader, ReadLimits};
-use umberpond_model::{Millis, ServiceName, Version};
+use umberpond_model::{BackEndLife, Millis, ServiceName, Version};
 use umberpond_net::{BoxStream, Network};
 use umberpond_selection::{Endpoint, RetryBudgetSettings};
 use umberpond_telemetry::{MemoryRecorder, Telemetry};
@@ -200,7 +200,7 @@
         );
         let instance = format!("life-{number}");
         let back_end = BackEnd {
-            instance: instance.clone(),
+            life: BackEndLife::of(&instance),
             service: name(service_of(number)),
             release: None,
             address: SocketAddr::new(host(address_of(number)), BACK_END_PORT),
--- a/crates/forwarding/tests/support/mod.rs
+++ b/crates/forwarding/tests/support/mod.rs
@@ -18,7 +18,7 @@
     BackEnd, Dialect, Inbound, InboundSettings, Marker, OpenedSecrets, Outbound, OutboundIdentity,
     OutboundSettings, RoutingTable, ServerControl, serve_inbound, serve_outbound,
 };
-use umberpond_model::{Locality, Millis, ServiceName, Version};
+use umberpond_model::{BackEndLife, Locality, Millis, ServiceName, Version};
 use umberpond_net::Network;
 use umberpond_selection::{Endpoint, RetryBudgetSettings};
 use umberpond_telemetry::{MemoryRecorder, Telemetry};
@@ -197,7 +197,7 @@
         let at = SocketAddr::new(host(number), BACK_END_PORT);
         let back_end = ScriptedBackEnd::start(&network, at, &instance, script).await;
         inbound.open(BackEnd {
-            instance: instance.clone(),
+            life: BackEndLife::of(&instance),
             service: name("archive"),
             release: None,
             address: at,
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod hash;
 mod incarnation;
+mod life;
 mod locality;
 mod names;
 mod record;
@@ -13,6 +14,7 @@
 
 pub use hash::ContentHash;
 pub use incarnation::Incarnation;
+pub use life::BackEndLife;
 pub use locality::{Locality, LocalityRule};
 pub use names::{
     BundleName, InvalidName, MAX_NAME_BYTES, NodeName, RegionName, ReleaseName, RouteName, SecretName,
