A node notices that its machine was suspended, and takes nothing old for fresh

Cause: all ages and time limits come from the steady clock, which stands still while a machine is suspended. A request that waited for a slot meanwhile was handed on three seconds after its caller had left, and another one sent on to the next back end; news of the others were not asked for. Findings are asked for too after a stall and after others had found this node silent. The clock comes in with the environment, so tests suspend machines. Ruled out: shifting the runtime's clock; taking the neighbours for silent, which refuses everything for the first heartbeats and would have two woken nodes leave out all others.

--- a/crates/daemon/src/environment.rs
+++ b/crates/daemon/src/environment.rs
@@ -6,6 +6,8 @@
 use umberpond_net::Network;
 use umberpond_telemetry::Telemetry;
 
+use crate::suspension::BootClock;
+
 /// Surroundings of one daemon. There is no global state beside it: many daemons run in one process.
 #[derive(Clone)]
 pub struct Environment {
@@ -15,6 +17,8 @@
     pub seed: u64,
     /// Events and metrics.
     pub telemetry: Telemetry,
+    /// Goes on while the machine is suspended.
+    pub boot_clock: Arc<dyn BootClock>,
 }
 
 impl fmt::Debug for Environment {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod settings;
 mod start;
 mod stop;
+mod suspension;
 
 pub use directory::{DirectoryError, Listing, MemberDirectory};
 pub use environment::Environment;
@@ -30,3 +31,4 @@
 pub use settings::NodeConfig;
 pub use start::{Daemon, Extensions, RunningDaemon};
 pub use stop::StopReport;
+pub use suspension::{BootClock, MachineClock, NoBootClock};
--- a/crates/daemon/src/listeners/tests.rs
+++ b/crates/daemon/src/listeners/tests.rs
@@ -70,6 +70,7 @@
         network: Arc::new(CrowdedNetwork { last_port: AtomicU16::new(0), first_free }),
         seed: 1,
         telemetry: Telemetry::to_observer(Arc::new(MemoryRecorder::default()) as _),
+        boot_clock: Arc::new(crate::suspension::NoBootClock),
     }
 }
 
--- a/crates/daemon/src/membership/actor.rs
+++ b/crates/daemon/src/membership/actor.rs
@@ -21,6 +21,7 @@
 use crate::configuration::ConfigurationMessage;
 use crate::duration::millis;
 use crate::rollouts::RolloutView;
+use crate::suspension::{BootClock, SuspensionWatch};
 
 /// Time between two looks for heartbeats that are due: a quarter of the shortest interval between two to one node.
 const TICK: Duration = Duration::from_millis(50);
@@ -35,6 +36,8 @@
     pub(crate) inbound: Arc<Inbound>,
     pub(crate) outbound: Arc<Outbound>,
     pub(crate) telemetry: Telemetry,
+    /// Goes on while the machine is suspended.
+    pub(crate) boot_clock: Arc<dyn BootClock>,
     /// Reports on releases, for the task that coordinates rollouts.
     pub(crate) evidence: mpsc::UnboundedSender<ReleaseEvidence>,
 }
@@ -48,6 +51,7 @@
     told: ToldEndpoints,
     plans: PlansInForce,
     suspects: SuspectSpread,
+    suspension: SuspensionWatch,
     evidence: mpsc::UnboundedSender<ReleaseEvidence>,
     configuration: Option<ActorRef<ConfigurationMessage>>,
     started_at: std::time::Instant,
@@ -70,6 +74,7 @@
         tokio::spawn(tick(myself));
         Ok(MembershipState {
             suspects: SuspectSpread::new(Arc::clone(arguments.inbound.quarantine())),
+            suspension: SuspensionWatch::new(arguments.boot_clock),
             membership: arguments.membership,
             socket: arguments.socket,
             inbound: arguments.inbound,
@@ -115,6 +120,7 @@
         let now = Instant::now().into_std();
         match message {
             MembershipMessage::Tick => {
+                self.find_suspension(now);
                 self.membership.set_load(self.inbound.load());
                 let mut outgoing = self.membership.on_tick(now);
                 outgoing.extend(self.suspects.on_tick(now, &mut self.membership));
@@ -128,7 +134,7 @@
             MembershipMessage::Joined => {
                 self.has_joined = true;
                 self.tell_sharing_nodes();
-                self.suspects.on_joined(&mut self.membership)
+                self.suspects.ask(&mut self.membership)
             }
             MembershipMessage::TellSuspects(records) => SuspectSpread::tell(&mut self.membership, &records),
             MembershipMessage::BackEnd(back_end) => self.membership.set_back_end(now, back_end),
@@ -166,6 +172,15 @@
         }
     }
 
+    /// Tells all parts of the node if the machine was suspended. What follows is what follows a cut of the same length.
+    fn find_suspension(&mut self, now: std::time::Instant) {
+        let Some(suspended) = self.suspension.look() else { return };
+        self.telemetry.emit(Event::MachineSuspended { suspended_millis: millis(suspended) });
+        self.membership.on_suspended(now, suspended);
+        self.outbound.on_suspended(suspended);
+        self.suspects.doubt();
+    }
+
     fn on_datagram(
         &mut self,
         now: std::time::Instant,
@@ -229,6 +244,10 @@
 
     fn tell_notes(&mut self) {
         for note in self.membership.take_notes() {
+            if matches!(note, MembershipNote::Stalled { .. } | MembershipNote::Refuted { .. }) {
+                // It may have missed what the others told one another meanwhile.
+                self.suspects.doubt();
+            }
             self.telemetry.emit(event_of(note));
         }
     }
--- a/crates/daemon/src/membership/suspects.rs
+++ b/crates/daemon/src/membership/suspects.rs
@@ -16,19 +16,21 @@
 const COMPARE_INTERVAL: Duration = Duration::from_secs(1);
 /// Most records in one datagram; one has 50 to 110 bytes.
 const MAX_RECORDS: usize = 24;
-/// Nodes that are asked for all that they know once this one has joined.
-const ASKED_AT_START: usize = 3;
+/// Nodes that are asked for all that they know once this one has joined, or may have missed something.
+const ASKED: usize = 3;
 
 /// What this node tells of requests under suspicion.
 #[derive(Debug)]
 pub(super) struct SuspectSpread {
     quarantine: Arc<Quarantine>,
     compare_next_at: Option<Instant>,
+    /// Whether others should be asked for all that they know.
+    is_in_doubt: bool,
 }
 
 impl SuspectSpread {
     pub(super) const fn new(quarantine: Arc<Quarantine>) -> Self {
-        Self { quarantine, compare_next_at: None }
+        Self { quarantine, compare_next_at: None, is_in_doubt: false }
     }
 
     /// Tells what was found here.
@@ -80,8 +82,16 @@
         lacking
     }
 
-    /// Shows another node what is known here, if that is due.
+    /// Asks some nodes with the next tick for all that they know: this one may have missed something.
+    pub(super) const fn doubt(&mut self) {
+        self.is_in_doubt = true;
+    }
+
+    /// Shows another node what is known here, if that is due, or asks some for all that they know.
     pub(super) fn on_tick(&mut self, now: Instant, membership: &mut Membership) -> Vec<Outgoing> {
+        if std::mem::take(&mut self.is_in_doubt) {
+            return self.ask(membership);
+        }
         if self.compare_next_at.is_some_and(|at| now < at) {
             return Vec::new();
         }
@@ -92,9 +102,9 @@
     }
 
     /// Asks some nodes for all that they know, and tells them what is known here.
-    pub(super) fn on_joined(&self, membership: &mut Membership) -> Vec<Outgoing> {
+    pub(super) fn ask(&self, membership: &mut Membership) -> Vec<Outgoing> {
         let records = self.quarantine.repair_records();
-        let asked = membership.draw_reachable(ASKED_AT_START).into_iter();
+        let asked = membership.draw_reachable(ASKED).into_iter();
         asked.flat_map(|to| repair(to, &records, true)).collect()
     }
 }
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -105,6 +105,7 @@
             inbound: Arc::clone(&inbound),
             outbound: Arc::clone(&outbound),
             telemetry: telemetry.clone(),
+            boot_clock: Arc::clone(&environment.boot_clock),
             evidence,
         };
         let (membership, _) = Actor::spawn(None, MembershipActor, arguments).await?;
--- a/crates/forwarding/src/hop/client.rs
+++ b/crates/forwarding/src/hop/client.rs
@@ -88,6 +88,11 @@
         }
     }
 
+    /// Closes all idle connections.
+    pub(crate) fn clear(&self) {
+        self.idle.lock().clear();
+    }
+
     /// Closes the connections that were idle too long or that the other node has closed.
     pub(crate) fn close_expired(&self) {
         self.idle.lock().retain(|_address, connections| {
--- a/crates/forwarding/src/inbound/back_end.rs
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -26,6 +26,7 @@
 use crate::outcome::{NotRunReason, UnknownReason};
 use crate::quarantine::Quarantine;
 use crate::repeats::{OpenRuns, RetryLedger};
+use crate::suspended_time::{PastMoment, SuspendedTime};
 use crate::upstream::{
     ExchangeEnd, ExchangeRequest, Exchanger, Health, MISDIRECTED, UpstreamPool, UpstreamSettings, ask_health,
 };
@@ -97,6 +98,7 @@
     is_release_open: AtomicBool,
     answers: Mutex<AnswerTally>,
     runs: Arc<OpenRuns>,
+    suspended: Arc<SuspendedTime>,
     quarantine: Arc<Quarantine>,
     suspect_lane: Arc<SuspectLane>,
     /// The budgets that pay for the calls of repeated runs.
@@ -133,6 +135,7 @@
             is_release_open: AtomicBool::new(true),
             answers: Mutex::default(),
             runs: Arc::new(OpenRuns::new(dialect.call_separator)),
+            suspended: Arc::default(),
             suspect_lane: SuspectLane::new(Arc::clone(&quarantine)),
             quarantine,
             ledger: OnceLock::new(),
@@ -250,6 +253,11 @@
         &self.quarantine
     }
 
+    /// The time for which the machine was suspended.
+    pub(crate) const fn suspended(&self) -> &Arc<SuspendedTime> {
+        &self.suspended
+    }
+
     /// The runs at the back end.
     pub(crate) fn runs(&self) -> &OpenRuns {
         &self.runs
@@ -275,7 +283,7 @@
             self.telemetry.emit(Event::DuplicateRefused { request: text(&attempt.id) });
             return AttemptResult::Unknown(reason);
         }
-        let arrived = Instant::now();
+        let arrived = PastMoment::new(Instant::now(), &self.suspended);
         let permit = match self.admit(&mut attempt).await {
             Ok(permit) => permit,
             Err(refusal) => {
@@ -283,6 +291,11 @@
                 return self.refused(&attempt, not_admitted(refusal));
             }
         };
+        if let Err(not_run) = count_suspension(&mut attempt, &arrived) {
+            drop(permit);
+            self.withdraw(&attempt);
+            return self.refused(&attempt, not_run);
+        }
         // Others may have begun while this one waited.
         if !self.bears_calls_of(&attempt) {
             drop(permit);
@@ -579,6 +592,19 @@
     }
 }
 
+/// Counts what the machine was suspended since `arrived` as time that has passed for the request.
+fn count_suspension(attempt: &mut Attempt, arrived: &PastMoment) -> Result<(), NotRun> {
+    let suspended = arrived.suspended_since();
+    if suspended.is_zero() {
+        return Ok(());
+    }
+    attempt.deadline = attempt.deadline.checked_sub(suspended).unwrap_or(attempt.deadline);
+    if attempt.deadline <= Instant::now() {
+        return Err(NotRun::before_back_end(NotRunReason::DeadlineBeforeRun));
+    }
+    Ok(())
+}
+
 /// The body, holding the slot as long as it still comes from the back end.
 fn holding(mut body: AnswerBody, permit: Permit) -> AnswerBody {
     if let AnswerBody::Upstream(upstream) = &mut body {
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -19,6 +19,7 @@
 mod repeats;
 mod routing;
 mod server;
+mod suspended_time;
 mod upstream;
 
 pub use dialect::{CallerMarks, Dialect, Marker};
--- a/crates/forwarding/src/outbound/handler.rs
+++ b/crates/forwarding/src/outbound/handler.rs
@@ -19,6 +19,7 @@
 use crate::outcome::NotRunReason;
 use crate::routing::CompiledRoute;
 use crate::server::ServerControl;
+use crate::suspended_time::PastMoment;
 
 /// Most of the time that a caller waits which counts when it finds no configuration. It comes back within a second then: a process that has
 /// just started gets its configuration within about that time over a slow link, and a caller has two or three tries only.
@@ -97,7 +98,7 @@
             route,
             service,
             version,
-            arrived,
+            arrived: PastMoment::new(arrived, self.inbound.suspended()),
             time,
             caller_time,
             is_later_try,
--- a/crates/forwarding/src/outbound/prepared.rs
+++ b/crates/forwarding/src/outbound/prepared.rs
@@ -12,6 +12,7 @@
 use crate::message::RequestBody;
 use crate::repeats::CallOrigin;
 use crate::routing::CompiledRoute;
+use crate::suspended_time::PastMoment;
 
 /// Share of the objective within which a refusal is early.
 const EARLY_SHARE: f64 = 0.2;
@@ -40,7 +41,7 @@
     pub(super) service: ServiceName,
     /// Version of the configuration by which the route was found.
     pub(super) version: Version,
-    pub(super) arrived: Instant,
+    pub(super) arrived: PastMoment,
     /// Longest time from the arrival to the answer.
     pub(super) time: Duration,
     /// Time that the caller waits, by its own word, or else that of the route.
@@ -54,18 +55,18 @@
 impl PreparedRequest {
     /// When it is ended, whatever has become of it.
     pub(super) fn deadline(&self) -> Instant {
-        self.arrived + self.time
+        self.arrived.at() + self.time
     }
 
     /// End of the time within which an answer is of full use.
     pub(super) fn objective_at(&self) -> Instant {
-        self.arrived + self.route.objective
+        self.arrived.at() + self.route.objective
     }
 
     /// When it is given up if no back end has been handed it: its caller still has time to come back then.
     pub(super) fn hold_until(&self) -> Instant {
         let share = self.caller_time.mul_f64(HOLD_SHARE);
-        self.arrived + share.min(self.route.objective.mul_f64(HOLD_OBJECTIVE_SHARE))
+        self.arrived.at() + share.min(self.route.objective.mul_f64(HOLD_OBJECTIVE_SHARE))
     }
 
     /// Longest wait for a slot. As long as a refusal still comes early, the request waits only where it is expected to
@@ -73,10 +74,10 @@
     /// they can: other requests depend on them.
     pub(super) fn patience(&self, service: Duration) -> Duration {
         let now = Instant::now();
-        let is_early = now < self.arrived + self.route.objective.mul_f64(EARLY_SHARE);
+        let is_early = now < self.arrived.at() + self.route.objective.mul_f64(EARLY_SHARE);
         let until_deadline = self.deadline().saturating_duration_since(now).saturating_sub(service);
         if is_early && self.route.priority > FIRST_RANK {
-            let expected_by = self.arrived + self.route.objective.mul_f64(EXPECTED_SHARE);
+            let expected_by = self.arrived.at() + self.route.objective.mul_f64(EXPECTED_SHARE);
             return expected_by.saturating_duration_since(now).saturating_sub(service);
         }
         until_deadline.min(self.hold_until().saturating_duration_since(now))
--- a/crates/forwarding/src/outbound/state.rs
+++ b/crates/forwarding/src/outbound/state.rs
@@ -234,6 +234,14 @@
         self.ledger.set_sharing_nodes(count);
     }
 
+    /// Takes in that the machine was suspended for so long: what was saved of the retry budgets was earned by requests of a time that is further back than it seems, and
+    /// connections to other nodes may have ended meanwhile.
+    pub fn on_suspended(&self, suspended: Duration) {
+        self.inbound.suspended().add(suspended);
+        self.ledger.forget_saved();
+        self.hops.clear();
+    }
+
     /// The requests under suspicion of ending back ends.
     pub(super) fn quarantine(&self) -> &Quarantine {
         self.inbound.quarantine()
--- a/crates/forwarding/src/repeats/ledger.rs
+++ b/crates/forwarding/src/repeats/ledger.rs
@@ -108,6 +108,13 @@
         is_taken.then(|| RetryGrant { ledger: Arc::clone(self), service: service.clone(), has_arrived: true })
     }
 
+    /// Drops what is saved of all budgets.
+    pub(crate) fn forget_saved(&self) {
+        for account in self.accounts.lock().values_mut() {
+            account.budget.forget_saved();
+        }
+    }
+
     /// Whether the budgets of the called services bear the calls of `runs` repeated runs of `route` at the back end beside this node.
     pub(crate) fn bears_calls(&self, route: u32, runs: u32) -> bool {
         let now = Instant::now().into_std();
--- /dev/null
+++ b/crates/forwarding/src/suspended_time.rs
@@ -0,0 +1,54 @@
+//! The time for which the machine was suspended, which the runtime's clock does not count.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Sum of the times for which the machine was suspended since the process started.
+#[derive(Debug, Default)]
+pub(crate) struct SuspendedTime {
+    micros: AtomicU64,
+}
+
+impl SuspendedTime {
+    pub(crate) fn add(&self, suspended: Duration) {
+        let micros = u64::try_from(suspended.as_micros()).unwrap_or(u64::MAX);
+        self.micros.fetch_add(micros, Ordering::Relaxed);
+    }
+
+    fn total(&self) -> Duration {
+        Duration::from_micros(self.micros.load(Ordering::Relaxed))
+    }
+}
+
+/// When something happened, such that what was suspended since counts as passed. Without it a request that waited through a suspension is handed on long after its caller has left.
+#[derive(Debug, Clone)]
+pub(crate) struct PastMoment {
+    at: Instant,
+    suspended: Arc<SuspendedTime>,
+    suspended_before: Duration,
+}
+
+impl PastMoment {
+    /// The moment `at`, a moment ago.
+    pub(crate) fn new(at: Instant, suspended: &Arc<SuspendedTime>) -> Self {
+        Self { at, suspended: Arc::clone(suspended), suspended_before: suspended.total() }
+    }
+
+    /// Time for which the machine was suspended since.
+    pub(crate) fn suspended_since(&self) -> Duration {
+        self.suspended.total().saturating_sub(self.suspended_before)
+    }
+
+    /// The moment on the runtime's clock, as long ago as it is.
+    pub(crate) fn at(&self) -> Instant {
+        self.at.checked_sub(self.suspended_since()).unwrap_or(self.at)
+    }
+
+    /// Time since.
+    pub(crate) fn elapsed(&self) -> Duration {
+        self.at().elapsed()
+    }
+}
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -278,6 +278,15 @@
         self.watch = self.watch.map(|(watch, _since)| (watch, now));
     }
 
+    /// Takes in that this process's machine was suspended: what was heard is older by that, and a finding needs new heartbeats.
+    pub(crate) fn on_suspended(&mut self, now: Instant, suspended: Duration) {
+        let aged = |at: Option<Instant>| at.map(|at| at.checked_sub(suspended).unwrap_or(at));
+        self.heard_at = aged(self.heard_at);
+        self.echoed_sent_at = aged(self.echoed_sent_at);
+        self.watch = self.watch.map(|(watch, _since)| (watch, now));
+        self.send_next_at = now;
+    }
+
     /// What this node itself has found, if it watches the node for long enough.
     pub(crate) fn own_finding(&self, now: Instant) -> Option<Reachability> {
         let (watch, since) = self.watch?;
--- a/crates/membership/src/membership/tick.rs
+++ b/crates/membership/src/membership/tick.rs
@@ -69,6 +69,17 @@
         self.note(MembershipNote::Stalled { stalled_for });
     }
 
+    /// Takes in that the machine was suspended for so long, which no clock of this core has counted: all that was heard is older by that. Nobody is judged by what was not heard
+    /// meanwhile, and the neighbours are asked for an answer at once.
+    pub fn on_suspended(&mut self, now: Instant, suspended: Duration) {
+        let aged = |at: Option<Instant>| at.map(|at| at.checked_sub(suspended).unwrap_or(at));
+        self.store_heard_at = aged(self.store_heard_at);
+        self.store_word_at = aged(self.store_word_at);
+        for member in self.members.values_mut() {
+            member.on_suspended(now, suspended);
+        }
+    }
+
     /// Finds out anew whom this node watches, if the nodes that are not out have changed.
     fn refresh_neighbours(&mut self, now: Instant) {
         let is_stale = std::mem::take(&mut self.are_zones_stale);
--- a/crates/membership/tests/membership.rs
+++ b/crates/membership/tests/membership.rs
@@ -38,6 +38,35 @@
     }
 }
 
+/// Its clock has not counted the time: to it nothing is late, while the others have found it silent.
+#[test]
+fn a_node_whose_machine_was_suspended_takes_nothing_old_for_fresh_and_accuses_nobody() {
+    let mut world = World::joined(21, 8);
+    world.tell(0, |membership, now| {
+        membership.on_store_heard(now);
+        Vec::new()
+    });
+    world.run_millis(1_000);
+    let word_at = world.nodes[&3].store_word_at().unwrap();
+    let silent = std::time::Duration::from_secs(5);
+    let mut accusations = 0;
+    world.tell(3, |membership, now| {
+        membership.on_suspended(now, silent);
+        let outgoing = membership.on_tick(now);
+        accusations = outgoing.iter().filter(|out| matches!(out.datagram, Datagram::News(_))).count();
+        let asked = outgoing.iter().filter(|out| match &out.datagram {
+            Datagram::Heartbeat(heartbeat) => heartbeat.wants_answer,
+            _ => false,
+        });
+        assert_eq!(asked.count(), 7, "all neighbours are asked at once");
+        outgoing
+    });
+    assert_eq!(accusations, 0);
+    assert_eq!(world.nodes[&3].store_word_at(), word_at.checked_sub(silent));
+    world.run_millis(1_000);
+    assert!(world.all_reach_all());
+}
+
 /// Nodes that are told at once by one that learns of something.
 const FANOUT: usize = 6;
 
--- a/crates/selection/src/budget.rs
+++ b/crates/selection/src/budget.rs
@@ -88,6 +88,11 @@
         self.saved += 1.0;
     }
 
+    /// Drops what is saved.
+    pub const fn forget_saved(&mut self) {
+        self.saved = 0.0;
+    }
+
     /// Repeats that may be sent now.
     pub fn left(&mut self, now: Instant, nodes: Option<usize>, settings: &RetryBudgetSettings) -> f64 {
         self.refresh(now, nodes, settings);
--- a/crates/selection/tests/budget.rs
+++ b/crates/selection/tests/budget.rs
@@ -14,6 +14,19 @@
     taken
 }
 
+#[test]
+fn what_was_saved_before_a_suspension_is_not_spent_after_it() {
+    let now = Instant::now();
+    let settings = RetryBudgetSettings { ratio: 0.2, extra: 0.0, window: Duration::from_secs(10) };
+    let mut budget = RetryBudget::default();
+    for _request in 0..100 {
+        budget.count_request(now, Some(4), &settings);
+    }
+    assert!(budget.left(now, Some(4), &settings) >= 9.0);
+    budget.forget_saved();
+    assert!(!budget.take(now, Some(4), &settings));
+}
+
 #[test]
 fn requests_earn_a_half_of_the_ratio_each() {
     let now = Instant::now();
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -41,6 +41,8 @@
 
     LinesSuppressed { kind: u16, count: u64 }
         = 1017, Warn, "lines-suppressed", "So many lines of one kind were left out, because there were too many of them.";
+    MachineSuspended { suspended_millis: u64 }
+        = 1018, Warn, "machine-suspended", "The machine was suspended for this time, which the steady clock has not counted: all that is known of others is older by that.";
     SettingsReloaded { service: ServiceName }
         = 1020, Info, "settings-reloaded", "The settings file has changed; what may change while the process runs was taken in.";
     SettingsRefused { reason: String }
--- a/crates/umberpond/src/cli/node.rs
+++ b/crates/umberpond/src/cli/node.rs
@@ -6,7 +6,9 @@
 
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use umberpond_daemon::settings::{NodeConfig, SettingsOverride, load};
-use umberpond_daemon::{Daemon, Environment, Extensions, RunningDaemon, StartError, listen, serve_http};
+use umberpond_daemon::{
+    Daemon, Environment, Extensions, MachineClock, RunningDaemon, StartError, listen, serve_http,
+};
 use umberpond_forwarding::Dialect;
 use umberpond_net::{Network, TcpNetwork};
 use umberpond_operator::admin::ADMIN_BODY_BYTES;
@@ -134,7 +136,12 @@
     let gate = PlatformGate::new(GateLimits::default());
     let client = PlatformClient::new(Arc::clone(&network), config.store, gate, ClientSettings::default());
     let store: Arc<dyn ObjectStore> = Arc::new(client.named(config.node.clone()));
-    let environment = Environment { network, seed: rand::random(), telemetry: telemetry.clone() };
+    let environment = Environment {
+        network,
+        seed: rand::random(),
+        telemetry: telemetry.clone(),
+        boot_clock: Arc::new(MachineClock),
+    };
     let extensions = Extensions {
         source: Arc::new(ChainSource::new(Arc::clone(&store))),
         directory: Arc::new(StoreDirectory::new(Arc::clone(&store))),
--- a/testing/sim/src/cluster/process.rs
+++ b/testing/sim/src/cluster/process.rs
@@ -9,7 +9,9 @@
 use umberpond_daemon::settings::{
     AdvertisedAddresses, BackEndConfig, ListenAddresses, LogConfig, NodeConfig,
 };
-use umberpond_daemon::{Daemon, Environment, Extensions, RunningDaemon, StartError, listen, serve_http};
+use umberpond_daemon::{
+    Daemon, Environment, Extensions, NoBootClock, RunningDaemon, StartError, listen, serve_http,
+};
 use umberpond_forwarding::Dialect;
 use umberpond_model::Millis;
 use umberpond_net::Network;
@@ -154,6 +156,7 @@
             network: surroundings.host(self.place.host()),
             seed: self.process_seed(surroundings.seed),
             telemetry: Telemetry::to_observer(Arc::new(observer)),
+            boot_clock: Arc::new(NoBootClock),
         };
         surroundings.recorder.record(Event::Started { node: self.place.node.clone() });
         match self.start_daemon(environment, surroundings.begun).await {
