A failure clears no suspicion, and an operator lifts a refusal by removing it from the store

Cause: any answer cleared a request, also a failure that a back end gave before the run came to what ends it, for want of a call or of time: after two ends and a 500 the third end counted as the first. Change: only an answer below 500 clears. The nodes that read the store for all look each ten seconds, as long as it holds any refusal, whether somebody has removed one, and lift it everywhere.

--- a/crates/daemon/src/quarantine/task.rs
+++ b/crates/daemon/src/quarantine/task.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use ractor::ActorRef;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 use umberpond_distribution::ReaderSettings;
 use umberpond_forwarding::{FindingSource, Quarantine};
 use umberpond_quarantine::{RequestFingerprint, SuspectRecord};
@@ -18,6 +18,8 @@
 /// Time between two looks for something that has to be written or read. The store is the only memory when all processes end at the same moment; a request that ends back ends
 /// and was not written by then may end three more.
 const INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two readings of the store by a node that reads it for all, as long as it holds any: an operator lifts a refusal by removing its entry.
+const LIFT_INTERVAL: Duration = Duration::from_secs(10);
 /// Entries of the store older than this are removed.
 const LIFETIME: Duration = Duration::from_secs(24 * 3_600);
 
@@ -42,7 +44,7 @@
 /// Takes part in keeping the quarantine without end: each node reads once at its start what the store holds, as cheaply as it can be had. Those that read
 /// the store for all read it once more when they begin to, so that nothing recent is missed, and write what it lacks.
 pub(crate) async fn keep_quarantine(task: QuarantineTask) {
-    let mut keeper = QuarantineKeeper { task, has_read: false, stored: None };
+    let mut keeper = QuarantineKeeper { task, has_read: false, stored: None, read_at: Instant::now() };
     loop {
         keeper.step().await;
         sleep(INTERVAL).await;
@@ -55,6 +57,8 @@
     has_read: bool,
     /// What the store is known to hold; absent unless this node reads it for all.
     stored: Option<BTreeSet<RequestFingerprint>>,
+    /// When that was read last.
+    read_at: Instant,
 }
 
 impl QuarantineKeeper {
@@ -68,10 +72,23 @@
         }
         if self.stored.is_none() {
             self.stored = self.read(QuarantineFreshness::Latest).await;
+            self.read_at = Instant::now();
         }
+        self.find_lifted().await;
         self.write().await;
     }
 
+    /// Lifts what somebody has removed from the store.
+    async fn find_lifted(&mut self) {
+        let is_due = self.read_at.elapsed() >= LIFT_INTERVAL;
+        let Some(known) = self.stored.clone().filter(|stored| is_due && !stored.is_empty()) else { return };
+        self.read_at = Instant::now();
+        let Some(stored) = self.read(QuarantineFreshness::Latest).await else { return };
+        let lifted: Vec<RequestFingerprint> = known.difference(&stored).copied().collect();
+        self.task.quarantine.lift(&lifted);
+        self.stored = Some(stored);
+    }
+
     /// Reads what the store holds, and joins it. Absent if that failed.
     async fn read(&self, freshness: QuarantineFreshness) -> Option<BTreeSet<RequestFingerprint>> {
         let listed = self.task.store.list(freshness).await;
--- a/crates/forwarding/src/inbound/back_end.rs
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -416,7 +416,10 @@
             ExchangeEnd::Answered { status, mut fields, body } => {
                 let calls = run.end();
                 watched.answered();
-                self.quarantine.on_answered(&key);
+                // A run may fail before it comes to what ends the back end.
+                if status < FIRST_FAILURE {
+                    self.quarantine.on_answered(&key);
+                }
                 if let Some(ledger) = self.ledger.get() {
                     ledger.record_calls(attempt.route, &calls);
                 }
--- a/crates/forwarding/src/quarantine.rs
+++ b/crates/forwarding/src/quarantine.rs
@@ -1,6 +1,6 @@
 //! The requests under suspicion of ending back ends, as this node knows them.
 //!
-//! The node beside a back end finds its end and what ran there, and blames; whatever a back end answers is cleared. What is found here is told to the other nodes by
+//! The node beside a back end finds its end and what ran there, and blames; what a back end answers without a failure is cleared. What is found here is told to the other nodes by
 //! whoever takes it from [`Quarantine::take_news`], and what they tell is joined. Both halves of the request path ask how a request stands.
 
 use std::collections::BTreeSet;
@@ -90,7 +90,7 @@
         self.on_changed(&fingerprints, FindingSource::Here);
     }
 
-    /// Takes in that the back end beside this node has answered a request.
+    /// Takes in that the back end beside this node has answered a request without a failure.
     pub(crate) fn on_answered(&self, key: &RequestKey) {
         if self.is_empty.load(Ordering::Relaxed) {
             return;
@@ -99,6 +99,15 @@
         self.on_changed(&cleared, FindingSource::Here);
     }
 
+    /// Takes in that an operator wants what has one of these fingerprints to be served again.
+    pub fn lift(&self, fingerprints: &[RequestFingerprint]) {
+        let mut ledger = self.ledger.lock();
+        let lifted: Vec<RequestFingerprint> =
+            fingerprints.iter().copied().filter(|fingerprint| ledger.lift(fingerprint)).collect();
+        drop(ledger);
+        self.on_changed(&lifted, FindingSource::Here);
+    }
+
     /// Joins what another node or the store tells.
     pub fn join(&self, records: &[SuspectRecord], source: FindingSource) -> Joined {
         let joined = self.ledger.lock().join(now(), records);
--- a/crates/quarantine/src/ledger.rs
+++ b/crates/quarantine/src/ledger.rs
@@ -103,9 +103,12 @@
     /// Takes in that a back end has answered a request: it does not end each one that runs it. Gives the fingerprints that were blamed until now.
     pub fn clear(&mut self, key: &RequestKey) -> Vec<RequestFingerprint> {
         let fingerprints = key.fingerprints().into_iter();
-        fingerprints
-            .filter(|fingerprint| self.suspects.get_mut(fingerprint).is_some_and(Suspect::clear))
-            .collect()
+        fingerprints.filter(|fingerprint| self.lift(fingerprint)).collect()
+    }
+
+    /// Clears whatever has this fingerprint; tells whether it was blamed until now.
+    pub fn lift(&mut self, fingerprint: &RequestFingerprint) -> bool {
+        self.suspects.get_mut(fingerprint).is_some_and(Suspect::clear)
     }
 
     /// Joins what another node, or the store, tells.
