How a request gets to the back end stands in a file of its own, and lists of the store are read in one place

Cause: the inbound half had grown to 617 lines, the way of one attempt through it to one function of 50, and three readers of the store's lists each turned its pages. Change: inbound/serving.rs has that way in short steps (wait for the turn, for the slot, hand over); back_end.rs keeps what is known of the back end. objects.rs turns the pages for all kinds, and reads entries in objects/entries.rs.

--- a/crates/forwarding/src/inbound/mod.rs
+++ b/crates/forwarding/src/inbound/mod.rs
@@ -4,6 +4,7 @@
 mod back_end;
 mod body_link;
 mod crash_watch;
+mod serving;
 mod suspect_lane;
 
 pub(crate) use admission::Permit;
