Smaller mends of the quarantine and of the questions to a back end that has ended

Cause, from reading the change once more: a suspect with a caller's own key went by its fingerprint and not to the node that remembers the key; nodes whose findings were all cleared went on comparing nothing; and a node asked a back end that had ended for eight seconds whether it was well, also when another one answered at its address. Change: the caller's key goes first; a sum of nothing is not shown; the questions end with the answer of another back end.

--- a/crates/daemon/src/back_end/monitor.rs
+++ b/crates/daemon/src/back_end/monitor.rs
@@ -153,11 +153,14 @@
         for _question in 0..CONFIRM_QUESTIONS {
             if let Some(path) = self.health_path(&back_end.service) {
                 let health = self.inbound.ask_health(back_end.address, &path).await;
-                if let Some(health) = health
-                    && health.instance.as_ref() == Some(&back_end.life.instance)
-                {
-                    self.confirm(back_end);
-                    return;
+                match health.and_then(|health| health.instance) {
+                    Some(instance) if instance == back_end.life.instance => {
+                        self.confirm(back_end);
+                        return;
+                    }
+                    // Another back end is there, whose own word is awaited: this one does not come back.
+                    Some(_another) => return,
+                    None => {}
                 }
             }
             sleep(CONFIRM_INTERVAL).await;
--- a/crates/daemon/src/membership/suspects.rs
+++ b/crates/daemon/src/membership/suspects.rs
@@ -96,7 +96,8 @@
             return Vec::new();
         }
         self.compare_next_at = Some(now + COMPARE_INTERVAL);
-        let Some(digest) = self.quarantine.digest() else { return Vec::new() };
+        // Where nothing is known there is nothing that others could lack.
+        let Some(digest) = self.quarantine.digest().filter(|digest| *digest != 0) else { return Vec::new() };
         let compared = membership.draw_reachable(1).into_iter();
         compared.map(|to| outgoing(to, SuspectNews::Digest(digest))).collect()
     }
--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -145,16 +145,16 @@
         let route = &self.request.route;
         let query =
             Query { route: &route.name, tried: &self.tried, group: self.group, objective: route.objective };
-        if self.is_suspect() {
-            // Wherever it enters it goes to the same back end, so that it can't end several at the same time.
-            let fingerprint = self.request.request_key.content;
-            return selector.choose_for_key(now, &self.request.service, fingerprint.as_bytes(), query);
-        }
         match &self.request.key {
             // The caller's repetition has to meet the node that remembers the key.
             Some(key) if !route.is_idempotent => {
                 selector.choose_for_key(now, &self.request.service, key, query)
             }
+            // Wherever it enters it goes to the same back end, so that it can't end several at the same time.
+            _ if self.is_suspect() => {
+                let fingerprint = self.request.request_key.content;
+                selector.choose_for_key(now, &self.request.service, fingerprint.as_bytes(), query)
+            }
             _ => selector.choose(now, &mut *random, &self.request.service, query),
         }
     }
