--- a/crates/daemon/src/back_end/lives.rs
+++ b/crates/daemon/src/back_end/lives.rs
@@ -97,7 +97,7 @@
                 self.on_new_life(now, announcement)
             };
         };
-        if !life.may_say(announcement) {
+        if !life.may_say(now, announcement) {
             let is_late = self.has_ended(announcement) || !self.may_be_followed_by(now, &announcement.life);
             return if is_late { Effect::None } else { self.on_new_life(now, announcement) };
         }
@@ -117,6 +117,7 @@
             return Effect::None;
         };
         present.state = BackEndState::Draining;
+        present.learn_start(life);
         let ended =
             EndedLife { life: present.back_end.life.clone(), sequence: present.sequence, has_left: true };
         self.end(ended);
@@ -205,6 +206,7 @@
         let Some(life) = &mut self.present else { return Effect::None };
         if announcement.state == AnnouncedState::Draining {
             let is_news = life.state != BackEndState::Draining;
+            life.learn_start(&announcement.life);
             life.state = BackEndState::Draining;
             return if is_news { Effect::Close(CloseReason::Leaves) } else { Effect::None };
         }
@@ -285,11 +287,25 @@
 
 impl Life {
     /// Whether an announcement may be of this life. Until the next word after it was out of reach it may be any life of the back end, but for one that began before.
-    fn may_say(&self, announcement: &Announcement) -> bool {
+    fn may_say(&self, now: Instant, announcement: &Announcement) -> bool {
         let (known, told) = (&self.back_end.life, &announcement.life);
         let may_have_changed =
             self.is_reopened && known.instance == told.instance && !told.began_before(known);
-        known.may_be(told) || may_have_changed
+        (known.may_be(told) || may_have_changed) && !self.has_surely_left(now, told)
+    }
+
+    /// Whether this life, of which the start was never told, has said that it leaves for so long that a word with a start is of the next one.
+    fn has_surely_left(&self, now: Instant, told: &BackEndLife) -> bool {
+        let is_silent = now.saturating_duration_since(self.heard_at) > LATEST_WORD;
+        let tells_more = self.back_end.life.born.is_none() && told.born.is_some();
+        self.state == BackEndState::Draining && tells_more && is_silent
+    }
+
+    /// Takes in when this life began, if that is told.
+    fn learn_start(&mut self, told: &BackEndLife) {
+        if told.born.is_some() {
+            self.back_end.life = told.clone();
+        }
     }
 }
 
--- a/crates/daemon/tests/lives.rs
+++ b/crates/daemon/tests/lives.rs
@@ -186,6 +186,27 @@
     assert_eq!(lives.on_announcement(now, &ready_in(&first, 71)), Effect::None);
 }
 
+/// The process has just started: it knows from the back end's answer that it is well, and not when it began.
+#[test]
+fn a_life_of_unknown_start_that_leaves_does_not_close_the_next_one() {
+    let now = Instant::now();
+    let (first, second) = (life("a", 100), life("a", 200));
+    for tells_start in [true, false] {
+        let mut lives = BackEndLives::new(true);
+        lives.on_confirmed(now, back_end("a"));
+        let leaving = if tells_start { first.clone() } else { BackEndLife::of("a") };
+        assert_eq!(lives.on_withdrawn(&leaving), Effect::Close(CloseReason::Ends));
+        assert_eq!(lives.on_announcement(now, &ready_in(&first, 7)), Effect::None, "a late word");
+        let later = now + Duration::from_secs(7);
+        assert_eq!(lives.on_announcement(later, &ready_in(&second, 1)), open_in(&second), "{tells_start}");
+    }
+    let mut lives = BackEndLives::new(true);
+    lives.on_confirmed(now, back_end("a"));
+    let leaving = Announcement { life: first.clone(), ..draining("a", 9) };
+    assert_eq!(lives.on_announcement(now, &leaving), Effect::Close(CloseReason::Leaves));
+    assert_eq!(lives.on_announcement(now, &ready_in(&second, 1)), open_in(&second));
+}
+
 quickcheck! {
     /// Words of several lives under one identity may come late, twice and in any order: one that has said that it leaves never takes work again.
     fn a_life_that_leaves_never_opens_again_under_one_identity(words: Vec<(u8, u8, u8, u8)>) -> bool {
