--- a/crates/acceptance/tests/support/mod.rs
+++ b/crates/acceptance/tests/support/mod.rs
@@ -10,7 +10,7 @@
 
 use umberpond_acceptance::chain::ChainReader;
 use umberpond_acceptance::{Acceptor, AcceptorContext, AcceptorSettings, Change};
-use umberpond_config::{Bundle, Origin, RequestClass, Route, RoutePolicy, Service, Sourced};
+use umberpond_config::{Bundle, Origin, RequestClass, Route, RouteAccess, RoutePolicy, Service, Sourced};
 use umberpond_model::{BundleName, Head, LocalityRule, Millis, SubmissionId};
 use umberpond_store::memory::{Fault, MemoryPlatform, MemoryStore, RequestNote, Verb};
 use umberpond_store::{ObjectKind, ObjectStore};
@@ -36,8 +36,15 @@
 /// A bundle with one service in the region of [`mesh`].
 pub fn service(service: &str, slots: u32) -> Bundle {
     let allowed = vec![LocalityRule { region: name("north"), zone: None }];
-    let value =
-        Service { name: name(service), allowed, slots, connections: 130, seal_key: None, health_path: None };
+    let value = Service {
+        name: name(service),
+        allowed,
+        slots,
+        connections: 130,
+        seal_key: None,
+        health_path: None,
+        cold_rate: None,
+    };
     Bundle { services: BTreeMap::from([(name(service), sourced(7, value))]), ..Bundle::default() }
 }
 
@@ -56,6 +63,7 @@
         policy: RoutePolicy::default(),
         timeout: Millis(2_000),
         credentials: Vec::new(),
+        access: RouteAccess::default(),
     };
     Bundle { routes: BTreeMap::from([(name(route), sourced(4, value))]), ..Bundle::default() }
 }
--- a/crates/config/examples/measure.rs
+++ b/crates/config/examples/measure.rs
@@ -12,7 +12,8 @@
 use rand_chacha::ChaCha20Rng;
 use umberpond_config::{
     Bundle, BundleSource, CheckReport, Delta, HeaderCredential, Origin, Plan, RequestClass, Route,
-    RoutePolicy, Scope, SealKey, Secret, SecretValue, Service, Snapshot, Sourced, TouchedScopes, join, seal,
+    RouteAccess, RoutePolicy, Scope, SealKey, Secret, SecretValue, Service, Snapshot, Sourced, TouchedScopes,
+    join, seal,
 };
 use umberpond_model::{BundleName, LocalityRule, Millis, ServiceName};
 
@@ -50,7 +51,15 @@
 fn service(index: usize) -> Service {
     let allowed = vec![LocalityRule { region: name(&format!("region-{}", index % REGIONS)), zone: None }];
     let seal_key = Some(SealKey([u8::try_from(index % 200).expect("small"); 32]));
-    Service { name: service_name(index), allowed, slots: 24, connections: 120, seal_key, health_path: None }
+    Service {
+        name: service_name(index),
+        allowed,
+        slots: 24,
+        connections: 120,
+        seal_key,
+        health_path: None,
+        cold_rate: None,
+    }
 }
 
 fn route(index: usize) -> Route {
@@ -69,6 +78,7 @@
         policy: RoutePolicy::default(),
         timeout: Millis(2_000),
         credentials: credential.into_iter().collect(),
+        access: RouteAccess::default(),
     }
 }
 
--- a/crates/config/src/check/whole.rs
+++ b/crates/config/src/check/whole.rs
@@ -63,6 +63,7 @@
             services: compile(&self.services),
             routes: compile(&self.routes),
             secrets: compile(&self.secrets),
+            tenants: Entries::default(),
         }
     }
 
--- a/crates/config/src/closure.rs
+++ b/crates/config/src/closure.rs
@@ -1,9 +1,9 @@
 //! Closure: nothing in a snapshot refers to something that the snapshot lacks.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use thiserror::Error;
-use umberpond_model::{RegionName, RouteName, SecretName, ServiceName, ZoneName};
+use umberpond_model::{RegionName, RouteName, SecretName, ServiceName, TenantName, ZoneName};
 
 use crate::{Delta, Route, Scope, Service, Snapshot};
 
@@ -46,6 +46,14 @@
         /// Zone of the locality rule, if it names one.
         zone: Option<ZoneName>,
     },
+    /// Two tenants have the same key, so that it would not be known whose requests carry it.
+    #[error("tenants `{first}` and `{second}` have the same key")]
+    SharedKey {
+        /// The tenant that comes first.
+        first: TenantName,
+        /// The other one.
+        second: TenantName,
+    },
     /// An entry stands under a name that isn't its own.
     #[error("the entry under `{key}` calls itself `{name}`")]
     NameMismatch {
@@ -70,6 +78,20 @@
             check_name(key.as_str(), route.name.as_str())?;
             self.check_route(route)?;
         }
+        self.check_tenants()
+    }
+
+    /// Checks that each tenant's keys are its own.
+    fn check_tenants(&self) -> Result<(), ClosureError> {
+        let mut holders = BTreeMap::new();
+        for (name, tenant) in &self.tenants {
+            check_name(name.as_str(), tenant.name.as_str())?;
+            for key in &tenant.keys {
+                if let Some(first) = holders.insert(key, name) {
+                    return Err(ClosureError::SharedKey { first: first.clone(), second: name.clone() });
+                }
+            }
+        }
         Ok(())
     }
 
@@ -91,7 +113,7 @@
             self.check_route(route)?;
             self.check_callers(route, scope)?;
         }
-        Ok(())
+        if delta.tenants.is_empty() { Ok(()) } else { self.check_tenants() }
     }
 
     /// A changed topology concerns every service, and no route.
--- a/crates/config/src/content_hasher.rs
+++ b/crates/config/src/content_hasher.rs
@@ -8,7 +8,7 @@
 use crate::{RequestLimits, Topology};
 
 /// Domain separation from every other use of BLAKE3; changes with the meaning of the hash.
-const DOMAIN: &str = "umberpond 2026 snapshot content 3";
+const DOMAIN: &str = "umberpond 2026 snapshot content 4";
 
 /// Collects the content of one snapshot in its fixed order.
 pub(crate) struct ContentHasher(Vec<u8>);
--- a/crates/config/src/delta.rs
+++ b/crates/config/src/delta.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 
 use bitcode::{Decode, Encode};
-use umberpond_model::{RouteName, SecretName, ServiceName};
+use umberpond_model::{RouteName, SecretName, ServiceName, TenantName};
 
 use crate::encoding::{self, DecodeError};
-use crate::{Entries, Entry, Record, RequestLimits, Route, Secret, Service, Snapshot, Topology};
+use crate::{Entries, Entry, Record, RequestLimits, Route, Secret, Service, Snapshot, Tenant, Topology};
 
 /// What changes between two snapshots: a value sets an entry, `None` removes it.
 ///
@@ -24,6 +24,8 @@
     pub routes: BTreeMap<RouteName, Option<Route>>,
     /// Secrets set or removed.
     pub secrets: BTreeMap<SecretName, Option<Secret>>,
+    /// Tenants set or removed.
+    pub tenants: BTreeMap<TenantName, Option<Tenant>>,
 }
 
 impl Delta {
@@ -37,6 +39,7 @@
             services: changes(&before.services, &after.services),
             routes: changes(&before.routes, &after.routes),
             secrets: changes(&before.secrets, &after.secrets),
+            tenants: changes(&before.tenants, &after.tenants),
         }
     }
 
@@ -48,6 +51,7 @@
             && self.services.is_empty()
             && self.routes.is_empty()
             && self.secrets.is_empty()
+            && self.tenants.is_empty()
     }
 
     /// The snapshot that results from applying this delta to `before`.
@@ -63,6 +67,7 @@
         apply_changes(&mut after.services, &self.services);
         apply_changes(&mut after.routes, &self.routes);
         apply_changes(&mut after.secrets, &self.secrets);
+        apply_changes(&mut after.tenants, &self.tenants);
         after
     }
 
--- a/crates/config/src/entries.rs
+++ b/crates/config/src/entries.rs
@@ -6,12 +6,12 @@
 
 use imbl::OrdMap;
 use imbl::ordmap::DiffItem;
-use umberpond_model::{ContentHash, RouteName, SecretName, ServiceName};
+use umberpond_model::{ContentHash, RouteName, SecretName, ServiceName, TenantName};
 
 use crate::content_set::{ContentSet, leaf};
 use crate::record::{NoIndex, Record, RecordIndex};
 use crate::route_index::RouteIndex;
-use crate::{Entry, Route, Secret, Service};
+use crate::{Entry, Route, Secret, Service, Tenant};
 
 impl Record for Service {
     type Name = ServiceName;
@@ -23,6 +23,11 @@
     type Index = RouteIndex;
 }
 
+impl Record for Tenant {
+    type Name = TenantName;
+    type Index = NoIndex;
+}
+
 impl Record for Secret {
     type Name = SecretName;
     type Index = NoIndex;
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -26,6 +26,7 @@
 mod service;
 mod snapshot;
 mod source;
+mod tenant;
 mod touched;
 
 pub use bundle::Bundle;
@@ -39,7 +40,7 @@
 pub use origin::{Origin, Sourced};
 pub use plan::{AffectedScope, Changes, NewLocalities, Plan, Subject};
 pub use record::{NoIndex, Record, RecordIndex};
-pub use route::{Destination, HeaderCredential, RequestClass, Route, RoutePolicy};
+pub use route::{Destination, HeaderCredential, RequestClass, Route, RouteAccess, RoutePolicy};
 pub use route_index::RouteIndex;
 pub use scope::Scope;
 pub use seal_key::{InvalidSealKey, SEAL_KEY_BYTES, SealKey};
@@ -51,4 +52,5 @@
 pub use source::{
     BundleSource, MAX_BUNDLE_BYTES, MAX_FILE_BYTES, MAX_FILES, MAX_SECRET_BYTES, SecretSource, ValueSource,
 };
+pub use tenant::{KeyHash, Quota, Tenant};
 pub use touched::TouchedScopes;
--- a/crates/config/src/route.rs
+++ b/crates/config/src/route.rs
@@ -4,7 +4,7 @@
 
 use bitcode::{Decode, Encode};
 use serde::{Deserialize, Serialize};
-use umberpond_model::{Millis, RouteName, SecretName, ServiceName};
+use umberpond_model::{HomeRegions, Millis, RouteName, SecretName, ServiceName};
 
 /// Importance of a request. Under overload the lowest class is shed first; the order of the variants is that order.
 #[derive(
@@ -60,6 +60,15 @@
     }
 }
 
+/// Whose requests a route takes, and where they may be served.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Encode, Decode, Serialize, Deserialize)]
+pub struct RouteAccess {
+    /// Whether requests need no key of a tenant, even if there are tenants.
+    pub is_public: bool,
+    /// Where the requests may be served.
+    pub homes: HomeRegions,
+}
+
 /// One route as it is in force.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode, Serialize, Deserialize)]
 pub struct Route {
@@ -87,6 +96,8 @@
     pub timeout: Millis,
     /// Headers set from secrets.
     pub credentials: Vec<HeaderCredential>,
+    /// Whose requests it takes, and where they may be served.
+    pub access: RouteAccess,
 }
 
 impl Route {
--- a/crates/config/src/service.rs
+++ b/crates/config/src/service.rs
@@ -2,7 +2,7 @@
 
 use bitcode::{Decode, Encode};
 use serde::{Deserialize, Serialize};
-use umberpond_model::{Locality, LocalityRule, ServiceName};
+use umberpond_model::{Locality, LocalityRule, RequestRate, ServiceName};
 
 use crate::SealKey;
 
@@ -22,6 +22,8 @@
     pub seal_key: Option<SealKey>,
     /// Path under which a back end tells whether it is well; absent if it tells nothing.
     pub health_path: Option<String>,
+    /// Requests that a back end bears while it is cold; absent if it bears as many as at other times.
+    pub cold_rate: Option<RequestRate>,
 }
 
 impl Service {
--- a/crates/config/src/snapshot.rs
+++ b/crates/config/src/snapshot.rs
@@ -6,7 +6,7 @@
 
 use crate::content_hasher::ContentHasher;
 use crate::encoding::{self, DecodeError};
-use crate::{Delta, Entries, Entry, RequestLimits, Route, Scope, Secret, Service};
+use crate::{Delta, Entries, Entry, RequestLimits, Route, Scope, Secret, Service, Tenant};
 
 /// Regions and their zones.
 pub type Topology = BTreeMap<RegionName, BTreeSet<ZoneName>>;
@@ -24,6 +24,8 @@
     pub routes: Entries<Route>,
     /// Secrets by name.
     pub secrets: Entries<Secret>,
+    /// Tenants by name; without any, requests need no key.
+    pub tenants: Entries<Tenant>,
 }
 
 impl Snapshot {
@@ -37,12 +39,13 @@
         hasher.entries("service", &self.services);
         hasher.entries("route", &self.routes);
         hasher.entries("secret", &self.secrets);
+        hasher.entries("tenant", &self.tenants);
         hasher.finish()
     }
 
     /// The part of this snapshot that `scope` covers. Closed if this snapshot is closed.
     ///
-    /// A secret keeps only the sealed values of services in the scope; a route keeps all its callers.
+    /// A secret keeps only the sealed values of services in the scope; a route keeps all its callers. All tenants are kept: the requests of each may enter anywhere.
     #[must_use]
     pub fn restrict(&self, scope: &Scope) -> Self {
         let Scope::Callers(callers) = scope else {
@@ -54,6 +57,7 @@
             limits: self.limits,
             services: self.services_behind(&routes, callers),
             secrets: self.secrets_used(&routes, callers),
+            tenants: self.tenants.clone(),
             routes,
         }
     }
--- a/crates/config/src/source/entries.rs
+++ b/crates/config/src/source/entries.rs
@@ -7,7 +7,7 @@
 use super::files::Directory;
 use super::secret_source::{SecretSource, ValueSource};
 use super::table::TableReader;
-use crate::{FaultKind, HeaderCredential, RequestClass, Route, RoutePolicy, SealKey, Service};
+use crate::{FaultKind, HeaderCredential, RequestClass, Route, RouteAccess, RoutePolicy, SealKey, Service};
 
 pub(super) const REGION_KEYS: [&str; 2] = ["name", "zones"];
 pub(super) const SERVICE_KEYS: [&str; 5] = ["name", "allowed", "slots", "connections", "seal_key"];
@@ -55,6 +55,7 @@
         connections: table.number("connections").unwrap_or(1),
         seal_key: read_seal_key(table),
         health_path: None,
+        cold_rate: None,
     }
 }
 
@@ -89,6 +90,7 @@
         policy: RoutePolicy::default(),
         timeout: Millis(table.number("timeout_millis").unwrap_or(1)),
         credentials: table.tables("credentials", &CREDENTIAL_KEYS, read_credential),
+        access: RouteAccess::default(),
     }
 }
 
--- a/crates/config/src/touched.rs
+++ b/crates/config/src/touched.rs
@@ -9,7 +9,7 @@
 /// Scopes whose restriction a delta may change. Of every other scope the restriction, and with it the hash, stays.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TouchedScopes {
-    /// Every scope: the topology or the limits change.
+    /// Every scope: the topology, the limits or the tenants change.
     All,
     /// The whole, and scopes with one of these callers.
     Callers(BTreeSet<ServiceName>),
@@ -19,7 +19,7 @@
     /// The scopes that `delta` touches on its way from `before` to `after`, both whole.
     #[must_use]
     pub fn of(delta: &Delta, before: &Snapshot, after: &Snapshot) -> Self {
-        if delta.topology.is_some() || delta.limits.is_some() {
+        if delta.topology.is_some() || delta.limits.is_some() || !delta.tenants.is_empty() {
             return Self::All;
         }
         let mut callers: BTreeSet<ServiceName> = delta.services.keys().cloned().collect();
--- a/crates/config/tests/incremental.rs
+++ b/crates/config/tests/incremental.rs
@@ -63,6 +63,7 @@
         services: services.into_iter().rev().collect(),
         routes: routes.into_iter().rev().collect(),
         secrets: secrets.into_iter().rev().collect(),
+        tenants: snapshot.tenants.clone(),
     }
 }
 
--- a/crates/config/tests/support/mod.rs
+++ b/crates/config/tests/support/mod.rs
@@ -7,8 +7,8 @@
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use umberpond_config::{
-    Bundle, HeaderCredential, Origin, RequestClass, Route, RoutePolicy, Scope, SealKey, SealedValue, Secret,
-    SecretValue, Service, Snapshot, Sourced, join, seal,
+    Bundle, HeaderCredential, Origin, RequestClass, Route, RouteAccess, RoutePolicy, Scope, SealKey,
+    SealedValue, Secret, SecretValue, Service, Snapshot, Sourced, join, seal,
 };
 use umberpond_model::{BundleName, LocalityRule, Millis, ServiceName, ZoneName};
 
@@ -31,6 +31,7 @@
         connections: 130,
         seal_key: Some(SealKey([7; 32])),
         health_path: None,
+        cold_rate: None,
     }
 }
 
@@ -61,6 +62,7 @@
         policy: RoutePolicy::default(),
         timeout: Millis(2_000),
         credentials: Vec::new(),
+        access: RouteAccess::default(),
     }
 }
 
--- a/crates/daemon/src/back_end/lives.rs
+++ b/crates/daemon/src/back_end/lives.rs
@@ -165,6 +165,13 @@
         }
     }
 
+    /// Takes in that `life` is cold for so long, by its own word.
+    pub fn on_cold(&mut self, now: Instant, told: &BackEndLife, cold_for: Duration) {
+        if let Some(life) = self.present.as_mut().filter(|life| life.back_end.life.may_be(told)) {
+            life.cold_until = now + cold_for;
+        }
+    }
+
     /// Takes in that the back end can't be reached by its node.
     pub fn on_unreachable(&mut self, told: &BackEndLife) -> Effect {
         match &mut self.present {
--- a/crates/daemon/src/back_end/mod.rs
+++ b/crates/daemon/src/back_end/mod.rs
@@ -5,6 +5,7 @@
 mod lives;
 mod monitor;
 mod probe;
+mod warmth;
 
 pub use announcement::{AnnouncedState, Announcement};
 pub use check::CheckSettings;
@@ -12,3 +13,4 @@
 pub use lives::{BackEndLives, CloseReason, Effect};
 pub use monitor::BackEndMonitor;
 pub(crate) use probe::probe_at_start;
+pub(crate) use warmth::follow_warmth;
--- a/crates/daemon/src/back_end/monitor.rs
+++ b/crates/daemon/src/back_end/monitor.rs
@@ -52,6 +52,7 @@
     pub fn announce(self: &Arc<Self>, announcement: &Announcement) {
         let effect = self.lives.lock().on_announcement(now(), announcement);
         self.carry_out(effect);
+        self.keep_cold_pace();
         self.tell_warm_later();
     }
 
@@ -73,6 +74,25 @@
         self.carry_out(effect);
     }
 
+    /// Takes in that `life` has said, asked by this process, that it is cold for so long.
+    pub(crate) fn on_cold(self: &Arc<Self>, life: &BackEndLife, cold_for: Duration) {
+        if cold_for.is_zero() {
+            return;
+        }
+        self.lives.lock().on_cold(now(), life, cold_for);
+        self.keep_cold_pace();
+        self.tell_others();
+        self.tell_warm_later();
+    }
+
+    /// Hands the back end requests at the pace of a cold one as long as it is known to be.
+    fn keep_cold_pace(&self) {
+        let cold_for = self.lives.lock().cold_for(now());
+        if !cold_for.is_zero() {
+            self.inbound.on_cold(cold_for);
+        }
+    }
+
     /// Takes in that the back end can't be reached.
     pub(crate) fn unreachable(self: &Arc<Self>, life: &BackEndLife) {
         let effect = self.lives.lock().on_unreachable(life);
@@ -153,9 +173,11 @@
         for _question in 0..CONFIRM_QUESTIONS {
             if let Some(path) = self.health_path(&back_end.service) {
                 let health = self.inbound.ask_health(back_end.address, &path).await;
-                match health.and_then(|health| health.instance) {
-                    Some(instance) if instance == back_end.life.instance => {
+                match health.and_then(|health| health.instance.map(|instance| (instance, health.cold_for))) {
+                    Some((instance, cold_for)) if instance == back_end.life.instance => {
+                        let life = back_end.life.clone();
                         self.confirm(back_end);
+                        self.on_cold(&life, cold_for);
                         return;
                     }
                     // Another back end is there, whose own word is awaited: this one does not come back.
--- a/crates/daemon/src/back_end/probe.rs
+++ b/crates/daemon/src/back_end/probe.rs
@@ -26,7 +26,8 @@
                 && let (Some(instance), Some(slots)) = (health.instance, health.slots)
             {
                 let life = BackEndLife::of(&instance);
-                monitor.confirm(BackEnd { life, service, release: None, address, slots });
+                monitor.confirm(BackEnd { life: life.clone(), service, release: None, address, slots });
+                monitor.on_cold(&life, health.cold_for);
                 return;
             }
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 mod duration;
 mod environment;
 mod error;
+pub mod evacuations;
 mod http_server;
 mod listeners;
 mod membership;
--- a/crates/daemon/src/membership/actor.rs
+++ b/crates/daemon/src/membership/actor.rs
@@ -15,8 +15,10 @@
 
 use super::datagrams::send;
 use super::endpoints::{ToldEndpoints, count_by_release};
+use super::evacuated::EvacuationsInForce;
 use super::message::{MembershipMessage, StoreView};
 use super::plans::PlansInForce;
+use super::pools::TokenPools;
 use super::suspects::SuspectSpread;
 use crate::configuration::ConfigurationMessage;
 use crate::duration::millis;
@@ -50,6 +52,8 @@
     telemetry: Telemetry,
     told: ToldEndpoints,
     plans: PlansInForce,
+    evacuations: EvacuationsInForce,
+    pools: TokenPools,
     suspects: SuspectSpread,
     suspension: SuspensionWatch,
     evidence: mpsc::UnboundedSender<ReleaseEvidence>,
@@ -73,6 +77,7 @@
     ) -> Result<Self::State, ActorProcessingErr> {
         tokio::spawn(tick(myself));
         Ok(MembershipState {
+            pools: TokenPools::new(Arc::clone(arguments.outbound.quotas())),
             suspects: SuspectSpread::new(Arc::clone(arguments.inbound.quarantine())),
             suspension: SuspensionWatch::new(arguments.boot_clock),
             membership: arguments.membership,
@@ -82,6 +87,7 @@
             telemetry: arguments.telemetry,
             told: ToldEndpoints::default(),
             plans: PlansInForce::default(),
+            evacuations: EvacuationsInForce::default(),
             evidence: arguments.evidence,
             configuration: None,
             started_at: Instant::now().into_std(),
@@ -124,6 +130,7 @@
                 self.membership.set_load(self.inbound.load());
                 let mut outgoing = self.membership.on_tick(now);
                 outgoing.extend(self.suspects.on_tick(now, &mut self.membership));
+                outgoing.extend(self.pools.report());
                 outgoing
             }
             MembershipMessage::Datagram { from, datagram } => self.on_datagram(now, from, &datagram),
@@ -136,6 +143,7 @@
                 self.tell_sharing_nodes();
                 self.suspects.ask(&mut self.membership)
             }
+            MembershipMessage::TokenWanted => self.pools.report(),
             MembershipMessage::TellSuspects(records) => SuspectSpread::tell(&mut self.membership, &records),
             MembershipMessage::BackEnd(back_end) => self.membership.set_back_end(now, back_end),
             MembershipMessage::Phase(phase) => self.membership.set_phase(now, phase),
@@ -157,6 +165,12 @@
                 self.follow_plans(now);
                 outgoing
             }
+            MembershipMessage::Evacuations(listed) => {
+                let told = self.evacuations.to_tell(listed);
+                let outgoing = self.membership.set_evacuations(now, told);
+                self.follow_evacuations();
+                outgoing
+            }
             MembershipMessage::ReportEvidence(evidence) => self.report(evidence),
             MembershipMessage::RolloutView(reply) => {
                 let _ = reply.send(RolloutView {
@@ -192,8 +206,11 @@
             let _ = self.evidence.send((**evidence).clone());
             return Vec::new();
         }
-        if let Datagram::Suspects(news) = datagram {
-            return self.suspects.on_news(&mut self.membership, from, news);
+        match datagram {
+            Datagram::Suspects(news) => return self.suspects.on_news(&mut self.membership, from, news),
+            Datagram::QuotaReport(report) => return self.pools.on_report(from, report),
+            Datagram::QuotaGrant(grant) => return self.pools.on_grant(grant),
+            _ => {}
         }
         let outgoing = self.membership.on_datagram(now, from, datagram);
         let Datagram::Heartbeat(heartbeat) = datagram else { return outgoing };
@@ -228,6 +245,11 @@
         self.plans.follow(now, &self.membership, &self.inbound, &self.outbound, &self.telemetry);
     }
 
+    /// Puts the latest evacuations that any node tells in force.
+    fn follow_evacuations(&mut self) {
+        self.evacuations.follow(&self.membership, &self.outbound, &self.telemetry);
+    }
+
     fn store_view(&self, now: std::time::Instant) -> StoreView {
         let running = |record: &&MemberRecord| record.phase == MemberPhase::Running;
         let reachable = self.membership.reachable().filter(running).map(|record| record.node.clone());
@@ -269,7 +291,10 @@
             return;
         }
         self.follow_plans(Instant::now().into_std());
+        // Before the endpoints, so that none of an evacuated zone is used meanwhile.
+        self.follow_evacuations();
         self.tell_sharing_nodes();
+        self.pools.follow(&self.membership);
         let endpoints = self.told.update(&self.membership, &self.outbound);
         self.telemetry.metrics().set_endpoints(endpoints);
         let members = self.membership.members().count() as u64 + 1;
--- a/crates/daemon/src/membership/message.rs
+++ b/crates/daemon/src/membership/message.rs
@@ -5,7 +5,7 @@
 
 use ractor::{ActorRef, RpcReplyPort};
 use umberpond_membership::{BackEndRecord, Datagram, Introduction, MemberPhase, MemberView};
-use umberpond_model::{NodeName, Version};
+use umberpond_model::{Evacuations, NodeName, Version};
 use umberpond_quarantine::SuspectRecord;
 use umberpond_rollouts::{ReleaseEvidence, RolloutPlan};
 
@@ -34,8 +34,12 @@
     ConfigurationActor(ActorRef<ConfigurationMessage>),
     /// The plans that this node tells as a coordinator of rollouts; empty if it is none.
     Rollouts(Vec<RolloutPlan>),
+    /// The evacuations as this node has read them from the store.
+    Evacuations(Evacuations),
     /// What the own back end has answered, for the coordinators of its rollout.
     ReportEvidence(Box<ReleaseEvidence>),
+    /// A request waits for a token of its tenant.
+    TokenWanted,
     /// What was found here of requests that may end back ends.
     TellSuspects(Vec<SuspectRecord>),
     /// Asks for what is known of rollouts.
--- a/crates/daemon/src/membership/mod.rs
+++ b/crates/daemon/src/membership/mod.rs
@@ -3,8 +3,10 @@
 mod actor;
 mod datagrams;
 mod endpoints;
+mod evacuated;
 mod message;
 mod plans;
+mod pools;
 mod suspects;
 
 pub(crate) use actor::{MembershipActor, MembershipArguments};
--- a/crates/daemon/src/settings/load.rs
+++ b/crates/daemon/src/settings/load.rs
@@ -86,6 +86,7 @@
     let link_rate = read_link_rate(reader);
     let retry_budget = read_retry_budget(reader);
     let rollouts = read_rollouts(reader);
+    let follows_evacuations = reader.switch("evacuations.follow").is_some_and(|follow| follow.value);
     let log = read_log(reader);
     let grace = reader.duration("stop.grace", DEFAULT_GRACE);
     let (locality, topology) = locality?;
@@ -104,6 +105,7 @@
         link_rate: link_rate?,
         retry_budget: retry_budget?,
         rollouts: rollouts?,
+        follows_evacuations,
         log: log?,
         grace: grace?,
     })
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -51,6 +51,8 @@
     pub retry_budget: RetryBudgetSettings,
     /// Bounds of rollouts; absent if the node takes part in none.
     pub rollouts: Option<RolloutSettings>,
+    /// Whether operators may evacuate zones, so that those that read the store have to look for it.
+    pub follows_evacuations: bool,
     /// Log output.
     pub log: LogConfig,
     /// Time from the request to stop until the process is killed.
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -10,18 +10,18 @@
 use tokio::task::JoinSet;
 use umberpond_distribution::ReaderSettings;
 use umberpond_forwarding::{
-    Dialect, Inbound, InboundSettings, Outbound, OutboundIdentity, OutboundSettings, ServerControl,
-    ServerPhase, serve_inbound, serve_outbound,
+    Dialect, Inbound, InboundSettings, Outbound, OutboundIdentity, OutboundSettings, QuotaGate,
+    ServerControl, ServerPhase, serve_inbound, serve_outbound,
 };
 use umberpond_membership::{
     Introduction, MemberPhase, MemberRecord, MemberView, Membership, MembershipSettings,
 };
-use umberpond_model::Incarnation;
+use umberpond_model::{Evacuations, Incarnation};
 use umberpond_rollouts::ReleaseEvidence;
 use umberpond_scheduling::LoadReport;
 use umberpond_telemetry::{Event, Telemetry};
 
-use crate::back_end::{BackEndMonitor, CheckSettings, check_periodically, probe_at_start};
+use crate::back_end::{BackEndMonitor, CheckSettings, check_periodically, follow_warmth, probe_at_start};
 use crate::configuration::{
     Activation, ConfigurationActor, ConfigurationArguments, ConfigurationMessage, ConfigurationSource,
     ReaderTask, finds_itself_reader, read_store, serve_peers,
@@ -29,6 +29,7 @@
 use crate::directory::{JoinTask, MemberDirectory, join};
 use crate::environment::{Environment, SeedUse};
 use crate::error::StartError;
+use crate::evacuations::{EvacuationStore, EvacuationTask, follow_evacuations};
 use crate::listeners::Listeners;
 use crate::membership::{MembershipActor, MembershipArguments, MembershipMessage, receive_datagrams};
 use crate::quarantine::{QuarantineStore, QuarantineTask, keep_quarantine, tell_news};
@@ -52,6 +53,8 @@
     pub rollouts: Option<Arc<dyn RolloutStore>>,
     /// Where requests that end back ends are remembered when all processes end; absent if nowhere.
     pub quarantine: Option<Arc<dyn QuarantineStore>>,
+    /// Where orders to evacuate zones come from; absent if there are none.
+    pub evacuations: Option<Arc<dyn EvacuationStore>>,
     /// Names of the header fields.
     pub dialect: Dialect,
 }
@@ -158,6 +161,7 @@
         phase: MemberPhase::Running,
         back_end: None,
         rollouts: Vec::new(),
+        evacuations: Evacuations::default(),
     }
 }
 
@@ -312,6 +316,7 @@
             seed: self.environment.seed_for(SeedUse::Store).wrapping_add(1),
             telemetry: telemetry.clone(),
         }));
+        tasks.spawn(ask_for_tokens(Arc::clone(self.outbound.quotas()), self.membership.clone()));
         tasks.spawn(tell_news(Arc::clone(self.inbound.quarantine()), self.membership.clone()));
         if let Some(store) = &self.extensions.quarantine {
             tasks.spawn(keep_quarantine(QuarantineTask {
@@ -333,7 +338,16 @@
                 telemetry,
             }));
         }
+        if let Some(store) = self.extensions.evacuations.as_ref().filter(|_| self.config.follows_evacuations)
+        {
+            tasks.spawn(follow_evacuations(EvacuationTask {
+                store: Arc::clone(store),
+                membership: self.membership.clone(),
+                telemetry: self.environment.telemetry.clone(),
+            }));
+        }
         tasks.spawn(follow_unreachable(Arc::clone(&self.inbound), Arc::clone(&self.back_end)));
+        tasks.spawn(follow_warmth(Arc::clone(&self.back_end)));
         tasks.spawn(close_expired(Arc::clone(&self.inbound), Arc::clone(&self.outbound)));
         if let Some(back_end) = self.config.back_end {
             self.start_asking(&mut tasks, back_end);
@@ -365,6 +379,16 @@
     }
 }
 
+/// Has tokens asked for whenever a request waits for one.
+async fn ask_for_tokens(quotas: Arc<QuotaGate>, membership: ActorRef<MembershipMessage>) {
+    loop {
+        quotas.token_wanted().await;
+        if membership.send_message(MembershipMessage::TokenWanted).is_err() {
+            return;
+        }
+    }
+}
+
 async fn close_expired(inbound: Arc<Inbound>, outbound: Arc<Outbound>) {
     loop {
         tokio::time::sleep(EXPIRY_INTERVAL).await;
--- a/crates/forwarding/src/dialect.rs
+++ b/crates/forwarding/src/dialect.rs
@@ -52,6 +52,10 @@
     pub deadline_millis: &'static str,
     /// Service on whose behalf the request is sent; set by the caller's node.
     pub caller: &'static str,
+    /// Key of the tenant on whose behalf the request is sent. It goes no further than the node at which the request enters.
+    pub tenant_key: &'static str,
+    /// Name of that tenant; set by the nodes.
+    pub tenant: &'static str,
     /// Life of the back end that is meant; set by the node beside the back end.
     pub expected_instance: &'static str,
     /// Life of the back end that answers.
@@ -60,6 +64,8 @@
     pub not_executed: Marker,
     /// Load of the back end as `running,waiting,slots`.
     pub load: &'static str,
+    /// How much longer a back end is cold, in whole milliseconds, in its health answers; absent if back ends don't tell.
+    pub cold_millis: Option<&'static str>,
     /// Proof that the body is the back end's own; absent if back ends don't sign.
     pub signature: Option<&'static str>,
     /// What every answer tells its caller; absent if callers know no such fields.
@@ -75,10 +81,13 @@
         caller_key: Some("idempotency-key"),
         deadline_millis: "umberpond-deadline",
         caller: "umberpond-caller",
+        tenant_key: "umberpond-key",
+        tenant: "umberpond-tenant",
         expected_instance: "umberpond-meant-instance",
         instance: "umberpond-instance",
         not_executed: Marker { name: "umberpond-outcome", value: Some("rejected") },
         load: "umberpond-load",
+        cold_millis: Some("umberpond-cold-millis"),
         signature: None,
         marks: Some(CallerMarks {
             outcome: "umberpond-outcome",
@@ -91,10 +100,12 @@
 
     /// Fields that a caller may not set: they are removed from what it sends.
     #[must_use]
-    pub fn reserved(&self) -> [&'static str; 6] {
+    pub fn reserved(&self) -> [&'static str; 8] {
         [
             self.deadline_millis,
             self.caller,
+            self.tenant_key,
+            self.tenant,
             self.expected_instance,
             self.instance,
             self.not_executed.name,
--- a/crates/forwarding/src/hop/protocol.rs
+++ b/crates/forwarding/src/hop/protocol.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 use umberpond_http1::Fields;
-use umberpond_model::ServiceName;
+use umberpond_model::{HomeRegions, ServiceName, TenantName};
 use umberpond_quarantine::{RequestFingerprint, RequestKey};
 use umberpond_scheduling::LoadReport;
 
@@ -67,6 +67,8 @@
     key: Option<Vec<u8>>,
     service: ServiceName,
     caller: ServiceName,
+    tenant: Option<TenantName>,
+    homes: HomeRegions,
     method: Vec<u8>,
     target: Vec<u8>,
     fields: Vec<HopField>,
@@ -116,6 +118,8 @@
             key: attempt.key.as_ref().map(|key| key.to_vec()),
             service: attempt.service.clone(),
             caller: attempt.caller.clone(),
+            tenant: attempt.tenant.clone(),
+            homes: attempt.homes.clone(),
             method: attempt.method.to_vec(),
             target: attempt.target.to_vec(),
             fields: encode_fields(&attempt.fields),
@@ -142,6 +146,8 @@
             key: self.key.map(Bytes::from),
             service: self.service,
             caller: self.caller,
+            tenant: self.tenant,
+            homes: self.homes,
             method: self.method.into(),
             target: self.target.into(),
             fields: decode_fields(self.fields),
--- a/crates/forwarding/src/inbound/admission.rs
+++ b/crates/forwarding/src/inbound/admission.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use tokio::sync::oneshot;
-use tokio::time::{Instant, timeout_at};
-use umberpond_scheduling::{Decision, LoadReport, Refusal, Started, Ticket, WorkItem, WorkQueue};
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{Instant, sleep_until, timeout_at};
+use umberpond_model::RequestRate;
+use umberpond_scheduling::{ColdPace, Decision, LoadReport, Refusal, Started, Ticket, WorkItem, WorkQueue};
 
 type Verdict = Result<(), Refusal>;
 
@@ -15,6 +16,8 @@
 struct State {
     queue: WorkQueue,
     waiters: HashMap<Ticket, oneshot::Sender<Verdict>>,
+    /// When the queue is looked at again because the pace of a cold back end lets a request start then.
+    look_at: Option<Instant>,
 }
 
 impl State {
@@ -44,6 +47,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Admission {
     state: Mutex<State>,
+    /// Told when the back end should be asked whether it is warm.
+    word_wanted: Notify,
 }
 
 fn now() -> std::time::Instant {
@@ -56,11 +61,15 @@
         let (ticket, verdict) = {
             let mut state = self.state.lock();
             match state.queue.offer(now(), item) {
-                Decision::Start => return Ok(Permit::new(self)),
+                Decision::Start => {
+                    self.follow_pace(&mut state);
+                    return Ok(Permit::new(self));
+                }
                 Decision::Refuse(refusal) => return Err(refusal),
                 Decision::Wait(ticket) => {
                     let (sender, receiver) = oneshot::channel();
                     state.waiters.insert(ticket, sender);
+                    self.follow_pace(&mut state);
                     (ticket, receiver)
                 }
             }
@@ -70,11 +79,13 @@
     }
 
     /// Takes new work, `slots` requests at once.
-    pub(crate) fn open(&self, slots: u32) {
+    pub(crate) fn open(self: &Arc<Self>, slots: u32) {
         let mut state = self.state.lock();
         state.queue.set_slots(slots);
+        // It may have turned cold while it took nothing.
+        state.queue.pace().doubt();
         state.queue.open();
-        state.start_waiting();
+        self.start_waiting(&mut state);
     }
 
     /// Takes no new work and refuses what waits.
@@ -85,14 +96,57 @@
         }
     }
 
-    /// Forgets what was learnt of the back end's speed.
-    pub(crate) fn forget_service_time(&self) {
-        self.state.lock().queue.forget_service_time();
+    /// Refuses what waits.
+    pub(crate) fn turn_away_waiting(&self) {
+        let mut state = self.state.lock();
+        for ticket in state.queue.give_up_waiting() {
+            state.tell(ticket, Err(Refusal::Closed));
+        }
+    }
+
+    /// Forgets what was learnt of the back end: another one stands in its place, and it may be cold.
+    pub(crate) fn forget_back_end(&self) {
+        let mut state = self.state.lock();
+        state.queue.forget_service_time();
+        state.queue.pace().forget();
+    }
+
+    /// Sets the rate of requests that a cold back end of the service bears.
+    pub(crate) fn set_cold_rate(self: &Arc<Self>, rate: Option<RequestRate>) {
+        self.change_pace(|pace| pace.set_rate(now(), rate));
+    }
+
+    /// Takes in what is known of the back end's warmth, and starts what may start now.
+    pub(crate) fn change_pace(self: &Arc<Self>, change: impl FnOnce(&mut ColdPace)) {
+        let mut state = self.state.lock();
+        change(state.queue.pace());
+        self.start_waiting(&mut state);
+    }
+
+    /// Waits until the back end should be asked whether it is warm, and takes in that it is asked now.
+    pub(crate) async fn begin_question(&self) {
+        loop {
+            let notified = self.word_wanted.notified();
+            if self.try_begin_question() {
+                return;
+            }
+            notified.await;
+        }
+    }
+
+    fn try_begin_question(&self) -> bool {
+        let mut state = self.state.lock();
+        let pace = state.queue.pace();
+        if !pace.wants_word(now()) {
+            return false;
+        }
+        pace.on_question();
+        true
     }
 
     /// The load, for others.
     pub(crate) fn report(&self) -> LoadReport {
-        self.state.lock().queue.report()
+        self.state.lock().queue.report(now())
     }
 
     /// Takes in whether an answer came back sound.
@@ -100,10 +154,34 @@
         self.state.lock().queue.record_answer(is_sound);
     }
 
-    fn finish(&self, served: Option<Duration>) {
+    fn finish(self: &Arc<Self>, served: Option<Duration>) {
         let mut state = self.state.lock();
         state.queue.finish(served);
+        self.start_waiting(&mut state);
+    }
+
+    fn start_waiting(self: &Arc<Self>, state: &mut State) {
         state.start_waiting();
+        self.follow_pace(state);
+    }
+
+    /// Sees to it that the queue is looked at again when the pace lets a request start, and that the back end is asked whether it is warm.
+    fn follow_pace(self: &Arc<Self>, state: &mut State) {
+        if state.queue.pace().wants_word(now()) {
+            self.word_wanted.notify_one();
+        }
+        let Some(at) = state.queue.paced_until(now()).map(Instant::from_std) else { return };
+        if state.look_at.is_some_and(|planned| planned <= at && planned > Instant::now()) {
+            return;
+        }
+        state.look_at = Some(at);
+        let admission = Arc::clone(self);
+        tokio::spawn(async move {
+            sleep_until(at).await;
+            let mut state = admission.state.lock();
+            state.look_at.take_if(|planned| *planned <= at);
+            admission.start_waiting(&mut state);
+        });
     }
 
     fn withdraw(&self, ticket: Ticket) {
--- a/crates/forwarding/src/inbound/back_end.rs
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -5,12 +5,14 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
+use arc_swap::ArcSwapOption;
 use parking_lot::Mutex;
 use tokio::sync::mpsc;
-use umberpond_model::{BackEndLife, ReleaseName, ServiceName};
+use tokio::time::Instant;
+use umberpond_model::{BackEndLife, RegionName, ReleaseName, RequestRate, ServiceName};
 use umberpond_net::Network;
 use umberpond_rollouts::{AnswerTally, RouteTally};
-use umberpond_scheduling::{DuplicateWindow, LoadReport};
+use umberpond_scheduling::{ColdPace, DuplicateWindow, LoadReport};
 use umberpond_telemetry::{Event, Telemetry};
 
 use super::admission::Admission;
@@ -20,6 +22,7 @@
 use crate::dialect::Dialect;
 use crate::quarantine::Quarantine;
 use crate::repeats::{OpenRuns, RetryLedger};
+use crate::routing::TenantTable;
 use crate::suspended_time::SuspendedTime;
 use crate::upstream::{Health, UpstreamPool, UpstreamSettings, ask_health};
 
@@ -63,6 +66,14 @@
     pub(super) is_open: bool,
 }
 
+/// Whose requests this half takes, whatever the callers' nodes believe.
+#[derive(Debug)]
+pub(super) struct InboundAccess {
+    pub(super) tenants: Arc<TenantTable>,
+    /// Where this node runs.
+    pub(super) region: RegionName,
+}
+
 /// The inbound half of one node.
 pub struct Inbound {
     pub(super) dialect: Dialect,
@@ -76,6 +87,10 @@
     unreachable: Mutex<Option<mpsc::UnboundedSender<BackEndLife>>>,
     /// Whether the configuration in force lets the back end's service be served where this node runs.
     pub(super) may_serve: AtomicBool,
+    /// The tenants of the configuration in force, and the region of this node.
+    pub(super) access: ArcSwapOption<InboundAccess>,
+    /// Whether operators have evacuated the zone of this node.
+    pub(super) is_evacuated: AtomicBool,
     /// Whether the rollout of the service leaves the back end's release any requests.
     is_release_open: AtomicBool,
     pub(super) answers: Mutex<AnswerTally>,
@@ -114,6 +129,8 @@
             duplicates: Mutex::default(),
             unreachable: Mutex::new(None),
             may_serve: AtomicBool::new(true),
+            access: ArcSwapOption::empty(),
+            is_evacuated: AtomicBool::new(false),
             is_release_open: AtomicBool::new(true),
             answers: Mutex::default(),
             runs: Arc::new(OpenRuns::new(dialect.call_separator)),
@@ -139,7 +156,7 @@
         });
         if !is_same {
             self.admission.close();
-            self.admission.forget_service_time();
+            self.admission.forget_back_end();
             self.answers.lock().clear();
         }
         let (pool, watch) = match current.take() {
@@ -183,6 +200,51 @@
         self.may_serve.store(may_serve, Ordering::Relaxed);
     }
 
+    /// Sets the tenants of the configuration in force, and the region in which this node runs.
+    pub(crate) fn set_tenants(&self, tenants: Arc<TenantTable>, region: RegionName) {
+        self.access.store(Some(Arc::new(InboundAccess { tenants, region })));
+    }
+
+    /// Sets whether operators have evacuated the zone of this node. While it is, nothing new is handed to the back end, also of what waits; once it is taken back, the back end may
+    /// be cold.
+    pub fn set_evacuated(&self, is_evacuated: bool) {
+        if self.is_evacuated.swap(is_evacuated, Ordering::Relaxed) == is_evacuated {
+            return;
+        }
+        if is_evacuated {
+            self.admission.turn_away_waiting();
+        } else {
+            self.admission.change_pace(ColdPace::doubt);
+        }
+    }
+
+    /// Sets the rate of requests that a cold back end of the service bears; absent if the configuration names none.
+    pub fn set_cold_rate(&self, rate: Option<RequestRate>) {
+        self.admission.set_cold_rate(rate);
+    }
+
+    /// Takes in that the back end is cold for so long.
+    pub fn on_cold(&self, cold_for: Duration) {
+        self.admission.change_pace(|pace| pace.on_cold(now(), cold_for));
+    }
+
+    /// Waits until the back end should be asked whether it is warm, and takes in that it is asked now. Whoever awaits this asks, and
+    /// tells what came of it by [`Inbound::on_warm`], [`Inbound::on_cold`] or [`Inbound::on_no_answer`].
+    pub async fn begin_question(&self) -> Option<BackEnd> {
+        self.admission.begin_question().await;
+        self.current.lock().as_ref().map(|current| current.back_end.clone())
+    }
+
+    /// Takes in that the back end has answered the question whether it is warm: it is.
+    pub fn on_warm(&self) {
+        self.admission.change_pace(ColdPace::on_warm);
+    }
+
+    /// Takes in that the question whether the back end is warm came to nothing.
+    pub fn on_no_answer(&self) {
+        self.admission.change_pace(ColdPace::on_no_answer);
+    }
+
     /// Sets whether the rollout of the service leaves the back end's release any requests. Without any, what waits or runs is
     /// finished, and nothing new is taken.
     pub fn set_release_open(&self, is_open: bool) {
@@ -274,6 +336,10 @@
     }
 }
 
+fn now() -> std::time::Instant {
+    Instant::now().into_std()
+}
+
 pub(crate) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/forwarding/src/inbound/serving.rs
+++ b/crates/forwarding/src/inbound/serving.rs
@@ -99,6 +99,9 @@
         arrived: &PastMoment,
     ) -> Result<Turn, NotRun> {
         let permit = self.admit(attempt).await.map_err(not_admitted)?;
+        if self.is_evacuated.load(Ordering::Relaxed) {
+            return Err(NotRun::before_back_end(NotRunReason::Evacuated));
+        }
         count_suspension(attempt, arrived)?;
         // Others may have begun while this one waited.
         self.check_calls(attempt)?;
@@ -178,7 +181,18 @@
         }
     }
 
+    /// Whether the tenant is known here, and the request may be served where this node runs.
+    fn check_access(&self, attempt: &Attempt) -> Result<(), NotRunReason> {
+        let access = self.access.load();
+        let Some(access) = access.as_deref() else { return Ok(()) };
+        if attempt.tenant.as_ref().is_some_and(|tenant| !access.tenants.knows(tenant)) {
+            return Err(NotRunReason::UnknownTenant);
+        }
+        if attempt.homes.allow(&access.region) { Ok(()) } else { Err(NotRunReason::WrongLocality) }
+    }
+
     fn target(&self, attempt: &Attempt) -> Result<Target, NotRunReason> {
+        self.check_access(attempt)?;
         let current = self.current.lock();
         let Some(current) = current.as_ref() else { return Err(NotRunReason::WrongInstance) };
         if current.back_end.service != attempt.service {
@@ -187,6 +201,9 @@
         if !self.may_serve.load(Ordering::Relaxed) {
             return Err(NotRunReason::WrongLocality);
         }
+        if self.is_evacuated.load(Ordering::Relaxed) {
+            return Err(NotRunReason::Evacuated);
+        }
         if !current.is_open || !self.is_release_open() {
             return Err(NotRunReason::Draining);
         }
@@ -318,6 +335,13 @@
         fields.set(self.dialect.request_id, attempt.id.clone());
         fields.set(self.dialect.deadline_millis, number(millis(left)));
         fields.set(self.dialect.expected_instance, back_end.life.instance.clone().into_bytes());
+        fields.remove(self.dialect.tenant_key);
+        match &attempt.tenant {
+            Some(tenant) => {
+                fields.set(self.dialect.tenant, Bytes::copy_from_slice(tenant.as_str().as_bytes()))
+            }
+            None => fields.remove(self.dialect.tenant),
+        }
         fields.set(self.dialect.caller, Bytes::copy_from_slice(attempt.caller.as_str().as_bytes()));
         fields
     }
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -16,6 +16,7 @@
 mod outbound;
 mod outcome;
 mod quarantine;
+mod quotas;
 mod repeats;
 mod routing;
 mod server;
@@ -27,8 +28,10 @@
 pub use outbound::{Outbound, OutboundIdentity, OutboundSettings, StaleVersion};
 pub use outcome::{NotRunReason, UnknownReason};
 pub use quarantine::{FindingSource, Quarantine};
+pub use quotas::QuotaGate;
 pub use routing::{
-    CompileError, CompiledRoute, NoRoute, OpenedSecrets, RoutingTable, SplitSequences, WeightedService,
+    CompileError, CompiledRoute, NoRoute, NoTenant, OpenedSecrets, RoutingTable, SplitSequences, TenantTable,
+    WeightedService,
 };
 pub use server::{ServerControl, ServerPhase, serve_inbound, serve_outbound};
 pub use upstream::Health;
--- a/crates/forwarding/src/message.rs
+++ b/crates/forwarding/src/message.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 use umberpond_http1::Fields;
-use umberpond_model::ServiceName;
+use umberpond_model::{HomeRegions, ServiceName, TenantName};
 use umberpond_quarantine::RequestKey;
 use umberpond_scheduling::LoadReport;
 
@@ -78,6 +78,10 @@
     pub service: ServiceName,
     /// Service on whose behalf the request is sent.
     pub caller: ServiceName,
+    /// Tenant on whose behalf the request is sent; absent if it is of none.
+    pub tenant: Option<TenantName>,
+    /// Where the request may be served.
+    pub homes: HomeRegions,
     /// Method.
     pub method: Bytes,
     /// Request target, as the caller sent it.
--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -90,7 +90,7 @@
         if self.request.origin == CallOrigin::RepeatedRun && !self.take_retry(RepeatKind::RepeatedCall) {
             return self.not_run(NotRun::before_back_end(NotRunReason::RetryBudget));
         }
-        let mut last = NotRun::before_back_end(NotRunReason::NoEndpoint);
+        let mut last = NotRun::before_back_end(self.nowhere());
         loop {
             if let Some(not_run) = self.kept_away() {
                 return self.not_run(not_run);
@@ -108,6 +108,11 @@
         }
     }
 
+    /// Why the request is not sent at all if there is no endpoint for it.
+    const fn nowhere(&self) -> NotRunReason {
+        if self.request.homes.are_anywhere() { NotRunReason::NoEndpoint } else { NotRunReason::NoHome }
+    }
+
     /// Why the request is kept away from all back ends, if it is.
     fn kept_away(&self) -> Option<NotRun> {
         match self.outbound.quarantine().standing(&self.request.request_key) {
@@ -143,8 +148,13 @@
         let selector = self.outbound.selector.lock();
         let mut random = self.outbound.random.lock();
         let route = &self.request.route;
-        let query =
-            Query { route: &route.name, tried: &self.tried, group: self.group, objective: route.objective };
+        let query = Query {
+            route: &route.name,
+            tried: &self.tried,
+            group: self.group,
+            objective: route.objective,
+            homes: &self.request.homes,
+        };
         match &self.request.key {
             // The caller's repetition has to meet the node that remembers the key.
             Some(key) if !route.is_idempotent => {
@@ -184,13 +194,15 @@
             key: request.key.clone(),
             service: request.service.clone(),
             caller: (*self.outbound.caller()).clone(),
+            tenant: request.tenant.clone(),
+            homes: request.homes.clone(),
             method: request.head.method.clone(),
             target: request.head.target.clone(),
             fields: request.head.fields.clone(),
             body,
             is_idempotent: request.route.is_idempotent,
             route: request.route.number,
-            priority: request.route.priority,
+            priority: request.priority,
             is_far: !choice.is_near,
             objective_at: request.objective_at(),
             deadline: request.deadline(),
@@ -353,6 +365,9 @@
         if let Some(reason) = self.may_have_run {
             return self.unknown(reason);
         }
+        if let Some(permit) = self.request.permit.take() {
+            permit.give_back();
+        }
         let come_back = self.come_back(not_run);
         self.reply(ReplyReason::NotRun(not_run.reason), Some(come_back))
     }
@@ -436,7 +451,7 @@
 fn not_run_observation(not_run: &NotRun) -> Observation {
     match (not_run.reason, not_run.load) {
         (NotRunReason::NodeUnreachable | NotRunReason::WrongInstance | NotRunReason::Draining, _)
-        | (NotRunReason::BackEndUnreachable, _) => Observation::Unreachable,
+        | (NotRunReason::BackEndUnreachable | NotRunReason::Evacuated, _) => Observation::Unreachable,
         // They say nothing of the back end's load.
         (NotRunReason::RetryBudget | NotRunReason::Quarantined, _)
         | (NotRunReason::SuspectPaused | NotRunReason::SuspectBusy, _) => Observation::Abandoned,
--- a/crates/forwarding/src/outbound/handler.rs
+++ b/crates/forwarding/src/outbound/handler.rs
@@ -6,7 +6,9 @@
 use bytes::Bytes;
 use rand::RngExt;
 use tokio::time::Instant;
+use umberpond_config::Tenant;
 use umberpond_http1::RequestHead;
+use umberpond_model::HomeRegions;
 use umberpond_quarantine::{RequestContent, RequestFingerprint, RequestKey};
 use umberpond_telemetry::Event;
 
@@ -17,7 +19,7 @@
 use super::state::Outbound;
 use crate::message::RequestBody;
 use crate::outcome::NotRunReason;
-use crate::routing::CompiledRoute;
+use crate::routing::{CompiledRoute, NoTenant, RoutingTable};
 use crate::server::ServerControl;
 use crate::suspended_time::PastMoment;
 
@@ -47,6 +49,9 @@
         if let Some(last_answers) = control.last_answers() {
             request.time = request.time.min(last_answers.saturating_duration_since(arrived));
         }
+        if let Err(reply) = self.take_quota(&mut request).await {
+            return reply;
+        }
         Attempts::new(&self, request).run(control.reached_last_answers()).await
     }
 
@@ -73,6 +78,10 @@
         let Ok(route) = table.find(host, &head.method, target).map(Arc::clone) else {
             return Err(self.refuse(id.as_ref(), ReplyReason::NoRoute, None));
         };
+        let tenant = match self.tenant(&table, &route, &head) {
+            Ok(tenant) => tenant,
+            Err(reason) => return Err(self.refuse(id.as_ref(), reason, None)),
+        };
         let told = self.told_time(&head);
         let time = told.map_or(route.timeout, |told| told.saturating_sub(ANSWER_RESERVE).min(route.timeout));
         let caller_time = told.unwrap_or(route.timeout);
@@ -95,6 +104,10 @@
             key,
             head: self.passed_on(head, &route),
             body,
+            homes: homes(&route, tenant),
+            priority: tenant.and_then(|tenant| tenant.priority).unwrap_or(route.priority),
+            permit: None,
+            tenant: tenant.map(|tenant| tenant.name.clone()),
             route,
             service,
             version,
@@ -106,6 +119,46 @@
         })
     }
 
+    /// Takes the request's part of its tenant's quota.
+    async fn take_quota(&self, request: &mut PreparedRequest) -> Result<(), Reply> {
+        let Some(tenant) = &request.tenant else { return Ok(()) };
+        let Ok(permit) = self.quotas.admit(tenant, request.hold_until()).await else {
+            let id = String::from_utf8_lossy(&request.id).into_owned();
+            self.telemetry.emit(Event::RequestOverQuota { request: id, tenant: tenant.to_string() });
+            let left = request.caller_time.saturating_sub(request.arrived.elapsed());
+            let come_back = come_back_within(left, &mut *self.random.lock());
+            return Err(self.own_reply(ReplyReason::OverQuota, Some(come_back), Some(&request.id)));
+        };
+        request.permit = Some(permit);
+        Ok(())
+    }
+
+    /// The tenant on whose behalf a request is sent; absent if it is of none.
+    fn tenant<'a>(
+        &self,
+        table: &'a RoutingTable,
+        route: &CompiledRoute,
+        head: &RequestHead,
+    ) -> Result<Option<&'a Arc<Tenant>>, ReplyReason> {
+        let tenants = table.tenants();
+        if tenants.is_empty() {
+            return Ok(None);
+        }
+        let mut keys = head.fields.get_all(self.dialect.tenant_key);
+        let key = keys.next();
+        // Of two keys it is not known which one is meant.
+        let found = if keys.next().is_some() {
+            Err(NoTenant::UnknownKey)
+        } else {
+            tenants.find(key.map(AsRef::as_ref))
+        };
+        match found {
+            Ok(tenant) => Ok(Some(tenant)),
+            Err(_) if route.access.is_public => Ok(None),
+            Err(reason) => Err(ReplyReason::NoTenant(reason)),
+        }
+    }
+
     /// Time that the caller waits, by its own word.
     fn told_time(&self, head: &RequestHead) -> Option<Duration> {
         let millis = head.fields.text(self.dialect.deadline_millis)?.parse().ok()?;
@@ -146,3 +199,9 @@
         self.own_reply(reason, None, None)
     }
 }
+
+/// Where a request may be served: both its route and its tenant bind.
+fn homes(route: &CompiledRoute, tenant: Option<&Arc<Tenant>>) -> HomeRegions {
+    let of_route = &route.access.homes;
+    tenant.map_or_else(|| of_route.clone(), |tenant| of_route.and(&tenant.homes))
+}
--- a/crates/forwarding/src/outbound/prepared.rs
+++ b/crates/forwarding/src/outbound/prepared.rs
@@ -6,10 +6,11 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 use umberpond_http1::RequestHead;
-use umberpond_model::{ServiceName, Version};
+use umberpond_model::{HomeRegions, ServiceName, TenantName, Version};
 use umberpond_quarantine::RequestKey;
 
 use crate::message::RequestBody;
+use crate::quotas::QuotaPermit;
 use crate::repeats::CallOrigin;
 use crate::routing::CompiledRoute;
 use crate::suspended_time::PastMoment;
@@ -39,6 +40,14 @@
     pub(super) body: RequestBody,
     pub(super) route: Arc<CompiledRoute>,
     pub(super) service: ServiceName,
+    /// Tenant on whose behalf it is sent; absent if it is of none.
+    pub(super) tenant: Option<TenantName>,
+    /// Its part of the tenant's quota, once it has one.
+    pub(super) permit: Option<QuotaPermit>,
+    /// Where it may be served, by its route and its tenant.
+    pub(super) homes: HomeRegions,
+    /// Rank among the requests for one back end: 0 is served first.
+    pub(super) priority: u8,
     /// Version of the configuration by which the route was found.
     pub(super) version: Version,
     pub(super) arrived: PastMoment,
@@ -76,7 +85,7 @@
         let now = Instant::now();
         let is_early = now < self.arrived.at() + self.route.objective.mul_f64(EARLY_SHARE);
         let until_deadline = self.deadline().saturating_duration_since(now).saturating_sub(service);
-        if is_early && self.route.priority > FIRST_RANK {
+        if is_early && self.priority > FIRST_RANK {
             let expected_by = self.arrived.at() + self.route.objective.mul_f64(EXPECTED_SHARE);
             return expected_by.saturating_duration_since(now).saturating_sub(service);
         }
--- a/crates/forwarding/src/outbound/reply.rs
+++ b/crates/forwarding/src/outbound/reply.rs
@@ -9,6 +9,7 @@
 use crate::dialect::CallerMarks;
 use crate::message::{Answer, AnswerBody};
 use crate::outcome::{NotRunReason, UnknownReason};
+use crate::routing::NoTenant;
 
 /// Why this node answers by itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -23,6 +24,10 @@
     BodyTooLarge,
     /// No route takes the request.
     NoRoute,
+    /// The route takes only requests of tenants, and this one is of none.
+    NoTenant(NoTenant),
+    /// The tenant is at its limit; the request did not run.
+    OverQuota,
     /// The request did not run.
     NotRun(NotRunReason),
     /// The request may have run.
@@ -37,6 +42,8 @@
             Self::HeadTooSlow => 408,
             Self::BodyTooLarge => 413,
             Self::NoRoute => 404,
+            Self::NoTenant(_) => 401,
+            Self::OverQuota => 429,
             Self::NotRun(_) => 503,
             Self::Unknown(UnknownReason::TimedOut) => 504,
             Self::Unknown(UnknownReason::RepeatedKey) => 409,
@@ -57,6 +64,9 @@
             Self::HeadTooSlow => "slow-sender",
             Self::BodyTooLarge => "body-too-large",
             Self::NoRoute => "no-route",
+            Self::OverQuota => "over-quota",
+            Self::NoTenant(NoTenant::NoKey) => "no-key",
+            Self::NoTenant(NoTenant::UnknownKey) => "unknown-key",
             Self::NotRun(reason) => reason.word(),
             Self::Unknown(reason) => reason.word(),
         }
--- a/crates/forwarding/src/outbound/state.rs
+++ b/crates/forwarding/src/outbound/state.rs
@@ -1,6 +1,6 @@
 //! What the outbound half of one node knows: its configuration, the endpoints and the retry budgets.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,8 +13,9 @@
 use thiserror::Error;
 use tokio::time::Instant;
 use umberpond_config::RequestLimits;
-use umberpond_model::{Locality, NodeName, ServiceName, Version};
+use umberpond_model::{Locality, NodeName, ServiceName, Version, ZoneName};
 use umberpond_net::Network;
+use umberpond_quotas::{PooledShares, quotas_of};
 use umberpond_scheduling::LoadReport;
 use umberpond_selection::{Endpoint, ReleaseShare, RetryBudgetSettings, Selector, SelectorSettings};
 use umberpond_telemetry::{RequestDetail, Telemetry};
@@ -25,6 +26,7 @@
 use crate::hop::{HopPool, HopPoolSettings};
 use crate::inbound::Inbound;
 use crate::quarantine::Quarantine;
+use crate::quotas::QuotaGate;
 use crate::repeats::RetryLedger;
 use crate::routing::{RoutingTable, SplitSequences};
 
@@ -77,9 +79,12 @@
     locality: Locality,
     /// Endpoints as they were told, before the configuration's localities are applied.
     told: Mutex<BTreeMap<ServiceName, Vec<Endpoint>>>,
+    /// Zones whose back ends get nothing new.
+    evacuated: Mutex<BTreeSet<ZoneName>>,
     caller: ArcSwap<ServiceName>,
     pub(super) table: ArcSwapOption<RoutingTable>,
     pub(super) ledger: Arc<RetryLedger>,
+    pub(super) quotas: Arc<QuotaGate>,
     pub(super) caller_times: Mutex<CallerTimes>,
     pub(super) splits: Mutex<SplitSequences>,
 }
@@ -124,12 +129,14 @@
         Arc::new(Self {
             dialect,
             ledger,
+            quotas: QuotaGate::new(Box::new(PooledShares::new(identity.seed))),
             telemetry,
             inbound,
             hops: HopPool::new(network, hop_settings),
             selector: Mutex::new(Selector::new(identity.locality.clone(), settings.selector)),
             locality: identity.locality,
             told: Mutex::default(),
+            evacuated: Mutex::default(),
             random: Mutex::new(SmallRng::seed_from_u64(identity.seed)),
             node: identity.node,
             caller: ArcSwap::from_pointee(identity.caller),
@@ -150,32 +157,56 @@
             return Err(StaleVersion { offered: table.version(), active });
         }
         // First the endpoints, so that no request of the new table meets one that it forbids.
-        self.apply_localities(&table);
+        self.quotas.set_quotas(quotas_of(table.tenants().iter().map(|tenant| &**tenant)));
+        self.apply_localities(Some(&table));
+        self.apply_to_own(&table);
         self.table.store(Some(table));
         Ok(())
     }
 
-    fn apply_localities(&self, table: &RoutingTable) {
+    fn apply_localities(&self, table: Option<&RoutingTable>) {
         let told = self.told.lock();
-        let mut selector = self.selector.lock();
         for (service, endpoints) in &*told {
-            selector.set_endpoints(now(), service, allowed(table, service, endpoints));
+            let allowed = self.allowed(table, service, endpoints);
+            self.selector.lock().set_endpoints(now(), service, allowed);
         }
-        drop(selector);
-        self.apply_own_locality(table);
     }
 
-    /// The node beside a back end serves it only where the configuration allows, whatever callers' nodes believe.
-    fn apply_own_locality(&self, table: &RoutingTable) {
+    /// The endpoints that the configuration allows and that are in no evacuated zone.
+    fn allowed(
+        &self,
+        table: Option<&RoutingTable>,
+        service: &ServiceName,
+        endpoints: &[Endpoint],
+    ) -> Vec<Endpoint> {
+        let evacuated = self.evacuated.lock();
+        let is_allowed = |endpoint: &&Endpoint| {
+            let locality = &endpoint.locality;
+            table.is_none_or(|table| table.allows(service, locality)) && !evacuated.contains(&locality.zone)
+        };
+        endpoints.iter().filter(is_allowed).cloned().collect()
+    }
+
+    /// Sets the zones whose back ends get nothing new. When this returns, none of them is chosen, and the own one takes nothing if it is in one.
+    pub fn set_evacuated(&self, zones: BTreeSet<ZoneName>) {
+        self.inbound.set_evacuated(zones.contains(&self.locality.zone));
+        *self.evacuated.lock() = zones;
+        self.apply_localities(self.table.load().as_deref());
+    }
+
+    /// The node beside a back end serves it only where the configuration allows, whatever callers' nodes believe, and at the pace that it names.
+    fn apply_to_own(&self, table: &RoutingTable) {
         if let Some(service) = self.inbound.service() {
             self.inbound.set_may_serve(table.allows(&service, &self.locality));
+            self.inbound.set_cold_rate(table.cold_rate(&service));
         }
+        self.inbound.set_tenants(Arc::clone(table.tenants()), self.locality.region.clone());
     }
 
     /// Takes in that the back end beside this node may be of another service now.
     pub fn on_back_end_changed(&self) {
         if let Some(table) = &*self.table.load() {
-            self.apply_own_locality(table);
+            self.apply_to_own(table);
         }
     }
 
@@ -205,10 +236,7 @@
     /// Sets the endpoints of `service` that take new work.
     pub fn set_endpoints(&self, service: &ServiceName, endpoints: Vec<Endpoint>) {
         let mut told = self.told.lock();
-        let usable = match &*self.table.load() {
-            Some(table) => allowed(table, service, &endpoints),
-            None => endpoints.clone(),
-        };
+        let usable = self.allowed(self.table.load().as_deref(), service, &endpoints);
         if endpoints.is_empty() {
             told.remove(service);
         } else {
@@ -228,10 +256,17 @@
         self.selector.lock().on_report(service, node, report);
     }
 
-    /// Sets the number of nodes that share the retry budgets, this one included, also those that can't be reached now: they spend their
+    /// The quotas of tenants.
+    #[must_use]
+    pub const fn quotas(&self) -> &Arc<QuotaGate> {
+        &self.quotas
+    }
+
+    /// Sets the number of nodes that share the retry budgets and the quotas of tenants, this one included, also those that can't be reached now: they spend their
     /// parts too. Until it is set, this node has no part of what is allowed beside the requests.
     pub fn set_sharing_nodes(&self, count: usize) {
         self.ledger.set_sharing_nodes(count);
+        self.quotas.set_sharing_nodes(count);
     }
 
     /// Takes in that the machine was suspended for so long: what was saved of the retry budgets was earned by requests of a time that is further back than it seems, and
@@ -283,8 +318,3 @@
 fn now() -> std::time::Instant {
     Instant::now().into_std()
 }
-
-/// The endpoints that the configuration allows.
-fn allowed(table: &RoutingTable, service: &ServiceName, endpoints: &[Endpoint]) -> Vec<Endpoint> {
-    endpoints.iter().filter(|endpoint| table.allows(service, &endpoint.locality)).cloned().collect()
-}
--- a/crates/forwarding/src/outcome.rs
+++ b/crates/forwarding/src/outcome.rs
@@ -39,6 +39,12 @@
     SuspectPaused,
     /// It may have ended a back end, and another such request was at this one for as long as it could wait.
     SuspectBusy,
+    /// Operators have evacuated the zone of the back end.
+    Evacuated,
+    /// No back end in a region in which the request may be served takes new work.
+    NoHome,
+    /// The node beside the back end does not know the tenant: it has an older configuration, or a newer one.
+    UnknownTenant,
 }
 
 impl NotRunReason {
@@ -62,6 +68,9 @@
             Self::Quarantined => "quarantined",
             Self::SuspectPaused => "suspect-paused",
             Self::SuspectBusy => "suspect-busy",
+            Self::Evacuated => "evacuated",
+            Self::NoHome => "no-home",
+            Self::UnknownTenant => "unknown-tenant",
         }
     }
 }
--- /dev/null
+++ b/crates/forwarding/src/quotas.rs
@@ -0,0 +1,175 @@
+//! Lets the requests of tenants through within their quotas.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{Instant, timeout_at};
+use umberpond_model::TenantName;
+use umberpond_quotas::{QuotaGrant, QuotaReport, QuotaSharing, Quotas, TenantNumber, TokenAnswer, TokenPool};
+
+/// Longest time that a request waits for a token: enough to ask several pools, some of which may be gone.
+const LONGEST_WAIT: Duration = Duration::from_millis(150);
+
+/// A tenant is at its limit; the request has not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct OverQuota;
+
+/// The quotas as this node keeps them, and its pool of tokens for others.
+#[derive(Debug)]
+pub struct QuotaGate {
+    state: Mutex<State>,
+    /// Told when a request waits for a token.
+    token_wanted: Notify,
+}
+
+/// What comes of asking for a token.
+enum TokenTurn {
+    /// One is granted, or refused.
+    Told(TokenAnswer),
+    /// Others are asked; what comes of it is told here.
+    Waits(oneshot::Receiver<TokenAnswer>),
+}
+
+#[derive(Debug)]
+struct State {
+    sharing: Box<dyn QuotaSharing>,
+    pool: TokenPool,
+    waiting: HashMap<TenantNumber, VecDeque<oneshot::Sender<TokenAnswer>>>,
+}
+
+impl QuotaGate {
+    /// A gate over quotas that are shared by `sharing`.
+    #[must_use]
+    pub fn new(sharing: Box<dyn QuotaSharing>) -> Arc<Self> {
+        let state = State { sharing, pool: TokenPool::default(), waiting: HashMap::new() };
+        Arc::new(Self { state: Mutex::new(state), token_wanted: Notify::new() })
+    }
+
+    /// Waits for a token for one request of `tenant`, at the latest until `until`.
+    pub(crate) async fn admit(
+        self: &Arc<Self>,
+        tenant: &TenantName,
+        until: Instant,
+    ) -> Result<QuotaPermit, OverQuota> {
+        let number = TenantNumber::of(tenant);
+        let answer = match self.take(number) {
+            TokenTurn::Told(answer) => answer,
+            TokenTurn::Waits(waiter) => {
+                self.token_wanted.notify_one();
+                let until = until.min(Instant::now() + LONGEST_WAIT);
+                let told = timeout_at(until, waiter).await;
+                told.ok().and_then(Result::ok).unwrap_or(TokenAnswer::Refused)
+            }
+        };
+        if answer != TokenAnswer::Granted {
+            return Err(OverQuota);
+        }
+        Ok(QuotaPermit { gate: Arc::clone(self), tenant: number })
+    }
+
+    fn take(&self, tenant: TenantNumber) -> TokenTurn {
+        let mut state = self.state.lock();
+        state.sharing.on_request(now(), tenant);
+        let answer = state.sharing.take(now(), tenant);
+        if answer != TokenAnswer::Ask {
+            return TokenTurn::Told(answer);
+        }
+        let (sender, receiver) = oneshot::channel();
+        state.waiting.entry(tenant).or_default().push_back(sender);
+        TokenTurn::Waits(receiver)
+    }
+
+    /// Waits until a request needs a token that has to be asked for.
+    pub async fn token_wanted(&self) {
+        self.token_wanted.notified().await;
+    }
+
+    /// Sets the quotas of the configuration in force.
+    pub(crate) fn set_quotas(&self, quotas: Quotas) {
+        let mut state = self.state.lock();
+        state.pool.set_quotas(quotas.clone());
+        state.sharing.set_quotas(quotas);
+    }
+
+    /// Sets the number of nodes that share the quotas, those included that can't be reached.
+    pub(crate) fn set_sharing_nodes(&self, count: usize) {
+        self.state.lock().sharing.set_sharing_nodes(now(), count);
+    }
+
+    /// What to tell a pool now, if anything.
+    pub fn next_report(&self) -> Option<QuotaReport> {
+        let mut state = self.state.lock();
+        state.drop_gone();
+        let count = |queue: &VecDeque<_>| u32::try_from(queue.len()).unwrap_or(u32::MAX);
+        let waiting = state.waiting.iter().map(|(tenant, queue)| (*tenant, count(queue))).collect();
+        state.sharing.next_report(now(), &waiting)
+    }
+
+    /// Takes in what another node hands on, as a pool; gives the answer, if there is one.
+    pub fn on_report(&self, report: &QuotaReport) -> Option<QuotaGrant> {
+        self.state.lock().pool.on_report(now(), report)
+    }
+
+    /// Takes in the answer of one of so many pools.
+    pub fn on_grant(&self, grant: &QuotaGrant, pools: usize) {
+        let mut state = self.state.lock();
+        state.sharing.on_grant(now(), grant, pools);
+        state.tell_waiting();
+    }
+
+    fn give_back(&self, tenant: TenantNumber) {
+        self.state.lock().sharing.give_back(now(), tenant);
+    }
+}
+
+impl State {
+    /// Tells those that wait what has come of it.
+    fn tell_waiting(&mut self) {
+        let Self { sharing, waiting, .. } = self;
+        for (tenant, queue) in waiting.iter_mut() {
+            while let Some(waiter) = queue.pop_front() {
+                if waiter.is_closed() {
+                    continue;
+                }
+                let answer = sharing.take(now(), *tenant);
+                if answer == TokenAnswer::Ask {
+                    queue.push_front(waiter);
+                    break;
+                }
+                let is_granted = answer == TokenAnswer::Granted;
+                if waiter.send(answer).is_err() && is_granted {
+                    sharing.give_back(now(), *tenant);
+                }
+            }
+        }
+    }
+
+    /// Forgets those that wait no longer.
+    fn drop_gone(&mut self) {
+        self.waiting.retain(|_, queue| {
+            queue.retain(|waiter| !waiter.is_closed());
+            !queue.is_empty()
+        });
+    }
+}
+
+/// A token that a request holds.
+#[derive(Debug)]
+pub(crate) struct QuotaPermit {
+    gate: Arc<QuotaGate>,
+    tenant: TenantNumber,
+}
+
+impl QuotaPermit {
+    /// Gives the token back: the request has not run.
+    pub(crate) fn give_back(self) {
+        self.gate.give_back(self.tenant);
+    }
+}
+
+fn now() -> std::time::Instant {
+    Instant::now().into_std()
+}
--- a/crates/forwarding/src/repeats/tests.rs
+++ b/crates/forwarding/src/repeats/tests.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use tokio::time::{Instant, sleep};
 use umberpond_http1::Fields;
-use umberpond_model::ServiceName;
+use umberpond_model::{HomeRegions, ServiceName};
 use umberpond_quarantine::{RequestContent, RequestFingerprint, RequestKey};
 use umberpond_selection::RetryBudgetSettings;
 use umberpond_telemetry::{MemoryRecorder, Telemetry};
@@ -33,6 +33,8 @@
         key: None,
         service: service("desk"),
         caller: service("desk"),
+        tenant: None,
+        homes: HomeRegions::default(),
         method: Bytes::from_static(b"GET"),
         target: Bytes::from_static(b"/"),
         fields: Fields::default(),
--- a/crates/forwarding/src/routing/compile.rs
+++ b/crates/forwarding/src/routing/compile.rs
@@ -9,6 +9,7 @@
 use umberpond_model::{Millis, RouteName, SecretName, ServiceName, Version};
 
 use super::table::{CompiledRoute, MethodRoute, RoutingTable, WeightedService};
+use super::tenants::TenantTable;
 
 /// A configuration that can't be put in force. Nothing changes when this is returned.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
@@ -59,7 +60,8 @@
             });
             routes.sort_by(|left, right| precedence(left).cmp(&precedence(right)));
         }
-        Ok(Self { version, limits: snapshot.limits, services: snapshot.services.clone(), hosts })
+        let tenants = Arc::new(TenantTable::compile(&snapshot.tenants));
+        Ok(Self { version, limits: snapshot.limits, services: snapshot.services.clone(), hosts, tenants })
     }
 }
 
@@ -95,6 +97,7 @@
         timeout,
         objective: route.policy.objective.map_or(timeout, duration),
         credentials,
+        access: route.access.clone(),
     })
 }
 
--- a/crates/forwarding/src/routing/table.rs
+++ b/crates/forwarding/src/routing/table.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use thiserror::Error;
-use umberpond_config::{Entries, RequestLimits, Service};
-use umberpond_model::{Locality, RouteName, ServiceName, Version};
+use umberpond_config::{Entries, RequestLimits, RouteAccess, Service};
+use umberpond_model::{Locality, RequestRate, RouteName, ServiceName, Version};
+
+use super::tenants::TenantTable;
 
 /// A service and its share of a route's requests.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -38,6 +40,8 @@
     pub objective: Duration,
     /// Header fields set from secrets.
     pub credentials: Vec<(String, Vec<u8>)>,
+    /// Whose requests it takes, and where they may be served.
+    pub access: RouteAccess,
 }
 
 /// A request that no route matches.
@@ -79,6 +83,7 @@
     pub(super) limits: RequestLimits,
     pub(super) services: Entries<Service>,
     pub(super) hosts: HashMap<Box<str>, HostRoutes>,
+    pub(super) tenants: Arc<TenantTable>,
 }
 
 impl RoutingTable {
@@ -101,6 +106,18 @@
         self.services.get(service).is_none_or(|service| service.allows(locality))
     }
 
+    /// Requests that a cold back end of `service` bears, if the configuration names a rate.
+    #[must_use]
+    pub fn cold_rate(&self, service: &ServiceName) -> Option<RequestRate> {
+        self.services.get(service)?.cold_rate
+    }
+
+    /// The tenants.
+    #[must_use]
+    pub const fn tenants(&self) -> &Arc<TenantTable> {
+        &self.tenants
+    }
+
     /// Count of routes.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/forwarding/src/upstream/health.rs
+++ b/crates/forwarding/src/upstream/health.rs
@@ -23,6 +23,8 @@
     pub instance: Option<String>,
     /// Requests it works on at once, if it tells.
     pub slots: Option<u32>,
+    /// How much longer it is cold; zero if it is warm, or doesn't tell.
+    pub cold_for: Duration,
 }
 
 /// Asks the back end at `address`; absent if it does not say that it is well.
@@ -48,10 +50,16 @@
     let head = reader.response_head(MAX_HEAD_BYTES).await.ok()?;
     let instance = head.fields.text(dialect.instance).map(str::to_owned);
     let slots = head.fields.text(dialect.load).and_then(told_slots);
-    (head.status == 200).then_some(Health { instance, slots })
+    let cold_for = dialect.cold_millis.and_then(|name| head.fields.text(name)).and_then(told_millis);
+    let cold_for = cold_for.unwrap_or_default();
+    (head.status == 200).then_some(Health { instance, slots, cold_for })
 }
 
 /// The slots in `running,waiting,slots`.
 fn told_slots(load: &str) -> Option<u32> {
     load.split(',').nth(2)?.trim().parse().ok()
 }
+
+fn told_millis(millis: &str) -> Option<Duration> {
+    millis.trim().parse().ok().map(Duration::from_millis)
+}
--- a/crates/forwarding/tests/split.rs
+++ b/crates/forwarding/tests/split.rs
@@ -4,6 +4,7 @@
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use umberpond_config::RouteAccess;
 use umberpond_forwarding::{CompiledRoute, SplitSequences, WeightedService};
 
 /// Requests over all nodes after which the shares are compared.
@@ -26,6 +27,7 @@
         timeout: Duration::from_secs(1),
         objective: Duration::from_secs(1),
         credentials: Vec::new(),
+        access: RouteAccess::default(),
     }
 }
 
--- a/crates/forwarding/tests/support/mod.rs
+++ b/crates/forwarding/tests/support/mod.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use umberpond_config::{
-    Destination, Entry, RequestClass, RequestLimits, Route, RoutePolicy, Service, Snapshot,
+    Destination, Entry, RequestClass, RequestLimits, Route, RouteAccess, RoutePolicy, Service, Snapshot,
 };
 use umberpond_forwarding::{
     BackEnd, Dialect, Inbound, InboundSettings, Marker, OpenedSecrets, Outbound, OutboundIdentity,
@@ -35,10 +35,13 @@
     caller_key: Some("x-key"),
     deadline_millis: "umberpond-deadline",
     caller: "umberpond-caller-service",
+    tenant_key: "x-tenant-key",
+    tenant: "x-tenant",
     expected_instance: "umberpond-meant-instance",
     instance: "umberpond-serving-instance",
     not_executed: Marker { name: "umberpond-rejected", value: None },
     load: "umberpond-load",
+    cold_millis: Some("umberpond-cold"),
     signature: Some("x-proof"),
     marks: None,
 };
@@ -104,6 +107,7 @@
         connections: 100,
         seal_key: None,
         health_path: None,
+        cold_rate: None,
     }
 }
 
@@ -121,6 +125,7 @@
         class: RequestClass::Status,
         timeout: Millis(2_000),
         credentials: Vec::new(),
+        access: RouteAccess::default(),
     }
 }
 
--- a/crates/membership/src/heartbeat.rs
+++ b/crates/membership/src/heartbeat.rs
@@ -3,6 +3,7 @@
 use bitcode::{Decode, Encode};
 use umberpond_model::Version;
 use umberpond_quarantine::SuspectRecord;
+use umberpond_quotas::{QuotaGrant, QuotaReport};
 use umberpond_rollouts::ReleaseEvidence;
 use umberpond_scheduling::LoadReport;
 
@@ -141,6 +142,10 @@
     Evidence(Box<ReleaseEvidence>),
     /// Tells of requests that may end back ends.
     Suspects(SuspectNews),
+    /// Hands earned time on to a pool of tokens, and asks it for some.
+    QuotaReport(Box<QuotaReport>),
+    /// Answers such a report.
+    QuotaGrant(QuotaGrant),
 }
 
 impl Datagram {
@@ -153,6 +158,8 @@
             Self::Orders(_) => "repair",
             Self::Evidence(_) => "evidence",
             Self::Suspects(_) => "suspects",
+            Self::QuotaReport(_) => "quota-report",
+            Self::QuotaGrant(_) => "quota-grant",
         }
     }
 }
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -11,7 +11,7 @@
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use umberpond_model::{Incarnation, Locality, NodeName, ServiceName, Version};
+use umberpond_model::{Evacuations, Incarnation, Locality, NodeName, ServiceName, Version};
 use umberpond_rollouts::RolloutPlan;
 use umberpond_scheduling::LoadReport;
 
@@ -167,6 +167,19 @@
         self.reachable().count()
     }
 
+    /// Where the first `count` of the nodes that run and can be reached take datagrams, in an order that all nodes share; absent for this one.
+    #[must_use]
+    pub fn first_ranked(&self, count: usize) -> Vec<Option<SocketAddr>> {
+        let others = self.members.values().filter(|member| {
+            member.reachability == Reachability::Reachable && member.record.phase == MemberPhase::Running
+        });
+        let others = others.map(|member| (member.rank, Some(member.record.control)));
+        let mut ranked: Vec<(u64, Option<SocketAddr>)> = others.chain([(self.own_rank, None)]).collect();
+        ranked.sort_unstable();
+        ranked.truncate(count);
+        ranked.into_iter().map(|(_, place)| place).collect()
+    }
+
     /// Whether a record or the reachability of a node has changed since this was asked last.
     pub const fn take_changed(&mut self) -> bool {
         self.is_urgent = false;
@@ -236,6 +249,15 @@
         self.change_own(now)
     }
 
+    /// Sets the evacuations that this node has read from the store, and tells them at once.
+    pub fn set_evacuations(&mut self, now: Instant, evacuations: Evacuations) -> Vec<Outgoing> {
+        if self.own.evacuations == evacuations {
+            return Vec::new();
+        }
+        self.own.evacuations = evacuations;
+        self.change_own(now)
+    }
+
     /// Addresses of the other nodes that coordinate the rollout of `service`.
     #[must_use]
     pub fn coordinators_of(&self, service: &ServiceName) -> Vec<SocketAddr> {
--- a/crates/membership/src/membership/receive.rs
+++ b/crates/membership/src/membership/receive.rs
@@ -31,8 +31,11 @@
             Datagram::Heartbeat(heartbeat) => self.on_heartbeat(now, from, heartbeat),
             Datagram::News(news) => self.on_news(now, news),
             Datagram::Orders(orders) => self.on_orders(from, orders),
-            // It concerns the rollout, not the membership.
-            Datagram::Evidence(_) | Datagram::Suspects(_) => Vec::new(),
+            // They concern rollouts, quarantine and quotas, not the membership.
+            Datagram::Evidence(_)
+            | Datagram::Suspects(_)
+            | Datagram::QuotaReport(_)
+            | Datagram::QuotaGrant(_) => Vec::new(),
         }
     }
 
--- a/crates/membership/src/record.rs
+++ b/crates/membership/src/record.rs
@@ -4,7 +4,7 @@
 
 use bitcode::{Decode, Encode};
 use serde::{Deserialize, Serialize};
-use umberpond_model::{Incarnation, Locality, NodeName, ReleaseName, ServiceName};
+use umberpond_model::{Evacuations, Incarnation, Locality, NodeName, ReleaseName, ServiceName};
 use umberpond_rollouts::RolloutPlan;
 
 /// How far a node's process is in its life.
@@ -69,6 +69,8 @@
     pub back_end: Option<BackEndRecord>,
     /// The plans of rollouts that the node tells, if it is one of those that coordinate them.
     pub rollouts: Vec<RolloutPlan>,
+    /// The evacuated zones, if the node has read them from the store; otherwise revision 0 without any.
+    pub evacuations: Evacuations,
 }
 
 /// Order of the records of one node; the later one wins.
--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -12,7 +12,7 @@
     BackEndRecord, BackEndState, Datagram, Introduction, MemberPhase, MemberRecord, MemberView, Membership,
     MembershipNote, MembershipSettings, Outgoing,
 };
-use umberpond_model::{Incarnation, Locality, NodeName, Version};
+use umberpond_model::{Evacuations, Incarnation, Locality, NodeName, Version};
 
 const TICK: Duration = Duration::from_millis(50);
 const STEP: Duration = Duration::from_millis(10);
@@ -54,6 +54,7 @@
         phase: MemberPhase::Running,
         back_end: None,
         rollouts: Vec::new(),
+        evacuations: Evacuations::default(),
     }
 }
 
--- a/crates/model/src/names.rs
+++ b/crates/model/src/names.rs
@@ -163,3 +163,8 @@
     ZoneName,
     "zone"
 );
+checked_name!(
+    /// Name of a tenant: somebody on whose behalf callers send requests.
+    TenantName,
+    "tenant"
+);
--- /dev/null
+++ b/crates/quotas/src/own.rs
@@ -0,0 +1,64 @@
+//! Sharing without exchange: each node keeps what it earns.
+
+use std::collections::HashMap;
+use std::time::Instant;
+
+use crate::message::{QuotaGrant, QuotaReport, TenantNumber};
+use crate::sharing::{QuotaSharing, Quotas, TokenAnswer};
+
+/// Tokens of one tenant at this node.
+#[derive(Debug, Clone, Copy)]
+struct OwnTokens {
+    tokens: f64,
+    counted_at: Instant,
+}
+
+/// Each node gives an equal part of each tenant's rate and burst to the requests that enter there. It costs nothing, and a tenant whose requests do
+/// not enter everywhere alike is refused some below its limit.
+#[derive(Debug, Default)]
+pub struct OwnShares {
+    quotas: Quotas,
+    sharing_nodes: Option<u32>,
+    tenants: HashMap<TenantNumber, OwnTokens>,
+}
+
+impl QuotaSharing for OwnShares {
+    fn set_quotas(&mut self, quotas: Quotas) {
+        self.tenants.retain(|tenant, _| quotas.contains_key(tenant));
+        self.quotas = quotas;
+    }
+
+    fn set_sharing_nodes(&mut self, _now: Instant, count: usize) {
+        self.sharing_nodes = Some(u32::try_from(count.max(1)).unwrap_or(u32::MAX));
+    }
+
+    fn on_request(&mut self, _now: Instant, _tenant: TenantNumber) {}
+
+    fn take(&mut self, now: Instant, tenant: TenantNumber) -> TokenAnswer {
+        let Some(quota) = self.quotas.get(&tenant) else { return TokenAnswer::Granted };
+        let Some(nodes) = self.sharing_nodes else { return TokenAnswer::Refused };
+        let own = self.tenants.entry(tenant).or_insert(OwnTokens { tokens: 0.0, counted_at: now });
+        let passed = now.saturating_duration_since(own.counted_at).as_secs_f64();
+        own.counted_at = now;
+        #[allow(clippy::cast_precision_loss, reason = "far below 2^52")]
+        let most = (quota.burst as f64 / f64::from(nodes)).max(1.0);
+        own.tokens = (own.tokens + passed * quota.rate.as_f64() / f64::from(nodes)).min(most);
+        if own.tokens < 1.0 {
+            return TokenAnswer::Refused;
+        }
+        own.tokens -= 1.0;
+        TokenAnswer::Granted
+    }
+
+    fn give_back(&mut self, _now: Instant, tenant: TenantNumber) {
+        if let Some(own) = self.tenants.get_mut(&tenant) {
+            own.tokens += 1.0;
+        }
+    }
+
+    fn next_report(&mut self, _now: Instant, _waiting: &HashMap<TenantNumber, u32>) -> Option<QuotaReport> {
+        None
+    }
+
+    fn on_grant(&mut self, _now: Instant, _grant: &QuotaGrant, _pools: usize) {}
+}
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -4,11 +4,13 @@
 //! and reads no clock: the present time is an argument.
 
 mod admitted_work;
+mod cold_pace;
 mod duplicates;
 mod load;
 mod queue;
 mod service_time;
 
+pub use cold_pace::ColdPace;
 pub use duplicates::DuplicateWindow;
 pub use load::LoadReport;
 pub use queue::{Decision, Refusal, Started, Ticket, WorkItem, WorkQueue};
--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -6,7 +6,7 @@
 use thiserror::Error;
 
 use crate::admitted_work::AdmittedWork;
-use crate::{LoadReport, ServiceTime};
+use crate::{ColdPace, LoadReport, ServiceTime};
 
 /// Most requests that may wait, as a multiple of the slots.
 const WAITING_PER_SLOT: usize = 20;
@@ -144,6 +144,7 @@
     admitted: AdmittedWork,
     /// When a request that could still have met its objective was refused last, by rank.
     refused_at: BTreeMap<u8, Instant>,
+    pace: ColdPace,
 }
 
 impl WorkQueue {
@@ -162,6 +163,7 @@
             reports: 0,
             admitted: AdmittedWork::default(),
             refused_at: BTreeMap::new(),
+            pace: ColdPace::default(),
         }
     }
 
@@ -178,10 +180,27 @@
     /// Takes no new work from now on, and gives up what waits; returns the tickets.
     pub fn close(&mut self) -> Vec<Ticket> {
         self.is_open = false;
+        self.give_up_waiting()
+    }
+
+    /// Gives up what waits; returns the tickets.
+    pub fn give_up_waiting(&mut self) -> Vec<Ticket> {
         self.waiting.clear();
         std::mem::take(&mut self.places).into_keys().collect()
     }
 
+    /// The pace of the back end while it is cold. Call [`WorkQueue::start_next`] after a change.
+    pub const fn pace(&mut self) -> &mut ColdPace {
+        &mut self.pace
+    }
+
+    /// When the pace lets a waiting request start, if nothing but the pace holds it up.
+    #[must_use]
+    pub fn paced_until(&self, now: Instant) -> Option<Instant> {
+        let may_run = !self.waiting.is_empty() && self.running < self.slots;
+        if may_run { self.pace.next_start(now) } else { None }
+    }
+
     /// Whether new work is taken.
     #[must_use]
     pub const fn is_open(&self) -> bool {
@@ -206,8 +225,8 @@
         if has_missed && self.is_contended(now, item.priority) {
             return Decision::Refuse(Refusal::WaitTooLong { expected: self.mean_service_time() });
         }
-        if self.running < self.slots && self.waiting.is_empty() {
-            self.running += 1;
+        if self.running < self.slots && self.waiting.is_empty() && self.pace.may_start(now) {
+            self.start(now);
             self.admitted.record(now, item.left(now), item.service);
             return Decision::Start;
         }
@@ -232,11 +251,11 @@
             self.remove(place);
             return Some(Started::Expire(place.ticket));
         }
-        if self.running >= self.slots {
+        if self.running >= self.slots || !self.pace.may_start(now) {
             return None;
         }
         self.remove(place);
-        self.running += 1;
+        self.start(now);
         Some(Started::Run(place.ticket))
     }
 
@@ -266,25 +285,31 @@
     #[must_use]
     pub fn expected_wait(&mut self, now: Instant, item: WorkItem) -> Duration {
         let place = Place::of(&item, Ticket(self.next_ticket));
-        let ahead: Duration = self.waiting.range(..place).map(|(_, waiting)| waiting.service).sum();
+        let (mut ahead, mut count) = (Duration::ZERO, 0);
+        for (_, waiting) in self.waiting.range(..place) {
+            ahead += waiting.service;
+            count += 1;
+        }
+        let pace_wait = self.pace.expected_wait(now, count);
         let is_free = self.running < self.slots && ahead.is_zero();
         if is_free {
-            return Duration::ZERO;
+            return pace_wait;
         }
         let slots = self.slots.max(1);
         let overtaking = self.admitted.overtaking_rate(now, item.left(now)) / f64::from(slots);
         let left_share = 1.0 - overtaking.min(MOST_OVERTAKING_SHARE);
-        ((ahead + self.mean_service_time()) / slots).div_f64(left_share)
+        ((ahead + self.mean_service_time()) / slots).div_f64(left_share).max(pace_wait)
     }
 
     /// What others are told.
-    pub fn report(&mut self) -> LoadReport {
+    pub fn report(&mut self, now: Instant) -> LoadReport {
         self.reports += 1;
+        let slots = self.pace.usable_slots(now, self.slots, self.mean_service_time());
         LoadReport {
             number: self.reports,
             running: self.running,
             waiting: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
-            slots: self.slots,
+            slots,
             service_micros: self.service_time.mean_micros(),
             failed_permille: permille(self.failed_share),
         }
@@ -298,6 +323,11 @@
         refused.any(|(_, at)| now.saturating_duration_since(*at) < moment)
     }
 
+    fn start(&mut self, now: Instant) {
+        self.running += 1;
+        self.pace.on_start(now);
+    }
+
     fn mean_service_time(&self) -> Duration {
         self.service_time.mean().unwrap_or(UNKNOWN_SERVICE_TIME)
     }
--- a/crates/scheduling/tests/queue.rs
+++ b/crates/scheduling/tests/queue.rs
@@ -102,7 +102,7 @@
     assert_eq!(queue.offer(now, item(now, 1, 500)), Decision::Refuse(Refusal::Closed));
     queue.finish(Some(millis(10)));
     assert_eq!(queue.start_next(now), None);
-    assert_eq!(queue.report().running, 0);
+    assert_eq!(queue.report(Instant::now()).running, 0);
 }
 
 #[test]
@@ -138,14 +138,14 @@
     }
     queue.finish(Some(millis(40)));
     queue.record_answer(true);
-    let first = queue.report();
+    let first = queue.report(Instant::now());
     assert_eq!((first.running, first.waiting, first.slots), (1, 3, 2));
     assert_eq!(first.service_time(), Some(millis(40)));
-    assert!(queue.report().number > first.number);
+    assert!(queue.report(Instant::now()).number > first.number);
     for _ in 0..30 {
         queue.record_answer(false);
     }
-    assert!(queue.report().failed_permille > 500);
+    assert!(queue.report(Instant::now()).failed_permille > 500);
 }
 
 quickcheck! {
@@ -174,7 +174,7 @@
                 waiting -= 1;
                 running += u32::from(matches!(started, Started::Run(_)));
             }
-            let report = queue.report();
+            let report = queue.report(Instant::now());
             let is_idle_with_work = running < slots && waiting > 0;
             if running > slots || report.running != running || report.waiting != waiting || is_idle_with_work {
                 return false;
--- a/crates/selection/src/choice.rs
+++ b/crates/selection/src/choice.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use umberpond_model::{NodeName, RouteName};
+use umberpond_model::{HomeRegions, NodeName, RouteName};
 
 use crate::releases::ReleaseGroup;
 
@@ -18,6 +18,8 @@
     pub group: ReleaseGroup,
     /// Time within which an answer is of full use.
     pub objective: Duration,
+    /// Where the request may be served.
+    pub homes: &'a HomeRegions,
 }
 
 /// The endpoint chosen.
--- a/crates/selection/src/selector.rs
+++ b/crates/selection/src/selector.rs
@@ -206,7 +206,7 @@
         }
     }
 
-    /// The endpoints that were not tried, can be reached, and are of a release that may get the request.
+    /// The endpoints that were not tried, are in a region where the request may be served, can be reached, and are of a release that may get the request.
     fn usable<'a>(
         &'a self,
         endpoints: &'a Endpoints,
@@ -219,7 +219,8 @@
             releases.is_none_or(|releases| releases.allows(now, query.group, &tracked.endpoint))
         };
         let untried = endpoints.values().filter(move |tracked| !query.tried.contains(&tracked.endpoint.node));
-        untried.filter(move |tracked| tracked.is_reachable(now)).filter(is_allowed)
+        let is_home = move |tracked: &&Tracked| query.homes.allow(&tracked.endpoint.locality.region);
+        untried.filter(is_home).filter(move |tracked| tracked.is_reachable(now)).filter(is_allowed)
     }
 
     /// Some endpoints of each distance.
--- a/crates/selection/tests/choice.rs
+++ b/crates/selection/tests/choice.rs
@@ -5,7 +5,7 @@
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use umberpond_model::{Locality, NodeName, RouteName, ServiceName};
+use umberpond_model::{HomeRegions, Locality, NodeName, RouteName, ServiceName};
 use umberpond_scheduling::LoadReport;
 use umberpond_selection::{Endpoint, Observation, Query, ReleaseGroup, Selector, SelectorSettings};
 
@@ -72,6 +72,7 @@
             tried,
             group: ReleaseGroup::Others,
             objective: Duration::from_millis(300),
+            homes: &HomeRegions::default(),
         };
         let choice = self.selector.choose(self.now, &mut self.random, &self.service, query);
         choice.map(|choice| choice.node)
@@ -236,6 +237,7 @@
             tried: &[],
             group: ReleaseGroup::Others,
             objective: Duration::from_millis(300),
+            homes: &HomeRegions::default(),
         };
         let choice = world.selector.choose(world.now, &mut world.random, &world.service, query).unwrap();
         assert_eq!(choice.has_room, has_room, "{held} of 10 slots");
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -105,6 +105,10 @@
         = 2054, Warn, "quarantine-unread", "The requests that are refused because they end back ends could not be read from the store; what other nodes tell holds.";
     QuarantineWritten { fingerprint: String, change: &'static str }
         = 2055, Info, "quarantine-written", "The store holds a request that is refused because it ends back ends (`added`), or no longer does (`removed`).";
+    EvacuationInForce { zones: String, revision: u64 }
+        = 2056, Warn, "evacuation-in-force", "From now on the back ends of these zones get nothing new from this node, and those of all other zones do; no zone is named when none is evacuated. `revision` is that of the store when it was read.";
+    EvacuationsUnread { reason: String }
+        = 2057, Warn, "evacuations-unread", "The orders to evacuate zones could not be read; those known stay in force.";
 
     // Back ends
     BackEndUnhealthy { reason: String }
@@ -142,6 +146,8 @@
         = 4029, Info, "request-cleared", "A back end has answered what has this fingerprint, which was under suspicion until now.";
     RequestQuarantined { fingerprint: String, crashes: u64, source: &'static str }
         = 4030, Warn, "request-quarantined", "Whatever has this fingerprint has ended so many back ends and was never answered: it is refused from now on.";
+    RequestOverQuota { request: String, tenant: String }
+        = 4031, Info, "request-over-quota", "The tenant has sent as many requests as it may, over all nodes together: this one was answered without an attempt.";
 
     // Store
     PlatformUnavailable { operation: &'static str, reason: String }
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -146,6 +146,7 @@
     roles: Family<RoleLabels, Gauge>,
     platform_requests: Family<PlatformLabels, Counter>,
     endpoints: Gauge,
+    evacuated_zones: Gauge,
     ready: Gauge,
 }
 
@@ -165,6 +166,7 @@
             roles: Family::default(),
             platform_requests: Family::default(),
             endpoints: Gauge::default(),
+            evacuated_zones: Gauge::default(),
             ready: Gauge::default(),
         };
         metrics.register_control();
@@ -225,6 +227,11 @@
             "Endpoint records in use by this node's callers",
             self.endpoints.clone(),
         );
+        registry.register(
+            "evacuated_zones",
+            "Zones whose back ends get nothing new by an operator's order",
+            self.evacuated_zones.clone(),
+        );
         registry.register("ready", "1 while the node is ready", self.ready.clone());
     }
 
@@ -289,6 +296,11 @@
         self.endpoints.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of zones that operators have evacuated.
+    pub fn set_evacuated_zones(&self, count: usize) {
+        self.evacuated_zones.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Tells whether the node is ready.
     pub fn set_ready(&self, ready: bool) {
         self.ready.set(i64::from(ready));
--- a/crates/umberpond/src/cli/node.rs
+++ b/crates/umberpond/src/cli/node.rs
@@ -147,6 +147,7 @@
         directory: Arc::new(StoreDirectory::new(Arc::clone(&store))),
         rollouts: None,
         quarantine: None,
+        evacuations: None,
         dialect: Dialect::OWN,
     };
     let admin = config.listen.admin;
--- a/testing/sim/src/cluster/layout.rs
+++ b/testing/sim/src/cluster/layout.rs
@@ -6,8 +6,8 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use umberpond_config::{
-    Bundle, HeaderCredential, Origin, RequestClass, Route, RoutePolicy, SealKeyPair, Secret, SecretValue,
-    Service, Sourced, seal,
+    Bundle, HeaderCredential, Origin, RequestClass, Route, RouteAccess, RoutePolicy, SealKeyPair, Secret,
+    SecretValue, Service, Sourced, seal,
 };
 use umberpond_model::{
     BundleName, Locality, LocalityRule, Millis, NodeName, RegionName, RouteName, SecretName, ServiceName,
@@ -198,6 +198,7 @@
             connections: CONNECTIONS,
             seal_key,
             health_path: None,
+            cold_rate: None,
         };
         bundle.services.insert(name, sourced(service));
     }
@@ -266,6 +267,7 @@
         policy: RoutePolicy::default(),
         timeout: Millis(timeout),
         credentials,
+        access: RouteAccess::default(),
     }
 }
 
--- a/testing/sim/src/cluster/process.rs
+++ b/testing/sim/src/cluster/process.rs
@@ -182,6 +182,7 @@
             directory: Arc::new(StoreDirectory::new(Arc::clone(&store))),
             rollouts: None,
             quarantine: None,
+            evacuations: None,
             dialect: Dialect::OWN,
         };
         let daemon = Arc::new(Daemon::start(self.config(), environment.clone(), extensions).await?);
@@ -255,6 +256,7 @@
             link_rate: None,
             retry_budget: RetryBudgetSettings::default(),
             rollouts: None,
+            follows_evacuations: false,
             log: LogConfig::default(),
             grace: GRACE,
         }
