--- a/crates/forwarding/src/outbound/state.rs
+++ b/crates/forwarding/src/outbound/state.rs
@@ -129,6 +129,7 @@
         Arc::new(Self {
             dialect,
             ledger,
+            // The seed is drawn anew for each process, so it tells their reports apart.
             quotas: QuotaGate::new(Box::new(PooledShares::new(identity.seed))),
             telemetry,
             inbound,
