Nodes that the store has named and that were not met share budgets and quotas until they are given up

Cause: those named counted for five seconds only. Two halves that start without one another never meet, so from then on each took itself for all there are as soon as anything changed in it, and both together spent twice what a tenant may send. Change: the names that the membership keeps as strangers (two minutes) count among the sharing nodes; the count of its own and its time are gone. Ruled out: a longer time in the actor, beside the one after which the membership gives a stranger up. Left: a cut that outlasts those two minutes from a start divides the count.

--- a/crates/daemon/src/membership/actor.rs
+++ b/crates/daemon/src/membership/actor.rs
@@ -30,8 +30,6 @@
 /// Time within which the store is expected to have named the other nodes. Until then this node reads no configuration
 /// from it: the others may have it.
 const JOIN_TIME: Duration = Duration::from_millis(1_500);
-/// Time within which the records of all nodes that the store names have come, if they run.
-const NAMED_TIME: Duration = Duration::from_secs(5);
 
 /// What the actor needs.
 pub(crate) struct MembershipArguments {
@@ -62,8 +60,6 @@
     configuration: Option<ActorRef<ConfigurationMessage>>,
     started_at: std::time::Instant,
     has_joined: bool,
-    /// Nodes that the store has named, this one included, and when.
-    named: Option<(usize, std::time::Instant)>,
 }
 
 /// The actor that owns the membership.
@@ -96,7 +92,6 @@
             configuration: None,
             started_at: Instant::now().into_std(),
             has_joined: false,
-            named: None,
         })
     }
 
@@ -140,7 +135,6 @@
             }
             MembershipMessage::Datagram { from, datagram } => self.on_datagram(now, from, &datagram),
             MembershipMessage::Introductions(introductions) => {
-                self.named = Some((introductions.len(), now));
                 self.membership.on_introductions(now, introductions);
                 self.membership.on_tick(now)
             }
@@ -280,23 +274,15 @@
         }
     }
 
-    /// Tells the request path who shares the retry budgets: all nodes that are known, since those that can't be reached from here spend their parts
-    /// too. Before the store has named the others that isn't known.
+    /// Tells the request path who shares the retry budgets and the quotas: all nodes that are known, and those that the store has named and that were not met, since those that can't be
+    /// reached from here spend their parts too. Before the store has named the others that isn't known.
     fn tell_sharing_nodes(&self) {
         if self.has_joined {
-            let known = self.membership.members().count() + 1;
-            self.outbound.set_sharing_nodes(known.max(self.named_lately()));
+            let others = self.membership.members().count() + self.membership.unmet_count();
+            self.outbound.set_sharing_nodes(others + 1);
         }
     }
 
-    /// Nodes that the store named a moment ago. Most are there, though their records have not come yet.
-    fn named_lately(&self) -> usize {
-        let lately = self
-            .named
-            .filter(|(_, at)| Instant::now().into_std().saturating_duration_since(*at) < NAMED_TIME);
-        lately.map_or(0, |(count, _)| count)
-    }
-
     /// Tells the request path what has changed: at once if somebody takes no requests any more, otherwise with the next
     /// tick, so that many that come together are told together.
     fn tell_changes(&mut self, is_tick: bool) {
--- a/crates/membership/src/membership/joining.rs
+++ b/crates/membership/src/membership/joining.rs
@@ -75,6 +75,12 @@
         self.joining.count_young(now, &self.own.locality);
     }
 
+    /// Count of the nodes that the store has named and that are not known otherwise, until they are given up.
+    #[must_use]
+    pub fn unmet_count(&self) -> usize {
+        self.joining.strangers.len()
+    }
+
     /// Nodes that the store has just named and that are not known otherwise: most of them will be met.
     pub fn expected_strangers(&self, now: Instant) -> impl Iterator<Item = &NodeName> {
         let strangers = self.joining.strangers.iter();
