A pool remembers who has reported for as long as a datagram may be late, and keeps the sum of what came in

Cause: with the 4,096th process that reported, a pool forgot all of them, so that a report that the network delivers twice counted twice, and its time was handed on twice. It also added up what had come in within the last second anew for each tenant of each report. Change: a process is remembered for a minute after its last report; the sum is kept beside the parts. Ruled out: a larger number, which the next size exceeds. Cost: 32 bytes for each process that has reported within two minutes.

--- a/crates/quotas/src/pool.rs
+++ b/crates/quotas/src/pool.rs
@@ -14,8 +14,8 @@
 const LEAST_KEPT: f64 = 2.0;
 /// Part of what is kept that is given to requests that do not wait yet.
 const AHEAD_SHARE: f64 = 0.25;
-/// Most processes of which the last report is remembered.
-const MAX_SENDERS: usize = 4_096;
+/// Time after its last report for which a process is remembered: longer than a datagram is on its way.
+const SENDER_MEMORY: Duration = Duration::from_secs(60);
 
 /// Tokens of one tenant.
 #[derive(Debug, Clone, Copy)]
@@ -25,6 +25,14 @@
     counted_at: Duration,
 }
 
+/// What is remembered of a process that has reported.
+#[derive(Debug, Clone, Copy)]
+struct Sender {
+    /// Number of its last report.
+    number: u64,
+    heard_at: Instant,
+}
+
 /// The tokens that this node keeps for others. They come of the time that others hand on and of nothing else, so a pool that nobody uses is empty.
 #[derive(Debug, Default)]
 pub struct TokenPool {
@@ -33,9 +41,12 @@
     inflow: Duration,
     /// The latest parts of it, and when they came.
     lately: VecDeque<(Instant, Duration)>,
+    /// Their sum.
+    lately_sum: Duration,
     tenants: HashMap<TenantNumber, PooledTokens>,
-    /// Number of the last report of each process, so that none counts twice.
-    senders: HashMap<u64, u64>,
+    /// The processes that have reported, so that no report counts twice.
+    senders: HashMap<u64, Sender>,
+    forget_next_at: Option<Instant>,
 }
 
 impl TokenPool {
@@ -47,15 +58,10 @@
 
     /// Takes in what a node hands on, and gives it tokens. Absent for a report that came before.
     pub fn on_report(&mut self, now: Instant, report: &QuotaReport) -> Option<QuotaGrant> {
-        if !self.is_news(report) {
+        if !self.is_news(now, report) {
             return None;
         }
-        let earned = Duration::from_nanos(report.earned_nanos);
-        self.inflow += earned;
-        self.lately.push_back((now, earned));
-        while self.lately.front().is_some_and(|(at, _)| now.saturating_duration_since(*at) > INFLOW_SPAN) {
-            self.lately.pop_front();
-        }
+        self.take_in(now, Duration::from_nanos(report.earned_nanos));
         for spent in &report.spent {
             if let Some(pooled) = self.count(spent.tenant) {
                 pooled.tokens -= f64::from(spent.tokens);
@@ -65,14 +71,36 @@
         Some(QuotaGrant { number: report.number, granted })
     }
 
-    fn is_news(&mut self, report: &QuotaReport) -> bool {
-        if self.senders.len() >= MAX_SENDERS && !self.senders.contains_key(&report.life) {
-            self.senders.clear();
+    fn take_in(&mut self, now: Instant, earned: Duration) {
+        self.inflow += earned;
+        self.lately.push_back((now, earned));
+        self.lately_sum += earned;
+        while let Some((at, earlier)) = self.lately.front().copied() {
+            if now.saturating_duration_since(at) <= INFLOW_SPAN {
+                return;
+            }
+            self.lately.pop_front();
+            self.lately_sum -= earlier;
+        }
+    }
+
+    fn is_news(&mut self, now: Instant, report: &QuotaReport) -> bool {
+        self.forget_silent_senders(now);
+        let QuotaReport { life, number, .. } = *report;
+        let sender = self.senders.entry(life).or_insert(Sender { number: 0, heard_at: now });
+        if number <= sender.number {
+            return false;
+        }
+        *sender = Sender { number, heard_at: now };
+        true
+    }
+
+    fn forget_silent_senders(&mut self, now: Instant) {
+        if self.forget_next_at.is_some_and(|at| now < at) {
+            return;
         }
-        let last = self.senders.entry(report.life).or_insert(0);
-        let is_news = report.number > *last;
-        *last = report.number.max(*last);
-        is_news
+        self.forget_next_at = Some(now + SENDER_MEMORY);
+        self.senders.retain(|_, sender| now.saturating_duration_since(sender.heard_at) < SENDER_MEMORY);
     }
 
     fn grant(&mut self, wanted: &WantedTokens) -> TokenCount {
@@ -104,8 +132,7 @@
 
     /// Most tokens that may be kept: as much of the burst as comes here of the time of all nodes, so that all pools together keep one burst.
     fn most_kept(&self, quota: Quota) -> f64 {
-        let lately: Duration = self.lately.iter().map(|(_, earned)| *earned).sum();
-        let part = (lately.as_secs_f64() / INFLOW_SPAN.as_secs_f64()).min(1.0);
+        let part = (self.lately_sum.as_secs_f64() / INFLOW_SPAN.as_secs_f64()).min(1.0);
         #[allow(clippy::cast_precision_loss, reason = "far below 2^52")]
         let burst = quota.burst as f64;
         (burst * part).max(LEAST_KEPT)
