A pool keeps one token of a tenant whose part of the burst is less, not two

Cause: two tokens at each of sixteen pools are 32 beside the burst, more than the slack of 20 bears for a tenant of one request a second. Test (200 nodes, 16 pools, one request a second, burst 1, idle for 40 s, then asked for everywhere): most within five seconds 34 before, 26.6 allowed; kept after. Ruled out: less than one, of which no token can ever be given; fewer pools, each of which would hear more nodes. A tenant below its limit is refused no more than before: the tests of it hold unchanged (3 a second at 83 nodes and at one).

--- a/crates/quotas/src/pool.rs
+++ b/crates/quotas/src/pool.rs
@@ -10,8 +10,8 @@
 
 /// Time over which it is seen how much of the time of all nodes comes here.
 const INFLOW_SPAN: Duration = Duration::from_secs(1);
-/// Least number of tokens of a tenant that may be kept: with less than one none could ever be given.
-const LEAST_KEPT: f64 = 2.0;
+/// Least number of tokens of a tenant that may be kept: with less none could ever be given.
+const LEAST_KEPT: f64 = 1.0;
 /// Part of what is kept that is given to requests that do not wait yet.
 const AHEAD_SHARE: f64 = 0.25;
 /// Time after its last report for which a process is remembered: longer than a datagram is on its way.
--- a/crates/quotas/tests/quotas.rs
+++ b/crates/quotas/tests/quotas.rs
@@ -167,3 +167,19 @@
     assert!(own_small > 0.1 && own_uneven > 0.3);
     assert!(pooled_small < 0.01 && pooled_uneven < 0.01);
 }
+
+/// The smallest tenants have less than one token of burst at each pool, and a pool that kept less could never give one.
+#[test]
+fn many_pools_keep_no_more_of_a_small_tenant_than_its_limit_bears() {
+    let (count, pools) = (200, 16);
+    let mut fleet = Fleet::new(count, pools, &[tenant("small", 1.0, 1)], true);
+    for _ in 0..steps(40) {
+        fleet.step();
+    }
+    for _ in 0..steps(5) {
+        (0..count).for_each(|index| fleet.request(index, number("small")));
+        fleet.step();
+    }
+    let most = fleet.most_within(number("small"), WINDOW) as f64;
+    assert!(most <= allowed(1.0, 1.0), "{most} in a window, {} allowed", allowed(1.0, 1.0));
+}
