Taking a token looks a tenant up once; a tenant at its limit is called exhausted

Cause: the entry of a tenant was looked up three times for each request, because two of the steps were methods of the whole; and *dry* was a metaphor. Change: both steps are the tenant's own. No decision changes; the tests of the crate hold unchanged.

--- a/crates/quotas/src/pooled.rs
+++ b/crates/quotas/src/pooled.rs
@@ -17,8 +17,8 @@
 const AHEAD: Duration = Duration::from_millis(100);
 /// Time after which what is known of a tenant's demand counts half.
 const DEMAND_HALF_LIFE: Duration = Duration::from_millis(500);
-/// How long nothing is asked for after all pools had no token.
-const DRY_TIME: Duration = Duration::from_millis(100);
+/// How long nothing is asked for after all pools had too few tokens.
+const EXHAUSTED_TIME: Duration = Duration::from_millis(100);
 /// Most tenants in one report.
 const MAX_WANTED: usize = 128;
 
@@ -34,7 +34,7 @@
     demand_at: Option<Instant>,
     /// Pools in a row that had too few.
     empty_pools: usize,
-    dry_until: Option<Instant>,
+    exhausted_until: Option<Instant>,
 }
 
 /// Tokens are pooled at a few nodes, which all others ask.
@@ -68,18 +68,6 @@
         }
     }
 
-    /// Takes a token out of the time that is still kept here.
-    fn take_own(&mut self, tenant: TenantNumber) -> bool {
-        let Some(quota) = self.quotas.get(&tenant) else { return true };
-        let earned = self.earned.kept().as_secs_f64() * quota.rate.as_f64();
-        let held = self.tenants.entry(tenant).or_default();
-        if earned < f64::from(held.spent) + 1.0 {
-            return false;
-        }
-        held.spent += 1;
-        true
-    }
-
     /// Whether a report is open and its answer may still come.
     fn awaits_answer(&self, now: Instant) -> bool {
         self.open.is_some_and(|(_, at)| now.saturating_duration_since(at) < ANSWER_TIME)
@@ -112,16 +100,17 @@
     }
 
     fn take(&mut self, now: Instant, tenant: TenantNumber) -> TokenAnswer {
-        if !self.quotas.contains_key(&tenant) {
-            return TokenAnswer::Granted;
-        }
+        let Some(quota) = self.quotas.get(&tenant) else { return TokenAnswer::Granted };
         self.earned.earn(now);
+        let earned = self.earned.kept().as_secs_f64() * quota.rate.as_f64();
         let held = self.tenants.entry(tenant).or_default();
-        if held.take_given(now) || self.take_own(tenant) {
-            return TokenAnswer::Granted;
+        if held.take_given(now) || held.take_earned(earned) {
+            TokenAnswer::Granted
+        } else if held.exhausted_until.is_some_and(|until| now < until) {
+            TokenAnswer::Refused
+        } else {
+            TokenAnswer::Ask
         }
-        let held = self.tenants.entry(tenant).or_default();
-        if held.dry_until.is_some_and(|until| now < until) { TokenAnswer::Refused } else { TokenAnswer::Ask }
     }
 
     fn give_back(&mut self, now: Instant, tenant: TenantNumber) {
@@ -182,17 +171,24 @@
         true
     }
 
+    /// Takes one of the `earned` tokens whose time is still kept here.
+    fn take_earned(&mut self, earned: f64) -> bool {
+        let is_left = earned >= f64::from(self.spent) + 1.0;
+        self.spent += u32::from(is_left);
+        is_left
+    }
+
     /// Takes in that a pool had enough, or too few. Once as many in a row had too few as there are pools, there are none.
     fn on_asked(&mut self, now: Instant, had_enough: bool, pools: usize) {
         if had_enough {
             self.empty_pools = 0;
-            self.dry_until = None;
+            self.exhausted_until = None;
             return;
         }
         self.empty_pools += 1;
         if self.empty_pools >= pools.max(1) {
             self.empty_pools = 0;
-            self.dry_until = Some(now + DRY_TIME);
+            self.exhausted_until = Some(now + EXHAUSTED_TIME);
         }
     }
 
