The code of the settings' report is a text, as beside it

Cause: written as a path it reads like an import of the program from the crate that the program uses, and was drawn as a circle of seven files. Change: the same code as text, which the library takes as well; the test of the rendered report holds. Circles drawn before 1, after 0.

--- a/crates/daemon/src/settings/fault.rs
+++ b/crates/daemon/src/settings/fault.rs
@@ -178,7 +178,7 @@
 /// All faults of a node's settings.
 #[derive(Debug, Error, Diagnostic)]
 #[error("the settings have {} fault{}; nothing was started", faults.len(), if faults.len() == 1 { "" } else { "s" })]
-#[diagnostic(code(umberpond::settings))]
+#[diagnostic(code("umberpond::settings"))]
 pub struct SettingsReport {
     /// The faults, in the order of the file.
     #[related]
