What the inbound half needs to know of whose requests it takes is set as one value

Cause: a setter called after the tenants took the region besides, in two arguments that were put together inside. Change: the caller makes the value. No decision changes.

--- a/crates/forwarding/src/inbound/back_end.rs
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -68,10 +68,10 @@
 
 /// Whose requests this half takes, whatever the callers' nodes believe.
 #[derive(Debug)]
-pub(super) struct InboundAccess {
-    pub(super) tenants: Arc<TenantTable>,
+pub(crate) struct InboundAccess {
+    pub(crate) tenants: Arc<TenantTable>,
     /// Where this node runs.
-    pub(super) region: RegionName,
+    pub(crate) region: RegionName,
 }
 
 /// The inbound half of one node.
@@ -87,7 +87,7 @@
     unreachable: Mutex<Option<mpsc::UnboundedSender<BackEndLife>>>,
     /// Whether the configuration in force lets the back end's service be served where this node runs.
     pub(super) may_serve: AtomicBool,
-    /// The tenants of the configuration in force, and the region of this node.
+    /// Whose requests are taken; absent before the first configuration.
     pub(super) access: ArcSwapOption<InboundAccess>,
     /// Whether operators have evacuated the zone of this node.
     pub(super) is_evacuated: AtomicBool,
@@ -200,9 +200,9 @@
         self.may_serve.store(may_serve, Ordering::Relaxed);
     }
 
-    /// Sets the tenants of the configuration in force, and the region in which this node runs.
-    pub(crate) fn set_tenants(&self, tenants: Arc<TenantTable>, region: RegionName) {
-        self.access.store(Some(Arc::new(InboundAccess { tenants, region })));
+    /// Sets whose requests are taken by the configuration in force.
+    pub(crate) fn set_access(&self, access: InboundAccess) {
+        self.access.store(Some(Arc::new(access)));
     }
 
     /// Sets whether operators have evacuated the zone of this node. While it is, nothing new is handed to the back end, also of what waits; once it is taken back, the back end may
--- a/crates/forwarding/src/inbound/mod.rs
+++ b/crates/forwarding/src/inbound/mod.rs
@@ -8,5 +8,5 @@
 mod suspect_lane;
 
 pub(crate) use admission::Permit;
-pub(crate) use back_end::millis;
 pub use back_end::{BackEnd, Inbound, InboundSettings};
+pub(crate) use back_end::{InboundAccess, millis};
--- a/crates/forwarding/src/outbound/state.rs
+++ b/crates/forwarding/src/outbound/state.rs
@@ -24,7 +24,7 @@
 use super::reply::{Reply, ReplyReason};
 use crate::dialect::Dialect;
 use crate::hop::{HopPool, HopPoolSettings};
-use crate::inbound::Inbound;
+use crate::inbound::{Inbound, InboundAccess};
 use crate::quarantine::Quarantine;
 use crate::quotas::QuotaGate;
 use crate::repeats::RetryLedger;
@@ -201,7 +201,8 @@
             self.inbound.set_may_serve(table.allows(&service, &self.locality));
             self.inbound.set_cold_rate(table.cold_rate(&service));
         }
-        self.inbound.set_tenants(Arc::clone(table.tenants()), self.locality.region.clone());
+        let tenants = Arc::clone(table.tenants());
+        self.inbound.set_access(InboundAccess { tenants, region: self.locality.region.clone() });
     }
 
     /// Takes in that the back end beside this node may be of another service now.
