The pools of tokens are looked for only where there are quotas

Cause: each node sorted all nodes by rank with each change of the membership, on the tick that heartbeats need, also where no tenant has a quota: the work of a start of all grows with the square of the fleet. Change: a change only marks the pools as out of date; the next report finds them, and without quotas there is none.

--- a/crates/daemon/src/membership/actor.rs
+++ b/crates/daemon/src/membership/actor.rs
@@ -130,7 +130,7 @@
                 self.membership.set_load(self.inbound.load());
                 let mut outgoing = self.membership.on_tick(now);
                 outgoing.extend(self.suspects.on_tick(now, &mut self.membership));
-                outgoing.extend(self.pools.report());
+                outgoing.extend(self.pools.report(&self.membership));
                 outgoing
             }
             MembershipMessage::Datagram { from, datagram } => self.on_datagram(now, from, &datagram),
@@ -143,7 +143,7 @@
                 self.tell_sharing_nodes();
                 self.suspects.ask(&mut self.membership)
             }
-            MembershipMessage::TokenWanted => self.pools.report(),
+            MembershipMessage::TokenWanted => self.pools.report(&self.membership),
             MembershipMessage::TellSuspects(records) => SuspectSpread::tell(&mut self.membership, &records),
             MembershipMessage::BackEnd(back_end) => self.membership.set_back_end(now, back_end),
             MembershipMessage::Phase(phase) => self.membership.set_phase(now, phase),
@@ -209,7 +209,7 @@
         match datagram {
             Datagram::Suspects(news) => return self.suspects.on_news(&mut self.membership, from, news),
             Datagram::QuotaReport(report) => return self.pools.on_report(from, report),
-            Datagram::QuotaGrant(grant) => return self.pools.on_grant(grant),
+            Datagram::QuotaGrant(grant) => return self.pools.on_grant(&self.membership, grant),
             _ => {}
         }
         let outgoing = self.membership.on_datagram(now, from, datagram);
@@ -295,7 +295,7 @@
         // Before the endpoints, so that none of an evacuated zone is used meanwhile.
         self.follow_evacuations();
         self.tell_sharing_nodes();
-        self.pools.follow(&self.membership);
+        self.pools.on_changed();
         let endpoints = self.told.update(&self.membership, &self.outbound);
         self.telemetry.metrics().set_endpoints(endpoints);
         let members = self.membership.members().count() as u64 + 1;
--- a/crates/daemon/src/membership/pools.rs
+++ b/crates/daemon/src/membership/pools.rs
@@ -18,22 +18,36 @@
     gate: Arc<QuotaGate>,
     /// Where they are; absent for the one of this node.
     places: Vec<Option<SocketAddr>>,
+    /// Whether the nodes that can be reached have changed since the pools were found.
+    are_places_stale: bool,
     next: usize,
 }
 
 impl TokenPools {
     pub(super) const fn new(gate: Arc<QuotaGate>) -> Self {
-        Self { gate, places: Vec::new(), next: 0 }
+        Self { gate, places: Vec::new(), are_places_stale: true, next: 0 }
+    }
+
+    /// Takes in that the nodes that can be reached have changed.
+    pub(super) const fn on_changed(&mut self) {
+        self.are_places_stale = true;
     }
 
     /// Finds the pools among the nodes that can be reached.
-    pub(super) fn follow(&mut self, membership: &Membership) {
+    fn find(&mut self, membership: &Membership) {
         let count = (membership.reachable_count() + 1) / NODES_PER_POOL;
         self.places = membership.first_ranked(count.clamp(1, MOST_POOLS));
+        self.are_places_stale = false;
     }
 
     /// Reports to the next pool, if there is anything to report. The pool of this node answers at once.
-    pub(super) fn report(&mut self) -> Vec<Outgoing> {
+    pub(super) fn report(&mut self, membership: &Membership) -> Vec<Outgoing> {
+        if !self.gate.has_quotas() {
+            return Vec::new();
+        }
+        if self.are_places_stale {
+            self.find(membership);
+        }
         for _ in 0..self.places.len() {
             let Some(report) = self.gate.next_report() else { return Vec::new() };
             self.next = (self.next + 1) % self.places.len();
@@ -55,8 +69,8 @@
     }
 
     /// Takes in the answer of a pool, and asks the next one for what is missing.
-    pub(super) fn on_grant(&mut self, grant: &QuotaGrant) -> Vec<Outgoing> {
+    pub(super) fn on_grant(&mut self, membership: &Membership, grant: &QuotaGrant) -> Vec<Outgoing> {
         self.gate.on_grant(grant, self.places.len());
-        self.report()
+        self.report(membership)
     }
 }
--- a/crates/forwarding/src/quotas.rs
+++ b/crates/forwarding/src/quotas.rs
@@ -37,6 +37,7 @@
 struct State {
     sharing: Box<dyn QuotaSharing>,
     pool: TokenPool,
+    has_quotas: bool,
     waiting: HashMap<TenantNumber, VecDeque<oneshot::Sender<TokenAnswer>>>,
 }
 
@@ -44,7 +45,7 @@
     /// A gate over quotas that are shared by `sharing`.
     #[must_use]
     pub fn new(sharing: Box<dyn QuotaSharing>) -> Arc<Self> {
-        let state = State { sharing, pool: TokenPool::default(), waiting: HashMap::new() };
+        let state = State { sharing, pool: TokenPool::default(), has_quotas: false, waiting: HashMap::new() };
         Arc::new(Self { state: Mutex::new(state), token_wanted: Notify::new() })
     }
 
@@ -90,6 +91,7 @@
     /// Sets the quotas of the configuration in force.
     pub(crate) fn set_quotas(&self, quotas: Quotas) {
         let mut state = self.state.lock();
+        state.has_quotas = !quotas.is_empty();
         state.pool.set_quotas(quotas.clone());
         state.sharing.set_quotas(quotas);
     }
@@ -99,6 +101,11 @@
         self.state.lock().sharing.set_sharing_nodes(now(), count);
     }
 
+    /// Whether any tenant has a quota by the configuration in force.
+    pub fn has_quotas(&self) -> bool {
+        self.state.lock().has_quotas
+    }
+
     /// What to tell a pool now, if anything.
     pub fn next_report(&self) -> Option<QuotaReport> {
         let mut state = self.state.lock();
