--- a/crates/forwarding/src/hop/protocol.rs
+++ b/crates/forwarding/src/hop/protocol.rs
@@ -8,7 +8,7 @@
 use umberpond_http1::Fields;
 use umberpond_model::{HomeRegions, ServiceName, TenantName};
 use umberpond_quarantine::{RequestFingerprint, RequestKey};
-use umberpond_scheduling::LoadReport;
+use umberpond_scheduling::{CallWork, LoadReport};
 
 use crate::message::{Answer, Attempt, NotRun, RequestBody};
 use crate::outcome::{NotRunReason, UnknownReason};
@@ -82,6 +82,8 @@
     service_time: u64,
     is_later_try: bool,
     is_repeat: bool,
+    /// Microseconds for which the run that makes the call has held its slot.
+    call_spent: Option<u64>,
     pub(crate) body: HopBody,
 }
 
@@ -133,6 +135,7 @@
             service_time: micros(attempt.service_time),
             is_later_try: attempt.is_later_try,
             is_repeat: attempt.is_repeat,
+            call_spent: attempt.call.map(|call| micros(call.spent)),
             body,
         }
     }
@@ -163,6 +166,7 @@
             service_time: Duration::from_micros(self.service_time),
             is_later_try: self.is_later_try,
             is_repeat: self.is_repeat,
+            call: self.call_spent.map(|spent| CallWork { spent: Duration::from_micros(spent) }),
         }
     }
 }
--- a/crates/forwarding/src/message.rs
+++ b/crates/forwarding/src/message.rs
@@ -7,7 +7,7 @@
 use umberpond_http1::Fields;
 use umberpond_model::{HomeRegions, ServiceName, TenantName};
 use umberpond_quarantine::RequestKey;
-use umberpond_scheduling::LoadReport;
+use umberpond_scheduling::{CallWork, LoadReport};
 
 use crate::body::PendingBody;
 use crate::hop::HopAnswerBody;
@@ -112,6 +112,8 @@
     pub is_later_try: bool,
     /// Whether it is sent again after it had reached a back end, or is a call of a run that was.
     pub is_repeat: bool,
+    /// What waits for it, if it is a call of a run at the back end beside the caller's node.
+    pub call: Option<CallWork>,
 }
 
 /// What is known about an attempt at its end.
--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -211,6 +211,7 @@
             service_time: choice.service,
             is_later_try: request.is_later_try,
             is_repeat: self.reached > 0 || request.origin == CallOrigin::RepeatedRun,
+            call: request.call(),
         }
     }
 
--- a/crates/forwarding/src/outbound/handler.rs
+++ b/crates/forwarding/src/outbound/handler.rs
@@ -88,7 +88,7 @@
         let is_later_try = told.is_some() && self.caller_times.lock().record(&route.name, caller_time);
         let service = self.splits.lock().next(&mut *self.random.lock(), &route).clone();
         let id = id.unwrap_or_else(|| self.new_id());
-        let origin = self.inbound.runs().on_request(&id, &service);
+        let source = self.inbound.runs().on_request(&id, &service);
         let version = table.version();
         let key = self.dialect.caller_key.and_then(|name| head.fields.get(name)).cloned();
         let fingerprint = RequestFingerprint::of(&RequestContent {
@@ -115,7 +115,8 @@
             time,
             caller_time,
             is_later_try,
-            origin,
+            origin: source.origin,
+            run: source.run,
         })
     }
 
--- a/crates/forwarding/src/outbound/prepared.rs
+++ b/crates/forwarding/src/outbound/prepared.rs
@@ -8,10 +8,11 @@
 use umberpond_http1::RequestHead;
 use umberpond_model::{HomeRegions, ServiceName, TenantName, Version};
 use umberpond_quarantine::RequestKey;
+use umberpond_scheduling::CallWork;
 
 use crate::message::RequestBody;
 use crate::quotas::QuotaPermit;
-use crate::repeats::CallOrigin;
+use crate::repeats::{CallOrigin, RunContext};
 use crate::routing::CompiledRoute;
 use crate::suspended_time::PastMoment;
 
@@ -59,9 +60,16 @@
     pub(super) is_later_try: bool,
     /// Whether a run at the back end beside this node has made it, and which.
     pub(super) origin: CallOrigin,
+    /// The run that has made it; absent if none is known to have.
+    pub(super) run: Option<RunContext>,
 }
 
 impl PreparedRequest {
+    /// What waits for it, if it is a call.
+    pub(super) fn call(&self) -> Option<CallWork> {
+        self.run.as_ref().map(|run| CallWork { spent: run.began.elapsed() })
+    }
+
     /// When it is ended, whatever has become of it.
     pub(super) fn deadline(&self) -> Instant {
         self.arrived.at() + self.time
--- a/crates/forwarding/src/outcome.rs
+++ b/crates/forwarding/src/outcome.rs
@@ -45,6 +45,10 @@
     NoHome,
     /// The node beside the back end does not know the tenant: it has an older configuration, or a newer one.
     UnknownTenant,
+    /// The services that its run would call have no room.
+    CallsOverloaded,
+    /// The back end turned it away, with all its slots in use.
+    BackEndFull,
 }
 
 impl NotRunReason {
@@ -71,6 +75,8 @@
             Self::Evacuated => "evacuated",
             Self::NoHome => "no-home",
             Self::UnknownTenant => "unknown-tenant",
+            Self::CallsOverloaded => "calls-overloaded",
+            Self::BackEndFull => "back-end-full",
         }
     }
 }
--- a/crates/forwarding/src/quotas.rs
+++ b/crates/forwarding/src/quotas.rs
@@ -7,8 +7,8 @@
 use parking_lot::Mutex;
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, timeout_at};
-use umberpond_model::TenantName;
-use umberpond_quotas::{QuotaGrant, QuotaReport, QuotaSharing, Quotas, TenantNumber, TokenAnswer, TokenPool};
+use umberpond_model::{TenantName, TenantNumber};
+use umberpond_quotas::{QuotaGrant, QuotaReport, QuotaSharing, Quotas, TokenAnswer, TokenPool};
 
 /// Longest time that a request waits for a token: enough to ask several pools, some of which may be gone.
 const LONGEST_WAIT: Duration = Duration::from_millis(150);
--- a/crates/forwarding/src/repeats/mod.rs
+++ b/crates/forwarding/src/repeats/mod.rs
@@ -12,4 +12,4 @@
 mod tests;
 
 pub(crate) use ledger::{RepeatKind, RetryGrant, RetryLedger};
-pub(crate) use open_runs::{CallOrigin, OpenRuns};
+pub(crate) use open_runs::{CallOrigin, OpenRuns, RunContext};
--- a/crates/forwarding/src/repeats/open_runs.rs
+++ b/crates/forwarding/src/repeats/open_runs.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use parking_lot::Mutex;
 use tokio::time::Instant;
-use umberpond_model::ServiceName;
+use umberpond_model::{ServiceName, TenantName};
 
 use super::call_rates::RunCalls;
 use crate::message::Attempt;
@@ -37,8 +37,35 @@
     }
 }
 
+/// What a call inherits from the run that makes it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct RunContext {
+    /// When the run was handed to the back end.
+    pub(crate) began: Instant,
+    /// Its rank among the requests for its back end.
+    pub(crate) priority: u8,
+    /// Tenant on whose behalf it runs; absent if it is of none.
+    pub(crate) tenant: Option<TenantName>,
+    /// End of the time within which its answer is of full use.
+    pub(crate) objective_at: Instant,
+    /// End of the time within which its answer is of any use.
+    pub(crate) deadline: Instant,
+}
+
+/// Where a request comes from, and the run that has made it, if one is known.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct RequestSource {
+    pub(crate) origin: CallOrigin,
+    pub(crate) run: Option<RunContext>,
+}
+
+impl RequestSource {
+    const OUTSIDE: Self = Self { origin: CallOrigin::Outside, run: None };
+}
+
 #[derive(Debug)]
 struct Run {
+    context: RunContext,
     is_repeat: bool,
     /// Hash of the name of its route.
     route: u32,
@@ -76,25 +103,34 @@
             state.runs.retain(|_id, run| run.over_at.is_none_or(|at| at > now));
         }
         let Attempt { id, is_repeat, route, deadline, .. } = attempt;
-        let run = Run { is_repeat: *is_repeat, route: *route, calls: RunCalls::new(), over_at: None };
+        let context = RunContext {
+            began: now,
+            priority: attempt.priority,
+            tenant: attempt.tenant.clone(),
+            objective_at: attempt.objective_at,
+            deadline: *deadline,
+        };
+        let run =
+            Run { context, is_repeat: *is_repeat, route: *route, calls: RunCalls::new(), over_at: None };
         state.runs.insert(id.clone(), run);
         OpenRun { runs: Arc::clone(self), id: id.clone(), deadline: *deadline }
     }
 
     /// Takes in that the request called `id` goes to `service`, and tells where it comes from.
-    pub(crate) fn on_request(&self, id: &[u8], service: &ServiceName) -> CallOrigin {
-        let Some(separator) = self.separator else { return CallOrigin::Outside };
+    pub(crate) fn on_request(&self, id: &[u8], service: &ServiceName) -> RequestSource {
+        let Some(separator) = self.separator else { return RequestSource::OUTSIDE };
         let mut state = self.state.lock();
         let mut ends = (1..id.len()).rev().filter(|at| id[*at] == separator);
         let Some(end) = ends.find(|end| state.runs.contains_key(&id[..*end])) else {
-            return CallOrigin::Outside;
+            return RequestSource::OUTSIDE;
         };
-        let Some(run) = state.runs.get_mut(&id[..end]) else { return CallOrigin::Outside };
+        let Some(run) = state.runs.get_mut(&id[..end]) else { return RequestSource::OUTSIDE };
         match run.calls.iter_mut().find(|(called, _)| called == service) {
             Some((_, count)) => *count += 1,
             None => run.calls.push((service.clone(), 1)),
         }
-        if run.is_repeat { CallOrigin::RepeatedRun } else { CallOrigin::FirstRun }
+        let origin = if run.is_repeat { CallOrigin::RepeatedRun } else { CallOrigin::FirstRun };
+        RequestSource { origin, run: Some(run.context.clone()) }
     }
 
     /// Repeated runs of `route` at the back end.
--- a/crates/forwarding/src/repeats/tests.rs
+++ b/crates/forwarding/src/repeats/tests.rs
@@ -50,6 +50,7 @@
         service_time: Duration::ZERO,
         is_later_try: false,
         is_repeat,
+        call: None,
     }
 }
 
@@ -64,19 +65,19 @@
     let first = runs.begin(&attempt("one", false));
     let repeat = runs.begin(&attempt("two.call", true));
     let ledger = service("ledger");
-    assert_eq!(runs.on_request(b"one.x", &ledger), CallOrigin::FirstRun);
-    assert_eq!(runs.on_request(b"two.call.x", &ledger), CallOrigin::RepeatedRun);
+    assert_eq!(runs.on_request(b"one.x", &ledger).origin, CallOrigin::FirstRun);
+    assert_eq!(runs.on_request(b"two.call.x", &ledger).origin, CallOrigin::RepeatedRun);
     for other in ["one", "oneself", "other.x", "two.x", ""] {
-        assert_eq!(runs.on_request(other.as_bytes(), &ledger), CallOrigin::Outside, "{other}");
+        assert_eq!(runs.on_request(other.as_bytes(), &ledger).origin, CallOrigin::Outside, "{other}");
     }
     assert_eq!(first.end(), vec![(ledger.clone(), 1)]);
-    assert_eq!(runs.on_request(b"one.x", &ledger), CallOrigin::Outside, "the run is over");
+    assert_eq!(runs.on_request(b"one.x", &ledger).origin, CallOrigin::Outside, "the run is over");
     assert_eq!(runs.repeated_runs(ROUTE), 1);
     drop(repeat);
-    assert_eq!(runs.on_request(b"two.call.y", &ledger), CallOrigin::RepeatedRun, "it may still run");
+    assert_eq!(runs.on_request(b"two.call.y", &ledger).origin, CallOrigin::RepeatedRun, "it may still run");
     sleep(Duration::from_secs(3)).await;
     drop(runs.begin(&attempt("three", false)));
-    assert_eq!(runs.on_request(b"two.call.z", &ledger), CallOrigin::Outside, "its deadline is over");
+    assert_eq!(runs.on_request(b"two.call.z", &ledger).origin, CallOrigin::Outside, "its deadline is over");
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -12,6 +12,7 @@
 mod names;
 mod rate;
 mod record;
+mod tenant_number;
 mod time;
 mod version;
 
@@ -27,5 +28,6 @@
 };
 pub use rate::{InvalidRate, RequestRate};
 pub use record::{Head, VersionRecord};
+pub use tenant_number::TenantNumber;
 pub use time::Millis;
 pub use version::{SubmissionId, Version};
--- a/crates/quotas/src/lib.rs
+++ b/crates/quotas/src/lib.rs
@@ -17,7 +17,7 @@
 mod sharing;
 
 pub use earned::EarnedTime;
-pub use message::{QuotaGrant, QuotaReport, TenantNumber, TokenCount, WantedTokens};
+pub use message::{QuotaGrant, QuotaReport, TokenCount, WantedTokens};
 pub use own::OwnShares;
 pub use pool::TokenPool;
 pub use pooled::PooledShares;
--- a/crates/quotas/src/message.rs
+++ b/crates/quotas/src/message.rs
@@ -1,21 +1,7 @@
 //! What nodes tell one another of tokens.
 
 use bitcode::{Decode, Encode};
-use umberpond_model::TenantName;
-
-/// Names a tenant in messages: a hash of its name, the same on all nodes. Two tenants with the same number would share their tokens.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
-pub struct TenantNumber(pub u64);
-
-impl TenantNumber {
-    /// The number of the tenant called `name`.
-    #[must_use]
-    pub fn of(name: &TenantName) -> Self {
-        let mut first = [0; 8];
-        first.copy_from_slice(&blake3::hash(name.as_str().as_bytes()).as_bytes()[..8]);
-        Self(u64::from_le_bytes(first))
-    }
-}
+use umberpond_model::TenantNumber;
 
 /// Tokens of one tenant.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
--- a/crates/quotas/src/own.rs
+++ b/crates/quotas/src/own.rs
@@ -3,7 +3,9 @@
 use std::collections::HashMap;
 use std::time::Instant;
 
-use crate::message::{QuotaGrant, QuotaReport, TenantNumber};
+use umberpond_model::TenantNumber;
+
+use crate::message::{QuotaGrant, QuotaReport};
 use crate::sharing::{QuotaSharing, Quotas, TokenAnswer};
 
 /// Tokens of one tenant at this node.
--- a/crates/quotas/src/pool.rs
+++ b/crates/quotas/src/pool.rs
@@ -5,7 +5,9 @@
 
 use umberpond_config::Quota;
 
-use crate::message::{QuotaGrant, QuotaReport, TenantNumber, TokenCount, WantedTokens};
+use umberpond_model::TenantNumber;
+
+use crate::message::{QuotaGrant, QuotaReport, TokenCount, WantedTokens};
 use crate::sharing::Quotas;
 
 /// Time over which it is seen how much of the time of all nodes comes here.
--- a/crates/quotas/src/pooled.rs
+++ b/crates/quotas/src/pooled.rs
@@ -3,8 +3,10 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use umberpond_model::TenantNumber;
+
 use crate::earned::EarnedTime;
-use crate::message::{QuotaGrant, QuotaReport, TenantNumber, TokenCount, WantedTokens};
+use crate::message::{QuotaGrant, QuotaReport, TokenCount, WantedTokens};
 use crate::sharing::{QuotaSharing, Quotas, TokenAnswer};
 
 /// Longest time for which earned time is kept here before it is handed on.
--- a/crates/quotas/src/sharing.rs
+++ b/crates/quotas/src/sharing.rs
@@ -6,7 +6,9 @@
 
 use umberpond_config::{Quota, Tenant};
 
-use crate::message::{QuotaGrant, QuotaReport, TenantNumber};
+use umberpond_model::TenantNumber;
+
+use crate::message::{QuotaGrant, QuotaReport};
 
 /// The quotas of one configuration; a tenant that is missing may send any number of requests.
 pub type Quotas = HashMap<TenantNumber, Quota>;
--- a/crates/quotas/tests/support/mod.rs
+++ b/crates/quotas/tests/support/mod.rs
@@ -5,10 +5,9 @@
 use std::time::{Duration, Instant};
 
 use umberpond_config::{KeyHash, Quota, Tenant};
-use umberpond_model::{HomeRegions, RequestRate, TenantName};
+use umberpond_model::{HomeRegions, RequestRate, TenantName, TenantNumber};
 use umberpond_quotas::{
-    OwnShares, PooledShares, QuotaGrant, QuotaReport, QuotaSharing, Quotas, TenantNumber, TokenAnswer,
-    TokenPool, quotas_of,
+    OwnShares, PooledShares, QuotaGrant, QuotaReport, QuotaSharing, Quotas, TokenAnswer, TokenPool, quotas_of,
 };
 
 /// Time between two steps.
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -7,11 +7,12 @@
 mod cold_pace;
 mod duplicates;
 mod load;
+mod place;
 mod queue;
 mod service_time;
 
 pub use cold_pace::ColdPace;
 pub use duplicates::DuplicateWindow;
 pub use load::LoadReport;
-pub use queue::{Decision, Refusal, Started, Ticket, WorkItem, WorkQueue};
+pub use queue::{CallWork, Decision, Refusal, Started, Ticket, WorkItem, WorkQueue};
 pub use service_time::ServiceTime;
--- /dev/null
+++ b/crates/scheduling/src/place.rs
@@ -0,0 +1,29 @@
+//! The order in which waiting requests get slots.
+
+use std::time::Instant;
+
+use crate::{Ticket, WorkItem};
+
+/// Place in the queue: by priority; then those that can still meet their objective, first tries before later ones and the
+/// most urgent first; then those that can't, so that they don't make others late.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Place {
+    pub(crate) priority: u8,
+    pub(crate) is_late: bool,
+    pub(crate) is_later_try: bool,
+    pub(crate) objective_at: Instant,
+    pub(crate) ticket: Ticket,
+}
+
+impl Place {
+    /// The place of an item that can still meet its objective.
+    pub(crate) const fn of(item: &WorkItem, ticket: Ticket) -> Self {
+        Self {
+            priority: item.priority,
+            is_late: false,
+            is_later_try: item.is_later_try,
+            objective_at: item.objective_at,
+            ticket,
+        }
+    }
+}
--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -4,8 +4,10 @@
 use std::time::{Duration, Instant};
 
 use thiserror::Error;
+use umberpond_model::TenantNumber;
 
 use crate::admitted_work::AdmittedWork;
+use crate::place::Place;
 use crate::{ColdPace, LoadReport, ServiceTime};
 
 /// Most requests that may wait, as a multiple of the slots.
@@ -39,6 +41,17 @@
     pub service: Duration,
     /// Whether its caller has sent it before and was refused: its objective can be met only in part by now.
     pub is_later_try: bool,
+    /// Tenant on whose behalf it is sent; absent if it is of none.
+    pub tenant: Option<TenantNumber>,
+    /// What waits for it elsewhere, if it is a call of a run.
+    pub call: Option<CallWork>,
+}
+
+/// The run at another back end that has made a call and waits for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallWork {
+    /// Time for which the run has held its slot. It is lost if the call is refused.
+    pub spent: Duration,
 }
 
 impl WorkItem {
@@ -60,7 +73,7 @@
 
 /// Names one waiting request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Ticket(u64);
+pub struct Ticket(pub(crate) u64);
 
 /// Why a request is refused before it ran.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
@@ -105,30 +118,6 @@
     Expire(Ticket),
 }
 
-/// Place in the queue: by priority; then those that can still meet their objective, first tries before later ones and the
-/// most urgent first; then those that can't, so that they don't make others late.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct Place {
-    priority: u8,
-    is_late: bool,
-    is_later_try: bool,
-    objective_at: Instant,
-    ticket: Ticket,
-}
-
-impl Place {
-    /// The place of an item that can still meet its objective.
-    const fn of(item: &WorkItem, ticket: Ticket) -> Self {
-        Self {
-            priority: item.priority,
-            is_late: false,
-            is_later_try: item.is_later_try,
-            objective_at: item.objective_at,
-            ticket,
-        }
-    }
-}
-
 /// The queue before one back end, and what is known of its speed.
 #[derive(Debug)]
 pub struct WorkQueue {
@@ -312,6 +301,8 @@
             slots,
             service_micros: self.service_time.mean_micros(),
             failed_permille: permille(self.failed_share),
+            slowdown_percent: 0,
+            refused_rank: None,
         }
     }
 
--- a/crates/scheduling/tests/cold_pace.rs
+++ b/crates/scheduling/tests/cold_pace.rs
@@ -118,6 +118,8 @@
         patience: millis(1_500),
         service: millis(100),
         is_later_try: false,
+        tenant: None,
+        call: None,
     };
     let decisions: Vec<Decision> = (0..100).map(|_| queue.offer(now, item)).collect();
     let count = |wanted: fn(&Decision) -> bool| decisions.iter().filter(|decision| wanted(decision)).count();
--- a/crates/scheduling/tests/queue.rs
+++ b/crates/scheduling/tests/queue.rs
@@ -18,6 +18,8 @@
         patience: millis(10_000),
         service: millis(50),
         is_later_try: false,
+        tenant: None,
+        call: None,
     }
 }
 
--- a/crates/selection/tests/choice.rs
+++ b/crates/selection/tests/choice.rs
@@ -37,6 +37,7 @@
         slots: 10,
         service_micros: service_millis * 1000,
         failed_permille: 0,
+        ..LoadReport::default()
     }
 }
 
