A replay of goodput under overload, and the bounds of a wait as a core of their own

What a request may wait was decided in the middle of the request path, by its clock. It is a pure function of its times now (scheduling::WaitBounds), unchanged in what it decides, so that a replay without a network uses the same rule as the nodes.

Rank 0 waits as long as it can, whoever sends it.

--- a/crates/forwarding/src/outbound/prepared.rs
+++ b/crates/forwarding/src/outbound/prepared.rs
@@ -8,7 +8,7 @@
 use umberpond_http1::RequestHead;
 use umberpond_model::{HomeRegions, ServiceName, TenantName, Version};
 use umberpond_quarantine::RequestKey;
-use umberpond_scheduling::CallWork;
+use umberpond_scheduling::{CallWork, Dependent, WaitBounds};
 
 use crate::message::RequestBody;
 use crate::quotas::QuotaPermit;
@@ -16,16 +16,6 @@
 use crate::routing::CompiledRoute;
 use crate::suspended_time::PastMoment;
 
-/// Share of the objective within which a refusal is early.
-const EARLY_SHARE: f64 = 0.2;
-/// Share of the objective at which an answer has to be expected: half of those expected at its very end come after it.
-const EXPECTED_SHARE: f64 = 0.55;
-/// Share of the time that a caller waits for which a request is held at most without having been handed to a back end.
-const HOLD_SHARE: f64 = 0.45;
-/// Share of its objective for which it is: begun later it is late for certain, and holding it without serving it costs its caller
-/// more the longer it lasts. With 0.6 calls of other requests, whose objectives are short, were given up while they still
-/// served their purpose.
-const HOLD_OBJECTIVE_SHARE: f64 = 1.0;
 /// Rank of the requests on which other requests depend.
 const FIRST_RANK: u8 = 0;
 
@@ -80,23 +70,28 @@
         self.arrived.at() + self.route.objective
     }
 
-    /// When it is given up if no back end has been handed it: its caller still has time to come back then.
+    /// When it is given up if no back end has been handed it.
     pub(super) fn hold_until(&self) -> Instant {
-        let share = self.caller_time.mul_f64(HOLD_SHARE);
-        self.arrived.at() + share.min(self.route.objective.mul_f64(HOLD_OBJECTIVE_SHARE))
+        self.wait_bounds().hold_until().into()
     }
 
-    /// Longest wait for a slot. As long as a refusal still comes early, the request waits only where it is expected to
-    /// meet its objective: otherwise its caller does better to come back. Requests of the first rank wait as long as
-    /// they can: other requests depend on them.
+    /// Longest wait for a slot.
     pub(super) fn patience(&self, service: Duration) -> Duration {
-        let now = Instant::now();
-        let is_early = now < self.arrived.at() + self.route.objective.mul_f64(EARLY_SHARE);
-        let until_deadline = self.deadline().saturating_duration_since(now).saturating_sub(service);
-        if is_early && self.priority > FIRST_RANK {
-            let expected_by = self.arrived.at() + self.route.objective.mul_f64(EXPECTED_SHARE);
-            return expected_by.saturating_duration_since(now).saturating_sub(service);
+        self.wait_bounds().patience(Instant::now().into_std(), service)
+    }
+
+    fn wait_bounds(&self) -> WaitBounds {
+        WaitBounds {
+            arrived: self.arrived.at().into_std(),
+            objective: self.route.objective,
+            deadline: self.deadline().into_std(),
+            caller_time: self.caller_time,
+            dependent: self.dependent(),
         }
-        until_deadline.min(self.hold_until().saturating_duration_since(now))
+    }
+
+    /// Who waits for it.
+    const fn dependent(&self) -> Dependent {
+        if self.priority == FIRST_RANK { Dependent::Requests } else { Dependent::Caller }
     }
 }
--- /dev/null
+++ b/crates/scheduling/tests/replay/mod.rs
@@ -0,0 +1,353 @@
+//! One pass over arrivals and slots on a virtual time, with real queues.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::fmt;
+use std::time::{Duration, Instant};
+
+use umberpond_scheduling::{CallWork, Decision, Dependent, Started, Ticket, WaitBounds, WorkItem, WorkQueue};
+
+/// Slots of one queue.
+const QUEUE_SLOTS: u32 = 8;
+/// Milliseconds for which requests come.
+const DAY: u64 = 20_000;
+/// Milliseconds at the beginning that are not counted.
+const WARM_UP: u64 = 4_000;
+/// Part of the time that is left after which a refused caller comes back, once.
+const COME_BACK: f64 = 0.3;
+
+/// The calls that runs of a kind make, together, once their own work is done.
+#[derive(Debug)]
+pub struct CallKind {
+    pub kind: &'static Kind,
+    pub count: u32,
+    /// Share of the runs that make them.
+    pub share: f64,
+}
+
+/// A kind of request; times are milliseconds.
+#[derive(Debug)]
+pub struct Kind {
+    pub name: &'static str,
+    pub service: usize,
+    pub rank: u8,
+    pub work: u64,
+    pub objective: u64,
+    pub deadline: u64,
+    pub call: Option<CallKind>,
+}
+
+/// How many requests of a kind callers send.
+#[derive(Debug, Clone, Copy)]
+pub struct Load {
+    pub kind: &'static Kind,
+    pub per_second: f64,
+}
+
+/// What became of the requests of a kind.
+#[derive(Debug, Default, Clone, Copy)]
+struct Tally {
+    sent: u32,
+    in_time: u32,
+    late: u32,
+    failed: u32,
+}
+
+#[derive(Debug)]
+struct Request {
+    kind: &'static Kind,
+    first_sent: u64,
+    sent: u64,
+    is_later_try: bool,
+    /// The run that has made it.
+    run: Option<usize>,
+    queue: (usize, usize),
+    started: u64,
+    open_calls: u32,
+    has_failed_call: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive(usize),
+    Worked(usize),
+    GiveUp(usize, Ticket),
+}
+
+/// One pass, and its result.
+pub struct Replay {
+    began: Instant,
+    now: u64,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    sequence: u64,
+    services: Vec<Vec<WorkQueue>>,
+    requests: Vec<Request>,
+    waiting: HashMap<(usize, usize, Ticket), usize>,
+    /// Time in the slot in the mean, in milliseconds.
+    slot_times: HashMap<&'static str, f64>,
+    tallies: BTreeMap<&'static str, Tally>,
+    random: u64,
+}
+
+impl Replay {
+    /// Plays `loads` on services with so many slots each.
+    pub fn run(slots: &[u32], loads: &[Load]) -> Self {
+        let mut replay = Self::new(slots);
+        for load in loads {
+            replay.send_all(*load);
+        }
+        while let Some(Reverse((at, _, event))) = replay.events.pop() {
+            replay.now = at;
+            replay.step(event);
+        }
+        replay
+    }
+
+    fn new(slots: &[u32]) -> Self {
+        let queues = |slots: &u32| (0..slots / QUEUE_SLOTS).map(|_| open_queue()).collect();
+        Self {
+            began: Instant::now(),
+            now: 0,
+            events: BinaryHeap::new(),
+            sequence: 0,
+            services: slots.iter().map(queues).collect(),
+            requests: Vec::new(),
+            waiting: HashMap::new(),
+            slot_times: HashMap::new(),
+            tallies: BTreeMap::new(),
+            random: 7,
+        }
+    }
+
+    /// Answers inside their objective a second, of all kinds that callers send.
+    pub fn goodput(&self) -> f64 {
+        let in_time: u32 = self.tallies.values().map(|tally| tally.in_time).sum();
+        f64::from(in_time) * 1e3 / (DAY - WARM_UP) as f64
+    }
+
+    /// Share of the requests of a kind that were answered in time.
+    pub fn served_share(&self, kind: &str) -> f64 {
+        let tally = self.tallies[kind];
+        f64::from(tally.in_time) / f64::from(tally.sent)
+    }
+
+    fn send_all(&mut self, load: Load) {
+        let mut at = 0.0;
+        loop {
+            at -= self.uniform().ln() * 1e3 / load.per_second;
+            if at >= DAY as f64 {
+                return;
+            }
+            let request = self.request(load.kind, at as u64, None);
+            self.at(at as u64, Event::Arrive(request));
+        }
+    }
+
+    fn request(&mut self, kind: &'static Kind, sent: u64, run: Option<usize>) -> usize {
+        self.requests.push(Request {
+            kind,
+            first_sent: sent,
+            sent,
+            is_later_try: false,
+            run,
+            queue: (kind.service, 0),
+            started: 0,
+            open_calls: 0,
+            has_failed_call: false,
+        });
+        self.requests.len() - 1
+    }
+
+    fn step(&mut self, event: Event) {
+        match event {
+            Event::Arrive(request) => self.arrive(request),
+            Event::Worked(request) => self.worked(request),
+            Event::GiveUp(request, ticket) => self.give_up(request, ticket),
+        }
+    }
+
+    /// Offers a request to the less loaded of two queues, then to the other one.
+    fn arrive(&mut self, request: usize) {
+        let service = self.requests[request].kind.service;
+        let count = self.services[service].len();
+        let one = (self.uniform() * count as f64) as usize;
+        let other = (one + 1 + (self.uniform() * (count - 1) as f64) as usize) % count;
+        let now = self.instant(self.now);
+        let mut load = |queue: usize| {
+            let report = self.services[service][queue].report(now);
+            report.running + report.waiting
+        };
+        let order = if load(other) < load(one) { [other, one] } else { [one, other] };
+        for queue in order {
+            if self.offer(request, queue) {
+                return;
+            }
+        }
+        self.refused(request);
+    }
+
+    /// Offers a request to a queue; `false` if it is refused.
+    fn offer(&mut self, request: usize, queue: usize) -> bool {
+        let item = self.item(request);
+        let (service, now) = (self.requests[request].kind.service, self.instant(self.now));
+        self.requests[request].queue = (service, queue);
+        match self.services[service][queue].offer(now, item) {
+            Decision::Start => self.start(request),
+            Decision::Wait(ticket) => {
+                self.waiting.insert((service, queue, ticket), request);
+                let end = item.hold_until.min(item.deadline).duration_since(self.began);
+                self.at(end.as_millis() as u64, Event::GiveUp(request, ticket));
+            }
+            Decision::Refuse(_) => return false,
+        }
+        true
+    }
+
+    fn item(&self, request: usize) -> WorkItem {
+        let Request { kind, sent, run, is_later_try, .. } = &self.requests[request];
+        let bounds = WaitBounds {
+            arrived: self.instant(*sent),
+            objective: Duration::from_millis(kind.objective),
+            deadline: self.instant(sent + kind.deadline),
+            caller_time: Duration::from_millis(kind.deadline),
+            dependent: if kind.rank == 0 { Dependent::Requests } else { Dependent::Caller },
+        };
+        let slot_time = self.slot_times.get(kind.name).copied().unwrap_or(kind.work as f64);
+        let service = Duration::from_secs_f64(slot_time / 1e3);
+        let spent = |run: usize| Duration::from_millis(self.now - self.requests[run].started);
+        WorkItem {
+            priority: kind.rank,
+            objective_at: bounds.arrived + bounds.objective,
+            deadline: bounds.deadline,
+            hold_until: bounds.hold_until(),
+            patience: bounds.patience(self.instant(self.now), service),
+            service,
+            is_later_try: *is_later_try,
+            tenant: None,
+            call: run.map(|run| CallWork { spent: spent(run) }),
+        }
+    }
+
+    fn start(&mut self, request: usize) {
+        let work = self.requests[request].kind.work as f64 * (0.7 + 0.6 * self.uniform());
+        self.requests[request].started = self.now;
+        self.at(self.now + work as u64, Event::Worked(request));
+    }
+
+    /// Makes the calls of a run whose own work is done.
+    fn worked(&mut self, request: usize) {
+        let calling = self.requests[request].kind.call.as_ref();
+        let Some(call) = calling.filter(|call| self.uniform() < call.share) else {
+            return self.end(request, true);
+        };
+        self.requests[request].open_calls = call.count;
+        for _ in 0..call.count {
+            let made = self.request(call.kind, self.now, Some(request));
+            self.at(self.now, Event::Arrive(made));
+        }
+    }
+
+    /// Ends a request that had a slot.
+    fn end(&mut self, request: usize, is_good: bool) {
+        let Request { kind, queue: (service, queue), started, .. } = self.requests[request];
+        let taken = self.now - started;
+        let mean = self.slot_times.entry(kind.name).or_insert(taken as f64);
+        *mean += 0.05 * (taken as f64 - *mean);
+        self.services[service][queue].finish(Some(Duration::from_millis(taken)));
+        self.start_waiting(service, queue);
+        self.close(request, is_good);
+    }
+
+    fn start_waiting(&mut self, service: usize, queue: usize) {
+        let now = self.instant(self.now);
+        while let Some(started) = self.services[service][queue].start_next(now) {
+            match started {
+                Started::Run(ticket) => {
+                    let request = self.waiting.remove(&(service, queue, ticket));
+                    self.start(request.expect("it waits"));
+                }
+                Started::Expire(ticket) => {
+                    let request = self.waiting.remove(&(service, queue, ticket));
+                    self.refused(request.expect("it waits"));
+                }
+            }
+        }
+    }
+
+    fn give_up(&mut self, request: usize, ticket: Ticket) {
+        let (service, queue) = self.requests[request].queue;
+        if self.waiting.remove(&(service, queue, ticket)).is_some() {
+            self.services[service][queue].withdraw(ticket);
+            self.refused(request);
+        }
+    }
+
+    /// A caller comes back once; a call does not.
+    fn refused(&mut self, request: usize) {
+        let Request { kind, first_sent, run, is_later_try, .. } = self.requests[request];
+        let left = (first_sent + kind.deadline).saturating_sub(self.now);
+        if run.is_some() || is_later_try || left == 0 {
+            return self.close(request, false);
+        }
+        let next = self.now + (left as f64 * COME_BACK) as u64;
+        self.requests[request].is_later_try = true;
+        self.requests[request].sent = next;
+        self.at(next, Event::Arrive(request));
+    }
+
+    /// Tells the run, or else the caller, what became of a request.
+    fn close(&mut self, request: usize, is_good: bool) {
+        let Request { kind, first_sent, run, .. } = self.requests[request];
+        if let Some(run) = run {
+            self.requests[run].has_failed_call |= !is_good;
+            self.requests[run].open_calls -= 1;
+            if self.requests[run].open_calls == 0 {
+                self.end(run, !self.requests[run].has_failed_call);
+            }
+            return;
+        }
+        if first_sent < WARM_UP {
+            return;
+        }
+        let tally = self.tallies.entry(kind.name).or_default();
+        tally.sent += 1;
+        match () {
+            () if !is_good => tally.failed += 1,
+            () if self.now <= first_sent + kind.objective => tally.in_time += 1,
+            () => tally.late += 1,
+        }
+    }
+
+    fn at(&mut self, at: u64, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse((at.max(self.now), self.sequence, event)));
+    }
+
+    fn instant(&self, millis: u64) -> Instant {
+        self.began + Duration::from_millis(millis)
+    }
+
+    /// A number above 0 and up to 1.
+    fn uniform(&mut self) -> f64 {
+        self.random =
+            self.random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        ((self.random >> 33) + 1) as f64 / (1_u64 << 31) as f64
+    }
+}
+
+impl fmt::Display for Replay {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "goodput {:.0}", self.goodput())?;
+        for (name, Tally { sent, in_time, late, failed }) in &self.tallies {
+            write!(formatter, "; {name}: {in_time} of {sent} in time, {late} late, {failed} failed")?;
+        }
+        Ok(())
+    }
+}
+
+fn open_queue() -> WorkQueue {
+    let mut queue = WorkQueue::new();
+    queue.set_slots(QUEUE_SLOTS);
+    queue.open();
+    queue
+}
