Calls inherit rank, tenant and deadline of their run, and go before new requests

Whatever a back end sends with a call counted as if a caller had sent it: the rank of the call's own route, which mostly names none and is last, and its own deadline. A refused call fails its run and the slot time that the run has used is lost. A call now takes the more urgent of both ranks, ends with its run and is counted in the share of the run's tenant, if it has none itself (not charged to its quota, nor told to the back end). In the queue it goes before new requests of its rank, also when it is late, is reckoned with in the waits of others and finds room where new requests have filled the queue.

Ruled out: to hold calls to their deadlines.

--- /dev/null
+++ b/crates/forwarding/src/calls/mod.rs
@@ -0,0 +1,7 @@
+//! Calls: requests that a run at the back end beside this node makes, and for which it holds its slot.
+
+mod inherited;
+#[cfg(test)]
+mod tests;
+
+pub(crate) use inherited::{inherited_rank, inherited_time};
--- a/crates/forwarding/src/hop/protocol.rs
+++ b/crates/forwarding/src/hop/protocol.rs
@@ -6,11 +6,11 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 use umberpond_http1::Fields;
-use umberpond_model::{HomeRegions, ServiceName, TenantName};
+use umberpond_model::{HomeRegions, ServiceName, TenantName, TenantNumber};
 use umberpond_quarantine::{RequestFingerprint, RequestKey};
 use umberpond_scheduling::{CallWork, LoadReport};
 
-use crate::message::{Answer, Attempt, NotRun, RequestBody};
+use crate::message::{Answer, Attempt, NotRun, RequestBody, RunCall};
 use crate::outcome::{NotRunReason, UnknownReason};
 
 /// From the caller's node to the node beside the back end.
@@ -82,8 +82,7 @@
     service_time: u64,
     is_later_try: bool,
     is_repeat: bool,
-    /// Microseconds for which the run that makes the call has held its slot.
-    call_spent: Option<u64>,
+    call: Option<HopCall>,
     pub(crate) body: HopBody,
 }
 
@@ -110,6 +109,25 @@
     load: Option<LoadReport>,
 }
 
+/// What a call brings along of the run that makes it.
+#[derive(Debug, Encode, Decode)]
+struct HopCall {
+    /// Microseconds for which the run has held its slot.
+    spent: u64,
+    tenant: Option<TenantNumber>,
+}
+
+impl HopCall {
+    fn of(call: &RunCall) -> Self {
+        Self { spent: micros(call.work.spent), tenant: call.tenant }
+    }
+
+    const fn into_call(self) -> RunCall {
+        let work = CallWork { spent: Duration::from_micros(self.spent) };
+        RunCall { work, tenant: self.tenant }
+    }
+}
+
 impl OpenHop {
     /// The message for `attempt`, whose body travels as `body`.
     pub(crate) fn of(attempt: &Attempt, body: HopBody) -> Self {
@@ -135,7 +153,7 @@
             service_time: micros(attempt.service_time),
             is_later_try: attempt.is_later_try,
             is_repeat: attempt.is_repeat,
-            call_spent: attempt.call.map(|call| micros(call.spent)),
+            call: attempt.call.as_ref().map(HopCall::of),
             body,
         }
     }
@@ -166,7 +184,7 @@
             service_time: Duration::from_micros(self.service_time),
             is_later_try: self.is_later_try,
             is_repeat: self.is_repeat,
-            call: self.call_spent.map(|spent| CallWork { spent: Duration::from_micros(spent) }),
+            call: self.call.map(HopCall::into_call),
         }
     }
 }
--- a/crates/forwarding/src/inbound/serving.rs
+++ b/crates/forwarding/src/inbound/serving.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 use umberpond_http1::Fields;
-use umberpond_model::TenantNumber;
 use umberpond_quarantine::Standing;
 use umberpond_scheduling::{Refusal, WorkItem};
 use umberpond_telemetry::Event;
@@ -375,8 +374,8 @@
         patience: attempt.patience,
         service: attempt.service_time,
         is_later_try: attempt.is_later_try,
-        tenant: attempt.tenant.as_ref().map(TenantNumber::of),
-        call: attempt.call,
+        tenant: attempt.sharing_tenant(),
+        call: attempt.call.map(|call| call.work),
     }
 }
 
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -9,6 +9,7 @@
 //! with a promise, and only that or an idempotent request is sent again.
 
 mod body;
+mod calls;
 mod dialect;
 mod hop;
 mod inbound;
--- a/crates/forwarding/src/message.rs
+++ b/crates/forwarding/src/message.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 use umberpond_http1::Fields;
-use umberpond_model::{HomeRegions, ServiceName, TenantName};
+use umberpond_model::{HomeRegions, ServiceName, TenantName, TenantNumber};
 use umberpond_quarantine::RequestKey;
 use umberpond_scheduling::{CallWork, LoadReport};
 
@@ -113,7 +113,26 @@
     /// Whether it is sent again after it had reached a back end, or is a call of a run that was.
     pub is_repeat: bool,
     /// What waits for it, if it is a call of a run at the back end beside the caller's node.
-    pub call: Option<CallWork>,
+    pub call: Option<RunCall>,
+}
+
+/// What a call brings along of the run that makes it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RunCall {
+    /// What is lost with it.
+    pub work: CallWork,
+    /// Tenant of the run, in whose share of the slots the call is counted if it names none itself. It is neither told to the back end nor
+    /// charged to the tenant's quota, of which the run has taken its part.
+    pub tenant: Option<TenantNumber>,
+}
+
+impl Attempt {
+    /// Tenant in whose share of the slots it is counted.
+    #[must_use]
+    pub fn sharing_tenant(&self) -> Option<TenantNumber> {
+        let own = self.tenant.as_ref().map(TenantNumber::of);
+        own.or_else(|| self.call.and_then(|call| call.tenant))
+    }
 }
 
 /// What is known about an attempt at its end.
--- a/crates/forwarding/src/outbound/handler.rs
+++ b/crates/forwarding/src/outbound/handler.rs
@@ -17,6 +17,7 @@
 use super::prepared::PreparedRequest;
 use super::reply::{Reply, ReplyReason};
 use super::state::Outbound;
+use crate::calls::{inherited_rank, inherited_time};
 use crate::message::RequestBody;
 use crate::outcome::NotRunReason;
 use crate::routing::{CompiledRoute, NoTenant, RoutingTable};
@@ -85,10 +86,16 @@
         let told = self.told_time(&head);
         let time = told.map_or(route.timeout, |told| told.saturating_sub(ANSWER_RESERVE).min(route.timeout));
         let caller_time = told.unwrap_or(route.timeout);
-        let is_later_try = told.is_some() && self.caller_times.lock().record(&route.name, caller_time);
         let service = self.splits.lock().next(&mut *self.random.lock(), &route).clone();
         let id = id.unwrap_or_else(|| self.new_id());
         let source = self.inbound.runs().on_request(&id, &service);
+        let run = source.run.as_ref();
+        let own_rank = tenant.and_then(|tenant| tenant.priority).unwrap_or(route.priority);
+        let priority = inherited_rank(own_rank, run);
+        let time = inherited_time(time, arrived, run);
+        // A call brings what is left of its run, so that its time tells nothing of earlier tries.
+        let tells_tries = told.is_some() && run.is_none();
+        let is_later_try = tells_tries && self.caller_times.lock().record(&route.name, caller_time);
         let version = table.version();
         let key = self.dialect.caller_key.and_then(|name| head.fields.get(name)).cloned();
         let fingerprint = RequestFingerprint::of(&RequestContent {
@@ -105,7 +112,7 @@
             head: self.passed_on(head, &route),
             body,
             homes: homes(&route, tenant),
-            priority: tenant.and_then(|tenant| tenant.priority).unwrap_or(route.priority),
+            priority,
             permit: None,
             tenant: tenant.map(|tenant| tenant.name.clone()),
             route,
--- a/crates/forwarding/src/outbound/prepared.rs
+++ b/crates/forwarding/src/outbound/prepared.rs
@@ -11,7 +11,7 @@
 use umberpond_quarantine::RequestKey;
 use umberpond_scheduling::{CallWork, Dependent, WaitBounds};
 
-use crate::message::RequestBody;
+use crate::message::{RequestBody, RunCall};
 use crate::quotas::QuotaPermit;
 use crate::repeats::{CallOrigin, RunContext};
 use crate::routing::CompiledRoute;
@@ -53,9 +53,11 @@
 }
 
 impl PreparedRequest {
-    /// What waits for it, if it is a call.
-    pub(super) fn call(&self) -> Option<CallWork> {
-        self.run.as_ref().map(|run| CallWork { spent: run.began.elapsed() })
+    /// What it brings along of the run that makes it, if it is a call.
+    pub(super) fn call(&self) -> Option<RunCall> {
+        let run = self.run.as_ref()?;
+        let work = CallWork { spent: run.began.elapsed() };
+        Some(RunCall { work, tenant: run.tenant })
     }
 
     /// When it is ended, whatever has become of it.
--- a/crates/forwarding/src/repeats/open_runs.rs
+++ b/crates/forwarding/src/repeats/open_runs.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use parking_lot::Mutex;
 use tokio::time::Instant;
-use umberpond_model::{ServiceName, TenantName};
+use umberpond_model::{ServiceName, TenantNumber};
 
 use super::call_rates::RunCalls;
 use crate::message::Attempt;
@@ -45,7 +45,7 @@
     /// Its rank among the requests for its back end.
     pub(crate) priority: u8,
     /// Tenant on whose behalf it runs; absent if it is of none.
-    pub(crate) tenant: Option<TenantName>,
+    pub(crate) tenant: Option<TenantNumber>,
     /// End of the time within which its answer is of full use.
     pub(crate) objective_at: Instant,
     /// End of the time within which its answer is of any use.
@@ -106,7 +106,7 @@
         let context = RunContext {
             began: now,
             priority: attempt.priority,
-            tenant: attempt.tenant.clone(),
+            tenant: attempt.sharing_tenant(),
             objective_at: attempt.objective_at,
             deadline: *deadline,
         };
--- a/crates/scheduling/src/place.rs
+++ b/crates/scheduling/src/place.rs
@@ -4,11 +4,13 @@
 
 use crate::{Ticket, WorkItem};
 
-/// Place in the queue: by priority; then those that can still meet their objective, first tries before later ones and the
-/// most urgent first; then those that can't, so that they don't make others late.
+/// Place in the queue: by priority; then calls of runs, whose slots are lost without them; then new requests that can still meet their objective,
+/// first tries before later ones; then those that can't, so that they don't make others late. Of each of these the most urgent goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Place {
     pub(crate) priority: u8,
+    /// Whether no run waits for it.
+    pub(crate) is_new: bool,
     pub(crate) is_late: bool,
     pub(crate) is_later_try: bool,
     pub(crate) objective_at: Instant,
@@ -20,8 +22,9 @@
     pub(crate) const fn of(item: &WorkItem, ticket: Ticket) -> Self {
         Self {
             priority: item.priority,
+            is_new: item.call.is_none(),
             is_late: false,
-            is_later_try: item.is_later_try,
+            is_later_try: item.call.is_none() && item.is_later_try,
             objective_at: item.objective_at,
             ticket,
         }
--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -12,6 +12,8 @@
 
 /// Most requests that may wait, as a multiple of the slots.
 const WAITING_PER_SLOT: usize = 20;
+/// Most calls that may wait, as a multiple of the slots: a queue that is full of new requests still takes calls.
+const WAITING_CALLS_PER_SLOT: usize = 2 * WAITING_PER_SLOT;
 /// Assumed service time while nothing is known.
 const UNKNOWN_SERVICE_TIME: Duration = Duration::from_millis(50);
 /// Share of its expected time that a request must have left to be started: some take less than expected.
@@ -69,6 +71,21 @@
     fn is_late(&self, now: Instant) -> bool {
         now + self.service > self.objective_at
     }
+
+    /// Whether it is of less use than one that comes in time. A call is not, however late: its run waits.
+    fn has_missed(&self, now: Instant) -> bool {
+        self.call.is_none() && (self.is_later_try || self.is_late(now))
+    }
+
+    /// Time by which it is reckoned to overtake others.
+    fn urgency(&self, now: Instant) -> Duration {
+        if self.call.is_some() { Duration::ZERO } else { self.left(now) }
+    }
+
+    /// Most requests that may wait when it comes, as a multiple of the slots.
+    const fn waiting_per_slot(&self) -> usize {
+        if self.call.is_some() { WAITING_CALLS_PER_SLOT } else { WAITING_PER_SLOT }
+    }
 }
 
 /// Names one waiting request.
@@ -210,13 +227,13 @@
         if item.is_hopeless(now) {
             return Decision::Refuse(Refusal::Expired);
         }
-        let has_missed = item.is_later_try || item.is_late(now);
+        let has_missed = item.has_missed(now);
         if has_missed && self.is_contended(now, item.priority) {
             return Decision::Refuse(Refusal::WaitTooLong { expected: self.mean_service_time() });
         }
         if self.running < self.slots && self.waiting.is_empty() && self.pace.may_start(now) {
             self.start(now);
-            self.admitted.record(now, item.left(now), item.service);
+            self.admitted.record(now, item.urgency(now), item.service);
             return Decision::Start;
         }
         let expected = self.expected_wait(now, item);
@@ -226,10 +243,10 @@
             }
             return Decision::Refuse(Refusal::WaitTooLong { expected });
         }
-        if self.waiting.len() >= WAITING_PER_SLOT * self.slots.max(1) as usize {
+        if self.waiting.len() >= item.waiting_per_slot() * self.slots.max(1) as usize {
             return Decision::Refuse(Refusal::QueueFull);
         }
-        self.admitted.record(now, item.left(now), item.service);
+        self.admitted.record(now, item.urgency(now), item.service);
         Decision::Wait(self.enqueue(item))
     }
 
@@ -285,7 +302,7 @@
             return pace_wait;
         }
         let slots = self.slots.max(1);
-        let overtaking = self.admitted.overtaking_rate(now, item.left(now)) / f64::from(slots);
+        let overtaking = self.admitted.overtaking_rate(now, item.urgency(now)) / f64::from(slots);
         let left_share = 1.0 - overtaking.min(MOST_OVERTAKING_SHARE);
         ((ahead + self.mean_service_time()) / slots).div_f64(left_share).max(pace_wait)
     }
@@ -327,7 +344,7 @@
     fn first_waiting(&mut self, now: Instant) -> Option<(Place, WorkItem)> {
         loop {
             let (place, item) = self.waiting.first_key_value().map(|(place, item)| (*place, *item))?;
-            if place.is_late || !item.is_late(now) {
+            if place.is_late || !place.is_new || !item.is_late(now) {
                 return Some((place, item));
             }
             self.remove(place);
--- a/crates/scheduling/src/wait_bounds.rs
+++ b/crates/scheduling/src/wait_bounds.rs
@@ -38,7 +38,8 @@
 }
 
 impl WaitBounds {
-    /// When it is given up if no back end has been handed it: its caller still has time to come back then.
+    /// When it is given up if no back end has been handed it: its caller still has time to come back then, and a run that waits for it
+    /// does not hold its slot for longer than that serves.
     #[must_use]
     pub fn hold_until(&self) -> Instant {
         let share = self.caller_time.mul_f64(HOLD_SHARE);
--- /dev/null
+++ b/crates/scheduling/tests/calls.rs
@@ -0,0 +1,93 @@
+//! Calls of runs, whose slots are lost if the calls are refused, in the queue of a service that callers fill too.
+
+use std::time::{Duration, Instant};
+
+use umberpond_scheduling::{CallWork, Decision, Refusal, Started, Ticket, WorkItem, WorkQueue};
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// A new request of rank 1.
+fn new_work(now: Instant, objective: u64) -> WorkItem {
+    WorkItem {
+        priority: 1,
+        objective_at: now + millis(objective),
+        deadline: now + millis(2_000),
+        hold_until: now + millis(2_000),
+        patience: millis(2_000),
+        service: millis(50),
+        is_later_try: false,
+        tenant: None,
+        call: None,
+    }
+}
+
+fn call(now: Instant, objective: u64) -> WorkItem {
+    WorkItem { call: Some(CallWork { spent: millis(100) }), ..new_work(now, objective) }
+}
+
+/// A queue before one slot, which is taken.
+fn busy_queue(now: Instant) -> WorkQueue {
+    let mut queue = WorkQueue::new();
+    queue.set_slots(1);
+    queue.open();
+    assert_eq!(queue.offer(now, new_work(now, 500)), Decision::Start);
+    queue
+}
+
+fn waits(decision: Decision) -> Ticket {
+    let Decision::Wait(ticket) = decision else { panic!("{decision:?}") };
+    ticket
+}
+
+fn next_run(queue: &mut WorkQueue, now: Instant) -> Ticket {
+    queue.finish(Some(millis(50)));
+    let Some(Started::Run(ticket)) = queue.start_next(now) else { panic!("nothing runs") };
+    ticket
+}
+
+#[test]
+fn a_call_goes_before_new_requests_of_its_rank_also_when_it_is_late_and_after_more_urgent_ones() {
+    let now = Instant::now();
+    let mut queue = busy_queue(now);
+    let new = waits(queue.offer(now, new_work(now, 300)));
+    let late = waits(queue.offer(now, call(now, 20)));
+    let urgent = waits(queue.offer(now, WorkItem { priority: 0, ..new_work(now, 900) }));
+    assert_eq!([(); 3].map(|()| next_run(&mut queue, now)), [urgent, late, new]);
+}
+
+#[test]
+fn a_late_call_is_taken_in_where_a_late_new_request_is_refused() {
+    let now = Instant::now();
+    let mut queue = busy_queue(now);
+    let impatient = WorkItem { patience: Duration::ZERO, ..new_work(now, 500) };
+    assert!(matches!(queue.offer(now, impatient), Decision::Refuse(Refusal::WaitTooLong { .. })));
+    assert!(matches!(queue.offer(now, new_work(now, 20)), Decision::Refuse(Refusal::WaitTooLong { .. })));
+    waits(queue.offer(now, call(now, 20)));
+}
+
+#[test]
+fn a_queue_full_of_new_requests_takes_calls() {
+    let now = Instant::now();
+    let mut queue = busy_queue(now);
+    let patient = WorkItem { patience: millis(100_000), ..new_work(now, 500) };
+    while matches!(queue.offer(now, patient), Decision::Wait(_)) {}
+    assert_eq!(queue.offer(now, patient), Decision::Refuse(Refusal::QueueFull));
+    let call = waits(queue.offer(now, call(now, 300)));
+    assert_eq!(next_run(&mut queue, now), call);
+}
+
+/// A new request that is taken in is overtaken by the calls that come while it waits, so that it waits longer than for what lies before it.
+#[test]
+fn the_wait_expected_of_a_new_request_reckons_with_the_calls_that_will_come() {
+    let now = Instant::now();
+    let mut queue = busy_queue(now);
+    let new = new_work(now, 10);
+    let before = queue.expected_wait(now, new);
+    for _ in 0..20 {
+        waits(queue.offer(now, call(now, 300)));
+        next_run(&mut queue, now);
+    }
+    assert!(queue.expected_wait(now, new) > before * 2);
+}
--- a/crates/scheduling/tests/goodput.rs
+++ b/crates/scheduling/tests/goodput.rs
@@ -2,7 +2,7 @@
 
 mod replay;
 
-use replay::{Kind, Load, Replay};
+use replay::{CallKind, Kind, Load, Replay};
 
 /// A lookup on which a person waits.
 const LOOKUP: Kind =
@@ -34,3 +34,48 @@
         assert!(lookup >= order, "{load} times: {over}");
     }
 }
+
+/// A call that lookups make at another service, whose route names no rank.
+const CHECK: Kind =
+    Kind { name: "check", service: 1, rank: 9, work: 35, objective: 150, deadline: 400, call: None };
+/// As [`LOOKUP`], with calls.
+const CALLING_LOOKUP: Kind = Kind { call: Some(CallKind { kind: &CHECK, count: 2, share: 0.7 }), ..LOOKUP };
+/// What callers send to the called service.
+const PURCHASE: Kind =
+    Kind { name: "purchase", service: 1, rank: 1, work: 180, objective: 600, deadline: 1_500, call: None };
+/// Slots that the calls of one lookup take in the mean.
+const CALL_SLOTS: f64 = 0.7 * 2.0 * 0.035;
+
+/// Lookups, and purchases at the service that they call. At load 1 both services bear what comes.
+fn chain(load: f64, slots: [u32; 2], lookups: f64) -> Replay {
+    let purchases = (f64::from(slots[1]) - lookups * CALL_SLOTS).max(0.0) / 0.180;
+    let loads = [
+        Load { kind: &CALLING_LOOKUP, per_second: load * lookups },
+        Load { kind: &PURCHASE, per_second: load * purchases },
+    ];
+    let replay = Replay::run(&slots, &loads);
+    println!("{load} times the load, {slots:?} slots: {replay}");
+    replay
+}
+
+#[test]
+fn goodput_holds_where_only_the_called_service_is_full() {
+    let measure = |load| chain(load, [160, 32], 200.0);
+    let base = measure(1.0);
+    for load in [2.0, 3.0] {
+        let over = measure(load);
+        assert!(over.goodput() >= KEPT_SHARE * base.goodput(), "{load} times: {over}, not {base}");
+        let (lookup, purchase) = (over.served_share("lookup"), over.served_share("purchase"));
+        assert!(lookup >= purchase, "the more urgent kind comes by calls, {load} times: {over}");
+    }
+}
+
+#[test]
+fn goodput_holds_where_both_services_are_full() {
+    let measure = |load| chain(load, [64, 32], 340.0);
+    let base = measure(1.0);
+    for load in [2.0, 3.0] {
+        let over = measure(load);
+        assert!(over.goodput() >= KEPT_SHARE * base.goodput(), "{load} times: {over}, not {base}");
+    }
+}
--- a/crates/scheduling/tests/replay/mod.rs
+++ b/crates/scheduling/tests/replay/mod.rs
@@ -205,18 +205,21 @@
 
     fn item(&self, request: usize) -> WorkItem {
         let Request { kind, sent, run, is_later_try, .. } = &self.requests[request];
+        let run = run.map(|run| &self.requests[run]);
+        let run_deadline = run.map_or(u64::MAX, |run| run.sent + run.kind.deadline);
+        let run_rank = run.map_or(u8::MAX, |run| run.kind.rank);
         let bounds = WaitBounds {
             arrived: self.instant(*sent),
             objective: Duration::from_millis(kind.objective),
-            deadline: self.instant(sent + kind.deadline),
+            deadline: self.instant(run_deadline.min(sent + kind.deadline)),
             caller_time: Duration::from_millis(kind.deadline),
             dependent: if run.is_some() { Dependent::Requests } else { Dependent::Caller },
         };
         let slot_time = self.slot_times.get(kind.name).copied().unwrap_or(kind.work as f64);
         let service = Duration::from_secs_f64(slot_time / 1e3);
-        let spent = |run: usize| Duration::from_millis(self.now - self.requests[run].started);
+        let spent = |run: &Request| Duration::from_millis(self.now - run.started);
         WorkItem {
-            priority: kind.rank,
+            priority: run_rank.min(kind.rank),
             objective_at: bounds.arrived + bounds.objective,
             deadline: bounds.deadline,
             hold_until: bounds.hold_until(),
