A load report tells the most urgent rank that was refused a moment ago

The field was there, and nobody filled it. Told from the refusals for want of room that the queue remembers, until each slot may have become free once.

--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -23,6 +23,8 @@
 /// How long a queue counts as contended after it refused a request that could still have met its objective, in times in which one slot
 /// becomes free. Meanwhile those that can't any more get no free slot: the next one that can comes within about that time.
 const CONTENDED_TURNS: f64 = 1.0;
+/// For how long others are told of a refused request, in times that the back end takes for one: until each slot has become free once.
+const TOLD_REFUSAL_TURNS: f64 = 1.0;
 /// Weight of one request in the share of failed ones.
 const FAILURE_WEIGHT: f64 = 0.03;
 
@@ -319,7 +321,7 @@
             service_micros: self.service_time.mean_micros(),
             failed_permille: permille(self.failed_share),
             slowdown_percent: 0,
-            refused_rank: None,
+            refused_rank: self.refused_rank(now),
         }
     }
 
@@ -331,6 +333,14 @@
         refused.any(|(_, at)| now.saturating_duration_since(*at) < moment)
     }
 
+    /// The most urgent rank of which requests that could still have met their objective were refused a moment ago.
+    fn refused_rank(&self, now: Instant) -> Option<u8> {
+        let moment = self.mean_service_time().mul_f64(TOLD_REFUSAL_TURNS);
+        let mut refused = self.refused_at.iter();
+        let (rank, _) = refused.find(|(_, at)| now.saturating_duration_since(**at) < moment)?;
+        Some(*rank)
+    }
+
     fn start(&mut self, now: Instant) {
         self.running += 1;
         self.pace.on_start(now);
