Quotas: late answers count until their tokens end, unused tokens go back

Cause: a node took an answer of a pool only until it asked the next one, 25 ms later, and dropped the tokens of every answer that came after that. On nodes that wait for a processor that was a third of a tenant's limit. Besides, a node that looks each 50 ms reported after 200 to 250 ms and kept 200 ms of earned time; a pool kept one token of a small tenant and earned nothing while it waited; and a token outlived its time on the way, or while a request held it that was then refused.

Change: the answers to all reports whose tokens would still be good are taken, each once, and tokens end 250 ms after they were asked for, wherever they are, also when a request gives one back. What nobody uses goes back to a pool before its end; a pool counts what it has given within that time, so that tokens that go back and forth do not add up. Reports are due after 140 ms. All pools together keep 16 tokens at least, as they did at 16 pools. Where a tenant is far beyond its limit, one empty pool confirms it, requests are refused at once and tokens are asked for ahead of them. A pool that did not run drops the time in the reports that waited for it. A request waits up to 250 ms, as long as an answer may bring something.

tests/quotas.rs and tests/pool.rs pass unchanged but for a new field in a literal, and a pattern in tests/support. Tests of quotas, forwarding and membership pass.

--- a/crates/forwarding/src/quotas.rs
+++ b/crates/forwarding/src/quotas.rs
@@ -8,14 +8,14 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, timeout_at};
 use umberpond_model::{TenantName, TenantNumber};
-use umberpond_quotas::{QuotaGrant, QuotaReport, QuotaSharing, Quotas, TokenAnswer, TokenPool};
-
-/// Longest time that a request waits for a token: enough to ask several pools, some of which may be gone.
-const LONGEST_WAIT: Duration = Duration::from_millis(150);
+use umberpond_quotas::{LONGEST_WAIT, QuotaGrant, QuotaReport, QuotaSharing, Quotas, TokenAnswer, TokenPool};
 
 /// A tenant is at its limit; the request has not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct OverQuota;
+pub(crate) struct OverQuota {
+    /// Shortest time after which a token can be expected.
+    pub(crate) next_token_in: Duration,
+}
 
 /// The quotas as this node keeps them, and its pool of tokens for others.
 #[derive(Debug)]
@@ -65,10 +65,12 @@
                 told.ok().and_then(Result::ok).unwrap_or(TokenAnswer::Refused)
             }
         };
-        if answer != TokenAnswer::Granted {
-            return Err(OverQuota);
-        }
-        Ok(QuotaPermit { gate: Arc::clone(self), tenant: number })
+        let TokenAnswer::Granted { good_until } = answer else { return Err(self.over_quota(number)) };
+        Ok(QuotaPermit { gate: Arc::clone(self), tenant: number, good_until })
+    }
+
+    fn over_quota(&self, tenant: TenantNumber) -> OverQuota {
+        OverQuota { next_token_in: self.state.lock().sharing.next_token_in(now(), tenant) }
     }
 
     fn take(&self, tenant: TenantNumber) -> TokenTurn {
@@ -110,6 +112,7 @@
     pub fn next_report(&self) -> Option<QuotaReport> {
         let mut state = self.state.lock();
         state.drop_gone();
+        state.pool.look(now());
         let count = |queue: &VecDeque<_>| u32::try_from(queue.len()).unwrap_or(u32::MAX);
         let waiting = state.waiting.iter().map(|(tenant, queue)| (*tenant, count(queue))).collect();
         state.sharing.next_report(now(), &waiting)
@@ -127,8 +130,8 @@
         state.tell_waiting();
     }
 
-    fn give_back(&self, tenant: TenantNumber) {
-        self.state.lock().sharing.give_back(now(), tenant);
+    fn give_back(&self, tenant: TenantNumber, good_until: std::time::Instant) {
+        self.state.lock().sharing.give_back(now(), tenant, good_until);
     }
 }
 
@@ -146,10 +149,8 @@
                     queue.push_front(waiter);
                     break;
                 }
-                let is_granted = answer == TokenAnswer::Granted;
-                if waiter.send(answer).is_err() && is_granted {
-                    sharing.give_back(now(), *tenant);
-                }
+                let Err(TokenAnswer::Granted { good_until }) = waiter.send(answer) else { continue };
+                sharing.give_back(now(), *tenant, good_until);
             }
         }
     }
@@ -168,12 +169,13 @@
 pub(crate) struct QuotaPermit {
     gate: Arc<QuotaGate>,
     tenant: TenantNumber,
+    good_until: std::time::Instant,
 }
 
 impl QuotaPermit {
     /// Gives the token back: the request has not run.
     pub(crate) fn give_back(self) {
-        self.gate.give_back(self.tenant);
+        self.gate.give_back(self.tenant, self.good_until);
     }
 }
 
--- a/crates/quotas/src/earned.rs
+++ b/crates/quotas/src/earned.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 /// Most real time that is earned between two looks, and most that is kept: a process that did not run for a while, or that reaches no
-/// pool, earns nothing beyond it.
-const MOST_KEPT: Duration = Duration::from_millis(200);
+/// pool, earns nothing beyond it. More than the interval of reports and a node's wait for a processor, or time would be lost between two reports.
+const MOST_KEPT: Duration = Duration::from_millis(250);
 
 /// The part of the time of all nodes that this one has earned and not handed on.
 #[derive(Debug, Default)]
--- a/crates/quotas/src/lib.rs
+++ b/crates/quotas/src/lib.rs
@@ -10,6 +10,8 @@
 //! The core has no I/O and reads no clock.
 
 mod earned;
+mod held;
+mod limit;
 mod message;
 mod own;
 mod pool;
@@ -21,4 +23,4 @@
 pub use own::OwnShares;
 pub use pool::TokenPool;
 pub use pooled::PooledShares;
-pub use sharing::{QuotaSharing, Quotas, TokenAnswer, quotas_of};
+pub use sharing::{LONGEST_WAIT, QuotaSharing, Quotas, TokenAnswer, quotas_of};
--- a/crates/quotas/src/message.rs
+++ b/crates/quotas/src/message.rs
@@ -34,6 +34,8 @@
     pub earned_nanos: u64,
     /// Tokens that it has taken out of that time by itself.
     pub spent: Vec<TokenCount>,
+    /// Tokens that it was given, has not used and gives back.
+    pub returned: Vec<TokenCount>,
     /// Tokens that it asks for.
     pub wanted: Vec<WantedTokens>,
 }
--- a/crates/quotas/src/own.rs
+++ b/crates/quotas/src/own.rs
@@ -1,10 +1,11 @@
 //! Sharing without exchange: each node keeps what it earns.
 
 use std::collections::HashMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use umberpond_model::TenantNumber;
 
+use crate::held::TOKEN_LIFETIME;
 use crate::message::{QuotaGrant, QuotaReport};
 use crate::sharing::{QuotaSharing, Quotas, TokenAnswer};
 
@@ -37,7 +38,7 @@
     fn on_request(&mut self, _now: Instant, _tenant: TenantNumber) {}
 
     fn take(&mut self, now: Instant, tenant: TenantNumber) -> TokenAnswer {
-        let Some(quota) = self.quotas.get(&tenant) else { return TokenAnswer::Granted };
+        let Some(quota) = self.quotas.get(&tenant) else { return TokenAnswer::Granted { good_until: now } };
         let Some(nodes) = self.sharing_nodes else { return TokenAnswer::Refused };
         let own = self.tenants.entry(tenant).or_insert(OwnTokens { tokens: 0.0, counted_at: now });
         let passed = now.saturating_duration_since(own.counted_at).as_secs_f64();
@@ -49,15 +50,26 @@
             return TokenAnswer::Refused;
         }
         own.tokens -= 1.0;
-        TokenAnswer::Granted
+        TokenAnswer::Granted { good_until: now + TOKEN_LIFETIME }
     }
 
-    fn give_back(&mut self, _now: Instant, tenant: TenantNumber) {
+    fn give_back(&mut self, now: Instant, tenant: TenantNumber, good_until: Instant) {
+        if good_until <= now {
+            return;
+        }
         if let Some(own) = self.tenants.get_mut(&tenant) {
             own.tokens += 1.0;
         }
     }
 
+    fn next_token_in(&self, _now: Instant, _tenant: TenantNumber) -> Duration {
+        Duration::ZERO
+    }
+
+    fn expired_tokens(&self) -> u64 {
+        0
+    }
+
     fn next_report(&mut self, _now: Instant, _waiting: &HashMap<TenantNumber, u32>) -> Option<QuotaReport> {
         None
     }
--- a/crates/quotas/src/sharing.rs
+++ b/crates/quotas/src/sharing.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::fmt::Debug;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use umberpond_config::{Quota, Tenant};
 
@@ -10,6 +10,9 @@
 
 use crate::message::{QuotaGrant, QuotaReport};
 
+/// Longest time that a request waits for a token: as long as an answer that is on its way may bring one.
+pub const LONGEST_WAIT: Duration = Duration::from_millis(250);
+
 /// The quotas of one configuration; a tenant that is missing may send any number of requests.
 pub type Quotas = HashMap<TenantNumber, Quota>;
 
@@ -24,7 +27,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TokenAnswer {
     /// The request may be sent.
-    Granted,
+    Granted {
+        /// Until when the token may be given back.
+        good_until: Instant,
+    },
     /// Others have to be asked; the answer to the report that follows may bring one.
     Ask,
     /// There is none: the tenant is at its limit.
@@ -45,8 +51,14 @@
     /// Takes a token for one request of `tenant`.
     fn take(&mut self, now: Instant, tenant: TenantNumber) -> TokenAnswer;
 
-    /// Takes a token back whose request has not run.
-    fn give_back(&mut self, now: Instant, tenant: TenantNumber);
+    /// Takes a token back whose request has not run. After `good_until` it is lost.
+    fn give_back(&mut self, now: Instant, tenant: TenantNumber, good_until: Instant);
+
+    /// Shortest time after which a token of a tenant can be expected that was refused one.
+    fn next_token_in(&self, now: Instant, tenant: TenantNumber) -> Duration;
+
+    /// Tokens that were given and that nobody used, since the start.
+    fn expired_tokens(&self) -> u64;
 
     /// What to tell a pool now. `waiting` counts the requests that wait for a token.
     fn next_report(&mut self, now: Instant, waiting: &HashMap<TenantNumber, u32>) -> Option<QuotaReport>;
--- a/crates/quotas/tests/pool.rs
+++ b/crates/quotas/tests/pool.rs
@@ -13,7 +13,14 @@
 fn report(life: u64, earned: Duration) -> QuotaReport {
     let wanted = WantedTokens { tenant: number("shop"), waiting: 100, ahead: 0 };
     let earned_nanos = u64::try_from(earned.as_nanos()).expect("short");
-    QuotaReport { life, number: 1, earned_nanos, spent: Vec::new(), wanted: vec![wanted] }
+    QuotaReport {
+        life,
+        number: 1,
+        earned_nanos,
+        spent: Vec::new(),
+        returned: Vec::new(),
+        wanted: vec![wanted],
+    }
 }
 
 #[test]
--- a/crates/quotas/tests/support/mod.rs
+++ b/crates/quotas/tests/support/mod.rs
@@ -4,16 +4,19 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use umberpond_config::{KeyHash, Quota, Tenant};
 use umberpond_model::{HomeRegions, RequestRate, TenantName, TenantNumber};
 use umberpond_quotas::{
-    OwnShares, PooledShares, QuotaGrant, QuotaReport, QuotaSharing, Quotas, TokenAnswer, TokenPool, quotas_of,
+    LONGEST_WAIT, OwnShares, PooledShares, QuotaGrant, QuotaReport, QuotaSharing, Quotas, TokenAnswer,
+    TokenPool, quotas_of,
 };
 
 /// Time between two steps.
 pub const STEP: Duration = Duration::from_millis(5);
-/// Longest wait of a request for a token.
-const LONGEST_WAIT: Duration = Duration::from_millis(150);
+/// Longest wait of a request for a token, without a network.
+const SHORT_WAIT: Duration = Duration::from_millis(150);
 
 pub fn tenant(name: &str, rate: f64, burst: u64) -> Tenant {
     Tenant {
@@ -35,9 +38,38 @@
     waiting: HashMap<TenantNumber, Vec<Instant>>,
     next_pool: usize,
     is_running: bool,
+    /// Whether something has come that lets the node report before its next look.
+    is_told: bool,
 }
 
-/// A message on its way; it arrives with the next step.
+/// What delays and loses datagrams between nodes, and how often a node looks whether a report is due.
+pub struct Network {
+    random: ChaCha8Rng,
+    /// Part of the datagrams that is lost.
+    pub loss: f64,
+    /// Part of the datagrams that meets a node without a processor.
+    pub stalls: f64,
+    /// Steps between two looks of a node.
+    look_steps: u64,
+}
+
+impl Network {
+    /// Datagrams take 5 to 10 ms, those that meet a stalled node up to 100 ms; nodes look each 50 ms, as the daemon does.
+    pub fn new(seed: u64, loss: f64, stalls: f64) -> Self {
+        Self { random: ChaCha8Rng::seed_from_u64(seed), loss, stalls, look_steps: 10 }
+    }
+
+    /// Steps that a datagram takes; absent if it is lost.
+    fn steps(&mut self) -> Option<u32> {
+        if self.random.random_bool(self.loss) {
+            return None;
+        }
+        let is_stalled = self.random.random_bool(self.stalls);
+        Some(if is_stalled { self.random.random_range(4..=20) } else { self.random.random_range(1..=2) })
+    }
+}
+
+/// A message on its way; it arrives with the next step, or when the network says.
 enum Message {
     Report { from: usize, to: usize, report: QuotaReport },
     Grant { to: usize, grant: QuotaGrant },
@@ -51,7 +83,9 @@
     pools: usize,
     is_pooled: bool,
     lives: u64,
-    messages: Vec<Message>,
+    messages: Vec<(Instant, Message)>,
+    network: Option<Network>,
+    steps: u64,
     /// Nodes that only reach one another.
     pub cut: Vec<usize>,
     /// When requests of each tenant were let through.
@@ -70,6 +104,8 @@
             is_pooled,
             lives: 0,
             messages: Vec::new(),
+            network: None,
+            steps: 0,
             cut: Vec::new(),
             granted: HashMap::new(),
             refused: HashMap::new(),
@@ -93,7 +129,21 @@
         sharing.set_sharing_nodes(self.now, count);
         let mut pool = TokenPool::default();
         pool.set_quotas(self.quotas.clone());
-        Node { sharing, pool, waiting: HashMap::new(), next_pool: 0, is_running: true }
+        Node { sharing, pool, waiting: HashMap::new(), next_pool: 0, is_running: true, is_told: false }
+    }
+
+    /// Sends all datagrams through `network` from now on.
+    pub fn set_network(&mut self, network: Network) {
+        self.network = Some(network);
+    }
+
+    /// Sets the tenants' quotas at all nodes.
+    pub fn set_tenants(&mut self, tenants: &[Tenant]) {
+        self.quotas = quotas_of(tenants);
+        for node in &mut self.nodes {
+            node.sharing.set_quotas(self.quotas.clone());
+            node.pool.set_quotas(self.quotas.clone());
+        }
     }
 
     pub fn len(&self) -> usize {
@@ -118,16 +168,24 @@
         }
         node.sharing.on_request(now, tenant);
         match node.sharing.take(now, tenant) {
-            TokenAnswer::Granted => self.granted.entry(tenant).or_default().push(now),
+            TokenAnswer::Granted { .. } => self.granted.entry(tenant).or_default().push(now),
             TokenAnswer::Refused => *self.refused.entry(tenant).or_default() += 1,
-            TokenAnswer::Ask => node.waiting.entry(tenant).or_default().push(now),
+            TokenAnswer::Ask => {
+                node.waiting.entry(tenant).or_default().push(now);
+                node.is_told = true;
+            }
         }
     }
 
     /// Lets one step of time pass: messages arrive, and those that wait are told.
     pub fn step(&mut self) {
         self.now += STEP;
-        for message in std::mem::take(&mut self.messages) {
+        self.steps += 1;
+        let now = self.now;
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.messages).into_iter().partition(|(at, _)| *at <= now);
+        self.messages = later;
+        for (_, message) in due {
             self.deliver(message);
         }
         for index in 0..self.nodes.len() {
@@ -140,22 +198,32 @@
         self.cut.contains(&from) == self.cut.contains(&to)
     }
 
+    /// Sends a message; without a network it arrives with the next step.
+    fn send(&mut self, message: Message) {
+        let steps = self.network.as_mut().map_or(Some(1), Network::steps);
+        if let Some(steps) = steps {
+            self.messages.push((self.now + STEP * steps, message));
+        }
+    }
+
     fn deliver(&mut self, message: Message) {
         match message {
             Message::Report { from, to, report } if self.nodes[to].is_running => {
                 let grant = self.nodes[to].pool.on_report(self.now, &report);
                 if let Some(grant) = grant.filter(|_| self.reaches(to, from)) {
-                    self.messages.push(Message::Grant { to: from, grant });
+                    self.send(Message::Grant { to: from, grant });
                 }
             }
             Message::Grant { to, grant } if self.nodes[to].is_running => {
                 self.nodes[to].sharing.on_grant(self.now, &grant, self.pools);
+                self.nodes[to].is_told = true;
             }
             Message::Report { .. } | Message::Grant { .. } => {}
         }
     }
 
     fn tell_waiting(&mut self, index: usize) {
+        let longest_wait = if self.network.is_some() { LONGEST_WAIT } else { SHORT_WAIT };
         let (now, node) = (self.now, &mut self.nodes[index]);
         if !node.is_running {
             return;
@@ -164,30 +232,39 @@
             let mut still = Vec::new();
             for since in waiting.drain(..) {
                 match node.sharing.take(now, *tenant) {
-                    TokenAnswer::Granted => self.granted.entry(*tenant).or_default().push(now),
-                    TokenAnswer::Ask if now - since < LONGEST_WAIT => still.push(since),
+                    TokenAnswer::Granted { .. } => self.granted.entry(*tenant).or_default().push(now),
+                    TokenAnswer::Ask if now - since < longest_wait => still.push(since),
                     TokenAnswer::Ask | TokenAnswer::Refused => *self.refused.entry(*tenant).or_default() += 1,
                 }
             }
             *waiting = still;
         }
+        node.waiting.retain(|_, waiting| !waiting.is_empty());
+    }
+
+    /// Whether a node looks now for what to report: with a network only at intervals, and when a request waits or an answer has come.
+    fn looks(&mut self, index: usize) -> bool {
+        let is_told = std::mem::take(&mut self.nodes[index].is_told);
+        let Some(network) = &self.network else { return true };
+        is_told || (self.steps + index as u64).is_multiple_of(network.look_steps)
     }
 
     /// Each side of a cut takes the first nodes that it reaches for its pools.
     fn report(&mut self, index: usize) {
-        if !self.nodes[index].is_running {
+        if !self.nodes[index].is_running || !self.looks(index) {
             return;
         }
         let places: Vec<usize> =
             (0..self.nodes.len()).filter(|to| self.reaches(index, *to)).take(self.pools).collect();
         let node = &mut self.nodes[index];
+        node.pool.look(self.now);
         let count = |waiting: &Vec<Instant>| u32::try_from(waiting.len()).expect("few");
         let waiting = node.waiting.iter().map(|(tenant, waiting)| (*tenant, count(waiting))).collect();
         let Some(report) = node.sharing.next_report(self.now, &waiting) else { return };
         node.next_pool += 1;
         let to = places[node.next_pool % places.len()];
         self.reports += 1;
-        self.messages.push(Message::Report { from: index, to, report });
+        self.send(Message::Report { from: index, to, report });
     }
 
     /// Most requests of a tenant that were let through within `window`.
@@ -204,6 +281,17 @@
         most
     }
 
+    /// Requests of a tenant that were let through in the `window` from `start` on.
+    pub fn granted_between(&self, tenant: TenantNumber, start: Instant, window: Duration) -> usize {
+        let granted = self.granted.get(&tenant).map_or(&[][..], Vec::as_slice);
+        granted.iter().filter(|at| **at >= start && **at < start + window).count()
+    }
+
+    /// Tokens that nodes were given and that nobody used.
+    pub fn expired_tokens(&self) -> u64 {
+        self.nodes.iter().map(|node| node.sharing.expired_tokens()).sum()
+    }
+
     pub fn granted_of(&self, tenant: TenantNumber) -> usize {
         self.granted.get(&tenant).map_or(0, Vec::len)
     }
--- /dev/null
+++ b/crates/quotas/tests/tokens.rs
@@ -0,0 +1,192 @@
+//! What becomes of tokens that are late, given back, or asked for ahead.
+
+mod support;
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use support::{number, tenant};
+use umberpond_quotas::{
+    PooledShares, QuotaGrant, QuotaReport, QuotaSharing, TokenAnswer, TokenCount, TokenPool, WantedTokens,
+    quotas_of,
+};
+
+const RATE: f64 = 600.0;
+const BURST: u64 = 600;
+const POOLS: usize = 8;
+const TOKEN_LIFETIME: Duration = Duration::from_millis(250);
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn shares(now: Instant) -> PooledShares {
+    let mut shares = PooledShares::new(1);
+    shares.set_quotas(quotas_of(&[tenant("hot", RATE, BURST)]));
+    shares.set_sharing_nodes(now, 1_000);
+    shares
+}
+
+fn waiting(count: u32) -> HashMap<umberpond_model::TenantNumber, u32> {
+    [(number("hot"), count)].into()
+}
+
+fn grant(report: &QuotaReport, tokens: u32) -> QuotaGrant {
+    QuotaGrant { number: report.number, granted: vec![TokenCount { tenant: number("hot"), tokens }] }
+}
+
+/// Takes all tokens that there are.
+fn take_all(shares: &mut PooledShares, now: Instant) -> Vec<Instant> {
+    let mut taken = Vec::new();
+    while let TokenAnswer::Granted { good_until } = shares.take(now, number("hot")) {
+        taken.push(good_until);
+    }
+    taken
+}
+
+/// A node asks once for a request that waits.
+fn ask(shares: &mut PooledShares, now: Instant) -> QuotaReport {
+    shares.on_request(now, number("hot"));
+    assert_eq!(shares.take(now, number("hot")), TokenAnswer::Ask);
+    shares.next_report(now, &waiting(1)).expect("a request waits")
+}
+
+#[test]
+fn an_answer_that_comes_after_another_pool_was_asked_is_used_once() {
+    let start = Instant::now();
+    let mut shares = shares(start);
+    let first = ask(&mut shares, start);
+    let second = shares.next_report(start + millis(30), &waiting(1)).expect("the first pool is silent");
+    assert_ne!(first.number, second.number);
+    shares.on_grant(start + millis(90), &grant(&first, 3), POOLS);
+    shares.on_grant(start + millis(91), &grant(&first, 3), POOLS);
+    let taken = take_all(&mut shares, start + millis(92));
+    assert_eq!(taken, [start + TOKEN_LIFETIME; 3]);
+}
+
+/// However long an answer has waited at a process that did not run, its tokens end when they would have ended.
+#[test]
+fn an_answer_that_comes_after_the_end_of_its_tokens_gives_none() {
+    let start = Instant::now();
+    let mut shares = shares(start);
+    let report = ask(&mut shares, start);
+    let now = start + TOKEN_LIFETIME;
+    shares.on_grant(now, &grant(&report, 5), POOLS);
+    assert_eq!(take_all(&mut shares, now), []);
+}
+
+#[test]
+fn a_token_is_given_back_until_its_end_and_lost_after_it() {
+    let start = Instant::now();
+    let mut shares = shares(start);
+    let report = ask(&mut shares, start);
+    shares.on_grant(start + millis(5), &grant(&report, 2), POOLS);
+    let taken = take_all(&mut shares, start + millis(6));
+    shares.give_back(start + millis(40), number("hot"), taken[0]);
+    assert_eq!(take_all(&mut shares, start + millis(41)).len(), 1);
+    shares.give_back(start + TOKEN_LIFETIME, number("hot"), taken[1]);
+    assert_eq!(take_all(&mut shares, start + TOKEN_LIFETIME), []);
+    assert_eq!(shares.expired_tokens(), 1);
+}
+
+#[test]
+fn tokens_that_nobody_uses_go_back_before_their_end() {
+    let start = Instant::now();
+    let mut shares = shares(start);
+    let report = ask(&mut shares, start);
+    shares.on_grant(start + millis(5), &grant(&report, 4), POOLS);
+    assert!(matches!(shares.take(start + millis(6), number("hot")), TokenAnswer::Granted { .. }));
+    let later = shares.next_report(start + millis(160), &HashMap::new()).expect("tokens are about to end");
+    assert_eq!(later.returned, [TokenCount { tenant: number("hot"), tokens: 3 }]);
+    assert_eq!(take_all(&mut shares, start + millis(161)), []);
+    assert_eq!(shares.expired_tokens(), 0);
+}
+
+/// A node asks for all that a pool has and gives it back, again and again, while the pool goes on earning.
+#[test]
+fn tokens_that_go_back_and_forth_do_not_add_up() {
+    let start = Instant::now();
+    let mut pool = TokenPool::default();
+    pool.set_quotas(quotas_of(&[tenant("hot", RATE, BURST)]));
+    let mut out = 0;
+    let mut most = 0;
+    for number in 1..=200 {
+        let now = start + millis(50 * number);
+        let returned = TokenCount { tenant: support::number("hot"), tokens: out };
+        let wanted = WantedTokens { tenant: support::number("hot"), waiting: u32::MAX, ahead: 0 };
+        let report = QuotaReport {
+            life: 1,
+            number,
+            earned_nanos: 50_000_000,
+            spent: Vec::new(),
+            returned: vec![returned],
+            wanted: vec![wanted],
+        };
+        out = pool.on_report(now, &report).expect("an answer").granted[0].tokens;
+        most = most.max(out);
+    }
+    let allowed = BURST as f64 + RATE * TOKEN_LIFETIME.as_secs_f64();
+    assert!(f64::from(most) <= allowed, "{most} tokens out, {allowed} allowed");
+}
+
+/// Four times a limit of 600 a second at each of 83 nodes is 29 a second at one.
+#[test]
+fn a_tenant_far_beyond_its_limit_is_refused_at_once_while_tokens_are_asked_for_ahead() {
+    let start = Instant::now();
+    let mut shares = shares(start);
+    let mut now = start;
+    for _ in 0..30 {
+        now += millis(34);
+        shares.on_request(now, number("hot"));
+        if shares.take(now, number("hot")) != TokenAnswer::Ask {
+            continue;
+        }
+        for _ in 0..POOLS {
+            if let Some(report) = shares.next_report(now, &waiting(1)) {
+                shares.on_grant(now, &grant(&report, 0), POOLS);
+            }
+        }
+    }
+    assert_eq!(shares.take(now, number("hot")), TokenAnswer::Refused);
+    assert!(shares.next_token_in(now, number("hot")) > Duration::ZERO);
+    now += millis(50);
+    let ahead = shares.next_report(now, &HashMap::new()).expect("more requests will come");
+    assert!(ahead.wanted[0].waiting >= 2, "{ahead:?}");
+    assert_eq!(shares.take(now, number("hot")), TokenAnswer::Refused);
+    shares.on_grant(now + millis(5), &grant(&ahead, 2), POOLS);
+    assert_eq!(take_all(&mut shares, now + millis(6)).len(), 2);
+}
+
+/// Tokens that a pool gives when `backlog` reports come at once after it did not run for `pause`, over what it kept before.
+fn granted_after(pause: Duration, backlog: u64) -> u32 {
+    let start = Instant::now();
+    let mut pool = TokenPool::default();
+    pool.set_quotas(quotas_of(&[tenant("hot", RATE, BURST)]));
+    let report = |number: u64, wants: u32| QuotaReport {
+        life: 1,
+        number,
+        earned_nanos: 12_500_000,
+        spent: Vec::new(),
+        returned: Vec::new(),
+        wanted: vec![WantedTokens { tenant: support::number("hot"), waiting: wants, ahead: 0 }],
+    };
+    let mut now = start;
+    for number in 1..=20 {
+        now = start + millis(100 * number);
+        pool.look(now);
+        pool.on_report(now, &report(number, 0));
+    }
+    let resumed = now + pause;
+    for number in 21..21 + backlog {
+        pool.on_report(resumed, &report(number, 0));
+    }
+    let last = report(21 + backlog, u32::MAX);
+    pool.on_report(resumed, &last).expect("an answer").granted[0].tokens
+}
+
+#[test]
+fn reports_that_waited_while_a_pool_did_not_run_add_nothing() {
+    let kept = granted_after(millis(0), 0);
+    let granted = granted_after(Duration::from_secs(8), 40);
+    assert!(granted <= kept, "{granted} tokens, {kept} kept before");
+}
