Quotas: time to come back, a metric pair, and an account of refusals

A caller whose tenant is at its limit is told a time that is not before this node asks for tokens again, spread over twice that time; so far only the time that it still waits counted. Two counters: requests refused over a quota, and tokens that a node was given and nobody used. Event 4039 tells for a tenant what a node has refused, at most once in five seconds.

--- a/crates/daemon/src/membership/actor.rs
+++ b/crates/daemon/src/membership/actor.rs
@@ -131,6 +131,7 @@
                 let mut outgoing = self.membership.on_tick(now);
                 outgoing.extend(self.suspects.on_tick(now, &mut self.membership));
                 outgoing.extend(self.pools.report(&self.membership));
+                self.telemetry.metrics().quota_tokens_expired(self.pools.take_expired_tokens());
                 outgoing
             }
             MembershipMessage::Datagram { from, datagram } => self.on_datagram(now, from, &datagram),
--- a/crates/daemon/src/membership/pools.rs
+++ b/crates/daemon/src/membership/pools.rs
@@ -61,6 +61,11 @@
         Vec::new()
     }
 
+    /// Tokens that this node was given and nobody used, since the last call.
+    pub(super) fn take_expired_tokens(&self) -> u64 {
+        self.gate.take_expired_tokens()
+    }
+
     /// Answers the report of the node at `from`.
     pub(super) fn on_report(&self, from: SocketAddr, report: &QuotaReport) -> Vec<Outgoing> {
         let grant = self.gate.on_report(report).filter(|grant| !grant.granted.is_empty());
--- a/crates/forwarding/src/outbound/come_back.rs
+++ b/crates/forwarding/src/outbound/come_back.rs
@@ -14,3 +14,13 @@
 pub(super) fn come_back_within(left: Duration, random: &mut impl Rng) -> Duration {
     left.mul_f64(SHARE * random.random_range(LEAST..=1.0))
 }
+
+/// The time told to a caller whose tenant is at its limit: not before a token can be expected, and spread over twice that time.
+pub(super) fn come_back_with_token(
+    left: Duration,
+    next_token_in: Duration,
+    random: &mut impl Rng,
+) -> Duration {
+    let spread = next_token_in.mul_f64(random.random_range(1.0..=2.0));
+    come_back_within(left, random).max(spread)
+}
--- a/crates/forwarding/src/outbound/handler.rs
+++ b/crates/forwarding/src/outbound/handler.rs
@@ -8,17 +8,19 @@
 use tokio::time::Instant;
 use umberpond_config::Tenant;
 use umberpond_http1::RequestHead;
-use umberpond_model::HomeRegions;
+use umberpond_model::{HomeRegions, TenantName};
 use umberpond_quarantine::{RequestContent, RequestFingerprint, RequestKey};
 use umberpond_telemetry::Event;
 
 use super::attempts::Attempts;
-use super::come_back::come_back_within;
+use super::come_back::{come_back_with_token, come_back_within};
 use super::prepared::PreparedRequest;
 use super::reply::{Reply, ReplyReason};
 use super::state::Outbound;
+use crate::inbound::millis;
 use crate::message::RequestBody;
 use crate::outcome::NotRunReason;
+use crate::quotas::OverQuota;
 use crate::routing::{CompiledRoute, NoTenant, RoutingTable};
 use crate::server::ServerControl;
 use crate::suspended_time::PastMoment;
@@ -123,15 +125,30 @@
     /// Takes the request's part of its tenant's quota.
     async fn take_quota(&self, request: &mut PreparedRequest) -> Result<(), Reply> {
         let Some(tenant) = &request.tenant else { return Ok(()) };
-        let Ok(permit) = self.quotas.admit(tenant, request.hold_until()).await else {
-            let id = String::from_utf8_lossy(&request.id).into_owned();
-            self.telemetry.emit(Event::RequestOverQuota { request: id, tenant: tenant.to_string() });
-            let left = request.caller_time.saturating_sub(request.arrived.elapsed());
-            let come_back = come_back_within(left, &mut *self.random.lock());
-            return Err(self.own_reply(ReplyReason::OverQuota, Some(come_back), Some(&request.id)));
-        };
-        request.permit = Some(permit);
-        Ok(())
+        match self.quotas.admit(tenant, request.hold_until()).await {
+            Ok(permit) => {
+                request.permit = Some(permit);
+                Ok(())
+            }
+            Err(refusal) => Err(self.refuse_over_quota(request, tenant, refusal)),
+        }
+    }
+
+    fn refuse_over_quota(&self, request: &PreparedRequest, tenant: &TenantName, refusal: OverQuota) -> Reply {
+        let id = String::from_utf8_lossy(&request.id).into_owned();
+        self.telemetry.emit(Event::RequestOverQuota { request: id, tenant: tenant.to_string() });
+        self.telemetry.metrics().quota_refused();
+        if let Some(refusals) = refusal.to_tell {
+            self.telemetry.emit(Event::QuotaRefusalsCounted {
+                tenant: tenant.to_string(),
+                refused: refusals.refused,
+                next_token_millis: millis(refusal.next_token_in),
+                period_millis: millis(refusals.period),
+            });
+        }
+        let left = request.caller_time.saturating_sub(request.arrived.elapsed());
+        let come_back = come_back_with_token(left, refusal.next_token_in, &mut *self.random.lock());
+        self.own_reply(ReplyReason::OverQuota, Some(come_back), Some(&request.id))
     }
 
     /// The tenant on whose behalf a request is sent; absent if it is of none.
--- a/crates/forwarding/src/quotas.rs
+++ b/crates/forwarding/src/quotas.rs
@@ -10,11 +10,30 @@
 use umberpond_model::{TenantName, TenantNumber};
 use umberpond_quotas::{LONGEST_WAIT, QuotaGrant, QuotaReport, QuotaSharing, Quotas, TokenAnswer, TokenPool};
 
+/// Shortest time between two accounts of the refusals of one tenant.
+const ACCOUNT_PERIOD: Duration = Duration::from_secs(5);
+
 /// A tenant is at its limit; the request has not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct OverQuota {
     /// Shortest time after which a token can be expected.
     pub(crate) next_token_in: Duration,
+    /// The refusals of the tenant since they were last told. Absent if that is not long ago.
+    pub(crate) to_tell: Option<QuotaRefusals>,
+}
+
+/// Requests of one tenant that were refused over its quota.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct QuotaRefusals {
+    pub(crate) refused: u64,
+    pub(crate) period: Duration,
+}
+
+/// What is counted of the refusals of one tenant, and since when.
+#[derive(Debug, Clone, Copy)]
+struct RefusalCount {
+    refused: u64,
+    since: Instant,
 }
 
 /// The quotas as this node keeps them, and its pool of tokens for others.
@@ -39,13 +58,23 @@
     pool: TokenPool,
     has_quotas: bool,
     waiting: HashMap<TenantNumber, VecDeque<oneshot::Sender<TokenAnswer>>>,
+    refusals: HashMap<TenantNumber, RefusalCount>,
+    /// Tokens that nobody used and that were told of.
+    told_expired: u64,
 }
 
 impl QuotaGate {
     /// A gate over quotas that are shared by `sharing`.
     #[must_use]
     pub fn new(sharing: Box<dyn QuotaSharing>) -> Arc<Self> {
-        let state = State { sharing, pool: TokenPool::default(), has_quotas: false, waiting: HashMap::new() };
+        let state = State {
+            sharing,
+            pool: TokenPool::default(),
+            has_quotas: false,
+            waiting: HashMap::new(),
+            refusals: HashMap::new(),
+            told_expired: 0,
+        };
         Arc::new(Self { state: Mutex::new(state), token_wanted: Notify::new() })
     }
 
@@ -70,7 +99,18 @@
     }
 
     fn over_quota(&self, tenant: TenantNumber) -> OverQuota {
-        OverQuota { next_token_in: self.state.lock().sharing.next_token_in(now(), tenant) }
+        let mut state = self.state.lock();
+        OverQuota {
+            next_token_in: state.sharing.next_token_in(now(), tenant),
+            to_tell: state.count_refusal(tenant, Instant::now()),
+        }
+    }
+
+    /// Tokens that this node was given and nobody used, since the last call.
+    pub fn take_expired_tokens(&self) -> u64 {
+        let mut state = self.state.lock();
+        let expired = state.sharing.expired_tokens();
+        expired - std::mem::replace(&mut state.told_expired, expired)
     }
 
     fn take(&self, tenant: TenantNumber) -> TokenTurn {
@@ -94,6 +134,7 @@
     pub(crate) fn set_quotas(&self, quotas: Quotas) {
         let mut state = self.state.lock();
         state.has_quotas = !quotas.is_empty();
+        state.refusals.retain(|tenant, _| quotas.contains_key(tenant));
         state.pool.set_quotas(quotas.clone());
         state.sharing.set_quotas(quotas);
     }
@@ -155,6 +196,18 @@
         }
     }
 
+    /// Counts one refusal. The first one of a tenant begins a period.
+    fn count_refusal(&mut self, tenant: TenantNumber, now: Instant) -> Option<QuotaRefusals> {
+        let count = self.refusals.entry(tenant).or_insert(RefusalCount { refused: 0, since: now });
+        count.refused += 1;
+        let period = now.saturating_duration_since(count.since);
+        if period < ACCOUNT_PERIOD {
+            return None;
+        }
+        let refused = std::mem::replace(count, RefusalCount { refused: 0, since: now }).refused;
+        Some(QuotaRefusals { refused, period })
+    }
+
     /// Forgets those that wait no longer.
     fn drop_gone(&mut self) {
         self.waiting.retain(|_, queue| {
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -148,6 +148,8 @@
         = 4030, Warn, "request-quarantined", "Whatever has this fingerprint has ended so many back ends and was never answered: it is refused from now on.";
     RequestOverQuota { request: String, tenant: String }
         = 4031, Info, "request-over-quota", "The tenant has sent as many requests as it may, over all nodes together: this one was answered without an attempt.";
+    QuotaRefusalsCounted { tenant: String, refused: u64, next_token_millis: u64, period_millis: u64 }
+        = 4039, Info, "quota-refusals-counted", "Requests of the tenant that this node has refused over its quota in the period. `next_token_millis` is the time after which it asks for tokens again, 0 if requests that come are asked for at once.";
 
     // Store
     PlatformUnavailable { operation: &'static str, reason: String }
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -147,6 +147,8 @@
     platform_requests: Family<PlatformLabels, Counter>,
     endpoints: Gauge,
     evacuated_zones: Gauge,
+    quota_refusals: Counter,
+    quota_tokens_expired: Counter,
     ready: Gauge,
 }
 
@@ -167,10 +169,13 @@
             platform_requests: Family::default(),
             endpoints: Gauge::default(),
             evacuated_zones: Gauge::default(),
+            quota_refusals: Counter::default(),
+            quota_tokens_expired: Counter::default(),
             ready: Gauge::default(),
         };
         metrics.register_control();
         metrics.register_requests();
+        metrics.register_quotas();
         metrics
     }
 }
@@ -235,6 +240,30 @@
         registry.register("ready", "1 while the node is ready", self.ready.clone());
     }
 
+    fn register_quotas(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "quota_refusals",
+            "Requests refused because their tenant was at its limit",
+            self.quota_refusals.clone(),
+        );
+        registry.register(
+            "quota_tokens_expired",
+            "Tokens of tenants that this node was given and nobody used",
+            self.quota_tokens_expired.clone(),
+        );
+    }
+
+    /// Counts one request whose tenant was at its limit.
+    pub fn quota_refused(&self) {
+        self.quota_refusals.inc();
+    }
+
+    /// Counts tokens of tenants that nobody used.
+    pub fn quota_tokens_expired(&self, count: u64) {
+        self.quota_tokens_expired.inc_by(count);
+    }
+
     /// Counts one control message of `bytes` bytes on the wire.
     pub fn control(&self, direction: Direction, kind: &'static str, bytes: usize) {
         let labels = ControlLabels { direction: direction.name(), kind };
