--- a/crates/forwarding/src/outbound/come_back.rs
+++ b/crates/forwarding/src/outbound/come_back.rs
@@ -4,6 +4,9 @@
 
 use rand::{Rng, RngExt};
 
+#[cfg(test)]
+mod tests;
+
 /// Share of the time that a caller still waits after which it comes back to a service without room: of the few tries that
 /// it has, none is made while the service is known to be full, and callers heed no longer time than this.
 const SHARE: f64 = 1.0 / 3.0;
--- a/crates/forwarding/src/quotas.rs
+++ b/crates/forwarding/src/quotas.rs
@@ -10,6 +10,9 @@
 use umberpond_model::{TenantName, TenantNumber};
 use umberpond_quotas::{LONGEST_WAIT, QuotaGrant, QuotaReport, QuotaSharing, Quotas, TokenAnswer, TokenPool};
 
+#[cfg(test)]
+mod tests;
+
 /// Shortest time between two accounts of the refusals of one tenant.
 const ACCOUNT_PERIOD: Duration = Duration::from_secs(5);
 
