--- a/crates/forwarding/src/quotas.rs
+++ b/crates/forwarding/src/quotas.rs
@@ -8,14 +8,36 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, timeout_at};
 use umberpond_model::{TenantName, TenantNumber};
-use umberpond_quotas::{QuotaGrant, QuotaReport, QuotaSharing, Quotas, TokenAnswer, TokenPool};
+use umberpond_quotas::{LONGEST_WAIT, QuotaGrant, QuotaReport, QuotaSharing, Quotas, TokenAnswer, TokenPool};
 
-/// Longest time that a request waits for a token: enough to ask several pools, some of which may be gone.
-const LONGEST_WAIT: Duration = Duration::from_millis(150);
+#[cfg(test)]
+mod tests;
+
+/// Shortest time between two accounts of the refusals of one tenant.
+const ACCOUNT_PERIOD: Duration = Duration::from_secs(5);
 
 /// A tenant is at its limit; the request has not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct OverQuota;
+pub(crate) struct OverQuota {
+    /// Shortest time after which a token can be expected.
+    pub(crate) next_token_in: Duration,
+    /// The refusals of the tenant since they were last told. Absent if that is not long ago.
+    pub(crate) to_tell: Option<QuotaRefusals>,
+}
+
+/// Requests of one tenant that were refused over its quota.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct QuotaRefusals {
+    pub(crate) refused: u64,
+    pub(crate) period: Duration,
+}
+
+/// What is counted of the refusals of one tenant, and since when.
+#[derive(Debug, Clone, Copy)]
+struct RefusalCount {
+    refused: u64,
+    since: Instant,
+}
 
 /// The quotas as this node keeps them, and its pool of tokens for others.
 #[derive(Debug)]
@@ -39,13 +61,23 @@
     pool: TokenPool,
     has_quotas: bool,
     waiting: HashMap<TenantNumber, VecDeque<oneshot::Sender<TokenAnswer>>>,
+    refusals: HashMap<TenantNumber, RefusalCount>,
+    /// Tokens that nobody used and that were told of.
+    told_expired: u64,
 }
 
 impl QuotaGate {
     /// A gate over quotas that are shared by `sharing`.
     #[must_use]
     pub fn new(sharing: Box<dyn QuotaSharing>) -> Arc<Self> {
-        let state = State { sharing, pool: TokenPool::default(), has_quotas: false, waiting: HashMap::new() };
+        let state = State {
+            sharing,
+            pool: TokenPool::default(),
+            has_quotas: false,
+            waiting: HashMap::new(),
+            refusals: HashMap::new(),
+            told_expired: 0,
+        };
         Arc::new(Self { state: Mutex::new(state), token_wanted: Notify::new() })
     }
 
@@ -65,10 +97,23 @@
                 told.ok().and_then(Result::ok).unwrap_or(TokenAnswer::Refused)
             }
         };
-        if answer != TokenAnswer::Granted {
-            return Err(OverQuota);
+        let TokenAnswer::Granted { good_until } = answer else { return Err(self.over_quota(number)) };
+        Ok(QuotaPermit { gate: Arc::clone(self), tenant: number, good_until })
+    }
+
+    fn over_quota(&self, tenant: TenantNumber) -> OverQuota {
+        let mut state = self.state.lock();
+        OverQuota {
+            next_token_in: state.sharing.next_token_in(now(), tenant),
+            to_tell: state.count_refusal(tenant, Instant::now()),
         }
-        Ok(QuotaPermit { gate: Arc::clone(self), tenant: number })
+    }
+
+    /// Tokens that this node was given and nobody used, since the last call.
+    pub fn take_expired_tokens(&self) -> u64 {
+        let mut state = self.state.lock();
+        let expired = state.sharing.expired_tokens();
+        expired - std::mem::replace(&mut state.told_expired, expired)
     }
 
     fn take(&self, tenant: TenantNumber) -> TokenTurn {
@@ -92,6 +137,7 @@
     pub(crate) fn set_quotas(&self, quotas: Quotas) {
         let mut state = self.state.lock();
         state.has_quotas = !quotas.is_empty();
+        state.refusals.retain(|tenant, _| quotas.contains_key(tenant));
         state.pool.set_quotas(quotas.clone());
         state.sharing.set_quotas(quotas);
     }
@@ -110,6 +156,7 @@
     pub fn next_report(&self) -> Option<QuotaReport> {
         let mut state = self.state.lock();
         state.drop_gone();
+        state.pool.look(now());
         let count = |queue: &VecDeque<_>| u32::try_from(queue.len()).unwrap_or(u32::MAX);
         let waiting = state.waiting.iter().map(|(tenant, queue)| (*tenant, count(queue))).collect();
         state.sharing.next_report(now(), &waiting)
@@ -127,8 +174,8 @@
         state.tell_waiting();
     }
 
-    fn give_back(&self, tenant: TenantNumber) {
-        self.state.lock().sharing.give_back(now(), tenant);
+    fn give_back(&self, tenant: TenantNumber, good_until: std::time::Instant) {
+        self.state.lock().sharing.give_back(now(), tenant, good_until);
     }
 }
 
@@ -146,14 +193,24 @@
                     queue.push_front(waiter);
                     break;
                 }
-                let is_granted = answer == TokenAnswer::Granted;
-                if waiter.send(answer).is_err() && is_granted {
-                    sharing.give_back(now(), *tenant);
-                }
+                let Err(TokenAnswer::Granted { good_until }) = waiter.send(answer) else { continue };
+                sharing.give_back(now(), *tenant, good_until);
             }
         }
     }
 
+    /// Counts one refusal. The first one of a tenant begins a period.
+    fn count_refusal(&mut self, tenant: TenantNumber, now: Instant) -> Option<QuotaRefusals> {
+        let count = self.refusals.entry(tenant).or_insert(RefusalCount { refused: 0, since: now });
+        count.refused += 1;
+        let period = now.saturating_duration_since(count.since);
+        if period < ACCOUNT_PERIOD {
+            return None;
+        }
+        let refused = std::mem::replace(count, RefusalCount { refused: 0, since: now }).refused;
+        Some(QuotaRefusals { refused, period })
+    }
+
     /// Forgets those that wait no longer.
     fn drop_gone(&mut self) {
         self.waiting.retain(|_, queue| {
@@ -168,12 +225,13 @@
 pub(crate) struct QuotaPermit {
     gate: Arc<QuotaGate>,
     tenant: TenantNumber,
+    good_until: std::time::Instant,
 }
 
 impl QuotaPermit {
     /// Gives the token back: the request has not run.
     pub(crate) fn give_back(self) {
-        self.gate.give_back(self.tenant);
+        self.gate.give_back(self.tenant, self.good_until);
     }
 }
 
