Bound runs, not arrivals, by a route's attempts

Cause: a back end that turns a request away has not run it, but each such arrival used up one of the route's attempts. With two attempts a request that two back ends of a service in trouble turned away was refused, however much of the retry budget was left and however many other back ends had slots free.

Change: the route's attempts bound the back ends that may have run the request; arrivals are bounded by the retry budget, by the time left and by four for one request (or the route's attempts, if they are more). A rejection at a back end whose node counts all its slots in use has a reason of its own, and the load told with it is that of the moment of the rejection.

Ruled out: no bound on arrivals beside the budget. Where four back ends in a row turn a request away, what a fifth is asked for is missing for others.

Before: the four tests of crates/forwarding/tests/rejections.rs fail. After: they pass, as do the other tests of the crate.

--- a/crates/forwarding/src/inbound/serving.rs
+++ b/crates/forwarding/src/inbound/serving.rs
@@ -266,14 +266,13 @@
             ExchangeEnd::Rejected { status } => {
                 run.end();
                 watched.answered();
-                drop(permit);
                 self.withdraw(&attempt);
-                let reason = if status == MISDIRECTED {
-                    NotRunReason::WrongInstance
-                } else {
-                    NotRunReason::BackEndRejected
-                };
-                self.refused(&attempt, NotRun { reached_back_end: true, ..NotRun::before_back_end(reason) })
+                let reason = self.rejection_reason(status);
+                // The slot is kept until the load is told, which is the load that the back end had.
+                let not_run = NotRun { reached_back_end: true, ..NotRun::before_back_end(reason) };
+                let result = self.refused(&attempt, not_run);
+                drop(permit);
+                result
             }
             ExchangeEnd::Unknown(reason) => {
                 self.admission.record_answer(false);
@@ -292,6 +291,15 @@
         }
     }
 
+    /// Why the back end turned a request away with `status`, while the request still counts as running.
+    fn rejection_reason(&self, status: u16) -> NotRunReason {
+        if status == MISDIRECTED {
+            return NotRunReason::WrongInstance;
+        }
+        let load = self.load();
+        if load.running >= load.slots { NotRunReason::BackEndFull } else { NotRunReason::BackEndRejected }
+    }
+
     /// Finds out whether the back end has ended after a connection to it broke or could not be opened. One that has said that it leaves may end.
     async fn find_crash(&self, target: &Target) -> bool {
         let Target { back_end, pool, watch } = target;
--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -28,6 +28,9 @@
 const BLIND_ATTEMPTS: u32 = 2;
 /// Most attempts that never came near a back end; they are free, but each takes time.
 const MAX_FREE_ATTEMPTS: u32 = 8;
+/// Most back ends at which one request arrives. Those that turn it away don't count against its route, and where four in a row do, the fault
+/// is most likely that of the whole service.
+const MAX_ARRIVALS: u32 = 4;
 
 /// When a caller comes back whose request has ended back ends: nothing is better for it before it is mended.
 const COME_BACK_AFTER_MENDING: Duration = Duration::from_secs(60);
@@ -40,7 +43,9 @@
     /// Releases to which the next attempt goes.
     group: ReleaseGroup,
     /// Back ends at which the request has arrived.
-    reached: u32,
+    arrivals: u32,
+    /// Of these, back ends that may have run it.
+    runs: u32,
     free_attempts: u32,
     /// Why an earlier attempt may have run, if one may.
     may_have_run: Option<UnknownReason>,
@@ -65,7 +70,8 @@
             request,
             tried: Vec::new(),
             group: ReleaseGroup::Others,
-            reached: 0,
+            arrivals: 0,
+            runs: 0,
             free_attempts: 0,
             may_have_run: None,
             grant: None,
@@ -210,7 +216,7 @@
             hold_until: request.hold_until(),
             service_time: choice.service,
             is_later_try: request.is_later_try,
-            is_repeat: self.reached > 0 || request.origin == CallOrigin::RepeatedRun,
+            is_repeat: self.arrivals > 0 || request.origin == CallOrigin::RepeatedRun,
             call: request.call(),
         }
     }
@@ -242,7 +248,7 @@
         self.group = ReleaseGroup::Others;
         match result {
             AttemptResult::Answered(answer) => {
-                self.on_reached();
+                self.on_run();
                 self.on_answer(choice, answer)
             }
             AttemptResult::NotRun(not_run) => {
@@ -250,7 +256,7 @@
                 self.on_not_run(choice, not_run)
             }
             AttemptResult::Unknown(reason) => {
-                self.on_reached();
+                self.on_run();
                 self.may_have_run = Some(reason);
                 self.has_crashed |= reason == UnknownReason::BackEndCrashed;
                 self.on_unknown(choice, reason)
@@ -258,8 +264,15 @@
         }
     }
 
-    fn on_reached(&mut self) {
-        self.reached += 1;
+    /// Takes in that a back end may have run the request.
+    fn on_run(&mut self) {
+        self.on_arrival();
+        self.runs += 1;
+    }
+
+    /// Takes in that the request has arrived at a back end.
+    fn on_arrival(&mut self) {
+        self.arrivals += 1;
         self.grant = None;
     }
 
@@ -301,7 +314,7 @@
 
     fn on_not_run(&mut self, choice: &Choice, not_run: NotRun) -> Next {
         if not_run.reached_back_end {
-            self.on_reached();
+            self.on_arrival();
         } else {
             self.free_attempts += 1;
         }
@@ -335,9 +348,10 @@
 
     /// Whether another back end may be given the request: by the route, the time left, the body and the budget.
     fn may_reach_another(&mut self) -> bool {
-        let is_allowed =
-            self.reached < self.request.route.attempts && self.has_time() && !self.request.body.is_spent();
-        is_allowed && self.take_retry(RepeatKind::SentAgain)
+        let may_run = self.runs < self.request.route.attempts;
+        let may_arrive = self.arrivals < MAX_ARRIVALS.max(self.request.route.attempts);
+        let can_be_sent = self.has_time() && !self.request.body.is_spent();
+        may_run && may_arrive && can_be_sent && self.take_retry(RepeatKind::SentAgain)
     }
 
     /// Takes a repeat out of the budget of the service.
--- /dev/null
+++ b/crates/forwarding/tests/rejections.rs
@@ -0,0 +1,94 @@
+//! All back ends of a service turn a part of what arrives away, though their slots are free. A request that was turned away has not run, so the bound
+//! of its route on runs is not used up, and another back end may take it.
+
+mod support;
+
+use support::back_end::{Act, ok};
+use support::{SLOTS, World, pause};
+use umberpond_telemetry::Event;
+
+const REJECTED: Act = Act::Raw("HTTP/1.1 503 Full\r\numberpond-rejected: 1\r\nContent-Length: 0\r\n\r\n");
+const SPOILED: Act = Act::RawThenClose("this is no answer\r\n\r\n");
+/// Back ends that may run one request, by the routes of the tests.
+const ATTEMPTS: usize = 2;
+/// Most back ends at which a request arrives.
+const MAX_ARRIVALS: usize = 4;
+
+/// One back end that does as told, beside `count` that turn everything away.
+async fn world(count: usize, act: Act) -> World {
+    let mut scripts = vec![vec![REJECTED]; count];
+    scripts.push(vec![act]);
+    World::with_routes(scripts).await
+}
+
+#[tokio::test(start_paused = true)]
+async fn back_ends_that_turn_a_request_away_do_not_use_up_the_runs_of_its_route() {
+    for path in ["/read/a", "/write/a"] {
+        let world = world(ATTEMPTS + 1, ok("a")).await;
+        for number in 0..20 {
+            let answer = world.caller().await.ask(path, &format!("r{number}")).await;
+            assert_eq!((answer.status, answer.text()), (200, "a"), "{path} {number}");
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_arrives_at_four_back_ends_at_most() {
+    let world = World::with_routes(vec![vec![REJECTED]; MAX_ARRIVALS + 3]).await;
+    let answer = world.caller().await.ask("/read/a", "r1").await;
+    assert_eq!(answer.status, 503);
+    assert_eq!(world.arrivals(), MAX_ARRIVALS);
+}
+
+#[tokio::test(start_paused = true)]
+async fn runs_stay_bounded_by_the_route_when_others_have_turned_the_request_away() {
+    let mut scripts = vec![vec![REJECTED]; 2];
+    scripts.extend(vec![vec![SPOILED]; 4]);
+    let world = World::with_routes(scripts).await;
+    for number in 0..20 {
+        let before = world.arrivals();
+        let answer = world.caller().await.ask("/read/a", &format!("r{number}")).await;
+        assert_eq!(answer.status, 502);
+        assert!(world.arrivals() - before <= MAX_ARRIVALS);
+    }
+    for served in &world.served[2..] {
+        let seen = served.back_end.seen();
+        assert!(!seen.is_empty());
+    }
+    for number in 0..20 {
+        let id = format!("r{number}");
+        let is_of = |seen: &support::back_end::Seen| seen.text("umberpond-request") == Some(&id);
+        let seen = world.served[2..].iter().flat_map(|served| served.back_end.seen());
+        assert!(seen.filter(is_of).count() <= ATTEMPTS);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_rejection_with_slots_free_and_one_without_have_reasons_of_their_own() {
+    const SLOW_REJECTED: Act = Act::Slowly {
+        first: "",
+        second: "HTTP/1.1 503 Full\r\numberpond-rejected: 1\r\nContent-Length: 0\r\n\r\n",
+        after: 50,
+    };
+    let world = World::with_routes(vec![vec![SLOW_REJECTED]]).await;
+    world.caller().await.ask("/read/a", "alone").await;
+    let mut asking = Vec::new();
+    for number in 0..SLOTS {
+        let mut caller = world.caller().await;
+        asking.push(tokio::spawn(async move { caller.ask("/read/a", &format!("r{number}")).await }));
+    }
+    for asked in asking {
+        assert_eq!(asked.await.unwrap().status, 503);
+    }
+    pause(1_000).await;
+    let reasons: Vec<&str> = world.recorder.events().into_iter().filter_map(reason).collect();
+    assert_eq!(reasons.first(), Some(&"back-end-rejected"));
+    assert!(reasons[1..].contains(&"back-end-full"), "{reasons:?}");
+}
+
+fn reason(event: Event) -> Option<&'static str> {
+    match event {
+        Event::AdmissionRefused { reason, .. } => Some(reason),
+        _ => None,
+    }
+}
