Spend the retry budget where most is at stake

Cause: with 55 of 100 arrivals at a service turned away, the budget bears fewer than half of the repeats asked for, and went to whoever asked first: to calls of runs that had lost another call already, to runs that lacked both of two calls, and to requests that their callers may send anew.

Change: a repeat has a stake (crates/selection/src/retry_stake.rs): a run that lacks this call alone, a request, a less urgent request, a run that lacks several calls. A lower stake leaves a share of what may be saved, if repeats with more at stake were asked for within 5 s. The node beside a back end follows how the calls of each run there stand; a call of a run that has lost another one is not repeated, and a call that is turned away waits 10 ms until it shows whether the others are. A repeated run lacks all its calls and begins only with what is left above the rest. The budget and its bound are unchanged: what is kept is a part of what was saved. Event 4026 tells the stake and how much was saved.

Ruled out: by rank alone, which costs the less urgent requests what it gives to the others.

--- a/crates/forwarding/src/inbound/back_end.rs
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -303,7 +303,7 @@
     }
 
     /// The runs at the back end.
-    pub(crate) fn runs(&self) -> &OpenRuns {
+    pub(crate) const fn runs(&self) -> &Arc<OpenRuns> {
         &self.runs
     }
 
--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 use umberpond_model::NodeName;
 use umberpond_quarantine::Standing;
-use umberpond_selection::{Choice, Observation, Query, ReleaseGroup};
+use umberpond_selection::{Choice, Observation, Query, ReleaseGroup, RetryOwner, RetryStake};
 use umberpond_telemetry::{Event, RequestDetail};
 
 use super::come_back::come_back_within;
@@ -17,7 +17,7 @@
 use crate::inbound::millis;
 use crate::message::{Answer, Attempt, AttemptResult, NotRun, RequestBody};
 use crate::outcome::{NotRunReason, UnknownReason};
-use crate::repeats::{CallOrigin, RepeatKind, RetryGrant};
+use crate::repeats::{CallOrigin, FollowedCall, RepeatKind, RetryGrant, RetryRefusal};
 
 /// Time that must be left for another attempt.
 const SHORTEST_ATTEMPT: Duration = Duration::from_millis(10);
@@ -32,6 +32,12 @@
 /// is most likely that of the whole service.
 const MAX_ARRIVALS: u32 = 4;
 
+/// How long a call that was turned away waits until it shows whether the other calls of its run are turned away too. Back ends turn away at once, and calls made
+/// together arrive within this time of each other; it is short against any objective.
+const OTHER_CALLS_TIME: Duration = Duration::from_millis(10);
+/// Lowest status of an answer with which a call has failed.
+const FIRST_FAILURE: u16 = 500;
+
 /// When a caller comes back whose request has ended back ends: nothing is better for it before it is mended.
 const COME_BACK_AFTER_MENDING: Duration = Duration::from_secs(60);
 
@@ -49,6 +55,8 @@
     free_attempts: u32,
     /// Why an earlier attempt may have run, if one may.
     may_have_run: Option<UnknownReason>,
+    /// The request among the calls of the run that has made it, if one has.
+    followed: Option<FollowedCall>,
     /// A repeat that is paid for and has not arrived yet.
     grant: Option<RetryGrant>,
     /// Whether a back end has ended while it ran the request.
@@ -65,7 +73,9 @@
 
 impl<'a> Attempts<'a> {
     pub(super) fn new(outbound: &'a Arc<Outbound>, request: PreparedRequest) -> Self {
+        let followed = outbound.inbound.runs().follow(&request.id);
         Self {
+            followed,
             outbound,
             request,
             tried: Vec::new(),
@@ -89,11 +99,16 @@
             reply = self.send_all() => Some(reply),
             () = cut_off => None,
         };
-        answered.unwrap_or_else(|| self.reply(ReplyReason::Unknown(UnknownReason::TimedOut), None))
+        let reply =
+            answered.unwrap_or_else(|| self.reply(ReplyReason::Unknown(UnknownReason::TimedOut), None));
+        if let Some(followed) = self.followed.take_if(|_| reply.status < FIRST_FAILURE) {
+            followed.on_answered();
+        }
+        reply
     }
 
     async fn send_all(&mut self) -> Reply {
-        if self.request.origin == CallOrigin::RepeatedRun && !self.take_retry(RepeatKind::RepeatedCall) {
+        if self.request.origin == CallOrigin::RepeatedRun && !self.take_repeated_call() {
             return self.not_run(NotRun::before_back_end(NotRunReason::RetryBudget));
         }
         let mut last = NotRun::before_back_end(self.nowhere());
@@ -107,6 +122,9 @@
             }
             let Some(body) = self.request.body.for_attempt() else { return self.not_run(last) };
             let result = self.send(&choice, body).await;
+            if let AttemptResult::NotRun(not_run) = &result {
+                self.await_other_calls(not_run).await;
+            }
             match self.on_result(&choice, result, &mut last) {
                 Next::Reply(reply) => return reply,
                 Next::TryAgain => {}
@@ -114,6 +132,16 @@
         }
     }
 
+    /// Waits until it shows whether the other calls of the run are turned away as well as this one. If one is, a repeat of this call alone saves nothing.
+    async fn await_other_calls(&self, not_run: &NotRun) {
+        let Some(followed) = self.followed.as_ref().filter(|_| not_run.reached_back_end) else { return };
+        followed.on_rejected();
+        let is_first = self.arrivals == 0;
+        if is_first && followed.others().open > 0 && self.has_time_after(OTHER_CALLS_TIME) {
+            sleep(OTHER_CALLS_TIME).await;
+        }
+    }
+
     /// Why the request is not sent at all if there is no endpoint for it.
     const fn nowhere(&self) -> NotRunReason {
         if self.request.homes.are_anywhere() { NotRunReason::NoEndpoint } else { NotRunReason::NoHome }
@@ -351,21 +379,43 @@
         let may_run = self.runs < self.request.route.attempts;
         let may_arrive = self.arrivals < MAX_ARRIVALS.max(self.request.route.attempts);
         let can_be_sent = self.has_time() && !self.request.body.is_spent();
-        may_run && may_arrive && can_be_sent && self.take_retry(RepeatKind::SentAgain)
+        may_run && may_arrive && can_be_sent && self.take_retry()
+    }
+
+    /// Takes a repeat out of the budget of the service, by what is at stake with it.
+    fn take_retry(&mut self) -> bool {
+        let owner = match &self.followed {
+            Some(followed) => RetryOwner::Run(followed.others()),
+            None => RetryOwner::Caller { rank: self.request.priority },
+        };
+        match self.outbound.ledger.take_for(&self.request.service, owner) {
+            Ok(grant) => self.grant = Some(grant),
+            Err(refusal) => {
+                self.grant = None;
+                self.tell_withheld(&refusal);
+            }
+        }
+        self.grant.is_some()
     }
 
-    /// Takes a repeat out of the budget of the service.
-    fn take_retry(&mut self, kind: RepeatKind) -> bool {
-        self.grant = self.outbound.ledger.take(&self.request.service, kind);
+    /// Takes the first arrival of a call of a repeated run out of the budget of the service. The run holds a slot already, so it
+    /// goes before all else.
+    fn take_repeated_call(&mut self) -> bool {
+        self.grant = self.outbound.ledger.take(&self.request.service, RepeatKind::RepeatedCall);
         if self.grant.is_none() {
-            self.tell_withheld();
+            self.tell_withheld(&RetryRefusal { stake: None, saved: 0, most_saved: 0 });
         }
         self.grant.is_some()
     }
 
     fn has_time(&self) -> bool {
+        self.has_time_after(Duration::ZERO)
+    }
+
+    /// Whether there is time for another attempt after `pause`.
+    fn has_time_after(&self, pause: Duration) -> bool {
         let end = self.request.deadline().min(self.request.hold_until());
-        end.saturating_duration_since(Instant::now()) >= SHORTEST_ATTEMPT
+        end.saturating_duration_since(Instant::now()) >= SHORTEST_ATTEMPT + pause
     }
 
     fn attempts(&self) -> u32 {
@@ -426,12 +476,15 @@
         self.outbound.own_reply(reason, retry_after, Some(&self.request.id))
     }
 
-    fn tell_withheld(&self) {
+    fn tell_withheld(&self, refusal: &RetryRefusal) {
         self.outbound.telemetry.emit(Event::RetryWithheld {
             request: text(&self.request.id),
             service: self.request.service.clone(),
             attempts: self.attempts(),
             origin: self.request.origin.word(),
+            stake: refusal.stake.map_or("none", RetryStake::word),
+            saved: refusal.saved,
+            most_saved: refusal.most_saved,
         });
     }
 
--- a/crates/forwarding/src/repeats/ledger.rs
+++ b/crates/forwarding/src/repeats/ledger.rs
@@ -7,7 +7,7 @@
 use parking_lot::Mutex;
 use tokio::time::Instant;
 use umberpond_model::ServiceName;
-use umberpond_selection::{RetryBudget, RetryBudgetSettings};
+use umberpond_selection::{RetryBudget, RetryBudgetSettings, RetryOwner, RetryStake, RetryStakes};
 use umberpond_telemetry::{Event, Telemetry};
 
 use super::call_rates::{CallRates, RunCalls};
@@ -42,15 +42,60 @@
     const fn has_repeats(&self) -> bool {
         self.repeats + self.repeated_calls + self.withheld > 0
     }
+
+    const fn count_repeat(&mut self, kind: RepeatKind, is_taken: bool) {
+        let count = match kind {
+            _ if !is_taken => &mut self.withheld,
+            RepeatKind::SentAgain => &mut self.repeats,
+            RepeatKind::RepeatedCall => &mut self.repeated_calls,
+        };
+        *count += 1;
+    }
+}
+
+/// A repeat that is withheld.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct RetryRefusal {
+    /// What was at stake; absent if nothing was, since the run has lost another call.
+    pub(crate) stake: Option<RetryStake>,
+    /// Repeats that the node has saved.
+    pub(crate) saved: u64,
+    /// The most that it may save.
+    pub(crate) most_saved: u64,
 }
 
 #[derive(Debug, Default)]
 struct RetryAccount {
     budget: RetryBudget,
+    stakes: RetryStakes,
     counts: RetryCounts,
     told_at: Option<Instant>,
 }
 
+impl RetryAccount {
+    fn take_for(
+        &mut self,
+        now: std::time::Instant,
+        owner: RetryOwner,
+        nodes: Option<usize>,
+        settings: &RetryBudgetSettings,
+    ) -> Result<(), RetryRefusal> {
+        let stake = self.stakes.claim(now, owner);
+        let is_taken = stake.is_some_and(|stake| {
+            let reserved = self.stakes.reserved_share(now, stake);
+            self.budget.take_above(now, nodes, settings, reserved)
+        });
+        if is_taken {
+            return Ok(());
+        }
+        Err(RetryRefusal {
+            stake,
+            saved: whole(self.budget.left(now, nodes, settings)),
+            most_saved: whole(self.budget.most_saved(now, nodes, settings)),
+        })
+    }
+}
+
 /// The retry budget of each service at this node.
 pub(crate) struct RetryLedger {
     settings: RetryBudgetSettings,
@@ -91,21 +136,37 @@
         });
     }
 
-    /// Takes a repeat out of the budget of `service`; absent if it is spent.
+    /// Takes a repeat out of the budget of `service`, whatever is at stake with it; absent if the budget is spent.
     pub(crate) fn take(self: &Arc<Self>, service: &ServiceName, kind: RepeatKind) -> Option<RetryGrant> {
         let now = Instant::now().into_std();
         let is_taken = self.with_account(service, |account, nodes| {
             let is_taken = account.budget.take(now, nodes, &self.settings);
-            let counts = &mut account.counts;
-            let count = match kind {
-                _ if !is_taken => &mut counts.withheld,
-                RepeatKind::SentAgain => &mut counts.repeats,
-                RepeatKind::RepeatedCall => &mut counts.repeated_calls,
-            };
-            *count += 1;
+            account.counts.count_repeat(kind, is_taken);
             is_taken
         });
-        is_taken.then(|| RetryGrant { ledger: Arc::clone(self), service: service.clone(), has_arrived: true })
+        is_taken.then(|| self.grant(service))
+    }
+
+    /// Takes a repeat for `owner` out of the budget of `service`.
+    ///
+    /// # Errors
+    /// Returns what was at stake if the budget is spent, or the rest of it kept for repeats with more at stake.
+    pub(crate) fn take_for(
+        self: &Arc<Self>,
+        service: &ServiceName,
+        owner: RetryOwner,
+    ) -> Result<RetryGrant, RetryRefusal> {
+        let now = Instant::now().into_std();
+        let taken = self.with_account(service, |account, nodes| {
+            let taken = account.take_for(now, owner, nodes, &self.settings);
+            account.counts.count_repeat(RepeatKind::SentAgain, taken.is_ok());
+            taken
+        });
+        taken.map(|()| self.grant(service))
+    }
+
+    fn grant(self: &Arc<Self>, service: &ServiceName) -> RetryGrant {
+        RetryGrant { ledger: Arc::clone(self), service: service.clone(), has_arrived: true }
     }
 
     /// Drops what is saved of all budgets.
@@ -115,13 +176,16 @@
         }
     }
 
-    /// Whether the budgets of the called services bear the calls of `runs` repeated runs of `route` at the back end beside this node.
+    /// Whether the budgets of the called services bear the calls of `runs` repeated runs of `route` at the back end beside this node. A repeated run
+    /// lacks all its calls, so nothing of what is kept for runs that lack one is spent on it.
     pub(crate) fn bears_calls(&self, route: u32, runs: u32) -> bool {
         let now = Instant::now().into_std();
         let rates = self.rates.lock();
         rates.of_route(route).all(|(service, rate)| {
-            let left =
-                self.with_account(service, |account, nodes| account.budget.left(now, nodes, &self.settings));
+            let left = self.with_account(service, |account, nodes| {
+                let reserved = account.stakes.reserved_share(now, RetryStake::RunInDoubt);
+                account.budget.left_above(now, nodes, &self.settings, reserved)
+            });
             left >= rate * f64::from(runs)
         })
     }
--- a/crates/forwarding/src/repeats/mod.rs
+++ b/crates/forwarding/src/repeats/mod.rs
@@ -5,11 +5,12 @@
 //! as nobody paid for them, such calls were 325 of the 584 repeats that a service received in ten seconds in which answers were lost (event 4027).
 
 mod call_rates;
+mod followed_calls;
 mod ledger;
 mod open_runs;
 mod sharing;
 #[cfg(test)]
 mod tests;
 
-pub(crate) use ledger::{RepeatKind, RetryGrant, RetryLedger};
-pub(crate) use open_runs::{CallOrigin, OpenRuns, RunContext};
+pub(crate) use ledger::{RepeatKind, RetryGrant, RetryLedger, RetryRefusal};
+pub(crate) use open_runs::{CallOrigin, FollowedCall, OpenRuns, RunContext};
--- a/crates/forwarding/src/repeats/open_runs.rs
+++ b/crates/forwarding/src/repeats/open_runs.rs
@@ -8,8 +8,10 @@
 use parking_lot::Mutex;
 use tokio::time::Instant;
 use umberpond_model::{ServiceName, TenantName};
+use umberpond_selection::OtherCalls;
 
 use super::call_rates::RunCalls;
+use super::followed_calls::{CallState, FollowedCalls};
 use crate::message::Attempt;
 
 /// Time between two looks for runs that are long over.
@@ -70,6 +72,8 @@
     /// Hash of the name of its route.
     route: u32,
     calls: RunCalls,
+    /// How its calls stand.
+    followed: FollowedCalls,
     /// When a run whose answer did not come is over at the latest.
     over_at: Option<Instant>,
 }
@@ -110,20 +114,22 @@
             objective_at: attempt.objective_at,
             deadline: *deadline,
         };
-        let run =
-            Run { context, is_repeat: *is_repeat, route: *route, calls: RunCalls::new(), over_at: None };
+        let run = Run {
+            context,
+            is_repeat: *is_repeat,
+            route: *route,
+            calls: RunCalls::new(),
+            followed: FollowedCalls::default(),
+            over_at: None,
+        };
         state.runs.insert(id.clone(), run);
         OpenRun { runs: Arc::clone(self), id: id.clone(), deadline: *deadline }
     }
 
     /// Takes in that the request called `id` goes to `service`, and tells where it comes from.
     pub(crate) fn on_request(&self, id: &[u8], service: &ServiceName) -> RequestSource {
-        let Some(separator) = self.separator else { return RequestSource::OUTSIDE };
         let mut state = self.state.lock();
-        let mut ends = (1..id.len()).rev().filter(|at| id[*at] == separator);
-        let Some(end) = ends.find(|end| state.runs.contains_key(&id[..*end])) else {
-            return RequestSource::OUTSIDE;
-        };
+        let Some(end) = self.end_of_run(&state, id) else { return RequestSource::OUTSIDE };
         let Some(run) = state.runs.get_mut(&id[..end]) else { return RequestSource::OUTSIDE };
         match run.calls.iter_mut().find(|(called, _)| called == service) {
             Some((_, count)) => *count += 1,
@@ -133,6 +139,32 @@
         RequestSource { origin, run: Some(run.context.clone()) }
     }
 
+    /// Follows the call named `id` until it ends; absent if it is none of a run at the back end.
+    pub(crate) fn follow(self: &Arc<Self>, id: &Bytes) -> Option<FollowedCall> {
+        let mut state = self.state.lock();
+        let end = self.end_of_run(&state, id)?;
+        state.runs.get_mut(&id[..end])?.followed.begin(id);
+        Some(FollowedCall { runs: Arc::clone(self), run: id.slice(..end), call: id.clone() })
+    }
+
+    /// Where in the identity of a call that of its run ends; absent if no run is known to have made it.
+    fn end_of_run(&self, state: &State, id: &[u8]) -> Option<usize> {
+        let separator = self.separator?;
+        let mut ends = (1..id.len()).rev().filter(|at| id[*at] == separator);
+        ends.find(|end| state.runs.contains_key(&id[..*end]))
+    }
+
+    fn set_call(&self, run: &[u8], call: &[u8], call_state: CallState) {
+        if let Some(run) = self.state.lock().runs.get_mut(run) {
+            run.followed.set(call, call_state);
+        }
+    }
+
+    fn other_calls(&self, run: &[u8], call: &[u8]) -> OtherCalls {
+        let state = self.state.lock();
+        state.runs.get(run).map(|run| run.followed.others(call)).unwrap_or_default()
+    }
+
     /// Repeated runs of `route` at the back end.
     pub(crate) fn repeated_runs(&self, route: u32) -> u32 {
         let state = self.state.lock();
@@ -151,6 +183,37 @@
     }
 }
 
+/// A call of a run at the back end. It counts as lost when it is dropped before its end: whoever made it awaits no answer.
+#[derive(Debug)]
+pub(crate) struct FollowedCall {
+    runs: Arc<OpenRuns>,
+    run: Bytes,
+    call: Bytes,
+}
+
+impl FollowedCall {
+    /// Takes in that a back end has turned the call away.
+    pub(crate) fn on_rejected(&self) {
+        self.runs.set_call(&self.run, &self.call, CallState::Rejected);
+    }
+
+    /// How the other calls of its run stand.
+    pub(crate) fn others(&self) -> OtherCalls {
+        self.runs.other_calls(&self.run, &self.call)
+    }
+
+    /// Takes in that the call was answered with success.
+    pub(crate) fn on_answered(self) {
+        self.runs.set_call(&self.run, &self.call, CallState::Answered);
+    }
+}
+
+impl Drop for FollowedCall {
+    fn drop(&mut self) {
+        self.runs.set_call(&self.run, &self.call, CallState::Lost);
+    }
+}
+
 /// One run at the back end. Unless it is known to have ended it counts until its deadline after this is dropped: a back end may go on
 /// with a request whose answer nobody awaits, and make calls.
 #[derive(Debug)]
--- a/crates/forwarding/src/repeats/tests.rs
+++ b/crates/forwarding/src/repeats/tests.rs
@@ -8,7 +8,7 @@
 use umberpond_http1::Fields;
 use umberpond_model::{HomeRegions, ServiceName};
 use umberpond_quarantine::{RequestContent, RequestFingerprint, RequestKey};
-use umberpond_selection::RetryBudgetSettings;
+use umberpond_selection::{OtherCalls, RetryBudgetSettings, RetryOwner, RetryStake};
 use umberpond_telemetry::{MemoryRecorder, Telemetry};
 
 use super::sharing::SharingNodes;
@@ -101,6 +101,59 @@
     assert!(!ledger.bears_calls(ROUTE, 2), "what may have arrived is spent");
 }
 
+#[tokio::test(start_paused = true)]
+async fn it_is_known_how_the_other_calls_of_a_run_stand() {
+    let runs = Arc::new(OpenRuns::new(Some(b'.')));
+    let run = runs.begin(&attempt("one", false));
+    let follow = |id: &'static str| runs.follow(&Bytes::from_static(id.as_bytes()));
+    assert!(follow("other.a").is_none(), "no such run");
+    let first = follow("one.a").unwrap();
+    assert_eq!(first.others(), OtherCalls::default());
+    let second = follow("one.b").unwrap();
+    assert_eq!(first.others(), OtherCalls { open: 1, rejected: 0, lost: 0 });
+    second.on_rejected();
+    assert_eq!(first.others(), OtherCalls { open: 0, rejected: 1, lost: 0 });
+    assert_eq!(second.others(), OtherCalls { open: 1, rejected: 0, lost: 0 });
+    drop(second);
+    assert_eq!(first.others(), OtherCalls { open: 0, rejected: 0, lost: 1 });
+    let third = follow("one.c").unwrap();
+    assert_eq!(
+        first.others(),
+        OtherCalls { open: 1, rejected: 0, lost: 0 },
+        "the run goes on without the second"
+    );
+    first.on_answered();
+    assert_eq!(third.others(), OtherCalls::default());
+    drop(run.end());
+    assert_eq!(third.others(), OtherCalls::default(), "the run is over");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_repeat_is_taken_by_what_is_at_stake() {
+    let ledger = ledger(0.2);
+    let called = service("ledger");
+    for _ in 0..81 {
+        ledger.count_request(&called, CallOrigin::FirstRun);
+    }
+    let lacks_one = RetryOwner::Run(OtherCalls { open: 1, rejected: 0, lost: 0 });
+    let lacks_two = RetryOwner::Run(OtherCalls { open: 0, rejected: 1, lost: 0 });
+    let failed = RetryOwner::Run(OtherCalls { open: 0, rejected: 0, lost: 1 });
+    ledger.record_calls(ROUTE, &vec![(called.clone(), 2)]);
+    assert!(ledger.bears_calls(ROUTE, 4), "nothing is kept while nobody asks");
+    // Eight are saved.
+    drop(ledger.take_for(&called, lacks_one).unwrap());
+    assert!(ledger.bears_calls(ROUTE, 1));
+    assert!(!ledger.bears_calls(ROUTE, 2), "six are kept");
+    drop(ledger.take_for(&called, lacks_two).unwrap());
+    let refusal = ledger.take_for(&called, failed).unwrap_err();
+    assert_eq!((refusal.stake, refusal.saved, refusal.most_saved), (None, 6, 8));
+    while ledger.take_for(&called, RetryOwner::Caller { rank: 1 }).is_ok() {}
+    let refusal = ledger.take_for(&called, lacks_two).unwrap_err();
+    assert_eq!((refusal.stake, refusal.saved), (Some(RetryStake::RunInDoubt), 1));
+    assert!(ledger.take_for(&called, lacks_one).is_ok());
+    assert!(ledger.take_for(&called, lacks_one).is_err(), "the last one is spent");
+}
+
 #[tokio::test(start_paused = true)]
 async fn calls_of_repeated_runs_earn_nothing() {
     let ledger = ledger(1.0);
--- a/crates/forwarding/tests/support/fleet.rs
+++ b/crates/forwarding/tests/support/fleet.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
 use tokio::io::AsyncWriteExt;
 use tokio::time::{Instant, sleep, sleep_until};
 use umberpond_config::{Entry, RequestClass, Route, RoutePolicy, Snapshot};
@@ -35,10 +37,17 @@
 /// Nodes beside back ends of `desk`; those of `ledger` follow.
 const DESKS: usize = 6;
 const LEDGERS: usize = 4;
-/// Calls of a run, made together; a part of the runs makes none.
-const CALLS: usize = 4;
-/// Of ten runs at `desk` so many make calls.
-const CALLING_RUNS: usize = 3;
+/// What the runs at `desk` call.
+#[derive(Debug, Clone, Copy)]
+pub struct RunLoad {
+    /// Calls of a run, made together; a part of the runs makes none.
+    pub calls: usize,
+    /// Of ten runs so many make calls.
+    pub calling_runs: usize,
+}
+
+/// Few runs with many calls.
+const FEW_CALLING_RUNS: RunLoad = RunLoad { calls: 4, calling_runs: 3 };
 /// Time after its start in which a node doesn't know the others.
 const LONELY_TIME: Duration = Duration::from_millis(400);
 
@@ -53,6 +62,8 @@
     pub repeated_calls: usize,
     /// Answers by status.
     pub statuses: HashMap<u16, usize>,
+    /// Answers by the first part of the path and status.
+    pub statuses_by_path: HashMap<(String, u16), usize>,
     arrivals: HashMap<String, usize>,
     runs: HashMap<String, usize>,
     rejections: usize,
@@ -62,6 +73,9 @@
     history: Mutex<History>,
     /// Of twenty requests the back ends of `ledger` turn so many away.
     turned_away: AtomicUsize,
+    load: RunLoad,
+    /// Draws what is turned away; absent if every so-manieth request is.
+    random: Option<Mutex<SmallRng>>,
 }
 
 struct Node {
@@ -83,10 +97,24 @@
 
 impl Fleet {
     pub async fn start() -> Self {
+        Self::with(FEW_CALLING_RUNS, None).await
+    }
+
+    /// As [`Fleet::start`], with other runs, and with requests turned away at random.
+    pub async fn with_runs(load: RunLoad, seed: u64) -> Self {
+        Self::with(load, Some(Mutex::new(SmallRng::seed_from_u64(seed)))).await
+    }
+
+    async fn with(load: RunLoad, random: Option<Mutex<SmallRng>>) -> Self {
         let fleet = Self {
             network: SimNetwork::new(7, |_, _| Millis(1)),
             nodes: Arc::default(),
-            shared: Arc::new(Shared { history: Mutex::default(), turned_away: AtomicUsize::new(0) }),
+            shared: Arc::new(Shared {
+                history: Mutex::default(),
+                turned_away: AtomicUsize::new(0),
+                load,
+                random,
+            }),
             telemetry: Telemetry::to_observer(Arc::new(MemoryRecorder::default()) as _),
         };
         for number in 0..DESKS + LEDGERS {
@@ -148,7 +176,9 @@
             self.shared.history.lock().requests.push(Instant::now());
         }
         let status = self.ask(path, id, node).await;
-        *self.shared.history.lock().statuses.entry(status).or_default() += 1;
+        let mut history = self.shared.history.lock();
+        *history.statuses.entry(status).or_default() += 1;
+        *history.statuses_by_path.entry((path.to_owned(), status)).or_default() += 1;
     }
 
     async fn ask(&self, path: &str, id: &str, node: usize) -> u16 {
@@ -267,8 +297,9 @@
         };
         sleep(Duration::from_millis(20)).await;
         let digits: String = id.chars().filter(char::is_ascii_digit).collect();
-        let makes_calls = digits.parse::<usize>().unwrap_or_default() % 10 < CALLING_RUNS;
-        let calls = if makes_calls { CALLS } else { 0 };
+        let RunLoad { calls, calling_runs } = self.shared.load;
+        let makes_calls = digits.parse::<usize>().unwrap_or_default() % 10 < calling_runs;
+        let calls = if makes_calls { calls } else { 0 };
         let mut calling = Vec::new();
         for call in 0..calls {
             let (fleet, id) = (self.clone(), format!("{id}.run{runs}call{call}"));
@@ -296,10 +327,16 @@
                 history.repeats.push(Instant::now());
                 history.repeated_calls += usize::from(is_call_of_repeat);
             }
-            history.rejections += self.shared.turned_away.load(Ordering::Relaxed);
-            let is_rejected = history.rejections >= 20;
-            history.rejections %= 20;
-            is_rejected
+            let turned_away = self.shared.turned_away.load(Ordering::Relaxed);
+            match &self.shared.random {
+                Some(random) => random.lock().random_range(0..20) < turned_away,
+                None => {
+                    history.rejections += turned_away;
+                    let is_rejected = history.rejections >= 20;
+                    history.rejections %= 20;
+                    is_rejected
+                }
+            }
         };
         if is_rejected {
             return "HTTP/1.1 503 Full\r\numberpond-rejected: 1\r\nContent-Length: 0\r\n\r\n".to_owned();
--- a/crates/selection/src/budget.rs
+++ b/crates/selection/src/budget.rs
@@ -69,7 +69,18 @@
     /// Takes one repeat out of the budget; `false` if it is spent. What is taken ends with [`RetryBudget::on_arrived`] or
     /// [`RetryBudget::give_back`].
     pub fn take(&mut self, now: Instant, nodes: Option<usize>, settings: &RetryBudgetSettings) -> bool {
-        if self.left(now, nodes, settings) < WHOLE {
+        self.take_above(now, nodes, settings, 0.0)
+    }
+
+    /// As [`RetryBudget::take`], and only if more than `reserved_share` of what this node may save is saved.
+    pub fn take_above(
+        &mut self,
+        now: Instant,
+        nodes: Option<usize>,
+        settings: &RetryBudgetSettings,
+        reserved_share: f64,
+    ) -> bool {
+        if self.left_above(now, nodes, settings, reserved_share) < WHOLE {
             return false;
         }
         self.saved -= 1.0;
@@ -99,16 +110,34 @@
         self.saved
     }
 
+    /// Repeats that may be sent now one after another, each while at least `reserved_share` of what this node may save is saved. A node that may
+    /// save no more than one repeat reserves none.
+    pub fn left_above(
+        &mut self,
+        now: Instant,
+        nodes: Option<usize>,
+        settings: &RetryBudgetSettings,
+        reserved_share: f64,
+    ) -> f64 {
+        let reserved = reserved_share * self.most_saved(now, nodes, settings);
+        self.left(now, nodes, settings) - (reserved - 1.0).max(0.0)
+    }
+
+    /// The most that this node may save.
+    pub fn most_saved(&mut self, now: Instant, nodes: Option<usize>, settings: &RetryBudgetSettings) -> f64 {
+        self.forget_old(now, settings);
+        let requests: u32 = self.slices.iter().map(|slice| slice.requests).sum();
+        SAVED_SHARE * (settings.ratio * f64::from(requests) + part_of_extra(nodes, settings))
+    }
+
     /// Lets the node's part of the extra come in, and bounds what is saved.
     fn refresh(&mut self, now: Instant, nodes: Option<usize>, settings: &RetryBudgetSettings) {
-        self.forget_old(now, settings);
-        let part = nodes.map_or(0.0, |nodes| settings.extra / f64::from(count(nodes.max(1))));
+        let part = part_of_extra(nodes, settings);
         let since = now.saturating_duration_since(self.refreshed_at.unwrap_or(now));
         self.refreshed_at = Some(now);
         self.saved += part * (1.0 - SAVED_SHARE) * since.div_duration_f64(settings.window);
-        let requests: u32 = self.slices.iter().map(|slice| slice.requests).sum();
-        let bound = SAVED_SHARE * (settings.ratio * f64::from(requests) + part);
-        self.saved = self.saved.min(bound - f64::from(self.on_the_way)).max(0.0);
+        let most = self.most_saved(now, nodes, settings);
+        self.saved = self.saved.min(most - f64::from(self.on_the_way)).max(0.0);
     }
 
     /// Drops the slices that have left the window, even if only in part.
@@ -132,6 +161,11 @@
     }
 }
 
+/// This node's part of the extra.
+fn part_of_extra(nodes: Option<usize>, settings: &RetryBudgetSettings) -> f64 {
+    nodes.map_or(0.0, |nodes| settings.extra / f64::from(count(nodes.max(1))))
+}
+
 fn count(nodes: usize) -> u32 {
     u32::try_from(nodes).unwrap_or(u32::MAX)
 }
--- a/crates/selection/src/lib.rs
+++ b/crates/selection/src/lib.rs
@@ -6,6 +6,7 @@
 mod choice;
 mod endpoint;
 mod releases;
+mod retry_stake;
 mod route_times;
 mod selector;
 
@@ -13,4 +14,5 @@
 pub use choice::{Choice, Query};
 pub use endpoint::{Endpoint, Observation};
 pub use releases::{ReleaseGroup, ReleaseShare};
+pub use retry_stake::{OtherCalls, RetryOwner, RetryStake, RetryStakes};
 pub use selector::{Selector, SelectorSettings};
--- a/crates/selection/tests/budget.rs
+++ b/crates/selection/tests/budget.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use quickcheck::quickcheck;
-use umberpond_selection::{RetryBudget, RetryBudgetSettings};
+use umberpond_selection::{OtherCalls, RetryBudget, RetryBudgetSettings, RetryOwner, RetryStakes};
 
 const SETTINGS: RetryBudgetSettings =
     RetryBudgetSettings { ratio: 0.2, extra: 12.0, window: Duration::from_secs(10) };
@@ -140,10 +140,16 @@
 /// The greatest excess of any window if each node sends again whatever it may once the calm is over. Each of `turns` says at which node
 /// the next requests arrive, whether that node's process starts again first, and how long its repeats are on the way.
 fn worst_excess(turns: &[(u8, u8, u8)]) -> f64 {
+    worst_excess_by_stake(turns, &[])
+}
+
+/// As [`worst_excess`], with repeats for each of `owners` in turn; for nobody in particular if there are none.
+fn worst_excess_by_stake(turns: &[(u8, u8, u8)], owners: &[RetryOwner]) -> f64 {
     let started = Instant::now();
     // Two windows later than zero, so that the windows before the first one have a beginning.
     let mut at = SETTINGS.window * 2;
     let mut budgets: [RetryBudget; NODES] = Default::default();
+    let mut stakes: [RetryStakes; NODES] = Default::default();
     let mut on_the_way: Vec<(Duration, usize)> = Vec::new();
     let (mut requests, mut repeats) = (Vec::new(), Vec::new());
     for number in 0..REQUESTS {
@@ -154,11 +160,26 @@
         if number % 10 == 0 && number >= CALM_REQUESTS && restart % 32 == 0 {
             on_the_way.retain(|(_, of)| *of != node);
             budgets[node] = RetryBudget::default();
+            stakes[node] = RetryStakes::default();
         }
+        let mut asked = 0;
         budgets[node].count_request(now, Some(NODES), &SETTINGS);
         requests.push(at);
         for (index, budget) in budgets.iter_mut().enumerate() {
-            while number >= CALM_REQUESTS && budget.take(now, Some(NODES), &SETTINGS) {
+            let mut take = |budget: &mut RetryBudget| {
+                if owners.is_empty() {
+                    return budget.take(now, Some(NODES), &SETTINGS);
+                }
+                // Each owner asks, whatever the one before it was told.
+                (0..owners.len()).any(|_| {
+                    let owner = owners[asked % owners.len()];
+                    asked += 1;
+                    let Some(stake) = stakes[index].claim(now, owner) else { return false };
+                    let reserved = stakes[index].reserved_share(now, stake);
+                    budget.take_above(now, Some(NODES), &SETTINGS, reserved)
+                })
+            };
+            while number >= CALM_REQUESTS && take(budget) {
                 on_the_way.push((at + Duration::from_millis(u64::from(delay) * 4), index));
             }
         }
@@ -182,10 +203,23 @@
     assert!(worst_excess(&[(0, 0, 1)]) <= 0.0);
 }
 
+/// A caller whose request has some rank, or a run with other calls of all kinds.
+fn owner(is_run: bool, number: u8) -> RetryOwner {
+    let bit = |place: u8| u32::from(number >> place & 1);
+    let others = OtherCalls { open: bit(0), rejected: bit(1), lost: bit(2) };
+    if is_run { RetryOwner::Run(others) } else { RetryOwner::Caller { rank: number % 4 } }
+}
+
 quickcheck! {
     /// Wherever requests move, however long repeats are on the way and whichever processes start again, no window of all nodes together
     /// has more repeats than are allowed.
     fn no_window_is_overspent(turns: Vec<(u8, u8, u8)>) -> bool {
         turns.is_empty() || worst_excess(&turns) <= 0.0
     }
+
+    /// Nor if repeats are spent by stake: what is kept for some is no allowance on top, and a process that starts again keeps nothing.
+    fn no_window_is_overspent_by_stake(turns: Vec<(u8, u8, u8)>, owners: Vec<(bool, u8)>) -> bool {
+        let owners: Vec<RetryOwner> = owners.iter().map(|(is_run, number)| owner(*is_run, *number)).collect();
+        turns.is_empty() || worst_excess_by_stake(&turns, &owners) <= 0.0
+    }
 }
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -136,8 +136,8 @@
         = 4024, Info, "admission-refused", "The node beside the back end refused a request; it has not run.";
     ExchangeLost { request: String, fingerprint: String, instance: String, reason: &'static str, elapsed_millis: u64 }
         = 4025, Info, "exchange-lost", "A request was handed to the back end and no sound answer came back. `fingerprint` is the same each time the same is asked.";
-    RetryWithheld { request: String, service: ServiceName, attempts: u32, origin: &'static str }
-        = 4026, Info, "retry-withheld", "The retry budget of the service is spent at this node: the request is not sent again. `origin` tells whether a caller has made it, or a first or repeated run at the back end beside this node.";
+    RetryWithheld { request: String, service: ServiceName, attempts: u32, origin: &'static str, stake: &'static str, saved: u64, most_saved: u64 }
+        = 4026, Info, "retry-withheld", "The retry budget of the service is spent at this node, or the rest of it kept for repeats with more at stake: the request is not sent again. `origin` tells whether a caller has made it, or a first or repeated run at the back end beside this node. `stake` tells what is lost by it: a run that lacks this call alone, or several calls, or a request of a caller; `none` for a call of a run that has lost another call, and for the first arrival of a call of a repeated run. `saved` of `most_saved` repeats are saved at this node.";
     RetriesCounted { service: ServiceName, requests: u64, repeats: u64, repeated_calls: u64, withheld: u64, left: u64, nodes: u64, period_millis: u64 }
         = 4027, Info, "retries-counted", "What this node has counted of a service in the period, if any of it was a repeat: requests, requests sent to another back end after they had reached one, calls of runs that were repeats, repeats that the budget did not allow, repeats that it allows now, and the nodes that share it, 0 while that is not known.";
     RequestSuspected { fingerprint: String, crashes: u64, source: &'static str }
