Tell callers refused after a fault to come back within their objective

Cause: whoever was refused since back ends turned requests away was told 200 ms. With objectives of 250 to 600 ms, of which a back end takes a half, the new try was answered too late whatever became of it, and all came back together.

Change: one decision core (crates/forwarding/src/outbound/come_back.rs) takes the reason, the time left of the objective, counted from the caller's first try as far as its usual time tells, the time that the caller still waits and that of a back end. A rejection with slots free gives its slot back before the load is told, so it is no load to those who choose. Event 4033 tells the decision.

Ruled out: coming back within the objective to a full queue. Its room is taken by requests that came before, and the time spread over a third of what the caller waits is bound by crates/forwarding/tests/overload.rs, which stays as it was.

Before: callers_come_back_from_a_fault_within_their_objective and what_a_refused_caller_was_told_is_logged in crates/forwarding/tests/rejections.rs fail (all told 200 ms). After: they and the other tests of the crate pass.

--- a/crates/forwarding/src/inbound/serving.rs
+++ b/crates/forwarding/src/inbound/serving.rs
@@ -268,10 +268,11 @@
                 watched.answered();
                 self.withdraw(&attempt);
                 let reason = self.rejection_reason(status);
-                // The slot is kept until the load is told, which is the load that the back end had.
+                // Where slots are free a rejection is no load, so the slot is given back before the load is told.
+                let full_slot = (reason == NotRunReason::BackEndFull).then_some(permit);
                 let not_run = NotRun { reached_back_end: true, ..NotRun::before_back_end(reason) };
                 let result = self.refused(&attempt, not_run);
-                drop(permit);
+                drop(full_slot);
                 result
             }
             ExchangeEnd::Unknown(reason) => {
--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -6,10 +6,11 @@
 use tokio::time::{Instant, sleep};
 use umberpond_model::NodeName;
 use umberpond_quarantine::Standing;
+use umberpond_scheduling::LoadReport;
 use umberpond_selection::{Choice, Observation, Query, ReleaseGroup, RetryOwner, RetryStake};
 use umberpond_telemetry::{Event, RequestDetail};
 
-use super::come_back::come_back_within;
+use super::come_back::RefusedRequest;
 use super::failed_answer::FailedAnswer;
 use super::prepared::PreparedRequest;
 use super::reply::{Reply, ReplyReason, Served};
@@ -21,8 +22,6 @@
 
 /// Time that must be left for another attempt.
 const SHORTEST_ATTEMPT: Duration = Duration::from_millis(10);
-/// When a caller comes back whose request did not run, if nothing better is known.
-const COME_BACK: Duration = Duration::from_millis(200);
 /// Attempts after the first one that never came near a back end, after which only nodes are asked where a slot should be free. Where
 /// three nodes of a service are full, most are; what more attempts find is not worth their bytes and processor time.
 const BLIND_ATTEMPTS: u32 = 2;
@@ -38,14 +37,13 @@
 /// Lowest status of an answer with which a call has failed.
 const FIRST_FAILURE: u16 = 500;
 
-/// When a caller comes back whose request has ended back ends: nothing is better for it before it is mended.
-const COME_BACK_AFTER_MENDING: Duration = Duration::from_secs(60);
-
 /// A request on its way through its attempts.
 pub(super) struct Attempts<'a> {
     outbound: &'a Arc<Outbound>,
     request: PreparedRequest,
     tried: Vec<NodeName>,
+    /// Time that the back end chosen last is expected to take.
+    service_time: Duration,
     /// Releases to which the next attempt goes.
     group: ReleaseGroup,
     /// Back ends at which the request has arrived.
@@ -79,6 +77,7 @@
             outbound,
             request,
             tried: Vec::new(),
+            service_time: Duration::ZERO,
             group: ReleaseGroup::Others,
             arrivals: 0,
             runs: 0,
@@ -121,6 +120,7 @@
                 return self.not_run(last);
             }
             let Some(body) = self.request.body.for_attempt() else { return self.not_run(last) };
+            self.service_time = choice.service;
             let result = self.send(&choice, body).await;
             if let AttemptResult::NotRun(not_run) = &result {
                 self.await_other_calls(not_run).await;
@@ -450,15 +450,23 @@
 
     /// When the caller of a request that did not run does best to send it again.
     fn come_back(&self, not_run: NotRun) -> Duration {
-        if not_run.reason == NotRunReason::Quarantined {
-            return COME_BACK_AFTER_MENDING;
-        }
-        let soonest = not_run.retry_after.unwrap_or(COME_BACK);
-        if not_run.reason != NotRunReason::Overloaded {
-            return soonest;
+        let request = &self.request;
+        let passed = request.arrived.elapsed();
+        let spent_before =
+            self.outbound.caller_times.lock().spent_before(&request.route.name, request.caller_time);
+        let refused = RefusedRequest {
+            reason: not_run.reason,
+            retry_after: not_run.retry_after,
+            objective_left: request.route.objective.saturating_sub(spent_before + passed),
+            caller_left: request.caller_time.saturating_sub(passed),
+            service: self.service_time,
+            slot_wait: not_run.load.as_ref().and_then(slot_wait),
+        };
+        let after = refused.come_back(&mut *self.outbound.random.lock());
+        if not_run.reached_back_end {
+            self.tell_come_back(&refused, after);
         }
-        let left = self.request.caller_time.saturating_sub(self.request.arrived.elapsed());
-        soonest.max(come_back_within(left, &mut *self.outbound.random.lock()))
+        after
     }
 
     fn reply(&self, reason: ReplyReason, retry_after: Option<Duration>) -> Reply {
@@ -476,6 +484,17 @@
         self.outbound.own_reply(reason, retry_after, Some(&self.request.id))
     }
 
+    fn tell_come_back(&self, refused: &RefusedRequest, after: Duration) {
+        self.outbound.telemetry.emit(Event::ComeBackTold {
+            request: text(&self.request.id),
+            service: self.request.service.clone(),
+            reason: refused.reason.word(),
+            after_millis: millis(after),
+            objective_left_millis: millis(refused.objective_left),
+            service_millis: millis(refused.service),
+        });
+    }
+
     fn tell_withheld(&self, refusal: &RetryRefusal) {
         self.outbound.telemetry.emit(Event::RetryWithheld {
             request: text(&self.request.id),
@@ -516,6 +535,11 @@
     }
 }
 
+/// Time after which one of the slots in use should be free.
+fn slot_wait(load: &LoadReport) -> Option<Duration> {
+    load.service_time().map(|time| time / load.slots.max(1))
+}
+
 fn not_run_observation(not_run: &NotRun) -> Observation {
     match (not_run.reason, not_run.load) {
         (NotRunReason::NodeUnreachable | NotRunReason::WrongInstance | NotRunReason::Draining, _)
--- a/crates/forwarding/src/outbound/caller_times.rs
+++ b/crates/forwarding/src/outbound/caller_times.rs
@@ -52,6 +52,12 @@
         callers.record(time);
         callers.is_later_try(time)
     }
+
+    /// Time since the first try of a request of `route` whose caller will wait for `time`, as far as is known; zero for a first try.
+    pub(super) fn spent_before(&self, route: &RouteName, time: Duration) -> Duration {
+        let callers = self.routes.get(route);
+        callers.and_then(|callers| callers.spent_before(time)).unwrap_or_default()
+    }
 }
 
 impl RouteCallers {
@@ -78,18 +84,20 @@
     }
 
     fn is_later_try(&self, time: Duration) -> bool {
+        self.spent_before(time).is_some()
+    }
+
+    /// Time since the first try, if `time` is that of a later one. Of several usual times the next longer one counts as that of the first try.
+    fn spent_before(&self, time: Duration) -> Option<Duration> {
         if self.requests < ENOUGH_REQUESTS {
-            return false;
+            return None;
         }
-        let usual = self.times.iter().filter(|common| common.requests * USUAL_ONE_IN >= self.requests);
-        let mut is_shorter = false;
-        for common in usual {
-            if is_same(common.time, time) {
-                return false;
-            }
-            is_shorter |= time < common.time;
+        let is_usual = |common: &&CommonTime| common.requests * USUAL_ONE_IN >= self.requests;
+        let usual = || self.times.iter().filter(is_usual).map(|common| common.time);
+        if usual().any(|common| is_same(common, time)) {
+            return None;
         }
-        is_shorter
+        usual().filter(|common| time < *common).min().map(|first| first - time)
     }
 }
 
--- a/crates/forwarding/src/outbound/mod.rs
+++ b/crates/forwarding/src/outbound/mod.rs
@@ -8,6 +8,8 @@
 mod prepared;
 mod reply;
 mod state;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use reply::{Reply, ReplyReason};
 pub use state::{Outbound, OutboundIdentity, OutboundSettings, StaleVersion};
--- a/crates/forwarding/tests/rejections.rs
+++ b/crates/forwarding/tests/rejections.rs
@@ -92,3 +92,34 @@
         _ => None,
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn callers_come_back_from_a_fault_within_their_objective() {
+    // The objective is 500 ms.
+    let world = World::with_routes(vec![vec![REJECTED]; 2]).await;
+    let mut told = Vec::new();
+    for number in 0..40 {
+        let answer = world.caller().await.ask("/read/a", &format!("r{number}")).await;
+        assert_eq!(answer.status, 503);
+        told.push(answer.fields.text("retry-after").unwrap().parse::<f64>().unwrap());
+    }
+    assert!(told.iter().all(|after| (0.005..=0.25).contains(after)), "{told:?}");
+    let (first, last) = told.iter().fold((f64::MAX, 0.0_f64), |(low, high), x| (low.min(*x), high.max(*x)));
+    assert!(last - first > 0.03, "all come back together: {first} to {last}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_a_refused_caller_was_told_is_logged() {
+    let world = World::with_routes(vec![vec![REJECTED]; 2]).await;
+    world.caller().await.ask("/read/a", "r1").await;
+    let told = |event: &Event| match event {
+        Event::ComeBackTold { request, reason, after_millis, objective_left_millis, .. } => {
+            Some((request.clone(), *reason, *after_millis, *objective_left_millis))
+        }
+        _ => None,
+    };
+    let lines: Vec<_> = world.recorder.events().iter().filter_map(told).collect();
+    let [(request, reason, after, left)] = &lines[..] else { panic!("{lines:?}") };
+    assert_eq!((request.as_str(), *reason), ("r1", "back-end-rejected"));
+    assert!(after < left && *left < 500, "after {after} of {left} ms");
+}
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -148,6 +148,8 @@
         = 4030, Warn, "request-quarantined", "Whatever has this fingerprint has ended so many back ends and was never answered: it is refused from now on.";
     RequestOverQuota { request: String, tenant: String }
         = 4031, Info, "request-over-quota", "The tenant has sent as many requests as it may, over all nodes together: this one was answered without an attempt.";
+    ComeBackTold { request: String, service: ServiceName, reason: &'static str, after_millis: u64, objective_left_millis: u64, service_millis: u64 }
+        = 4033, Info, "come-back-told", "The back ends that were tried turned a request away, and its caller is told to send it again after this time. `objective_left_millis` counts from the caller's first try as far as it is known; `service_millis` is what a back end is expected to take.";
 
     // Store
     PlatformUnavailable { operation: &'static str, reason: String }
