--- a/crates/config/src/route.rs
+++ b/crates/config/src/route.rs
@@ -46,7 +46,7 @@
 /// How hard and in which order the requests of a route are served.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode, Serialize, Deserialize)]
 pub struct RoutePolicy {
-    /// Most upstreams to which one request may be sent, at least 1.
+    /// Most upstreams that may run one request, at least 1. Those that turned it away have not run it.
     pub attempts: u32,
     /// Time within which an answer is of full use; absent if the route names none.
     pub objective: Option<Millis>,
