Keep no more repeats for urgent requests than are asked for

When the trouble ended 600 repeats were left over, beside 2,148 that were sent.

Change: what a request leaves is bounded by the repeats asked for with more at stake in some 5 s. A run that lacks several calls leaves the whole share as before.

--- a/crates/forwarding/src/repeats/ledger.rs
+++ b/crates/forwarding/src/repeats/ledger.rs
@@ -81,8 +81,9 @@
         settings: &RetryBudgetSettings,
     ) -> Result<(), RetryRefusal> {
         let stake = self.stakes.claim(now, owner);
+        let most_saved = self.budget.most_saved(now, nodes, settings);
         let is_taken = stake.is_some_and(|stake| {
-            let reserved = self.stakes.reserved_share(now, stake);
+            let reserved = self.stakes.reserved(now, stake, most_saved);
             self.budget.take_above(now, nodes, settings, reserved)
         });
         if is_taken {
@@ -91,7 +92,7 @@
         Err(RetryRefusal {
             stake,
             saved: whole(self.budget.left(now, nodes, settings)),
-            most_saved: whole(self.budget.most_saved(now, nodes, settings)),
+            most_saved: whole(most_saved),
         })
     }
 }
@@ -183,7 +184,8 @@
         let rates = self.rates.lock();
         rates.of_route(route).all(|(service, rate)| {
             let left = self.with_account(service, |account, nodes| {
-                let reserved = account.stakes.reserved_share(now, RetryStake::RunInDoubt);
+                let most_saved = account.budget.most_saved(now, nodes, &self.settings);
+                let reserved = account.stakes.reserved(now, RetryStake::RunInDoubt, most_saved);
                 account.budget.left_above(now, nodes, &self.settings, reserved)
             });
             left >= rate * f64::from(runs)
--- a/crates/forwarding/src/repeats/tests.rs
+++ b/crates/forwarding/src/repeats/tests.rs
@@ -147,6 +147,10 @@
     drop(ledger.take_for(&called, lacks_two).unwrap());
     let refusal = ledger.take_for(&called, failed).unwrap_err();
     assert_eq!((refusal.stake, refusal.saved, refusal.most_saved), (None, 6, 8));
+    for _ in 0..2 {
+        drop(ledger.take_for(&called, lacks_one).unwrap());
+    }
+    // Of four, two are kept for runs that lack one call: a quarter of eight, as three were asked for.
     while ledger.take_for(&called, RetryOwner::Caller { rank: 1 }).is_ok() {}
     let refusal = ledger.take_for(&called, lacks_two).unwrap_err();
     assert_eq!((refusal.stake, refusal.saved), (Some(RetryStake::RunInDoubt), 1));
--- a/crates/selection/src/budget.rs
+++ b/crates/selection/src/budget.rs
@@ -72,15 +72,15 @@
         self.take_above(now, nodes, settings, 0.0)
     }
 
-    /// As [`RetryBudget::take`], and only if more than `reserved_share` of what this node may save is saved.
+    /// As [`RetryBudget::take`], and only if no less than `reserved` repeats are saved.
     pub fn take_above(
         &mut self,
         now: Instant,
         nodes: Option<usize>,
         settings: &RetryBudgetSettings,
-        reserved_share: f64,
+        reserved: f64,
     ) -> bool {
-        if self.left_above(now, nodes, settings, reserved_share) < WHOLE {
+        if self.left_above(now, nodes, settings, reserved) < WHOLE {
             return false;
         }
         self.saved -= 1.0;
@@ -110,16 +110,15 @@
         self.saved
     }
 
-    /// Repeats that may be sent now one after another, each while at least `reserved_share` of what this node may save is saved. A node that may
-    /// save no more than one repeat reserves none.
+    /// Repeats that may be sent now one after another, each while no less than `reserved` are saved. The one that is to be sent counts as saved, so to reserve
+    /// one is to reserve none.
     pub fn left_above(
         &mut self,
         now: Instant,
         nodes: Option<usize>,
         settings: &RetryBudgetSettings,
-        reserved_share: f64,
+        reserved: f64,
     ) -> f64 {
-        let reserved = reserved_share * self.most_saved(now, nodes, settings);
         self.left(now, nodes, settings) - (reserved - 1.0).max(0.0)
     }
 
--- a/crates/selection/src/retry_stake.rs
+++ b/crates/selection/src/retry_stake.rs
@@ -7,10 +7,12 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-/// How long a repeat that was asked for shows that there are such repeats. A node that makes one call a second of which a half is turned away
-/// asks for several within it.
+/// Time for which repeats are kept: as many as were asked for with more at stake within it, in the mean. What is earned until then pays for later ones.
 const CLAIM_MEMORY: Duration = Duration::from_secs(5);
 
+/// Repeats asked for lately from which on they decide anything: one that is older than the memory does not.
+const FEWEST_CLAIMS: f64 = 0.3;
+
 /// What is lost if a repeat is withheld, the least first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum RetryStake {
@@ -25,7 +27,7 @@
 }
 
 impl RetryStake {
-    /// Share of what may be saved that is kept for repeats with more at stake.
+    /// Greatest share of what may be saved that is kept for repeats with more at stake.
     const fn reserved_share(self) -> f64 {
         match self {
             Self::RunInDoubt => 0.75,
@@ -73,9 +75,9 @@
 /// What was at stake with the repeats of one service that were asked for lately at this node.
 #[derive(Debug, Default)]
 pub struct RetryStakes {
-    last_call_at: Option<Instant>,
-    /// When a repeat was asked for last, by the rank of the caller's request.
-    ranks: BTreeMap<u8, Instant>,
+    last_calls: RecentCount,
+    /// Repeats asked for by rank of the caller's request.
+    ranks: BTreeMap<u8, RecentCount>,
 }
 
 impl RetryStakes {
@@ -85,40 +87,60 @@
             RetryOwner::Run(others) if others.lost > 0 => None,
             RetryOwner::Run(others) if others.rejected > 0 => Some(RetryStake::RunInDoubt),
             RetryOwner::Run(_) => {
-                self.last_call_at = Some(now);
+                self.last_calls.add(now);
                 Some(RetryStake::LastCall)
             }
             RetryOwner::Caller { rank } => {
-                self.ranks.insert(rank, now);
+                self.ranks.entry(rank).or_default().add(now);
                 Some(self.stake_of_rank(now, rank))
             }
         }
     }
 
-    /// Share of what may be saved that a repeat with `stake` leaves. Nothing is kept if no repeat with more at stake was asked for lately.
+    /// Repeats that one with `stake` leaves, where `most_saved` may be saved: a share of these. Requests leave no more than was asked for lately with
+    /// more at stake; a run that lacks several calls leaves the whole share, since a repeat hardly saves it.
     #[must_use]
-    pub fn reserved_share(&self, now: Instant, stake: RetryStake) -> f64 {
-        let has_requests = self.ranks.values().any(|at| is_recent(now, *at));
-        let has_more_at_stake = match stake {
-            RetryStake::RunInDoubt => has_requests || self.has_last_calls(now),
-            RetryStake::LessUrgentRequest => true,
-            RetryStake::Request => self.has_last_calls(now),
-            RetryStake::LastCall => false,
-        };
-        if has_more_at_stake { stake.reserved_share() } else { 0.0 }
+    pub fn reserved(&self, now: Instant, stake: RetryStake, most_saved: f64) -> f64 {
+        let share = stake.reserved_share() * most_saved;
+        let last_calls = self.last_calls.get(now);
+        let requests: f64 = self.ranks.values().map(|count| count.get(now)).sum();
+        match stake {
+            RetryStake::RunInDoubt if last_calls + requests >= FEWEST_CLAIMS => share,
+            RetryStake::RunInDoubt | RetryStake::LastCall => 0.0,
+            RetryStake::LessUrgentRequest => share.min(last_calls + self.most_urgent(now)),
+            RetryStake::Request => share.min(last_calls),
+        }
     }
 
+    /// Whether repeats of more urgent requests are asked for.
     fn stake_of_rank(&self, now: Instant, rank: u8) -> RetryStake {
-        let has_more_urgent = self.ranks.range(..rank).any(|(_rank, at)| is_recent(now, *at));
-        if has_more_urgent { RetryStake::LessUrgentRequest } else { RetryStake::Request }
+        let more_urgent: f64 = self.ranks.range(..rank).map(|(_rank, count)| count.get(now)).sum();
+        if more_urgent >= FEWEST_CLAIMS { RetryStake::LessUrgentRequest } else { RetryStake::Request }
     }
 
-    fn has_last_calls(&self, now: Instant) -> bool {
-        self.last_call_at.is_some_and(|at| is_recent(now, at))
+    /// Repeats asked for lately of the most urgent rank.
+    fn most_urgent(&self, now: Instant) -> f64 {
+        let mut counts = self.ranks.values().map(|count| count.get(now));
+        counts.find(|count| *count >= FEWEST_CLAIMS).unwrap_or_default()
     }
 }
 
-/// Whether a repeat that was asked for at `at` still counts.
-fn is_recent(now: Instant, at: Instant) -> bool {
-    now.saturating_duration_since(at) <= CLAIM_MEMORY
+/// A count in which each event counts less with its age.
+#[derive(Debug, Default, Clone, Copy)]
+struct RecentCount {
+    count: f64,
+    at: Option<Instant>,
+}
+
+impl RecentCount {
+    fn add(&mut self, now: Instant) {
+        self.count = self.get(now) + 1.0;
+        self.at = Some(now);
+    }
+
+    fn get(&self, now: Instant) -> f64 {
+        let Some(at) = self.at else { return 0.0 };
+        let age = now.saturating_duration_since(at);
+        self.count * (-age.div_duration_f64(CLAIM_MEMORY)).exp()
+    }
 }
