--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -3,13 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 use umberpond_model::NodeName;
 use umberpond_quarantine::Standing;
-use umberpond_selection::{Choice, Observation, Query, ReleaseGroup};
+use umberpond_scheduling::LoadReport;
+use umberpond_selection::{Choice, Observation, Query, ReleaseGroup, RetryOwner, RetryStake};
 use umberpond_telemetry::{Event, RequestDetail};
 
-use super::come_back::come_back_within;
+use super::come_back::RefusedRequest;
 use super::failed_answer::FailedAnswer;
 use super::prepared::PreparedRequest;
 use super::reply::{Reply, ReplyReason, Served};
@@ -17,33 +18,43 @@
 use crate::inbound::millis;
 use crate::message::{Answer, Attempt, AttemptResult, NotRun, RequestBody};
 use crate::outcome::{NotRunReason, UnknownReason};
-use crate::repeats::{CallOrigin, RepeatKind, RetryGrant};
+use crate::repeats::{CallOrigin, FollowedCall, RepeatKind, RetryGrant, RetryRefusal};
 
 /// Time that must be left for another attempt.
 const SHORTEST_ATTEMPT: Duration = Duration::from_millis(10);
-/// When a caller comes back whose request did not run, if nothing better is known.
-const COME_BACK: Duration = Duration::from_millis(200);
 /// Attempts after the first one that never came near a back end, after which only nodes are asked where a slot should be free. Where
 /// three nodes of a service are full, most are; what more attempts find is not worth their bytes and processor time.
 const BLIND_ATTEMPTS: u32 = 2;
 /// Most attempts that never came near a back end; they are free, but each takes time.
 const MAX_FREE_ATTEMPTS: u32 = 8;
+/// Most back ends at which one request arrives. Those that turn it away don't count against its route, and where four in a row do, the fault
+/// is most likely that of the whole service.
+const MAX_ARRIVALS: u32 = 4;
 
-/// When a caller comes back whose request has ended back ends: nothing is better for it before it is mended.
-const COME_BACK_AFTER_MENDING: Duration = Duration::from_secs(60);
+/// How long a call that was turned away waits until it shows whether the other calls of its run are turned away too. Back ends turn away at once, and calls made
+/// together arrive within this time of each other; it is short against any objective.
+const OTHER_CALLS_TIME: Duration = Duration::from_millis(10);
+/// Lowest status of an answer with which a call has failed.
+const FIRST_FAILURE: u16 = 500;
 
 /// A request on its way through its attempts.
 pub(super) struct Attempts<'a> {
     outbound: &'a Arc<Outbound>,
     request: PreparedRequest,
     tried: Vec<NodeName>,
+    /// Time that the back end chosen last is expected to take.
+    service_time: Duration,
     /// Releases to which the next attempt goes.
     group: ReleaseGroup,
     /// Back ends at which the request has arrived.
-    reached: u32,
+    arrivals: u32,
+    /// Of these, back ends that may have run it.
+    runs: u32,
     free_attempts: u32,
     /// Why an earlier attempt may have run, if one may.
     may_have_run: Option<UnknownReason>,
+    /// The request among the calls of the run that has made it, if one has.
+    followed: Option<FollowedCall>,
     /// A repeat that is paid for and has not arrived yet.
     grant: Option<RetryGrant>,
     /// Whether a back end has ended while it ran the request.
@@ -60,12 +71,16 @@
 
 impl<'a> Attempts<'a> {
     pub(super) fn new(outbound: &'a Arc<Outbound>, request: PreparedRequest) -> Self {
+        let followed = outbound.inbound.runs().follow(&request.id);
         Self {
+            followed,
             outbound,
             request,
             tried: Vec::new(),
+            service_time: Duration::ZERO,
             group: ReleaseGroup::Others,
-            reached: 0,
+            arrivals: 0,
+            runs: 0,
             free_attempts: 0,
             may_have_run: None,
             grant: None,
@@ -83,11 +98,16 @@
             reply = self.send_all() => Some(reply),
             () = cut_off => None,
         };
-        answered.unwrap_or_else(|| self.reply(ReplyReason::Unknown(UnknownReason::TimedOut), None))
+        let reply =
+            answered.unwrap_or_else(|| self.reply(ReplyReason::Unknown(UnknownReason::TimedOut), None));
+        if let Some(followed) = self.followed.take_if(|_| reply.status < FIRST_FAILURE) {
+            followed.on_answered();
+        }
+        reply
     }
 
     async fn send_all(&mut self) -> Reply {
-        if self.request.origin == CallOrigin::RepeatedRun && !self.take_retry(RepeatKind::RepeatedCall) {
+        if self.request.origin == CallOrigin::RepeatedRun && !self.take_repeated_call() {
             return self.not_run(NotRun::before_back_end(NotRunReason::RetryBudget));
         }
         let mut last = NotRun::before_back_end(self.nowhere());
@@ -100,7 +120,11 @@
                 return self.not_run(last);
             }
             let Some(body) = self.request.body.for_attempt() else { return self.not_run(last) };
+            self.service_time = choice.service;
             let result = self.send(&choice, body).await;
+            if let AttemptResult::NotRun(not_run) = &result {
+                self.await_other_calls(not_run).await;
+            }
             match self.on_result(&choice, result, &mut last) {
                 Next::Reply(reply) => return reply,
                 Next::TryAgain => {}
@@ -108,6 +132,16 @@
         }
     }
 
+    /// Waits until it shows whether the other calls of the run are turned away as well as this one. If one is, a repeat of this call alone saves nothing.
+    async fn await_other_calls(&self, not_run: &NotRun) {
+        let Some(followed) = self.followed.as_ref().filter(|_| not_run.reached_back_end) else { return };
+        followed.on_rejected();
+        let is_first = self.arrivals == 0;
+        if is_first && followed.others().open > 0 && self.has_time_after(OTHER_CALLS_TIME) {
+            sleep(OTHER_CALLS_TIME).await;
+        }
+    }
+
     /// Why the request is not sent at all if there is no endpoint for it.
     const fn nowhere(&self) -> NotRunReason {
         if self.request.homes.are_anywhere() { NotRunReason::NoEndpoint } else { NotRunReason::NoHome }
@@ -210,7 +244,7 @@
             hold_until: request.hold_until(),
             service_time: choice.service,
             is_later_try: request.is_later_try,
-            is_repeat: self.reached > 0 || request.origin == CallOrigin::RepeatedRun,
+            is_repeat: self.arrivals > 0 || request.origin == CallOrigin::RepeatedRun,
             call: request.call(),
         }
     }
@@ -242,7 +276,7 @@
         self.group = ReleaseGroup::Others;
         match result {
             AttemptResult::Answered(answer) => {
-                self.on_reached();
+                self.on_run();
                 self.on_answer(choice, answer)
             }
             AttemptResult::NotRun(not_run) => {
@@ -250,7 +284,7 @@
                 self.on_not_run(choice, not_run)
             }
             AttemptResult::Unknown(reason) => {
-                self.on_reached();
+                self.on_run();
                 self.may_have_run = Some(reason);
                 self.has_crashed |= reason == UnknownReason::BackEndCrashed;
                 self.on_unknown(choice, reason)
@@ -258,8 +292,15 @@
         }
     }
 
-    fn on_reached(&mut self) {
-        self.reached += 1;
+    /// Takes in that a back end may have run the request.
+    fn on_run(&mut self) {
+        self.on_arrival();
+        self.runs += 1;
+    }
+
+    /// Takes in that the request has arrived at a back end.
+    fn on_arrival(&mut self) {
+        self.arrivals += 1;
         self.grant = None;
     }
 
@@ -301,7 +342,7 @@
 
     fn on_not_run(&mut self, choice: &Choice, not_run: NotRun) -> Next {
         if not_run.reached_back_end {
-            self.on_reached();
+            self.on_arrival();
         } else {
             self.free_attempts += 1;
         }
@@ -335,23 +376,46 @@
 
     /// Whether another back end may be given the request: by the route, the time left, the body and the budget.
     fn may_reach_another(&mut self) -> bool {
-        let is_allowed =
-            self.reached < self.request.route.attempts && self.has_time() && !self.request.body.is_spent();
-        is_allowed && self.take_retry(RepeatKind::SentAgain)
+        let may_run = self.runs < self.request.route.attempts;
+        let may_arrive = self.arrivals < MAX_ARRIVALS.max(self.request.route.attempts);
+        let can_be_sent = self.has_time() && !self.request.body.is_spent();
+        may_run && may_arrive && can_be_sent && self.take_retry()
+    }
+
+    /// Takes a repeat out of the budget of the service, by what is at stake with it.
+    fn take_retry(&mut self) -> bool {
+        let owner = match &self.followed {
+            Some(followed) => RetryOwner::Run(followed.others()),
+            None => RetryOwner::Caller { rank: self.request.priority },
+        };
+        match self.outbound.ledger.take_for(&self.request.service, owner) {
+            Ok(grant) => self.grant = Some(grant),
+            Err(refusal) => {
+                self.grant = None;
+                self.tell_withheld(&refusal);
+            }
+        }
+        self.grant.is_some()
     }
 
-    /// Takes a repeat out of the budget of the service.
-    fn take_retry(&mut self, kind: RepeatKind) -> bool {
-        self.grant = self.outbound.ledger.take(&self.request.service, kind);
+    /// Takes the first arrival of a call of a repeated run out of the budget of the service. The run holds a slot already, so it
+    /// goes before all else.
+    fn take_repeated_call(&mut self) -> bool {
+        self.grant = self.outbound.ledger.take(&self.request.service, RepeatKind::RepeatedCall);
         if self.grant.is_none() {
-            self.tell_withheld();
+            self.tell_withheld(&RetryRefusal { stake: None, saved: 0, most_saved: 0 });
         }
         self.grant.is_some()
     }
 
     fn has_time(&self) -> bool {
+        self.has_time_after(Duration::ZERO)
+    }
+
+    /// Whether there is time for another attempt after `pause`.
+    fn has_time_after(&self, pause: Duration) -> bool {
         let end = self.request.deadline().min(self.request.hold_until());
-        end.saturating_duration_since(Instant::now()) >= SHORTEST_ATTEMPT
+        end.saturating_duration_since(Instant::now()) >= SHORTEST_ATTEMPT + pause
     }
 
     fn attempts(&self) -> u32 {
@@ -386,15 +450,23 @@
 
     /// When the caller of a request that did not run does best to send it again.
     fn come_back(&self, not_run: NotRun) -> Duration {
-        if not_run.reason == NotRunReason::Quarantined {
-            return COME_BACK_AFTER_MENDING;
-        }
-        let soonest = not_run.retry_after.unwrap_or(COME_BACK);
-        if not_run.reason != NotRunReason::Overloaded {
-            return soonest;
+        let request = &self.request;
+        let passed = request.arrived.elapsed();
+        let spent_before =
+            self.outbound.caller_times.lock().spent_before(&request.route.name, request.caller_time);
+        let refused = RefusedRequest {
+            reason: not_run.reason,
+            retry_after: not_run.retry_after,
+            objective_left: request.route.objective.saturating_sub(spent_before + passed),
+            caller_left: request.caller_time.saturating_sub(passed),
+            service: self.service_time,
+            slot_wait: not_run.load.as_ref().and_then(slot_wait),
+        };
+        let after = refused.come_back(&mut *self.outbound.random.lock());
+        if not_run.reached_back_end {
+            self.tell_come_back(&refused, after);
         }
-        let left = self.request.caller_time.saturating_sub(self.request.arrived.elapsed());
-        soonest.max(come_back_within(left, &mut *self.outbound.random.lock()))
+        after
     }
 
     fn reply(&self, reason: ReplyReason, retry_after: Option<Duration>) -> Reply {
@@ -412,12 +484,26 @@
         self.outbound.own_reply(reason, retry_after, Some(&self.request.id))
     }
 
-    fn tell_withheld(&self) {
+    fn tell_come_back(&self, refused: &RefusedRequest, after: Duration) {
+        self.outbound.telemetry.emit(Event::ComeBackTold {
+            request: text(&self.request.id),
+            service: self.request.service.clone(),
+            reason: refused.reason.word(),
+            after_millis: millis(after),
+            objective_left_millis: millis(refused.objective_left),
+            service_millis: millis(refused.service),
+        });
+    }
+
+    fn tell_withheld(&self, refusal: &RetryRefusal) {
         self.outbound.telemetry.emit(Event::RetryWithheld {
             request: text(&self.request.id),
             service: self.request.service.clone(),
             attempts: self.attempts(),
             origin: self.request.origin.word(),
+            stake: refusal.stake.map_or("none", RetryStake::word),
+            saved: refusal.saved,
+            most_saved: refusal.most_saved,
         });
     }
 
@@ -449,6 +535,11 @@
     }
 }
 
+/// Time after which one of the slots in use should be free.
+fn slot_wait(load: &LoadReport) -> Option<Duration> {
+    load.service_time().map(|time| time / load.slots.max(1))
+}
+
 fn not_run_observation(not_run: &NotRun) -> Observation {
     match (not_run.reason, not_run.load) {
         (NotRunReason::NodeUnreachable | NotRunReason::WrongInstance | NotRunReason::Draining, _)
