Read how slow a back end is at this moment, and refuse what would be late only there

Cause: a back end that shares its machine is slow for some hundreds of milliseconds at a time and says so in the fourth figure of its load field. Nobody read it, so requests were handed to it that were sure to be late while others had room.

The node beside the back end takes the figure from each answer, when its head is read, and from health answers of the present life. The last word counts in full for 300 ms; figures that are none are counted and ignored. The queue refuses a first try as not run (event 4037) if the present slowness alone keeps it from its objective; later tries, and what would be late at the usual speed too, are treated as before. The mean of the times is that of the usual speed. Without a figure every factor is 1, and nothing changes.

Ruled out: smoothing over several words, which are about as long apart as spells last; scaling the limit from which on a request counts as hopeless, since that refusal is final and the slowness is not.

--- a/crates/forwarding/src/inbound/admission.rs
+++ b/crates/forwarding/src/inbound/admission.rs
@@ -8,7 +8,9 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, sleep_until, timeout_at};
 use umberpond_model::RequestRate;
-use umberpond_scheduling::{ColdPace, Decision, LoadReport, Refusal, Started, Ticket, WorkItem, WorkQueue};
+use umberpond_scheduling::{
+    ColdPace, Decision, InvalidSlowdown, LoadReport, Refusal, Started, Ticket, WorkItem, WorkQueue,
+};
 
 type Verdict = Result<(), Refusal>;
 
@@ -144,6 +146,16 @@
         true
     }
 
+    /// Takes in that work takes `percent` hundredths of the usual time at the back end now.
+    pub(crate) fn on_slowdown(&self, percent: u16) -> Result<(), InvalidSlowdown> {
+        self.state.lock().queue.slowdown().on_word(now(), percent)
+    }
+
+    /// Time that work which ends now and has taken `taken` would have taken at the back end's usual speed.
+    fn usual_time(&self, taken: Duration) -> Duration {
+        self.state.lock().queue.slowdown().usual_time(now(), taken)
+    }
+
     /// The load, for others.
     pub(crate) fn report(&self) -> LoadReport {
         self.state.lock().queue.report(now())
@@ -247,9 +259,9 @@
         self.started.elapsed()
     }
 
-    /// Takes in that the back end has answered, so that its time counts.
+    /// Takes in that the back end has answered, so that its time counts. What the answer tells of the back end's speed is taken in before.
     pub(crate) fn on_answered(&mut self) {
-        self.served = Some(self.started.elapsed());
+        self.served = Some(self.admission.usual_time(self.started.elapsed()));
     }
 }
 
--- a/crates/forwarding/src/inbound/back_end.rs
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -24,7 +24,9 @@
 use crate::repeats::{OpenRuns, RetryLedger};
 use crate::routing::TenantTable;
 use crate::suspended_time::SuspendedTime;
-use crate::upstream::{Health, UpstreamPool, UpstreamSettings, ask_health};
+use crate::upstream::{
+    Health, LoadListener, SlowdownWord, UpstreamPool, UpstreamSettings, ask_health, told_slowdown,
+};
 
 /// Limits of the inbound half.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -278,7 +280,29 @@
 
     /// Asks the back end at `address` whether it is well; absent if it does not say so.
     pub async fn ask_health(&self, address: SocketAddr, path: &str) -> Option<Health> {
-        ask_health(&*self.network, &self.dialect, address, path).await
+        let health = ask_health(&*self.network, &self.dialect, address, path).await?;
+        if self.is_of_present(address, &health) {
+            self.on_slowdown_word(health.slowdown);
+        }
+        Some(health)
+    }
+
+    /// Whether `health` was told by the present life of the back end.
+    fn is_of_present(&self, address: SocketAddr, health: &Health) -> bool {
+        let current = self.current.lock();
+        let Some(back_end) = current.as_ref().map(|current| &current.back_end) else { return false };
+        let is_same_life = health.instance.as_ref().is_none_or(|told| *told == back_end.life.instance);
+        back_end.address == address && is_same_life
+    }
+
+    /// Takes in how long work takes at the back end, by its word.
+    fn on_slowdown_word(&self, word: SlowdownWord) {
+        let is_valid = match word {
+            SlowdownWord::Untold => return,
+            SlowdownWord::Percent(percent) => self.admission.on_slowdown(percent).is_ok(),
+            SlowdownWord::Invalid => false,
+        };
+        self.telemetry.metrics().slowdown_word(is_valid);
     }
 
     /// Most bytes of one body that are on their way from another node at once.
@@ -336,6 +360,12 @@
     }
 }
 
+impl LoadListener for Inbound {
+    fn on_load_field(&self, field: &str) {
+        self.on_slowdown_word(told_slowdown(field));
+    }
+}
+
 fn now() -> std::time::Instant {
     Instant::now().into_std()
 }
--- a/crates/forwarding/src/inbound/serving.rs
+++ b/crates/forwarding/src/inbound/serving.rs
@@ -151,7 +151,24 @@
                 pending.hold_turn(turn);
             }
         }
-        self.admission.admit(work_item(attempt)).await
+        let item = work_item(attempt);
+        let admitted = self.admission.admit(item).await;
+        if let Err(Refusal::Slowed { expected }) = admitted {
+            self.tell_slowed(attempt, expected);
+        }
+        admitted
+    }
+
+    fn tell_slowed(&self, attempt: &Attempt, expected: Duration) {
+        let left = attempt.objective_at.saturating_duration_since(Instant::now());
+        self.telemetry.emit(Event::SlowBackEndAvoided {
+            request: text(&attempt.id),
+            service: attempt.service.clone(),
+            slowdown_percent: u32::from(self.load().slowdown_percent),
+            usual_millis: millis(attempt.service_time),
+            expected_millis: millis(expected),
+            left_millis: millis(left),
+        });
     }
 
     /// Takes in that a request is admitted that must not run twice.
@@ -227,7 +244,7 @@
             fields: &fields,
             deadline: attempt.deadline,
         };
-        let exchanger = Exchanger { pool, dialect: &self.dialect };
+        let exchanger = Exchanger { pool, dialect: &self.dialect, loads: self };
         let run = self.runs.begin(&attempt);
         let key = attempt.request_key;
         let watched = watch.begin(attempt.id.clone(), key, place.is_some());
@@ -385,7 +402,7 @@
         Refusal::Closed => NotRun::before_back_end(NotRunReason::Draining),
         Refusal::Expired => NotRun::before_back_end(NotRunReason::DeadlineBeforeRun),
         Refusal::QueueFull | Refusal::HeldTooLong => NotRun::before_back_end(NotRunReason::Overloaded),
-        Refusal::WaitTooLong { expected } => {
+        Refusal::WaitTooLong { expected } | Refusal::Slowed { expected } => {
             NotRun { retry_after: Some(expected), ..NotRun::before_back_end(NotRunReason::Overloaded) }
         }
     }
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -34,4 +34,4 @@
     WeightedService,
 };
 pub use server::{ServerControl, ServerPhase, serve_inbound, serve_outbound};
-pub use upstream::Health;
+pub use upstream::{Health, SlowdownWord};
--- a/crates/forwarding/src/upstream/exchange.rs
+++ b/crates/forwarding/src/upstream/exchange.rs
@@ -14,6 +14,7 @@
 
 use super::body::UpstreamBody;
 use super::connection::UpstreamConnection;
+use super::load_field::LoadListener;
 use super::pool::UpstreamPool;
 use crate::body::{BodyStream, PendingBody};
 use crate::dialect::Dialect;
@@ -57,10 +58,11 @@
 }
 
 /// Runs exchanges over a pool.
-#[derive(Debug)]
 pub(crate) struct Exchanger<'a> {
     pub(crate) pool: &'a Arc<UpstreamPool>,
     pub(crate) dialect: &'a Dialect,
+    /// Told the load field of each answer, before the answer's body is read.
+    pub(crate) loads: &'a dyn LoadListener,
 }
 
 /// Why no head of an answer was had.
@@ -222,6 +224,9 @@
         head: ResponseHead,
         is_sent_whole: bool,
     ) -> Result<ExchangeEnd, HeadFailure> {
+        if let Some(load) = head.fields.text(self.dialect.load) {
+            self.loads.on_load_field(load);
+        }
         let spoiled = Ok(ExchangeEnd::Unknown(UnknownReason::AnswerSpoiled));
         let Ok(framing) = response_framing(&head, request.method) else { return spoiled };
         let is_kept = connection.stays_open(&head.fields) && is_sent_whole && framing != Framing::UntilClose;
--- a/crates/forwarding/src/upstream/health.rs
+++ b/crates/forwarding/src/upstream/health.rs
@@ -9,6 +9,7 @@
 use umberpond_http1::{Fields, Framing, MessageReader, write_request_head};
 use umberpond_net::Network;
 
+use super::load_field::{SlowdownWord, told_slots, told_slowdown};
 use crate::dialect::Dialect;
 
 /// Longest time of the whole question.
@@ -25,6 +26,8 @@
     pub slots: Option<u32>,
     /// How much longer it is cold; zero if it is warm, or doesn't tell.
     pub cold_for: Duration,
+    /// How long work takes there at this moment.
+    pub slowdown: SlowdownWord,
 }
 
 /// Asks the back end at `address`; absent if it does not say that it is well.
@@ -49,15 +52,12 @@
     writer.write_all(&question).await.ok()?;
     let head = reader.response_head(MAX_HEAD_BYTES).await.ok()?;
     let instance = head.fields.text(dialect.instance).map(str::to_owned);
-    let slots = head.fields.text(dialect.load).and_then(told_slots);
+    let load = head.fields.text(dialect.load);
+    let slots = load.and_then(told_slots);
+    let slowdown = load.map_or(SlowdownWord::Untold, told_slowdown);
     let cold_for = dialect.cold_millis.and_then(|name| head.fields.text(name)).and_then(told_millis);
     let cold_for = cold_for.unwrap_or_default();
-    (head.status == 200).then_some(Health { instance, slots, cold_for })
-}
-
-/// The slots in `running,waiting,slots`.
-fn told_slots(load: &str) -> Option<u32> {
-    load.split(',').nth(2)?.trim().parse().ok()
+    (head.status == 200).then_some(Health { instance, slots, cold_for, slowdown })
 }
 
 fn told_millis(millis: &str) -> Option<Duration> {
--- a/crates/forwarding/src/upstream/mod.rs
+++ b/crates/forwarding/src/upstream/mod.rs
@@ -4,10 +4,13 @@
 mod connection;
 mod exchange;
 mod health;
+mod load_field;
 mod pool;
 
 pub use body::UpstreamBody;
 pub(crate) use exchange::{ExchangeEnd, ExchangeRequest, Exchanger, MISDIRECTED};
 pub use health::Health;
 pub(crate) use health::ask_health;
+pub use load_field::SlowdownWord;
+pub(crate) use load_field::{LoadListener, told_slowdown};
 pub(crate) use pool::{Contact, UpstreamPool, UpstreamSettings};
--- a/crates/forwarding/tests/support/back_end.rs
+++ b/crates/forwarding/tests/support/back_end.rs
@@ -50,8 +50,13 @@
     }
 }
 
+/// Load told in health answers.
+const HEALTH_LOAD: &str = "1,0,7";
+
 #[derive(Debug, Default)]
 struct State {
+    /// Load told in health answers; [`HEALTH_LOAD`] if absent.
+    health_load: Option<&'static str>,
     seen: Vec<Seen>,
     connections: usize,
     closed: Vec<(usize, Instant)>,
@@ -90,6 +95,11 @@
         self.state.lock().seen.clone()
     }
 
+    /// Sets the load told in health answers.
+    pub fn set_health_load(&self, load: &'static str) {
+        self.state.lock().health_load = Some(load);
+    }
+
     pub fn connections(&self) -> usize {
         self.state.lock().connections
     }
@@ -106,8 +116,9 @@
     let limits = ReadLimits { head_bytes: 64 * 1024, head_time: Duration::from_secs(60) };
     while let Ok(Some(head)) = reader.request_head(limits).await {
         if &head.target[..] == b"/well" {
+            let load = state.lock().health_load.unwrap_or(HEALTH_LOAD);
             let answer = format!(
-                "HTTP/1.1 200 OK\r\numberpond-serving-instance: {instance}\r\numberpond-load: 1,0,7\r\n\
+                "HTTP/1.1 200 OK\r\numberpond-serving-instance: {instance}\r\numberpond-load: {load}\r\n\
                  Content-Length: 0\r\n\r\n"
             );
             writer.write_all(answer.as_bytes()).await.unwrap();
--- a/crates/forwarding/tests/support/mod.rs
+++ b/crates/forwarding/tests/support/mod.rs
@@ -77,6 +77,7 @@
     pub outbound: Arc<Outbound>,
     pub control: ServerControl,
     pub recorder: Arc<MemoryRecorder>,
+    pub telemetry: Telemetry,
     pub served: Vec<Served>,
     callers: Arc<dyn Network>,
     link_rate: Option<f64>,
@@ -172,7 +173,16 @@
         let at = SocketAddr::new(host(CALLERS), OUTBOUND_PORT);
         let listener = callers.listen(at).await.unwrap();
         tokio::spawn(serve_outbound(listener, Arc::clone(&outbound), control.clone(), telemetry.clone()));
-        let mut world = Self { network, outbound, control, recorder, served: Vec::new(), callers, link_rate };
+        let mut world = Self {
+            network,
+            outbound,
+            control,
+            recorder,
+            telemetry: telemetry.clone(),
+            served: Vec::new(),
+            callers,
+            link_rate,
+        };
         for script in scripts {
             world.add_node(script, &telemetry).await;
         }
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -10,9 +10,11 @@
 mod place;
 mod queue;
 mod service_time;
+mod slowdown;
 
 pub use cold_pace::ColdPace;
 pub use duplicates::DuplicateWindow;
 pub use load::LoadReport;
 pub use queue::{CallWork, Decision, Refusal, Started, Ticket, WorkItem, WorkQueue};
 pub use service_time::ServiceTime;
+pub use slowdown::{InvalidSlowdown, Slowdown};
--- a/crates/scheduling/src/load.rs
+++ b/crates/scheduling/src/load.rs
@@ -15,7 +15,7 @@
     pub waiting: u32,
     /// Requests that the back end may work on at once.
     pub slots: u32,
-    /// Mean time the back end took for a request lately, in microseconds; 0 if nothing is known.
+    /// Mean time the back end took for a request lately, at its usual speed, in microseconds; 0 if nothing is known.
     pub service_micros: u32,
     /// Share of requests lately whose answer was lost or spoiled, in thousandths.
     pub failed_permille: u16,
--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -8,7 +8,7 @@
 
 use crate::admitted_work::AdmittedWork;
 use crate::place::Place;
-use crate::{ColdPace, LoadReport, ServiceTime};
+use crate::{ColdPace, LoadReport, ServiceTime, Slowdown};
 
 /// Most requests that may wait, as a multiple of the slots.
 const WAITING_PER_SLOT: usize = 20;
@@ -37,7 +37,7 @@
     pub hold_until: Instant,
     /// Longest wait with which it is taken in, as far as can be expected.
     pub patience: Duration,
-    /// Time that the back end is expected to take for it.
+    /// Time that the back end is expected to take for it at its usual speed.
     pub service: Duration,
     /// Whether its caller has sent it before and was refused: its objective can be met only in part by now.
     pub is_later_try: bool,
@@ -87,6 +87,12 @@
         /// The wait expected.
         expected: Duration,
     },
+    /// The back end is slow at this moment: the answer would be late, but need not be elsewhere.
+    #[error("the back end is slow at this moment")]
+    Slowed {
+        /// Time until the answer that was expected.
+        expected: Duration,
+    },
     /// Too many requests wait already.
     #[error("too many requests wait already")]
     QueueFull,
@@ -134,6 +140,7 @@
     /// When a request that could still have met its objective was refused last, by rank.
     refused_at: BTreeMap<u8, Instant>,
     pace: ColdPace,
+    slowdown: Slowdown,
 }
 
 impl WorkQueue {
@@ -153,6 +160,7 @@
             admitted: AdmittedWork::default(),
             refused_at: BTreeMap::new(),
             pace: ColdPace::default(),
+            slowdown: Slowdown::default(),
         }
     }
 
@@ -199,9 +207,15 @@
     /// Forgets what is known of the back end's speed: another one stands in its place.
     pub fn forget_service_time(&mut self) {
         self.service_time = ServiceTime::default();
+        self.slowdown = Slowdown::default();
         self.failed_share = 0.0;
     }
 
+    /// How long work takes at the back end, by its last word.
+    pub const fn slowdown(&mut self) -> &mut Slowdown {
+        &mut self.slowdown
+    }
+
     /// Offers a request.
     pub fn offer(&mut self, now: Instant, item: WorkItem) -> Decision {
         if !self.is_open {
@@ -214,6 +228,9 @@
         if has_missed && self.is_contended(now, item.priority) {
             return Decision::Refuse(Refusal::WaitTooLong { expected: self.mean_service_time() });
         }
+        if let Some(expected) = self.slowed_end(now, item) {
+            return Decision::Refuse(Refusal::Slowed { expected });
+        }
         if self.running < self.slots && self.waiting.is_empty() && self.pace.may_start(now) {
             self.start(now);
             self.admitted.record(now, item.left(now), item.service);
@@ -255,7 +272,8 @@
         true
     }
 
-    /// Takes in that a request has left its slot. `served` is the time the back end took, if it answered.
+    /// Takes in that a request has left its slot. `served` is the time the back end took, if it answered, or would have taken at its usual
+    /// speed.
     pub fn finish(&mut self, served: Option<Duration>) {
         self.running = self.running.saturating_sub(1);
         if let Some(taken) = served {
@@ -301,7 +319,7 @@
             slots,
             service_micros: self.service_time.mean_micros(),
             failed_permille: permille(self.failed_share),
-            slowdown_percent: 0,
+            slowdown_percent: self.slowdown.percent(now).unwrap_or(0),
             refused_rank: None,
         }
     }
@@ -314,6 +332,24 @@
         refused.any(|(_, at)| now.saturating_duration_since(*at) < moment)
     }
 
+    /// Time until the answer to `item`, if the present slowness of the back end alone makes it late and another one may still answer in
+    /// time.
+    fn slowed_end(&mut self, now: Instant, item: WorkItem) -> Option<Duration> {
+        let factor = self.slowdown.factor(now);
+        if factor <= 1.0 || item.is_later_try || item.is_late(now) {
+            return None;
+        }
+        let usual_wait = self.expected_wait(now, item);
+        if usual_wait > item.patience {
+            return None;
+        }
+        let wait = usual_wait.mul_f64(factor);
+        let service = item.service.mul_f64(factor);
+        let patience = item.patience.saturating_sub(service.saturating_sub(item.service));
+        let is_refused = wait + service > item.left(now) || wait > patience;
+        is_refused.then_some(wait + service)
+    }
+
     fn start(&mut self, now: Instant) {
         self.running += 1;
         self.pace.on_start(now);
--- /dev/null
+++ b/crates/scheduling/src/slowdown.rs
@@ -0,0 +1,71 @@
+//! How long work takes at a back end at this moment, by its own word.
+
+use std::time::{Duration, Instant};
+
+use thiserror::Error;
+
+/// Time for which a word counts. Spells of slowness last some hundreds of milliseconds, and a back end that gets no work tells nothing:
+/// without an end, a word told in a spell would keep work away for ever.
+const WORD_LIFETIME: Duration = Duration::from_millis(300);
+/// A back end at its usual speed, in hundredths of the usual time.
+const USUAL_PERCENT: u16 = 100;
+/// Least figure believed, in hundredths of the usual time.
+const LEAST_PERCENT: u16 = 10;
+/// Highest figure believed, in hundredths of the usual time.
+const MOST_PERCENT: u16 = 10_000;
+
+/// A figure that can't be how long work takes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("{percent} hundredths of the usual time is beyond {LEAST_PERCENT} to {MOST_PERCENT}")]
+pub struct InvalidSlowdown {
+    /// The figure told, in hundredths of the usual time.
+    pub percent: u16,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Word {
+    percent: u16,
+    told_at: Instant,
+}
+
+/// The last word of a back end on how long work takes there.
+///
+/// The last word counts in full: spells are as short as the time between a few words, so that any mean of them comes too late.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Slowdown {
+    word: Option<Word>,
+}
+
+impl Slowdown {
+    /// Takes in that work takes `percent` hundredths of the usual time there.
+    ///
+    /// # Errors
+    /// Returns [`InvalidSlowdown`] if that is beyond any sense; the word before it still counts.
+    pub const fn on_word(&mut self, now: Instant, percent: u16) -> Result<(), InvalidSlowdown> {
+        if percent < LEAST_PERCENT || percent > MOST_PERCENT {
+            return Err(InvalidSlowdown { percent });
+        }
+        self.word = Some(Word { percent, told_at: now });
+        Ok(())
+    }
+
+    /// Hundredths of the usual time that work takes there now; absent without a word that still counts.
+    #[must_use]
+    pub fn percent(&self, now: Instant) -> Option<u16> {
+        let word = self.word?;
+        let age = now.saturating_duration_since(word.told_at);
+        (age <= WORD_LIFETIME).then_some(word.percent)
+    }
+
+    /// Time that work takes there now as a multiple of the usual one; 1 without a word that still counts.
+    #[must_use]
+    pub fn factor(&self, now: Instant) -> f64 {
+        f64::from(self.percent(now).unwrap_or(USUAL_PERCENT)) / f64::from(USUAL_PERCENT)
+    }
+
+    /// Time that work which ends `now` and has taken `taken` would have taken at the usual speed.
+    #[must_use]
+    pub fn usual_time(&self, now: Instant, taken: Duration) -> Duration {
+        taken.div_f64(self.factor(now))
+    }
+}
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -149,6 +149,9 @@
     RequestOverQuota { request: String, tenant: String }
         = 4031, Info, "request-over-quota", "The tenant has sent as many requests as it may, over all nodes together: this one was answered without an attempt.";
 
+    SlowBackEndAvoided { request: String, service: ServiceName, slowdown_percent: u32, usual_millis: u64, expected_millis: u64, left_millis: u64 }
+        = 4037, Info, "slow-back-end-avoided", "The node beside the back end refused a request, which has not run: work takes so many hundredths of the usual time there, the answer was expected in `expected_millis`, and its objective ends in `left_millis`. Another back end may still answer in time.";
+
     // Store
     PlatformUnavailable { operation: &'static str, reason: String }
         = 5003, Warn, "platform-unavailable", "The platform did not answer; the node goes on with what it has and tries again with backoff.";
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -130,6 +130,11 @@
     reason: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct WordLabels {
+    outcome: &'static str,
+}
+
 /// Metrics of one node.
 #[derive(Debug)]
 pub struct Metrics {
@@ -142,6 +147,7 @@
     request_seconds: Histogram,
     cuts: Family<CutLabels, Counter>,
     attempts: Counter,
+    slowdown_words: Family<WordLabels, Counter>,
     versions: Family<StageLabels, Gauge>,
     roles: Family<RoleLabels, Gauge>,
     platform_requests: Family<PlatformLabels, Counter>,
@@ -162,6 +168,7 @@
             request_seconds: request_histogram(),
             cuts: Family::default(),
             attempts: Counter::default(),
+            slowdown_words: Family::default(),
             versions: Family::default(),
             roles: Family::default(),
             platform_requests: Family::default(),
@@ -222,6 +229,11 @@
         );
         registry.register("cuts", "Exchanges that broke off after the head of the answer", self.cuts.clone());
         registry.register("attempts", "Attempts sent by the outbound half", self.attempts.clone());
+        registry.register(
+            "slowdown_words",
+            "Figures by which the back end told how slow it is, by outcome: taken or invalid",
+            self.slowdown_words.clone(),
+        );
         registry.register(
             "endpoints",
             "Endpoint records in use by this node's callers",
@@ -275,6 +287,12 @@
         self.attempts.inc();
     }
 
+    /// Counts a figure by which the back end told how slow it is.
+    pub fn slowdown_word(&self, is_valid: bool) {
+        let outcome = if is_valid { "taken" } else { "invalid" };
+        self.slowdown_words.get_or_create(&WordLabels { outcome }).inc();
+    }
+
     /// Sets the version that has reached `stage`.
     pub fn set_version(&self, stage: VersionStage, version: umberpond_model::Version) {
         let value = i64::try_from(version.0).unwrap_or(i64::MAX);
