Reckon with how slow back ends are at this moment, and draw more of uneven ones

Cause: where speeds differ by three times, two endpoints drawn at random are now and then both slow, and a caller's node knew nothing of spells of slowness. A node's report now tells how slow its back end is; a caller's node reckons with it for 300 ms after the report has come, with the mean from then on, and learns times as those of the usual speed. Where the slowest back end takes at least twice as long as the fastest and a fifth of the slots is free, six endpoints of each distance are drawn in place of two; the faster ones are drawn more often, the more so the more slots are free. With all slots taken each counts alike.

Tried and left out: the probability of a late answer, by the mean and the spread of the route's times, in place of the square of the mean time.

--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 use umberpond_model::NodeName;
 use umberpond_quarantine::Standing;
-use umberpond_selection::{Choice, Observation, Query, ReleaseGroup};
+use umberpond_selection::{AnswerTimes, Choice, Observation, Query, ReleaseGroup};
 use umberpond_telemetry::{Event, RequestDetail};
 
 use super::come_back::come_back_within;
@@ -228,11 +228,13 @@
         };
         let mut selector = self.outbound.selector.lock();
         let service = &self.request.service;
-        selector.on_ended(Instant::now().into_std(), service, &choice.node, observation);
+        let now = Instant::now().into_std();
+        selector.on_ended(now, service, &choice.node, observation);
         if let AttemptResult::Answered(answer) = result {
             let overhead = elapsed.saturating_sub(answer.served_in).saturating_sub(answer.waited);
             let route = &self.request.route.name;
-            selector.on_times(service, route, &choice.node, answer.served_in, overhead);
+            let times = AnswerTimes { served: answer.served_in, overhead };
+            selector.on_times(now, service, route, &choice.node, times);
         }
     }
 
--- a/crates/selection/src/choice.rs
+++ b/crates/selection/src/choice.rs
@@ -35,8 +35,8 @@
     pub is_near: bool,
     /// The life of the back end that is meant.
     pub instance: String,
-    /// Expected time in the back end.
+    /// Expected time in the back end at its usual speed.
     pub service: Duration,
-    /// Expected time waiting for a slot.
+    /// Expected time waiting for a slot, at its present speed.
     pub wait: Duration,
 }
--- a/crates/selection/src/endpoint.rs
+++ b/crates/selection/src/endpoint.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use umberpond_model::{Locality, NodeName, ReleaseName};
-use umberpond_scheduling::LoadReport;
+use umberpond_scheduling::{LoadReport, Slowdown};
 
 /// Weight of one new latency sample.
 const LATENCY_WEIGHT: f64 = 0.1;
@@ -54,6 +54,8 @@
     /// Requests of this node that it holds.
     outstanding: u32,
     report: Option<LoadReport>,
+    /// How long work takes there, by the last report that told it.
+    slowdown: Slowdown,
     /// Requests sent since the report was received, less those ended since.
     since_report: i64,
     failures: f64,
@@ -63,11 +65,12 @@
 }
 
 impl Tracked {
-    pub(crate) const fn new(endpoint: Endpoint) -> Self {
+    pub(crate) fn new(endpoint: Endpoint) -> Self {
         Self {
             endpoint,
             outstanding: 0,
             report: None,
+            slowdown: Slowdown::default(),
             since_report: 0,
             failures: 0.0,
             failures_at: None,
@@ -96,10 +99,10 @@
         self.since_report -= 1;
         match observation {
             Observation::Answered(report) => {
-                self.on_report(report);
+                self.on_report(Some(now), report);
                 self.unreachable_until = None;
             }
-            Observation::Refused(report) => self.on_report(report),
+            Observation::Refused(report) => self.on_report(Some(now), report),
             Observation::Unreachable => self.unreachable_until = Some(now + UNREACHABLE_TIME),
             Observation::Failed => {
                 self.failures = self.failures_now(now) + 1.0;
@@ -109,13 +112,18 @@
         }
     }
 
-    /// Takes in a load report unless it is older than the one held.
-    pub(crate) fn on_report(&mut self, report: LoadReport) {
+    /// Takes in a load report unless it is older than the one held. It has come at `now`, if that is known.
+    pub(crate) fn on_report(&mut self, now: Option<Instant>, report: LoadReport) {
         if self.report.is_some_and(|held| held.number >= report.number) {
             return;
         }
         self.report = Some(report);
         self.since_report = 0;
+        self.slowdown = Slowdown::default();
+        if let Some(now) = now {
+            // A report without it, or with one that can't be, leaves none.
+            let _ = self.slowdown.on_word(now, report.slowdown_percent);
+        }
     }
 
     /// Takes in the time that a request spent outside the back end and its queue.
@@ -153,7 +161,12 @@
         f64::from(slots.max(1))
     }
 
-    /// Mean service time in seconds, if known.
+    /// Time that work takes there now as a multiple of the usual one; 1 if that isn't known.
+    pub(crate) fn slowdown_factor(&self, now: Instant) -> f64 {
+        self.slowdown.factor(now)
+    }
+
+    /// Mean service time in seconds at the usual speed, if known.
     pub(crate) fn service_seconds(&self) -> Option<f64> {
         self.report.and_then(|report| report.service_time()).map(|time| time.as_secs_f64())
     }
--- a/crates/selection/src/lib.rs
+++ b/crates/selection/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod budget;
 mod choice;
+mod draw;
 mod endpoint;
 mod releases;
 mod route_times;
@@ -11,6 +12,7 @@
 
 pub use budget::{RetryBudget, RetryBudgetSettings};
 pub use choice::{Choice, Query};
+pub use draw::DrawSettings;
 pub use endpoint::{Endpoint, Observation};
 pub use releases::{ReleaseGroup, ReleaseShare};
-pub use selector::{Selector, SelectorSettings};
+pub use selector::{AnswerTimes, Selector, SelectorSettings};
--- a/crates/selection/src/route_times.rs
+++ b/crates/selection/src/route_times.rs
@@ -32,14 +32,14 @@
     by_node: BTreeMap<NodeName, Mean>,
 }
 
-/// Mean times in the back end, by route and endpoint.
+/// Mean times in the back end at its usual speed, by route and endpoint.
 #[derive(Debug, Default)]
 pub(crate) struct ServiceTimes {
     routes: BTreeMap<RouteName, RouteTimes>,
 }
 
 impl ServiceTimes {
-    /// Takes in that a request of `route` took `taken` in the back end of `node`.
+    /// Takes in that a request of `route` took `taken` in the back end of `node`, or would have at its usual speed.
     pub(crate) fn record(&mut self, route: &RouteName, node: &NodeName, taken: Duration) {
         if !self.routes.contains_key(route) && self.routes.len() >= MAX_ROUTES {
             return;
--- a/crates/selection/src/selector.rs
+++ b/crates/selection/src/selector.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use rand::seq::IteratorRandom;
 use rand::{Rng, RngExt};
 use umberpond_model::{Locality, NodeName, RouteName, ServiceName};
 use umberpond_scheduling::LoadReport;
 
 use crate::choice::{Choice, Query};
+use crate::draw::{Candidate, Draw, DrawSettings};
 use crate::endpoint::{Endpoint, Observation, Tracked};
 use crate::releases::{ReleaseGroup, ReleaseShare, Releases};
 use crate::route_times::ServiceTimes;
@@ -21,8 +21,6 @@
 const CROWDED_SHARE: f64 = 0.75;
 /// Shortest objective reckoned with, in seconds.
 const SHORTEST_OBJECTIVE_SECONDS: f64 = 0.001;
-/// Endpoints of each distance that are drawn at random for one choice.
-const DRAWN: usize = 2;
 /// Relative size of the random part, which keeps nodes with the same knowledge from choosing alike.
 const JITTER: f64 = 0.1;
 
@@ -37,11 +35,19 @@
     pub region_cost: f64,
     /// Cost of an answer that is lost.
     pub failure_cost: f64,
+    /// Which endpoints are drawn at random for one choice.
+    pub draw: DrawSettings,
 }
 
 impl Default for SelectorSettings {
     fn default() -> Self {
-        Self { zone_cost: 0.9, zone_cost_after_refusal: 0.3, region_cost: 0.5, failure_cost: 1.5 }
+        Self {
+            zone_cost: 0.9,
+            zone_cost_after_refusal: 0.3,
+            region_cost: 0.5,
+            failure_cost: 1.5,
+            draw: DrawSettings::default(),
+        }
     }
 }
 
@@ -123,10 +129,24 @@
         self.services.get(service).map_or(0, BTreeMap::len)
     }
 
-    /// Takes in what the node `node` told of the load of its back end.
+    /// Takes in what the node `node` told of the load of its back end. How old that is isn't known, so what it tells of this moment's
+    /// slowness doesn't count.
     pub fn on_report(&mut self, service: &ServiceName, node: &NodeName, report: LoadReport) {
         if let Some(tracked) = self.tracked(service, node) {
-            tracked.on_report(report);
+            tracked.on_report(None, report);
+        }
+    }
+
+    /// Takes in what the node `node` has told just now of the load of its back end.
+    pub fn on_present_report(
+        &mut self,
+        now: Instant,
+        service: &ServiceName,
+        node: &NodeName,
+        report: LoadReport,
+    ) {
+        if let Some(tracked) = self.tracked(service, node) {
+            tracked.on_report(Some(now), report);
         }
     }
 
@@ -135,7 +155,8 @@
     ///
     /// What is known of other nodes' load is as old as their last word. If every node took the best of all, all would choose
     /// the same few until the next word; a draw spreads them, and two of each distance are nearly as good as the best
-    /// (Mitzenmacher, *The Power of Two Choices in Randomized Load Balancing*).
+    /// (Mitzenmacher, *The Power of Two Choices in Randomized Load Balancing*) where all are alike. Where some are much faster than others,
+    /// two may both be slow: more are drawn while slots are free, the faster ones more often.
     pub fn choose(
         &self,
         now: Instant,
@@ -145,7 +166,8 @@
     ) -> Option<Choice> {
         let endpoints = self.services.get(service)?;
         let typical = typical_service_seconds(endpoints);
-        let drawn = self.draw(self.usable(endpoints, now, service, query), random);
+        let usable = self.usable(endpoints, now, service, query);
+        let drawn = self.draw(now, usable, typical, random);
         let costs = drawn.into_iter().map(|tracked| {
             let estimate = self.estimate(now, tracked, typical, query);
             let factor = 1.0 + JITTER * random.random::<f64>();
@@ -191,19 +213,20 @@
         }
     }
 
-    /// Takes in how long an answered request of `route` took in the back end, and how long outside it and its queue.
+    /// Takes in how long an answered request of `route` took in the back end, and how long outside it and its queue. It comes after the
+    /// answer's load report, which tells at which speed the back end worked.
     pub fn on_times(
         &mut self,
+        now: Instant,
         service: &ServiceName,
         route: &RouteName,
         node: &NodeName,
-        served: Duration,
-        overhead: Duration,
+        times: AnswerTimes,
     ) {
-        self.times.record(route, node, served);
-        if let Some(tracked) = self.tracked(service, node) {
-            tracked.on_overhead(overhead);
-        }
+        let Some(tracked) = self.tracked(service, node) else { return };
+        tracked.on_overhead(times.overhead);
+        let usual = times.served.div_f64(tracked.slowdown_factor(now));
+        self.times.record(route, node, usual);
     }
 
     /// The endpoints that were not tried, are in a region where the request may be served, can be reached, and are of a release that may get the request.
@@ -226,15 +249,19 @@
     /// Some endpoints of each distance.
     fn draw<'a>(
         &self,
+        now: Instant,
         endpoints: impl Iterator<Item = &'a Tracked>,
+        typical: f64,
         random: &mut impl Rng,
     ) -> Vec<&'a Tracked> {
-        let mut by_distance: [Vec<&Tracked>; Distance::COUNT] = Default::default();
-        for tracked in endpoints {
-            by_distance[self.distance(&tracked.endpoint.locality) as usize].push(tracked);
+        let candidates: Vec<Candidate<&Tracked>> =
+            endpoints.map(|tracked| candidate(now, tracked, typical)).collect();
+        let draw = Draw::among(&candidates, &self.settings.draw);
+        let mut by_distance: [Vec<Candidate<&Tracked>>; Distance::COUNT] = Default::default();
+        for candidate in candidates {
+            by_distance[self.distance(&candidate.endpoint.endpoint.locality) as usize].push(candidate);
         }
-        let drawn = by_distance.into_iter().flat_map(|near| near.into_iter().sample(random, DRAWN));
-        drawn.collect()
+        by_distance.into_iter().flat_map(|near| draw.draw(near, random)).collect()
     }
 
     fn tracked(&mut self, service: &ServiceName, node: &NodeName) -> Option<&mut Tracked> {
@@ -244,13 +271,14 @@
     /// An answer well inside the objective costs little, however much faster another one would be; towards the end of
     /// the objective and beyond it the cost grows.
     fn estimate(&self, now: Instant, tracked: &Tracked, typical: f64, query: Query<'_>) -> Estimate {
-        let cold = if tracked.endpoint.is_cold { COLD_FACTOR } else { 1.0 };
-        let mean = tracked.service_seconds().unwrap_or(typical * cold);
+        let mean = mean_seconds(tracked, typical);
         let of_route = self.times.expected(query.route, &tracked.endpoint.node, mean / typical);
         let service = of_route.unwrap_or(mean);
-        let wait = expected_wait(tracked.held(), tracked.slots(), mean);
-        let time = wait + service + tracked.overhead_seconds();
-        let lateness = (time / query.objective.as_secs_f64().max(SHORTEST_OBJECTIVE_SECONDS)).powi(2);
+        let slowdown = tracked.slowdown_factor(now);
+        let wait = expected_wait(tracked.held(), tracked.slots(), mean) * slowdown;
+        let time = wait + service * slowdown + tracked.overhead_seconds();
+        let share = time / query.objective.as_secs_f64().max(SHORTEST_OBJECTIVE_SECONDS);
+        let lateness = share.powi(2);
         let failures = tracked.failures_now(now).min(1.0).max(tracked.failed_share());
         let failing = failures * self.settings.failure_cost;
         let cost = lateness + failing + self.distance_cost(&tracked.endpoint.locality, query);
@@ -306,6 +334,15 @@
     const COUNT: usize = 3;
 }
 
+/// How long an answered request took.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AnswerTimes {
+    /// Time in the back end.
+    pub served: Duration,
+    /// Time outside the back end and its queue.
+    pub overhead: Duration,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Estimate {
     cost: f64,
@@ -313,6 +350,20 @@
     service: f64,
 }
 
+fn candidate(now: Instant, tracked: &Tracked, typical: f64) -> Candidate<&Tracked> {
+    Candidate {
+        endpoint: tracked,
+        seconds: mean_seconds(tracked, typical) * tracked.slowdown_factor(now),
+        free_share: (1.0 - tracked.held() / tracked.slots()).max(0.0),
+    }
+}
+
+/// Mean service time of an endpoint in seconds, or what is to be assumed of it where the mean of the others is `typical`.
+fn mean_seconds(tracked: &Tracked, typical: f64) -> f64 {
+    let cold = if tracked.endpoint.is_cold { COLD_FACTOR } else { 1.0 };
+    tracked.service_seconds().unwrap_or(typical * cold)
+}
+
 /// Mean over the endpoints that have told their service time.
 fn typical_service_seconds(endpoints: &Endpoints) -> f64 {
     let known: Vec<f64> = endpoints.values().filter_map(Tracked::service_seconds).collect();
