--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -7,7 +7,7 @@
 use umberpond_model::NodeName;
 use umberpond_quarantine::Standing;
 use umberpond_scheduling::LoadReport;
-use umberpond_selection::{Choice, Observation, Query, ReleaseGroup, RetryOwner, RetryStake};
+use umberpond_selection::{AnswerTimes, Choice, Observation, Query, ReleaseGroup, RetryOwner, RetryStake};
 use umberpond_telemetry::{Event, RequestDetail};
 
 use super::come_back::RefusedRequest;
@@ -262,11 +262,13 @@
         };
         let mut selector = self.outbound.selector.lock();
         let service = &self.request.service;
-        selector.on_ended(Instant::now().into_std(), service, &choice.node, observation);
+        let now = Instant::now().into_std();
+        selector.on_ended(now, service, &choice.node, observation);
         if let AttemptResult::Answered(answer) = result {
             let overhead = elapsed.saturating_sub(answer.served_in).saturating_sub(answer.waited);
             let route = &self.request.route.name;
-            selector.on_times(service, route, &choice.node, answer.served_in, overhead);
+            let times = AnswerTimes { served: answer.served_in, overhead };
+            selector.on_times(now, service, route, &choice.node, times);
         }
     }
 
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -10,6 +10,7 @@
 mod place;
 mod queue;
 mod service_time;
+mod slowdown;
 mod wait_bounds;
 
 pub use cold_pace::ColdPace;
@@ -17,4 +18,5 @@
 pub use load::LoadReport;
 pub use queue::{CallWork, Decision, Refusal, Started, Ticket, WorkItem, WorkQueue};
 pub use service_time::ServiceTime;
+pub use slowdown::{InvalidSlowdown, Slowdown};
 pub use wait_bounds::{Dependent, WaitBounds};
--- a/crates/selection/src/lib.rs
+++ b/crates/selection/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod budget;
 mod choice;
+mod draw;
 mod endpoint;
 mod releases;
 mod retry_stake;
@@ -12,7 +13,8 @@
 
 pub use budget::{RetryBudget, RetryBudgetSettings};
 pub use choice::{Choice, Query};
+pub use draw::DrawSettings;
 pub use endpoint::{Endpoint, Observation};
 pub use releases::{ReleaseGroup, ReleaseShare};
 pub use retry_stake::{OtherCalls, RetryOwner, RetryStake, RetryStakes};
-pub use selector::{Selector, SelectorSettings};
+pub use selector::{AnswerTimes, Selector, SelectorSettings};
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -153,6 +153,9 @@
     QuotaRefusalsCounted { tenant: String, refused: u64, next_token_millis: u64, period_millis: u64 }
         = 4039, Info, "quota-refusals-counted", "Requests of the tenant that this node has refused over its quota in the period. `next_token_millis` is the time after which it asks for tokens again, 0 if requests that come are asked for at once.";
 
+    SlowBackEndAvoided { request: String, service: ServiceName, slowdown_percent: u32, usual_millis: u64, expected_millis: u64, left_millis: u64 }
+        = 4037, Info, "slow-back-end-avoided", "The node beside the back end refused a request, which has not run: work takes so many hundredths of the usual time there, the answer was expected in `expected_millis`, and its objective ends in `left_millis`. Another back end may still answer in time.";
+
     // Store
     PlatformUnavailable { operation: &'static str, reason: String }
         = 5003, Warn, "platform-unavailable", "The platform did not answer; the node goes on with what it has and tries again with backoff.";
