Fair shares of a back end's slots between tenants

Cause: the queue before a back end served tenants in proportion to what they send.

The queue now keeps a virtual start for each tenant that has waited of late (start-time fair queueing over slot time) and serves those first that are within a quantum of the virtual time, by the order that held before; then the others by the quanta that they are ahead. Ranks, and what is late already, stay before that. The expected wait follows the same order. In a full queue the last request of the tenant furthest above its share makes room and is refused; it has not run. Nothing is kept while a slot is free and nobody waits, nor of requests without a tenant.

--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -348,7 +348,7 @@
         }
         tasks.spawn(follow_unreachable(Arc::clone(&self.inbound), Arc::clone(&self.back_end)));
         tasks.spawn(follow_warmth(Arc::clone(&self.back_end)));
-        tasks.spawn(close_expired(Arc::clone(&self.inbound), Arc::clone(&self.outbound)));
+        tasks.spawn(keep_house(Arc::clone(&self.inbound), Arc::clone(&self.outbound)));
         if let Some(back_end) = self.config.back_end {
             self.start_asking(&mut tasks, back_end);
         }
@@ -389,10 +389,11 @@
     }
 }
 
-async fn close_expired(inbound: Arc<Inbound>, outbound: Arc<Outbound>) {
+async fn keep_house(inbound: Arc<Inbound>, outbound: Arc<Outbound>) {
     loop {
         tokio::time::sleep(EXPIRY_INTERVAL).await;
         inbound.close_expired();
+        inbound.tell_shares();
         outbound.close_expired();
     }
 }
--- a/crates/forwarding/src/inbound/admission.rs
+++ b/crates/forwarding/src/inbound/admission.rs
@@ -7,15 +7,24 @@
 use parking_lot::Mutex;
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, sleep_until, timeout_at};
-use umberpond_model::RequestRate;
-use umberpond_scheduling::{ColdPace, Decision, LoadReport, Refusal, Started, Ticket, WorkItem, WorkQueue};
+use umberpond_model::{RequestRate, TenantNumber};
+use umberpond_scheduling::{
+    ColdPace, Decision, LoadReport, Refusal, Started, TenantStanding, Ticket, WorkItem, WorkQueue,
+};
 
 type Verdict = Result<(), Refusal>;
 
+/// The task that waits for the verdict on one request.
+#[derive(Debug)]
+struct Waiter {
+    sender: oneshot::Sender<Verdict>,
+    tenant: Option<TenantNumber>,
+}
+
 #[derive(Debug, Default)]
 struct State {
     queue: WorkQueue,
-    waiters: HashMap<Ticket, oneshot::Sender<Verdict>>,
+    waiters: HashMap<Ticket, Waiter>,
     /// When the queue is looked at again because the pace of a cold back end lets a request start then.
     look_at: Option<Instant>,
 }
@@ -25,11 +34,7 @@
     fn start_waiting(&mut self) {
         while let Some(started) = self.queue.start_next(now()) {
             match started {
-                Started::Run(ticket) => {
-                    if !self.tell(ticket, Ok(())) {
-                        self.queue.finish(None);
-                    }
-                }
+                Started::Run(ticket) => self.hand_slot(ticket),
                 Started::Expire(ticket) => {
                     self.tell(ticket, Err(Refusal::Expired));
                 }
@@ -37,12 +42,57 @@
         }
     }
 
-    /// Wakes the waiter of `ticket`; `false` if it is gone.
-    fn tell(&mut self, ticket: Ticket, verdict: Verdict) -> bool {
-        self.waiters.remove(&ticket).is_some_and(|waiter| waiter.send(verdict).is_ok())
+    /// Gives a slot to the waiter of `ticket`. It is free again if that one is gone.
+    fn hand_slot(&mut self, ticket: Ticket) {
+        let Some(waiter) = self.waiters.remove(&ticket) else { return self.queue.finish(None) };
+        if waiter.sender.send(Ok(())).is_err() {
+            self.free_slot(SlotUse { tenant: waiter.tenant, held: Duration::ZERO, served: None });
+        }
+    }
+
+    /// Takes in that a slot is free again.
+    fn free_slot(&mut self, slot: SlotUse) {
+        if let Some(tenant) = slot.tenant {
+            self.queue.settle(tenant, slot.held);
+        }
+        self.queue.finish(slot.served);
+    }
+
+    /// Refuses those that had to make room for others.
+    fn refuse_displaced(&mut self) {
+        for displaced in self.queue.take_displaced() {
+            self.tell(displaced.ticket, Err(Refusal::OverShare { expected: displaced.expected }));
+        }
+    }
+
+    /// Wakes the waiter of `ticket`, if it is still there.
+    fn tell(&mut self, ticket: Ticket, verdict: Verdict) {
+        if let Some(waiter) = self.waiters.remove(&ticket) {
+            // A waiter that is gone needs no refusal.
+            let _ = waiter.sender.send(verdict);
+        }
     }
 }
 
+/// What became of a slot that was given.
+#[derive(Debug, Clone, Copy)]
+struct SlotUse {
+    /// Whose request had it; absent if of none.
+    tenant: Option<TenantNumber>,
+    held: Duration,
+    /// Time that the back end took, if it answered.
+    served: Option<Duration>,
+}
+
+/// How the tenants of one back end stand.
+#[derive(Debug)]
+pub(super) struct TenantStandings {
+    /// Number of tenants that share the slots.
+    pub(super) count: usize,
+    /// Those that took most, the greatest first.
+    pub(super) greatest: Vec<TenantStanding>,
+}
+
 /// The queue before the back end.
 #[derive(Debug, Default)]
 pub(crate) struct Admission {
@@ -63,18 +113,20 @@
             match state.queue.offer(now(), item) {
                 Decision::Start => {
                     self.follow_pace(&mut state);
-                    return Ok(Permit::new(self));
+                    return Ok(Permit::new(self, item.tenant));
                 }
                 Decision::Refuse(refusal) => return Err(refusal),
                 Decision::Wait(ticket) => {
                     let (sender, receiver) = oneshot::channel();
-                    state.waiters.insert(ticket, sender);
+                    state.waiters.insert(ticket, Waiter { sender, tenant: item.tenant });
+                    state.refuse_displaced();
                     self.follow_pace(&mut state);
                     (ticket, receiver)
                 }
             }
         };
-        let mut waiting = Waiting { admission: Arc::clone(self), ticket, verdict: Some(verdict) };
+        let verdict = Some(verdict);
+        let mut waiting = Waiting { admission: Arc::clone(self), ticket, tenant: item.tenant, verdict };
         waiting.result(item).await
     }
 
@@ -154,9 +206,21 @@
         self.state.lock().queue.record_answer(is_sound);
     }
 
-    fn finish(self: &Arc<Self>, served: Option<Duration>) {
+    /// How a tenant stands; absent if none of its requests has waited of late.
+    pub(super) fn standing(&self, tenant: TenantNumber) -> Option<TenantStanding> {
+        self.state.lock().queue.standing(now(), tenant)
+    }
+
+    /// How tenants stand, the greatest `count` of them named.
+    pub(super) fn standings(&self, count: usize) -> TenantStandings {
+        let state = self.state.lock();
+        let greatest = state.queue.greatest_tenants(now(), count);
+        TenantStandings { count: state.queue.tenant_count(), greatest }
+    }
+
+    fn free_slot(self: &Arc<Self>, slot: SlotUse) {
         let mut state = self.state.lock();
-        state.queue.finish(served);
+        state.free_slot(slot);
         self.start_waiting(&mut state);
     }
 
@@ -195,6 +259,7 @@
 struct Waiting {
     admission: Arc<Admission>,
     ticket: Ticket,
+    tenant: Option<TenantNumber>,
     verdict: Option<oneshot::Receiver<Verdict>>,
 }
 
@@ -205,7 +270,7 @@
         match told {
             Ok(Ok(Ok(()))) => {
                 self.verdict = None;
-                Ok(Permit::new(&self.admission))
+                Ok(Permit::new(&self.admission, item.tenant))
             }
             Ok(Ok(Err(refusal))) => {
                 self.verdict = None;
@@ -224,7 +289,7 @@
         self.admission.withdraw(self.ticket);
         // The slot may have been given in the very moment in which the waiter gave up.
         if matches!(verdict.try_recv(), Ok(Ok(()))) {
-            self.admission.finish(None);
+            self.admission.free_slot(SlotUse { tenant: self.tenant, held: Duration::ZERO, served: None });
         }
     }
 }
@@ -233,13 +298,14 @@
 #[derive(Debug)]
 pub(crate) struct Permit {
     admission: Arc<Admission>,
+    tenant: Option<TenantNumber>,
     started: Instant,
     served: Option<Duration>,
 }
 
 impl Permit {
-    fn new(admission: &Arc<Admission>) -> Self {
-        Self { admission: Arc::clone(admission), started: Instant::now(), served: None }
+    fn new(admission: &Arc<Admission>, tenant: Option<TenantNumber>) -> Self {
+        Self { admission: Arc::clone(admission), tenant, started: Instant::now(), served: None }
     }
 
     /// Time since the slot was given.
@@ -255,6 +321,7 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.admission.finish(self.served);
+        let held = self.started.elapsed();
+        self.admission.free_slot(SlotUse { tenant: self.tenant, held, served: self.served });
     }
 }
--- a/crates/forwarding/src/inbound/back_end.rs
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -96,6 +96,8 @@
     pub(super) answers: Mutex<AnswerTally>,
     pub(super) runs: Arc<OpenRuns>,
     pub(super) suspended: Arc<SuspendedTime>,
+    /// When operators were told last how tenants share the slots.
+    pub(super) shares_told_at: Mutex<Option<Instant>>,
     pub(super) quarantine: Arc<Quarantine>,
     pub(super) suspect_lane: Arc<SuspectLane>,
     /// The budgets that pay for the calls of repeated runs.
@@ -137,6 +139,7 @@
             suspended: Arc::default(),
             suspect_lane: SuspectLane::new(Arc::clone(&quarantine)),
             quarantine,
+            shares_told_at: Mutex::default(),
             ledger: OnceLock::new(),
         }
     }
--- a/crates/forwarding/src/inbound/mod.rs
+++ b/crates/forwarding/src/inbound/mod.rs
@@ -6,6 +6,7 @@
 mod crash_watch;
 mod serving;
 mod suspect_lane;
+mod tenant_shares;
 
 pub(crate) use admission::Permit;
 pub use back_end::{BackEnd, Inbound, InboundSettings};
--- a/crates/forwarding/src/inbound/serving.rs
+++ b/crates/forwarding/src/inbound/serving.rs
@@ -99,7 +99,11 @@
         place: Option<SuspectPlace>,
         arrived: &PastMoment,
     ) -> Result<Turn, NotRun> {
-        let permit = self.admit(attempt).await.map_err(not_admitted)?;
+        let admitted = self.admit(attempt).await;
+        let permit = admitted.map_err(|refusal| {
+            self.tell_over_share(attempt, refusal);
+            not_admitted(refusal)
+        })?;
         if self.is_evacuated.load(Ordering::Relaxed) {
             return Err(NotRun::before_back_end(NotRunReason::Evacuated));
         }
@@ -385,7 +389,7 @@
         Refusal::Closed => NotRun::before_back_end(NotRunReason::Draining),
         Refusal::Expired => NotRun::before_back_end(NotRunReason::DeadlineBeforeRun),
         Refusal::QueueFull | Refusal::HeldTooLong => NotRun::before_back_end(NotRunReason::Overloaded),
-        Refusal::WaitTooLong { expected } => {
+        Refusal::WaitTooLong { expected } | Refusal::OverShare { expected } => {
             NotRun { retry_after: Some(expected), ..NotRun::before_back_end(NotRunReason::Overloaded) }
         }
     }
--- a/crates/scheduling/src/admitted_work.rs
+++ b/crates/scheduling/src/admitted_work.rs
@@ -30,8 +30,13 @@
     /// Seconds of service a second that go to requests which overtake one with `left` of its objective.
     pub(crate) fn overtaking_rate(&mut self, now: Instant, left: Duration) -> f64 {
         self.forget(now);
-        let mean_life = HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2;
-        self.seconds[..class_of(left)].iter().sum::<f64>() / mean_life
+        self.seconds[..class_of(left)].iter().sum::<f64>() / mean_life_seconds()
+    }
+
+    /// Seconds of service a second that go to all requests.
+    pub(crate) fn rate(&mut self, now: Instant) -> f64 {
+        self.forget(now);
+        self.seconds.iter().sum::<f64>() / mean_life_seconds()
     }
 
     fn forget(&mut self, now: Instant) {
@@ -48,6 +53,10 @@
     }
 }
 
+fn mean_life_seconds() -> f64 {
+    HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2
+}
+
 fn class_of(left: Duration) -> usize {
     let millis = left.as_millis();
     let class = (u128::BITS - millis.leading_zeros()) as usize;
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -6,6 +6,7 @@
 mod admitted_work;
 mod cold_pace;
 mod duplicates;
+mod fair_shares;
 mod load;
 mod place;
 mod queue;
@@ -13,6 +14,7 @@
 
 pub use cold_pace::ColdPace;
 pub use duplicates::DuplicateWindow;
+pub use fair_shares::TenantStanding;
 pub use load::LoadReport;
-pub use queue::{CallWork, Decision, Refusal, Started, Ticket, WorkItem, WorkQueue};
+pub use queue::{CallWork, Decision, DisplacedRequest, Refusal, Started, Ticket, WorkItem, WorkQueue};
 pub use service_time::ServiceTime;
--- a/crates/scheduling/src/place.rs
+++ b/crates/scheduling/src/place.rs
@@ -15,7 +15,19 @@
     pub(crate) ticket: Ticket,
 }
 
+/// What goes before the shares of tenants: requests of different classes are ordered by class alone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct PlaceClass {
+    priority: u8,
+    is_late: bool,
+}
+
 impl Place {
+    /// Its class.
+    pub(crate) const fn class(&self) -> PlaceClass {
+        PlaceClass { priority: self.priority, is_late: self.is_late }
+    }
+
     /// The place of an item that can still meet its objective.
     pub(crate) const fn of(item: &WorkItem, ticket: Ticket) -> Self {
         Self {
--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -7,6 +7,7 @@
 use umberpond_model::TenantNumber;
 
 use crate::admitted_work::AdmittedWork;
+use crate::fair_shares::{FairShares, TenantStanding, WaitingTurns};
 use crate::place::Place;
 use crate::{ColdPace, LoadReport, ServiceTime};
 
@@ -21,6 +22,12 @@
 /// How long a queue counts as contended after it refused a request that could still have met its objective, in times in which one slot
 /// becomes free. Meanwhile those that can't any more get no free slot: the next one that can comes within about that time.
 const CONTENDED_TURNS: f64 = 1.0;
+/// What a tenant may be ahead of its share before others go first, in mean service times: requests come in bursts, and a tenant that
+/// sends less than its share on the whole is to be found within it.
+const QUANTUM_REQUESTS: u32 = 8;
+/// What a request above its tenant's share reckons with of the work of the others, as a multiple of their present one. It waits for all of
+/// that, and the work varies while it does.
+const OTHERS_MARGIN: f64 = 1.15;
 /// Weight of one request in the share of failed ones.
 const FAILURE_WEIGHT: f64 = 0.03;
 
@@ -90,6 +97,12 @@
     /// Too many requests wait already.
     #[error("too many requests wait already")]
     QueueFull,
+    /// Its tenant is above its share of the slots, and a request of another tenant needed its place.
+    #[error("its tenant is above its share, and another one needed its place")]
+    OverShare {
+        /// The wait that was still expected.
+        expected: Duration,
+    },
     /// It has waited for as long as its sender lets it.
     #[error("it has waited for as long as it may")]
     HeldTooLong,
@@ -118,6 +131,15 @@
     Expire(Ticket),
 }
 
+/// A waiting request that has made room for one of a tenant less far above its share; it has not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DisplacedRequest {
+    /// Its ticket.
+    pub ticket: Ticket,
+    /// The wait that was still expected.
+    pub expected: Duration,
+}
+
 /// The queue before one back end, and what is known of its speed.
 #[derive(Debug)]
 pub struct WorkQueue {
@@ -130,7 +152,12 @@
     service_time: ServiceTime,
     failed_share: f64,
     reports: u64,
+    /// Work of tenants within their shares, and of none.
     admitted: AdmittedWork,
+    /// Work of tenants above their shares.
+    admitted_above: AdmittedWork,
+    shares: FairShares,
+    displaced: Vec<DisplacedRequest>,
     /// When a request that could still have met its objective was refused last, by rank.
     refused_at: BTreeMap<u8, Instant>,
     pace: ColdPace,
@@ -151,6 +178,9 @@
             failed_share: 0.0,
             reports: 0,
             admitted: AdmittedWork::default(),
+            admitted_above: AdmittedWork::default(),
+            shares: FairShares::default(),
+            displaced: Vec::new(),
             refused_at: BTreeMap::new(),
             pace: ColdPace::default(),
         }
@@ -175,6 +205,7 @@
     /// Gives up what waits; returns the tickets.
     pub fn give_up_waiting(&mut self) -> Vec<Ticket> {
         self.waiting.clear();
+        self.shares.clear();
         std::mem::take(&mut self.places).into_keys().collect()
     }
 
@@ -215,22 +246,26 @@
             return Decision::Refuse(Refusal::WaitTooLong { expected: self.mean_service_time() });
         }
         if self.running < self.slots && self.waiting.is_empty() && self.pace.may_start(now) {
+            self.shares.clear();
             self.start(now);
             self.admitted.record(now, item.left(now), item.service);
             return Decision::Start;
         }
+        self.shares.advance(now, self.slots);
+        let is_above = self.shares.is_above(item.tenant, self.quantum());
         let expected = self.expected_wait(now, item);
         if expected > item.patience {
-            if !has_missed {
+            if !has_missed && !is_above {
                 self.refused_at.insert(item.priority, now);
             }
             return Decision::Refuse(Refusal::WaitTooLong { expected });
         }
-        if self.waiting.len() >= WAITING_PER_SLOT * self.slots.max(1) as usize {
+        if self.waiting.len() >= WAITING_PER_SLOT * self.slots.max(1) as usize && !self.displace_for(item) {
             return Decision::Refuse(Refusal::QueueFull);
         }
-        self.admitted.record(now, item.left(now), item.service);
-        Decision::Wait(self.enqueue(item))
+        let admitted = if is_above { &mut self.admitted_above } else { &mut self.admitted };
+        admitted.record(now, item.left(now), item.service);
+        Decision::Wait(self.enqueue(now, item))
     }
 
     /// Takes a waiting request that can start, or one that has expired. Call it until nothing comes.
@@ -245,9 +280,41 @@
         }
         self.remove(place);
         self.start(now);
+        if let Some(tenant) = item.tenant {
+            self.shares.advance(now, self.slots);
+            self.shares.on_start(now, tenant, item.service, self.quantum());
+        }
         Some(Started::Run(place.ticket))
     }
 
+    /// The waiting requests that had to make room for others since this was called last.
+    pub fn take_displaced(&mut self) -> Vec<DisplacedRequest> {
+        std::mem::take(&mut self.displaced)
+    }
+
+    /// Takes in that a request of `tenant` held its slot for `held`; zero if it was given up before it ran. [`WorkQueue::finish`] follows.
+    pub fn settle(&mut self, tenant: TenantNumber, held: Duration) {
+        self.shares.settle(tenant, held);
+    }
+
+    /// How a tenant stands; absent if none of its requests has waited of late.
+    #[must_use]
+    pub fn standing(&self, now: Instant, tenant: TenantNumber) -> Option<TenantStanding> {
+        self.shares.standing(now, tenant)
+    }
+
+    /// The `count` tenants that took most slot time of late while others waited, the greatest first.
+    #[must_use]
+    pub fn greatest_tenants(&self, now: Instant, count: usize) -> Vec<TenantStanding> {
+        self.shares.greatest(now, count)
+    }
+
+    /// Number of tenants of which something is kept.
+    #[must_use]
+    pub fn tenant_count(&self) -> usize {
+        self.shares.tenant_count()
+    }
+
     /// Gives up a waiting request, because its sender is gone. `false` if it does not wait any more.
     pub fn withdraw(&mut self, ticket: Ticket) -> bool {
         let Some(place) = self.places.get(&ticket).copied() else { return false };
@@ -273,26 +340,61 @@
     /// will overtake it have run, and a slot is free.
     #[must_use]
     pub fn expected_wait(&mut self, now: Instant, item: WorkItem) -> Duration {
-        let place = Place::of(&item, Ticket(self.next_ticket));
-        let (mut ahead, mut count) = (Duration::ZERO, 0);
-        for (_, waiting) in self.waiting.range(..place) {
-            ahead += waiting.service;
-            count += 1;
-        }
+        let (ahead, count) = self.work_ahead(&item);
         let pace_wait = self.pace.expected_wait(now, count);
         let is_free = self.running < self.slots && ahead.is_zero();
         if is_free {
             return pace_wait;
         }
         let slots = self.slots.max(1);
-        let overtaking = self.admitted.overtaking_rate(now, item.left(now)) / f64::from(slots);
+        let overtaking = self.overtaking_rate(now, &item) / f64::from(slots);
         let left_share = 1.0 - overtaking.min(MOST_OVERTAKING_SHARE);
         ((ahead + self.mean_service_time()) / slots).div_f64(left_share).max(pace_wait)
     }
 
+    /// Time that the waiting requests before `item` take, and how many they are.
+    fn work_ahead(&self, item: &WorkItem) -> (Duration, usize) {
+        if !self.shares.is_unused() {
+            return self.turns(item).ahead();
+        }
+        let place = Place::of(item, Ticket(self.next_ticket));
+        let before = self.waiting.range(..place);
+        before.fold((Duration::ZERO, 0), |(time, count), (_, waiting)| (time + waiting.service, count + 1))
+    }
+
+    /// The order in which `item` and those that wait get slots.
+    fn turns(&self, item: &WorkItem) -> WaitingTurns<'_> {
+        let place = Place::of(item, Ticket(self.next_ticket));
+        self.shares.turns(self.waiting.iter(), place, item, self.quantum())
+    }
+
+    /// Seconds of service a second that go to requests which overtake `item`.
+    fn overtaking_rate(&mut self, now: Instant, item: &WorkItem) -> f64 {
+        let left = item.left(now);
+        if !self.shares.is_above(item.tenant, self.quantum()) {
+            return self.admitted.overtaking_rate(now, left);
+        }
+        OTHERS_MARGIN * self.admitted.rate(now) + self.admitted_above.overtaking_rate(now, left)
+    }
+
+    /// Makes room for `item` in a full queue; `false` if nobody who waits is further above its share.
+    fn displace_for(&mut self, item: WorkItem) -> bool {
+        let Some(place) = self.turns(&item).displaced() else { return false };
+        let work: Duration = self.waiting.values().map(|waiting| waiting.service).sum();
+        self.remove(place);
+        self.displaced.push(DisplacedRequest { ticket: place.ticket, expected: work / self.slots.max(1) });
+        true
+    }
+
+    /// Slot time that a tenant may be ahead of its share before others go first.
+    fn quantum(&self) -> Duration {
+        self.mean_service_time() * QUANTUM_REQUESTS
+    }
+
     /// What others are told.
     pub fn report(&mut self, now: Instant) -> LoadReport {
         self.reports += 1;
+        self.shares.advance(now, self.slots);
         let slots = self.pace.usable_slots(now, self.slots, self.mean_service_time());
         LoadReport {
             number: self.reports,
@@ -326,20 +428,33 @@
     /// The first in the queue. Those found unable to meet their objective are put behind the others of their priority.
     fn first_waiting(&mut self, now: Instant) -> Option<(Place, WorkItem)> {
         loop {
-            let (place, item) = self.waiting.first_key_value().map(|(place, item)| (*place, *item))?;
+            let (place, item) = self.first_in_order()?;
             if place.is_late || !item.is_late(now) {
                 return Some((place, item));
             }
-            self.remove(place);
+            self.waiting.remove(&place);
             self.insert(Place { is_late: true, ..place }, item);
         }
     }
 
-    fn enqueue(&mut self, item: WorkItem) -> Ticket {
+    /// The first in the queue: by class, then by the shares of tenants, then by the rest of the place.
+    fn first_in_order(&self) -> Option<(Place, WorkItem)> {
+        let (first, item) = self.waiting.first_key_value()?;
+        if self.shares.is_unused() {
+            return Some((*first, *item));
+        }
+        let same_class = self.waiting.iter().take_while(|(place, _)| place.class() == first.class());
+        self.shares.first(same_class, self.quantum())
+    }
+
+    fn enqueue(&mut self, now: Instant, item: WorkItem) -> Ticket {
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
         let place = Place::of(&item, ticket);
         self.insert(place, item);
+        if let Some(tenant) = item.tenant {
+            self.shares.on_wait(now, tenant);
+        }
         ticket
     }
 
@@ -348,9 +463,13 @@
         self.places.insert(place.ticket, place);
     }
 
+    /// Takes out a request that waits no more.
     fn remove(&mut self, place: Place) {
-        self.waiting.remove(&place);
+        let item = self.waiting.remove(&place);
         self.places.remove(&place.ticket);
+        if let Some(tenant) = item.and_then(|item| item.tenant) {
+            self.shares.on_leave(tenant);
+        }
     }
 }
 
--- /dev/null
+++ b/crates/scheduling/tests/tenant_turns.rs
@@ -0,0 +1,233 @@
+//! The order of requests of several tenants, who is turned away for whom, and what is kept of them.
+
+use std::time::{Duration, Instant};
+
+use quickcheck::quickcheck;
+use umberpond_model::TenantNumber;
+use umberpond_scheduling::{Decision, Refusal, Started, Ticket, WorkItem, WorkQueue};
+
+const SLOTS: u32 = 9;
+const FULL: u64 = 20 * SLOTS as u64;
+const GREEDY: u64 = 0;
+const SERVICE: Duration = Duration::from_millis(50);
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn item(now: Instant, tenant: u64) -> WorkItem {
+    WorkItem {
+        priority: 1,
+        objective_at: now + millis(20_000),
+        deadline: now + millis(60_000),
+        hold_until: now + millis(60_000),
+        patience: millis(60_000),
+        service: SERVICE,
+        is_later_try: false,
+        tenant: Some(TenantNumber(tenant)),
+        call: None,
+    }
+}
+
+fn open_queue() -> WorkQueue {
+    let mut queue = WorkQueue::new();
+    queue.set_slots(SLOTS);
+    queue.open();
+    queue
+}
+
+fn waits(decision: Decision) -> Ticket {
+    let Decision::Wait(ticket) = decision else { panic!("{decision:?}") };
+    ticket
+}
+
+/// A queue whose slots are taken, and in which `count` requests of the greedy tenant wait.
+fn greedy_queue(now: Instant, count: u64) -> (WorkQueue, Vec<Ticket>) {
+    let mut queue = open_queue();
+    for _ in 0..SLOTS {
+        assert_eq!(queue.offer(now, item(now, GREEDY)), Decision::Start);
+    }
+    let tickets = (0..count).map(|_| waits(queue.offer(now, item(now, GREEDY)))).collect();
+    (queue, tickets)
+}
+
+/// Ends one run of `tenant`, and starts whatever is next.
+fn next(queue: &mut WorkQueue, now: Instant, tenant: u64) -> Option<Started> {
+    queue.settle(TenantNumber(tenant), SERVICE);
+    queue.finish(Some(SERVICE));
+    queue.start_next(now)
+}
+
+/// Lets runs of the greedy tenant take slots that others wait for as well.
+fn make_greedy(queue: &mut WorkQueue, now: Instant, turns: u64) {
+    for _ in 0..turns {
+        next(queue, now, GREEDY).expect("a waiting request");
+    }
+}
+
+#[test]
+fn a_tenant_within_its_share_goes_before_one_that_has_taken_more() {
+    let now = Instant::now();
+    let (mut queue, _) = greedy_queue(now, 60);
+    make_greedy(&mut queue, now, 30);
+    let other = waits(queue.offer(now, item(now, 1)));
+    assert_eq!(next(&mut queue, now, GREEDY), Some(Started::Run(other)));
+}
+
+#[test]
+fn a_more_urgent_rank_goes_before_any_share() {
+    let now = Instant::now();
+    let (mut queue, _) = greedy_queue(now, 60);
+    make_greedy(&mut queue, now, 30);
+    let _ = waits(queue.offer(now, item(now, 1)));
+    let urgent = waits(queue.offer(now, WorkItem { priority: 0, ..item(now, GREEDY) }));
+    assert_eq!(next(&mut queue, now, GREEDY), Some(Started::Run(urgent)));
+}
+
+#[test]
+fn those_within_their_shares_go_by_their_objectives() {
+    let now = Instant::now();
+    let (mut queue, _) = greedy_queue(now, 0);
+    let ends_at = |tenant, objective| WorkItem { objective_at: now + millis(objective), ..item(now, tenant) };
+    let late = waits(queue.offer(now, ends_at(1, 900)));
+    let soon = waits(queue.offer(now, ends_at(2, 300)));
+    let middle = waits(queue.offer(now, ends_at(GREEDY, 600)));
+    let order: Vec<_> = (0..3).map(|_| next(&mut queue, now, GREEDY)).collect();
+    assert_eq!(order, [soon, middle, late].map(|ticket| Some(Started::Run(ticket))));
+}
+
+/// What it did not use while it was idle is no credit: it gets no more than a burst before the others.
+#[test]
+fn a_tenant_that_was_idle_begins_with_the_present_share() {
+    let mut now = Instant::now();
+    let (mut queue, _) = greedy_queue(now, 100);
+    let _ = waits(queue.offer(now, item(now, 1)));
+    for _ in 0..60 {
+        now += millis(6);
+        let _ = queue.offer(now, item(now, GREEDY));
+        next(&mut queue, now, GREEDY).expect("a waiting request");
+    }
+    let back: Vec<Ticket> = (0..60).map(|_| waits(queue.offer(now, item(now, 1)))).collect();
+    let starts: Vec<_> = (0..60).map(|_| next(&mut queue, now, GREEDY)).collect();
+    let is_back =
+        |started: &&Option<Started>| matches!(started, Some(Started::Run(ticket)) if back.contains(ticket));
+    let of_it = starts.iter().filter(is_back).count();
+    assert!((25..=40).contains(&of_it), "{of_it} of 60");
+}
+
+#[test]
+fn the_expected_wait_is_short_within_a_share_and_long_above_it() {
+    let now = Instant::now();
+    let (mut queue, _) = greedy_queue(now, 100);
+    make_greedy(&mut queue, now, 40);
+    let _ = waits(queue.offer(now, item(now, 1)));
+    let within = queue.expected_wait(now, item(now, 2));
+    let above = queue.expected_wait(now, item(now, GREEDY));
+    assert!(within <= SERVICE * 2 / SLOTS, "{within:?} counts those that go later");
+    assert!(above >= SERVICE * 61 / SLOTS, "{above:?} leaves out those that go first");
+}
+
+#[test]
+fn a_full_queue_turns_away_the_last_of_the_tenant_furthest_above_its_share() {
+    let now = Instant::now();
+    let (mut queue, tickets) = greedy_queue(now, FULL);
+    let other = waits(queue.offer(now, item(now, 1)));
+    let displaced = queue.take_displaced();
+    assert_eq!(displaced.len(), 1);
+    assert_eq!(displaced[0].ticket, *tickets.last().expect("a ticket"));
+    assert!(!queue.withdraw(displaced[0].ticket), "it waits no more, and never runs");
+    assert_eq!(queue.offer(now, item(now, GREEDY)), Decision::Refuse(Refusal::QueueFull));
+    assert!(queue.take_displaced().is_empty());
+    assert!(queue.withdraw(other));
+}
+
+#[test]
+fn a_more_urgent_request_is_never_displaced() {
+    let now = Instant::now();
+    let (mut queue, _) = greedy_queue(now, 0);
+    for _ in 0..FULL {
+        let _ = waits(queue.offer(now, WorkItem { priority: 0, ..item(now, GREEDY) }));
+    }
+    assert_eq!(queue.offer(now, item(now, 1)), Decision::Refuse(Refusal::QueueFull));
+}
+
+/// Refusals of a tenant above its share don't make others wait for better times.
+#[test]
+fn refusals_above_a_share_don_t_hold_up_later_tries_of_others() {
+    let now = Instant::now();
+    let (mut queue, _) = greedy_queue(now, 30);
+    let _ = waits(queue.offer(now, item(now, 1)));
+    make_greedy(&mut queue, now, 20);
+    let impatient = WorkItem { patience: Duration::ZERO, ..item(now, GREEDY) };
+    assert!(matches!(queue.offer(now, impatient), Decision::Refuse(Refusal::WaitTooLong { .. })));
+    let later = WorkItem { is_later_try: true, ..item(now, 2) };
+    assert!(matches!(queue.offer(now, later), Decision::Wait(_)));
+}
+
+/// Ends that cost more than was expected are charged when they are known.
+#[test]
+fn what_a_run_has_held_counts_in_place_of_what_was_expected() {
+    let now = Instant::now();
+    let (mut queue, _) = greedy_queue(now, 20);
+    let honest: Vec<Ticket> = (0..20).map(|_| waits(queue.offer(now, item(now, 1)))).collect();
+    let first = next(&mut queue, now, 2);
+    assert!(matches!(first, Some(Started::Run(ticket)) if !honest.contains(&ticket)));
+    queue.settle(TenantNumber(GREEDY), SERVICE * 40);
+    queue.finish(Some(SERVICE));
+    let Some(Started::Run(second)) = queue.start_next(now) else { panic!("requests wait") };
+    assert!(honest.contains(&second), "the other one has taken forty times as long as it was expected to");
+}
+
+#[test]
+fn a_standing_tells_share_and_use() {
+    let now = Instant::now();
+    let (mut queue, _) = greedy_queue(now, 40);
+    let _ = waits(queue.offer(now, item(now, 1)));
+    make_greedy(&mut queue, now, 20);
+    let greedy = queue.standing(now, TenantNumber(GREEDY)).expect("it waits");
+    assert_eq!(greedy.share_permille, 500);
+    assert!(greedy.use_permille > 900, "{greedy:?}");
+    assert_eq!(queue.greatest_tenants(now, 1), [greedy]);
+    assert_eq!(queue.standing(now, TenantNumber(7)), None);
+}
+
+quickcheck! {
+    /// Whatever 10,000 tenants send, something is kept only of those that wait or were served within some seconds.
+    fn what_is_kept_is_bounded(seed: u64, gap_micros: u16) -> bool {
+        let gap = Duration::from_micros(u64::from(gap_micros) + 500);
+        let mut now = Instant::now();
+        let mut queue = open_queue();
+        let mut tenant = seed;
+        let mut begun = std::collections::VecDeque::new();
+        for _ in 0..1_000 {
+            now += gap;
+            tenant = tenant.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            let number = (tenant >> 33) % 10_000;
+            if queue.offer(now, item(now, number)) == Decision::Start {
+                begun.push_back(now);
+            }
+            while begun.front().is_some_and(|at| *at + SERVICE <= now) {
+                begun.pop_front();
+                queue.settle(TenantNumber(number), SERVICE);
+                queue.finish(Some(SERVICE));
+            }
+            while matches!(queue.start_next(now), Some(Started::Run(_))) {
+                begun.push_back(now);
+            }
+            let _ = queue.take_displaced();
+            let served_meanwhile = 9 * 5_100 / 50;
+            if queue.tenant_count() > usize::try_from(FULL).expect("a number") + served_meanwhile {
+                return false;
+            }
+        }
+        now += millis(60_000);
+        while begun.pop_front().is_some() {
+            queue.finish(Some(SERVICE));
+        }
+        while queue.start_next(now).is_some() {
+            queue.finish(Some(SERVICE));
+        }
+        let last = queue.offer(now, item(now, 1));
+        last == Decision::Start && queue.tenant_count() == 0
+    }
+}
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -148,6 +148,10 @@
         = 4030, Warn, "request-quarantined", "Whatever has this fingerprint has ended so many back ends and was never answered: it is refused from now on.";
     RequestOverQuota { request: String, tenant: String }
         = 4031, Info, "request-over-quota", "The tenant has sent as many requests as it may, over all nodes together: this one was answered without an attempt.";
+    RequestOverShare { request: String, tenant: String, reason: &'static str, use_permille: u16, share_permille: u16, ahead_millis: u64 }
+        = 4035, Info, "request-over-share", "The node beside the back end refused a request whose tenant had taken more of the slots than an equal part while others waited; it has not run. `reason=displaced`: it waited, and a request of another tenant needed its place. `ahead_millis` is the slot time by which the tenant is ahead.";
+    SlotsShared { tenants: u64, share_permille: u16, greatest: String }
+        = 4036, Info, "slots-shared", "Tenants compete for the slots of the back end beside this node. `greatest` names those that took most of late, with their parts in thousandths.";
 
     // Store
     PlatformUnavailable { operation: &'static str, reason: String }
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -17,6 +17,11 @@
 /// Number of buckets; the last one ends at about 16 s.
 const BUCKETS: u16 = 17;
 
+/// Places of the tenants that took most slot time, as labels.
+const TENANT_PLACES: [&str; 3] = ["1", "2", "3"];
+/// The whole in thousandths.
+const WHOLE_PERMILLE: i64 = 1000;
+
 /// Direction of control bytes as seen from the node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Direction {
@@ -130,6 +135,16 @@
     reason: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OverShareLabels {
+    reason: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TenantLabels {
+    place: &'static str,
+}
+
 /// Metrics of one node.
 #[derive(Debug)]
 pub struct Metrics {
@@ -148,6 +163,9 @@
     endpoints: Gauge,
     evacuated_zones: Gauge,
     ready: Gauge,
+    sharing_tenants: Gauge,
+    tenant_uses: Family<TenantLabels, Gauge>,
+    over_share: Family<OverShareLabels, Counter>,
 }
 
 impl Default for Metrics {
@@ -168,9 +186,13 @@
             endpoints: Gauge::default(),
             evacuated_zones: Gauge::default(),
             ready: Gauge::default(),
+            sharing_tenants: Gauge::default(),
+            tenant_uses: Family::default(),
+            over_share: Family::default(),
         };
         metrics.register_control();
         metrics.register_requests();
+        metrics.register_shares();
         metrics
     }
 }
@@ -235,6 +257,25 @@
         registry.register("ready", "1 while the node is ready", self.ready.clone());
     }
 
+    fn register_shares(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "sharing_tenants",
+            "Tenants that compete for the slots of the back end beside this node",
+            self.sharing_tenants.clone(),
+        );
+        registry.register(
+            "tenant_use_permille",
+            "Parts of the contended slot time of those that took most lately, and of the rest",
+            self.tenant_uses.clone(),
+        );
+        registry.register(
+            "over_share",
+            "Requests refused whose tenant was above its share, by reason",
+            self.over_share.clone(),
+        );
+    }
+
     /// Counts one control message of `bytes` bytes on the wire.
     pub fn control(&self, direction: Direction, kind: &'static str, bytes: usize) {
         let labels = ControlLabels { direction: direction.name(), kind };
@@ -301,6 +342,23 @@
         self.evacuated_zones.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Sets how many tenants compete for the slots, and the parts in thousandths of those that took most, the greatest first.
+    pub fn set_tenant_uses(&self, tenants: usize, greatest: &[u16]) {
+        self.sharing_tenants.set(i64::try_from(tenants).unwrap_or(i64::MAX));
+        let mut rest = if greatest.is_empty() { 0 } else { WHOLE_PERMILLE };
+        for (index, place) in TENANT_PLACES.into_iter().enumerate() {
+            let part = greatest.get(index).copied().map_or(0, i64::from);
+            rest -= part;
+            self.tenant_uses.get_or_create(&TenantLabels { place }).set(part);
+        }
+        self.tenant_uses.get_or_create(&TenantLabels { place: "rest" }).set(rest.max(0));
+    }
+
+    /// Counts a refused request whose tenant was above its share.
+    pub fn over_share(&self, reason: &'static str) {
+        self.over_share.get_or_create(&OverShareLabels { reason }).inc();
+    }
+
     /// Tells whether the node is ready.
     pub fn set_ready(&self, ready: bool) {
         self.ready.set(i64::from(ready));
