Waiters that make room for others are told at once

A test of the gate with real tasks: one slot, twenty waiting requests of one tenant and one of another. One of the twenty is told that it makes room while the slot is still taken, and never gets one; waiters that leave count neither for their tenant nor for the slots.

--- a/crates/forwarding/src/inbound/admission.rs
+++ b/crates/forwarding/src/inbound/admission.rs
@@ -1,5 +1,8 @@
 //! The queue before the back end, with the tasks that wait in it.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
--- /dev/null
+++ b/crates/forwarding/src/inbound/admission/tests.rs
@@ -0,0 +1,79 @@
+//! Waiters of several tenants before one slot.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+use umberpond_model::TenantNumber;
+use umberpond_scheduling::{Refusal, WorkItem};
+
+use super::{Admission, now};
+
+const GREEDY: TenantNumber = TenantNumber(0);
+const OTHER: TenantNumber = TenantNumber(1);
+/// Requests that may wait before one slot.
+const FULL: usize = 20;
+const TIME: Duration = Duration::from_secs(20);
+const MOMENT: Duration = Duration::from_millis(1);
+
+fn item(tenant: Option<TenantNumber>) -> WorkItem {
+    WorkItem {
+        priority: 1,
+        objective_at: now() + TIME,
+        deadline: now() + TIME,
+        hold_until: now() + TIME,
+        patience: TIME,
+        service: Duration::from_millis(50),
+        is_later_try: false,
+        tenant,
+        call: None,
+    }
+}
+
+/// Waits for a slot, and gives it back at once.
+fn admit(admission: &Arc<Admission>, tenant: TenantNumber) -> JoinHandle<Result<(), Refusal>> {
+    let admission = Arc::clone(admission);
+    tokio::spawn(async move { admission.admit(item(Some(tenant))).await.map(drop) })
+}
+
+#[tokio::test(start_paused = true)]
+async fn whoever_makes_room_in_a_full_queue_is_told_at_once_and_never_gets_a_slot() {
+    let admission = Arc::new(Admission::default());
+    admission.open(1);
+    let permit = admission.admit(item(None)).await.expect("a free slot");
+    let mut greedy: Vec<_> = (0..FULL).map(|_| admit(&admission, GREEDY)).collect();
+    sleep(MOMENT).await;
+    let other = admit(&admission, OTHER);
+    sleep(MOMENT).await;
+    let displaced: Vec<_> = greedy.extract_if(.., |waiter| waiter.is_finished()).collect();
+    assert_eq!(displaced.len(), 1, "one makes room while the slot is still taken");
+    for waiter in displaced {
+        assert!(matches!(waiter.await.unwrap(), Err(Refusal::OverShare { .. })));
+    }
+    drop(permit);
+    assert_eq!(other.await.unwrap(), Ok(()));
+    for waiter in greedy {
+        assert_eq!(waiter.await.unwrap(), Ok(()));
+    }
+    let load = admission.report();
+    assert_eq!((load.running, load.waiting), (0, 0));
+}
+
+/// A waiter that has gone counts neither for its tenant nor for the slots.
+#[tokio::test(start_paused = true)]
+async fn a_waiter_of_a_tenant_that_leaves_frees_its_place() {
+    let admission = Arc::new(Admission::default());
+    admission.open(1);
+    let permit = admission.admit(item(None)).await.expect("a free slot");
+    let greedy: Vec<_> = (0..FULL).map(|_| admit(&admission, GREEDY)).collect();
+    sleep(MOMENT).await;
+    for waiter in &greedy {
+        waiter.abort();
+    }
+    sleep(MOMENT).await;
+    assert_eq!(admission.report().waiting, 0);
+    drop(permit);
+    assert_eq!(admit(&admission, GREEDY).await.unwrap(), Ok(()));
+    assert_eq!(admission.standing(GREEDY), None, "nothing is kept once a slot was free for whoever came");
+}
