Replays of shares: before, after, and with shuffle sharding

The gate of a replay is exchangeable, so that the way weighed against is measured on the same arrivals: 64 queues, hands of six, at most 50 in a queue. Not run: sharded queues with an estimate of the wait of their own.

--- a/crates/scheduling/tests/fair_shares.rs
+++ b/crates/scheduling/tests/fair_shares.rs
@@ -7,7 +7,7 @@
 #[path = "support/mod.rs"]
 mod support;
 
-use support::{Outcome, Replay, TenantLoad, max_min_fair};
+use support::{Gates, Outcome, Replay, TenantLoad, max_min_fair};
 
 const TENANTS: usize = 84;
 const ZIPF_EXPONENT: f64 = 1.2;
@@ -37,7 +37,7 @@
     tenants
 }
 
-fn replay(tenants: Vec<TenantLoad>, back_ends: usize, is_told: bool) -> Replay {
+fn replay(tenants: Vec<TenantLoad>, back_ends: usize, gates: Gates) -> Replay {
     Replay {
         tenants,
         back_ends,
@@ -46,7 +46,7 @@
         objective: 0.5,
         deadline: 2.0,
         seed: 7,
-        is_told,
+        gates,
         restart: None,
         counted_from: 0.0,
     }
@@ -107,8 +107,8 @@
 
 #[test]
 fn one_tenant_that_sends_six_times_its_usual_costs_the_small_ones_nothing() {
-    let before = replay(surge(3), 3, false).run();
-    let after = replay(surge(3), 3, true).run();
+    let before = replay(surge(3), 3, Gates::Untold).run();
+    let after = replay(surge(3), 3, Gates::Told).run();
     show("before", &before);
     show("after", &after);
     assert_fair(&after);
@@ -120,9 +120,8 @@
     let mut tenants = zipf(27.0);
     tenants[2].service *= 10.0;
     let tenants = scaled(tenants, 27.0, 1.5);
-    let play =
-        |is_told| Replay { objective: 1.5, deadline: 4.0, ..replay(tenants.clone(), 3, is_told) }.run();
-    let (before, after) = (play(false), play(true));
+    let play = |gates| Replay { objective: 1.5, deadline: 4.0, ..replay(tenants.clone(), 3, gates) }.run();
+    let (before, after) = (play(Gates::Untold), play(Gates::Told));
     show("long, before", &before);
     show("long, after", &after);
     assert_fair(&after);
@@ -133,7 +132,8 @@
 fn equal_tenants_lose_no_goodput_to_each_other() {
     let equal = vec![TenantLoad { rate: 1.0, service: SERVICE, between: (0.0, SECONDS) }; 10];
     let tenants = scaled(equal, f64::from(SLOTS), 1.5);
-    let (before, after) = (replay(tenants.clone(), 1, false).run(), replay(tenants, 1, true).run());
+    let (before, after) =
+        (replay(tenants.clone(), 1, Gates::Untold).run(), replay(tenants, 1, Gates::Told).run());
     show("equal, before", &before);
     show("equal, after", &after);
     assert_fair(&after);
@@ -143,14 +143,16 @@
 #[test]
 fn a_tenant_that_is_alone_is_served_as_if_it_were_none() {
     let alone = scaled(vec![TenantLoad { rate: 1.0, service: SERVICE, between: (0.0, SECONDS) }], 9.0, 1.5);
-    let (before, after) = (replay(alone.clone(), 1, false).run(), replay(alone, 1, true).run());
+    let (before, after) =
+        (replay(alone.clone(), 1, Gates::Untold).run(), replay(alone, 1, Gates::Told).run());
     assert_eq!(before.tenants, after.tenants);
 }
 
 #[test]
 fn tenants_that_find_room_are_served_as_if_they_were_none() {
     let tenants = scaled(zipf(9.0), 9.0, 0.5);
-    let (before, after) = (replay(tenants.clone(), 1, false).run(), replay(tenants, 1, true).run());
+    let (before, after) =
+        (replay(tenants.clone(), 1, Gates::Untold).run(), replay(tenants, 1, Gates::Told).run());
     show("half load, before", &before);
     show("half load, after", &after);
     assert_eq!(before.in_time(), after.in_time());
@@ -158,14 +160,14 @@
 
 #[test]
 fn requests_of_no_tenant_leave_no_state() {
-    assert_eq!(replay(surge(1), 1, false).run().most_tenants, 0);
+    assert_eq!(replay(surge(1), 1, Gates::Untold).run().most_tenants, 0);
 }
 
 /// Each back end sees only its part of what a tenant sends, and shares only that.
 #[test]
 fn shares_hold_over_many_back_ends_that_know_nothing_of_each_other() {
     for (back_ends, seconds) in [(3, 60.0), (36, 20.0), (300, 6.0)] {
-        let outcome = Replay { seconds, ..replay(surge(back_ends), back_ends, true) }.run();
+        let outcome = Replay { seconds, ..replay(surge(back_ends), back_ends, Gates::Told) }.run();
         show(&format!("{back_ends} back ends"), &outcome);
         assert_fair(&outcome);
     }
@@ -174,7 +176,7 @@
 /// A process that starts knows nothing of what tenants took before. Nobody is starved afterwards.
 #[test]
 fn nobody_is_starved_after_a_restart() {
-    let before = Replay { restart: Some(20.0), counted_from: 20.0, ..replay(surge(1), 1, true) };
+    let before = Replay { restart: Some(20.0), counted_from: 20.0, ..replay(surge(1), 1, Gates::Told) };
     let outcome = before.run();
     show("after a restart", &outcome);
     let rate = |served: u32, offered: u32| f64::from(served) / f64::from(offered);
@@ -184,3 +186,14 @@
         assert!(rate(tenant.served, tenant.offered) >= all / 4.0, "{tenant:?}");
     }
 }
+
+/// The way weighed against shares slots about as well. No expected wait follows from its order, so it keeps requests that come too late.
+#[test]
+fn shuffle_sharding_keeps_requests_that_come_too_late() {
+    let sharded = replay(surge(3), 3, Gates::Sharded).run();
+    let shared = replay(surge(3), 3, Gates::Told).run();
+    show("sharded", &sharded);
+    show("shared", &shared);
+    assert_fair(&sharded);
+    assert!(sharded.in_time_seconds() < shared.in_time_seconds());
+}
--- a/crates/scheduling/tests/support/mod.rs
+++ b/crates/scheduling/tests/support/mod.rs
@@ -1,11 +1,15 @@
 //! Requests of tenants before several back ends, replayed on virtual time through real queues.
 
+mod gate;
+
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::BinaryHeap;
 use std::time::{Duration, Instant};
 
 use umberpond_model::TenantNumber;
-use umberpond_scheduling::{Decision, Started, Ticket, WorkItem, WorkQueue};
+use umberpond_scheduling::WorkItem;
+
+use gate::{Gate, Leaving, Offered, QueueGate, ShardedGate};
 
 /// Part of its objective within which a request is expected to be answered when it is taken in.
 const PATIENCE_SHARE: f64 = 0.55;
@@ -50,6 +54,26 @@
     pub between: (f64, f64),
 }
 
+/// What stands before the back ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Gates {
+    /// Queues that are told no tenants.
+    Untold,
+    /// Queues that are told the tenants.
+    Told,
+    /// A fixed number of queues with shuffle sharding.
+    Sharded,
+}
+
+impl Gates {
+    fn gate(self, slots: u32) -> Box<dyn Gate> {
+        match self {
+            Self::Untold | Self::Told => Box::new(QueueGate::new(slots)),
+            Self::Sharded => Box::new(ShardedGate::new(slots)),
+        }
+    }
+}
+
 /// A load before back ends of equal size.
 #[derive(Debug, Clone)]
 pub struct Replay {
@@ -61,8 +85,7 @@
     pub objective: f64,
     pub deadline: f64,
     pub seed: u64,
-    /// Whether the queues are told the tenants.
-    pub is_told: bool,
+    pub gates: Gates,
     /// When the first back end's node restarts, in seconds.
     pub restart: Option<f64>,
     /// Requests that arrive earlier don't count, in seconds.
@@ -94,14 +117,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrive(usize),
-    GiveUp { back_end: usize, life: u32, ticket: Ticket },
+    GiveUp { back_end: usize, life: u32, request: usize },
     End { back_end: usize, life: u32, request: usize },
     Restart,
 }
 
 struct BackEnd {
-    queue: WorkQueue,
-    waiting: HashMap<Ticket, usize>,
+    gate: Box<dyn Gate>,
     life: u32,
 }
 
@@ -145,7 +167,8 @@
 
 impl Replay {
     pub fn run(&self) -> Outcome {
-        let back_ends = (0..self.back_ends).map(|_| BackEnd::new(self.slots)).collect();
+        let back_ends =
+            (0..self.back_ends).map(|_| BackEnd { gate: self.gates.gate(self.slots), life: 0 }).collect();
         let mut run = Run {
             replay: self,
             begun: Instant::now(),
@@ -163,15 +186,6 @@
     }
 }
 
-impl BackEnd {
-    fn new(slots: u32) -> Self {
-        let mut queue = WorkQueue::new();
-        queue.set_slots(slots);
-        queue.open();
-        Self { queue, waiting: HashMap::new(), life: 0 }
-    }
-}
-
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn nanos(seconds: f64) -> u64 {
     (seconds * 1e9) as u64
@@ -207,16 +221,20 @@
             let now = self.begun + Duration::from_nanos(at);
             match event {
                 Event::Arrive(request) => self.arrive(now, request),
-                Event::GiveUp { back_end, life, ticket } => self.give_up(back_end, life, ticket),
+                Event::GiveUp { back_end, life, request } => self.give_up(back_end, life, request),
                 Event::End { back_end, life, request } => self.end(now, back_end, life, request),
                 Event::Restart => {
                     let life = self.back_ends[0].life + 1;
-                    self.back_ends[0] = BackEnd { life, ..BackEnd::new(self.replay.slots) };
+                    self.back_ends[0] = BackEnd { gate: self.replay.gates.gate(self.replay.slots), life };
                 }
             }
         }
     }
 
+    fn tenant(&self, request: Request) -> Option<TenantNumber> {
+        (self.replay.gates != Gates::Untold).then_some(TenantNumber(request.tenant as u64))
+    }
+
     fn hold_seconds(&self) -> f64 {
         self.replay.objective.min(self.replay.deadline * HOLD_SHARE)
     }
@@ -232,7 +250,7 @@
             patience: Duration::from_secs_f64(patience),
             service: Duration::from_secs_f64(load.service),
             is_later_try: false,
-            tenant: self.replay.is_told.then_some(number(request.tenant)),
+            tenant: self.tenant(request),
             call: None,
         }
     }
@@ -257,46 +275,33 @@
         let index = self.numbers.below(self.back_ends.len());
         let item = self.item(now, offered);
         let back_end = &mut self.back_ends[index];
-        match back_end.queue.offer(now, item) {
-            Decision::Start => self.start(now, index, request),
-            Decision::Wait(ticket) => {
-                back_end.waiting.insert(ticket, request);
+        match back_end.gate.offer(now, item, request) {
+            Offered::Starts => self.start(now, index, request),
+            Offered::Waits => {
                 let life = back_end.life;
                 let hold_until = offered.arrived + self.hold_seconds();
-                self.plan(hold_until, Event::GiveUp { back_end: index, life, ticket });
+                self.plan(hold_until, Event::GiveUp { back_end: index, life, request });
             }
-            Decision::Refuse(_) => {}
-        }
-        for displaced in self.back_ends[index].queue.take_displaced() {
-            let request = self.back_ends[index].waiting.remove(&displaced.ticket).expect("a waiting request");
-            self.count_in_vain(request);
+            Offered::Refused => {}
         }
         self.start_waiting(now, index);
     }
 
-    fn give_up(&mut self, index: usize, life: u32, ticket: Ticket) {
+    fn give_up(&mut self, index: usize, life: u32, request: usize) {
         let back_end = &mut self.back_ends[index];
-        if back_end.life != life || !back_end.queue.withdraw(ticket) {
-            return;
+        if back_end.life == life && back_end.gate.withdraw(request) {
+            self.count_in_vain(request);
         }
-        let request = back_end.waiting.remove(&ticket).expect("a waiting request");
-        self.count_in_vain(request);
     }
 
     fn start_waiting(&mut self, now: Instant, index: usize) {
-        while let Some(started) = self.back_ends[index].queue.start_next(now) {
-            match started {
-                Started::Run(ticket) => {
-                    let request = self.back_ends[index].waiting.remove(&ticket).expect("a waiting request");
-                    self.start(now, index, request);
-                }
-                Started::Expire(ticket) => {
-                    let request = self.back_ends[index].waiting.remove(&ticket).expect("a waiting request");
-                    self.count_in_vain(request);
-                }
+        while let Some(leaving) = self.back_ends[index].gate.next(now) {
+            match leaving {
+                Leaving::Starts(request) => self.start(now, index, request),
+                Leaving::InVain(request) => self.count_in_vain(request),
             }
         }
-        self.most_tenants = self.most_tenants.max(self.back_ends[index].queue.tenant_count());
+        self.most_tenants = self.most_tenants.max(self.back_ends[index].gate.tenant_count());
     }
 
     fn start(&mut self, now: Instant, back_end: usize, request: usize) {
@@ -319,19 +324,12 @@
             result.in_time_seconds += if is_in_time { ended.taken } else { 0.0 };
         }
         let taken = Duration::from_secs_f64(ended.taken);
-        let queue = &mut self.back_ends[index].queue;
-        if self.replay.is_told {
-            queue.settle(number(ended.tenant), taken);
-        }
-        queue.finish(Some(taken));
+        let tenant = self.tenant(ended);
+        self.back_ends[index].gate.finish(tenant, taken);
         self.start_waiting(now, index);
     }
 }
 
-pub const fn number(tenant: usize) -> TenantNumber {
-    TenantNumber(tenant as u64)
-}
-
 /// Max-min fair parts of `capacity` for `demands`.
 #[allow(clippy::cast_precision_loss)]
 pub fn max_min_fair(demands: &[f64], capacity: f64) -> Vec<f64> {
