--- a/crates/scheduling/src/fair_shares.rs
+++ b/crates/scheduling/src/fair_shares.rs
@@ -225,9 +225,9 @@
         WaitingTurns { own: Turn { class: place.class(), ahead, place }, others }
     }
 
-    /// Whether a tenant is more than a quantum ahead of its share. The share of one that is alone is everything.
+    /// Whether a tenant is more than a quantum ahead of its share.
     pub(crate) fn is_above(&self, tenant: Option<TenantNumber>, quantum: Duration) -> bool {
-        self.tenants.len() > 1 && self.quanta_ahead(tenant, Duration::ZERO, quantum) > 0
+        self.quanta_ahead(tenant, Duration::ZERO, quantum) > 0
     }
 
     /// How a tenant stands; absent if it has not waited of late.
