--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -155,6 +155,10 @@
 
     SlowBackEndAvoided { request: String, service: ServiceName, slowdown_percent: u32, usual_millis: u64, expected_millis: u64, left_millis: u64 }
         = 4037, Info, "slow-back-end-avoided", "The node beside the back end refused a request, which has not run: work takes so many hundredths of the usual time there, the answer was expected in `expected_millis`, and its objective ends in `left_millis`. Another back end may still answer in time.";
+    RequestOverShare { request: String, tenant: String, reason: &'static str, use_permille: u16, share_permille: u16, ahead_millis: u64 }
+        = 4035, Info, "request-over-share", "The node beside the back end refused a request whose tenant had taken more of the slots than an equal part while others waited; it has not run. `reason=displaced`: it waited, and a request of another tenant needed its place. `ahead_millis` is the slot time by which the tenant is ahead.";
+    SlotsShared { tenants: u64, share_permille: u16, greatest: String }
+        = 4036, Info, "slots-shared", "Tenants compete for the slots of the back end beside this node. `greatest` names those that took most of late, with their parts in thousandths.";
 
     // Store
     PlatformUnavailable { operation: &'static str, reason: String }
