--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -403,7 +403,7 @@
     fn take_repeated_call(&mut self) -> bool {
         self.grant = self.outbound.ledger.take(&self.request.service, RepeatKind::RepeatedCall);
         if self.grant.is_none() {
-            self.tell_withheld(&RetryRefusal { stake: None, saved: 0, most_saved: 0 });
+            self.tell_withheld(&self.outbound.ledger.refusal(&self.request.service));
         }
         self.grant.is_some()
     }
--- a/crates/forwarding/src/repeats/ledger.rs
+++ b/crates/forwarding/src/repeats/ledger.rs
@@ -89,11 +89,19 @@
         if is_taken {
             return Ok(());
         }
-        Err(RetryRefusal {
-            stake,
-            saved: whole(self.budget.left(now, nodes, settings)),
-            most_saved: whole(most_saved),
-        })
+        Err(self.refusal(now, stake, nodes, settings))
+    }
+
+    fn refusal(
+        &mut self,
+        now: std::time::Instant,
+        stake: Option<RetryStake>,
+        nodes: Option<usize>,
+        settings: &RetryBudgetSettings,
+    ) -> RetryRefusal {
+        let saved = whole(self.budget.left(now, nodes, settings));
+        let most_saved = whole(self.budget.most_saved(now, nodes, settings));
+        RetryRefusal { stake, saved, most_saved }
     }
 }
 
@@ -170,6 +178,12 @@
         RetryGrant { ledger: Arc::clone(self), service: service.clone(), has_arrived: true }
     }
 
+    /// What is told of a repeat that was withheld whatever was at stake.
+    pub(crate) fn refusal(&self, service: &ServiceName) -> RetryRefusal {
+        let now = Instant::now().into_std();
+        self.with_account(service, |account, nodes| account.refusal(now, None, nodes, &self.settings))
+    }
+
     /// Drops what is saved of all budgets.
     pub(crate) fn forget_saved(&self) {
         for account in self.accounts.lock().values_mut() {
