--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -10,6 +10,7 @@
 use umberpond_telemetry::{Event, RequestDetail};
 
 use super::come_back::come_back_within;
+use super::expected_end::note_expected;
 use super::failed_answer::FailedAnswer;
 use super::prepared::PreparedRequest;
 use super::reply::{Reply, ReplyReason, Served};
@@ -226,6 +227,9 @@
             }
             AttemptResult::Unknown(_) => Observation::Failed,
         };
+        if let AttemptResult::Answered(answer) = result {
+            note_expected(self.outbound.telemetry.metrics(), choice, answer, elapsed);
+        }
         let mut selector = self.outbound.selector.lock();
         let service = &self.request.service;
         let now = Instant::now().into_std();
--- a/crates/forwarding/src/outbound/mod.rs
+++ b/crates/forwarding/src/outbound/mod.rs
@@ -3,6 +3,7 @@
 mod attempts;
 mod caller_times;
 mod come_back;
+mod expected_end;
 mod failed_answer;
 mod handler;
 mod prepared;
--- a/crates/forwarding/tests/slowdown.rs
+++ b/crates/forwarding/tests/slowdown.rs
@@ -97,3 +97,16 @@
     assert!(inbound.ask_health(present, "/well").await.is_some());
     assert_eq!(inbound.load().slowdown_percent, 250);
 }
+
+/// Each answer is compared with what was expected of it, and what made the difference is told.
+#[tokio::test(start_paused = true)]
+async fn answers_are_counted_by_how_long_they_took_of_the_time_expected() {
+    let slow = Act::Slowly { first: BEGINNING, second: USUAL, after: 8 * WORK_MILLIS };
+    let world = World::with_routes(vec![[vec![telling(USUAL); 10], vec![slow]].concat()]).await;
+    ask(&world, "a", 10).await;
+    let has = |line: &str| world.telemetry.metrics().encode().lines().any(|found| found == line);
+    assert!(has(r#"umberpond_answer_expected_ratios_bucket{le="5.0",cause="work"} 10"#));
+    ask(&world, "b", 1).await;
+    assert!(has(r#"umberpond_answer_expected_ratios_bucket{le="5.0",cause="work"} 10"#));
+    assert!(has(r#"umberpond_answer_expected_ratios_bucket{le="10.0",cause="work"} 11"#));
+}
--- a/crates/selection/src/choice.rs
+++ b/crates/selection/src/choice.rs
@@ -39,4 +39,6 @@
     pub service: Duration,
     /// Expected time waiting for a slot, at its present speed.
     pub wait: Duration,
+    /// Expected time from now to the answer, at its present speed.
+    pub total: Duration,
 }
--- a/crates/selection/src/selector.rs
+++ b/crates/selection/src/selector.rs
@@ -282,7 +282,7 @@
         let failures = tracked.failures_now(now).min(1.0).max(tracked.failed_share());
         let failing = failures * self.settings.failure_cost;
         let cost = lateness + failing + self.distance_cost(&tracked.endpoint.locality, query);
-        Estimate { cost, wait, service }
+        Estimate { cost, wait, service, time }
     }
 
     fn choice(&self, tracked: &Tracked, estimate: &Estimate) -> Choice {
@@ -294,6 +294,7 @@
             instance: tracked.endpoint.instance.clone(),
             service: Duration::from_secs_f64(estimate.service),
             wait: Duration::from_secs_f64(estimate.wait),
+            total: Duration::from_secs_f64(estimate.time),
         }
     }
 
@@ -348,6 +349,7 @@
     cost: f64,
     wait: f64,
     service: f64,
+    time: f64,
 }
 
 fn candidate(now: Instant, tracked: &Tracked, typical: f64) -> Candidate<&Tracked> {
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -16,6 +16,28 @@
 const BUCKET_FACTOR: f64 = 2.0;
 /// Number of buckets; the last one ends at about 16 s.
 const BUCKETS: u16 = 17;
+/// Ends of the buckets of answers by their time as a multiple of that expected.
+const RATIO_BUCKETS: [f64; 9] = [0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0];
+
+/// What made up most of the difference between the time of an answer and that expected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum DelayCause {
+    /// The wait for a slot, and the way between the nodes.
+    Wait,
+    /// The work in the back end.
+    Work,
+}
+
+impl DelayCause {
+    /// Value of the label.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Wait => "wait",
+            Self::Work => "work",
+        }
+    }
+}
 
 /// Direction of control bytes as seen from the node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -135,6 +157,11 @@
     outcome: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CauseLabels {
+    cause: &'static str,
+}
+
 /// Metrics of one node.
 #[derive(Debug)]
 pub struct Metrics {
@@ -148,6 +175,7 @@
     cuts: Family<CutLabels, Counter>,
     attempts: Counter,
     slowdown_words: Family<WordLabels, Counter>,
+    expected_ratios: Family<CauseLabels, Histogram, fn() -> Histogram>,
     versions: Family<StageLabels, Gauge>,
     roles: Family<RoleLabels, Gauge>,
     platform_requests: Family<PlatformLabels, Counter>,
@@ -169,6 +197,7 @@
             cuts: Family::default(),
             attempts: Counter::default(),
             slowdown_words: Family::default(),
+            expected_ratios: Family::new_with_constructor(ratio_histogram),
             versions: Family::default(),
             roles: Family::default(),
             platform_requests: Family::default(),
@@ -186,6 +215,10 @@
     Histogram::new(exponential_buckets(FIRST_BUCKET_SECONDS, BUCKET_FACTOR, BUCKETS))
 }
 
+fn ratio_histogram() -> Histogram {
+    Histogram::new(RATIO_BUCKETS)
+}
+
 impl Metrics {
     fn register_control(&mut self) {
         let registry = &mut self.registry;
@@ -234,6 +267,12 @@
             "Figures by which the back end told how slow it is, by outcome: taken or invalid",
             self.slowdown_words.clone(),
         );
+        registry.register_with_unit(
+            "answer_expected",
+            "Time of an answered attempt as a multiple of that expected, by what made up most of the difference",
+            Unit::Ratios,
+            self.expected_ratios.clone(),
+        );
         registry.register(
             "endpoints",
             "Endpoint records in use by this node's callers",
@@ -287,6 +326,11 @@
         self.attempts.inc();
     }
 
+    /// Notes that an attempt took `ratio` times as long as expected, mostly because of `cause`.
+    pub fn answer_expected(&self, cause: DelayCause, ratio: f64) {
+        self.expected_ratios.get_or_create(&CauseLabels { cause: cause.name() }).observe(ratio);
+    }
+
     /// Counts a figure by which the back end told how slow it is.
     pub fn slowdown_word(&self, is_valid: bool) {
         let outcome = if is_valid { "taken" } else { "invalid" };
