--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -11,6 +11,7 @@
 use umberpond_telemetry::{Event, RequestDetail};
 
 use super::come_back::RefusedRequest;
+use super::expected_end::note_expected;
 use super::failed_answer::FailedAnswer;
 use super::prepared::PreparedRequest;
 use super::reply::{Reply, ReplyReason, Served};
@@ -260,6 +261,9 @@
             }
             AttemptResult::Unknown(_) => Observation::Failed,
         };
+        if let AttemptResult::Answered(answer) = result {
+            note_expected(self.outbound.telemetry.metrics(), choice, answer, elapsed);
+        }
         let mut selector = self.outbound.selector.lock();
         let service = &self.request.service;
         let now = Instant::now().into_std();
