Slots are kept for calls, calls of one run fare alike, and an urgent kind is not refused before others

Three findings of the replay, each in the queue:

- A call waits for the end of a new request, which takes longer than calls do, while its run holds a slot.
New requests leave slots to calls in the measure in which calls of their rank or a more urgent one come, at most half.
Only slots that new requests may not take count, so none is idle because calls run elsewhere.
- Where there is room for half of the calls, two calls of a run are both served in a quarter of the cases.
The wait with which a call is taken in now falls with a level that all nodes draw from the identity of the request (after DAGOR), so that calls of one run are served or refused together.
- A kind whose runs take more than about a half of its objective by themselves had no patience left and was refused unless a slot was free, while less urgent kinds waited for each.
It is taken in while less urgent ones are, if it meets its objective so.
This shows since rank 0 no longer waits as long as it can.

--- a/crates/forwarding/src/calls/tests.rs
+++ b/crates/forwarding/src/calls/tests.rs
@@ -3,12 +3,20 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
+use umberpond_scheduling::CallLevel;
 
 use super::{inherited_rank, inherited_time};
 use crate::repeats::RunContext;
 
 fn run(priority: u8, deadline: Instant) -> RunContext {
-    RunContext { began: Instant::now(), priority, tenant: None, objective_at: deadline, deadline }
+    RunContext {
+        began: Instant::now(),
+        priority,
+        level: CallLevel::FIRST,
+        tenant: None,
+        objective_at: deadline,
+        deadline,
+    }
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/forwarding/src/inbound/admission.rs
+++ b/crates/forwarding/src/inbound/admission.rs
@@ -12,10 +12,30 @@
 
 type Verdict = Result<(), Refusal>;
 
+/// The task that waits with a ticket.
+#[derive(Debug)]
+struct Waiter {
+    verdict: oneshot::Sender<Verdict>,
+    kind: WorkKind,
+}
+
+/// What has a slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum WorkKind {
+    New,
+    Call,
+}
+
+impl WorkKind {
+    const fn of(item: &WorkItem) -> Self {
+        if item.call.is_some() { Self::Call } else { Self::New }
+    }
+}
+
 #[derive(Debug, Default)]
 struct State {
     queue: WorkQueue,
-    waiters: HashMap<Ticket, oneshot::Sender<Verdict>>,
+    waiters: HashMap<Ticket, Waiter>,
     /// When the queue is looked at again because the pace of a cold back end lets a request start then.
     look_at: Option<Instant>,
 }
@@ -25,11 +45,7 @@
     fn start_waiting(&mut self) {
         while let Some(started) = self.queue.start_next(now()) {
             match started {
-                Started::Run(ticket) => {
-                    if !self.tell(ticket, Ok(())) {
-                        self.queue.finish(None);
-                    }
-                }
+                Started::Run(ticket) => self.give_slot(ticket),
                 Started::Expire(ticket) => {
                     self.tell(ticket, Err(Refusal::Expired));
                 }
@@ -37,9 +53,27 @@
         }
     }
 
-    /// Wakes the waiter of `ticket`; `false` if it is gone.
-    fn tell(&mut self, ticket: Ticket, verdict: Verdict) -> bool {
-        self.waiters.remove(&ticket).is_some_and(|waiter| waiter.send(verdict).is_ok())
+    /// Gives a slot to the waiter of `ticket`, unless it is gone.
+    fn give_slot(&mut self, ticket: Ticket) {
+        let Some(waiter) = self.waiters.remove(&ticket) else { return self.finish(WorkKind::New, None) };
+        if waiter.verdict.send(Ok(())).is_err() {
+            self.finish(waiter.kind, None);
+        }
+    }
+
+    /// Wakes the waiter of `ticket`, if it is there.
+    fn tell(&mut self, ticket: Ticket, verdict: Verdict) {
+        if let Some(waiter) = self.waiters.remove(&ticket) {
+            // Whoever has gone does not need it.
+            let _ = waiter.verdict.send(verdict);
+        }
+    }
+
+    fn finish(&mut self, kind: WorkKind, served: Option<Duration>) {
+        match kind {
+            WorkKind::New => self.queue.finish(served),
+            WorkKind::Call => self.queue.finish_call(served),
+        }
     }
 }
 
@@ -63,18 +97,20 @@
             match state.queue.offer(now(), item) {
                 Decision::Start => {
                     self.follow_pace(&mut state);
-                    return Ok(Permit::new(self));
+                    return Ok(Permit::new(self, WorkKind::of(&item)));
                 }
                 Decision::Refuse(refusal) => return Err(refusal),
                 Decision::Wait(ticket) => {
                     let (sender, receiver) = oneshot::channel();
-                    state.waiters.insert(ticket, sender);
+                    let waiter = Waiter { verdict: sender, kind: WorkKind::of(&item) };
+                    state.waiters.insert(ticket, waiter);
                     self.follow_pace(&mut state);
                     (ticket, receiver)
                 }
             }
         };
-        let mut waiting = Waiting { admission: Arc::clone(self), ticket, verdict: Some(verdict) };
+        let kind = WorkKind::of(&item);
+        let mut waiting = Waiting { admission: Arc::clone(self), ticket, kind, verdict: Some(verdict) };
         waiting.result(item).await
     }
 
@@ -154,9 +190,9 @@
         self.state.lock().queue.record_answer(is_sound);
     }
 
-    fn finish(self: &Arc<Self>, served: Option<Duration>) {
+    fn finish(self: &Arc<Self>, kind: WorkKind, served: Option<Duration>) {
         let mut state = self.state.lock();
-        state.queue.finish(served);
+        state.finish(kind, served);
         self.start_waiting(&mut state);
     }
 
@@ -195,6 +231,7 @@
 struct Waiting {
     admission: Arc<Admission>,
     ticket: Ticket,
+    kind: WorkKind,
     verdict: Option<oneshot::Receiver<Verdict>>,
 }
 
@@ -205,7 +242,7 @@
         match told {
             Ok(Ok(Ok(()))) => {
                 self.verdict = None;
-                Ok(Permit::new(&self.admission))
+                Ok(Permit::new(&self.admission, self.kind))
             }
             Ok(Ok(Err(refusal))) => {
                 self.verdict = None;
@@ -224,7 +261,7 @@
         self.admission.withdraw(self.ticket);
         // The slot may have been given in the very moment in which the waiter gave up.
         if matches!(verdict.try_recv(), Ok(Ok(()))) {
-            self.admission.finish(None);
+            self.admission.finish(self.kind, None);
         }
     }
 }
@@ -233,13 +270,14 @@
 #[derive(Debug)]
 pub(crate) struct Permit {
     admission: Arc<Admission>,
+    kind: WorkKind,
     started: Instant,
     served: Option<Duration>,
 }
 
 impl Permit {
-    fn new(admission: &Arc<Admission>) -> Self {
-        Self { admission: Arc::clone(admission), started: Instant::now(), served: None }
+    fn new(admission: &Arc<Admission>, kind: WorkKind) -> Self {
+        Self { admission: Arc::clone(admission), kind, started: Instant::now(), served: None }
     }
 
     /// Time since the slot was given.
@@ -255,6 +293,6 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.admission.finish(self.served);
+        self.admission.finish(self.kind, self.served);
     }
 }
--- a/crates/forwarding/src/message.rs
+++ b/crates/forwarding/src/message.rs
@@ -7,7 +7,7 @@
 use umberpond_http1::Fields;
 use umberpond_model::{HomeRegions, ServiceName, TenantName, TenantNumber};
 use umberpond_quarantine::RequestKey;
-use umberpond_scheduling::{CallWork, LoadReport};
+use umberpond_scheduling::{CallLevel, CallWork, LoadReport};
 
 use crate::body::PendingBody;
 use crate::hop::HopAnswerBody;
@@ -133,6 +133,19 @@
         let own = self.tenant.as_ref().map(TenantNumber::of);
         own.or_else(|| self.call.and_then(|call| call.tenant))
     }
+
+    /// Its level: that of the run which makes it, or else its own.
+    #[must_use]
+    pub fn level(&self) -> CallLevel {
+        self.call.map_or_else(|| level_of(&self.id), |call| call.work.level)
+    }
+}
+
+/// The level of a request that a caller has sent under this identity.
+fn level_of(id: &[u8]) -> CallLevel {
+    let mut first = [0; 8];
+    first.copy_from_slice(&blake3::hash(id).as_bytes()[..8]);
+    CallLevel::of_hash(u64::from_le_bytes(first))
 }
 
 /// What is known about an attempt at its end.
--- a/crates/forwarding/src/outbound/prepared.rs
+++ b/crates/forwarding/src/outbound/prepared.rs
@@ -56,7 +56,7 @@
     /// What it brings along of the run that makes it, if it is a call.
     pub(super) fn call(&self) -> Option<RunCall> {
         let run = self.run.as_ref()?;
-        let work = CallWork { spent: run.began.elapsed() };
+        let work = CallWork { spent: run.began.elapsed(), level: run.level };
         Some(RunCall { work, tenant: run.tenant })
     }
 
--- a/crates/forwarding/src/repeats/open_runs.rs
+++ b/crates/forwarding/src/repeats/open_runs.rs
@@ -8,6 +8,7 @@
 use parking_lot::Mutex;
 use tokio::time::Instant;
 use umberpond_model::{ServiceName, TenantNumber};
+use umberpond_scheduling::CallLevel;
 
 use super::call_rates::RunCalls;
 use crate::message::Attempt;
@@ -44,6 +45,8 @@
     pub(crate) began: Instant,
     /// Its rank among the requests for its back end.
     pub(crate) priority: u8,
+    /// Level that its calls take over.
+    pub(crate) level: CallLevel,
     /// Tenant on whose behalf it runs; absent if it is of none.
     pub(crate) tenant: Option<TenantNumber>,
     /// End of the time within which its answer is of full use.
@@ -106,6 +109,7 @@
         let context = RunContext {
             began: now,
             priority: attempt.priority,
+            level: attempt.level(),
             tenant: attempt.sharing_tenant(),
             objective_at: attempt.objective_at,
             deadline: *deadline,
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -4,14 +4,19 @@
 //! and reads no clock: the present time is an argument.
 
 mod admitted_work;
+mod call_level;
+mod call_outlook;
 mod cold_pace;
 mod duplicates;
+mod kept_slots;
 mod load;
 mod place;
 mod queue;
 mod service_time;
 mod wait_bounds;
 
+pub use call_level::CallLevel;
+pub use call_outlook::{CallEnd, CallOutlook, RunPlan, RunRefusal};
 pub use cold_pace::ColdPace;
 pub use duplicates::DuplicateWindow;
 pub use load::LoadReport;
--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -7,6 +7,8 @@
 use umberpond_model::TenantNumber;
 
 use crate::admitted_work::AdmittedWork;
+use crate::call_level::CallLevel;
+use crate::kept_slots::KeptSlots;
 use crate::place::Place;
 use crate::{ColdPace, LoadReport, ServiceTime};
 
@@ -56,6 +58,8 @@
 pub struct CallWork {
     /// Time for which the run has held its slot. It is lost if the call is refused.
     pub spent: Duration,
+    /// Level of the request from which the run comes. The lower it is, the longer a wait the call is taken in with.
+    pub level: CallLevel,
 }
 
 impl WorkItem {
@@ -84,6 +88,11 @@
         if self.call.is_some() { Duration::ZERO } else { self.left(now) }
     }
 
+    /// Longest expected wait with which it is taken in.
+    fn longest_wait(&self) -> Duration {
+        self.call.map_or(self.patience, |call| self.patience.mul_f64(call.level.patience_share()))
+    }
+
     /// Most requests that may wait when it comes, as a multiple of the slots.
     const fn waiting_per_slot(&self) -> usize {
         if self.call.is_some() { WAITING_CALLS_PER_SLOT } else { WAITING_PER_SLOT }
@@ -150,8 +159,11 @@
     failed_share: f64,
     reports: u64,
     admitted: AdmittedWork,
+    kept: KeptSlots,
     /// When a request that could still have met its objective was refused last, by rank.
     refused_at: BTreeMap<u8, Instant>,
+    /// When a request was admitted last, by rank.
+    admitted_at: BTreeMap<u8, Instant>,
     pace: ColdPace,
 }
 
@@ -170,7 +182,9 @@
             failed_share: 0.0,
             reports: 0,
             admitted: AdmittedWork::default(),
+            kept: KeptSlots::default(),
             refused_at: BTreeMap::new(),
+            admitted_at: BTreeMap::new(),
             pace: ColdPace::default(),
         }
     }
@@ -229,17 +243,20 @@
         if item.is_hopeless(now) {
             return Decision::Refuse(Refusal::Expired);
         }
+        if item.call.is_some() {
+            self.kept.on_call_offered(now, item.priority, item.service);
+        }
         let has_missed = item.has_missed(now);
         if has_missed && self.is_contended(now, item.priority) {
             return Decision::Refuse(Refusal::WaitTooLong { expected: self.mean_service_time() });
         }
-        if self.running < self.slots && self.waiting.is_empty() && self.pace.may_start(now) {
-            self.start(now);
-            self.admitted.record(now, item.urgency(now), item.service);
+        if self.has_slot_for(now, &item) && self.is_first(&item) && self.pace.may_start(now) {
+            self.start(now, &item);
+            self.on_admitted(now, &item);
             return Decision::Start;
         }
         let expected = self.expected_wait(now, item);
-        if expected > item.patience {
+        if expected > item.longest_wait() && !self.is_before_admitted(now, &item, expected) {
             if !has_missed {
                 self.refused_at.insert(item.priority, now);
             }
@@ -248,7 +265,7 @@
         if self.waiting.len() >= item.waiting_per_slot() * self.slots.max(1) as usize {
             return Decision::Refuse(Refusal::QueueFull);
         }
-        self.admitted.record(now, item.urgency(now), item.service);
+        self.on_admitted(now, &item);
         Decision::Wait(self.enqueue(item))
     }
 
@@ -259,11 +276,12 @@
             self.remove(place);
             return Some(Started::Expire(place.ticket));
         }
-        if self.running >= self.slots || !self.pace.may_start(now) {
+        let (place, item) = self.first_with_slot(now, place, item)?;
+        if !self.pace.may_start(now) {
             return None;
         }
         self.remove(place);
-        self.start(now);
+        self.start(now, &item);
         Some(Started::Run(place.ticket))
     }
 
@@ -274,8 +292,18 @@
         true
     }
 
-    /// Takes in that a request has left its slot. `served` is the time the back end took, if it answered.
+    /// Takes in that a new request has left its slot. `served` is the time the back end took, if it answered.
     pub fn finish(&mut self, served: Option<Duration>) {
+        self.kept.on_new_finished();
+        self.leave_slot(served);
+    }
+
+    /// As [`WorkQueue::finish`], of a call.
+    pub fn finish_call(&mut self, served: Option<Duration>) {
+        self.leave_slot(served);
+    }
+
+    fn leave_slot(&mut self, served: Option<Duration>) {
         self.running = self.running.saturating_sub(1);
         if let Some(taken) = served {
             self.service_time.record(taken);
@@ -299,7 +327,7 @@
             count += 1;
         }
         let pace_wait = self.pace.expected_wait(now, count);
-        let is_free = self.running < self.slots && ahead.is_zero();
+        let is_free = self.has_slot_for(now, &item) && ahead.is_zero();
         if is_free {
             return pace_wait;
         }
@@ -341,8 +369,48 @@
         Some(*rank)
     }
 
-    fn start(&mut self, now: Instant) {
+    /// Whether less urgent requests were admitted a moment ago, and the item meets its objective if it goes before them. What takes long by itself
+    /// would be refused sooner than they are otherwise, however urgent it is.
+    fn is_before_admitted(&self, now: Instant, item: &WorkItem, expected: Duration) -> bool {
+        let moment = self.mean_service_time();
+        let mut less_urgent = self.admitted_at.range(item.priority.saturating_add(1)..);
+        let is_urgent = less_urgent.any(|(_, at)| now.saturating_duration_since(*at) < moment);
+        is_urgent && !item.has_missed(now) && expected + item.service <= item.left(now)
+    }
+
+    fn on_admitted(&mut self, now: Instant, item: &WorkItem) {
+        self.admitted.record(now, item.urgency(now), item.service);
+        self.admitted_at.insert(item.priority, now);
+    }
+
+    /// Whether a slot is free that `item` may take.
+    fn has_slot_for(&self, now: Instant, item: &WorkItem) -> bool {
+        let may_take = || item.call.is_some() || self.kept.may_start_new(now, item.priority, self.slots);
+        self.running < self.slots && may_take()
+    }
+
+    /// Whether nothing waits before `item`, if a slot is free for it. Calls don't wait while a slot is free, but new requests do if it is kept.
+    fn is_first(&self, item: &WorkItem) -> bool {
+        self.waiting.is_empty() || item.call.is_some()
+    }
+
+    /// The first that may take a free slot: `item`, which waits at `place` before all others, or the first call if the free slots are kept for calls.
+    fn first_with_slot(&self, now: Instant, place: Place, item: WorkItem) -> Option<(Place, WorkItem)> {
+        if self.running >= self.slots {
+            return None;
+        }
+        if self.has_slot_for(now, &item) {
+            return Some((place, item));
+        }
+        let call = self.waiting.iter().find(|(place, _)| !place.is_new);
+        call.map(|(place, item)| (*place, *item))
+    }
+
+    fn start(&mut self, now: Instant, item: &WorkItem) {
         self.running += 1;
+        if item.call.is_none() {
+            self.kept.on_new_started();
+        }
         self.pace.on_start(now);
     }
 
--- a/crates/scheduling/tests/calls.rs
+++ b/crates/scheduling/tests/calls.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use umberpond_scheduling::{CallWork, Decision, Refusal, Started, Ticket, WorkItem, WorkQueue};
+use umberpond_scheduling::{CallLevel, CallWork, Decision, Refusal, Started, Ticket, WorkItem, WorkQueue};
 
 fn millis(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -24,15 +24,22 @@
 }
 
 fn call(now: Instant, objective: u64) -> WorkItem {
-    WorkItem { call: Some(CallWork { spent: millis(100) }), ..new_work(now, objective) }
+    WorkItem {
+        call: Some(CallWork { spent: millis(100), level: CallLevel::FIRST }),
+        ..new_work(now, objective)
+    }
 }
 
 /// A queue before one slot, which is taken.
 fn busy_queue(now: Instant) -> WorkQueue {
+    queue_busy_with(now, new_work(now, 500))
+}
+
+fn queue_busy_with(now: Instant, item: WorkItem) -> WorkQueue {
     let mut queue = WorkQueue::new();
     queue.set_slots(1);
     queue.open();
-    assert_eq!(queue.offer(now, new_work(now, 500)), Decision::Start);
+    assert_eq!(queue.offer(now, item), Decision::Start);
     queue
 }
 
@@ -95,7 +102,7 @@
 #[test]
 fn the_report_tells_the_most_urgent_rank_refused_until_all_slots_may_have_turned_over() {
     let now = Instant::now();
-    let mut queue = busy_queue(now);
+    let mut queue = queue_busy_with(now, WorkItem { priority: 0, ..new_work(now, 500) });
     assert_eq!(queue.report(now).refused_rank, None);
     let refuse = |queue: &mut WorkQueue, priority, at| {
         let impatient = WorkItem { priority, patience: Duration::ZERO, ..new_work(at, 500) };
@@ -114,3 +121,58 @@
     );
     assert_eq!(queue.report(now + millis(121)).refused_rank, None);
 }
+
+/// Two calls of one run meet queues that are as long: both are taken in, or both refused.
+#[test]
+fn a_call_of_a_low_level_is_taken_in_with_a_wait_with_which_one_of_a_high_level_is_refused() {
+    let now = Instant::now();
+    let mut queue = busy_queue(now);
+    queue.offer(now, new_work(now, 500));
+    let of_level = |level| {
+        let work = CallWork { spent: millis(100), level: CallLevel::of_hash(level) };
+        WorkItem { call: Some(work), patience: millis(80), ..new_work(now, 300) }
+    };
+    let wait = queue.expected_wait(now, of_level(0));
+    assert!(wait > millis(40) && wait < millis(80), "{wait:?} is more than half of the patience");
+    assert!(matches!(queue.offer(now, of_level(31)), Decision::Refuse(Refusal::WaitTooLong { .. })));
+    waits(queue.offer(now, of_level(0)));
+}
+
+/// A queue before four slots, to which calls of `rank` have come that take half of them.
+fn queue_with_calls(now: Instant, rank: u8) -> WorkQueue {
+    let mut queue = WorkQueue::new();
+    queue.set_slots(4);
+    queue.open();
+    for number in 0..100 {
+        let at = now + millis(25 * number);
+        let call = WorkItem { priority: rank, ..call(at, 300) };
+        assert_eq!(queue.offer(at, call), Decision::Start);
+        queue.finish_call(Some(millis(50)));
+    }
+    queue
+}
+
+#[test]
+fn new_requests_leave_slots_to_calls_in_the_measure_in_which_calls_have_come() {
+    let now = Instant::now();
+    let mut queue = queue_with_calls(now, 1);
+    let now = now + millis(2_500);
+    let free = (0..4).filter(|_| queue.offer(now, new_work(now, 500)) == Decision::Start).count();
+    assert_eq!(free, 2);
+    assert_eq!(queue.start_next(now), None, "two slots are kept");
+    assert_eq!(queue.offer(now, call(now, 300)), Decision::Start);
+    assert_eq!(queue.offer(now, call(now, 300)), Decision::Start);
+    waits(queue.offer(now, call(now, 300)));
+}
+
+#[test]
+fn slots_are_kept_for_calls_no_longer_once_they_do_not_come_and_never_from_more_urgent_requests() {
+    let now = Instant::now();
+    let mut queue = queue_with_calls(now, 1);
+    let later = now + millis(6_000);
+    assert!((0..4).all(|_| queue.offer(later, new_work(later, 500)) == Decision::Start));
+    let mut queue = queue_with_calls(now, 1);
+    let now = now + millis(2_500);
+    let urgent = WorkItem { priority: 0, ..new_work(now, 500) };
+    assert!((0..4).all(|_| queue.offer(now, urgent) == Decision::Start));
+}
--- a/crates/scheduling/tests/goodput.rs
+++ b/crates/scheduling/tests/goodput.rs
@@ -79,3 +79,46 @@
         assert!(over.goodput() >= KEPT_SHARE * base.goodput(), "{load} times: {over}, not {base}");
     }
 }
+
+#[test]
+fn goodput_holds_where_calls_alone_fill_the_called_service() {
+    let measure = |load| chain(load, [64, 8], 155.0);
+    let base = measure(1.0);
+    for load in [2.0, 3.0] {
+        let over = measure(load);
+        assert!(over.goodput() >= KEPT_SHARE * base.goodput(), "{load} times: {over}, not {base}");
+    }
+}
+
+/// As [`CALLING_LOOKUP`], of which each makes its calls.
+const ALWAYS_CALLING_LOOKUP: Kind =
+    Kind { call: Some(CallKind { kind: &CHECK, count: 2, share: 1.0 }), ..LOOKUP };
+
+/// Lookups whose calls fill the called service, and orders that need only the slots that lookups take too.
+fn shared(load: f64) -> Replay {
+    let loads = [
+        Load { kind: &ALWAYS_CALLING_LOOKUP, per_second: load * 105.0 },
+        Load { kind: &ORDER, per_second: load * 290.0 },
+    ];
+    let replay = Replay::run(&[64, 8], &loads);
+    println!("{load} times the load, shared: {replay}");
+    replay
+}
+
+#[test]
+fn the_urgent_kind_is_served_no_worse_where_its_runs_take_longer() {
+    for load in [1.0, 2.0, 3.0] {
+        let replay = shared(load);
+        let (lookup, order) = (replay.served_share("lookup"), replay.served_share("order"));
+        assert!(lookup >= order, "{load} times: {replay}");
+    }
+}
+
+#[test]
+fn goodput_holds_where_lookups_without_calls_take_the_slots_of_orders() {
+    let base = shared(1.0);
+    for load in [2.0, 3.0] {
+        let over = shared(load);
+        assert!(over.goodput() >= KEPT_SHARE * base.goodput(), "{load} times: {over}, not {base}");
+    }
+}
--- a/crates/scheduling/tests/replay/mod.rs
+++ b/crates/scheduling/tests/replay/mod.rs
@@ -5,7 +5,11 @@
 use std::fmt;
 use std::time::{Duration, Instant};
 
-use umberpond_scheduling::{CallWork, Decision, Dependent, Started, Ticket, WaitBounds, WorkItem, WorkQueue};
+use umberpond_model::ServiceName;
+use umberpond_scheduling::{
+    CallEnd, CallLevel, CallOutlook, CallWork, Decision, Dependent, RunPlan, Started, Ticket, WaitBounds,
+    WorkItem, WorkQueue,
+};
 
 /// Slots of one queue.
 const QUEUE_SLOTS: u32 = 8;
@@ -65,6 +69,7 @@
     started: u64,
     open_calls: u32,
     has_failed_call: bool,
+    level: CallLevel,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -81,6 +86,8 @@
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     sequence: u64,
     services: Vec<Vec<WorkQueue>>,
+    /// How the calls of the runs at each queue fare.
+    outlooks: HashMap<(usize, usize), CallOutlook>,
     requests: Vec<Request>,
     waiting: HashMap<(usize, usize, Ticket), usize>,
     /// Time in the slot in the mean, in milliseconds.
@@ -111,6 +118,7 @@
             events: BinaryHeap::new(),
             sequence: 0,
             services: slots.iter().map(queues).collect(),
+            outlooks: HashMap::new(),
             requests: Vec::new(),
             waiting: HashMap::new(),
             slot_times: HashMap::new(),
@@ -144,6 +152,7 @@
     }
 
     fn request(&mut self, kind: &'static Kind, sent: u64, run: Option<usize>) -> usize {
+        let level = CallLevel::of_hash((self.uniform() * 1e6) as u64);
         self.requests.push(Request {
             kind,
             first_sent: sent,
@@ -154,6 +163,7 @@
             started: 0,
             open_calls: 0,
             has_failed_call: false,
+            level,
         });
         self.requests.len() - 1
     }
@@ -186,8 +196,25 @@
         self.refused(request);
     }
 
+    /// Whether a run that makes calls may begin at a queue.
+    fn begins(&mut self, request: usize, queue: usize) -> bool {
+        let Request { kind, .. } = self.requests[request];
+        let Some(call) = &kind.call else { return true };
+        let now = self.instant(self.now);
+        let load = self.services[kind.service][queue].report(now);
+        if load.waiting == 0 && load.refused_rank.is_none() {
+            return true;
+        }
+        let calls = [(name_of(call.kind), f64::from(call.count))];
+        let plan = RunPlan { route: 0, rank: kind.rank, level: self.requests[request].level, calls: &calls };
+        self.outlooks.entry((kind.service, queue)).or_default().begin_run(now, &plan).is_ok()
+    }
+
     /// Offers a request to a queue; `false` if it is refused.
     fn offer(&mut self, request: usize, queue: usize) -> bool {
+        if !self.begins(request, queue) {
+            return false;
+        }
         let item = self.item(request);
         let (service, now) = (self.requests[request].kind.service, self.instant(self.now));
         self.requests[request].queue = (service, queue);
@@ -227,7 +254,7 @@
             service,
             is_later_try: *is_later_try,
             tenant: None,
-            call: run.map(|run| CallWork { spent: spent(run) }),
+            call: run.map(|run| CallWork { spent: spent(run), level: run.level }),
         }
     }
 
@@ -239,10 +266,13 @@
 
     /// Makes the calls of a run whose own work is done.
     fn worked(&mut self, request: usize) {
-        let calling = self.requests[request].kind.call.as_ref();
-        let Some(call) = calling.filter(|call| self.uniform() < call.share) else {
+        let Request { kind, queue, .. } = self.requests[request];
+        let Some(call) = &kind.call else { return self.end(request, true) };
+        let has_called = self.uniform() < call.share;
+        self.outlooks.entry(queue).or_default().record_run(0, has_called);
+        if !has_called {
             return self.end(request, true);
-        };
+        }
         self.requests[request].open_calls = call.count;
         for _ in 0..call.count {
             let made = self.request(call.kind, self.now, Some(request));
@@ -256,7 +286,12 @@
         let taken = self.now - started;
         let mean = self.slot_times.entry(kind.name).or_insert(taken as f64);
         *mean += 0.05 * (taken as f64 - *mean);
-        self.services[service][queue].finish(Some(Duration::from_millis(taken)));
+        let taken = Some(Duration::from_millis(taken));
+        let work_queue = &mut self.services[service][queue];
+        match self.requests[request].run {
+            Some(_) => work_queue.finish_call(taken),
+            None => work_queue.finish(taken),
+        }
         self.start_waiting(service, queue);
         self.close(request, is_good);
     }
@@ -302,6 +337,16 @@
     fn close(&mut self, request: usize, is_good: bool) {
         let Request { kind, first_sent, run, .. } = self.requests[request];
         if let Some(run) = run {
+            let Request { kind: run_kind, queue, .. } = self.requests[run];
+            let end = if is_good { CallEnd::Run } else { CallEnd::NoRoom };
+            let now = self.instant(self.now);
+            self.outlooks.entry(queue).or_default().record_call(
+                now,
+                &name_of(kind),
+                run_kind.rank,
+                self.requests[run].level,
+                end,
+            );
             self.requests[run].has_failed_call |= !is_good;
             self.requests[run].open_calls -= 1;
             if self.requests[run].open_calls == 0 {
@@ -348,6 +393,10 @@
     }
 }
 
+fn name_of(kind: &Kind) -> ServiceName {
+    ServiceName::new(&format!("service-{}", kind.service)).expect("a name")
+}
+
 fn open_queue() -> WorkQueue {
     let mut queue = WorkQueue::new();
     queue.set_slots(QUEUE_SLOTS);
