Runs whose calls would be refused are refused before they run

A run whose call is refused fails, and the time for which it held its slot is lost to others. The gate of a run's own back end now keeps, for each called service, rank and band of levels, how the calls of its runs have fared in the last second or so, and for each route the share of runs that make calls; the number of calls comes from the call rates of the retry budget. While others want the slot, the share of runs is refused that would fail, at most nine in ten (NotRunReason::CallsOverloaded, event 4032); below one in ten none is. Calls turned away for another reason than want of room count only where fewer than one run in three would succeed. Two nodes that say so end the request's attempts. Without news what is known halves each second.

After five seconds without news no run is refused. The deadline of a call is tested on whole nodes too.

--- a/crates/forwarding/src/inbound/back_end.rs
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -19,6 +19,7 @@
 use super::body_link::BodyLink;
 use super::crash_watch::{CrashReport, CrashWatch};
 use super::suspect_lane::SuspectLane;
+use crate::calls::CallGate;
 use crate::dialect::Dialect;
 use crate::quarantine::Quarantine;
 use crate::repeats::{OpenRuns, RetryLedger};
@@ -95,6 +96,7 @@
     is_release_open: AtomicBool,
     pub(super) answers: Mutex<AnswerTally>,
     pub(super) runs: Arc<OpenRuns>,
+    pub(super) calls: CallGate,
     pub(super) suspended: Arc<SuspendedTime>,
     pub(super) quarantine: Arc<Quarantine>,
     pub(super) suspect_lane: Arc<SuspectLane>,
@@ -134,6 +136,7 @@
             is_release_open: AtomicBool::new(true),
             answers: Mutex::default(),
             runs: Arc::new(OpenRuns::new(dialect.call_separator)),
+            calls: CallGate::default(),
             suspended: Arc::default(),
             suspect_lane: SuspectLane::new(Arc::clone(&quarantine)),
             quarantine,
@@ -307,6 +310,11 @@
         &self.runs
     }
 
+    /// How the calls of the runs fare.
+    pub(crate) const fn calls(&self) -> &CallGate {
+        &self.calls
+    }
+
     /// Takes in that the back end has ended; `found` tells by what that is known.
     pub(super) fn on_crash(&self, back_end: &BackEnd, found: &'static str, report: &CrashReport) {
         let fingerprints: Vec<String> = report.requests.iter().map(|key| key.content.to_string()).collect();
--- a/crates/forwarding/src/inbound/serving.rs
+++ b/crates/forwarding/src/inbound/serving.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 use umberpond_http1::Fields;
 use umberpond_quarantine::Standing;
-use umberpond_scheduling::{Refusal, WorkItem};
+use umberpond_scheduling::{Refusal, RunPlan, WorkItem};
 use umberpond_telemetry::Event;
 
 use super::admission::Permit;
@@ -78,6 +78,7 @@
     /// Waits until the request may be handed to the back end.
     async fn wait_for_turn(&self, attempt: &mut Attempt, target: &Target) -> Result<Turn, Barred> {
         self.check_calls(attempt)?;
+        self.check_room_for_calls(attempt)?;
         let arrived = PastMoment::new(Instant::now(), &self.suspended);
         let waits_until = attempt.hold_until.min(attempt.deadline);
         let slots = target.back_end.slots;
@@ -135,6 +136,33 @@
         Err(NotRun::before_back_end(NotRunReason::RetryBudget))
     }
 
+    /// Refuses a run that would fail for want of its calls, while others want its slot.
+    fn check_room_for_calls(&self, attempt: &Attempt) -> Result<(), NotRun> {
+        let Some(ledger) = self.ledger.get() else { return Ok(()) };
+        let calls = ledger.calls_of(attempt.route);
+        if calls.is_empty() || !self.is_slot_wanted() {
+            return Ok(());
+        }
+        let plan =
+            RunPlan { route: attempt.route, rank: attempt.priority, level: attempt.level(), calls: &calls };
+        let Err(refusal) = self.calls.begin_run(&plan) else { return Ok(()) };
+        self.telemetry.emit(Event::RunWithheld {
+            request: text(&attempt.id),
+            service: attempt.service.clone(),
+            called: refusal.called,
+            failing_percent: percent(refusal.failing),
+            come_back_millis: millis(refusal.come_back),
+        });
+        let not_run = NotRun::before_back_end(NotRunReason::CallsOverloaded);
+        Err(NotRun { retry_after: Some(refusal.come_back), ..not_run })
+    }
+
+    /// Whether requests wait for a slot, or were refused one a moment ago.
+    fn is_slot_wanted(&self) -> bool {
+        let load = self.admission.report();
+        load.waiting > 0 || load.refused_rank.is_some()
+    }
+
     /// Waits for a slot; a request whose body comes over the link waits for its turn there first, so that it holds no
     /// slot meanwhile.
     async fn admit(&self, attempt: &mut Attempt) -> Result<Permit, Refusal> {
@@ -233,6 +261,7 @@
         match exchanger.run(&request, body).await {
             ExchangeEnd::Answered { status, mut fields, body } => {
                 let calls = run.end();
+                self.calls.on_run_ended(attempt.route, !calls.is_empty());
                 watched.answered();
                 // A run may fail before it comes to what ends the back end.
                 if status < FIRST_FAILURE {
@@ -359,6 +388,11 @@
     Bytes::copy_from_slice(itoa::Buffer::new().format(value).as_bytes())
 }
 
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a share from 0 to 1")]
+fn percent(share: f64) -> u64 {
+    (share * 100.0).round() as u64
+}
+
 /// The caller's key in the window of duplicates: another method or path is another request, another query is not.
 fn own_key(key: &[u8], attempt: &Attempt) -> Vec<u8> {
     let path = attempt.target.split(|byte| *byte == b'?').next().unwrap_or_default();
--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -29,6 +29,9 @@
 /// Most attempts that never came near a back end; they are free, but each takes time.
 const MAX_FREE_ATTEMPTS: u32 = 8;
 
+/// Nodes that keep a request from running for want of room for its calls, after which it is not tried elsewhere: what they have found is not theirs alone.
+const WITHHOLDING_NODES: u32 = 2;
+
 /// When a caller comes back whose request has ended back ends: nothing is better for it before it is mended.
 const COME_BACK_AFTER_MENDING: Duration = Duration::from_secs(60);
 
@@ -316,7 +319,7 @@
                 | NotRunReason::RetryBudget
                 | NotRunReason::Quarantined
                 | NotRunReason::SuspectPaused
-        );
+        ) || self.is_withheld(not_run.reason);
         if is_allowed && !is_final {
             self.tell_retry(choice, "not-run");
             return Next::TryAgain;
@@ -324,6 +327,11 @@
         Next::Reply(self.not_run(not_run))
     }
 
+    /// Whether enough nodes have found that the calls of the request would be refused.
+    fn is_withheld(&self, reason: NotRunReason) -> bool {
+        reason == NotRunReason::CallsOverloaded && self.free_attempts >= WITHHOLDING_NODES
+    }
+
     fn on_unknown(&mut self, choice: &Choice, reason: UnknownReason) -> Next {
         let is_retried = self.request.route.is_idempotent && reason != UnknownReason::TimedOut;
         if is_retried && self.may_reach_another() {
@@ -390,7 +398,7 @@
             return COME_BACK_AFTER_MENDING;
         }
         let soonest = not_run.retry_after.unwrap_or(COME_BACK);
-        if not_run.reason != NotRunReason::Overloaded {
+        if !matches!(not_run.reason, NotRunReason::Overloaded | NotRunReason::CallsOverloaded) {
             return soonest;
         }
         let left = self.request.caller_time.saturating_sub(self.request.arrived.elapsed());
@@ -454,7 +462,7 @@
         (NotRunReason::NodeUnreachable | NotRunReason::WrongInstance | NotRunReason::Draining, _)
         | (NotRunReason::BackEndUnreachable | NotRunReason::Evacuated, _) => Observation::Unreachable,
         // They say nothing of the back end's load.
-        (NotRunReason::RetryBudget | NotRunReason::Quarantined, _)
+        (NotRunReason::RetryBudget | NotRunReason::CallsOverloaded | NotRunReason::Quarantined, _)
         | (NotRunReason::SuspectPaused | NotRunReason::SuspectBusy, _) => Observation::Abandoned,
         (_, Some(load)) => Observation::Refused(load),
         (_, None) => Observation::Abandoned,
--- a/crates/forwarding/src/outbound/handler.rs
+++ b/crates/forwarding/src/outbound/handler.rs
@@ -53,7 +53,13 @@
         if let Err(reply) = self.take_quota(&mut request).await {
             return reply;
         }
-        Attempts::new(&self, request).run(control.reached_last_answers()).await
+        let run = request.run.clone();
+        let service = request.service.clone();
+        let reply = Attempts::new(&self, request).run(control.reached_last_answers()).await;
+        if let Some(run) = run {
+            self.inbound.calls().on_reply(&service, &run, &reply);
+        }
+        reply
     }
 
     /// The answer to a request that comes when the process is about to end.
--- a/crates/forwarding/src/outbound/reply.rs
+++ b/crates/forwarding/src/outbound/reply.rs
@@ -86,6 +86,8 @@
     pub(crate) body: AnswerBody,
     /// Whether the caller's connection ends after it.
     pub(crate) closes: bool,
+    /// Why this node answers by itself; absent if a back end has answered.
+    pub(crate) reason: Option<ReplyReason>,
 }
 
 impl Reply {
@@ -106,7 +108,7 @@
             fields.push(marks.reason, word);
         }
         let body = AnswerBody::Whole(Bytes::from(word));
-        Self { status: reason.status(), fields, body, closes: reason.closes() }
+        Self { status: reason.status(), fields, body, closes: reason.closes(), reason: Some(reason) }
     }
 
     /// The answer of a back end, which `node` at `locality` served.
@@ -120,7 +122,7 @@
                 fields.set(marks.locality, locality.to_string());
             }
         }
-        Self { status: answer.status, fields, body: answer.body, closes: false }
+        Self { status: answer.status, fields, body: answer.body, closes: false, reason: None }
     }
 }
 
--- a/crates/forwarding/src/repeats/ledger.rs
+++ b/crates/forwarding/src/repeats/ledger.rs
@@ -131,6 +131,12 @@
         self.rates.lock().record(route, calls);
     }
 
+    /// The services that runs of `route` call, with the calls of a run that makes any.
+    pub(crate) fn calls_of(&self, route: u32) -> Vec<(ServiceName, f64)> {
+        let rates = self.rates.lock();
+        rates.of_route(route).map(|(service, rate)| (service.clone(), rate)).collect()
+    }
+
     fn end_grant(&self, service: &ServiceName, has_arrived: bool) {
         self.with_account(service, |account, _nodes| {
             if has_arrived {
--- a/crates/forwarding/tests/support/mod.rs
+++ b/crates/forwarding/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod back_end;
 pub mod caller;
+pub mod chain;
 pub mod fleet;
 
 use std::collections::BTreeSet;
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -148,6 +148,8 @@
         = 4030, Warn, "request-quarantined", "Whatever has this fingerprint has ended so many back ends and was never answered: it is refused from now on.";
     RequestOverQuota { request: String, tenant: String }
         = 4031, Info, "request-over-quota", "The tenant has sent as many requests as it may, over all nodes together: this one was answered without an attempt.";
+    RunWithheld { request: String, service: ServiceName, called: ServiceName, failing_percent: u64, come_back_millis: u64 }
+        = 4032, Info, "run-withheld", "The node beside the back end refused a request before it ran: by the calls that its runs have made lately, such runs fail in the share given, most of them for want of an answer of `called`.";
 
     // Store
     PlatformUnavailable { operation: &'static str, reason: String }
