The wait expected of a request reckons with less urgent ones no more

Work admitted lately counted as overtaking whatever its rank, if it had less time left: payments of rank 1 with 400 ms were expected to be overtaken by browsing of rank 2 with 250 ms and were refused sooner. It is kept by rank now, and only the same and more urgent ranks count.

--- a/crates/scheduling/src/admitted_work.rs
+++ b/crates/scheduling/src/admitted_work.rs
@@ -1,5 +1,6 @@
 //! How much of a back end's time the most urgent requests take.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 /// Time after which admitted work is half forgotten.
@@ -9,26 +10,43 @@
 /// Classes of urgency: class `n` has between 2^(n-1) and 2^n milliseconds left, the last one more.
 const CLASSES: usize = 24;
 
-/// Work admitted lately, by the time that its requests had left of their objective.
+/// Work admitted lately.
 ///
 /// A request that waits is overtaken by later ones that are more urgent, so the work that lies before it when it comes is not all
 /// that it waits for.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Default)]
 pub(crate) struct AdmittedWork {
+    by_rank: BTreeMap<u8, RankWork>,
+}
+
+impl AdmittedWork {
+    /// Takes in a request of `rank` that has `left` of its objective and takes `service` in the back end.
+    pub(crate) fn record(&mut self, now: Instant, rank: u8, left: Duration, service: Duration) {
+        self.by_rank.entry(rank).or_default().record(now, left, service);
+    }
+
+    /// Seconds of service a second that go to requests which overtake one of `rank` with `left` of its objective. Less urgent ones don't, however
+    /// little time they have left.
+    pub(crate) fn overtaking_rate(&mut self, now: Instant, rank: u8, left: Duration) -> f64 {
+        self.by_rank.range_mut(..=rank).map(|(_, work)| work.overtaking_rate(now, left)).sum()
+    }
+}
+
+/// Work of one rank, by the time that its requests had left of their objective.
+#[derive(Debug, Clone, Copy, Default)]
+struct RankWork {
     /// Seconds of service by class, each counted less with time.
     seconds: [f64; CLASSES],
     forgotten_at: Option<Instant>,
 }
 
-impl AdmittedWork {
-    /// Takes in a request that has `left` of its objective and takes `service` in the back end.
-    pub(crate) fn record(&mut self, now: Instant, left: Duration, service: Duration) {
+impl RankWork {
+    fn record(&mut self, now: Instant, left: Duration, service: Duration) {
         self.forget(now);
         self.seconds[class_of(left)] += service.as_secs_f64();
     }
 
-    /// Seconds of service a second that go to requests which overtake one with `left` of its objective.
-    pub(crate) fn overtaking_rate(&mut self, now: Instant, left: Duration) -> f64 {
+    fn overtaking_rate(&mut self, now: Instant, left: Duration) -> f64 {
         self.forget(now);
         let mean_life = HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2;
         self.seconds[..class_of(left)].iter().sum::<f64>() / mean_life
--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -332,7 +332,8 @@
             return pace_wait;
         }
         let slots = self.slots.max(1);
-        let overtaking = self.admitted.overtaking_rate(now, item.urgency(now)) / f64::from(slots);
+        let overtaking =
+            self.admitted.overtaking_rate(now, item.priority, item.urgency(now)) / f64::from(slots);
         let left_share = 1.0 - overtaking.min(MOST_OVERTAKING_SHARE);
         ((ahead + self.mean_service_time()) / slots).div_f64(left_share).max(pace_wait)
     }
@@ -379,7 +380,7 @@
     }
 
     fn on_admitted(&mut self, now: Instant, item: &WorkItem) {
-        self.admitted.record(now, item.urgency(now), item.service);
+        self.admitted.record(now, item.priority, item.urgency(now), item.service);
         self.admitted_at.insert(item.priority, now);
     }
 
--- a/crates/scheduling/tests/ranks.rs
+++ b/crates/scheduling/tests/ranks.rs
@@ -60,3 +60,20 @@
     let equal = WorkItem { priority: 1, ..lookup(now) };
     assert!(matches!(queue.offer(now, equal), Decision::Refuse(Refusal::WaitTooLong { .. })));
 }
+
+/// Browsing of rank 2 has 250 ms and payments of rank 1 have 400 ms, at the same back ends. Those with less time left go first within a rank only.
+#[test]
+fn the_wait_expected_of_an_urgent_request_does_not_reckon_with_less_urgent_ones_that_come_later() {
+    let now = Instant::now();
+    let browsing = |now| WorkItem { priority: 2, objective_at: now + millis(250), ..order(now) };
+    let mut queue = queue_with_orders(now);
+    let before = queue.expected_wait(now, order(now));
+    let mut later = now;
+    for _ in 0..40 {
+        later += millis(10);
+        queue.finish(None);
+        assert_eq!(queue.offer(later, browsing(later)), Decision::Start);
+    }
+    assert_eq!(queue.expected_wait(later, order(later)), before);
+    assert!(queue.expected_wait(later, WorkItem { priority: 2, ..order(later) }) > before);
+}
