--- a/crates/forwarding/src/inbound/admission.rs
+++ b/crates/forwarding/src/inbound/admission.rs
@@ -22,7 +22,21 @@
 #[derive(Debug)]
 struct Waiter {
     sender: oneshot::Sender<Verdict>,
+    holder: SlotHolder,
+}
+
+/// What has a slot, or waits for one.
+#[derive(Debug, Clone, Copy)]
+struct SlotHolder {
+    /// Whose request it is; absent if of none.
     tenant: Option<TenantNumber>,
+    is_call: bool,
+}
+
+impl SlotHolder {
+    const fn of(item: &WorkItem) -> Self {
+        Self { tenant: item.tenant, is_call: item.call.is_some() }
+    }
 }
 
 #[derive(Debug, Default)]
@@ -50,16 +64,20 @@
     fn hand_slot(&mut self, ticket: Ticket) {
         let Some(waiter) = self.waiters.remove(&ticket) else { return self.queue.finish(None) };
         if waiter.sender.send(Ok(())).is_err() {
-            self.free_slot(SlotUse { tenant: waiter.tenant, held: Duration::ZERO, served: None });
+            self.free_slot(SlotUse::unused(waiter.holder));
         }
     }
 
     /// Takes in that a slot is free again.
     fn free_slot(&mut self, slot: SlotUse) {
-        if let Some(tenant) = slot.tenant {
+        if let Some(tenant) = slot.holder.tenant {
             self.queue.settle(tenant, slot.held);
         }
-        self.queue.finish(slot.served);
+        if slot.holder.is_call {
+            self.queue.finish_call(slot.served);
+        } else {
+            self.queue.finish(slot.served);
+        }
     }
 
     /// Refuses those that had to make room for others.
@@ -81,13 +99,19 @@
 /// What became of a slot that was given.
 #[derive(Debug, Clone, Copy)]
 struct SlotUse {
-    /// Whose request had it; absent if of none.
-    tenant: Option<TenantNumber>,
+    holder: SlotHolder,
     held: Duration,
     /// Time that the back end took, if it answered.
     served: Option<Duration>,
 }
 
+impl SlotUse {
+    /// Of a slot whose holder had gone before it had it.
+    const fn unused(holder: SlotHolder) -> Self {
+        Self { holder, held: Duration::ZERO, served: None }
+    }
+}
+
 /// How the tenants of one back end stand.
 #[derive(Debug)]
 pub(super) struct TenantStandings {
@@ -117,20 +141,20 @@
             match state.queue.offer(now(), item) {
                 Decision::Start => {
                     self.follow_pace(&mut state);
-                    return Ok(Permit::new(self, item.tenant));
+                    return Ok(Permit::new(self, SlotHolder::of(&item)));
                 }
                 Decision::Refuse(refusal) => return Err(refusal),
                 Decision::Wait(ticket) => {
                     let (sender, receiver) = oneshot::channel();
-                    state.waiters.insert(ticket, Waiter { sender, tenant: item.tenant });
+                    state.waiters.insert(ticket, Waiter { sender, holder: SlotHolder::of(&item) });
                     state.refuse_displaced();
                     self.follow_pace(&mut state);
                     (ticket, receiver)
                 }
             }
         };
-        let verdict = Some(verdict);
-        let mut waiting = Waiting { admission: Arc::clone(self), ticket, tenant: item.tenant, verdict };
+        let (holder, verdict) = (SlotHolder::of(&item), Some(verdict));
+        let mut waiting = Waiting { admission: Arc::clone(self), ticket, holder, verdict };
         waiting.result(item).await
     }
 
@@ -273,7 +297,7 @@
 struct Waiting {
     admission: Arc<Admission>,
     ticket: Ticket,
-    tenant: Option<TenantNumber>,
+    holder: SlotHolder,
     verdict: Option<oneshot::Receiver<Verdict>>,
 }
 
@@ -284,7 +308,7 @@
         match told {
             Ok(Ok(Ok(()))) => {
                 self.verdict = None;
-                Ok(Permit::new(&self.admission, item.tenant))
+                Ok(Permit::new(&self.admission, self.holder))
             }
             Ok(Ok(Err(refusal))) => {
                 self.verdict = None;
@@ -303,7 +327,7 @@
         self.admission.withdraw(self.ticket);
         // The slot may have been given in the very moment in which the waiter gave up.
         if matches!(verdict.try_recv(), Ok(Ok(()))) {
-            self.admission.free_slot(SlotUse { tenant: self.tenant, held: Duration::ZERO, served: None });
+            self.admission.free_slot(SlotUse::unused(self.holder));
         }
     }
 }
@@ -312,14 +336,14 @@
 #[derive(Debug)]
 pub(crate) struct Permit {
     admission: Arc<Admission>,
-    tenant: Option<TenantNumber>,
+    holder: SlotHolder,
     started: Instant,
     served: Option<Duration>,
 }
 
 impl Permit {
-    fn new(admission: &Arc<Admission>, tenant: Option<TenantNumber>) -> Self {
-        Self { admission: Arc::clone(admission), tenant, started: Instant::now(), served: None }
+    fn new(admission: &Arc<Admission>, holder: SlotHolder) -> Self {
+        Self { admission: Arc::clone(admission), holder, started: Instant::now(), served: None }
     }
 
     /// Time since the slot was given.
@@ -336,6 +360,6 @@
 impl Drop for Permit {
     fn drop(&mut self) {
         let held = self.started.elapsed();
-        self.admission.free_slot(SlotUse { tenant: self.tenant, held, served: self.served });
+        self.admission.free_slot(SlotUse { holder: self.holder, held, served: self.served });
     }
 }
--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -35,6 +35,8 @@
 /// How long a call that was turned away waits until it shows whether the other calls of its run are turned away too. Back ends turn away at once, and calls made
 /// together arrive within this time of each other; it is short against any objective.
 const OTHER_CALLS_TIME: Duration = Duration::from_millis(10);
+/// Nodes that keep a request from running for want of room for its calls, after which it is not tried elsewhere: what they have found is not theirs alone.
+const WITHHOLDING_NODES: u32 = 2;
 /// Lowest status of an answer with which a call has failed.
 const FIRST_FAILURE: u16 = 500;
 
@@ -363,7 +365,7 @@
                 | NotRunReason::RetryBudget
                 | NotRunReason::Quarantined
                 | NotRunReason::SuspectPaused
-        );
+        ) || self.is_withheld(not_run.reason);
         if is_allowed && !is_final {
             self.tell_retry(choice, "not-run");
             return Next::TryAgain;
@@ -371,6 +373,11 @@
         Next::Reply(self.not_run(not_run))
     }
 
+    /// Whether enough nodes have found that the calls of the request would be refused.
+    fn is_withheld(&self, reason: NotRunReason) -> bool {
+        reason == NotRunReason::CallsOverloaded && self.free_attempts >= WITHHOLDING_NODES
+    }
+
     fn on_unknown(&mut self, choice: &Choice, reason: UnknownReason) -> Next {
         let is_retried = self.request.route.is_idempotent && reason != UnknownReason::TimedOut;
         if is_retried && self.may_reach_another() {
@@ -551,7 +558,7 @@
         (NotRunReason::NodeUnreachable | NotRunReason::WrongInstance | NotRunReason::Draining, _)
         | (NotRunReason::BackEndUnreachable | NotRunReason::Evacuated, _) => Observation::Unreachable,
         // They say nothing of the back end's load.
-        (NotRunReason::RetryBudget | NotRunReason::Quarantined, _)
+        (NotRunReason::RetryBudget | NotRunReason::CallsOverloaded | NotRunReason::Quarantined, _)
         | (NotRunReason::SuspectPaused | NotRunReason::SuspectBusy, _) => Observation::Abandoned,
         (_, Some(load)) => Observation::Refused(load),
         (_, None) => Observation::Abandoned,
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -4,9 +4,12 @@
 //! and reads no clock: the present time is an argument.
 
 mod admitted_work;
+mod call_level;
+mod call_outlook;
 mod cold_pace;
 mod duplicates;
 mod fair_shares;
+mod kept_slots;
 mod load;
 mod place;
 mod queue;
@@ -14,6 +17,8 @@
 mod slowdown;
 mod wait_bounds;
 
+pub use call_level::CallLevel;
+pub use call_outlook::{CallEnd, CallOutlook, RunPlan, RunRefusal};
 pub use cold_pace::ColdPace;
 pub use duplicates::DuplicateWindow;
 pub use fair_shares::TenantStanding;
