Calls of runs are not refused because their back end is slow

Cause: the objective of a call is short against its work, so in a spell of slowness it was refused, found no room elsewhere and failed its run, which costs more than a late call. Calls and requests of the first rank are now admitted as if nothing were known.

--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -21,6 +21,8 @@
 /// How long a queue counts as contended after it refused a request that could still have met its objective, in times in which one slot
 /// becomes free. Meanwhile those that can't any more get no free slot: the next one that can comes within about that time.
 const CONTENDED_TURNS: f64 = 1.0;
+/// Rank of the requests on which other requests depend.
+const FIRST_RANK: u8 = 0;
 /// Weight of one request in the share of failed ones.
 const FAILURE_WEIGHT: f64 = 0.03;
 
@@ -60,6 +62,11 @@
         now + self.service.mul_f64(HOPELESS_SHARE) >= self.deadline
     }
 
+    /// Whether others wait for it, which fail without its answer and not by its being late.
+    const fn is_depended_on(&self) -> bool {
+        self.call.is_some() || self.priority == FIRST_RANK
+    }
+
     /// Time left until the end of its objective.
     fn left(&self, now: Instant) -> Duration {
         self.objective_at.saturating_duration_since(now)
@@ -336,7 +343,7 @@
     /// time.
     fn slowed_end(&mut self, now: Instant, item: WorkItem) -> Option<Duration> {
         let factor = self.slowdown.factor(now);
-        if factor <= 1.0 || item.is_later_try || item.is_late(now) {
+        if factor <= 1.0 || item.is_later_try || item.is_depended_on() || item.is_late(now) {
             return None;
         }
         let usual_wait = self.expected_wait(now, item);
