--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -75,6 +75,11 @@
         now + self.service.mul_f64(HOPELESS_SHARE) >= self.deadline
     }
 
+    /// Whether a run waits for it, which fails without its answer and not by its being late.
+    const fn is_depended_on(&self) -> bool {
+        self.call.is_some()
+    }
+
     /// Time left until the end of its objective.
     fn left(&self, now: Instant) -> Duration {
         self.objective_at.saturating_duration_since(now)
@@ -495,7 +500,7 @@
     /// time.
     fn slowed_end(&mut self, now: Instant, item: WorkItem) -> Option<Duration> {
         let factor = self.slowdown.factor(now);
-        if factor <= 1.0 || item.is_later_try || item.is_late(now) {
+        if factor <= 1.0 || item.is_later_try || item.is_depended_on() || item.is_late(now) {
             return None;
         }
         let usual_wait = self.expected_wait(now, item);
