Equal parts are those of the slots that tenants hold

Cause: the virtual time moved on by equal parts of all slots. At a cold back end that is paced below its slots it ran ahead of whatever anybody took, so nobody was ever found above its share: of 80 requests of a tenant within it 0 started in ten seconds at a pace of 20 a second, beside one that filled the queue (`shares_hold_at_the_pace_of_a_cold_back_end`, with the calls in the test as they are now at least 60). And the time in which no tenant waited counted when the next ones came, as a credit for whoever was first (`a_pause_in_which_no_tenant_waited_is_no_credit`). Both fail on the code before.

The virtual time now follows the slots that charged runs of tenants hold. A tenant that is alone is never above its share again (`a_tenant_that_is_alone_is_served_as_if_it_were_none` failed without that on this code). Two tests of tenant_turns let runs of one tenant be settled as those of another; they now keep whose runs they are, with the same bounds.

Run: tests and clippy of scheduling.

--- a/crates/scheduling/src/fair_shares.rs
+++ b/crates/scheduling/src/fair_shares.rs
@@ -122,15 +122,16 @@
         }
     }
 
-    /// Moves the virtual time on: `slots` busy slots give each active tenant at least an equal part.
-    pub(crate) fn advance(&mut self, now: Instant, slots: u32) {
+    /// Moves the virtual time on: each active tenant has at least an equal part of the slots that they hold.
+    pub(crate) fn advance(&mut self, now: Instant) {
         if self.tenants.is_empty() {
             return;
         }
         let since = *self.advanced_at.get_or_insert(now);
         let passed = now.saturating_duration_since(since);
+        let held: u32 = self.tenants.values().map(|entry| entry.running).sum();
         let count = u32::try_from(self.tenants.len()).unwrap_or(u32::MAX);
-        self.virtual_time += passed * slots / count;
+        self.virtual_time += passed * held / count;
         self.advanced_at = Some(now);
         self.prune(now);
     }
@@ -225,9 +226,9 @@
         WaitingTurns { own: Turn { class: place.class(), ahead, place }, others }
     }
 
-    /// Whether a tenant is more than a quantum ahead of its share.
+    /// Whether a tenant is more than a quantum ahead of its share. The share of one that is alone is everything.
     pub(crate) fn is_above(&self, tenant: Option<TenantNumber>, quantum: Duration) -> bool {
-        self.quanta_ahead(tenant, Duration::ZERO, quantum) > 0
+        self.tenants.len() > 1 && self.quanta_ahead(tenant, Duration::ZERO, quantum) > 0
     }
 
     /// How a tenant stands; absent if it has not waited of late.
--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -251,7 +251,7 @@
             self.admitted.record(now, item.left(now), item.service);
             return Decision::Start;
         }
-        self.shares.advance(now, self.slots);
+        self.shares.advance(now);
         let is_above = self.shares.is_above(item.tenant, self.quantum());
         let expected = self.expected_wait(now, item);
         if expected > item.patience {
@@ -281,7 +281,7 @@
         self.remove(place);
         self.start(now);
         if let Some(tenant) = item.tenant {
-            self.shares.advance(now, self.slots);
+            self.shares.advance(now);
             self.shares.on_start(now, tenant, item.service, self.quantum());
         }
         Some(Started::Run(place.ticket))
@@ -394,7 +394,7 @@
     /// What others are told.
     pub fn report(&mut self, now: Instant) -> LoadReport {
         self.reports += 1;
-        self.shares.advance(now, self.slots);
+        self.shares.advance(now);
         let slots = self.pace.usable_slots(now, self.slots, self.mean_service_time());
         LoadReport {
             number: self.reports,
--- a/crates/scheduling/tests/tenant_turns.rs
+++ b/crates/scheduling/tests/tenant_turns.rs
@@ -1,10 +1,10 @@
 //! The order of requests of several tenants, who is turned away for whom, and what is kept of them.
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use quickcheck::QuickCheck;
-use umberpond_model::TenantNumber;
+use umberpond_model::{RequestRate, TenantNumber};
 use umberpond_scheduling::{Decision, Refusal, Started, Ticket, WorkItem, WorkQueue};
 
 const SLOTS: u32 = 9;
@@ -192,44 +192,100 @@
     assert_eq!(queue.standing(now, TenantNumber(7)), None);
 }
 
+/// A back end that takes the same time for each request, and those that wait for it.
+struct BusyBackEnd {
+    queue: WorkQueue,
+    now: Instant,
+    tenants: HashMap<Ticket, u64>,
+    ends: VecDeque<(Instant, u64)>,
+    started: HashMap<u64, u32>,
+}
+
+impl BusyBackEnd {
+    fn new() -> Self {
+        Self {
+            queue: open_queue(),
+            now: Instant::now(),
+            tenants: HashMap::new(),
+            ends: VecDeque::new(),
+            started: HashMap::new(),
+        }
+    }
+
+    fn offer(&mut self, tenant: u64) {
+        match self.queue.offer(self.now, item(self.now, tenant)) {
+            Decision::Start => self.start(tenant),
+            Decision::Wait(ticket) => {
+                self.tenants.insert(ticket, tenant);
+            }
+            Decision::Refuse(_) => {}
+        }
+        let _ = self.queue.take_displaced();
+    }
+
+    fn start(&mut self, tenant: u64) {
+        self.ends.push_back((self.now + SERVICE, tenant));
+        *self.started.entry(tenant).or_default() += 1;
+    }
+
+    /// Lets time pass, and ends and starts what ends and starts then.
+    fn pass(&mut self, passed: Duration) {
+        self.now += passed;
+        while self.ends.front().is_some_and(|(end, _)| *end <= self.now) {
+            let (_, tenant) = self.ends.pop_front().expect("a run");
+            self.queue.settle(TenantNumber(tenant), SERVICE);
+            self.queue.finish(Some(SERVICE));
+        }
+        while let Some(started) = self.queue.start_next(self.now) {
+            if let Started::Run(ticket) = started {
+                self.start(self.tenants[&ticket]);
+            }
+        }
+    }
+
+    /// The requests of a tenant that have started since this was called last.
+    fn take_started(&mut self, tenant: u64) -> u32 {
+        self.started.remove(&tenant).unwrap_or(0)
+    }
+}
+
 /// What it takes while nobody else wants it is not held against it later.
 #[test]
 fn a_tenant_that_took_what_others_left_keeps_its_share() {
-    let mut now = Instant::now();
-    let (mut queue, _) = greedy_queue(now, 100);
-    for turn in 0..2_000 {
-        now += SERVICE / SLOTS;
-        let tenant = if turn % 10 == 0 { 1 } else { GREEDY };
-        let _ = queue.offer(now, item(now, tenant));
-        next(&mut queue, now, GREEDY).expect("a waiting request");
+    let mut back_end = BusyBackEnd::new();
+    for turn in 0..4_000 {
+        back_end.pass(SERVICE / SLOTS);
+        back_end.offer(GREEDY);
+        if turn % 10 == 0 {
+            back_end.offer(1);
+        }
     }
-    let flood: Vec<Ticket> = (0..60).map(|_| waits(queue.offer(now, item(now, 1)))).collect();
-    let starts = (0..60).map(|_| next(&mut queue, now, 1).expect("a waiting request"));
-    let of_flood = starts.filter(|start| flood.iter().any(|ticket| *start == Started::Run(*ticket))).count();
-    assert!((25..=40).contains(&of_flood), "{of_flood} of 60");
+    back_end.take_started(1);
+    for _ in 0..60 {
+        back_end.pass(SERVICE / SLOTS);
+        back_end.offer(GREEDY);
+        (0..2).for_each(|_| back_end.offer(1));
+    }
+    let started = back_end.take_started(1);
+    assert!((25..=40).contains(&started), "{started} of 60");
 }
 
 /// Tenants that come once each are always within their shares; one that stays is served nevertheless.
 #[test]
 fn an_endless_row_of_new_tenants_starves_nobody() {
-    let mut now = Instant::now();
-    let (mut queue, _) = greedy_queue(now, 40);
-    let mut served = 0;
+    let mut back_end = BusyBackEnd::new();
+    (0..60).for_each(|_| back_end.offer(GREEDY));
     for newcomer in 1..20_000 {
-        now += SERVICE / SLOTS;
-        let mut new = item(now, newcomer);
-        new.patience = millis(300);
-        let _ = queue.offer(now, new);
+        back_end.pass(SERVICE / SLOTS);
+        back_end.offer(newcomer);
         if newcomer % 20 == 0 {
-            let _ = queue.offer(now, item(now, GREEDY));
+            back_end.offer(GREEDY);
+        }
+        if newcomer == 10_000 {
+            back_end.take_started(GREEDY);
         }
-        let before = queue.standing(now, TenantNumber(GREEDY)).map(|standing| standing.ahead);
-        queue.finish(Some(SERVICE));
-        while queue.start_next(now).is_some() {}
-        let after = queue.standing(now, TenantNumber(GREEDY)).map(|standing| standing.ahead);
-        served += u32::from(after > before && newcomer > 10_000);
     }
-    assert!(served > 0, "the greedy one is served nothing for a minute");
+    assert!(back_end.take_started(GREEDY) > 0, "the greedy one is served nothing for a minute");
 }
 
 /// Whatever 10,000 tenants send, something is kept only of those that wait or were served within some seconds.
@@ -295,3 +351,40 @@
     assert_eq!(queue.offer(now, item(now, GREEDY)), Decision::Start);
     assert_eq!(queue.tenant_count(), 0);
 }
+
+/// Time in which nothing was kept gives nobody a credit.
+#[test]
+fn a_pause_in_which_no_tenant_waited_is_no_credit() {
+    let begun = Instant::now();
+    let (mut queue, tickets) = greedy_queue(begun, 20);
+    let _ = queue.report(begun);
+    for ticket in tickets {
+        assert!(queue.withdraw(ticket));
+    }
+    let _ = queue.report(begun + millis(10_000));
+    assert_eq!(queue.tenant_count(), 0);
+    let now = begun + millis(60_000);
+    for _ in 0..60 {
+        let _ = waits(queue.offer(now, item(now, GREEDY)));
+    }
+    make_greedy(&mut queue, now, 30);
+    let other = waits(queue.offer(now, item(now, 1)));
+    assert_eq!(next(&mut queue, now, GREEDY), Some(Started::Run(other)));
+}
+
+/// A cold back end bears less than its slots would; equal parts are those of what it bears.
+#[test]
+fn shares_hold_at_the_pace_of_a_cold_back_end() {
+    let mut back_end = BusyBackEnd::new();
+    back_end.queue.pace().set_rate(back_end.now, RequestRate::per_second(20.0).ok());
+    (0..100).for_each(|_| back_end.offer(GREEDY));
+    for step in 0..2_000 {
+        back_end.pass(millis(5));
+        back_end.offer(GREEDY);
+        if step % 25 == 0 {
+            back_end.offer(1);
+        }
+    }
+    let (greedy, other) = (back_end.take_started(GREEDY), back_end.take_started(1));
+    assert!(other >= 60, "{other} of 80, and {greedy} of the greedy one");
+}
