--- a/crates/scheduling/src/place.rs
+++ b/crates/scheduling/src/place.rs
@@ -20,12 +20,13 @@
 pub(crate) struct PlaceClass {
     priority: u8,
     is_late: bool,
+    is_later_try: bool,
 }
 
 impl Place {
     /// Its class.
     pub(crate) const fn class(&self) -> PlaceClass {
-        PlaceClass { priority: self.priority, is_late: self.is_late }
+        PlaceClass { priority: self.priority, is_late: self.is_late, is_later_try: self.is_later_try }
     }
 
     /// The place of an item that can still meet its objective.
--- a/crates/scheduling/tests/tenant_turns.rs
+++ b/crates/scheduling/tests/tenant_turns.rs
@@ -85,6 +85,16 @@
     assert_eq!(next(&mut queue, now, GREEDY), Some(Started::Run(urgent)));
 }
 
+/// A later try can meet its objective only in part.
+#[test]
+fn a_first_try_above_its_share_goes_before_a_later_one_within_it() {
+    let now = Instant::now();
+    let (mut queue, tickets) = greedy_queue(now, 60);
+    make_greedy(&mut queue, now, 30);
+    let _ = waits(queue.offer(now, WorkItem { is_later_try: true, ..item(now, 1) }));
+    assert_eq!(next(&mut queue, now, GREEDY), Some(Started::Run(tickets[30])));
+}
+
 #[test]
 fn those_within_their_shares_go_by_their_objectives() {
     let now = Instant::now();
