Calls of runs are held back for no share

A call that waits behind others for its tenant's share keeps the slot of its run elsewhere busy meanwhile; refused, it loses what the run has used. Calls are charged to their tenants and go by the order that held before. The test fails on the code before (by its order, not run apart).

--- a/crates/scheduling/src/fair_shares.rs
+++ b/crates/scheduling/src/fair_shares.rs
@@ -187,7 +187,7 @@
     ) -> Option<(Place, WorkItem)> {
         let mut first: Option<(u64, Place, WorkItem)> = None;
         for (place, item) in waiting {
-            let ahead = self.quanta_ahead(item.tenant, Duration::ZERO, quantum);
+            let ahead = self.quanta_ahead(item, Duration::ZERO, quantum);
             if ahead == 0 {
                 return Some((*place, *item));
             }
@@ -215,20 +215,21 @@
                 continue;
             };
             let taken = before.entry(tenant).or_insert(Duration::ZERO);
-            let ahead = self.quanta_ahead(waiting.tenant, *taken, quantum);
+            let ahead = self.quanta_ahead(waiting, *taken, quantum);
             others.push((Turn { class: other.class(), ahead, place: *other }, waiting));
             *taken += waiting.service;
             if *other < place && item.tenant == waiting.tenant {
                 own_before = *taken;
             }
         }
-        let ahead = self.quanta_ahead(item.tenant, own_before, quantum);
+        let ahead = self.quanta_ahead(item, own_before, quantum);
         WaitingTurns { own: Turn { class: place.class(), ahead, place }, others }
     }
 
-    /// Whether a tenant is more than a quantum ahead of its share. The share of one that is alone is everything.
-    pub(crate) fn is_above(&self, tenant: Option<TenantNumber>, quantum: Duration) -> bool {
-        self.tenants.len() > 1 && self.quanta_ahead(tenant, Duration::ZERO, quantum) > 0
+    /// Whether `item` goes behind others because its tenant is more than a quantum ahead of its share. The share of one that is alone is
+    /// everything.
+    pub(crate) fn is_above(&self, item: &WorkItem, quantum: Duration) -> bool {
+        self.tenants.len() > 1 && self.quanta_ahead(item, Duration::ZERO, quantum) > 0
     }
 
     /// How a tenant stands; absent if it has not waited of late.
@@ -271,7 +272,10 @@
         (start.max(self.virtual_time) + more).saturating_sub(self.virtual_time)
     }
 
-    fn quanta_ahead(&self, tenant: Option<TenantNumber>, more: Duration, quantum: Duration) -> u64 {
+    /// Quanta by which the tenant of `item` is ahead once it has taken `more`. A call is charged but held back for no share: the run that
+    /// waits for it holds a slot elsewhere.
+    fn quanta_ahead(&self, item: &WorkItem, more: Duration, quantum: Duration) -> u64 {
+        let tenant = item.tenant.filter(|_| item.call.is_none());
         tenant.map_or(0, |tenant| quanta(self.lead(tenant, more), quantum))
     }
 
--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -252,7 +252,7 @@
             return Decision::Start;
         }
         self.shares.advance(now);
-        let is_above = self.shares.is_above(item.tenant, self.quantum());
+        let is_above = self.shares.is_above(&item, self.quantum());
         let expected = self.expected_wait(now, item);
         if expected > item.patience {
             if !has_missed && !is_above {
@@ -371,7 +371,7 @@
     /// Seconds of service a second that go to requests which overtake `item`.
     fn overtaking_rate(&mut self, now: Instant, item: &WorkItem) -> f64 {
         let left = item.left(now);
-        if !self.shares.is_above(item.tenant, self.quantum()) {
+        if !self.shares.is_above(item, self.quantum()) {
             return self.admitted.overtaking_rate(now, left);
         }
         OTHERS_MARGIN * self.admitted.rate(now) + self.admitted_above.overtaking_rate(now, left)
--- a/crates/scheduling/tests/tenant_turns.rs
+++ b/crates/scheduling/tests/tenant_turns.rs
@@ -5,7 +5,7 @@
 
 use quickcheck::QuickCheck;
 use umberpond_model::{RequestRate, TenantNumber};
-use umberpond_scheduling::{Decision, Refusal, Started, Ticket, WorkItem, WorkQueue};
+use umberpond_scheduling::{CallWork, Decision, Refusal, Started, Ticket, WorkItem, WorkQueue};
 
 const SLOTS: u32 = 9;
 const FULL: u64 = 20 * SLOTS as u64;
@@ -85,6 +85,19 @@
     assert_eq!(next(&mut queue, now, GREEDY), Some(Started::Run(urgent)));
 }
 
+/// The run that waits for it holds a slot elsewhere: held back, it would cost others more than its own time.
+#[test]
+fn a_call_of_a_run_is_held_back_for_no_share() {
+    let now = Instant::now();
+    let (mut queue, _) = greedy_queue(now, 60);
+    make_greedy(&mut queue, now, 30);
+    let objective_at = now + millis(400);
+    let _ = waits(queue.offer(now, WorkItem { objective_at: now + millis(800), ..item(now, 1) }));
+    let call = Some(CallWork { spent: millis(30) });
+    let call = waits(queue.offer(now, WorkItem { objective_at, call, ..item(now, GREEDY) }));
+    assert_eq!(next(&mut queue, now, GREEDY), Some(Started::Run(call)));
+}
+
 /// A later try can meet its objective only in part.
 #[test]
 fn a_first_try_above_its_share_goes_before_a_later_one_within_it() {
