--- a/crates/scheduling/src/place.rs
+++ b/crates/scheduling/src/place.rs
@@ -21,6 +21,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct PlaceClass {
     priority: u8,
+    is_new: bool,
     is_late: bool,
     is_later_try: bool,
 }
@@ -28,7 +29,12 @@
 impl Place {
     /// Its class.
     pub(crate) const fn class(&self) -> PlaceClass {
-        PlaceClass { priority: self.priority, is_late: self.is_late, is_later_try: self.is_later_try }
+        PlaceClass {
+            priority: self.priority,
+            is_new: self.is_new,
+            is_late: self.is_late,
+            is_later_try: self.is_later_try,
+        }
     }
 
     /// The place of an item that can still meet its objective.
