--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -3,24 +3,19 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use thiserror::Error;
 use umberpond_model::TenantNumber;
 
 use crate::admitted_work::AdmittedWork;
-use crate::call_level::CallLevel;
 use crate::fair_shares::{FairShares, TenantStanding, WaitingTurns};
 use crate::kept_slots::KeptSlots;
 use crate::place::Place;
-use crate::{ColdPace, LoadReport, ServiceTime, Slowdown};
+use crate::{
+    ColdPace, Decision, DisplacedRequest, LoadReport, Refusal, ServiceTime, Slowdown, Started, Ticket,
+    WorkItem,
+};
 
-/// Most requests that may wait, as a multiple of the slots.
-const WAITING_PER_SLOT: usize = 20;
-/// Most calls that may wait, as a multiple of the slots: a queue that is full of new requests still takes calls.
-const WAITING_CALLS_PER_SLOT: usize = 2 * WAITING_PER_SLOT;
 /// Assumed service time while nothing is known.
 const UNKNOWN_SERVICE_TIME: Duration = Duration::from_millis(50);
-/// Share of its expected time that a request must have left to be started: some take less than expected.
-const HOPELESS_SHARE: f64 = 0.7;
 /// Most of the slots that more urgent requests are reckoned to take from one that waits.
 const MOST_OVERTAKING_SHARE: f64 = 0.8;
 /// How long a queue counts as contended after it refused a request that could still have met its objective, in times in which one slot
@@ -37,148 +32,6 @@
 /// Weight of one request in the share of failed ones.
 const FAILURE_WEIGHT: f64 = 0.03;
 
-/// One request as the queue sees it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct WorkItem {
-    /// Rank among the requests for this back end: 0 is served first.
-    pub priority: u8,
-    /// End of the time within which an answer is of full use.
-    pub objective_at: Instant,
-    /// End of the time within which an answer is of any use.
-    pub deadline: Instant,
-    /// When it is given up if it still waits.
-    pub hold_until: Instant,
-    /// Longest wait with which it is taken in, as far as can be expected.
-    pub patience: Duration,
-    /// Time that the back end is expected to take for it at its usual speed.
-    pub service: Duration,
-    /// Whether its caller has sent it before and was refused: its objective can be met only in part by now.
-    pub is_later_try: bool,
-    /// Tenant on whose behalf it is sent; absent if it is of none.
-    pub tenant: Option<TenantNumber>,
-    /// What waits for it elsewhere, if it is a call of a run.
-    pub call: Option<CallWork>,
-}
-
-/// The run at another back end that has made a call and waits for it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct CallWork {
-    /// Time for which the run has held its slot. It is lost if the call is refused.
-    pub spent: Duration,
-    /// Level of the request from which the run comes. The lower it is, the longer a wait the call is taken in with.
-    pub level: CallLevel,
-}
-
-impl WorkItem {
-    /// Whether it has so little time left that it would be given up while it runs.
-    fn is_hopeless(&self, now: Instant) -> bool {
-        now + self.service.mul_f64(HOPELESS_SHARE) >= self.deadline
-    }
-
-    /// Whether a run waits for it, which fails without its answer and not by its being late.
-    const fn is_depended_on(&self) -> bool {
-        self.call.is_some()
-    }
-
-    /// Time left until the end of its objective.
-    fn left(&self, now: Instant) -> Duration {
-        self.objective_at.saturating_duration_since(now)
-    }
-
-    /// Whether it can no longer be expected to meet its objective.
-    fn is_late(&self, now: Instant) -> bool {
-        now + self.service > self.objective_at
-    }
-
-    /// Whether it is of less use than one that comes in time. A call is not, however late: its run waits.
-    fn has_missed(&self, now: Instant) -> bool {
-        self.call.is_none() && (self.is_later_try || self.is_late(now))
-    }
-
-    /// Time by which it is reckoned to overtake others.
-    fn urgency(&self, now: Instant) -> Duration {
-        if self.call.is_some() { Duration::ZERO } else { self.left(now) }
-    }
-
-    /// Longest expected wait with which it is taken in.
-    fn longest_wait(&self) -> Duration {
-        self.call.map_or(self.patience, |call| self.patience.mul_f64(call.level.patience_share()))
-    }
-
-    /// Most requests that may wait when it comes, as a multiple of the slots.
-    const fn waiting_per_slot(&self) -> usize {
-        if self.call.is_some() { WAITING_CALLS_PER_SLOT } else { WAITING_PER_SLOT }
-    }
-}
-
-/// Names one waiting request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Ticket(pub(crate) u64);
-
-/// Why a request is refused before it ran.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
-pub enum Refusal {
-    /// The back end takes no new work.
-    #[error("the back end takes no new work")]
-    Closed,
-    /// The wait would be longer than the sender allows.
-    #[error("the wait would be too long")]
-    WaitTooLong {
-        /// The wait expected.
-        expected: Duration,
-    },
-    /// The back end is slow at this moment: the answer would be late, but need not be elsewhere.
-    #[error("the back end is slow at this moment")]
-    Slowed {
-        /// Time until the answer that was expected.
-        expected: Duration,
-    },
-    /// Too many requests wait already.
-    #[error("too many requests wait already")]
-    QueueFull,
-    /// Its tenant is above its share of the slots, and a request of another tenant needed its place.
-    #[error("its tenant is above its share, and another one needed its place")]
-    OverShare {
-        /// The wait that was still expected.
-        expected: Duration,
-    },
-    /// It has waited for as long as its sender lets it.
-    #[error("it has waited for as long as it may")]
-    HeldTooLong,
-    /// The deadline passed while the request waited.
-    #[error("the deadline passed in the queue")]
-    Expired,
-}
-
-/// What becomes of an offered request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Decision {
-    /// It has a slot; the caller sends it now and reports its end.
-    Start,
-    /// It waits under this ticket.
-    Wait(Ticket),
-    /// It is refused; it has not run.
-    Refuse(Refusal),
-}
-
-/// A waiting request that leaves the queue.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Started {
-    /// It has a slot now.
-    Run(Ticket),
-    /// Its deadline has passed; it has not run.
-    Expire(Ticket),
-}
-
-/// A waiting request that has made room for one of a tenant less far above its share; it has not run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct DisplacedRequest {
-    /// Its ticket.
-    pub ticket: Ticket,
-    /// The wait that was still expected.
-    pub expected: Duration,
-}
-
 /// The queue before one back end, and what is known of its speed.
 #[derive(Debug)]
 pub struct WorkQueue {
