The virtual time follows the slots in use, and a line on shares names only who is above

Cause: since the virtual time followed the slots of charged runs, runs that had started before anybody waited counted against that number when they ended, and for good, so it stood still. Two nodes with two tenants showed it (`a_tenant_within_its_share_is_answered_while_another_one_sends_too_much`, deterministic): a tenant that asks for a quarter of the slots was found 440 ms of slot time ahead and refused three times.

Now the number is that of the requests that run.

--- a/crates/forwarding/src/inbound/tenant_shares.rs
+++ b/crates/forwarding/src/inbound/tenant_shares.rs
@@ -36,7 +36,7 @@
         let Some(reason) = over_share_reason(refusal) else { return };
         let standing = self.admission.standing(TenantNumber::of(tenant));
         let is_displaced = matches!(refusal, Refusal::OverShare { .. });
-        let Some(standing) = standing.filter(|standing| is_displaced || is_above(standing)) else { return };
+        let Some(standing) = standing.filter(|standing| is_displaced || standing.is_above) else { return };
         self.telemetry.metrics().over_share(reason);
         self.telemetry.emit(Event::RequestOverShare {
             request: String::from_utf8_lossy(&attempt.id).into_owned(),
@@ -73,10 +73,6 @@
     }
 }
 
-fn is_above(standing: &TenantStanding) -> bool {
-    !standing.ahead.is_zero() && standing.use_permille > standing.share_permille
-}
-
 /// What a refusal for want of room is called in logs and metrics.
 const fn over_share_reason(refusal: Refusal) -> Option<&'static str> {
     match refusal {
--- a/crates/scheduling/src/fair_shares.rs
+++ b/crates/scheduling/src/fair_shares.rs
@@ -32,6 +32,8 @@
     pub share_permille: u16,
     /// Slot time by which it is ahead of a tenant with exactly its share.
     pub ahead: Duration,
+    /// Whether that is more than a quantum, so that others go first.
+    pub is_above: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -122,14 +124,14 @@
         }
     }
 
-    /// Moves the virtual time on: each active tenant has at least an equal part of the slots that they hold.
-    pub(crate) fn advance(&mut self, now: Instant) {
+    /// Moves the virtual time on: each active tenant has at least an equal part of the `held` slots.
+    pub(crate) fn advance(&mut self, now: Instant, held: u32) {
         if self.tenants.is_empty() {
+            self.advanced_at = None;
             return;
         }
         let since = *self.advanced_at.get_or_insert(now);
         let passed = now.saturating_duration_since(since);
-        let held: u32 = self.tenants.values().map(|entry| entry.running).sum();
         let count = u32::try_from(self.tenants.len()).unwrap_or(u32::MAX);
         self.virtual_time += passed * held / count;
         self.advanced_at = Some(now);
@@ -233,18 +235,23 @@
     }
 
     /// How a tenant stands; absent if it has not waited of late.
-    pub(crate) fn standing(&self, now: Instant, tenant: TenantNumber) -> Option<TenantStanding> {
+    pub(crate) fn standing(
+        &self,
+        now: Instant,
+        tenant: TenantNumber,
+        quantum: Duration,
+    ) -> Option<TenantStanding> {
         let entry = self.tenants.get(&tenant)?;
         let total: f64 = self.tenants.values().map(|entry| entry.recent_seconds(now)).sum();
-        Some(self.standing_of(now, tenant, entry, total))
+        Some(self.standing_of(now, tenant, entry, total, quantum))
     }
 
     /// The `count` tenants that took most lately, the greatest first.
-    pub(crate) fn greatest(&self, now: Instant, count: usize) -> Vec<TenantStanding> {
+    pub(crate) fn greatest(&self, now: Instant, count: usize, quantum: Duration) -> Vec<TenantStanding> {
         let total: f64 = self.tenants.values().map(|entry| entry.recent_seconds(now)).sum();
         let tenants = self.tenants.iter();
         let mut standings: Vec<TenantStanding> =
-            tenants.map(|(tenant, entry)| self.standing_of(now, *tenant, entry, total)).collect();
+            tenants.map(|(tenant, entry)| self.standing_of(now, *tenant, entry, total, quantum)).collect();
         standings.sort_by_key(|standing| (std::cmp::Reverse(standing.use_permille), standing.tenant));
         standings.truncate(count);
         standings
@@ -256,13 +263,16 @@
         tenant: TenantNumber,
         entry: &TenantUse,
         total: f64,
+        quantum: Duration,
     ) -> TenantStanding {
         let used = if total > 0.0 { entry.recent_seconds(now) / total } else { 0.0 };
+        let ahead = entry.virtual_start.saturating_sub(self.virtual_time);
         TenantStanding {
             tenant,
             use_permille: permille(used),
             share_permille: u16::try_from(1000 / self.tenants.len().max(1)).unwrap_or(u16::MAX),
-            ahead: entry.virtual_start.saturating_sub(self.virtual_time),
+            ahead,
+            is_above: self.tenants.len() > 1 && quanta(ahead, quantum) > 0,
         }
     }
 
--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -251,7 +251,7 @@
             self.admitted.record(now, item.left(now), item.service);
             return Decision::Start;
         }
-        self.shares.advance(now);
+        self.shares.advance(now, self.running);
         let is_above = self.shares.is_above(&item, self.quantum());
         let expected = self.expected_wait(now, item);
         if expected > item.patience {
@@ -281,7 +281,7 @@
         self.remove(place);
         self.start(now);
         if let Some(tenant) = item.tenant {
-            self.shares.advance(now);
+            self.shares.advance(now, self.running);
             self.shares.on_start(now, tenant, item.service, self.quantum());
         }
         Some(Started::Run(place.ticket))
@@ -300,13 +300,13 @@
     /// How a tenant stands; absent if none of its requests has waited of late.
     #[must_use]
     pub fn standing(&self, now: Instant, tenant: TenantNumber) -> Option<TenantStanding> {
-        self.shares.standing(now, tenant)
+        self.shares.standing(now, tenant, self.quantum())
     }
 
     /// The `count` tenants that took most slot time of late while others waited, the greatest first.
     #[must_use]
     pub fn greatest_tenants(&self, now: Instant, count: usize) -> Vec<TenantStanding> {
-        self.shares.greatest(now, count)
+        self.shares.greatest(now, count, self.quantum())
     }
 
     /// Number of tenants of which something is kept.
@@ -394,7 +394,7 @@
     /// What others are told.
     pub fn report(&mut self, now: Instant) -> LoadReport {
         self.reports += 1;
-        self.shares.advance(now);
+        self.shares.advance(now, self.running);
         let slots = self.pace.usable_slots(now, self.slots, self.mean_service_time());
         LoadReport {
             number: self.reports,
