--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -164,7 +164,7 @@
             self.on_admitted(now, &item, false);
             return Decision::Start;
         }
-        self.shares.advance(now);
+        self.shares.advance(now, self.running);
         let is_above = self.shares.is_above(&item, self.quantum());
         let expected = self.expected_wait(now, item);
         if expected > item.longest_wait() && !self.is_before_admitted(now, &item, expected) {
@@ -195,7 +195,7 @@
         self.remove(place);
         self.start(now, &item);
         if let Some(tenant) = item.tenant {
-            self.shares.advance(now);
+            self.shares.advance(now, self.running);
             self.shares.on_start(now, tenant, item.service, self.quantum());
         }
         Some(Started::Run(place.ticket))
@@ -214,13 +214,13 @@
     /// How a tenant stands; absent if none of its requests has waited of late.
     #[must_use]
     pub fn standing(&self, now: Instant, tenant: TenantNumber) -> Option<TenantStanding> {
-        self.shares.standing(now, tenant)
+        self.shares.standing(now, tenant, self.quantum())
     }
 
     /// The `count` tenants that took most slot time of late while others waited, the greatest first.
     #[must_use]
     pub fn greatest_tenants(&self, now: Instant, count: usize) -> Vec<TenantStanding> {
-        self.shares.greatest(now, count)
+        self.shares.greatest(now, count, self.quantum())
     }
 
     /// Number of tenants of which something is kept.
@@ -319,7 +319,7 @@
     /// What others are told.
     pub fn report(&mut self, now: Instant) -> LoadReport {
         self.reports += 1;
-        self.shares.advance(now);
+        self.shares.advance(now, self.running);
         let slots = self.pace.usable_slots(now, self.slots, self.mean_service_time());
         LoadReport {
             number: self.reports,
