Slowness counts relative to its mean, which the learnt times hold

Cause: times were divided by the word told with them, so that expectations without a fresh word were those of the best moments, shorter than work takes on average, and waits were allowed that were too long. A word now counts as a multiple of the mean of the words.

Tests: the crates scheduling, forwarding and selection pass.

--- a/crates/scheduling/src/load.rs
+++ b/crates/scheduling/src/load.rs
@@ -19,7 +19,7 @@
     pub service_micros: u32,
     /// Share of requests lately whose answer was lost or spoiled, in thousandths.
     pub failed_permille: u16,
-    /// How long work takes there at this moment, in hundredths of the usual time; 0 if the back end doesn't tell.
+    /// How long work takes there at this moment, in hundredths of the time on average; 0 if the back end doesn't tell.
     pub slowdown_percent: u16,
     /// Most urgent rank of which requests were refused a moment ago for want of room; absent if none were.
     pub refused_rank: Option<u8>,
