Later tries are known where callers wait for different times

Cause: a later try is told by the time that its caller brings, and first tries were known by a time that is common.

Now the times that come while nobody was told to come back are those of first tries. Ruled out: a longest time alone (callers of two kinds), predictions of each come-back (they may come back elsewhere). Tests: one kind with many times, half of the tries later ones; two kinds.

--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -476,6 +476,7 @@
             slot_wait: not_run.load.as_ref().and_then(slot_wait),
         };
         let after = refused.come_back(&mut *self.outbound.random.lock());
+        self.outbound.caller_times.lock().on_refused(&request.route.name, refused.caller_left);
         if not_run.reached_back_end {
             self.tell_come_back(&refused, after);
         }
--- a/crates/forwarding/src/outbound/caller_times.rs
+++ b/crates/forwarding/src/outbound/caller_times.rs
@@ -1,8 +1,10 @@
 //! Tells a caller's first try of a request from its later ones.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use umberpond_model::RouteName;
 
 /// Most routes followed; on further ones every try counts as a first one.
@@ -17,11 +19,18 @@
 const ENOUGH_REQUESTS: u32 = 20;
 /// Requests after which what was learnt counts half.
 const REMEMBERED_REQUESTS: u32 = 400;
+/// Times of first tries that are kept for one route.
+const KEPT_FIRST_TIMES: usize = 48;
+/// Kept times from which on a time is judged by them.
+const ENOUGH_FIRST_TIMES: usize = 12;
+/// A time is that of a first try if one kept time in so many is the same: a later try may be among them.
+const SAME_ONE_IN: usize = 16;
 
 /// The times that callers say they will wait, by route.
 ///
-/// All first tries of one kind of caller bring the same time; a later try brings what is left of it, which is never the same
-/// twice. So a time that is common is that of first tries, and one that is rare and shorter is that of a later try.
+/// While nobody is refused all tries are first ones, so the times that come then are those of first tries, and a shorter one that is unlike them is
+/// that of a later try. As long as few of them are known, a time that is common counts as that of first tries: a later try brings what
+/// is left of its caller's time, which is never the same twice.
 #[derive(Debug, Default)]
 pub(super) struct CallerTimes {
     routes: HashMap<RouteName, RouteCallers>,
@@ -31,6 +40,10 @@
 struct RouteCallers {
     times: Vec<CommonTime>,
     requests: u32,
+    /// Times that came while no caller was known to come back.
+    first_times: VecDeque<Duration>,
+    /// Until when callers that were refused may come back.
+    come_back_until: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -50,9 +63,17 @@
         }
         let Some(callers) = self.routes.get_mut(route) else { return false };
         callers.record(time);
+        callers.record_first_time(time);
         callers.is_later_try(time)
     }
 
+    /// Takes in that a caller of `route` was refused which waits for `left` longer, and may come back within that time.
+    pub(super) fn on_refused(&mut self, route: &RouteName, left: Duration) {
+        let Some(callers) = self.routes.get_mut(route) else { return };
+        let until = Instant::now() + left;
+        callers.come_back_until = callers.come_back_until.max(Some(until));
+    }
+
     /// Time since the first try of a request of `route` whose caller will wait for `time`, as far as is known; zero for a first try.
     pub(super) fn spent_before(&self, route: &RouteName, time: Duration) -> Duration {
         let callers = self.routes.get(route);
@@ -77,6 +98,16 @@
         }
     }
 
+    fn record_first_time(&mut self, time: Duration) {
+        if self.come_back_until.is_some_and(|until| Instant::now() < until) {
+            return;
+        }
+        if self.first_times.len() >= KEPT_FIRST_TIMES {
+            self.first_times.pop_front();
+        }
+        self.first_times.push_back(time);
+    }
+
     fn forget_half(&mut self) {
         self.requests /= 2;
         self.times.iter_mut().for_each(|common| common.requests /= 2);
@@ -87,8 +118,27 @@
         self.spent_before(time).is_some()
     }
 
-    /// Time since the first try, if `time` is that of a later one. Of several usual times the next longer one counts as that of the first try.
+    /// Time since the first try, if `time` is that of a later one.
     fn spent_before(&self, time: Duration) -> Option<Duration> {
+        if self.first_times.len() >= ENOUGH_FIRST_TIMES {
+            self.spent_by_first_times(time)
+        } else {
+            self.spent_by_common_times(time)
+        }
+    }
+
+    /// The next longer time of first tries counts as that of the first try.
+    fn spent_by_first_times(&self, time: Duration) -> Option<Duration> {
+        let same = self.first_times.iter().filter(|first| is_same(**first, time));
+        if same.count() * SAME_ONE_IN >= self.first_times.len() {
+            return None;
+        }
+        let longer = self.first_times.iter().filter(|first| time < **first);
+        longer.min().map(|first| *first - time)
+    }
+
+    /// Of several usual times the next longer one counts as that of the first try.
+    fn spent_by_common_times(&self, time: Duration) -> Option<Duration> {
         if self.requests < ENOUGH_REQUESTS {
             return None;
         }
--- a/crates/forwarding/src/outbound/handler.rs
+++ b/crates/forwarding/src/outbound/handler.rs
@@ -160,6 +160,7 @@
             });
         }
         let left = request.caller_time.saturating_sub(request.arrived.elapsed());
+        self.caller_times.lock().on_refused(&request.route.name, left);
         let come_back = come_back_with_token(left, refusal.next_token_in, &mut *self.random.lock());
         self.own_reply(ReplyReason::OverQuota, Some(come_back), Some(&request.id))
     }
--- a/crates/forwarding/src/outbound/tests.rs
+++ b/crates/forwarding/src/outbound/tests.rs
@@ -118,3 +118,37 @@
         assert_eq!(times.spent_before(&route, millis(time)), millis(spent), "{time}");
     }
 }
+
+/// Callers wait for times that differ by a sixth, and under overload every second try is a later one, so that no time is common.
+#[test]
+fn later_tries_are_known_where_first_ones_bring_many_times_and_later_ones_are_as_many() {
+    let route = RouteName::new("lookup").unwrap();
+    let mut times = CallerTimes::default();
+    let first = |number: u64| millis(850 + number * 93 % 150);
+    let later = |number: u64| millis(500 + number * 93 % 150);
+    for number in 0..40 {
+        assert!(!times.record(&route, first(number)));
+    }
+    times.on_refused(&route, CALLER_TIME);
+    for number in 0..400 {
+        assert!(!times.record(&route, first(number)), "{number}");
+        assert!(times.record(&route, later(number)), "{number}");
+    }
+    let spent = times.spent_before(&route, millis(560));
+    assert!((millis(290)..=millis(440)).contains(&spent), "a caller waits for 850 to 1,000 ms: {spent:?}");
+}
+
+/// Two kinds of callers: the shorter time of the one is no later try of the other.
+#[test]
+fn the_shorter_times_of_other_callers_are_those_of_first_tries() {
+    let route = RouteName::new("lookup").unwrap();
+    let mut times = CallerTimes::default();
+    for number in 0..40_u64 {
+        let time = if number % 2 == 0 { 2_400 } else { 1_200 };
+        times.record(&route, millis(time + number * 7 % 60));
+    }
+    times.on_refused(&route, CALLER_TIME);
+    assert!(!times.record(&route, millis(1_230)));
+    assert!(times.record(&route, millis(1_800)));
+    assert!(times.record(&route, millis(700)));
+}
