--- a/crates/quotas/src/pool.rs
+++ b/crates/quotas/src/pool.rs
@@ -95,7 +95,7 @@
         Some(QuotaGrant { number: report.number, granted })
     }
 
-    /// Takes in that this process runs. It is told so at least each [`LONGEST_PAUSE`].
+    /// Takes in that this process runs. It is told so at least each time that the longest pause lasts.
     pub fn look(&mut self, now: Instant) {
         self.find_pause(now);
         self.looked_at = Some(now);
