--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -53,6 +53,8 @@
     pub rollouts: Option<RolloutSettings>,
     /// Whether operators may evacuate zones, so that those that read the store have to look for it.
     pub follows_evacuations: bool,
+    /// Whether back ends differ much in speed, so that faster ones are chosen more often while slots are free.
+    pub chooses_by_speed: bool,
     /// Log output.
     pub log: LogConfig,
     /// Time from the request to stop until the process is killed.
--- a/crates/selection/src/draw.rs
+++ b/crates/selection/src/draw.rs
@@ -20,9 +20,15 @@
     pub speed_power: f64,
 }
 
+impl DrawSettings {
+    /// For back ends whose speeds differ much.
+    pub const BY_SPEED: Self = Self { count: 2, uneven_count: 6, speed_power: 2.0 };
+}
+
 impl Default for DrawSettings {
+    /// All endpoints have the same weight.
     fn default() -> Self {
-        Self { count: 2, uneven_count: 6, speed_power: 2.0 }
+        Self { count: 2, uneven_count: 2, speed_power: 0.0 }
     }
 }
 
--- a/crates/selection/tests/speeds.rs
+++ b/crates/selection/tests/speeds.rs
@@ -7,7 +7,7 @@
 use umberpond_model::{HomeRegions, Locality, NodeName, RouteName, ServiceName};
 use umberpond_scheduling::LoadReport;
 use umberpond_selection::{
-    AnswerTimes, Choice, Endpoint, Observation, Query, ReleaseGroup, Selector, SelectorSettings,
+    AnswerTimes, Choice, DrawSettings, Endpoint, Observation, Query, ReleaseGroup, Selector, SelectorSettings,
 };
 
 const SLOTS: u32 = 4;
@@ -53,7 +53,8 @@
 
 impl World {
     fn new(count: usize) -> Self {
-        let mut selector = Selector::new(locality(), SelectorSettings::default());
+        let settings = SelectorSettings { draw: DrawSettings::BY_SPEED, ..SelectorSettings::default() };
+        let mut selector = Selector::new(locality(), settings);
         let (service, now) = (name("archive"), Instant::now());
         selector.set_endpoints(now, &service, (0..count).map(endpoint).collect());
         Self { selector, random: ChaCha8Rng::seed_from_u64(1), service, route: name("route"), now }
