--- a/crates/daemon/src/settings/load.rs
+++ b/crates/daemon/src/settings/load.rs
@@ -87,6 +87,7 @@
     let retry_budget = read_retry_budget(reader);
     let rollouts = read_rollouts(reader);
     let follows_evacuations = reader.switch("evacuations.follow").is_some_and(|follow| follow.value);
+    let keeps_slots_for_calls = reader.switch("calls.keep-slots").is_some_and(|keep| keep.value);
     let chooses_by_speed = reader.switch("selection.by-speed").is_some_and(|by_speed| by_speed.value);
     let log = read_log(reader);
     let grace = reader.duration("stop.grace", DEFAULT_GRACE);
@@ -107,6 +108,7 @@
         retry_budget: retry_budget?,
         rollouts: rollouts?,
         follows_evacuations,
+        keeps_slots_for_calls,
         chooses_by_speed,
         log: log?,
         grace: grace?,
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -53,6 +53,8 @@
     pub rollouts: Option<RolloutSettings>,
     /// Whether operators may evacuate zones, so that those that read the store have to look for it.
     pub follows_evacuations: bool,
+    /// Whether new requests leave slots of the back end to calls of runs at other back ends.
+    pub keeps_slots_for_calls: bool,
     /// Whether back ends differ much in speed, so that faster ones are chosen more often while slots are free.
     pub chooses_by_speed: bool,
     /// Log output.
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -90,7 +90,11 @@
         let own = own_record(&config, &environment, &listeners);
         let inbound = Arc::new(Inbound::new(
             extensions.dialect,
-            InboundSettings { link_rate: config.link_rate, ..InboundSettings::default() },
+            InboundSettings {
+                link_rate: config.link_rate,
+                keeps_slots_for_calls: config.keeps_slots_for_calls,
+                ..InboundSettings::default()
+            },
             Arc::clone(&environment.network),
             telemetry.clone(),
         ));
--- a/crates/forwarding/src/inbound/admission.rs
+++ b/crates/forwarding/src/inbound/admission.rs
@@ -134,6 +134,13 @@
 }
 
 impl Admission {
+    /// Before a back end of which nothing is known. `keeps_slots`: whether new requests leave slots to calls.
+    pub(crate) fn new(keeps_slots: bool) -> Arc<Self> {
+        let admission = Self::default();
+        admission.state.lock().queue.keep_slots_for_calls(keeps_slots);
+        Arc::new(admission)
+    }
+
     /// Waits for a slot. Dropping the future withdraws the request.
     pub(crate) async fn admit(self: &Arc<Self>, item: WorkItem) -> Result<Permit, Refusal> {
         let (ticket, verdict) = {
--- a/crates/forwarding/src/inbound/back_end.rs
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -38,11 +38,18 @@
     pub idle_connections: usize,
     /// Bytes a second that this node's link bears; absent if that is not known.
     pub link_rate: Option<f64>,
+    /// Whether new requests leave slots of the back end to calls of runs, in the measure in which calls have come.
+    pub keeps_slots_for_calls: bool,
 }
 
 impl Default for InboundSettings {
     fn default() -> Self {
-        Self { connect_time: Duration::from_millis(300), idle_connections: 64, link_rate: None }
+        Self {
+            connect_time: Duration::from_millis(300),
+            idle_connections: 64,
+            link_rate: None,
+            keeps_slots_for_calls: false,
+        }
     }
 }
 
@@ -129,7 +136,7 @@
             settings,
             network,
             telemetry,
-            admission: Arc::default(),
+            admission: Admission::new(settings.keeps_slots_for_calls),
             link: BodyLink::new(settings.link_rate),
             current: Mutex::new(None),
             duplicates: Mutex::default(),
--- a/crates/scheduling/src/kept_slots.rs
+++ b/crates/scheduling/src/kept_slots.rs
@@ -29,12 +29,18 @@
 /// of one.
 #[derive(Debug, Default)]
 pub(crate) struct KeptSlots {
+    is_on: bool,
     offered: BTreeMap<u8, OfferedWork>,
     /// New requests that the back end works on.
     new_running: u32,
 }
 
 impl KeptSlots {
+    /// Sets whether slots are kept.
+    pub(crate) const fn switch(&mut self, is_on: bool) {
+        self.is_on = is_on;
+    }
+
     /// Takes in a call of `rank` that takes `service` in the back end.
     pub(crate) fn on_call_offered(&mut self, now: Instant, rank: u8, service: Duration) {
         let offered = self.offered.entry(rank).or_insert(OfferedWork { seconds: 0.0, at: now });
@@ -63,6 +69,9 @@
         reason = "at most the number of slots"
     )]
     fn kept(&self, now: Instant, rank: u8, slots: u32) -> u32 {
+        if !self.is_on {
+            return 0;
+        }
         let seconds: f64 = self.offered.range(..=rank).map(|(_, offered)| offered.seconds(now)).sum();
         let mean_life = HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2;
         let busy = (seconds / mean_life).round();
--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -90,6 +90,11 @@
         self.slots = slots;
     }
 
+    /// Sets whether new requests leave slots to calls, in the measure in which calls have come; they don't unless this is set.
+    pub const fn keep_slots_for_calls(&mut self, is_on: bool) {
+        self.kept.switch(is_on);
+    }
+
     /// Takes new work from now on.
     pub fn open(&mut self) {
         self.is_open = true;
--- a/testing/sim/src/cluster/process.rs
+++ b/testing/sim/src/cluster/process.rs
@@ -257,6 +257,7 @@
             retry_budget: RetryBudgetSettings::default(),
             rollouts: None,
             follows_evacuations: false,
+            keeps_slots_for_calls: false,
             chooses_by_speed: false,
             log: LogConfig::default(),
             grace: GRACE,
