--- a/crates/selection/src/draw.rs
+++ b/crates/selection/src/draw.rs
@@ -1,5 +1,6 @@
 //! Draws the few endpoints among which a request's is chosen.
 
+use rand::seq::IteratorRandom;
 use rand::{Rng, RngExt};
 
 /// Share of the slots that must be free for more endpoints to be drawn: without free slots, more only choose alike by old news.
@@ -48,6 +49,7 @@
 /// speed falls with the share of free slots over all candidates, which is known better than that of any single one.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Draw {
+    is_weighted: bool,
     power: f64,
     count: usize,
 }
@@ -59,11 +61,16 @@
         let free_share = candidates.iter().map(|candidate| candidate.free_share).sum::<f64>() / count;
         let is_wide = free_share >= ROOM_SHARE && are_uneven(candidates);
         let count = if is_wide { settings.uneven_count } else { settings.count };
-        Self { power: settings.speed_power * free_share, count }
+        let is_weighted = settings.speed_power > 0.0;
+        Self { is_weighted, power: settings.speed_power * free_share, count }
     }
 
-    /// Draws some of `near`, which are at one distance (weighted sampling without replacement by Efraimidis and Spirakis).
+    /// Draws some of `near`, which are at one distance, all alike or by weight (sampling without replacement by Efraimidis and Spirakis).
     pub(crate) fn draw<E>(self, near: Vec<Candidate<E>>, random: &mut impl Rng) -> Vec<E> {
+        if !self.is_weighted {
+            let endpoints = near.into_iter().map(|candidate| candidate.endpoint);
+            return endpoints.sample(random, self.count);
+        }
         let keyed = near.into_iter().map(|candidate| {
             let uniform: f64 = 1.0 - random.random::<f64>();
             (-uniform.ln() * candidate.seconds.powf(self.power), candidate.endpoint)
