--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -152,15 +152,14 @@
         = 4032, Info, "run-withheld", "The node beside the back end refused a request before it ran: by the calls that its runs have made lately, such runs fail in the share given, most of them for want of an answer of `called`.";
     ComeBackTold { request: String, service: ServiceName, reason: &'static str, after_millis: u64, objective_left_millis: u64, service_millis: u64 }
         = 4033, Info, "come-back-told", "The back ends that were tried turned a request away, and its caller is told to send it again after this time. `objective_left_millis` counts from the caller's first try as far as it is known; `service_millis` is what a back end is expected to take.";
-    QuotaRefusalsCounted { tenant: String, refused: u64, next_token_millis: u64, period_millis: u64 }
-        = 4039, Info, "quota-refusals-counted", "Requests of the tenant that this node has refused over its quota in the period. `next_token_millis` is the time after which it asks for tokens again, 0 if requests that come are asked for at once.";
-
-    SlowBackEndAvoided { request: String, service: ServiceName, slowdown_percent: u32, usual_millis: u64, expected_millis: u64, left_millis: u64 }
-        = 4037, Info, "slow-back-end-avoided", "The node beside the back end refused a request, which has not run: work takes so many hundredths of the usual time there, the answer was expected in `expected_millis`, and its objective ends in `left_millis`. Another back end may still answer in time.";
     RequestOverShare { request: String, tenant: String, reason: &'static str, use_permille: u16, share_permille: u16, ahead_millis: u64 }
         = 4035, Info, "request-over-share", "The node beside the back end refused a request whose tenant had taken more of the slots than an equal part while others waited; it has not run. `reason=displaced`: it waited, and a request of another tenant needed its place. `ahead_millis` is the slot time by which the tenant is ahead.";
     SlotsShared { tenants: u64, share_permille: u16, greatest: String }
         = 4036, Info, "slots-shared", "Tenants compete for the slots of the back end beside this node. `greatest` names those that took most of late, with their parts in thousandths.";
+    SlowBackEndAvoided { request: String, service: ServiceName, slowdown_percent: u32, usual_millis: u64, expected_millis: u64, left_millis: u64 }
+        = 4037, Info, "slow-back-end-avoided", "The node beside the back end refused a request, which has not run: work takes so many hundredths of the usual time there, the answer was expected in `expected_millis`, and its objective ends in `left_millis`. Another back end may still answer in time.";
+    QuotaRefusalsCounted { tenant: String, refused: u64, next_token_millis: u64, period_millis: u64 }
+        = 4039, Info, "quota-refusals-counted", "Requests of the tenant that this node has refused over its quota in the period. `next_token_millis` is the time after which it asks for tokens again, 0 if requests that come are asked for at once.";
 
     // Store
     PlatformUnavailable { operation: &'static str, reason: String }
