A call brings along only what something decides by

Cause: each call carried the time for which its run had held its slot, and each run the moment at which it began and its objective, but no decision read them: the order and the longest wait of a call go by its level alone. Change: CallWork is gone, a call in the queue is known by its level; 8 bytes less in each call's message, two fields less in each open run.

--- a/crates/forwarding/src/calls/tests.rs
+++ b/crates/forwarding/src/calls/tests.rs
@@ -9,14 +9,7 @@
 use crate::repeats::RunContext;
 
 fn run(priority: u8, deadline: Instant) -> RunContext {
-    RunContext {
-        began: Instant::now(),
-        priority,
-        level: CallLevel::FIRST,
-        tenant: None,
-        objective_at: deadline,
-        deadline,
-    }
+    RunContext { priority, level: CallLevel::FIRST, tenant: None, deadline }
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/forwarding/src/hop/protocol.rs
+++ b/crates/forwarding/src/hop/protocol.rs
@@ -8,7 +8,7 @@
 use umberpond_http1::Fields;
 use umberpond_model::{HomeRegions, ServiceName, TenantName, TenantNumber};
 use umberpond_quarantine::{RequestFingerprint, RequestKey};
-use umberpond_scheduling::{CallLevel, CallWork, LoadReport};
+use umberpond_scheduling::{CallLevel, LoadReport};
 
 use crate::message::{Answer, Attempt, NotRun, RequestBody, RunCall};
 use crate::outcome::{NotRunReason, UnknownReason};
@@ -112,20 +112,17 @@
 /// What a call brings along of the run that makes it.
 #[derive(Debug, Encode, Decode)]
 struct HopCall {
-    /// Microseconds for which the run has held its slot.
-    spent: u64,
     level: CallLevel,
     tenant: Option<TenantNumber>,
 }
 
 impl HopCall {
-    fn of(call: &RunCall) -> Self {
-        Self { spent: micros(call.work.spent), level: call.work.level, tenant: call.tenant }
+    const fn of(call: &RunCall) -> Self {
+        Self { level: call.level, tenant: call.tenant }
     }
 
     const fn into_call(self) -> RunCall {
-        let work = CallWork { spent: Duration::from_micros(self.spent), level: self.level };
-        RunCall { work, tenant: self.tenant }
+        RunCall { level: self.level, tenant: self.tenant }
     }
 }
 
--- a/crates/forwarding/src/inbound/serving.rs
+++ b/crates/forwarding/src/inbound/serving.rs
@@ -439,7 +439,7 @@
         service: attempt.service_time,
         is_later_try: attempt.is_later_try,
         tenant: attempt.sharing_tenant(),
-        call: attempt.call.map(|call| call.work),
+        call: attempt.call.map(|call| call.level),
     }
 }
 
--- a/crates/forwarding/src/message.rs
+++ b/crates/forwarding/src/message.rs
@@ -7,7 +7,7 @@
 use umberpond_http1::Fields;
 use umberpond_model::{HomeRegions, ServiceName, TenantName, TenantNumber};
 use umberpond_quarantine::RequestKey;
-use umberpond_scheduling::{CallLevel, CallWork, LoadReport};
+use umberpond_scheduling::{CallLevel, LoadReport};
 
 use crate::body::PendingBody;
 use crate::hop::HopAnswerBody;
@@ -119,8 +119,8 @@
 /// What a call brings along of the run that makes it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RunCall {
-    /// What is lost with it.
-    pub work: CallWork,
+    /// Level of the run.
+    pub level: CallLevel,
     /// Tenant of the run, in whose share of the slots the call is counted if it names none itself. It is neither told to the back end nor
     /// charged to the tenant's quota, of which the run has taken its part.
     pub tenant: Option<TenantNumber>,
@@ -137,7 +137,7 @@
     /// Its level: that of the run which makes it, or else its own.
     #[must_use]
     pub fn level(&self) -> CallLevel {
-        self.call.map_or_else(|| level_of(&self.id), |call| call.work.level)
+        self.call.map_or_else(|| level_of(&self.id), |call| call.level)
     }
 }
 
--- a/crates/forwarding/src/outbound/prepared.rs
+++ b/crates/forwarding/src/outbound/prepared.rs
@@ -9,7 +9,7 @@
 use umberpond_http1::RequestHead;
 use umberpond_model::{HomeRegions, ServiceName, TenantName, Version};
 use umberpond_quarantine::RequestKey;
-use umberpond_scheduling::{CallWork, Dependent, WaitBounds};
+use umberpond_scheduling::{Dependent, WaitBounds};
 
 use crate::message::{RequestBody, RunCall};
 use crate::quotas::QuotaPermit;
@@ -56,8 +56,7 @@
     /// What it brings along of the run that makes it, if it is a call.
     pub(super) fn call(&self) -> Option<RunCall> {
         let run = self.run.as_ref()?;
-        let work = CallWork { spent: run.began.elapsed(), level: run.level };
-        Some(RunCall { work, tenant: run.tenant })
+        Some(RunCall { level: run.level, tenant: run.tenant })
     }
 
     /// When it is ended, whatever has become of it.
--- a/crates/forwarding/src/repeats/open_runs.rs
+++ b/crates/forwarding/src/repeats/open_runs.rs
@@ -43,16 +43,12 @@
 /// What a call inherits from the run that makes it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct RunContext {
-    /// When the run was handed to the back end.
-    pub(crate) began: Instant,
     /// Its rank among the requests for its back end.
     pub(crate) priority: u8,
     /// Level that its calls take over.
     pub(crate) level: CallLevel,
     /// Tenant on whose behalf it runs; absent if it is of none.
     pub(crate) tenant: Option<TenantNumber>,
-    /// End of the time within which its answer is of full use.
-    pub(crate) objective_at: Instant,
     /// End of the time within which its answer is of any use.
     pub(crate) deadline: Instant,
 }
@@ -111,11 +107,9 @@
         }
         let Attempt { id, is_repeat, route, deadline, .. } = attempt;
         let context = RunContext {
-            began: now,
             priority: attempt.priority,
             level: attempt.level(),
             tenant: attempt.sharing_tenant(),
-            objective_at: attempt.objective_at,
             deadline: *deadline,
         };
         let run = Run {
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -30,4 +30,4 @@
 pub use service_time::ServiceTime;
 pub use slowdown::{InvalidSlowdown, Slowdown};
 pub use wait_bounds::{Dependent, WaitBounds};
-pub use work_item::{CallWork, WorkItem};
+pub use work_item::WorkItem;
--- a/crates/scheduling/src/work_item.rs
+++ b/crates/scheduling/src/work_item.rs
@@ -32,17 +32,8 @@
     pub is_later_try: bool,
     /// Tenant on whose behalf it is sent; absent if it is of none.
     pub tenant: Option<TenantNumber>,
-    /// What waits for it elsewhere, if it is a call of a run.
-    pub call: Option<CallWork>,
-}
-
-/// The run at another back end that has made a call and waits for it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct CallWork {
-    /// Time for which the run has held its slot. It is lost if the call is refused.
-    pub spent: Duration,
-    /// Level of the request from which the run comes. The lower it is, the longer a wait the call is taken in with.
-    pub level: CallLevel,
+    /// Level of the run at another back end that waits for it, if it is a call. The lower it is, the longer a wait the call is taken in with.
+    pub call: Option<CallLevel>,
 }
 
 impl WorkItem {
@@ -78,7 +69,7 @@
 
     /// Longest expected wait with which it is taken in.
     pub(crate) fn longest_wait(&self) -> Duration {
-        self.call.map_or(self.patience, |call| self.patience.mul_f64(call.level.patience_share()))
+        self.call.map_or(self.patience, |level| self.patience.mul_f64(level.patience_share()))
     }
 
     /// Most requests that may wait when it comes, as a multiple of the slots.
--- a/crates/scheduling/tests/calls.rs
+++ b/crates/scheduling/tests/calls.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use umberpond_scheduling::{CallLevel, CallWork, Decision, Refusal, Started, Ticket, WorkItem, WorkQueue};
+use umberpond_scheduling::{CallLevel, Decision, Refusal, Started, Ticket, WorkItem, WorkQueue};
 
 fn millis(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -24,10 +24,7 @@
 }
 
 fn call(now: Instant, objective: u64) -> WorkItem {
-    WorkItem {
-        call: Some(CallWork { spent: millis(100), level: CallLevel::FIRST }),
-        ..new_work(now, objective)
-    }
+    WorkItem { call: Some(CallLevel::FIRST), ..new_work(now, objective) }
 }
 
 /// A queue before one slot, which is taken.
@@ -130,7 +127,7 @@
     let mut queue = busy_queue(now);
     queue.offer(now, new_work(now, 500));
     let of_level = |level| {
-        let work = CallWork { spent: millis(100), level: CallLevel::of_hash(level) };
+        let work = CallLevel::of_hash(level);
         WorkItem { call: Some(work), patience: millis(80), ..new_work(now, 300) }
     };
     let wait = queue.expected_wait(now, of_level(0));
--- a/crates/scheduling/tests/replay/mod.rs
+++ b/crates/scheduling/tests/replay/mod.rs
@@ -7,8 +7,8 @@
 
 use umberpond_model::ServiceName;
 use umberpond_scheduling::{
-    CallEnd, CallLevel, CallOutlook, CallWork, Decision, Dependent, RunPlan, Started, Ticket, WaitBounds,
-    WorkItem, WorkQueue,
+    CallEnd, CallLevel, CallOutlook, Decision, Dependent, RunPlan, Started, Ticket, WaitBounds, WorkItem,
+    WorkQueue,
 };
 
 /// Slots of one queue.
@@ -244,7 +244,6 @@
         };
         let slot_time = self.slot_times.get(kind.name).copied().unwrap_or(kind.work as f64);
         let service = Duration::from_secs_f64(slot_time / 1e3);
-        let spent = |run: &Request| Duration::from_millis(self.now - run.started);
         WorkItem {
             priority: run_rank.min(kind.rank),
             objective_at: bounds.arrived + bounds.objective,
@@ -254,7 +253,7 @@
             service,
             is_later_try: *is_later_try,
             tenant: None,
-            call: run.map(|run| CallWork { spent: spent(run), level: run.level }),
+            call: run.map(|run| run.level),
         }
     }
 
--- a/crates/scheduling/tests/slowdown.rs
+++ b/crates/scheduling/tests/slowdown.rs
@@ -3,9 +3,7 @@
 use std::time::{Duration, Instant};
 
 use quickcheck::quickcheck;
-use umberpond_scheduling::{
-    CallLevel, CallWork, Decision, InvalidSlowdown, Refusal, Slowdown, WorkItem, WorkQueue,
-};
+use umberpond_scheduling::{CallLevel, Decision, InvalidSlowdown, Refusal, Slowdown, WorkItem, WorkQueue};
 
 /// Longer than any word counts.
 const LONG: Duration = Duration::from_secs(1);
@@ -125,7 +123,7 @@
 #[test]
 fn a_call_for_which_a_run_waits_is_not_refused_for_slowness() {
     let now = Instant::now();
-    let call = CallWork { spent: millis(50), level: CallLevel::FIRST };
+    let call = CallLevel::FIRST;
     let of_a_run = WorkItem { call: Some(call), ..item(now, 60, 28) };
     assert_eq!(slow_queue(now, 250).offer(now, of_a_run), Decision::Start);
     let alone = slow_queue(now, 250).offer(now, item(now, 60, 28));
--- a/crates/scheduling/tests/tenant_turns.rs
+++ b/crates/scheduling/tests/tenant_turns.rs
@@ -5,7 +5,7 @@
 
 use quickcheck::QuickCheck;
 use umberpond_model::{RequestRate, TenantNumber};
-use umberpond_scheduling::{CallLevel, CallWork, Decision, Refusal, Started, Ticket, WorkItem, WorkQueue};
+use umberpond_scheduling::{CallLevel, Decision, Refusal, Started, Ticket, WorkItem, WorkQueue};
 
 const SLOTS: u32 = 9;
 const FULL: u64 = 20 * SLOTS as u64;
@@ -93,7 +93,7 @@
     make_greedy(&mut queue, now, 30);
     let objective_at = now + millis(400);
     let _ = waits(queue.offer(now, WorkItem { objective_at: now + millis(800), ..item(now, 1) }));
-    let call = Some(CallWork { spent: millis(30), level: CallLevel::FIRST });
+    let call = Some(CallLevel::FIRST);
     let call = waits(queue.offer(now, WorkItem { objective_at, call, ..item(now, GREEDY) }));
     assert_eq!(next(&mut queue, now, GREEDY), Some(Started::Run(call)));
 }
