One word for a request for which a run waits

Cause: three ways stood for it in the queue: is_depended_on, call.is_some() and call.is_none(). Change: WorkItem::is_call everywhere. Nothing else changes.

--- a/crates/scheduling/src/fair_shares.rs
+++ b/crates/scheduling/src/fair_shares.rs
@@ -285,7 +285,7 @@
     /// Quanta by which the tenant of `item` is ahead once it has taken `more`. A call is charged but held back for no share: the run that
     /// waits for it holds a slot elsewhere.
     fn quanta_ahead(&self, item: &WorkItem, more: Duration, quantum: Duration) -> u64 {
-        let tenant = item.tenant.filter(|_| item.call.is_none());
+        let tenant = item.tenant.filter(|_| !item.is_call());
         tenant.map_or(0, |tenant| quanta(self.lead(tenant, more), quantum))
     }
 
--- a/crates/scheduling/src/place.rs
+++ b/crates/scheduling/src/place.rs
@@ -41,9 +41,9 @@
     pub(crate) const fn of(item: &WorkItem, ticket: Ticket) -> Self {
         Self {
             priority: item.priority,
-            is_new: item.call.is_none(),
+            is_new: !item.is_call(),
             is_late: false,
-            is_later_try: item.call.is_none() && item.is_later_try,
+            is_later_try: !item.is_call() && item.is_later_try,
             objective_at: item.objective_at,
             ticket,
         }
--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -151,7 +151,7 @@
         if item.is_hopeless(now) {
             return Decision::Refuse(Refusal::Expired);
         }
-        if item.call.is_some() {
+        if item.is_call() {
             self.kept.on_call_offered(now, item.priority, item.service);
         }
         let has_missed = item.has_missed(now);
@@ -358,7 +358,7 @@
     /// time.
     fn slowed_end(&mut self, now: Instant, item: WorkItem) -> Option<Duration> {
         let factor = self.slowdown.factor(now);
-        if factor <= 1.0 || item.is_later_try || item.is_depended_on() || item.is_late(now) {
+        if factor <= 1.0 || item.is_later_try || item.is_call() || item.is_late(now) {
             return None;
         }
         let usual_wait = self.expected_wait(now, item);
@@ -389,13 +389,13 @@
 
     /// Whether a slot is free that `item` may take.
     fn has_slot_for(&self, now: Instant, item: &WorkItem) -> bool {
-        let may_take = || item.call.is_some() || self.kept.may_start_new(now, item.priority, self.slots);
+        let may_take = || item.is_call() || self.kept.may_start_new(now, item.priority, self.slots);
         self.running < self.slots && may_take()
     }
 
     /// Whether nothing waits before `item`, if a slot is free for it. Calls don't wait while a slot is free, but new requests do if it is kept.
     fn is_first(&self, item: &WorkItem) -> bool {
-        self.waiting.is_empty() || item.call.is_some()
+        self.waiting.is_empty() || item.is_call()
     }
 
     /// The first that may take a free slot: `item`, which waits at `place` before all others, or the first call if the free slots are kept for calls.
@@ -412,7 +412,7 @@
 
     fn start(&mut self, now: Instant, item: &WorkItem) {
         self.running += 1;
-        if item.call.is_none() {
+        if !item.is_call() {
             self.kept.on_new_started();
         }
         self.pace.on_start(now);
--- a/crates/scheduling/src/work_item.rs
+++ b/crates/scheduling/src/work_item.rs
@@ -43,7 +43,7 @@
     }
 
     /// Whether a run waits for it, which fails without its answer and not by its being late.
-    pub(crate) const fn is_depended_on(&self) -> bool {
+    pub(crate) const fn is_call(&self) -> bool {
         self.call.is_some()
     }
 
@@ -59,12 +59,12 @@
 
     /// Whether it is of less use than one that comes in time. A call is not, however late: its run waits.
     pub(crate) fn has_missed(&self, now: Instant) -> bool {
-        self.call.is_none() && (self.is_later_try || self.is_late(now))
+        !self.is_call() && (self.is_later_try || self.is_late(now))
     }
 
     /// Time by which it is reckoned to overtake others.
     pub(crate) fn urgency(&self, now: Instant) -> Duration {
-        if self.call.is_some() { Duration::ZERO } else { self.left(now) }
+        if self.is_call() { Duration::ZERO } else { self.left(now) }
     }
 
     /// Longest expected wait with which it is taken in.
@@ -74,6 +74,6 @@
 
     /// Most requests that may wait when it comes, as a multiple of the slots.
     pub(crate) const fn waiting_per_slot(&self) -> usize {
-        if self.call.is_some() { WAITING_CALLS_PER_SLOT } else { WAITING_PER_SLOT }
+        if self.is_call() { WAITING_CALLS_PER_SLOT } else { WAITING_PER_SLOT }
     }
 }
