The draw looks at speeds only where it goes by them

Cause: each choice worked out time and load of every usable endpoint, also where the draw by speed is off and none of it is used: work on the path of every request. Change: without it endpoints are grouped by distance and drawn as they are; the weighted draw keeps its module to itself. Not measured: processor time.

--- a/crates/selection/src/draw.rs
+++ b/crates/selection/src/draw.rs
@@ -1,6 +1,5 @@
 //! Draws the few endpoints among which a request's is chosen.
 
-use rand::seq::IteratorRandom;
 use rand::{Rng, RngExt};
 
 /// Share of the slots that must be free for more endpoints to be drawn: without free slots, more only choose alike by old news.
@@ -24,6 +23,11 @@
 impl DrawSettings {
     /// For back ends whose speeds differ much.
     pub const BY_SPEED: Self = Self { count: 2, uneven_count: 6, speed_power: 2.0 };
+
+    /// Whether speed and load of the endpoints matter to the draw.
+    pub(crate) fn is_by_speed(&self) -> bool {
+        self.uneven_count != self.count || self.speed_power > 0.0
+    }
 }
 
 impl Default for DrawSettings {
@@ -43,13 +47,12 @@
     pub(crate) free_share: f64,
 }
 
-/// A draw among the endpoints of a service.
+/// A draw by speed among the endpoints of a service.
 ///
 /// A slow endpoint is worth drawing only where the fast ones are busy: with all slots taken, each of them counts alike. So the weight of
 /// speed falls with the share of free slots over all candidates, which is known better than that of any single one.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Draw {
-    is_weighted: bool,
     power: f64,
     count: usize,
 }
@@ -61,16 +64,11 @@
         let free_share = candidates.iter().map(|candidate| candidate.free_share).sum::<f64>() / count;
         let is_wide = free_share >= ROOM_SHARE && are_uneven(candidates);
         let count = if is_wide { settings.uneven_count } else { settings.count };
-        let is_weighted = settings.speed_power > 0.0;
-        Self { is_weighted, power: settings.speed_power * free_share, count }
+        Self { power: settings.speed_power * free_share, count }
     }
 
-    /// Draws some of `near`, which are at one distance, all alike or by weight (sampling without replacement by Efraimidis and Spirakis).
+    /// Draws some of `near`, which are at one distance (weighted sampling without replacement by Efraimidis and Spirakis).
     pub(crate) fn draw<E>(self, near: Vec<Candidate<E>>, random: &mut impl Rng) -> Vec<E> {
-        if !self.is_weighted {
-            let endpoints = near.into_iter().map(|candidate| candidate.endpoint);
-            return endpoints.sample(random, self.count);
-        }
         let keyed = near.into_iter().map(|candidate| {
             let uniform: f64 = 1.0 - random.random::<f64>();
             (-uniform.ln() * candidate.seconds.powf(self.power), candidate.endpoint)
--- a/crates/selection/src/selector.rs
+++ b/crates/selection/src/selector.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use rand::seq::IteratorRandom;
 use rand::{Rng, RngExt};
 use umberpond_model::{Locality, NodeName, RouteName, ServiceName};
 use umberpond_scheduling::LoadReport;
@@ -254,16 +255,33 @@
         typical: f64,
         random: &mut impl Rng,
     ) -> Vec<&'a Tracked> {
+        let settings = &self.settings.draw;
+        if !settings.is_by_speed() {
+            let by_distance = self.by_distance(endpoints, |tracked| tracked);
+            let drawn =
+                by_distance.into_iter().flat_map(|near| near.into_iter().sample(random, settings.count));
+            return drawn.collect();
+        }
         let candidates: Vec<Candidate<&Tracked>> =
             endpoints.map(|tracked| candidate(now, tracked, typical)).collect();
-        let draw = Draw::among(&candidates, &self.settings.draw);
-        let mut by_distance: [Vec<Candidate<&Tracked>>; Distance::COUNT] = Default::default();
-        for candidate in candidates {
-            by_distance[self.distance(&candidate.endpoint.endpoint.locality) as usize].push(candidate);
-        }
+        let draw = Draw::among(&candidates, settings);
+        let by_distance = self.by_distance(candidates, |candidate| candidate.endpoint);
         by_distance.into_iter().flat_map(|near| draw.draw(near, random)).collect()
     }
 
+    /// The items by the distance of their endpoints.
+    fn by_distance<'a, I>(
+        &self,
+        items: impl IntoIterator<Item = I>,
+        endpoint_of: impl Fn(&I) -> &'a Tracked,
+    ) -> [Vec<I>; Distance::COUNT] {
+        let mut by_distance: [Vec<I>; Distance::COUNT] = std::array::from_fn(|_| Vec::new());
+        for item in items {
+            by_distance[self.distance(&endpoint_of(&item).endpoint.locality) as usize].push(item);
+        }
+        by_distance
+    }
+
     fn tracked(&mut self, service: &ServiceName, node: &NodeName) -> Option<&mut Tracked> {
         self.services.get_mut(service)?.get_mut(node)
     }
