--- a/crates/forwarding/src/dialect.rs
+++ b/crates/forwarding/src/dialect.rs
@@ -62,7 +62,7 @@
     pub instance: &'static str,
     /// Says that the back end did not run the request.
     pub not_executed: Marker,
-    /// Load of the back end as `running,waiting,slots`, and a fourth figure if it tells how long work takes there at this moment, in hundredths of the
+    /// Load of the back end as `running,waiting,slots`, and a fourth value if it tells its slowdown: how long work takes there at this moment, in hundredths of the
     /// usual time.
     pub load: &'static str,
     /// How much longer a back end is cold, in whole milliseconds, in its health answers; absent if back ends don't tell.
--- a/crates/forwarding/src/upstream/load_field.rs
+++ b/crates/forwarding/src/upstream/load_field.rs
@@ -1,6 +1,6 @@
 //! The field in which a back end tells its load: `running,waiting,slots`, and with some back ends how long work takes there at this moment.
 
-/// Places of the figures in the field.
+/// Positions of the values in the field, which commas separate.
 const SLOTS_PLACE: usize = 2;
 const SLOWDOWN_PLACE: usize = 3;
 
@@ -17,7 +17,7 @@
     Untold,
     /// In hundredths of the usual time.
     Percent(u16),
-    /// What it tells is no such figure.
+    /// Its fourth value is not a slowdown.
     Invalid,
 }
 
--- a/crates/scheduling/src/slowdown.rs
+++ b/crates/scheduling/src/slowdown.rs
@@ -11,9 +11,9 @@
 const USUAL_PERCENT: u16 = 100;
 /// Weight of one word in their mean: a spell has some tens of words and must not pass for the usual speed before it ends.
 const WORD_WEIGHT: f64 = 0.01;
-/// Least figure believed, in hundredths of the usual time.
+/// Smallest valid slowdown, in hundredths of the usual time.
 const LEAST_PERCENT: u16 = 10;
-/// Highest figure believed, in hundredths of the usual time.
+/// Largest valid slowdown, in hundredths of the usual time.
 const MOST_PERCENT: u16 = 10_000;
 
 /// A figure that can't be how long work takes.
--- a/crates/scheduling/src/wait_bounds.rs
+++ b/crates/scheduling/src/wait_bounds.rs
@@ -8,9 +8,8 @@
 const EXPECTED_SHARE: f64 = 0.55;
 /// Share of the time that a caller waits for which a request is held at most without having been handed to a back end.
 const HOLD_SHARE: f64 = 0.45;
-/// Share of its objective for which it is: begun later it is late for certain, and holding it without serving it costs its caller
-/// more the longer it lasts. With 0.6 calls of other requests, whose objectives are short, were given up while they still
-/// served their purpose.
+/// Share of its objective for which it is: begun later it is late for certain, and its caller does better to know. No shorter, since calls, whose
+/// objectives are short, would be given up while their runs can still use them.
 const HOLD_OBJECTIVE_SHARE: f64 = 1.0;
 
 /// Who waits for a request.
