--- a/crates/forwarding/src/calls/gate.rs
+++ b/crates/forwarding/src/calls/gate.rs
@@ -1,10 +1,10 @@
 //! Refuses runs that would fail for want of their calls, before they hold a slot.
 
 use parking_lot::Mutex;
-use tokio::time::Instant;
 use umberpond_model::ServiceName;
 use umberpond_scheduling::{CallEnd, CallOutlook, RunPlan, RunRefusal};
 
+use crate::clock::now;
 use crate::outbound::{Reply, ReplyReason};
 use crate::outcome::NotRunReason;
 use crate::repeats::RunContext;
@@ -46,7 +46,3 @@
         Some(_) | None => CallEnd::Run,
     }
 }
-
-fn now() -> std::time::Instant {
-    Instant::now().into_std()
-}
--- a/crates/forwarding/src/inbound/admission.rs
+++ b/crates/forwarding/src/inbound/admission.rs
@@ -16,6 +16,8 @@
     WorkQueue,
 };
 
+use crate::clock::now;
+
 type Verdict = Result<(), Refusal>;
 
 /// The task that waits for the verdict on one request.
@@ -129,10 +131,6 @@
     word_wanted: Notify,
 }
 
-fn now() -> std::time::Instant {
-    Instant::now().into_std()
-}
-
 impl Admission {
     /// Before a back end of which nothing is known. `keeps_slots`: whether new requests leave slots to calls.
     pub(crate) fn new(keeps_slots: bool) -> Arc<Self> {
--- a/crates/forwarding/src/inbound/back_end.rs
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -20,6 +20,7 @@
 use super::crash_watch::{CrashReport, CrashWatch};
 use super::suspect_lane::SuspectLane;
 use crate::calls::CallGate;
+use crate::clock::now;
 use crate::dialect::Dialect;
 use crate::quarantine::Quarantine;
 use crate::repeats::{OpenRuns, RetryLedger};
@@ -384,10 +385,6 @@
     }
 }
 
-fn now() -> std::time::Instant {
-    Instant::now().into_std()
-}
-
 pub(crate) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/forwarding/src/inbound/serving.rs
+++ b/crates/forwarding/src/inbound/serving.rs
@@ -15,7 +15,8 @@
 use super::back_end::{BackEnd, Inbound, millis};
 use super::crash_watch::{CrashWatch, LifeSign};
 use super::suspect_lane::SuspectPlace;
-use crate::message::{Answer, AnswerBody, Attempt, AttemptResult, NotRun, RequestBody};
+use crate::clock::now;
+use crate::message::{Answer, AnswerBody, Attempt, AttemptResult, NotRun, RequestBody, id_text};
 use crate::outcome::{NotRunReason, UnknownReason};
 use crate::suspended_time::PastMoment;
 use crate::upstream::{ExchangeEnd, ExchangeRequest, Exchanger, MISDIRECTED, UpstreamPool};
@@ -151,7 +152,7 @@
             RunPlan { route: attempt.route, rank: attempt.priority, level: attempt.level(), calls: &calls };
         let Err(refusal) = self.calls.begin_run(&plan) else { return Ok(()) };
         self.telemetry.emit(Event::RunWithheld {
-            request: text(&attempt.id),
+            request: id_text(&attempt.id),
             service: attempt.service.clone(),
             called: refusal.called,
             failing_percent: percent(refusal.failing),
@@ -193,7 +194,7 @@
     fn tell_slowed(&self, attempt: &Attempt, expected: Duration) {
         let left = attempt.objective_at.saturating_duration_since(Instant::now());
         self.telemetry.emit(Event::SlowBackEndAvoided {
-            request: text(&attempt.id),
+            request: id_text(&attempt.id),
             service: attempt.service.clone(),
             slowdown_percent: u32::from(self.load().slowdown_percent),
             usual_millis: millis(attempt.service_time),
@@ -217,7 +218,7 @@
         };
         drop(duplicates);
         let Some(reason) = found else { return Ok(()) };
-        self.telemetry.emit(Event::DuplicateRefused { request: text(&attempt.id) });
+        self.telemetry.emit(Event::DuplicateRefused { request: id_text(&attempt.id) });
         Err(reason)
     }
 
@@ -330,7 +331,7 @@
                 let has_crashed = reason.is_broken_connection() && self.find_crash(target).await;
                 let reason = if has_crashed { UnknownReason::BackEndCrashed } else { reason };
                 self.telemetry.emit(Event::ExchangeLost {
-                    request: text(&attempt.id),
+                    request: id_text(&attempt.id),
                     fingerprint: attempt.request_key.content.to_string(),
                     instance: back_end.life.to_string(),
                     reason: reason.word(),
@@ -377,7 +378,7 @@
     fn refused(&self, attempt: &Attempt, not_run: NotRun) -> AttemptResult {
         let load = self.load();
         self.telemetry.emit(Event::AdmissionRefused {
-            request: text(&attempt.id),
+            request: id_text(&attempt.id),
             service: attempt.service.clone(),
             reason: not_run.reason.word(),
             running: load.running,
@@ -406,14 +407,6 @@
     }
 }
 
-fn now() -> std::time::Instant {
-    Instant::now().into_std()
-}
-
-fn text(id: &[u8]) -> String {
-    String::from_utf8_lossy(id).into_owned()
-}
-
 fn number(value: u64) -> Bytes {
     Bytes::copy_from_slice(itoa::Buffer::new().format(value).as_bytes())
 }
--- a/crates/forwarding/src/inbound/tenant_shares.rs
+++ b/crates/forwarding/src/inbound/tenant_shares.rs
@@ -8,7 +8,7 @@
 use umberpond_telemetry::Event;
 
 use super::back_end::{Inbound, millis};
-use crate::message::Attempt;
+use crate::message::{Attempt, id_text};
 
 /// Tenants that are told one by one; the others are told together.
 const GREATEST_TENANTS: usize = 3;
@@ -39,7 +39,7 @@
         let Some(standing) = standing.filter(|standing| is_displaced || standing.is_above) else { return };
         self.telemetry.metrics().over_share(reason);
         self.telemetry.emit(Event::RequestOverShare {
-            request: String::from_utf8_lossy(&attempt.id).into_owned(),
+            request: id_text(&attempt.id),
             tenant: tenant.to_string(),
             reason,
             use_permille: standing.use_permille,
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod body;
 mod calls;
+mod clock;
 mod dialect;
 mod hop;
 mod inbound;
--- a/crates/forwarding/src/message.rs
+++ b/crates/forwarding/src/message.rs
@@ -236,3 +236,8 @@
         }
     }
 }
+
+/// The identity of a request as logs tell it.
+pub(crate) fn id_text(id: &[u8]) -> String {
+    String::from_utf8_lossy(id).into_owned()
+}
--- a/crates/forwarding/src/outbound/attempts/replying.rs
+++ b/crates/forwarding/src/outbound/attempts/replying.rs
@@ -9,7 +9,7 @@
 
 use super::Attempts;
 use crate::inbound::millis;
-use crate::message::{Answer, NotRun};
+use crate::message::{Answer, NotRun, id_text};
 use crate::outbound::come_back::RefusedRequest;
 use crate::outbound::reply::{Reply, ReplyReason, Served};
 use crate::outcome::UnknownReason;
@@ -22,7 +22,7 @@
         metrics.request("answered", RequestDetail::Status(answer.status));
         metrics.request_time(self.request.arrived.elapsed().as_secs_f64());
         self.outbound.telemetry.emit_sampled(|| Event::RequestServed {
-            request: text(&self.request.id),
+            request: id_text(&self.request.id),
             route: self.request.route.name.clone(),
             service: self.request.service.clone(),
             node: node.clone(),
@@ -98,7 +98,7 @@
 
     pub(super) fn reply(&self, reason: ReplyReason, retry_after: Option<Duration>) -> Reply {
         self.outbound.telemetry.emit(Event::RequestGivenUp {
-            request: text(&self.request.id),
+            request: id_text(&self.request.id),
             route: self.request.route.name.clone(),
             service: self.request.service.clone(),
             reason: reason.word(),
@@ -113,7 +113,7 @@
 
     fn tell_come_back(&self, refused: &RefusedRequest, after: Duration) {
         self.outbound.telemetry.emit(Event::ComeBackTold {
-            request: text(&self.request.id),
+            request: id_text(&self.request.id),
             service: self.request.service.clone(),
             reason: refused.reason.word(),
             after_millis: millis(after),
@@ -124,7 +124,7 @@
 
     pub(super) fn tell_withheld(&self, refusal: &RetryRefusal) {
         self.outbound.telemetry.emit(Event::RetryWithheld {
-            request: text(&self.request.id),
+            request: id_text(&self.request.id),
             service: self.request.service.clone(),
             attempts: self.attempts(),
             origin: self.request.origin.word(),
@@ -136,7 +136,7 @@
 
     pub(super) fn tell_retry(&self, choice: &Choice, reason: &'static str) {
         self.outbound.telemetry.emit(Event::RequestSentAgain {
-            request: text(&self.request.id),
+            request: id_text(&self.request.id),
             service: self.request.service.clone(),
             after: choice.node.clone(),
             reason,
@@ -149,7 +149,3 @@
 fn slot_wait(load: &LoadReport) -> Option<Duration> {
     load.service_time().map(|time| time / load.slots.max(1))
 }
-
-fn text(id: &[u8]) -> String {
-    String::from_utf8_lossy(id).into_owned()
-}
--- a/crates/forwarding/src/outbound/handler.rs
+++ b/crates/forwarding/src/outbound/handler.rs
@@ -19,7 +19,7 @@
 use super::state::Outbound;
 use crate::calls::{inherited_rank, inherited_time};
 use crate::inbound::millis;
-use crate::message::RequestBody;
+use crate::message::{RequestBody, id_text};
 use crate::outcome::NotRunReason;
 use crate::quotas::OverQuota;
 use crate::routing::{CompiledRoute, NoTenant, RoutingTable};
@@ -148,7 +148,7 @@
     }
 
     fn refuse_over_quota(&self, request: &PreparedRequest, tenant: &TenantName, refusal: OverQuota) -> Reply {
-        let id = String::from_utf8_lossy(&request.id).into_owned();
+        let id = id_text(&request.id);
         self.telemetry.emit(Event::RequestOverQuota { request: id, tenant: tenant.to_string() });
         self.telemetry.metrics().quota_refused();
         if let Some(refusals) = refusal.to_tell {
@@ -221,7 +221,7 @@
     }
 
     fn refuse(&self, id: Option<&Bytes>, reason: ReplyReason, retry_after: Option<Duration>) -> Reply {
-        let request = id.map_or_else(String::new, |id| String::from_utf8_lossy(id).into_owned());
+        let request = id.map_or_else(String::new, |id| id_text(id));
         self.telemetry.emit(Event::RequestTurnedAway { request, reason: reason.word() });
         self.own_reply(reason, retry_after, id)
     }
--- a/crates/forwarding/src/outbound/state.rs
+++ b/crates/forwarding/src/outbound/state.rs
@@ -11,7 +11,6 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use thiserror::Error;
-use tokio::time::Instant;
 use umberpond_config::RequestLimits;
 use umberpond_model::{Locality, NodeName, ServiceName, Version, ZoneName};
 use umberpond_net::Network;
@@ -22,6 +21,7 @@
 
 use super::caller_times::CallerTimes;
 use super::reply::{Reply, ReplyReason};
+use crate::clock::now;
 use crate::dialect::Dialect;
 use crate::hop::{HopPool, HopPoolSettings};
 use crate::inbound::{Inbound, InboundAccess};
@@ -316,7 +316,3 @@
         *node == self.node
     }
 }
-
-fn now() -> std::time::Instant {
-    Instant::now().into_std()
-}
--- a/crates/forwarding/src/quarantine.rs
+++ b/crates/forwarding/src/quarantine.rs
@@ -8,13 +8,14 @@
 
 use parking_lot::Mutex;
 use tokio::sync::Notify;
-use tokio::time::Instant;
 use umberpond_quarantine::{
     CrashId, Joined, QuarantineSettings, RequestFingerprint, RequestKey, Standing, SuspectLedger,
     SuspectRecord,
 };
 use umberpond_telemetry::{Event, Telemetry};
 
+use crate::clock::now;
+
 /// Where a finding comes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FindingSource {
@@ -183,7 +184,3 @@
         });
     }
 }
-
-fn now() -> std::time::Instant {
-    Instant::now().into_std()
-}
--- a/crates/forwarding/src/quotas.rs
+++ b/crates/forwarding/src/quotas.rs
@@ -10,6 +10,8 @@
 use umberpond_model::{TenantName, TenantNumber};
 use umberpond_quotas::{LONGEST_WAIT, QuotaGrant, QuotaReport, QuotaSharing, Quotas, TokenAnswer, TokenPool};
 
+use crate::clock::now;
+
 #[cfg(test)]
 mod tests;
 
@@ -234,7 +236,3 @@
         self.gate.give_back(self.tenant, self.good_until);
     }
 }
-
-fn now() -> std::time::Instant {
-    Instant::now().into_std()
-}
--- a/crates/scheduling/src/fair_shares.rs
+++ b/crates/scheduling/src/fair_shares.rs
@@ -10,6 +10,7 @@
 use umberpond_model::TenantNumber;
 
 use crate::WorkItem;
+use crate::load::permille;
 use crate::place::{Place, PlaceClass};
 
 /// Time without a request after which nothing is kept of a tenant.
@@ -334,8 +335,3 @@
     let quanta = lead.as_nanos() / quantum.max(LEAST_QUANTUM).as_nanos();
     u64::try_from(quanta).unwrap_or(u64::MAX)
 }
-
-#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-fn permille(share: f64) -> u16 {
-    (share * 1000.0).clamp(0.0, 1000.0) as u16
-}
--- a/crates/scheduling/src/load.rs
+++ b/crates/scheduling/src/load.rs
@@ -32,3 +32,9 @@
         if self.service_micros == 0 { None } else { Some(Duration::from_micros(self.service_micros as u64)) }
     }
 }
+
+/// A share in thousandths.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "between 0 and 1,000")]
+pub(crate) fn permille(share: f64) -> u16 {
+    (share * 1000.0).clamp(0.0, 1000.0) as u16
+}
--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -8,6 +8,7 @@
 use crate::admitted_work::AdmittedWork;
 use crate::fair_shares::{FairShares, TenantStanding, WaitingTurns};
 use crate::kept_slots::KeptSlots;
+use crate::load::permille;
 use crate::place::Place;
 use crate::{
     ColdPace, Decision, DisplacedRequest, LoadReport, Refusal, ServiceTime, Slowdown, Started, Ticket,
@@ -475,8 +476,3 @@
         Self::new()
     }
 }
-
-#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-fn permille(share: f64) -> u16 {
-    (share * 1000.0).clamp(0.0, 1000.0) as u16
-}
