The gate asks its queue whether a slot is wanted

Cause: each request whose runs make calls had a whole load report made, numbered and thrown away, only to learn whether others want the slot. Change: WorkQueue::is_slot_wanted, the same condition without a report.

--- a/crates/forwarding/src/inbound/admission.rs
+++ b/crates/forwarding/src/inbound/admission.rs
@@ -239,6 +239,11 @@
         self.state.lock().queue.slowdown().usual_time(now(), taken)
     }
 
+    /// Whether requests wait for a slot, or were refused one a moment ago.
+    pub(crate) fn is_slot_wanted(&self) -> bool {
+        self.state.lock().queue.is_slot_wanted(now())
+    }
+
     /// The load, for others.
     pub(crate) fn report(&self) -> LoadReport {
         self.state.lock().queue.report(now())
--- a/crates/forwarding/src/inbound/serving.rs
+++ b/crates/forwarding/src/inbound/serving.rs
@@ -145,7 +145,7 @@
     fn check_room_for_calls(&self, attempt: &Attempt) -> Result<(), NotRun> {
         let Some(ledger) = self.ledger.get() else { return Ok(()) };
         let calls = ledger.calls_of(attempt.route);
-        if calls.is_empty() || !self.is_slot_wanted() {
+        if calls.is_empty() || !self.admission.is_slot_wanted() {
             return Ok(());
         }
         let plan =
@@ -162,12 +162,6 @@
         Err(NotRun { retry_after: Some(refusal.come_back), ..not_run })
     }
 
-    /// Whether requests wait for a slot, or were refused one a moment ago.
-    fn is_slot_wanted(&self) -> bool {
-        let load = self.admission.report();
-        load.waiting > 0 || load.refused_rank.is_some()
-    }
-
     /// Waits for a slot; a request whose body comes over the link waits for its turn there first, so that it holds no
     /// slot meanwhile.
     async fn admit(&self, attempt: &mut Attempt) -> Result<Permit, Refusal> {
--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -339,6 +339,12 @@
         }
     }
 
+    /// Whether requests wait for a slot, or were refused one a moment ago.
+    #[must_use]
+    pub fn is_slot_wanted(&self, now: Instant) -> bool {
+        !self.waiting.is_empty() || self.refused_rank(now).is_some()
+    }
+
     /// Whether requests of this rank or a more urgent one that could still meet their objective were refused a moment ago.
     fn is_contended(&self, now: Instant, priority: u8) -> bool {
         let turn = self.mean_service_time() / self.slots.max(1);
