Log the request limits and leaving signals that back ends send in their responses

Change: one function reads both signals from the head of a response, at the node beside the back end and at the node that forwards the response to its caller. Events 3013 request-limit-changed and 3014 back-end-leaving tell the instance, the value before and after, where it was learned and the request; umberpond_request_limit_per_second and umberpond_invalid_request_limits are new. No decision uses any of it yet. The names of the platform's fields stand in platform/ only.

--- a/crates/forwarding/src/header_profile.rs
+++ b/crates/forwarding/src/header_profile.rs
@@ -70,6 +70,11 @@
     /// Remaining warm-up time of a back end in whole milliseconds, in its health responses; `None` if back
     /// ends don't report it.
     pub warmup_millis: Option<&'static str>,
+    /// Requests per second that the back end accepts from all nodes together, in its responses, while it
+    /// limits them.
+    pub request_limit: &'static str,
+    /// Indicates that the back end is about to shut down.
+    pub leaving: HeaderMatcher,
     /// Signature by which the back end proves the body is its own; `None` if back ends don't sign.
     pub signature: Option<&'static str>,
     /// Header fields added to each response to a caller; `None` if callers don't know such fields.
@@ -92,6 +97,8 @@
         not_executed: HeaderMatcher { name: "umberpond-outcome", value: Some("rejected") },
         load: "umberpond-load",
         warmup_millis: Some("umberpond-cold-millis"),
+        request_limit: "umberpond-request-limit",
+        leaving: HeaderMatcher { name: "umberpond-leaving", value: Some("1") },
         signature: None,
         response_headers: Some(ResponseHeaders {
             outcome: "umberpond-outcome",
--- a/crates/forwarding/src/inbound/back_end.rs
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -12,7 +12,7 @@
 use umberpond_model::{BackEndProcess, RegionName, ReleaseName, RequestRate, ServiceName};
 use umberpond_net::Network;
 use umberpond_rollouts::{ResponseTally, RouteTally};
-use umberpond_scheduling::{ColdStartLimiter, DuplicateWindow, LoadReport};
+use umberpond_scheduling::{AdvertisedLimit, ColdStartLimiter, DuplicateWindow, LoadReport};
 use umberpond_telemetry::{Event, Telemetry};
 
 use super::admission::Admission;
@@ -26,9 +26,7 @@
 use crate::retries::{ActiveRuns, RetryLedger};
 use crate::routing::TenantTable;
 use crate::suspended_time::SuspendedTime;
-use crate::upstream::{
-    Health, LoadListener, ReportedSlowdown, UpstreamPool, UpstreamSettings, parse_slowdown, probe_health,
-};
+use crate::upstream::{Health, ReportedSlowdown, UpstreamPool, UpstreamSettings, probe_health};
 
 /// Settings of the inbound side.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -76,6 +74,23 @@
     pub(super) pool: Arc<UpstreamPool>,
     pub(super) watch: Arc<CrashWatch>,
     pub(super) is_open: bool,
+    /// Request limit that it advertises.
+    pub(super) limit: AdvertisedLimit,
+    /// Whether a response has said that it is about to shut down.
+    pub(super) is_leaving: bool,
+}
+
+impl CurrentBackEnd {
+    fn new(back_end: BackEnd, pool: Arc<UpstreamPool>) -> Self {
+        Self {
+            back_end,
+            pool,
+            watch: Arc::default(),
+            is_open: false,
+            limit: AdvertisedLimit::default(),
+            is_leaving: false,
+        }
+    }
 }
 
 /// Tenants and region by which this node accepts requests, whatever the callers' nodes have checked.
@@ -176,17 +191,17 @@
             self.admission.reset_back_end();
             self.response_tallies.lock().clear();
         }
-        let (pool, watch) = match current.take() {
-            Some(held) if is_same && !held.watch.is_crash_known() => (held.pool, held.watch),
+        let held = match current.take() {
+            Some(held) if is_same && !held.watch.is_crash_known() => held,
             // Also covers a back end that crashed and restarted under the same name.
             before => {
                 self.handle_replacement(before);
-                (self.new_pool(back_end.address), Arc::default())
+                CurrentBackEnd::new(back_end.clone(), self.new_pool(back_end.address))
             }
         };
         self.admission.open(back_end.slots);
         self.transfers.open();
-        *current = Some(CurrentBackEnd { back_end, pool, watch, is_open: true });
+        *current = Some(CurrentBackEnd { back_end, is_open: true, ..held });
     }
 
     /// Handles the replacement of `before` by another process of the back end. If `before` was still
@@ -316,7 +331,7 @@
     }
 
     /// Records the slowdown that the back end reports.
-    fn on_reported_slowdown(&self, slowdown: ReportedSlowdown) {
+    pub(super) fn on_reported_slowdown(&self, slowdown: ReportedSlowdown) {
         let is_valid = match slowdown {
             ReportedSlowdown::Unreported => return,
             ReportedSlowdown::Percent(percent) => self.admission.on_slowdown(percent).is_ok(),
@@ -386,12 +401,6 @@
     }
 }
 
-impl LoadListener for Inbound {
-    fn on_load_field(&self, field: &str) {
-        self.on_reported_slowdown(parse_slowdown(field));
-    }
-}
-
 pub(crate) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/forwarding/src/inbound/mod.rs
+++ b/crates/forwarding/src/inbound/mod.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod back_end;
 mod crash_watch;
+mod response_observer;
 mod serving;
 mod suspect_limiter;
 mod tenant_shares;
@@ -12,3 +13,4 @@
 pub(crate) use admission::Permit;
 pub use back_end::{BackEnd, Inbound, InboundSettings};
 pub(crate) use back_end::{InboundAccess, millis};
+pub(crate) use response_observer::limit_text;
--- a/crates/forwarding/src/inbound/serving.rs
+++ b/crates/forwarding/src/inbound/serving.rs
@@ -14,6 +14,7 @@
 use super::admission::Permit;
 use super::back_end::{BackEnd, Inbound, millis};
 use super::crash_watch::{CrashWatch, Liveness};
+use super::response_observer::ResponseObserver;
 use super::suspect_limiter::SuspectPlace;
 use crate::clock::now;
 use crate::message::{Attempt, AttemptResult, NotRun, RequestBody, Response, ResponseBody, id_text};
@@ -281,7 +282,8 @@
             fields: &fields,
             deadline: attempt.deadline,
         };
-        let exchanger = Exchanger { pool, header_profile: &self.header_profile, load_listener: self };
+        let observer = ResponseObserver { inbound: self, process: &back_end.process, request: &attempt.id };
+        let exchanger = Exchanger { pool, header_profile: &self.header_profile, listener: &observer };
         let run = self.runs.begin(&attempt);
         let key = attempt.request_key;
         let run_watch = watch.begin(attempt.id.clone(), key, place.is_some());
--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -145,6 +145,9 @@
         };
         sent.is_open = false;
         self.observe(choice, &result, began.elapsed());
+        if let AttemptResult::Answered(response) = &result {
+            outbound.on_response(&self.request, choice, began, response);
+        }
         result
     }
 
--- /dev/null
+++ b/crates/forwarding/src/outbound/back_end_notices.rs
@@ -0,0 +1,100 @@
+//! What back ends have said about new requests in the responses that this node has forwarded to callers.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Instant;
+
+use umberpond_model::{BackEndProcess, RequestRate};
+use umberpond_scheduling::AdvertisedLimit;
+
+use crate::upstream::BackEndSignals;
+
+/// Maximum number of back ends whose notices are kept.
+const MAX_NOTICES: usize = 4096;
+
+/// What one back-end process has said.
+#[derive(Debug, Clone)]
+struct Notice {
+    process: BackEndProcess,
+    limit: AdvertisedLimit,
+    is_leaving: bool,
+}
+
+impl Notice {
+    fn new(process: &BackEndProcess) -> Self {
+        Self { process: process.clone(), limit: AdvertisedLimit::default(), is_leaving: false }
+    }
+}
+
+/// Changes that one response has made to the notices.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct NoticeChange {
+    pub(super) limit_before: Option<RequestRate>,
+    pub(super) limit: Option<RequestRate>,
+    /// Whether the back end has said for the first time that it is about to shut down.
+    pub(super) has_begun_to_leave: bool,
+}
+
+/// The notices of all back ends. They outlive the endpoints, so that they still hold when the node beside a back
+/// end has restarted and knows nothing about it.
+#[derive(Debug, Default)]
+pub(super) struct BackEndNotices {
+    /// By identity of the back end.
+    notices: BTreeMap<String, Notice>,
+    /// The identities in the order in which their notices were added.
+    added: VecDeque<String>,
+}
+
+impl BackEndNotices {
+    /// Applies a response of `process` to a request that was sent at `sent_at`.
+    pub(super) fn on_response(
+        &mut self,
+        now: Instant,
+        sent_at: Instant,
+        process: &BackEndProcess,
+        signals: BackEndSignals,
+    ) -> NoticeChange {
+        let known = self.notice(process).cloned();
+        let mut notice = known.clone().unwrap_or_else(|| Notice::new(process));
+        let limit_before = notice.limit.rate();
+        notice.limit.on_response(now, sent_at, signals.limit);
+        let has_begun_to_leave = signals.is_leaving && !notice.is_leaving;
+        notice.is_leaving |= signals.is_leaving;
+        let change = NoticeChange { limit_before, limit: notice.limit.rate(), has_begun_to_leave };
+        if known.is_some() || notice.is_leaving || notice.limit.rate().is_some() {
+            self.store(notice);
+        }
+        change
+    }
+
+    /// Request limit that `process` has advertised.
+    #[cfg(test)]
+    pub(super) fn limit(&self, process: &BackEndProcess) -> Option<RequestRate> {
+        self.notice(process)?.limit.rate()
+    }
+
+    /// Whether `process` has said that it is about to shut down.
+    #[cfg(test)]
+    pub(super) fn is_leaving(&self, process: &BackEndProcess) -> bool {
+        self.notice(process).is_some_and(|notice| notice.is_leaving)
+    }
+
+    fn notice(&self, process: &BackEndProcess) -> Option<&Notice> {
+        self.notices.get(&process.instance).filter(|notice| notice.process.may_equal(process))
+    }
+
+    fn store(&mut self, notice: Notice) {
+        let instance = notice.process.instance.clone();
+        if self.notices.insert(instance.clone(), notice).is_some() {
+            return;
+        }
+        self.added.push_back(instance);
+        if self.added.len() > MAX_NOTICES
+            && let Some(oldest) = self.added.pop_front()
+        {
+            self.notices.remove(&oldest);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/forwarding/src/outbound/back_end_notices/tests.rs
@@ -0,0 +1,65 @@
+//! Notices of back ends that restart, and the bound on their number.
+
+use std::time::{Duration, Instant};
+
+use umberpond_model::{BackEndProcess, RequestRate};
+use umberpond_scheduling::LimitReport;
+
+use super::{BackEndNotices, MAX_NOTICES};
+use crate::upstream::BackEndSignals;
+
+const LATER: Duration = Duration::from_secs(1);
+
+fn rate() -> RequestRate {
+    RequestRate::per_second(12.3).unwrap()
+}
+
+fn signals(limit: LimitReport, is_leaving: bool) -> BackEndSignals {
+    BackEndSignals { limit, has_invalid_limit: false, is_leaving }
+}
+
+fn process(started_at: Option<u64>) -> BackEndProcess {
+    BackEndProcess { instance: "i-1".to_owned(), started_at }
+}
+
+#[test]
+fn notice_holds_while_the_start_of_the_process_is_unknown() {
+    let (now, mut notices) = (Instant::now(), BackEndNotices::default());
+    notices.on_response(now, now, &process(Some(7)), signals(LimitReport::Limited(rate()), true));
+    assert_eq!(notices.limit(&process(None)), Some(rate()));
+    assert!(notices.is_leaving(&process(None)));
+}
+
+#[test]
+fn notice_ends_with_its_process() {
+    let (now, mut notices) = (Instant::now(), BackEndNotices::default());
+    notices.on_response(now, now, &process(Some(7)), signals(LimitReport::Limited(rate()), true));
+    let next = process(Some(8));
+    assert_eq!(notices.limit(&next), None);
+    assert!(!notices.is_leaving(&next));
+    let change = notices.on_response(now, now, &next, signals(LimitReport::Limited(rate()), false));
+    assert_eq!((change.limit_before, change.limit), (None, Some(rate())));
+    assert!(!notices.is_leaving(&next));
+}
+
+#[test]
+fn response_without_a_limit_ends_it_and_leaving_stays() {
+    let (now, mut notices) = (Instant::now(), BackEndNotices::default());
+    notices.on_response(now, now, &process(None), signals(LimitReport::Limited(rate()), true));
+    let change =
+        notices.on_response(now + LATER, now + LATER, &process(None), signals(LimitReport::Unlimited, false));
+    assert_eq!((change.limit_before, change.limit), (Some(rate()), None));
+    assert!(notices.is_leaving(&process(None)));
+}
+
+#[test]
+fn number_of_notices_is_bounded() {
+    let (now, mut notices) = (Instant::now(), BackEndNotices::default());
+    for number in 0..=MAX_NOTICES {
+        let process = BackEndProcess::of(&format!("i-{number}"));
+        notices.on_response(now, now, &process, signals(LimitReport::Unknown, true));
+    }
+    assert!(!notices.is_leaving(&BackEndProcess::of("i-0")));
+    assert!(notices.is_leaving(&BackEndProcess::of("i-1")));
+    assert_eq!(notices.added.len(), MAX_NOTICES);
+}
--- a/crates/forwarding/src/outbound/mod.rs
+++ b/crates/forwarding/src/outbound/mod.rs
@@ -2,6 +2,7 @@
 //! attempts and replies to the callers.
 
 mod attempts;
+mod back_end_notices;
 mod caller_timeouts;
 mod expected_duration;
 mod failed_response;
--- a/crates/forwarding/src/outbound/state.rs
+++ b/crates/forwarding/src/outbound/state.rs
@@ -11,24 +11,29 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use thiserror::Error;
+use tokio::time::Instant;
 use umberpond_config::RequestLimits;
-use umberpond_model::{Locality, NodeName, ServiceName, Version, ZoneName};
+use umberpond_model::{BackEndProcess, Locality, NodeName, ServiceName, Version, ZoneName};
 use umberpond_net::Network;
 use umberpond_quotas::{PooledShares, quotas_of};
 use umberpond_scheduling::LoadReport;
-use umberpond_selection::{Endpoint, ReleaseShare, RetryBudgetSettings, Selector, SelectorSettings};
-use umberpond_telemetry::{RequestDetail, Telemetry};
+use umberpond_selection::{Choice, Endpoint, ReleaseShare, RetryBudgetSettings, Selector, SelectorSettings};
+use umberpond_telemetry::{Event, RequestDetail, Telemetry};
 
+use super::back_end_notices::BackEndNotices;
 use super::caller_timeouts::CallerTimeouts;
+use super::prepared::PreparedRequest;
 use super::reply::{Reply, ReplyReason};
 use crate::clock::now;
 use crate::header_profile::HeaderProfile;
 use crate::hop::{HopPool, HopPoolSettings};
-use crate::inbound::{Inbound, InboundAccess};
+use crate::inbound::{Inbound, InboundAccess, limit_text};
+use crate::message::{Response, id_text};
 use crate::quarantine::Quarantine;
 use crate::quotas::QuotaGate;
 use crate::retries::RetryLedger;
 use crate::routing::{RoutingTable, SplitSequences};
+use crate::upstream::BackEndSignals;
 
 /// Settings of the outbound half.
 #[derive(Debug, Clone, PartialEq)]
@@ -87,6 +92,7 @@
     pub(super) quotas: Arc<QuotaGate>,
     pub(super) caller_timeouts: Mutex<CallerTimeouts>,
     pub(super) splits: Mutex<SplitSequences>,
+    notices: Mutex<BackEndNotices>,
 }
 
 impl std::fmt::Debug for Outbound {
@@ -144,6 +150,7 @@
             table: ArcSwapOption::empty(),
             caller_timeouts: Mutex::default(),
             splits: Mutex::default(),
+            notices: Mutex::default(),
         })
     }
 
@@ -284,6 +291,37 @@
         self.hops.clear();
     }
 
+    /// Applies what the back end chosen for a request says in its response. The request was sent at `sent_at`.
+    pub(super) fn on_response(
+        &self,
+        request: &PreparedRequest,
+        choice: &Choice,
+        sent_at: Instant,
+        response: &Response,
+    ) {
+        let signals = BackEndSignals::read(&self.header_profile, response.status, &response.fields);
+        let process = BackEndProcess::parse(&choice.instance);
+        let change = self.notices.lock().on_response(now(), sent_at.into_std(), &process, signals);
+        if change.limit != change.limit_before {
+            self.telemetry.emit(Event::RequestLimitChanged {
+                instance: choice.instance.clone(),
+                service: request.service.clone(),
+                limit: limit_text(change.limit),
+                before: limit_text(change.limit_before),
+                source: "forwarded",
+                request: id_text(&request.id),
+            });
+        }
+        if change.has_begun_to_leave {
+            self.telemetry.emit(Event::BackEndLeaving {
+                instance: choice.instance.clone(),
+                service: request.service.clone(),
+                source: "forwarded",
+                request: id_text(&request.id),
+            });
+        }
+    }
+
     /// Requests that are suspected of crashing back ends.
     pub(super) fn quarantine(&self) -> &Quarantine {
         self.inbound.quarantine()
--- a/crates/forwarding/src/upstream/exchange.rs
+++ b/crates/forwarding/src/upstream/exchange.rs
@@ -14,7 +14,6 @@
 
 use super::body::UpstreamBody;
 use super::connection::UpstreamConnection;
-use super::load_field::LoadListener;
 use super::pool::UpstreamPool;
 use crate::body::{BodyStream, PendingBody};
 use crate::header_profile::HeaderProfile;
@@ -63,8 +62,14 @@
 pub(crate) struct Exchanger<'a> {
     pub(crate) pool: &'a Arc<UpstreamPool>,
     pub(crate) header_profile: &'a HeaderProfile,
-    /// Receives the load field of each response before the response body is read.
-    pub(crate) load_listener: &'a dyn LoadListener,
+    /// Receives the head of each response before the response body is read.
+    pub(crate) listener: &'a dyn ResponseListener,
+}
+
+/// Receives the heads of a back end's responses.
+pub(crate) trait ResponseListener: Send + Sync {
+    /// Called with the head of the response to a request that was sent at `sent_at`.
+    fn on_response_head(&self, sent_at: Instant, head: &ResponseHead);
 }
 
 /// Why no response head was received.
@@ -113,6 +118,7 @@
         request: &ExchangeRequest<'_>,
         body: RequestBody,
     ) -> Result<ExchangeEnd, HeadFailure> {
+        let sent_at = Instant::now();
         let (head, is_sent_whole) = match body {
             RequestBody::Whole(whole) => {
                 let is_sent_whole = write_whole(&mut connection, request, &whole).await?;
@@ -123,6 +129,7 @@
             }
             RequestBody::Consumed => return Ok(ExchangeEnd::NotSent(NotRunReason::BodyBroken)),
         };
+        self.listener.on_response_head(sent_at, &head);
         self.read_response(connection, request, head, is_sent_whole).await
     }
 
@@ -229,9 +236,6 @@
         head: ResponseHead,
         is_sent_whole: bool,
     ) -> Result<ExchangeEnd, HeadFailure> {
-        if let Some(load) = head.fields.text(self.header_profile.load) {
-            self.load_listener.on_load_field(load);
-        }
         let invalid = Ok(ExchangeEnd::Unknown(UnknownReason::InvalidResponse));
         let Ok(framing) = response_framing(&head, request.method) else { return invalid };
         let is_kept =
--- a/crates/forwarding/src/upstream/load_field.rs
+++ b/crates/forwarding/src/upstream/load_field.rs
@@ -5,12 +5,6 @@
 const SLOTS_POSITION: usize = 2;
 const SLOWDOWN_POSITION: usize = 3;
 
-/// Receives the load fields of a back end's responses.
-pub(crate) trait LoadListener: Send + Sync {
-    /// Called for each response with a load field, with the raw value of the field.
-    fn on_load_field(&self, field: &str);
-}
-
 /// Current slowdown of a back end, as it reports it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReportedSlowdown {
--- a/crates/forwarding/tests/support/mod.rs
+++ b/crates/forwarding/tests/support/mod.rs
@@ -43,6 +43,8 @@
     not_executed: HeaderMatcher { name: "umberpond-rejected", value: None },
     load: "umberpond-load",
     warmup_millis: Some("umberpond-cold"),
+    request_limit: "umberpond-request-limit",
+    leaving: HeaderMatcher { name: "umberpond-leaving", value: Some("1") },
     signature: Some("x-proof"),
     response_headers: None,
 };
--- a/crates/model/src/back_end_process.rs
+++ b/crates/model/src/back_end_process.rs
@@ -20,6 +20,15 @@
         Self { instance: instance.to_owned(), started_at: None }
     }
 
+    /// Parses the text form of a process, which is the identity, and `@` and the start time if that is known.
+    #[must_use]
+    pub fn parse(text: &str) -> Self {
+        let with_start = text.rsplit_once('@').and_then(|(instance, started_at)| {
+            Some(Self { instance: instance.to_owned(), started_at: Some(started_at.parse().ok()?) })
+        });
+        with_start.unwrap_or_else(|| Self::of(text))
+    }
+
     /// Whether `self` and `other` may be the same process. A process with an unknown start time matches any
     /// process of the same back end.
     #[must_use]
--- /dev/null
+++ b/crates/scheduling/src/advertised_limit.rs
@@ -0,0 +1,59 @@
+//! The request limit that a back end advertises in its responses.
+
+use std::time::Instant;
+
+use umberpond_model::RequestRate;
+
+/// What one response says about the request limit of the back end that sent it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LimitReport {
+    /// The back end accepts this many requests from all nodes together.
+    Limited(RequestRate),
+    /// The back end does not limit its requests.
+    Unlimited,
+    /// Nothing: the value is invalid, or the response lacks the usual fields because it reports a failure.
+    Unknown,
+}
+
+/// The request limit of one back-end process, as far as its responses tell. It is in effect from the first
+/// response with a limit until a response without one.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct AdvertisedLimit {
+    rate: Option<RequestRate>,
+    /// When the first response with the limit arrived; absent without a limit.
+    since: Option<Instant>,
+    /// Whether a response has told whether there is a limit.
+    is_confirmed: bool,
+}
+
+impl AdvertisedLimit {
+    /// The rate limit in effect.
+    #[must_use]
+    pub const fn rate(&self) -> Option<RequestRate> {
+        self.rate
+    }
+
+    /// Applies the report of a response to a request that was sent at `sent_at`. Returns whether the rate has
+    /// changed.
+    ///
+    /// A response without a limit to a request that was sent before the limit was known changes nothing: it may
+    /// have been generated earlier than the response that advertised the limit.
+    pub fn on_response(&mut self, now: Instant, sent_at: Instant, report: LimitReport) -> bool {
+        match report {
+            LimitReport::Limited(rate) => {
+                self.is_confirmed = true;
+                self.set(now, Some(rate))
+            }
+            LimitReport::Unlimited if self.since.is_none_or(|since| since <= sent_at) => {
+                self.is_confirmed = true;
+                self.set(now, None)
+            }
+            LimitReport::Unlimited | LimitReport::Unknown => false,
+        }
+    }
+
+    fn set(&mut self, now: Instant, rate: Option<RequestRate>) -> bool {
+        self.since = rate.map(|_| self.since.unwrap_or(now));
+        std::mem::replace(&mut self.rate, rate) != rate
+    }
+}
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -7,6 +7,7 @@
 //! what runs. The crate performs no I/O and reads no clock: the current time is an argument.
 
 mod admitted_work;
+mod advertised_limit;
 mod call_failure_estimator;
 mod call_level;
 mod cold_start_limiter;
@@ -22,6 +23,7 @@
 mod wait_bounds;
 mod work_item;
 
+pub use advertised_limit::{AdvertisedLimit, LimitReport};
 pub use call_failure_estimator::{CallFailureEstimator, CallOutcome, PendingRun, RunRefusal};
 pub use call_level::CallLevel;
 pub use cold_start_limiter::ColdStartLimiter;
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -118,6 +118,10 @@
         = 3011, Warn, "announcement-refused", "An announcement of a back end is invalid and was ignored.";
     BackEndCrashed { instance: String, service: ServiceName, found: &'static str, requests: u64, fingerprints: String }
         = 3012, Warn, "back-end-crashed", "The back end has terminated without announcing it: it refuses connections, or another process has taken its place (`replaced`). `fingerprints` are those of the requests that ran there.";
+    RequestLimitChanged { instance: String, service: ServiceName, limit: String, before: String, source: &'static str, request: String }
+        = 3013, Info, "request-limit-changed", "The back end advertises another limit on the requests of all nodes together, or none any more. `source` is where this node learned it: at the back end beside it (`response`, `health-check`), in the response to a caller of this node (`forwarded`), or from a caller's node that remembers it (`other-node`).";
+    BackEndLeaving { instance: String, service: ServiceName, source: &'static str, request: String }
+        = 3014, Info, "back-end-leaving", "A response of the back end says that it is about to shut down: this node sends it no new requests. `source` is as in 3013.";
 
     // Requests
     DuplicateRefused { request: String }
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -9,6 +9,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
+use umberpond_model::RequestRate;
 
 /// Upper bound of the first bucket of the request histogram, in seconds.
 const FIRST_BUCKET_BOUND_SECONDS: f64 = 0.000_25;
@@ -202,6 +203,8 @@
     sharing_tenants: Gauge,
     tenant_uses: Family<TenantLabels, Gauge>,
     over_share: Family<OverShareLabels, Counter>,
+    request_limit: Gauge<f64, AtomicU64>,
+    invalid_request_limits: Counter,
 }
 
 impl Default for Metrics {
@@ -229,11 +232,14 @@
             sharing_tenants: Gauge::default(),
             tenant_uses: Family::default(),
             over_share: Family::default(),
+            request_limit: Gauge::default(),
+            invalid_request_limits: Counter::default(),
         };
         metrics.register_control();
         metrics.register_requests();
         metrics.register_quotas();
         metrics.register_shares();
+        metrics.register_request_limits();
         metrics
     }
 }
@@ -356,6 +362,30 @@
         );
     }
 
+    fn register_request_limits(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "request_limit_per_second",
+            "Limit that the back end beside this node advertises; 0 if it advertises none",
+            self.request_limit.clone(),
+        );
+        registry.register(
+            "invalid_request_limits",
+            "Responses of the back end with an invalid request limit",
+            self.invalid_request_limits.clone(),
+        );
+    }
+
+    /// Sets the request limit that the back end advertises.
+    pub fn set_request_limit(&self, limit: Option<RequestRate>) {
+        self.request_limit.set(limit.map_or(0.0, RequestRate::as_f64));
+    }
+
+    /// Counts a response with an invalid request limit.
+    pub fn invalid_request_limit(&self) {
+        self.invalid_request_limits.inc();
+    }
+
     /// Counts one control message of `bytes` bytes on the wire.
     pub fn control(&self, direction: Direction, kind: &'static str, bytes: usize) {
         let labels = ControlLabels { direction: direction.name(), kind };
