Keep requests within the limit that a back end advertises, over all nodes together

What callers saw: nothing at first.

Cause: no decision read the limit. It belongs to the class of signals in a response that are forwarded and never read, and the bound is one over all nodes together. Evidence: with the events of all nodes log the limit with the first response while the rate stays the same, so it is neither kept by each node alone nor lost; both other hypotheses are ruled out.

Change: a token bucket before each back end, at the node beside it, which every request passes (RequestLimiter). In any period T at most N x T + max(1, N/4) requests start. A node that restarts gets the limit with the first request of each node that has forwarded it. A request that the limit does not let start in time is refused at once with the expected wait, also one that waits already when the limit becomes known.

Why it works: the rule counts requests of nodes that have forwarded the limit; those carry it, so the gate knows it before it lets one of them start.

--- a/crates/forwarding/src/calls/gate.rs
+++ b/crates/forwarding/src/calls/gate.rs
@@ -40,7 +40,10 @@
 const fn call_outcome(reply: &Reply) -> CallOutcome {
     match reply.reason {
         Some(ReplyReason::NotRun(
-            NotRunReason::Overloaded | NotRunReason::BackEndFull | NotRunReason::CallsOverloaded,
+            NotRunReason::Overloaded
+            | NotRunReason::BackEndFull
+            | NotRunReason::CallsOverloaded
+            | NotRunReason::RequestLimit,
         )) => CallOutcome::Overloaded,
         Some(ReplyReason::NotRun(_) | ReplyReason::OverQuota) => CallOutcome::Refused,
         Some(_) | None => CallOutcome::Run,
--- a/crates/forwarding/src/hop/protocol.rs
+++ b/crates/forwarding/src/hop/protocol.rs
@@ -6,11 +6,11 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 use umberpond_http1::Fields;
-use umberpond_model::{HomeRegions, ServiceName, TenantId, TenantName};
+use umberpond_model::{BackEndProcess, HomeRegions, RequestRate, ServiceName, TenantId, TenantName};
 use umberpond_quarantine::{RequestFingerprint, RequestKey};
 use umberpond_scheduling::{CallLevel, LoadReport};
 
-use crate::message::{Attempt, NotRun, RequestBody, Response, RunCall};
+use crate::message::{Attempt, NotRun, RememberedLimit, RequestBody, Response, RunCall};
 use crate::outcome::{NotRunReason, UnknownReason};
 
 /// Message from the caller's node to the back end's node.
@@ -84,6 +84,7 @@
     is_caller_retry: bool,
     is_retry: bool,
     call: Option<HopCall>,
+    limit: Option<HopLimit>,
     pub(crate) body: HopBody,
 }
 
@@ -127,6 +128,24 @@
     }
 }
 
+/// A request limit that the caller's node has seen in a response of the back end.
+#[derive(Debug, Encode, Decode)]
+struct HopLimit {
+    /// Text form of the back-end process.
+    instance: String,
+    rate: RequestRate,
+}
+
+impl HopLimit {
+    fn of(limit: &RememberedLimit) -> Self {
+        Self { instance: limit.process.to_string(), rate: limit.rate }
+    }
+
+    fn into_limit(self) -> RememberedLimit {
+        RememberedLimit { process: BackEndProcess::parse(&self.instance), rate: self.rate }
+    }
+}
+
 impl OpenExchange {
     /// Creates the message for `attempt`, whose body is transferred as `body`.
     pub(crate) fn of(attempt: &Attempt, body: HopBody) -> Self {
@@ -153,6 +172,7 @@
             is_caller_retry: attempt.is_caller_retry,
             is_retry: attempt.is_retry,
             call: attempt.call.as_ref().map(HopCall::of),
+            limit: attempt.remembered_limit.as_ref().map(HopLimit::of),
             body,
         }
     }
@@ -184,6 +204,7 @@
             is_caller_retry: self.is_caller_retry,
             is_retry: self.is_retry,
             call: self.call.map(HopCall::into_call),
+            remembered_limit: self.limit.map(HopLimit::into_limit),
         }
     }
 }
--- a/crates/forwarding/src/inbound/admission.rs
+++ b/crates/forwarding/src/inbound/admission.rs
@@ -12,8 +12,8 @@
 use tokio::time::{Instant, sleep_until, timeout_at};
 use umberpond_model::{RequestRate, TenantId};
 use umberpond_scheduling::{
-    ColdStartLimiter, Decision, Dequeued, InvalidSlowdown, LoadReport, Refusal, TenantUsage, Ticket,
-    WorkItem, WorkQueue,
+    ColdStartLimiter, Decision, Dequeued, InvalidSlowdown, LoadReport, Refusal, RequestLimiter, TenantUsage,
+    Ticket, WorkItem, WorkQueue,
 };
 
 use crate::clock::now;
@@ -45,7 +45,7 @@
 struct State {
     queue: WorkQueue,
     waiters: HashMap<Ticket, Waiter>,
-    /// Scheduled time of the next queue check, when the start rate of a cold back end lets a request start.
+    /// Scheduled time of the next queue check, when a rate limit of the back end lets a request start.
     next_check_at: Option<Instant>,
 }
 
@@ -114,6 +114,13 @@
     }
 }
 
+/// A change of the request limit of the back end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct LimitChange {
+    pub(super) before: Option<RequestRate>,
+    pub(super) limit: Option<RequestRate>,
+}
+
 /// Slot use of the tenants of one back end.
 #[derive(Debug)]
 pub(super) struct TenantUsages {
@@ -209,6 +216,27 @@
         self.start_waiting(&mut state);
     }
 
+    /// Applies a change to the request limiter, then rejects the requests that it does not let start in time and
+    /// starts those that may start now. Returns the limits before and after the change, if they differ.
+    pub(crate) fn update_request_limit(
+        self: &Arc<Self>,
+        change: impl FnOnce(&mut RequestLimiter) -> bool,
+    ) -> Option<LimitChange> {
+        let mut state = self.state.lock();
+        let limiter = state.queue.request_limiter();
+        let before = limiter.rate();
+        if !change(limiter) {
+            return None;
+        }
+        let limit = limiter.rate();
+        for unservable in state.queue.take_unservable(now()) {
+            let refusal = Refusal::RequestLimit { expected: unservable.expected };
+            state.send_decision(unservable.ticket, Err(refusal));
+        }
+        self.start_waiting(&mut state);
+        Some(LimitChange { before, limit })
+    }
+
     /// Waits until the back end needs a warmth probe, and marks the probe as started.
     pub(crate) async fn begin_warmth_probe(&self) {
         loop {
@@ -278,8 +306,8 @@
         self.schedule_check(state);
     }
 
-    /// Schedules a queue check for when the start rate of a cold back end lets the next request start, and
-    /// requests a warmth probe if one is due.
+    /// Schedules a queue check for when the rate limits of the back end let the next request start, and requests a
+    /// warmth probe if one is due.
     fn schedule_check(self: &Arc<Self>, state: &mut State) {
         if state.queue.cold_start_limiter().needs_warmth_probe(now()) {
             self.warmth_probe_due.notify_one();
--- a/crates/forwarding/src/inbound/back_end.rs
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -12,7 +12,7 @@
 use umberpond_model::{BackEndProcess, RegionName, ReleaseName, RequestRate, ServiceName};
 use umberpond_net::Network;
 use umberpond_rollouts::{ResponseTally, RouteTally};
-use umberpond_scheduling::{AdvertisedLimit, ColdStartLimiter, DuplicateWindow, LoadReport};
+use umberpond_scheduling::{ColdStartLimiter, DuplicateWindow, LoadReport};
 use umberpond_telemetry::{Event, Telemetry};
 
 use super::admission::Admission;
@@ -74,22 +74,13 @@
     pub(super) pool: Arc<UpstreamPool>,
     pub(super) watch: Arc<CrashWatch>,
     pub(super) is_open: bool,
-    /// Request limit that it advertises.
-    pub(super) limit: AdvertisedLimit,
     /// Whether a response has said that it is about to shut down.
     pub(super) is_leaving: bool,
 }
 
 impl CurrentBackEnd {
     fn new(back_end: BackEnd, pool: Arc<UpstreamPool>) -> Self {
-        Self {
-            back_end,
-            pool,
-            watch: Arc::default(),
-            is_open: false,
-            limit: AdvertisedLimit::default(),
-            is_leaving: false,
-        }
+        Self { back_end, pool, watch: Arc::default(), is_open: false, is_leaving: false }
     }
 }
 
@@ -195,6 +186,7 @@
             Some(held) if is_same && !held.watch.is_crash_known() => held,
             // Also covers a back end that crashed and restarted under the same name.
             before => {
+                self.forget_request_limit();
                 self.handle_replacement(before);
                 CurrentBackEnd::new(back_end.clone(), self.new_pool(back_end.address))
             }
--- a/crates/forwarding/src/inbound/response_observer.rs
+++ b/crates/forwarding/src/inbound/response_observer.rs
@@ -3,11 +3,13 @@
 use tokio::time::Instant;
 use umberpond_http1::ResponseHead;
 use umberpond_model::{BackEndProcess, RequestRate};
+use umberpond_scheduling::RequestLimiter;
 use umberpond_telemetry::Event;
 
-use super::back_end::{CurrentBackEnd, Inbound};
+use super::admission::LimitChange;
+use super::back_end::{BackEnd, Inbound};
 use crate::clock::now;
-use crate::message::id_text;
+use crate::message::{Attempt, id_text};
 use crate::upstream::{BackEndSignals, MISDIRECTED, ResponseListener, parse_slowdown};
 
 /// Applies the head of the response to one request.
@@ -50,9 +52,11 @@
         else {
             return;
         };
-        let before = current.limit.rate();
-        if current.limit.on_response(now(), sent_at.into_std(), signals.limit) {
-            self.report_limit_changed(current, before, request);
+        let change = self
+            .admission
+            .update_request_limit(|limiter| limiter.on_response(now(), sent_at.into_std(), signals.limit));
+        if let Some(change) = change {
+            self.report_limit_changed(&current.back_end, change, "response", request);
         }
         if signals.is_leaving && !std::mem::replace(&mut current.is_leaving, true) {
             self.telemetry.emit(Event::BackEndLeaving {
@@ -64,15 +68,43 @@
         }
     }
 
-    fn report_limit_changed(&self, current: &CurrentBackEnd, before: Option<RequestRate>, request: &[u8]) {
-        let rate = current.limit.rate();
-        self.telemetry.metrics().set_request_limit(rate);
+    /// Applies the limit that the caller's node remembers from an earlier response of the back end. It is needed
+    /// if this node has restarted since.
+    pub(super) fn on_remembered_limit(&self, attempt: &Attempt) {
+        let Some(remembered) = &attempt.remembered_limit else { return };
+        let current = self.current.lock();
+        let Some(current) =
+            current.as_ref().filter(|current| current.back_end.process.may_equal(&remembered.process))
+        else {
+            return;
+        };
+        let change =
+            self.admission.update_request_limit(|limiter| limiter.on_remembered(now(), remembered.rate));
+        if let Some(change) = change {
+            self.report_limit_changed(&current.back_end, change, "other-node", &attempt.id);
+        }
+    }
+
+    /// Forgets the limit, because another process of the back end has replaced the one that advertised it.
+    pub(super) fn forget_request_limit(&self) {
+        let _ = self.admission.update_request_limit(RequestLimiter::forget);
+        self.telemetry.metrics().set_request_limit(None);
+    }
+
+    fn report_limit_changed(
+        &self,
+        back_end: &BackEnd,
+        change: LimitChange,
+        source: &'static str,
+        request: &[u8],
+    ) {
+        self.telemetry.metrics().set_request_limit(change.limit);
         self.telemetry.emit(Event::RequestLimitChanged {
-            instance: current.back_end.process.to_string(),
-            service: current.back_end.service.clone(),
-            limit: limit_text(rate),
-            before: limit_text(before),
-            source: "response",
+            instance: back_end.process.to_string(),
+            service: back_end.service.clone(),
+            limit: limit_text(change.limit),
+            before: limit_text(change.before),
+            source,
             request: id_text(request),
         });
     }
--- a/crates/forwarding/src/inbound/serving.rs
+++ b/crates/forwarding/src/inbound/serving.rs
@@ -66,6 +66,7 @@
             Ok(target) => target,
             Err(reason) => return self.report_refused(&attempt, NotRun::before_back_end(reason)),
         };
+        self.on_remembered_limit(&attempt);
         let grant = match self.wait_for_grant(&mut attempt, &target).await {
             Ok(grant) => grant,
             Err(Rejection::NotRun(not_run)) => return self.report_refused(&attempt, not_run),
@@ -455,6 +456,9 @@
     match refusal {
         Refusal::Closed => NotRun::before_back_end(NotRunReason::Draining),
         Refusal::Expired => NotRun::before_back_end(NotRunReason::DeadlineBeforeRun),
+        Refusal::RequestLimit { expected } => {
+            NotRun { retry_after: Some(expected), ..NotRun::before_back_end(NotRunReason::RequestLimit) }
+        }
         Refusal::QueueFull | Refusal::QueueTimeout => NotRun::before_back_end(NotRunReason::Overloaded),
         Refusal::WaitTooLong { expected }
         | Refusal::BackEndSlow { expected }
--- a/crates/forwarding/src/inbound/tenant_shares.rs
+++ b/crates/forwarding/src/inbound/tenant_shares.rs
@@ -81,6 +81,7 @@
     match refusal {
         Refusal::OverShare { .. } => Some("displaced"),
         Refusal::WaitTooLong { .. } => Some("wait-too-long"),
+        Refusal::RequestLimit { .. } => Some("request-limit"),
         Refusal::QueueFull => Some("queue-full"),
         Refusal::Closed | Refusal::QueueTimeout | Refusal::Expired | Refusal::BackEndSlow { .. } => None,
     }
--- a/crates/forwarding/src/message.rs
+++ b/crates/forwarding/src/message.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 use umberpond_http1::Fields;
-use umberpond_model::{HomeRegions, ServiceName, TenantId, TenantName};
+use umberpond_model::{BackEndProcess, HomeRegions, RequestRate, ServiceName, TenantId, TenantName};
 use umberpond_quarantine::RequestKey;
 use umberpond_scheduling::{CallLevel, LoadReport};
 
@@ -114,6 +114,17 @@
     pub is_retry: bool,
     /// Data about the run at the caller's back end that depends on the response, if the request is a call.
     pub call: Option<RunCall>,
+    /// Request limit of the back end, if the caller's node has forwarded a response that advertised one.
+    pub remembered_limit: Option<RememberedLimit>,
+}
+
+/// A request limit that a node has seen in a response.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RememberedLimit {
+    /// Process of the back end that advertised it.
+    pub process: BackEndProcess,
+    /// The limit.
+    pub rate: RequestRate,
 }
 
 /// Data about a run that its calls carry.
--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -177,6 +177,7 @@
             is_caller_retry: request.is_caller_retry,
             is_retry: self.arrivals > 0 || request.origin == CallOrigin::RetriedRun,
             call: request.call(),
+            remembered_limit: self.outbound.remembered_limit(choice),
         }
     }
 
--- a/crates/forwarding/src/outbound/back_end_notices.rs
+++ b/crates/forwarding/src/outbound/back_end_notices.rs
@@ -67,7 +67,6 @@
     }
 
     /// Request limit that `process` has advertised.
-    #[cfg(test)]
     pub(super) fn limit(&self, process: &BackEndProcess) -> Option<RequestRate> {
         self.notice(process)?.limit.rate()
     }
--- a/crates/forwarding/src/outbound/retry_delay.rs
+++ b/crates/forwarding/src/outbound/retry_delay.rs
@@ -58,7 +58,9 @@
         let soonest = self.retry_after.unwrap_or(DEFAULT_DELAY);
         match self.reason {
             NotRunReason::Quarantined => QUARANTINE_DELAY,
-            NotRunReason::Overloaded | NotRunReason::CallsOverloaded => self.delay_for_queue(random),
+            NotRunReason::Overloaded | NotRunReason::CallsOverloaded | NotRunReason::RequestLimit => {
+                self.delay_for_queue(random)
+            }
             NotRunReason::BackEndFull => {
                 self.delay_for_slot(random).unwrap_or_else(|| self.delay_for_queue(random))
             }
--- a/crates/forwarding/src/outbound/state.rs
+++ b/crates/forwarding/src/outbound/state.rs
@@ -28,7 +28,7 @@
 use crate::header_profile::HeaderProfile;
 use crate::hop::{HopPool, HopPoolSettings};
 use crate::inbound::{Inbound, InboundAccess, limit_text};
-use crate::message::{Response, id_text};
+use crate::message::{RememberedLimit, Response, id_text};
 use crate::quarantine::Quarantine;
 use crate::quotas::QuotaGate;
 use crate::retries::RetryLedger;
@@ -322,6 +322,13 @@
         }
     }
 
+    /// Request limit that the chosen back end has advertised in a response that this node has forwarded.
+    pub(super) fn remembered_limit(&self, choice: &Choice) -> Option<RememberedLimit> {
+        let process = BackEndProcess::parse(&choice.instance);
+        let rate = self.notices.lock().limit(&process)?;
+        Some(RememberedLimit { process, rate })
+    }
+
     /// Requests that are suspected of crashing back ends.
     pub(super) fn quarantine(&self) -> &Quarantine {
         self.inbound.quarantine()
--- a/crates/forwarding/src/outbound/tests.rs
+++ b/crates/forwarding/src/outbound/tests.rs
@@ -82,7 +82,13 @@
 
 #[test]
 fn retries_to_a_full_service_are_spread_and_not_earlier_than_the_proposed_delay() {
-    for reason in [NotRunReason::Overloaded, NotRunReason::CallsOverloaded, NotRunReason::BackEndFull] {
+    let full = [
+        NotRunReason::Overloaded,
+        NotRunReason::CallsOverloaded,
+        NotRunReason::BackEndFull,
+        NotRunReason::RequestLimit,
+    ];
+    for reason in full {
         let third = (CALLER_TIME - REFUSED_AFTER) / 3;
         assert!(
             delays(&refused(reason)).iter().all(|after| *after >= third.mul_f64(0.69) && *after <= third)
--- a/crates/forwarding/src/outcome.rs
+++ b/crates/forwarding/src/outcome.rs
@@ -51,6 +51,8 @@
     CallsOverloaded,
     /// The back end rejected the request while all its slots were in use.
     BackEndFull,
+    /// The back end limits the request rate, and the limit is used up.
+    RequestLimit,
 }
 
 impl NotRunReason {
@@ -79,6 +81,7 @@
             Self::UnknownTenant => "unknown-tenant",
             Self::CallsOverloaded => "calls-overloaded",
             Self::BackEndFull => "back-end-full",
+            Self::RequestLimit => "request-limit",
         }
     }
 }
--- a/crates/scheduling/src/advertised_limit.rs
+++ b/crates/scheduling/src/advertised_limit.rs
@@ -52,6 +52,15 @@
         }
     }
 
+    /// Applies the limit that another node remembers from a response of the same process. Returns whether the
+    /// rate has changed. It has no effect once a response has told the limit to this node.
+    pub fn on_remembered(&mut self, now: Instant, rate: RequestRate) -> bool {
+        if self.is_confirmed || self.rate.is_some_and(|known| known <= rate) {
+            return false;
+        }
+        self.set(now, Some(rate))
+    }
+
     fn set(&mut self, now: Instant, rate: Option<RequestRate>) -> bool {
         self.since = rate.map(|_| self.since.unwrap_or(now));
         std::mem::replace(&mut self.rate, rate) != rate
--- a/crates/scheduling/src/decision.rs
+++ b/crates/scheduling/src/decision.rs
@@ -27,6 +27,12 @@
         /// Expected time until the response.
         expected: Duration,
     },
+    /// The back end limits the request rate, and more requests wait already than may start in time.
+    #[error("the request limit of the back end is used up")]
+    RequestLimit {
+        /// Expected wait.
+        expected: Duration,
+    },
     /// The queue is full.
     #[error("the queue is full")]
     QueueFull,
@@ -65,8 +71,8 @@
     Expire(Ticket),
 }
 
-/// A waiting request that was evicted from a full queue in favor of a tenant that exceeds its share by less.
-/// It has not run.
+/// A waiting request that was evicted, either from a full queue in favor of a tenant that exceeds its share by
+/// less, or because of a new request limit. It has not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DisplacedRequest {
     /// Ticket of the request.
--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -10,9 +10,10 @@
 use crate::load::permille;
 use crate::queue_key::QueueKey;
 use crate::reserved_slots::ReservedSlots;
+use crate::start_limits::StartLimits;
 use crate::{
-    ColdStartLimiter, Decision, Dequeued, DisplacedRequest, LoadReport, Refusal, ServiceTime, Slowdown,
-    Ticket, WorkItem,
+    ColdStartLimiter, Decision, Dequeued, DisplacedRequest, LoadReport, Refusal, RequestLimiter, ServiceTime,
+    Slowdown, Ticket, WorkItem,
 };
 
 /// Service time assumed until the first measurement.
@@ -60,7 +61,7 @@
     refused_at: BTreeMap<u8, Instant>,
     /// When a request was last admitted, by priority.
     admitted_at: BTreeMap<u8, Instant>,
-    cold_start_limiter: ColdStartLimiter,
+    start_limits: StartLimits,
     slowdown: Slowdown,
 }
 
@@ -85,7 +86,7 @@
             reserved: ReservedSlots::default(),
             refused_at: BTreeMap::new(),
             admitted_at: BTreeMap::new(),
-            cold_start_limiter: ColdStartLimiter::default(),
+            start_limits: StartLimits::default(),
             slowdown: Slowdown::default(),
         }
     }
@@ -122,14 +123,39 @@
     /// The rate limiter that applies while the back end is cold. Call [`WorkQueue::start_next`] after a
     /// change.
     pub const fn cold_start_limiter(&mut self) -> &mut ColdStartLimiter {
-        &mut self.cold_start_limiter
+        &mut self.start_limits.cold_start
     }
 
-    /// When the rate limiter lets a waiting request start, if only the limiter delays it.
+    /// The rate limiter that applies while the back end advertises a limit. Call
+    /// [`WorkQueue::take_unservable`] and [`WorkQueue::start_next`] after a change.
+    pub const fn request_limiter(&mut self) -> &mut RequestLimiter {
+        &mut self.start_limits.request
+    }
+
+    /// Removes the waiting requests that the request limit does not let start in time.
+    pub fn take_unservable(&mut self, now: Instant) -> Vec<DisplacedRequest> {
+        let mut unservable = Vec::new();
+        let mut ahead = 0;
+        for (queue_key, item) in &self.waiting {
+            let expected = self.start_limits.request.expected_wait(now, ahead);
+            if now + expected > item.queue_deadline.min(item.deadline) {
+                unservable.push((*queue_key, expected));
+            } else {
+                ahead += 1;
+            }
+        }
+        let displaced = unservable.into_iter().map(|(queue_key, expected)| {
+            self.remove(queue_key);
+            DisplacedRequest { ticket: queue_key.ticket, expected }
+        });
+        displaced.collect()
+    }
+
+    /// When the rate limiters let a waiting request start, if only they delay it.
     #[must_use]
     pub fn rate_limited_until(&self, now: Instant) -> Option<Instant> {
         let may_run = !self.waiting.is_empty() && self.running < self.slots;
-        if may_run { self.cold_start_limiter.next_start(now) } else { None }
+        if may_run { self.start_limits.next_start(now) } else { None }
     }
 
     /// Whether requests are accepted.
@@ -168,7 +194,7 @@
         if let Some(expected) = self.slowed_response_time(now, item) {
             return Decision::Refuse(Refusal::BackEndSlow { expected });
         }
-        if self.has_slot_for(now, &item) && self.is_first(&item) && self.cold_start_limiter.may_start(now) {
+        if self.has_slot_for(now, &item) && self.is_first(&item) && self.start_limits.may_start(now) {
             if self.waiting.is_empty() {
                 self.shares.clear();
             }
@@ -183,7 +209,7 @@
             if !has_reduced_value && !is_over_share {
                 self.refused_at.insert(item.priority, now);
             }
-            return Decision::Refuse(Refusal::WaitTooLong { expected });
+            return Decision::Refuse(self.long_wait_refusal(now, expected));
         }
         let is_full = self.waiting.len() >= item.waiting_per_slot() * self.slots.max(1) as usize;
         if is_full && !self.displace_for(item) {
@@ -201,7 +227,7 @@
             return Some(Dequeued::Expire(queue_key.ticket));
         }
         let (queue_key, item) = self.first_with_slot(now, queue_key, item)?;
-        if !self.cold_start_limiter.may_start(now) {
+        if !self.start_limits.may_start(now) {
             return None;
         }
         self.remove(queue_key);
@@ -279,17 +305,34 @@
     #[must_use]
     pub fn expected_wait(&mut self, now: Instant, item: WorkItem) -> Duration {
         let (ahead, count) = self.work_ahead(&item);
-        let limiter_wait = self.cold_start_limiter.expected_wait(now, count);
         let is_free = self.has_slot_for(now, &item) && ahead.is_zero();
+        if is_free && self.start_limits.request.may_start(now) {
+            return self.start_limits.cold_start.expected_wait(now, count);
+        }
+        let overtaking = self.overtaking_rate(now, &item) / self.concurrency();
+        let remaining_share = 1.0 - overtaking.min(MAX_OVERTAKING_SHARE);
+        let limiter_wait = self.start_limits.expected_wait(now, count, remaining_share);
         if is_free {
             return limiter_wait;
         }
         let slots = self.slots.max(1);
-        let overtaking = self.overtaking_rate(now, &item) / f64::from(slots);
-        let remaining_share = 1.0 - overtaking.min(MAX_OVERTAKING_SHARE);
         ((ahead + self.mean_service_time()) / slots).div_f64(remaining_share).max(limiter_wait)
     }
 
+    /// Mean number of requests that can run at once.
+    fn concurrency(&self) -> f64 {
+        self.start_limits.request.concurrency(self.slots, self.mean_service_time())
+    }
+
+    /// The refusal of a request that would wait too long.
+    fn long_wait_refusal(&self, now: Instant, expected: Duration) -> Refusal {
+        if self.start_limits.request.may_start(now) {
+            Refusal::WaitTooLong { expected }
+        } else {
+            Refusal::RequestLimit { expected }
+        }
+    }
+
     /// Total service time and number of the waiting requests ahead of `item`.
     fn work_ahead(&self, item: &WorkItem) -> (Duration, usize) {
         if !self.shares.is_unused() {
@@ -321,9 +364,9 @@
     fn displace_for(&mut self, item: WorkItem) -> bool {
         let Some(queue_key) = self.service_order(&item).displaced() else { return false };
         let work: Duration = self.waiting.values().map(|waiting| waiting.service).sum();
+        let expected = work.div_f64(self.concurrency());
         self.remove(queue_key);
-        self.displaced
-            .push(DisplacedRequest { ticket: queue_key.ticket, expected: work / self.slots.max(1) });
+        self.displaced.push(DisplacedRequest { ticket: queue_key.ticket, expected });
         true
     }
 
@@ -336,7 +379,7 @@
     pub fn report(&mut self, now: Instant) -> LoadReport {
         self.reports += 1;
         self.shares.advance(now, self.running);
-        let slots = self.cold_start_limiter.usable_slots(now, self.slots, self.mean_service_time());
+        let slots = self.start_limits.cold_start.usable_slots(now, self.slots, self.mean_service_time());
         LoadReport {
             number: self.reports,
             running: self.running,
@@ -358,7 +401,7 @@
     /// Whether a request of this or a higher priority that could still have met its objective was refused a
     /// moment ago.
     fn is_contended(&self, now: Instant, priority: u8) -> bool {
-        let release_interval = self.mean_service_time() / self.slots.max(1);
+        let release_interval = self.mean_service_time().div_f64(self.concurrency());
         let window = release_interval.mul_f64(CONTENDED_RELEASE_INTERVALS);
         let mut refused = self.refused_at.range(..=priority);
         refused.any(|(_, at)| now.saturating_duration_since(*at) < window)
@@ -442,7 +485,7 @@
         if !item.is_call() {
             self.reserved.on_new_started();
         }
-        self.cold_start_limiter.on_start(now);
+        self.start_limits.on_start(now);
     }
 
     fn mean_service_time(&self) -> Duration {
