Send nothing new to a back end after its response said that it is leaving

What callers saw: requests that failed when such a back end was gone.

Cause: the same class as the limit: a signal in the responses that is forwarded and that nothing reads. Only announcements and withdrawals closed a back end.

Change: the node beside the back end closes its gate with the first response that says so, whatever its status, a rejection or a health check included, and tells all others by its record; later announcements of that process do not reopen it. Each node that has forwarded such a response leaves the endpoint out by a notice of its own, which outlives the endpoint. A request without another back end is refused at once.

Why it works: every request passes the gate, and where the node beside it restarts and knows nothing, the nodes that are bound by the rule do not choose the endpoint any more.

Tests of daemon, forwarding and platform pass.

--- a/crates/daemon/src/back_end/monitor.rs
+++ b/crates/daemon/src/back_end/monitor.rs
@@ -103,6 +103,12 @@
         self.apply(effect);
     }
 
+    /// Handles a response of `process` that says that it is about to shut down.
+    pub(crate) fn leaving(self: &Arc<Self>, process: &BackEndProcess) {
+        let effect = self.tracker.lock().on_leaving(process);
+        self.apply(effect);
+    }
+
     /// Health check path of the back end of `service`.
     pub(crate) fn health_path(&self, service: &ServiceName) -> Option<String> {
         self.activation.health_path(service)
--- a/crates/daemon/src/back_end/tracker.rs
+++ b/crates/daemon/src/back_end/tracker.rs
@@ -24,6 +24,8 @@
     Draining,
     /// It withdrew itself because it is shutting down.
     Withdrawn,
+    /// It said in a response that it is about to shut down.
+    Leaving,
 }
 
 impl CloseReason {
@@ -33,6 +35,7 @@
         match self {
             Self::Draining => "the back end announced that it is draining",
             Self::Withdrawn => "the back end withdrew itself",
+            Self::Leaving => "a response says that the back end is about to shut down",
         }
     }
 }
@@ -133,6 +136,20 @@
         Effect::Close(CloseReason::Withdrawn)
     }
 
+    /// Handles a response of `process` that says that it is about to shut down. Its later announcements do not
+    /// reopen it, whatever state they announce.
+    pub fn on_leaving(&mut self, process: &BackEndProcess) -> Effect {
+        match &mut self.current {
+            Some(current)
+                if current.back_end.process.may_equal(process) && current.state != BackEndState::Draining =>
+            {
+                current.state = BackEndState::Draining;
+                Effect::Close(CloseReason::Leaving)
+            }
+            _ => Effect::None,
+        }
+    }
+
     /// Handles a successful health check of `back_end`. The response doesn't identify the process by its
     /// start time.
     pub fn on_confirmed(&mut self, now: Instant, back_end: BackEnd) -> Effect {
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -10,8 +10,8 @@
 use tokio::task::JoinSet;
 use umberpond_distribution::ReaderSettings;
 use umberpond_forwarding::{
-    HeaderProfile, Inbound, InboundSettings, Outbound, OutboundIdentity, OutboundSettings, QuotaGate,
-    ServerControl, ServerPhase, serve_inbound, serve_outbound,
+    BackEndFinding, HeaderProfile, Inbound, InboundSettings, Outbound, OutboundIdentity, OutboundSettings,
+    QuotaGate, ServerControl, ServerPhase, serve_inbound, serve_outbound,
 };
 use umberpond_membership::{
     DirectoryEntry, MemberPhase, MemberRecord, MemberView, Membership, MembershipSettings,
@@ -356,7 +356,7 @@
                 telemetry: self.environment.telemetry.clone(),
             }));
         }
-        tasks.spawn(handle_unreachable(Arc::clone(&self.inbound), Arc::clone(&self.back_end)));
+        tasks.spawn(handle_findings(Arc::clone(&self.inbound), Arc::clone(&self.back_end)));
         tasks.spawn(follow_warmth(Arc::clone(&self.back_end)));
         tasks.spawn(run_maintenance(Arc::clone(&self.inbound), Arc::clone(&self.outbound)));
         if let Some(back_end) = self.config.back_end {
@@ -383,10 +383,13 @@
     }
 }
 
-async fn handle_unreachable(inbound: Arc<Inbound>, back_end: Arc<BackEndMonitor>) {
-    let mut unreachable = inbound.watch_unreachable();
-    while let Some(process) = unreachable.recv().await {
-        back_end.unreachable(&process);
+async fn handle_findings(inbound: Arc<Inbound>, back_end: Arc<BackEndMonitor>) {
+    let mut findings = inbound.watch_findings();
+    while let Some(finding) = findings.recv().await {
+        match finding {
+            BackEndFinding::Unreachable(process) => back_end.unreachable(&process),
+            BackEndFinding::Leaving(process) => back_end.leaving(&process),
+        }
     }
 }
 
--- a/crates/daemon/tests/back_end_tracker.rs
+++ b/crates/daemon/tests/back_end_tracker.rs
@@ -52,6 +52,20 @@
     assert_eq!(state(&tracker), Some(BackEndState::Ready));
 }
 
+#[test]
+fn announcement_does_not_reopen_a_back_end_whose_response_said_that_it_is_leaving() {
+    let now = Instant::now();
+    let mut tracker = BackEndTracker::new(false);
+    tracker.on_announcement(now, &ready_for("a", 1));
+    assert_eq!(tracker.on_leaving(&BackEndProcess::of("a")), Effect::Close(CloseReason::Leaving));
+    assert_eq!(tracker.on_leaving(&BackEndProcess::of("a")), Effect::None);
+    let moved = Announcement { address: "10.0.0.1:81".parse().unwrap(), ..ready_for("a", 2) };
+    assert_eq!(tracker.on_announcement(now, &moved), Effect::None);
+    assert_eq!(tracker.on_announcement(now, &draining("a", 3)), Effect::None);
+    assert_eq!(state(&tracker), Some(BackEndState::Draining));
+    assert_eq!(tracker.on_announcement(now, &ready_for("b", 1)), Effect::Open(back_end("b")));
+}
+
 #[test]
 fn a_delayed_announcement_does_not_reopen_a_draining_back_end() {
     let now = Instant::now();
@@ -242,7 +256,7 @@
             now += Duration::from_millis(u64::from(pause) * 50);
             let number = usize::from(which % 3);
             let process = process("a", 100 + number as u64);
-            let effect = match kind % 4 {
+            let effect = match kind % 5 {
                 0 => tracker.on_announcement(now, &Announcement { process, ..draining("a", u64::from(sequence)) }),
                 1 => tracker.on_withdrawn(&process),
                 2 => tracker.on_unreachable(&process),
@@ -267,10 +281,11 @@
         for (which, kind, sequence) in events {
             let number = usize::from(which % 3);
             let instance = ["a", "b", "c"][number];
-            let effect = match kind % 4 {
+            let effect = match kind % 5 {
                 0 => tracker.on_announcement(now, &draining(instance, u64::from(sequence))),
                 1 => tracker.on_withdrawn(&BackEndProcess::of(instance)),
                 2 => tracker.on_confirmed(now, back_end(instance)),
+                3 => tracker.on_leaving(&BackEndProcess::of(instance)),
                 _ => tracker.on_announcement(now, &ready_for(instance, u64::from(sequence))),
             };
             if let Effect::Open(opened) = &effect
--- a/crates/forwarding/src/inbound/back_end.rs
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -76,11 +76,20 @@
     pub(super) is_open: bool,
     /// Whether a response has said that it is about to shut down.
     pub(super) is_leaving: bool,
+    /// Whether responses to its health checks advertise the request limit too.
+    pub(super) has_limit_in_health: bool,
 }
 
 impl CurrentBackEnd {
     fn new(back_end: BackEnd, pool: Arc<UpstreamPool>) -> Self {
-        Self { back_end, pool, watch: Arc::default(), is_open: false, is_leaving: false }
+        Self {
+            back_end,
+            pool,
+            watch: Arc::default(),
+            is_open: false,
+            is_leaving: false,
+            has_limit_in_health: false,
+        }
     }
 }
 
@@ -92,6 +101,15 @@
     pub(crate) region: RegionName,
 }
 
+/// What the request path has found out about the state of the back end.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum BackEndFinding {
+    /// This process can't be reached.
+    Unreachable(BackEndProcess),
+    /// This process has said in a response that it is about to shut down.
+    Leaving(BackEndProcess),
+}
+
 /// The inbound side of one node.
 pub struct Inbound {
     pub(super) header_profile: HeaderProfile,
@@ -102,7 +120,7 @@
     pub(super) transfers: TransferScheduler,
     pub(super) current: Mutex<Option<CurrentBackEnd>>,
     pub(super) duplicates: Mutex<DuplicateWindow>,
-    unreachable: Mutex<Option<mpsc::UnboundedSender<BackEndProcess>>>,
+    findings: Mutex<Option<mpsc::UnboundedSender<BackEndFinding>>>,
     /// Whether the active configuration allows the back end's service at this node's location.
     pub(super) may_serve: AtomicBool,
     /// Tenants and region by which requests are accepted; `None` before the first configuration.
@@ -148,7 +166,7 @@
             transfers: TransferScheduler::new(settings.link_rate),
             current: Mutex::new(None),
             duplicates: Mutex::default(),
-            unreachable: Mutex::new(None),
+            findings: Mutex::new(None),
             may_serve: AtomicBool::new(true),
             access: ArcSwapOption::empty(),
             is_evacuated: AtomicBool::new(false),
@@ -164,14 +182,14 @@
         }
     }
 
-    /// Returns a channel that receives each process of the back end that cannot be reached from now on.
-    pub fn watch_unreachable(&self) -> mpsc::UnboundedReceiver<BackEndProcess> {
+    /// Returns a channel that receives all findings about the back end from now on.
+    pub fn watch_findings(&self) -> mpsc::UnboundedReceiver<BackEndFinding> {
         let (sender, receiver) = mpsc::unbounded_channel();
-        *self.unreachable.lock() = Some(sender);
+        *self.findings.lock() = Some(sender);
         receiver
     }
 
-    /// Starts to accept requests for `back_end`.
+    /// Starts to accept requests for `back_end`, unless it has said in a response that it is about to shut down.
     pub fn open(&self, back_end: BackEnd) {
         let mut current = self.current.lock();
         let is_same = current.as_ref().is_some_and(|held| {
@@ -183,7 +201,13 @@
             self.response_tallies.lock().clear();
         }
         let held = match current.take() {
-            Some(held) if is_same && !held.watch.is_crash_known() => held,
+            Some(held) if is_same && !held.watch.is_crash_known() => {
+                if held.is_leaving {
+                    *current = Some(held);
+                    return;
+                }
+                held
+            }
             // Also covers a back end that crashed and restarted under the same name.
             before => {
                 self.forget_request_limit();
@@ -306,20 +330,21 @@
 
     /// Checks the health of the back end at `address`; `None` if it does not report itself healthy.
     pub async fn probe_health(&self, address: SocketAddr, path: &str) -> Option<Health> {
-        let health = probe_health(&*self.network, &self.header_profile, address, path).await?;
-        if self.is_from_current_process(address, &health) {
-            self.on_reported_slowdown(health.slowdown);
+        let sent_at = Instant::now();
+        let response = probe_health(&*self.network, &self.header_profile, address, path).await?;
+        if let Some(process) = self.current_process(address, response.instance.as_deref()) {
+            self.on_health_response(&process, sent_at, &response);
         }
-        Some(health)
+        response.health()
     }
 
-    /// Whether `health` comes from the current process of the back end.
-    fn is_from_current_process(&self, address: SocketAddr, health: &Health) -> bool {
+    /// The current process of the back end, if that is the one with this address, and with this identity if one
+    /// is given.
+    fn current_process(&self, address: SocketAddr, instance: Option<&str>) -> Option<BackEndProcess> {
         let current = self.current.lock();
-        let Some(back_end) = current.as_ref().map(|current| &current.back_end) else { return false };
-        let is_same_process =
-            health.instance.as_ref().is_none_or(|reported| *reported == back_end.process.instance);
-        back_end.address == address && is_same_process
+        let back_end = &current.as_ref()?.back_end;
+        let is_same = instance.is_none_or(|instance| instance == back_end.process.instance);
+        (back_end.address == address && is_same).then(|| back_end.process.clone())
     }
 
     /// Records the slowdown that the back end reports.
@@ -377,10 +402,10 @@
         self.quarantine.on_crash(report.crash, &report.requests);
     }
 
-    pub(super) fn report_unreachable(&self, process: &BackEndProcess) {
-        if let Some(watcher) = &*self.unreachable.lock() {
+    pub(super) fn report_finding(&self, finding: BackEndFinding) {
+        if let Some(watcher) = &*self.findings.lock() {
             // The receiver is dropped while the process shuts down.
-            let _ = watcher.send(process.clone());
+            let _ = watcher.send(finding);
         }
     }
 
--- a/crates/forwarding/src/inbound/mod.rs
+++ b/crates/forwarding/src/inbound/mod.rs
@@ -11,6 +11,6 @@
 mod transfer_scheduler;
 
 pub(crate) use admission::Permit;
-pub use back_end::{BackEnd, Inbound, InboundSettings};
+pub use back_end::{BackEnd, BackEndFinding, Inbound, InboundSettings};
 pub(crate) use back_end::{InboundAccess, millis};
 pub(crate) use response_observer::limit_text;
--- a/crates/forwarding/src/inbound/serving.rs
+++ b/crates/forwarding/src/inbound/serving.rs
@@ -12,7 +12,7 @@
 use umberpond_telemetry::Event;
 
 use super::admission::Permit;
-use super::back_end::{BackEnd, Inbound, millis};
+use super::back_end::{BackEnd, BackEndFinding, Inbound, millis};
 use super::crash_watch::{CrashWatch, Liveness};
 use super::response_observer::ResponseObserver;
 use super::suspect_limiter::SuspectPlace;
@@ -321,7 +321,7 @@
                 if reason == NotRunReason::BackEndUnreachable {
                     self.check_crash(target).await;
                     pool.clear();
-                    self.report_unreachable(&back_end.process);
+                    self.report_finding(BackEndFinding::Unreachable(back_end.process.clone()));
                 }
                 self.report_refused(&attempt, NotRun::before_back_end(reason))
             }
@@ -378,7 +378,7 @@
             Liveness::NewCrash(report) => {
                 self.on_crash(back_end, "refused", &report);
                 pool.clear();
-                self.report_unreachable(&back_end.process);
+                self.report_finding(BackEndFinding::Unreachable(back_end.process.clone()));
                 true
             }
         }
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -28,7 +28,7 @@
 mod upstream;
 
 pub use header_profile::{HeaderMatcher, HeaderProfile, ResponseHeaders};
-pub use inbound::{BackEnd, Inbound, InboundSettings};
+pub use inbound::{BackEnd, BackEndFinding, Inbound, InboundSettings};
 pub use outbound::{Outbound, OutboundIdentity, OutboundSettings, StaleVersion};
 pub use outcome::{NotRunReason, UnknownReason};
 pub use quarantine::{FindingSource, Quarantine};
--- a/crates/forwarding/src/outbound/back_end_notices.rs
+++ b/crates/forwarding/src/outbound/back_end_notices.rs
@@ -72,11 +72,15 @@
     }
 
     /// Whether `process` has said that it is about to shut down.
-    #[cfg(test)]
     pub(super) fn is_leaving(&self, process: &BackEndProcess) -> bool {
         self.notice(process).is_some_and(|notice| notice.is_leaving)
     }
 
+    /// Whether any back end has said that it is about to shut down.
+    pub(super) fn has_leaving(&self) -> bool {
+        self.notices.values().any(|notice| notice.is_leaving)
+    }
+
     fn notice(&self, process: &BackEndProcess) -> Option<&Notice> {
         self.notices.get(&process.instance).filter(|notice| notice.process.may_equal(process))
     }
--- a/crates/forwarding/src/outbound/state.rs
+++ b/crates/forwarding/src/outbound/state.rs
@@ -167,13 +167,13 @@
         // Endpoints are updated first, so that no request under the new table reaches an endpoint that it
         // forbids.
         self.quotas.set_quotas(quotas_of(table.tenants().iter().map(|tenant| &**tenant)));
-        self.apply_localities(Some(&table));
+        self.update_usable_endpoints(Some(&table));
         self.apply_to_back_end(&table);
         self.table.store(Some(table));
         Ok(())
     }
 
-    fn apply_localities(&self, table: Option<&RoutingTable>) {
+    fn update_usable_endpoints(&self, table: Option<&RoutingTable>) {
         let reported_endpoints = self.reported_endpoints.lock();
         for (service, endpoints) in &*reported_endpoints {
             let allowed_endpoints = self.allowed_endpoints(table, service, endpoints);
@@ -181,7 +181,8 @@
         }
     }
 
-    /// The endpoints that the configuration allows and that are not in an evacuated zone.
+    /// The endpoints that the configuration allows, that are not in an evacuated zone, and whose back ends have
+    /// not said in a response that they are about to shut down.
     fn allowed_endpoints(
         &self,
         table: Option<&RoutingTable>,
@@ -189,9 +190,16 @@
         endpoints: &[Endpoint],
     ) -> Vec<Endpoint> {
         let evacuated = self.evacuated.lock();
+        let notices = self.notices.lock();
+        let has_leaving = notices.has_leaving();
+        let is_leaving = |endpoint: &Endpoint| {
+            has_leaving && notices.is_leaving(&BackEndProcess::parse(&endpoint.instance))
+        };
         let is_allowed = |endpoint: &&Endpoint| {
             let locality = &endpoint.locality;
-            table.is_none_or(|table| table.allows(service, locality)) && !evacuated.contains(&locality.zone)
+            table.is_none_or(|table| table.allows(service, locality))
+                && !evacuated.contains(&locality.zone)
+                && !is_leaving(endpoint)
         };
         endpoints.iter().filter(is_allowed).cloned().collect()
     }
@@ -201,7 +209,7 @@
     pub fn set_evacuated(&self, zones: BTreeSet<ZoneName>) {
         self.inbound.set_evacuated(zones.contains(&self.locality.zone));
         *self.evacuated.lock() = zones;
-        self.apply_localities(self.table.load().as_deref());
+        self.update_usable_endpoints(self.table.load().as_deref());
     }
 
     /// Applies the configuration to the local back end, which is served only where the configuration allows
@@ -319,6 +327,7 @@
                 source: "forwarded",
                 request: id_text(&request.id),
             });
+            self.update_usable_endpoints(self.table.load().as_deref());
         }
     }
 
--- a/crates/forwarding/src/upstream/health.rs
+++ b/crates/forwarding/src/upstream/health.rs
@@ -10,6 +10,7 @@
 use umberpond_net::Network;
 
 use super::load_field::{ReportedSlowdown, parse_slots, parse_slowdown};
+use super::signals::BackEndSignals;
 use crate::header_profile::HeaderProfile;
 
 /// Timeout of a whole health check.
@@ -30,13 +31,38 @@
     pub slowdown: ReportedSlowdown,
 }
 
-/// Checks the health of the back end at `address`; `None` if it does not report itself healthy.
+/// Response of a back end to a health check.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct HealthResponse {
+    /// Whether the back end reports itself healthy.
+    is_healthy: bool,
+    pub(crate) instance: Option<String>,
+    slots: Option<u32>,
+    cold_for: Duration,
+    pub(crate) slowdown: ReportedSlowdown,
+    pub(crate) signals: BackEndSignals,
+}
+
+impl HealthResponse {
+    /// State of the back end; `None` if it is not healthy or about to shut down.
+    pub(crate) fn health(self) -> Option<Health> {
+        let is_usable = self.is_healthy && !self.signals.is_leaving;
+        is_usable.then_some(Health {
+            instance: self.instance,
+            slots: self.slots,
+            cold_for: self.cold_for,
+            slowdown: self.slowdown,
+        })
+    }
+}
+
+/// Checks the health of the back end at `address`; `None` if it does not respond.
 pub(crate) async fn probe_health(
     network: &dyn Network,
     header_profile: &HeaderProfile,
     address: SocketAddr,
     path: &str,
-) -> Option<Health> {
+) -> Option<HealthResponse> {
     timeout(HEALTH_CHECK_TIMEOUT, probe(network, header_profile, address, path)).await.ok().flatten()
 }
 
@@ -45,7 +71,7 @@
     header_profile: &HeaderProfile,
     address: SocketAddr,
     path: &str,
-) -> Option<Health> {
+) -> Option<HealthResponse> {
     let stream = network.connect(address).await.ok()?;
     let (reader, mut writer) = tokio::io::split(stream);
     let mut reader = MessageReader::new(reader);
@@ -63,7 +89,8 @@
     let cold_for =
         header_profile.warmup_millis.and_then(|name| head.fields.text(name)).and_then(parse_millis);
     let cold_for = cold_for.unwrap_or_default();
-    (head.status == 200).then_some(Health { instance, slots, cold_for, slowdown })
+    let signals = BackEndSignals::read(header_profile, head.status, &head.fields);
+    Some(HealthResponse { is_healthy: head.status == 200, instance, slots, cold_for, slowdown, signals })
 }
 
 fn parse_millis(millis: &str) -> Option<Duration> {
--- a/crates/forwarding/src/upstream/mod.rs
+++ b/crates/forwarding/src/upstream/mod.rs
@@ -11,7 +11,7 @@
 pub use body::UpstreamBody;
 pub(crate) use exchange::{ExchangeEnd, ExchangeRequest, Exchanger, MISDIRECTED, ResponseListener};
 pub use health::Health;
-pub(crate) use health::probe_health;
+pub(crate) use health::{HealthResponse, probe_health};
 pub use load_field::ReportedSlowdown;
 pub(crate) use load_field::parse_slowdown;
 pub(crate) use pool::{ConnectCheck, UpstreamPool, UpstreamSettings};
--- a/crates/forwarding/tests/leaving.rs
+++ b/crates/forwarding/tests/leaving.rs
@@ -7,7 +7,7 @@
 use support::back_end::{ScriptedResponse, ok};
 use support::{SLOTS, TestCluster, name, pause};
 use tokio::time::Instant;
-use umberpond_forwarding::{BackEnd, ServerPhase};
+use umberpond_forwarding::{BackEnd, BackEndFinding, ServerPhase};
 use umberpond_model::BackEndProcess;
 
 #[tokio::test(start_paused = true)]
@@ -81,12 +81,13 @@
         address: unused_address,
         slots: SLOTS,
     };
-    let mut unreachable = world.served[0].inbound.watch_unreachable();
+    let mut findings = world.served[0].inbound.watch_findings();
     world.served[0].inbound.open(gone);
     for number in 0..6 {
         assert_eq!(world.caller().await.ask("/write/a", &format!("r{number}")).await.text(), "b");
     }
-    assert_eq!(unreachable.recv().await, Some(BackEndProcess::of("life-10")));
+    let unreachable = BackEndFinding::Unreachable(BackEndProcess::of("life-10"));
+    assert_eq!(findings.recv().await, Some(unreachable));
 }
 
 #[tokio::test(start_paused = true)]
