Find the end of a low request limit by health checks, and tell callers a time that they accept

Cause: only responses to requests tell that a limit has ended, and with such a limit there is hardly one.

Change: a health check a second while the limit is below one a second and health checks advertise it. A response that is not forwarded, because it lacks the signature, does not end a limit. A caller that is refused because of a limit is told to return within the third of its time for which callers wait, also where the limit lets the next request start much later: another back end may have room before. A node without notices parses no identity for each attempt.

--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -23,7 +23,8 @@
 use umberpond_telemetry::{Event, Telemetry};
 
 use crate::back_end::{
-    BackEndMonitor, CheckSettings, check_periodically, follow_warmth, probe_at_start, publish_request_limits,
+    BackEndMonitor, CheckSettings, check_low_limits, check_periodically, follow_warmth, probe_at_start,
+    publish_request_limits,
 };
 use crate::configuration::{
     Activation, ConfigurationActor, ConfigurationArguments, ConfigurationMessage, ConfigurationSource,
@@ -361,6 +362,7 @@
         tasks.spawn(handle_findings(Arc::clone(&self.inbound), Arc::clone(&self.back_end)));
         tasks.spawn(follow_warmth(Arc::clone(&self.back_end)));
         tasks.spawn(publish_request_limits(Arc::clone(&self.back_end)));
+        tasks.spawn(check_low_limits(Arc::clone(&self.back_end)));
         tasks.spawn(run_maintenance(Arc::clone(&self.inbound), Arc::clone(&self.outbound)));
         if let Some(back_end) = self.config.back_end {
             self.start_health_checks(&mut tasks, back_end);
--- a/crates/forwarding/src/inbound/back_end.rs
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -28,6 +28,9 @@
 use crate::suspended_time::SuspendedTime;
 use crate::upstream::{Health, ReportedSlowdown, UpstreamPool, UpstreamSettings, probe_health};
 
+/// Requests per second below which responses are so rare that health checks are sent in between.
+const LOW_REQUEST_LIMIT: f64 = 1.0;
+
 /// Settings of the inbound side.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct InboundSettings {
@@ -76,8 +79,8 @@
     pub(super) is_open: bool,
     /// Whether a response has said that it is about to shut down.
     pub(super) is_leaving: bool,
-    /// Whether responses to its health checks advertise the request limit too.
-    pub(super) has_limit_in_health: bool,
+    /// Whether responses to its health checks advertise the request limit too; `None` if that is unknown.
+    pub(super) has_limit_in_health: Option<bool>,
 }
 
 impl CurrentBackEnd {
@@ -88,7 +91,7 @@
             watch: Arc::default(),
             is_open: false,
             is_leaving: false,
-            has_limit_in_health: false,
+            has_limit_in_health: None,
         }
     }
 }
@@ -329,6 +332,15 @@
         self.admission.request_limit()
     }
 
+    /// The back end, if its request limit is so low that health checks may show its end before a response does.
+    #[must_use]
+    pub fn back_end_with_low_limit(&self) -> Option<BackEnd> {
+        let limit = self.request_limit()?;
+        let current = self.current.lock();
+        let current = current.as_ref().filter(|current| current.has_limit_in_health != Some(false))?;
+        (limit.as_f64() < LOW_REQUEST_LIMIT).then(|| current.back_end.clone())
+    }
+
     /// Closes the idle connections to the back end that can no longer be reused.
     pub fn close_expired(&self) {
         if let Some(current) = self.current.lock().as_ref() {
--- a/crates/forwarding/src/inbound/response_observer.rs
+++ b/crates/forwarding/src/inbound/response_observer.rs
@@ -22,7 +22,7 @@
 }
 
 impl ResponseListener for ResponseObserver<'_> {
-    fn on_response_head(&self, sent_at: Instant, head: &ResponseHead) {
+    fn on_response_head(&self, sent_at: Instant, head: &ResponseHead, is_trusted: bool) {
         // Such a response comes from another back end.
         if head.status == MISDIRECTED {
             return;
@@ -30,7 +30,10 @@
         if let Some(load) = head.fields.text(self.inbound.header_profile.load) {
             self.inbound.on_reported_slowdown(parse_slowdown(load));
         }
-        let signals = BackEndSignals::read(&self.inbound.header_profile, head.status, &head.fields);
+        let mut signals = BackEndSignals::read(&self.inbound.header_profile, head.status, &head.fields);
+        if !is_trusted && signals.limit == LimitReport::Unlimited {
+            signals.limit = LimitReport::Unknown;
+        }
         let source = SignalSource { name: "response", request: self.request };
         self.inbound.on_signals(self.process, sent_at, signals, source);
     }
@@ -106,10 +109,18 @@
     /// What the response to a health check says about the request limit. A back end need not advertise the limit
     /// there, so a response without it only counts after one with it.
     fn limit_in_health(&self, report: LimitReport) -> LimitReport {
+        let is_limited = self.request_limit().is_some();
         let mut current = self.current.lock();
         let Some(current) = current.as_mut() else { return LimitReport::Unknown };
-        current.has_limit_in_health |= matches!(report, LimitReport::Limited(_));
-        if current.has_limit_in_health { report } else { LimitReport::Unknown }
+        let is_advertised = match report {
+            LimitReport::Limited(_) => Some(true),
+            LimitReport::Unlimited if is_limited => Some(false),
+            LimitReport::Unlimited | LimitReport::Unknown => None,
+        };
+        if current.has_limit_in_health != Some(true) {
+            current.has_limit_in_health = is_advertised.or(current.has_limit_in_health);
+        }
+        if current.has_limit_in_health == Some(true) { report } else { LimitReport::Unknown }
     }
 
     /// Applies the limit that the caller's node remembers from an earlier response of the back end. It is needed
--- a/crates/forwarding/src/outbound/back_end_notices.rs
+++ b/crates/forwarding/src/outbound/back_end_notices.rs
@@ -66,6 +66,11 @@
         change
     }
 
+    /// Whether no back end has said anything.
+    pub(super) fn is_empty(&self) -> bool {
+        self.notices.is_empty()
+    }
+
     /// Request limit that `process` has advertised.
     pub(super) fn limit(&self, process: &BackEndProcess) -> Option<RequestRate> {
         self.notice(process)?.limit.rate()
--- a/crates/forwarding/src/outbound/retry_delay.rs
+++ b/crates/forwarding/src/outbound/retry_delay.rs
@@ -58,9 +58,8 @@
         let soonest = self.retry_after.unwrap_or(DEFAULT_DELAY);
         match self.reason {
             NotRunReason::Quarantined => QUARANTINE_DELAY,
-            NotRunReason::Overloaded | NotRunReason::CallsOverloaded | NotRunReason::RequestLimit => {
-                self.delay_for_queue(random)
-            }
+            NotRunReason::Overloaded | NotRunReason::CallsOverloaded => self.delay_for_queue(random),
+            NotRunReason::RequestLimit => self.delay_for_limit(random),
             NotRunReason::BackEndFull => {
                 self.delay_for_slot(random).unwrap_or_else(|| self.delay_for_queue(random))
             }
@@ -78,6 +77,12 @@
         soonest.max(delay_within(self.caller_left, random))
     }
 
+    /// Like [`Self::delay_for_queue`], but no longer than callers accept: another back end may have room before the
+    /// limit of this one lets a request start.
+    fn delay_for_limit(&self, random: &mut impl Rng) -> Duration {
+        self.delay_for_queue(random).min(self.caller_left.mul_f64(REMAINING_TIME_SHARE))
+    }
+
     /// Delay after which a slot should be free and a retry can still meet the objective, if there is one.
     fn delay_for_slot(&self, random: &mut impl Rng) -> Option<Duration> {
         let soonest = self.time_to_free_slot?.max(MIN_DELAY);
--- a/crates/forwarding/src/outbound/state.rs
+++ b/crates/forwarding/src/outbound/state.rs
@@ -333,8 +333,12 @@
 
     /// Request limit that the chosen back end has advertised in a response that this node has forwarded.
     pub(super) fn remembered_limit(&self, choice: &Choice) -> Option<RememberedLimit> {
+        let notices = self.notices.lock();
+        if notices.is_empty() {
+            return None;
+        }
         let process = BackEndProcess::parse(&choice.instance);
-        let rate = self.notices.lock().limit(&process)?;
+        let rate = notices.limit(&process)?;
         Some(RememberedLimit { process, rate })
     }
 
--- a/crates/forwarding/src/outbound/tests.rs
+++ b/crates/forwarding/src/outbound/tests.rs
@@ -82,13 +82,7 @@
 
 #[test]
 fn retries_to_a_full_service_are_spread_and_not_earlier_than_the_proposed_delay() {
-    let full = [
-        NotRunReason::Overloaded,
-        NotRunReason::CallsOverloaded,
-        NotRunReason::BackEndFull,
-        NotRunReason::RequestLimit,
-    ];
-    for reason in full {
+    for reason in [NotRunReason::Overloaded, NotRunReason::CallsOverloaded, NotRunReason::BackEndFull] {
         let third = (CALLER_TIME - REFUSED_AFTER) / 3;
         assert!(
             delays(&refused(reason)).iter().all(|after| *after >= third.mul_f64(0.69) && *after <= third)
@@ -98,6 +92,15 @@
     }
 }
 
+#[test]
+fn retries_to_limited_back_ends_are_spread_and_not_later_than_callers_accept() {
+    let third = (CALLER_TIME - REFUSED_AFTER) / 3;
+    for retry_after in [None, Some(millis(100)), Some(millis(2_500))] {
+        let limited = RefusedRequest { retry_after, ..refused(NotRunReason::RequestLimit) };
+        assert!(delays(&limited).iter().all(|after| *after >= third.mul_f64(0.69) && *after <= third));
+    }
+}
+
 #[test]
 fn retries_to_a_full_back_end_wait_for_a_slot_only_if_the_objective_can_still_be_met() {
     let full = refused(NotRunReason::BackEndFull);
--- a/crates/forwarding/src/upstream/exchange.rs
+++ b/crates/forwarding/src/upstream/exchange.rs
@@ -68,8 +68,9 @@
 
 /// Receives the heads of a back end's responses.
 pub(crate) trait ResponseListener: Send + Sync {
-    /// Called with the head of the response to a request that was sent at `sent_at`.
-    fn on_response_head(&self, sent_at: Instant, head: &ResponseHead);
+    /// Called with the head of the response to a request that was sent at `sent_at`. `is_trusted` tells whether
+    /// the response will be forwarded.
+    fn on_response_head(&self, sent_at: Instant, head: &ResponseHead, is_trusted: bool);
 }
 
 /// Why no response head was received.
@@ -129,7 +130,7 @@
             }
             RequestBody::Consumed => return Ok(ExchangeEnd::NotSent(NotRunReason::BodyBroken)),
         };
-        self.listener.on_response_head(sent_at, &head);
+        self.listener.on_response_head(sent_at, &head, self.is_trusted(&head));
         self.read_response(connection, request, head, is_sent_whole).await
     }
 
