Keep notices of back ends by their nodes, and reopen a back end without identity after it was unreachable

Found by reading what the fault soak would do: the product's own back ends need not report an identity, and all of those share one name. A notice that one of them is leaving would have kept every other one out of use at the nodes that forwarded it, and the back end itself would never have been reopened, since the tracker takes a process that left for ended.

Change: notices are kept by node and process; the leaving of a back end without identity is not noted by callers' nodes, as only the node beside it can tell when the next process has replaced it; its tracker forgets a process without identity that left and is then unreachable, so that the next successful health check opens the gate. The tracker alone decides when a gate opens again.

--- a/crates/daemon/src/back_end/check.rs
+++ b/crates/daemon/src/back_end/check.rs
@@ -12,8 +12,6 @@
 
 /// Health check path if the configuration has none.
 const DEFAULT_PATH: &str = "/health";
-/// Identity of a back end that reports none.
-const UNNAMED: &str = "unnamed";
 /// Number of slots if neither the back end nor the configuration specifies one.
 const DEFAULT_SLOTS: u32 = 16;
 
@@ -36,22 +34,22 @@
     let mut ticks = interval(settings.interval);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut failures = 0;
-    let mut instance = UNNAMED.to_owned();
+    let mut process = BackEndProcess::unnamed();
     loop {
         ticks.tick().await;
         let path = monitor.health_path(&settings.service).unwrap_or_else(|| DEFAULT_PATH.to_owned());
         let Some(health) = monitor.inbound().probe_health(settings.address, &path).await else {
             failures += 1;
             if failures == settings.failures {
-                monitor.unreachable(&BackEndProcess::of(&instance));
+                monitor.unreachable(&process);
             }
             continue;
         };
         failures = 0;
-        instance = health.instance.unwrap_or_else(|| UNNAMED.to_owned());
+        process = health.instance.as_deref().map_or_else(BackEndProcess::unnamed, BackEndProcess::of);
         let configured = monitor.configured_slots(&settings.service);
         monitor.confirm(BackEnd {
-            process: BackEndProcess::of(&instance),
+            process: process.clone(),
             service: settings.service.clone(),
             release: None,
             address: settings.address,
--- a/crates/daemon/src/back_end/tracker.rs
+++ b/crates/daemon/src/back_end/tracker.rs
@@ -207,6 +207,10 @@
 
     /// Handles a failure of this node to reach the back end.
     pub fn on_unreachable(&mut self, reported: &BackEndProcess) -> Effect {
+        if !reported.is_named() {
+            // Once it is reachable again, it counts as the next process.
+            self.current.take_if(|process| process.state == BackEndState::Draining);
+        }
         match &mut self.current {
             Some(process)
                 if process.back_end.process.may_equal(reported) && process.state == BackEndState::Ready =>
--- a/crates/daemon/tests/back_end_tracker.rs
+++ b/crates/daemon/tests/back_end_tracker.rs
@@ -66,6 +66,18 @@
     assert_eq!(tracker.on_announcement(now, &ready_for("b", 1)), Effect::Open(back_end("b")));
 }
 
+#[test]
+fn back_end_without_identity_that_left_is_reopened_after_it_was_unreachable() {
+    let now = Instant::now();
+    let mut tracker = BackEndTracker::new(false);
+    let unnamed = BackEnd { process: BackEndProcess::unnamed(), ..back_end("a") };
+    assert_eq!(tracker.on_confirmed(now, unnamed.clone()), Effect::Open(unnamed.clone()));
+    assert_eq!(tracker.on_leaving(&unnamed.process), Effect::Close(CloseReason::Leaving));
+    assert_eq!(tracker.on_confirmed(now, unnamed.clone()), Effect::None);
+    assert_eq!(tracker.on_unreachable(&unnamed.process), Effect::None);
+    assert_eq!(tracker.on_confirmed(now, unnamed.clone()), Effect::Open(unnamed));
+}
+
 #[test]
 fn a_delayed_announcement_does_not_reopen_a_draining_back_end() {
     let now = Instant::now();
--- a/crates/forwarding/src/inbound/back_end.rs
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -194,7 +194,7 @@
         receiver
     }
 
-    /// Starts to accept requests for `back_end`, unless it has said in a response that it is about to shut down.
+    /// Starts to accept requests for `back_end`.
     pub fn open(&self, back_end: BackEnd) {
         let mut current = self.current.lock();
         let is_same = current.as_ref().is_some_and(|held| {
@@ -206,13 +206,7 @@
             self.response_tallies.lock().clear();
         }
         let held = match current.take() {
-            Some(held) if is_same && !held.watch.is_crash_known() => {
-                if held.is_leaving {
-                    *current = Some(held);
-                    return;
-                }
-                held
-            }
+            Some(held) if is_same && !held.watch.is_crash_known() => held,
             // Also covers a back end that crashed and restarted under the same name.
             before => {
                 self.forget_request_limit();
@@ -222,7 +216,7 @@
         };
         self.admission.open(back_end.slots);
         self.transfers.open();
-        *current = Some(CurrentBackEnd { back_end, is_open: true, ..held });
+        *current = Some(CurrentBackEnd { back_end, is_open: true, is_leaving: false, ..held });
     }
 
     /// Handles the replacement of `before` by another process of the back end. If `before` was still
--- a/crates/forwarding/src/outbound/back_end_notices.rs
+++ b/crates/forwarding/src/outbound/back_end_notices.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Instant;
 
-use umberpond_model::{BackEndProcess, RequestRate};
+use umberpond_model::{BackEndProcess, NodeName, RequestRate};
 use umberpond_scheduling::AdvertisedLimit;
 
 use crate::upstream::BackEndSignals;
@@ -38,30 +38,33 @@
 /// end has restarted and knows nothing about it.
 #[derive(Debug, Default)]
 pub(super) struct BackEndNotices {
-    /// By identity of the back end.
-    notices: BTreeMap<String, Notice>,
-    /// The identities in the order in which their notices were added.
-    added: VecDeque<String>,
+    /// By node beside the back end.
+    notices: BTreeMap<NodeName, Notice>,
+    /// The nodes in the order in which their notices were added.
+    added: VecDeque<NodeName>,
 }
 
 impl BackEndNotices {
-    /// Applies a response of `process` to a request that was sent at `sent_at`.
+    /// Applies a response of `process` beside `node` to a request that was sent at `sent_at`.
     pub(super) fn on_response(
         &mut self,
         now: Instant,
         sent_at: Instant,
+        node: &NodeName,
         process: &BackEndProcess,
         signals: BackEndSignals,
     ) -> NoticeChange {
-        let known = self.notice(process).cloned();
+        // Only the node beside a back end without identity can tell when the next process has replaced it.
+        let is_leaving = signals.is_leaving && process.is_named();
+        let known = self.notice(node, process).cloned();
         let mut notice = known.clone().unwrap_or_else(|| Notice::new(process));
         let limit_before = notice.limit.rate();
         notice.limit.on_response(now, sent_at, signals.limit);
-        let has_begun_to_leave = signals.is_leaving && !notice.is_leaving;
-        notice.is_leaving |= signals.is_leaving;
+        let has_begun_to_leave = is_leaving && !notice.is_leaving;
+        notice.is_leaving |= is_leaving;
         let change = NoticeChange { limit_before, limit: notice.limit.rate(), has_begun_to_leave };
         if known.is_some() || notice.is_leaving || notice.limit.rate().is_some() {
-            self.store(notice);
+            self.store(node, notice);
         }
         change
     }
@@ -72,13 +75,13 @@
     }
 
     /// Request limit that `process` has advertised.
-    pub(super) fn limit(&self, process: &BackEndProcess) -> Option<RequestRate> {
-        self.notice(process)?.limit.rate()
+    pub(super) fn limit(&self, node: &NodeName, process: &BackEndProcess) -> Option<RequestRate> {
+        self.notice(node, process)?.limit.rate()
     }
 
     /// Whether `process` has said that it is about to shut down.
-    pub(super) fn is_leaving(&self, process: &BackEndProcess) -> bool {
-        self.notice(process).is_some_and(|notice| notice.is_leaving)
+    pub(super) fn is_leaving(&self, node: &NodeName, process: &BackEndProcess) -> bool {
+        self.notice(node, process).is_some_and(|notice| notice.is_leaving)
     }
 
     /// Whether any back end has said that it is about to shut down.
@@ -86,16 +89,15 @@
         self.notices.values().any(|notice| notice.is_leaving)
     }
 
-    fn notice(&self, process: &BackEndProcess) -> Option<&Notice> {
-        self.notices.get(&process.instance).filter(|notice| notice.process.may_equal(process))
+    fn notice(&self, node: &NodeName, process: &BackEndProcess) -> Option<&Notice> {
+        self.notices.get(node).filter(|notice| notice.process.may_equal(process))
     }
 
-    fn store(&mut self, notice: Notice) {
-        let instance = notice.process.instance.clone();
-        if self.notices.insert(instance.clone(), notice).is_some() {
+    fn store(&mut self, node: &NodeName, notice: Notice) {
+        if self.notices.insert(node.clone(), notice).is_some() {
             return;
         }
-        self.added.push_back(instance);
+        self.added.push_back(node.clone());
         if self.added.len() > MAX_NOTICES
             && let Some(oldest) = self.added.pop_front()
         {
--- a/crates/forwarding/src/outbound/state.rs
+++ b/crates/forwarding/src/outbound/state.rs
@@ -193,7 +193,7 @@
         let notices = self.notices.lock();
         let has_leaving = notices.has_leaving();
         let is_leaving = |endpoint: &Endpoint| {
-            has_leaving && notices.is_leaving(&BackEndProcess::parse(&endpoint.instance))
+            has_leaving && notices.is_leaving(&endpoint.node, &BackEndProcess::parse(&endpoint.instance))
         };
         let is_allowed = |endpoint: &&Endpoint| {
             let locality = &endpoint.locality;
@@ -309,7 +309,8 @@
     ) {
         let signals = BackEndSignals::read(&self.header_profile, response.status, &response.fields);
         let process = BackEndProcess::parse(&choice.instance);
-        let change = self.notices.lock().on_response(now(), sent_at.into_std(), &process, signals);
+        let change =
+            self.notices.lock().on_response(now(), sent_at.into_std(), &choice.node, &process, signals);
         if change.limit != change.limit_before {
             self.telemetry.emit(Event::RequestLimitChanged {
                 instance: choice.instance.clone(),
@@ -338,7 +339,7 @@
             return None;
         }
         let process = BackEndProcess::parse(&choice.instance);
-        let rate = notices.limit(&process)?;
+        let rate = notices.limit(&choice.node, &process)?;
         Some(RememberedLimit { process, rate })
     }
 
--- a/crates/model/src/back_end_process.rs
+++ b/crates/model/src/back_end_process.rs
@@ -13,7 +13,22 @@
     pub started_at: Option<u64>,
 }
 
+/// Identity of a back end that reports none.
+const UNNAMED: &str = "unnamed";
+
 impl BackEndProcess {
+    /// The process of a back end that reports no identity, so that the next one can't be distinguished from it.
+    #[must_use]
+    pub fn unnamed() -> Self {
+        Self::of(UNNAMED)
+    }
+
+    /// Whether the back end reports its identity.
+    #[must_use]
+    pub fn is_named(&self) -> bool {
+        self.instance != UNNAMED
+    }
+
     /// The process of the back end called `instance`, with an unknown start time.
     #[must_use]
     pub fn of(instance: &str) -> Self {
