Give the simulation and the fault soak back ends that limit requests and leave, with checks from what they see

Change: stand-in back ends send both signals on order, and may report an identity. The simulation has two kinds of fault (limited-back-end, leaving-back-end) and two invariants (request-limits-kept, leaving-by-response-kept), with tests of the checkers; the mixed seeds of before run with the kinds of before, new ones with all kinds and with those under which nodes forget. The soak sends both signals beside its other faults, with false health checks of the back ends that leave, and counts the requests that entered at the edge node that no fault hits. A back end without identity that has left counts as replaced once it has been healthy for some seconds.

--- a/crates/daemon/src/back_end/monitor.rs
+++ b/crates/daemon/src/back_end/monitor.rs
@@ -119,7 +119,7 @@
 
     /// Handles a response of `process` that says that it is about to shut down.
     pub(crate) fn leaving(self: &Arc<Self>, process: &BackEndProcess) {
-        let effect = self.tracker.lock().on_leaving(process);
+        let effect = self.tracker.lock().on_leaving(now(), process);
         self.apply(effect);
     }
 
--- a/crates/daemon/src/back_end/tracker.rs
+++ b/crates/daemon/src/back_end/tracker.rs
@@ -138,12 +138,13 @@
 
     /// Handles a response of `process` that says that it is about to shut down. Its later announcements do not
     /// reopen it, whatever state they announce.
-    pub fn on_leaving(&mut self, process: &BackEndProcess) -> Effect {
+    pub fn on_leaving(&mut self, now: Instant, process: &BackEndProcess) -> Effect {
         match &mut self.current {
             Some(current)
                 if current.back_end.process.may_equal(process) && current.state != BackEndState::Draining =>
             {
                 current.state = BackEndState::Draining;
+                current.last_seen_at = now;
                 Effect::Close(CloseReason::Leaving)
             }
             _ => Effect::None,
@@ -153,6 +154,7 @@
     /// Handles a successful health check of `back_end`. The response doesn't identify the process by its
     /// start time.
     pub fn on_confirmed(&mut self, now: Instant, back_end: BackEnd) -> Effect {
+        self.current.take_if(|process| process.has_unnamed_successor(now));
         let is_current = self
             .current
             .as_ref()
@@ -359,6 +361,12 @@
         self.state == BackEndState::Draining && adds_start && is_silent
     }
 
+    /// Whether this process has no identity and left so long ago that a healthy back end is the next process.
+    fn has_unnamed_successor(&self, now: Instant) -> bool {
+        let has_left = self.state == BackEndState::Draining && !self.back_end.process.is_named();
+        has_left && now.saturating_duration_since(self.last_seen_at) > MAX_ANNOUNCEMENT_DELAY
+    }
+
     /// Records the start time of this process, if `reported` has one.
     fn set_start(&mut self, reported: &BackEndProcess) {
         if reported.started_at.is_some() {
--- a/crates/daemon/tests/back_end_tracker.rs
+++ b/crates/daemon/tests/back_end_tracker.rs
@@ -57,8 +57,8 @@
     let now = Instant::now();
     let mut tracker = BackEndTracker::new(false);
     tracker.on_announcement(now, &ready_for("a", 1));
-    assert_eq!(tracker.on_leaving(&BackEndProcess::of("a")), Effect::Close(CloseReason::Leaving));
-    assert_eq!(tracker.on_leaving(&BackEndProcess::of("a")), Effect::None);
+    assert_eq!(tracker.on_leaving(now, &BackEndProcess::of("a")), Effect::Close(CloseReason::Leaving));
+    assert_eq!(tracker.on_leaving(now, &BackEndProcess::of("a")), Effect::None);
     let moved = Announcement { address: "10.0.0.1:81".parse().unwrap(), ..ready_for("a", 2) };
     assert_eq!(tracker.on_announcement(now, &moved), Effect::None);
     assert_eq!(tracker.on_announcement(now, &draining("a", 3)), Effect::None);
@@ -72,12 +72,24 @@
     let mut tracker = BackEndTracker::new(false);
     let unnamed = BackEnd { process: BackEndProcess::unnamed(), ..back_end("a") };
     assert_eq!(tracker.on_confirmed(now, unnamed.clone()), Effect::Open(unnamed.clone()));
-    assert_eq!(tracker.on_leaving(&unnamed.process), Effect::Close(CloseReason::Leaving));
+    assert_eq!(tracker.on_leaving(now, &unnamed.process), Effect::Close(CloseReason::Leaving));
     assert_eq!(tracker.on_confirmed(now, unnamed.clone()), Effect::None);
     assert_eq!(tracker.on_unreachable(&unnamed.process), Effect::None);
     assert_eq!(tracker.on_confirmed(now, unnamed.clone()), Effect::Open(unnamed));
 }
 
+#[test]
+fn back_end_without_identity_that_left_is_reopened_if_it_stays_healthy() {
+    let now = Instant::now();
+    let mut tracker = BackEndTracker::new(false);
+    let unnamed = BackEnd { process: BackEndProcess::unnamed(), ..back_end("a") };
+    tracker.on_confirmed(now, unnamed.clone());
+    tracker.on_leaving(now, &unnamed.process);
+    assert_eq!(tracker.on_confirmed(now + Duration::from_secs(5), unnamed.clone()), Effect::None);
+    let reopened = tracker.on_confirmed(now + Duration::from_secs(7), unnamed.clone());
+    assert_eq!(reopened, Effect::Open(unnamed));
+}
+
 #[test]
 fn a_delayed_announcement_does_not_reopen_a_draining_back_end() {
     let now = Instant::now();
@@ -297,7 +309,7 @@
                 0 => tracker.on_announcement(now, &draining(instance, u64::from(sequence))),
                 1 => tracker.on_withdrawn(&BackEndProcess::of(instance)),
                 2 => tracker.on_confirmed(now, back_end(instance)),
-                3 => tracker.on_leaving(&BackEndProcess::of(instance)),
+                3 => tracker.on_leaving(now, &BackEndProcess::of(instance)),
                 _ => tracker.on_announcement(now, &ready_for(instance, u64::from(sequence))),
             };
             if let Effect::Open(opened) = &effect
--- a/crates/umberpond/tests/support/mesh.rs
+++ b/crates/umberpond/tests/support/mesh.rs
@@ -22,6 +22,7 @@
 async fn back_end(name: &str, zone: &str) -> Backend {
     let settings = BackendSettings {
         name: name.to_owned(),
+        instance: None,
         service: "web".parse().expect("a name"),
         locality: Locality { region: "north".parse().expect("a name"), zone: zone.parse().expect("a name") },
         slots: 10,
--- a/testing/sim/src/checkers/mod.rs
+++ b/testing/sim/src/checkers/mod.rs
@@ -4,12 +4,13 @@
 mod convergence;
 mod lifecycle;
 mod requests;
+mod signals;
 mod submissions;
 mod versions;
 
 use std::fmt;
 
-use umberpond_model::{Millis, NodeName, ServiceName, SubmissionId, Version};
+use umberpond_model::{Millis, NodeName, RequestRate, ServiceName, SubmissionId, Version};
 
 use crate::history::{CallerOutcome, History, RequestKey, SubmissionClaim};
 
@@ -20,6 +21,7 @@
     allowed_locality_only, at_most_once, at_most_once_per_caller_key, rejected_did_not_run,
     serving_after_faults, whole_own_answer,
 };
+pub use signals::{leaving_by_response_kept, request_limits_kept};
 pub use submissions::submission_told_true;
 pub use versions::{never_applied_in_part, never_back, no_dangling_reference};
 
@@ -54,11 +56,15 @@
     /// In any time window, all nodes together send no more retries than the retry budget of the service
     /// allows.
     RetryBudgetKept,
+    /// All nodes together send a back end no more requests than its advertised limit tolerates.
+    RequestLimitsKept,
+    /// A back end whose forwarded response said that it is leaving gets no new requests after [`DRAIN_LIMIT`].
+    LeavingByResponseKept,
 }
 
 impl Invariant {
     /// All invariants.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 15] = [
         Self::NeverBack,
         Self::NoDanglingReference,
         Self::NeverAppliedInPart,
@@ -72,6 +78,8 @@
         Self::SubmissionToldTrue,
         Self::ServingAfterFaults,
         Self::RetryBudgetKept,
+        Self::RequestLimitsKept,
+        Self::LeavingByResponseKept,
     ];
 
     /// Name used on the command line and in reports.
@@ -91,6 +99,8 @@
             Self::SubmissionToldTrue => "submission-told-true",
             Self::ServingAfterFaults => "serving-after-faults",
             Self::RetryBudgetKept => "retry-budget-kept",
+            Self::RequestLimitsKept => "request-limits-kept",
+            Self::LeavingByResponseKept => "leaving-by-response-kept",
         }
     }
 
@@ -111,6 +121,8 @@
             Self::SubmissionToldTrue => submission_told_true(history),
             Self::ServingAfterFaults => serving_after_faults(history),
             Self::RetryBudgetKept => retry_budget_kept(history),
+            Self::RequestLimitsKept => request_limits_kept(history),
+            Self::LeavingByResponseKept => leaving_by_response_kept(history),
         }
     }
 }
@@ -135,6 +147,15 @@
 /// How an invariant was violated.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Breach {
+    /// A back end got more requests in a window than its advertised limit tolerates.
+    LimitExceeded {
+        /// Node of the back end.
+        node: NodeName,
+        /// The limit.
+        limit: RequestRate,
+        /// Number of requests in the window.
+        requests: usize,
+    },
     /// A node activated an older version than before.
     WentBack {
         /// The node.
--- a/testing/sim/src/cluster/faults.rs
+++ b/testing/sim/src/cluster/faults.rs
@@ -33,6 +33,8 @@
 const RESTART_PAUSE: Duration = Duration::from_millis(200);
 /// Extra delay of the second copy of a duplicated request.
 const DUPLICATE_DELAY: Millis = Millis(60);
+/// Limits that a back end may advertise, in thousandths of a request per second.
+const REQUEST_LIMITS: [u64; 3] = [400, 2_000, 5_500];
 /// Number of operators that submit at the same time.
 const RACING_OPERATORS: u64 = 3;
 
@@ -124,6 +126,13 @@
                 ..FaultChange::default()
             }),
             FaultKind::StaleZone => self.begin_stale_zone(fault).await,
+            FaultKind::LimitedBackEnd => {
+                let limit = REQUEST_LIMITS[fault.place % REQUEST_LIMITS.len()];
+                self.slots[self.node_of(fault)].lock().await.limit_back_end(&self.context, Some(limit));
+            }
+            FaultKind::LeavingBackEnd => {
+                self.slots[self.node_of(fault)].lock().await.leave_back_end(&self.context);
+            }
             FaultKind::DoubledRequests => {
                 network
                     .duplicate_streams(self.placements[self.node_of(fault)].inbound(), Some(DUPLICATE_DELAY));
@@ -150,6 +159,14 @@
                 self.slots[self.node_of(fault)].lock().await.start_back_end(&self.context).await;
             }
             FaultKind::SlowBackEnd => self.slow_back_end(fault, 0).await,
+            FaultKind::LimitedBackEnd => {
+                self.slots[self.node_of(fault)].lock().await.limit_back_end(&self.context, None);
+            }
+            FaultKind::LeavingBackEnd => {
+                let mut slot = self.slots[self.node_of(fault)].lock().await;
+                slot.kill_back_end(&self.context);
+                slot.start_back_end(&self.context).await;
+            }
             FaultKind::DoubledRequests => {
                 network.duplicate_streams(self.placements[self.node_of(fault)].inbound(), None)
             }
--- a/testing/sim/src/cluster/process.rs
+++ b/testing/sim/src/cluster/process.rs
@@ -13,7 +13,7 @@
     Daemon, Environment, Extensions, NoBootClock, RunningDaemon, StartError, listen, serve_http,
 };
 use umberpond_forwarding::HeaderProfile;
-use umberpond_model::Millis;
+use umberpond_model::{Millis, RequestRate};
 use umberpond_net::Network;
 use umberpond_operator::admin::ADMIN_BODY_BYTES;
 use umberpond_operator::{AdminHandler, ChainSource, StoreDirectory};
@@ -106,6 +106,9 @@
         let network = context.host(placement.back_end_host());
         let settings = BackendSettings {
             name: placement.node.to_string(),
+            instance: self
+                .has_named_back_end()
+                .then(|| format!("{}-{}", placement.node, self.past_ledgers.len())),
             service: placement.service.clone(),
             locality: placement.locality(),
             slots: u64::from(layout::SLOTS),
@@ -122,7 +125,10 @@
     /// Kills the back end with its requests in flight and records a fault of its node.
     pub fn kill_back_end(&mut self, context: &RunContext) {
         let Some(RunningBackEnd { started_at, back_end }) = self.back_end.take() else { return };
-        context.recorder.record(Event::FaultBegan { node: self.placement.node.clone() });
+        let node = &self.placement.node;
+        context.recorder.record(Event::FaultBegan { node: node.clone() });
+        context.recorder.record(Event::LimitEnded { node: node.clone() });
+        context.recorder.record(Event::LeavingEnded { node: node.clone() });
         context.network.kill(self.placement.back_end_host());
         self.past_ledgers.push((started_at, back_end.ledger()));
     }
@@ -136,6 +142,34 @@
             .change_faults(&FaultChange { delay_millis: Some(delay_millis), ..FaultChange::default() });
     }
 
+    /// Sets the limit that the responses of the back end advertise, in thousandths of a request per second.
+    pub fn limit_back_end(&self, context: &RunContext, limit: Option<u64>) {
+        let Some(running) = &self.back_end else { return };
+        let node = self.placement.node.clone();
+        let rate = limit.and_then(|limit| RequestRate::per_second(limit as f64 / 1_000.0).ok());
+        context.recorder.record(match rate {
+            Some(limit) => Event::LimitBegan { node, limit },
+            None => Event::LimitEnded { node },
+        });
+        let change = FaultChange { request_limit: Some(limit), ..FaultChange::default() };
+        running.back_end.change_faults(&change);
+    }
+
+    /// Makes the responses of the back end say that it is about to shut down.
+    pub fn leave_back_end(&self, context: &RunContext) {
+        let Some(running) = &self.back_end else { return };
+        context.recorder.record(Event::LeavingBegan { node: self.placement.node.clone() });
+        // A back end without identity that is healthy for some seconds counts as the next process.
+        let health_lies = Some(self.has_named_back_end());
+        let change = FaultChange { leaving: Some(true), health_lies, ..FaultChange::default() };
+        running.back_end.change_faults(&change);
+    }
+
+    /// Whether the back end reports an identity. Some don't, so that both cases are tested.
+    const fn has_named_back_end(&self) -> bool {
+        self.placement.index.is_multiple_of(2)
+    }
+
     /// Ledgers of all back ends of this node, each with the start time of the back end.
     pub fn ledgers(&self) -> impl Iterator<Item = (Millis, Ledger)> + '_ {
         let running = self.back_end.iter().map(|running| (running.started_at, running.back_end.ledger()));
--- a/testing/sim/src/cluster/run.rs
+++ b/testing/sim/src/cluster/run.rs
@@ -92,6 +92,7 @@
     let load_started_at = recorder.now();
     let edge = cluster.placements.last().expect("the layout has an edge node");
     let load_time = Millis(options.schedule.end().0.max(MIN_LOAD.0) + LOAD_AFTER_FAULTS.0);
+    recorder.record(Event::EntryNode { node: edge.node.clone() });
     let caller_network = cluster.context.host(layout::CALLER_HOST);
     let calls = Callers::start(&caller_network, edge, options.seed, load_started_at, load_time);
     let faults =
--- a/testing/sim/src/history.rs
+++ b/testing/sim/src/history.rs
@@ -1,6 +1,8 @@
 //! Event history of a run, in the order of virtual time.
 
-use umberpond_model::{ContentHash, Locality, Millis, NodeName, ServiceName, SubmissionId, Version};
+use umberpond_model::{
+    ContentHash, Locality, Millis, NodeName, RequestRate, ServiceName, SubmissionId, Version,
+};
 
 /// Identifier of one logical request of a caller, shared by all of its attempts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -135,6 +137,33 @@
     StoreImpaired,
     /// Such a fault of the store ended.
     StoreMended,
+    /// All callers send their requests to this node.
+    EntryNode {
+        /// The node.
+        node: NodeName,
+    },
+    /// The responses of a back end begin to advertise a request limit.
+    LimitBegan {
+        /// Node of the back end.
+        node: NodeName,
+        /// The limit.
+        limit: RequestRate,
+    },
+    /// The responses of a back end advertise no limit any more.
+    LimitEnded {
+        /// Node of the back end.
+        node: NodeName,
+    },
+    /// The responses of a back end begin to say that it is about to shut down.
+    LeavingBegan {
+        /// Node of the back end.
+        node: NodeName,
+    },
+    /// A back end that said so was replaced.
+    LeavingEnded {
+        /// Node of the back end.
+        node: NodeName,
+    },
     /// The last fault of the schedule ended.
     FaultsEnded,
     /// The run ended.
--- a/testing/sim/src/schedule.rs
+++ b/testing/sim/src/schedule.rs
@@ -55,11 +55,18 @@
     /// A zone misses versions while it is cut off. Then the next zone restarts with empty state and reaches
     /// only the stale zone, so that neither knows the newest version.
     StaleZone,
+    /// The responses of one back end advertise a request limit.
+    LimitedBackEnd,
+    /// The responses of one back end say that it is about to shut down. It is replaced at the end of the fault.
+    LeavingBackEnd,
 }
 
 impl FaultKind {
+    /// The kinds that consist of signals in the responses of back ends; the last ones of [`Self::ALL`].
+    pub const SIGNALS: [Self; 2] = [Self::LimitedBackEnd, Self::LeavingBackEnd];
+
     /// All kinds.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 18] = [
         Self::Kill,
         Self::HerdRestart,
         Self::CutZone,
@@ -76,6 +83,8 @@
         Self::LateLostAnswers,
         Self::DoubledRequests,
         Self::StaleZone,
+        Self::LimitedBackEnd,
+        Self::LeavingBackEnd,
     ];
 
     /// Whether some nodes may not reach the store or not receive its responses during the fault.
@@ -119,6 +128,8 @@
             Self::LateLostAnswers => "late-lost-answers",
             Self::DoubledRequests => "doubled-requests",
             Self::StaleZone => "stale-zone",
+            Self::LimitedBackEnd => "limited-back-end",
+            Self::LeavingBackEnd => "leaving-back-end",
         }
     }
 }
--- a/testing/sim/tests/checkers.rs
+++ b/testing/sim/tests/checkers.rs
@@ -1,6 +1,8 @@
 //! Each checker reports a history that violates its invariant, and accepts a similar history that doesn't.
 
-use umberpond_model::{ContentHash, Locality, Millis, NodeName, ServiceName, SubmissionId, Version};
+use umberpond_model::{
+    ContentHash, Locality, Millis, NodeName, RequestRate, ServiceName, SubmissionId, Version,
+};
 use umberpond_sim::checkers::Invariant;
 use umberpond_sim::history::{CallerKey, CallerOutcome, Event, History, RequestKey, SubmissionClaim};
 
@@ -287,3 +289,53 @@
         "second runs on the same node come from the network, not from retries"
     );
 }
+
+fn entry_node() -> Event {
+    Event::EntryNode { node: NodeName::new("edge").unwrap() }
+}
+
+/// A request that is sent at `at`, runs at once and is answered 100 ms later.
+fn served(request: u64, at: u64) -> [(u64, Event); 3] {
+    let request = RequestKey(request);
+    let locality: Locality = serde_json::from_str(r#"{"region":"eu-north","zone":"hall-a"}"#).unwrap();
+    let service = ServiceName::new("billing").unwrap();
+    [
+        (at, Event::Sent { request, service, idempotent: true, repeats: false }),
+        (at, Event::Executed { request, node: node(), locality, caller_key: None, locality_allowed: true }),
+        (at + 100, Event::Finished { request, outcome: GOOD }),
+    ]
+}
+
+fn history_of(mut events: Vec<(u64, Event)>) -> Vec<(u64, Event)> {
+    events.sort_by_key(|(at, _event)| *at);
+    events
+}
+
+#[test]
+fn exceeded_request_limit_is_detected() {
+    let run = |interval: u64, tail: Vec<(u64, Event)>| {
+        let begin = vec![
+            (0, entry_node()),
+            (10, Event::LimitBegan { node: node(), limit: RequestRate::per_second(2.0).unwrap() }),
+        ];
+        let requests = (0..12_000 / interval).flat_map(|number| served(number, 20 + number * interval));
+        history_of(begin.into_iter().chain(requests).chain(tail).collect())
+    };
+    let invariant = Invariant::RequestLimitsKept;
+    assert_detects_violation(invariant, run(250, vec![]), run(200, vec![]));
+    let ended = vec![(2_000, Event::LimitEnded { node: node() })];
+    assert_eq!(invariant.check(&history(run(200, ended))), Vec::new());
+    // The entry node starts anew again and again, so that it never counts as informed.
+    let restarts =
+        (0..30).map(|number| (number * 400, Event::Started { node: NodeName::new("edge").unwrap() }));
+    assert_eq!(invariant.check(&history(run(200, restarts.collect()))), Vec::new());
+}
+
+#[test]
+fn request_after_a_response_that_said_leaving_is_detected() {
+    let run = |last: u64| {
+        let begin = vec![(0, entry_node()), (10, Event::LeavingBegan { node: node() })];
+        history_of(begin.into_iter().chain(served(1, 20)).chain(served(2, last)).collect())
+    };
+    assert_detects_violation(Invariant::LeavingByResponseKept, run(2_120), run(2_121));
+}
--- a/testing/sim/tests/invariants.rs
+++ b/testing/sim/tests/invariants.rs
@@ -12,6 +12,18 @@
 
 /// Seeds that are run with all kinds of fault.
 const MIXED_SEEDS: std::ops::Range<u64> = 0..24;
+/// Seeds that are run with all kinds of fault, signals of back ends included.
+const SIGNAL_SEEDS: std::ops::Range<u64> = 0..24;
+/// Faults that are combined with signals of back ends: those under which nodes forget what they know.
+const FAULTS_WITH_SIGNALS: [FaultKind; 7] = [
+    FaultKind::LimitedBackEnd,
+    FaultKind::LeavingBackEnd,
+    FaultKind::Kill,
+    FaultKind::PlannedStop,
+    FaultKind::Freeze,
+    FaultKind::DoubledRequests,
+    FaultKind::SlowBackEnd,
+];
 /// Seeds that are run with each kind of fault alone.
 const SEEDS_FOR_EACH_KIND: std::ops::Range<u64> = 0..3;
 
@@ -47,7 +59,16 @@
 
 #[test]
 fn mixed_faults_violate_no_invariant() {
-    let cases: Vec<(u64, &[FaultKind])> = MIXED_SEEDS.map(|seed| (seed, &FaultKind::ALL[..])).collect();
+    let (other_kinds, _signals) = FaultKind::ALL.split_at(FaultKind::ALL.len() - FaultKind::SIGNALS.len());
+    let cases: Vec<(u64, &[FaultKind])> = MIXED_SEEDS.map(|seed| (seed, other_kinds)).collect();
+    assert_all_hold(&cases);
+}
+
+#[test]
+fn mixed_faults_and_signals_of_back_ends_violate_no_invariant() {
+    let all = SIGNAL_SEEDS.map(|seed| (seed, &FaultKind::ALL[..]));
+    let selected = SIGNAL_SEEDS.map(|seed| (seed, &FAULTS_WITH_SIGNALS[..]));
+    let cases: Vec<(u64, &[FaultKind])> = all.chain(selected).collect();
     assert_all_hold(&cases);
 }
 
--- a/testing/standins/src/backend/faults.rs
+++ b/testing/standins/src/backend/faults.rs
@@ -21,6 +21,10 @@
     pub refuse: bool,
     /// New work is refused, and the health endpoint says so; what runs is finished.
     pub drain: bool,
+    /// Requests accepted from all nodes together, in thousandths per second, which all answers advertise.
+    pub request_limit: Option<u64>,
+    /// All answers say that it is about to shut down, and the health endpoint says so; it serves on.
+    pub leaving: bool,
 }
 
 /// An order to change the faults; what is absent stays as it is, and `null` ends a fault that has a value.
@@ -51,6 +55,12 @@
     /// Whether to drain.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub drain: Option<bool>,
+    /// Request limit to advertise, in thousandths per second, or `null` for none.
+    #[serde(skip_serializing_if = "Option::is_none", deserialize_with = "present")]
+    pub request_limit: Option<Option<u64>>,
+    /// Whether to say that it is about to shut down.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub leaving: Option<bool>,
 }
 
 /// Tells a field that is there as `null` from one that is absent.
@@ -70,5 +80,7 @@
         self.cut_after_bytes = change.cut_after_bytes.unwrap_or(self.cut_after_bytes);
         self.refuse = change.refuse.unwrap_or(self.refuse);
         self.drain = change.drain.unwrap_or(self.drain);
+        self.request_limit = change.request_limit.unwrap_or(self.request_limit);
+        self.leaving = change.leaving.unwrap_or(self.leaving);
     }
 }
--- a/testing/standins/src/backend/handler.rs
+++ b/testing/standins/src/backend/handler.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use http::header::{CONTENT_LENGTH, RETRY_AFTER};
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use serde::Serialize;
@@ -27,6 +27,13 @@
 /// Header with the outcome class.
 pub const OUTCOME: &str = "umberpond-outcome";
 
+/// Header with the identity of the back end's process.
+const INSTANCE: &str = "umberpond-instance";
+/// Header with the requests per second that the back end accepts from all nodes together.
+const REQUEST_LIMIT: &str = "umberpond-request-limit";
+/// Header that says that the back end is about to shut down.
+const LEAVING: &str = "umberpond-leaving";
+
 /// Header that says why work was refused; for people only.
 const REFUSAL_REASON: &str = "standin-refusal";
 
@@ -126,6 +133,27 @@
         empty(if healthy { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
     }
 
+    /// Adds what the answers say about the back end itself.
+    fn add_signals(&self, headers: &mut HeaderMap) {
+        let faults = self.state.faults();
+        if let Some(instance) =
+            self.state.instance().and_then(|instance| HeaderValue::from_str(instance).ok())
+        {
+            headers.insert(INSTANCE, instance);
+        }
+        if let Some(thousandths) = faults.request_limit {
+            let limit = format!("{}.{:03}", thousandths / 1_000, thousandths % 1_000);
+            headers.extend(
+                HeaderValue::try_from(limit)
+                    .ok()
+                    .map(|limit| (HeaderName::from_static(REQUEST_LIMIT), limit)),
+            );
+        }
+        if faults.leaving {
+            headers.insert(LEAVING, HeaderValue::from_static("1"));
+        }
+    }
+
     fn load(&self) -> Response<AnswerBody> {
         let outstanding = self.state.report().outstanding;
         json(StatusCode::OK, &LoadJson { outstanding, slots: self.state.slots() })
@@ -138,12 +166,14 @@
         _peer: SocketAddr,
         request: Request<Incoming>,
     ) -> Result<Response<AnswerBody>, AnswerWithheld> {
-        match request.uri().path() {
-            "/health" => Ok(self.health()),
-            "/load" => Ok(self.load()),
-            path if path.starts_with("/standin/") => self.control(request).await,
-            _ => self.work(request).await,
-        }
+        let mut response = match request.uri().path() {
+            "/health" => self.health(),
+            "/load" => self.load(),
+            path if path.starts_with("/standin/") => return self.control(request).await,
+            _ => self.work(request).await?,
+        };
+        self.add_signals(response.headers_mut());
+        Ok(response)
     }
 }
 
--- a/testing/standins/src/backend/mod.rs
+++ b/testing/standins/src/backend/mod.rs
@@ -28,6 +28,8 @@
 pub struct BackendSettings {
     /// Its name, for the ledger.
     pub name: String,
+    /// Identity of its process, which its answers report; `None` if they report none.
+    pub instance: Option<String>,
     /// Service it belongs to.
     pub service: ServiceName,
     /// Where it runs.
--- a/testing/standins/src/backend/state.rs
+++ b/testing/standins/src/backend/state.rs
@@ -130,6 +130,11 @@
         asked.unwrap_or(self.settings.service_time).mul_f64(factor) + locked.faults.delay
     }
 
+    /// Identity of the back end, if it reports one.
+    pub fn instance(&self) -> Option<&str> {
+        self.settings.instance.as_deref()
+    }
+
     /// What the endpoints report now: lagging and misleading if so ordered.
     pub fn report(&self) -> Report {
         let now = Instant::now();
@@ -170,7 +175,10 @@
     }
 
     fn true_report(&self, now: Instant) -> Report {
-        Report { healthy: !self.faults.drain && now >= self.ready_at, outstanding: self.outstanding }
+        Report {
+            healthy: !self.faults.drain && !self.faults.leaving && now >= self.ready_at,
+            outstanding: self.outstanding,
+        }
     }
 
     fn remember(&mut self, now: Instant) {
--- a/testing/standins/src/bin/backend.rs
+++ b/testing/standins/src/bin/backend.rs
@@ -39,6 +39,7 @@
         optional --seconds seconds: u64
     };
     let settings = BackendSettings {
+        instance: Some(format!("{}-{}", flags.name, std::process::id())),
         name: flags.name,
         service: flags.service,
         locality: Locality { region: flags.region, zone: flags.zone },
--- a/testing/standins/tests/backend.rs
+++ b/testing/standins/tests/backend.rs
@@ -18,6 +18,7 @@
 fn settings() -> BackendSettings {
     BackendSettings {
         name: "archive-1".to_owned(),
+        instance: None,
         service: ServiceName::new("archive").unwrap(),
         locality: Locality {
             region: RegionName::new("eu-north").unwrap(),
--- a/testing/standins/tests/caller.rs
+++ b/testing/standins/tests/caller.rs
@@ -19,6 +19,7 @@
 fn settings(slots: u64) -> BackendSettings {
     BackendSettings {
         name: "billing-1".to_owned(),
+        instance: None,
         service: billing(),
         locality: Locality {
             region: RegionName::new("eu-north").unwrap(),
--- a/xtask/src/demo/standins.rs
+++ b/xtask/src/demo/standins.rs
@@ -100,7 +100,7 @@
     /// # Errors
     /// Fails when the stand-in does not respond.
     pub async fn change_faults(&self, change: &impl Serialize) -> Result<(), XtaskError> {
-        self.peer().post("/standin/faults", serde_json::to_vec(change)?).await
+        change_faults(&self.peer(), change).await
     }
 
     async fn wait_until_ready(mut process: ChildProcess) -> Result<Self, XtaskError> {
@@ -154,3 +154,11 @@
         Ok(serde_json::from_slice(&text)?)
     }
 }
+
+/// Changes the faults that a stand-in injects.
+///
+/// # Errors
+/// Fails when the stand-in does not respond.
+pub async fn change_faults(standin: &Peer<'_>, change: &impl Serialize) -> Result<(), XtaskError> {
+    standin.post("/standin/faults", serde_json::to_vec(change)?).await
+}
--- a/xtask/src/soak/mesh.rs
+++ b/xtask/src/soak/mesh.rs
@@ -4,17 +4,20 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use parking_lot::Mutex;
 use tokio::time::{Instant, sleep};
 use umberpond_standins::backend;
 use umberpond_standins::platform::FaultChange;
 
 use super::proxy::{FaultProxy, Impairment};
-use super::schedule::{Fault, FaultKind};
+use super::schedule::{Fault, FaultKind, ScheduledSignal};
+use super::signals::{SentSignal, Signal};
+use crate::demo::http::Peer;
 use crate::demo::layout::{BACK_ENDS, EDGE, Placement, SECOND_EDGE};
 use crate::demo::node::NodeProcess;
 use crate::demo::programs::Programs;
 use crate::demo::settings::{AdvertiseTable, NodeEnvironment};
-use crate::demo::standins::Standin;
+use crate::demo::standins::{Standin, change_faults};
 use crate::error::XtaskError;
 use crate::supervise::ScratchDirectory;
 
@@ -232,6 +235,8 @@
     /// The edge node, to which callers and operators send their requests. No fault is injected into it
     /// directly.
     edge: SoakNode,
+    /// Signals that back ends have sent.
+    signals: Mutex<Vec<SentSignal>>,
 }
 
 impl<'a> SoakMesh<'a> {
@@ -253,7 +258,7 @@
         }
         let mut edge = SoakNode::new(programs, EDGE, &store, scratch).await?;
         edge.start(programs, scratch).await?;
-        Ok(Self { programs, scratch, store, nodes, edge })
+        Ok(Self { programs, scratch, store, nodes, edge, signals: Mutex::default() })
     }
 
     /// The edge node, to which callers and operators send their requests.
@@ -279,6 +284,44 @@
         node.end_fault(fault.kind, self.programs, self.scratch).await
     }
 
+    /// Waits until a signal is due, makes the back end send it, and ends it again unless the back end leaves. Other
+    /// faults of the node go on meanwhile.
+    ///
+    /// # Errors
+    /// Fails when the back end does not respond.
+    pub async fn send_signal(&self, scheduled: ScheduledSignal) -> Result<(), XtaskError> {
+        sleep(Duration::from_millis(scheduled.at_millis)).await;
+        let (name, address) = {
+            let node = self.nodes[scheduled.node].lock().await;
+            let Some(back_end) = &node.back_end else { return Ok(()) };
+            (node.placement.name, back_end.address)
+        };
+        let back_end = Peer { name, address };
+        change_faults(&back_end, &begin_of(scheduled.signal)).await?;
+        let from = Instant::now();
+        sleep(Duration::from_millis(scheduled.millis)).await;
+        let until = Instant::now();
+        let ends = scheduled.signal != Signal::Leaving;
+        if ends {
+            let request_limit = Some(None);
+            let change = backend::FaultChange { request_limit, ..backend::FaultChange::default() };
+            change_faults(&back_end, &change).await?;
+        }
+        let sent = SentSignal {
+            back_end: name.to_owned(),
+            signal: scheduled.signal,
+            from,
+            until: ends.then_some(until),
+        };
+        self.signals.lock().push(sent);
+        Ok(())
+    }
+
+    /// Signals that back ends have sent.
+    pub fn signals(&self) -> Vec<SentSignal> {
+        self.signals.lock().clone()
+    }
+
     async fn change_store(&self, kind: FaultKind, is_start: bool) -> Result<(), XtaskError> {
         let change = match kind {
             FaultKind::StoreDown => FaultChange { down: Some(is_start), ..FaultChange::default() },
@@ -362,6 +405,21 @@
     }
 }
 
+/// The order to a back end to send a signal. The health checks of one that leaves succeed, since a false response must
+/// not bring it requests either.
+fn begin_of(signal: Signal) -> backend::FaultChange {
+    match signal {
+        Signal::Limited(thousandths) => {
+            backend::FaultChange { request_limit: Some(Some(thousandths)), ..backend::FaultChange::default() }
+        }
+        Signal::Leaving => backend::FaultChange {
+            leaving: Some(true),
+            health_lies: Some(true),
+            ..backend::FaultChange::default()
+        },
+    }
+}
+
 async fn version_of(node: &SoakNode) -> (String, Option<u64>) {
     let version = match &node.process {
         Some(process) => process.active_version().await.ok().flatten(),
--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -6,6 +6,7 @@
 mod mesh;
 mod proxy;
 mod schedule;
+mod signals;
 
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -34,6 +35,7 @@
 use budget::RetryRecord;
 use mesh::{DEFAULT_NODES, MAX_NODES, SoakMesh};
 use schedule::FaultKind;
+use signals::EdgeCalls;
 
 /// Default duration of the fault phase, in seconds.
 const DEFAULT_SECONDS: u64 = 60;
@@ -64,6 +66,8 @@
     /// Number of runs beyond the first of each request.
     repeats: usize,
     processes: usize,
+    /// Number of request limits and leaves that back ends have advertised.
+    signals: usize,
     /// Descriptions of the broken invariants; empty if all held.
     broken: Vec<String>,
 }
@@ -114,17 +118,24 @@
     for fault in &faults {
         *report.faults.entry(FaultKind::to_string(&fault.kind)).or_default() += 1;
     }
+    let signals =
+        schedule::random_signals(&mut ChaCha8Rng::seed_from_u64(seed.rotate_left(32)), length, nodes);
+    report.signals = signals.len();
     let entry_points = [
         ("edge", Targets::edge(mesh.edge()?.addresses.outbound)),
         ("second-edge", Targets::edge(mesh.second_edge().await?)),
     ];
     let callers = start_callers(programs, &entry_points, "soak", length.as_secs(), scratch).await?;
     let injections = try_join_all(faults.into_iter().map(|fault| mesh.inject(fault)));
-    let (injected, versions) = tokio::join!(injections, submit_regularly(programs, &mesh, length, scratch));
+    let signals = try_join_all(signals.into_iter().map(|signal| mesh.send_signal(signal)));
+    let changes = submit_regularly(programs, &mesh, length, scratch);
+    let (injected, signalled, versions) = tokio::join!(injections, signals, changes);
     injected?;
+    signalled?;
     report.versions = versions;
     let mut record = RetryRecord::new(epoch);
-    let during = finish_callers(callers, &mut record).await?;
+    let mut edge_calls = EdgeCalls::default();
+    let during = finish_callers(callers, &mut record, &mut edge_calls).await?;
     let faults_over = Instant::now();
     let behind = mesh.wait_until_converged(RECOVERY_LIMIT).await;
     report.broken.extend(
@@ -133,11 +144,12 @@
     sleep(RECOVERY_LIMIT.saturating_sub(faults_over.elapsed())).await;
 
     let callers = start_callers(programs, &entry_points, "calm", FINAL_LOAD_SECONDS, scratch).await?;
-    let after = finish_callers(callers, &mut record).await?;
+    let after = finish_callers(callers, &mut record, &mut edge_calls).await?;
     let timed_ledgers = mesh.ledgers().await?;
     record.add_runs(&timed_ledgers);
     report.repeats = record.repeats();
     report.broken.extend(record.violations());
+    report.broken.extend(edge_calls.violations(&mesh.signals(), &timed_ledgers));
     let ledgers: Vec<Ledger> = timed_ledgers.into_iter().map(|(_started_at, ledger)| ledger).collect();
     let allowed = allowed_localities()?;
     for (phase, answers) in [("under faults", &during), ("after the faults", &after)] {
@@ -183,16 +195,20 @@
     Ok(callers)
 }
 
-/// Waits for all callers and returns the outcomes of their calls.
+/// Waits for all callers, the first of which sends to the edge node, and returns the outcomes of their calls.
 async fn finish_callers(
     callers: Vec<RunningCaller>,
     record: &mut RetryRecord,
+    edge_calls: &mut EdgeCalls,
 ) -> Result<Vec<Answer>, XtaskError> {
     let mut answers = Vec::new();
-    for caller in callers {
+    for (number, caller) in callers.into_iter().enumerate() {
         let started_at = caller.started_at;
         let report = caller.finish().await?;
         record.add_calls(started_at, &report.answers);
+        if number == 0 {
+            edge_calls.add(started_at, &report.answers);
+        }
         answers.extend(report.answers);
     }
     Ok(answers)
--- a/xtask/src/soak/schedule.rs
+++ b/xtask/src/soak/schedule.rs
@@ -6,6 +6,8 @@
 use rand::{Rng, RngExt};
 use serde::Serialize;
 
+use super::signals::Signal;
+
 /// Duration of a fault, in milliseconds.
 const FAULT_MILLIS: std::ops::Range<u64> = 400..4_000;
 /// Time between the starts of two faults, in milliseconds. It may be shorter than a fault, so faults overlap.
@@ -22,6 +24,17 @@
 /// requests.
 const SERIES_NODES: std::ops::Range<usize> = 2..5;
 
+/// Probability that a back end advertises limits at all.
+const LIMITED_SHARE: f64 = 0.5;
+/// Time before and between the request limits of a back end, in milliseconds.
+const SIGNAL_PAUSE_MILLIS: std::ops::Range<u64> = 500..12_000;
+/// Duration of a request limit, in milliseconds. Consecutive limits of a back end may follow one another closely.
+const LIMIT_MILLIS: std::ops::Range<u64> = 3_000..15_000;
+/// Request limits, in thousandths per second.
+const LIMITS: [u64; 4] = [400, 2_000, 5_500, 12_300];
+/// Indices of the nodes whose back ends leave: `archive-3` and `billing-3`, whose services have others.
+const LEAVING_NODES: [usize; 2] = [2, 5];
+
 /// Kind of a fault.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -150,3 +163,45 @@
     }
     faults
 }
+
+/// A signal that the responses of a back end send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ScheduledSignal {
+    /// Start of the signal, in milliseconds from the start of the load.
+    pub at_millis: u64,
+    /// Duration, in milliseconds; a back end that leaves does so until the end.
+    pub millis: u64,
+    /// What the responses say.
+    pub signal: Signal,
+    /// Index of the node beside the back end.
+    pub node: usize,
+}
+
+/// Generates the signals of a soak of `length` on `nodes` nodes. They overlap with one another and with faults, but
+/// a back end sends one signal at a time. Back ends of services that have another one may leave for good.
+pub fn random_signals(random: &mut impl Rng, length: Duration, nodes: usize) -> Vec<ScheduledSignal> {
+    let length = u64::try_from(length.as_millis()).unwrap_or(u64::MAX);
+    let mut signals = Vec::new();
+    for node in (0..nodes).filter(|node| !LEAVING_NODES.contains(node)) {
+        if !random.random_bool(LIMITED_SHARE) {
+            continue;
+        }
+        let mut at_millis = random.random_range(SIGNAL_PAUSE_MILLIS);
+        while at_millis < length {
+            let millis = random.random_range(LIMIT_MILLIS).min(length - at_millis);
+            let limit = LIMITS[random.random_range(0..LIMITS.len())];
+            signals.push(ScheduledSignal { at_millis, millis, signal: Signal::Limited(limit), node });
+            at_millis += millis + random.random_range(SIGNAL_PAUSE_MILLIS);
+        }
+    }
+    for node in LEAVING_NODES.into_iter().filter(|node| *node < nodes) {
+        let at_millis = random.random_range(length / 4..length * 3 / 4);
+        signals.push(ScheduledSignal {
+            at_millis,
+            millis: length - at_millis,
+            signal: Signal::Leaving,
+            node,
+        });
+    }
+    signals
+}
