Log the request limit and its wait with each refusal at a back end

Observability of the incident: 4024 admission-refused, the one line for a request that the gate refuses, did not hold the limit that decided it. It has request_limit and limit_wait_millis now beside slots, running and waiting, so that on-call sees from one line which of them was used up. No decision changes. Tests of telemetry and the rejections of forwarding pass.

--- a/crates/forwarding/src/inbound/serving.rs
+++ b/crates/forwarding/src/inbound/serving.rs
@@ -14,7 +14,7 @@
 use super::admission::Permit;
 use super::back_end::{BackEnd, BackEndFinding, Inbound, millis};
 use super::crash_watch::{CrashWatch, Liveness};
-use super::response_observer::ResponseObserver;
+use super::response_observer::{ResponseObserver, limit_text};
 use super::suspect_limiter::SuspectPlace;
 use crate::clock::now;
 use crate::message::{Attempt, AttemptResult, NotRun, RequestBody, Response, ResponseBody, id_text};
@@ -400,6 +400,8 @@
             waiting: load.waiting,
             slots: load.slots,
             patience_millis: millis(attempt.max_queue_wait),
+            request_limit: limit_text(self.request_limit()),
+            limit_wait_millis: u64::from(load.limit_wait_millis),
         });
         AttemptResult::NotRun(NotRun { load: Some(load), ..not_run })
     }
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -135,8 +135,8 @@
         = 4022, Info, "request-turned-away", "A request was refused without an attempt: there is no configuration, or no route matches.";
     RequestSentAgain { request: String, service: ServiceName, after: NodeName, reason: &'static str, attempts: u32 }
         = 4023, Info, "request-sent-again", "An attempt ended without a usable response, and another one follows.";
-    AdmissionRefused { request: String, service: ServiceName, reason: &'static str, running: u32, waiting: u32, slots: u32, patience_millis: u64 }
-        = 4024, Info, "admission-refused", "The node beside the back end refused a request; it has not run.";
+    AdmissionRefused { request: String, service: ServiceName, reason: &'static str, running: u32, waiting: u32, slots: u32, patience_millis: u64, request_limit: String, limit_wait_millis: u64 }
+        = 4024, Info, "admission-refused", "The node beside the back end refused a request; it has not run. `request_limit` is the limit that the back end advertises, if any, and `limit_wait_millis` the time until it lets a further request start.";
     ExchangeLost { request: String, fingerprint: String, instance: String, reason: &'static str, elapsed_millis: u64 }
         = 4025, Info, "exchange-lost", "A request was handed to the back end and no valid response came back. `fingerprint` is the same for identical requests.";
     RetryWithheld { request: String, service: ServiceName, attempts: u32, origin: &'static str, stake: &'static str, saved: u64, most_saved: u64 }
