Split the rate limits of the admission queue into a file of their own; drop notices that say nothing any more

The functions moved unchanged. Tests of the queue, the request limiter, the notices (one new), request_limits and leaving_by_response pass.

--- a/crates/forwarding/src/outbound/back_end_notices.rs
+++ b/crates/forwarding/src/outbound/back_end_notices.rs
@@ -56,15 +56,16 @@
     ) -> NoticeChange {
         // Only the node beside a back end without identity can tell when the next process has replaced it.
         let is_leaving = signals.is_leaving && process.is_named();
-        let known = self.notice(node, process).cloned();
-        let mut notice = known.clone().unwrap_or_else(|| Notice::new(process));
+        let mut notice = self.notice(node, process).cloned().unwrap_or_else(|| Notice::new(process));
         let limit_before = notice.limit.rate();
         notice.limit.on_response(now, sent_at, signals.limit);
         let has_begun_to_leave = is_leaving && !notice.is_leaving;
         notice.is_leaving |= is_leaving;
         let change = NoticeChange { limit_before, limit: notice.limit.rate(), has_begun_to_leave };
-        if known.is_some() || notice.is_leaving || notice.limit.rate().is_some() {
+        if notice.is_leaving || notice.limit.rate().is_some() {
             self.store(node, notice);
+        } else {
+            self.remove(node);
         }
         change
     }
@@ -93,6 +94,12 @@
         self.notices.get(node).filter(|notice| notice.process.may_equal(process))
     }
 
+    fn remove(&mut self, node: &NodeName) {
+        if self.notices.remove(node).is_some() {
+            self.added.retain(|added| added != node);
+        }
+    }
+
     fn store(&mut self, node: &NodeName, notice: Notice) {
         if self.notices.insert(node.clone(), notice).is_some() {
             return;
--- a/crates/forwarding/src/outbound/back_end_notices/tests.rs
+++ b/crates/forwarding/src/outbound/back_end_notices/tests.rs
@@ -89,3 +89,13 @@
     assert_eq!(notices.limit(&node(1), &unnamed), Some(rate()));
     assert_eq!(notices.limit(&node(2), &unnamed), None);
 }
+
+#[test]
+fn notice_of_an_ended_limit_is_removed() {
+    let (now, mut notices) = (Instant::now(), BackEndNotices::default());
+    notices.on_response(now, now, &node(1), &process(None), signals(LimitReport::Limited(rate()), false));
+    assert!(!notices.is_empty());
+    notices.on_response(now, now, &node(1), &process(None), signals(LimitReport::Unlimited, false));
+    assert!(notices.is_empty());
+    assert!(notices.added.is_empty());
+}
--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -1,5 +1,7 @@
 //! Admission queue of one back end.
 
+mod rate_limits;
+
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -12,8 +14,7 @@
 use crate::reserved_slots::ReservedSlots;
 use crate::start_limits::StartLimits;
 use crate::{
-    ColdStartLimiter, Decision, Dequeued, DisplacedRequest, LoadReport, Refusal, RequestLimiter, ServiceTime,
-    Slowdown, Ticket, WorkItem,
+    Decision, Dequeued, DisplacedRequest, LoadReport, Refusal, ServiceTime, Slowdown, Ticket, WorkItem,
 };
 
 /// Service time assumed until the first measurement.
@@ -120,44 +121,6 @@
         std::mem::take(&mut self.queue_keys).into_keys().collect()
     }
 
-    /// The rate limiter that applies while the back end is cold. Call [`WorkQueue::start_next`] after a
-    /// change.
-    pub const fn cold_start_limiter(&mut self) -> &mut ColdStartLimiter {
-        &mut self.start_limits.cold_start
-    }
-
-    /// The rate limiter that applies while the back end advertises a limit. Call
-    /// [`WorkQueue::take_unservable`] and [`WorkQueue::start_next`] after a change.
-    pub const fn request_limiter(&mut self) -> &mut RequestLimiter {
-        &mut self.start_limits.request
-    }
-
-    /// Removes the waiting requests that the request limit does not let start in time.
-    pub fn take_unservable(&mut self, now: Instant) -> Vec<DisplacedRequest> {
-        let mut unservable = Vec::new();
-        let mut ahead = 0;
-        for (queue_key, item) in &self.waiting {
-            let expected = self.start_limits.request.expected_wait(now, ahead);
-            if now + expected > item.queue_deadline.min(item.deadline) {
-                unservable.push((*queue_key, expected));
-            } else {
-                ahead += 1;
-            }
-        }
-        let displaced = unservable.into_iter().map(|(queue_key, expected)| {
-            self.remove(queue_key);
-            DisplacedRequest { ticket: queue_key.ticket, expected }
-        });
-        displaced.collect()
-    }
-
-    /// When the rate limiters let a waiting request start, if only they delay it.
-    #[must_use]
-    pub fn rate_limited_until(&self, now: Instant) -> Option<Instant> {
-        let may_run = !self.waiting.is_empty() && self.running < self.slots;
-        if may_run { self.start_limits.next_start(now) } else { None }
-    }
-
     /// Whether requests are accepted.
     #[must_use]
     pub const fn is_open(&self) -> bool {
@@ -319,20 +282,6 @@
         ((ahead + self.mean_service_time()) / slots).div_f64(remaining_share).max(limiter_wait)
     }
 
-    /// Mean number of requests that can run at once.
-    fn concurrency(&self) -> f64 {
-        self.start_limits.request.concurrency(self.slots, self.mean_service_time())
-    }
-
-    /// The refusal of a request that would wait too long.
-    fn long_wait_refusal(&self, now: Instant, expected: Duration) -> Refusal {
-        if self.start_limits.request.may_start(now) {
-            Refusal::WaitTooLong { expected }
-        } else {
-            Refusal::RequestLimit { expected }
-        }
-    }
-
     /// Total service time and number of the waiting requests ahead of `item`.
     fn work_ahead(&self, item: &WorkItem) -> (Duration, usize) {
         if !self.shares.is_unused() {
