--- a/crates/scheduling/src/request_limiter.rs
+++ b/crates/scheduling/src/request_limiter.rs
@@ -13,8 +13,8 @@
 
 /// Token bucket with the rate that a back end advertises.
 ///
-/// In any period at most `rate` × period + max(1, `rate` × [`BURST_TIME`]) requests start. An earlier process of
-/// the node may just have started requests, so the bucket is empty when the limit becomes known.
+/// In any period at most `rate` × period + max(1, `rate` × 250 ms) requests start. An earlier process of the node
+/// may just have started requests, so the bucket is empty when the limit becomes known.
 #[derive(Debug, Default)]
 pub struct RequestLimiter {
     advertised: AdvertisedLimit,
