Soak: send the signals of a back end one after another, and count a node as informed only by a response that carried the signal

Traced: the schedule has two limits of that back end, 6.0 to 13.4 s and 13.9 to 22.0 s. Each waited for the lock of its node, which faults hold while they last, so the first began at 9.9 s and ended at 17.4 s, in the middle of the second, and its end cleared both; the node logged the limit at 9.9 s and its end at 17.4 s, with a response that carried none, and the requests counted ran after that. So the back end had no limit then; the soak's record was wrong and the nodes right.

Change: the signals of one back end are sent by one task in their order, without the node's lock. Beside that the ledger notes which signals a response carried, and the edge node counts as informed only by such a response (a test of the check is new).

--- a/testing/standins/src/backend/handler.rs
+++ b/testing/standins/src/backend/handler.rs
@@ -100,8 +100,9 @@
         };
         let bytes = content.to_bytes();
         let length = bytes.len();
-        let cut_after = self.state.faults().cut_after_bytes;
-        let stream = AnswerStream::new(work, bytes, asked.spread, cut_after);
+        let faults = self.state.faults();
+        work.note_signals(&faults);
+        let stream = AnswerStream::new(work, bytes, asked.spread, faults.cut_after_bytes);
         let mut response = Response::new(stream.into_body());
         // An answer spread over time goes out in chunks, as its length isn't known ahead in real systems.
         if asked.spread.is_zero() {
--- a/testing/standins/src/backend/ledger.rs
+++ b/testing/standins/src/backend/ledger.rs
@@ -16,6 +16,12 @@
     pub started_millis: u64,
     /// When its answer was handed over whole, in milliseconds since the back end started.
     pub finished_millis: Option<u64>,
+    /// Request limit that its answer advertised, in thousandths per second.
+    #[serde(default)]
+    pub advertised_limit: Option<u64>,
+    /// Whether its answer said that the back end is about to shut down.
+    #[serde(default)]
+    pub said_leaving: bool,
     /// Whether it was given up: the connection closed, the deadline passed, or the answer was cut.
     pub cancelled: bool,
 }
--- a/testing/standins/src/backend/state.rs
+++ b/testing/standins/src/backend/state.rs
@@ -114,6 +114,8 @@
             path: request.path,
             started_millis: self.millis(now),
             finished_millis: None,
+            advertised_limit: None,
+            said_leaving: false,
             cancelled: false,
         });
         Ok(RunningWork { state: Arc::clone(self), index })
@@ -219,6 +221,14 @@
 }
 
 impl RunningWork {
+    /// Notes what the answer says about the back end.
+    pub fn note_signals(&self, faults: &Faults) {
+        let mut locked = self.state.locked.lock();
+        let entry = &mut locked.entries[self.index];
+        entry.advertised_limit = faults.request_limit;
+        entry.said_leaving = faults.leaving;
+    }
+
     /// Notes that the answer was handed over whole.
     pub fn finish(&self) {
         let now = Instant::now();
--- a/testing/standins/tests/reconcile.rs
+++ b/testing/standins/tests/reconcile.rs
@@ -33,6 +33,8 @@
         path: format!("/job/{key}"),
         started_millis: 0,
         finished_millis: None,
+        advertised_limit: None,
+        said_leaving: false,
         cancelled: false,
     };
     Ledger {
--- a/xtask/src/soak/mesh.rs
+++ b/xtask/src/soak/mesh.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 use umberpond_standins::backend;
 use umberpond_standins::platform::FaultChange;
 
@@ -232,6 +232,8 @@
     /// The nodes that faults are injected into; the second edge node is the last. Each has its own lock, so
     /// that a long fault on one node does not delay faults on others.
     nodes: Vec<tokio::sync::Mutex<SoakNode>>,
+    /// Name and address of each node's back end, if it has one.
+    back_ends: Vec<Option<(&'static str, SocketAddr)>>,
     /// The edge node, to which callers and operators send their requests. No fault is injected into it
     /// directly.
     edge: SoakNode,
@@ -251,14 +253,25 @@
     ) -> Result<Self, XtaskError> {
         let store = Standin::platform(programs, scratch).await?;
         let mut nodes = Vec::with_capacity(back_ends + 1);
+        let mut back_end_addresses = Vec::with_capacity(back_ends + 1);
         for placement in BACK_ENDS.into_iter().take(back_ends).chain([SECOND_EDGE]) {
             let mut node = SoakNode::new(programs, placement, &store, scratch).await?;
             node.start(programs, scratch).await?;
+            let back_end = node.back_end.as_ref();
+            back_end_addresses.push(back_end.map(|back_end| (node.placement.name, back_end.address)));
             nodes.push(tokio::sync::Mutex::new(node));
         }
         let mut edge = SoakNode::new(programs, EDGE, &store, scratch).await?;
         edge.start(programs, scratch).await?;
-        Ok(Self { programs, scratch, store, nodes, edge, signals: Mutex::default() })
+        Ok(Self {
+            programs,
+            scratch,
+            store,
+            nodes,
+            back_ends: back_end_addresses,
+            edge,
+            signals: Mutex::default(),
+        })
     }
 
     /// The edge node, to which callers and operators send their requests.
@@ -284,20 +297,24 @@
         node.end_fault(fault.kind, self.programs, self.scratch).await
     }
 
-    /// Waits until a signal is due, makes the back end send it, and ends it again unless the back end leaves. Other
-    /// faults of the node go on meanwhile.
+    /// Makes the back end of the node `index` send these signals, one after another. Faults of the node go on
+    /// meanwhile.
     ///
     /// # Errors
     /// Fails when the back end does not respond.
-    pub async fn send_signal(&self, scheduled: ScheduledSignal) -> Result<(), XtaskError> {
-        sleep(Duration::from_millis(scheduled.at_millis)).await;
-        let (name, address) = {
-            let node = self.nodes[scheduled.node].lock().await;
-            let Some(back_end) = &node.back_end else { return Ok(()) };
-            (node.placement.name, back_end.address)
-        };
+    pub async fn send_signals(&self, index: usize, signals: &[ScheduledSignal]) -> Result<(), XtaskError> {
+        let begun = Instant::now();
+        let Some((name, address)) = self.back_ends[index] else { return Ok(()) };
         let back_end = Peer { name, address };
-        change_faults(&back_end, &begin_of(scheduled.signal)).await?;
+        for scheduled in signals {
+            sleep_until(begun + Duration::from_millis(scheduled.at_millis)).await;
+            self.send_signal(&back_end, *scheduled).await?;
+        }
+        Ok(())
+    }
+
+    async fn send_signal(&self, back_end: &Peer<'_>, scheduled: ScheduledSignal) -> Result<(), XtaskError> {
+        change_faults(back_end, &begin_of(scheduled.signal)).await?;
         let from = Instant::now();
         sleep(Duration::from_millis(scheduled.millis)).await;
         let until = Instant::now();
@@ -305,10 +322,10 @@
         if ends {
             let request_limit = Some(None);
             let change = backend::FaultChange { request_limit, ..backend::FaultChange::default() };
-            change_faults(&back_end, &change).await?;
+            change_faults(back_end, &change).await?;
         }
         let sent = SentSignal {
-            back_end: name.to_owned(),
+            back_end: back_end.name.to_owned(),
             signal: scheduled.signal,
             from,
             until: ends.then_some(until),
--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -120,14 +120,14 @@
     }
     let signals =
         schedule::random_signals(&mut ChaCha8Rng::seed_from_u64(seed.rotate_left(32)), length, nodes);
-    report.signals = signals.len();
+    report.signals = signals.values().map(Vec::len).sum();
     let entry_points = [
         ("edge", Targets::edge(mesh.edge()?.addresses.outbound)),
         ("second-edge", Targets::edge(mesh.second_edge().await?)),
     ];
     let callers = start_callers(programs, &entry_points, "soak", length.as_secs(), scratch).await?;
     let injections = try_join_all(faults.into_iter().map(|fault| mesh.inject(fault)));
-    let signals = try_join_all(signals.into_iter().map(|signal| mesh.send_signal(signal)));
+    let signals = try_join_all(signals.iter().map(|(node, signals)| mesh.send_signals(*node, signals)));
     let changes = submit_regularly(programs, &mesh, length, scratch);
     let (injected, signalled, versions) = tokio::join!(injections, signals, changes);
     injected?;
--- a/xtask/src/soak/schedule.rs
+++ b/xtask/src/soak/schedule.rs
@@ -1,5 +1,6 @@
 //! Generates the random faults of a soak.
 
+use std::collections::BTreeMap;
 use std::fmt;
 use std::time::Duration;
 
@@ -173,15 +174,18 @@
     pub millis: u64,
     /// What the responses say.
     pub signal: Signal,
-    /// Index of the node beside the back end.
-    pub node: usize,
 }
 
-/// Generates the signals of a soak of `length` on `nodes` nodes. They overlap with one another and with faults, but
-/// a back end sends one signal at a time. Back ends of services that have another one may leave for good.
-pub fn random_signals(random: &mut impl Rng, length: Duration, nodes: usize) -> Vec<ScheduledSignal> {
+/// Generates the signals of a soak of `length` on `nodes` nodes, in the order of time for each node. They overlap with
+/// those of other nodes and with faults, but a back end sends one signal at a time. Back ends of services that have
+/// another one may leave for good.
+pub fn random_signals(
+    random: &mut impl Rng,
+    length: Duration,
+    nodes: usize,
+) -> BTreeMap<usize, Vec<ScheduledSignal>> {
     let length = u64::try_from(length.as_millis()).unwrap_or(u64::MAX);
-    let mut signals = Vec::new();
+    let mut signals: BTreeMap<usize, Vec<ScheduledSignal>> = BTreeMap::new();
     for node in (0..nodes).filter(|node| !LEAVING_NODES.contains(node)) {
         if !random.random_bool(LIMITED_SHARE) {
             continue;
@@ -189,19 +193,15 @@
         let mut at_millis = random.random_range(SIGNAL_PAUSE_MILLIS);
         while at_millis < length {
             let millis = random.random_range(LIMIT_MILLIS).min(length - at_millis);
-            let limit = LIMITS[random.random_range(0..LIMITS.len())];
-            signals.push(ScheduledSignal { at_millis, millis, signal: Signal::Limited(limit), node });
+            let signal = Signal::Limited(LIMITS[random.random_range(0..LIMITS.len())]);
+            signals.entry(node).or_default().push(ScheduledSignal { at_millis, millis, signal });
             at_millis += millis + random.random_range(SIGNAL_PAUSE_MILLIS);
         }
     }
     for node in LEAVING_NODES.into_iter().filter(|node| *node < nodes) {
         let at_millis = random.random_range(length / 4..length * 3 / 4);
-        signals.push(ScheduledSignal {
-            at_millis,
-            millis: length - at_millis,
-            signal: Signal::Leaving,
-            node,
-        });
+        let leaving = ScheduledSignal { at_millis, millis: length - at_millis, signal: Signal::Leaving };
+        signals.insert(node, vec![leaving]);
     }
     signals
 }
--- a/xtask/src/soak/signals.rs
+++ b/xtask/src/soak/signals.rs
@@ -52,6 +52,28 @@
     answered_at: Option<Instant>,
 }
 
+/// A request through the edge node that a back end ran.
+#[derive(Debug, Clone, Copy)]
+struct EdgeRun {
+    call: EdgeCall,
+    /// When it started.
+    at: Instant,
+    /// Request limit in its response, in thousandths per second.
+    advertised_limit: Option<u64>,
+    /// Whether its response said that the back end is leaving.
+    said_leaving: bool,
+}
+
+impl EdgeRun {
+    /// Whether its response carried `signal`.
+    fn carried(&self, signal: Signal) -> bool {
+        match signal {
+            Signal::Limited(thousandths) => self.advertised_limit == Some(thousandths),
+            Signal::Leaving => self.said_leaving,
+        }
+    }
+}
+
 /// The calls through the edge node, by path.
 #[derive(Debug, Default)]
 pub struct EdgeCalls {
@@ -79,23 +101,29 @@
         described.collect()
     }
 
-    /// Start times of the requests that a back end ran, with the calls that sent them.
-    fn runs(&self, started_at: Instant, ledger: &Ledger) -> Vec<(Instant, EdgeCall)> {
+    /// The requests through the edge node that a back end ran.
+    fn runs(&self, started_at: Instant, ledger: &Ledger) -> Vec<EdgeRun> {
         let runs = ledger.entries.iter().filter_map(|entry| {
             let call = self.by_path.get(&entry.path)?;
-            Some((started_at + Duration::from_millis(entry.started_millis), *call))
+            Some(EdgeRun {
+                call: *call,
+                at: started_at + Duration::from_millis(entry.started_millis),
+                advertised_limit: entry.advertised_limit,
+                said_leaving: entry.said_leaving,
+            })
         });
         runs.collect()
     }
 
-    fn violation(&self, sent: &SentSignal, runs: &[(Instant, EdgeCall)]) -> Option<String> {
+    fn violation(&self, sent: &SentSignal, runs: &[EdgeRun]) -> Option<String> {
         let until = sent.until.unwrap_or_else(Instant::now);
-        let during: Vec<_> = runs.iter().filter(|(at, _call)| (sent.from..until).contains(at)).collect();
-        let forwarded_at = during.iter().filter_map(|(_at, call)| call.answered_at).min()?;
+        let during: Vec<_> = runs.iter().filter(|run| (sent.from..until).contains(&run.at)).collect();
+        let informing = during.iter().filter(|run| run.carried(sent.signal));
+        let forwarded_at = informing.filter_map(|run| run.call.answered_at).min()?;
         match sent.signal {
             Signal::Limited(thousandths) => {
                 let held_from = (sent.from + REACTION_TIME).max(forwarded_at + INFORMED_AFTER);
-                let counted = during.iter().map(|(at, _call)| *at).filter(|at| *at >= held_from);
+                let counted = during.iter().map(|run| run.at).filter(|at| *at >= held_from);
                 let most = max_in_window(counted.collect());
                 let is_exceeded = most > tolerated(thousandths);
                 let limit = thousandths as f64 / 1_000.0;
@@ -104,7 +132,7 @@
             }
             Signal::Leaving => {
                 let closed_from = forwarded_at + DRAIN_TIME;
-                let count = during.iter().filter(|(_at, call)| call.sent_at > closed_from).count();
+                let count = during.iter().filter(|run| run.call.sent_at > closed_from).count();
                 (count > 0)
                     .then(|| format!("{}: {count} requests after it said that it leaves", sent.back_end))
             }
--- a/xtask/src/soak/signals/tests.rs
+++ b/xtask/src/soak/signals/tests.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::Instant;
 
-use super::{EdgeCall, EdgeCalls, SentSignal, Signal};
+use super::{EdgeCall, EdgeCalls, EdgeRun, SentSignal, Signal};
 
 const ANSWER_TIME: Duration = Duration::from_millis(20);
 
@@ -12,11 +12,12 @@
     SentSignal { back_end: "archive-1".to_owned(), signal, from, until: None }
 }
 
-/// Requests at the given times after `begin`, each answered after [`ANSWER_TIME`].
-fn runs(begin: Instant, millis: impl Iterator<Item = u64>) -> Vec<(Instant, EdgeCall)> {
+/// Requests at the given times after `begin`, each answered after [`ANSWER_TIME`] with both signals.
+fn runs(begin: Instant, millis: impl Iterator<Item = u64>) -> Vec<EdgeRun> {
     let run = |millis| {
         let at = begin + Duration::from_millis(millis);
-        (at, EdgeCall { sent_at: at, answered_at: Some(at + ANSWER_TIME) })
+        let call = EdgeCall { sent_at: at, answered_at: Some(at + ANSWER_TIME) };
+        EdgeRun { call, at, advertised_limit: Some(2_000), said_leaving: true }
     };
     millis.map(run).collect()
 }
@@ -45,3 +46,12 @@
     assert!(check(vec![0, 2_021]).is_some());
     assert_eq!(check(vec![]), None);
 }
+
+#[test]
+fn node_counts_as_informed_only_by_a_response_with_the_signal() {
+    let begin = past();
+    let limited = sent(Signal::Limited(2_000), begin);
+    let mut runs = runs(begin, (0..12_000).step_by(200));
+    runs.iter_mut().for_each(|run| run.advertised_limit = None);
+    assert_eq!(EdgeCalls::default().violation(&limited, &runs), None);
+}
