Find out with one request whether a limit that only other nodes remember has ended

What callers saw: 503 request-limit for up to 2.5 s from a service whose only back end had no limit any more; up to ten seconds with the lowest limits.

Cause: the node beside solver-1 had restarted, and the limit ended while nobody sent anything there. Callers' nodes still remembered it and carried it with their next requests, and the restarted node enforced it like one that its back end had just advertised, from an empty bucket: at 0.4/s the first request that could show its end started 2.5 s later. Its log has 3013 with source=other-node at 30:09.979 and the end with source=response at 30:12.484; all refusals lie between.

Change: such a limit is provisional until a response arrives. One request starts at once, others wait for its response (as long as a request takes) instead of being refused, and what then can't start in time is refused. The bound grows by one request for each restart of the node in the period, which the property test counts.

Tests of the limiter (two new), the queue, request_limits and leaving_by_response pass.

--- a/crates/forwarding/src/inbound/admission.rs
+++ b/crates/forwarding/src/inbound/admission.rs
@@ -234,7 +234,7 @@
             state.send_decision(unservable.ticket, Err(refusal));
         }
         self.start_waiting(&mut state);
-        Some(LimitChange { before, limit })
+        (before != limit).then_some(LimitChange { before, limit })
     }
 
     /// Request limit that the back end advertises.
--- a/crates/scheduling/src/advertised_limit.rs
+++ b/crates/scheduling/src/advertised_limit.rs
@@ -33,23 +33,26 @@
         self.rate
     }
 
+    /// Whether only another node remembers the limit, which may have ended.
+    #[must_use]
+    pub const fn is_provisional(&self) -> bool {
+        self.rate.is_some() && !self.is_confirmed
+    }
+
     /// Applies the report of a response to a request that was sent at `sent_at`. Returns whether the rate has
-    /// changed.
+    /// changed, or is no longer provisional.
     ///
     /// A response without a limit to a request that was sent before the limit was known changes nothing: it may
     /// have been generated earlier than the response that advertised the limit.
     pub fn on_response(&mut self, now: Instant, sent_at: Instant, report: LimitReport) -> bool {
-        match report {
-            LimitReport::Limited(rate) => {
-                self.is_confirmed = true;
-                self.set(now, Some(rate))
-            }
-            LimitReport::Unlimited if self.since.is_none_or(|since| since <= sent_at) => {
-                self.is_confirmed = true;
-                self.set(now, None)
-            }
-            LimitReport::Unlimited | LimitReport::Unknown => false,
-        }
+        let rate = match report {
+            LimitReport::Limited(rate) => Some(rate),
+            LimitReport::Unlimited if self.since.is_none_or(|since| since <= sent_at) => None,
+            LimitReport::Unlimited | LimitReport::Unknown => return false,
+        };
+        let was_provisional = self.is_provisional();
+        self.is_confirmed = true;
+        self.set(now, rate) || was_provisional
     }
 
     /// Applies the limit that another node remembers from a response of the same process. Returns whether the
--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -274,7 +274,8 @@
         }
         let overtaking = self.overtaking_rate(now, &item) / self.concurrency();
         let remaining_share = 1.0 - overtaking.min(MAX_OVERTAKING_SHARE);
-        let limiter_wait = self.start_limits.expected_wait(now, count, remaining_share);
+        let limiter_wait =
+            self.start_limits.expected_wait(now, count, remaining_share, self.mean_service_time());
         if is_free {
             return limiter_wait;
         }
--- a/crates/scheduling/src/queue/rate_limits.rs
+++ b/crates/scheduling/src/queue/rate_limits.rs
@@ -18,8 +18,12 @@
         &mut self.start_limits.request
     }
 
-    /// Removes the waiting requests that the request limit does not let start in time.
+    /// Removes the waiting requests that the request limit does not let start in time. Does nothing while the limit
+    /// is provisional.
     pub fn take_unservable(&mut self, now: Instant) -> Vec<DisplacedRequest> {
+        if self.start_limits.request.is_provisional() {
+            return Vec::new();
+        }
         let mut unservable = Vec::new();
         let mut ahead = 0;
         for (queue_key, item) in &self.waiting {
--- a/crates/scheduling/src/request_limiter.rs
+++ b/crates/scheduling/src/request_limiter.rs
@@ -13,8 +13,10 @@
 
 /// Token bucket with the rate that a back end advertises.
 ///
-/// In any period at most `rate` × period + max(1, `rate` × 250 ms) requests start. An earlier process of the node
-/// may just have started requests, so the bucket is empty when the limit becomes known.
+/// In any period at most `rate` × period + max(1, `rate` × 250 ms) requests start, and one more for each restart of
+/// the node in it. An earlier process of the node may just have started requests, so the bucket is empty when the
+/// limit becomes known. If only another node remembers the limit, it may have ended, so one request starts to find
+/// out.
 #[derive(Debug, Default)]
 pub struct RequestLimiter {
     advertised: AdvertisedLimit,
@@ -31,16 +33,22 @@
         self.advertised.rate()
     }
 
+    /// Whether only another node remembers the limit, which may have ended.
+    #[must_use]
+    pub const fn is_provisional(&self) -> bool {
+        self.advertised.is_provisional()
+    }
+
     /// Applies the report of a response to a request that was sent at `sent_at`. Returns whether the rate has
-    /// changed.
+    /// changed, or is no longer provisional.
     pub fn on_response(&mut self, now: Instant, sent_at: Instant, report: LimitReport) -> bool {
-        self.update(now, |advertised| advertised.on_response(now, sent_at, report))
+        self.update(now, 0.0, |advertised| advertised.on_response(now, sent_at, report))
     }
 
     /// Applies the limit that another node remembers from a response of this back-end process. Returns whether
     /// the rate has changed.
     pub fn on_remembered(&mut self, now: Instant, rate: RequestRate) -> bool {
-        self.update(now, |advertised| advertised.on_remembered(now, rate))
+        self.update(now, 1.0, |advertised| advertised.on_remembered(now, rate))
     }
 
     /// Resets the state because the back end was replaced. Returns whether there was a limit.
@@ -84,14 +92,22 @@
         self.rate().map_or(slots, |rate| slots.min(rate.as_f64() * service_time.as_secs_f64()))
     }
 
-    fn update(&mut self, now: Instant, change: impl FnOnce(&mut AdvertisedLimit) -> bool) -> bool {
+    /// Applies a change of the limit. A limit that was not known before begins with `initial` saved requests.
+    fn update(
+        &mut self,
+        now: Instant,
+        initial: f64,
+        change: impl FnOnce(&mut AdvertisedLimit) -> bool,
+    ) -> bool {
         self.refill(now);
-        let has_changed = change(&mut self.advertised);
-        if has_changed {
-            self.saved = self.refilled_at.and(self.rate()).map_or(0.0, |rate| self.saved.min(capacity(rate)));
-            self.refilled_at = self.rate().map(|_| now);
+        let was_limited = self.rate().is_some();
+        if !change(&mut self.advertised) {
+            return false;
         }
-        has_changed
+        let saved = if was_limited { self.saved } else { initial };
+        self.saved = self.rate().map_or(0.0, |rate| saved.min(capacity(rate)));
+        self.refilled_at = self.rate().map(|_| now);
+        true
     }
 
     fn refill(&mut self, now: Instant) {
--- a/crates/scheduling/src/start_limits.rs
+++ b/crates/scheduling/src/start_limits.rs
@@ -30,9 +30,21 @@
     }
 
     /// Expected time until a request with `ahead` requests before it may start, if later requests overtake it
-    /// so often that only `remaining_share` of the starts are left to it.
-    pub(crate) fn expected_wait(&self, now: Instant, ahead: usize, remaining_share: f64) -> Duration {
-        let request_wait = self.request.expected_wait(now, ahead).div_f64(remaining_share);
+    /// so often that only `remaining_share` of the starts are left to it. A provisional limit is confirmed or ended
+    /// after `service_time`.
+    pub(crate) fn expected_wait(
+        &self,
+        now: Instant,
+        ahead: usize,
+        remaining_share: f64,
+        service_time: Duration,
+    ) -> Duration {
+        let at_limit = self.request.expected_wait(now, ahead);
+        let request_wait = if self.request.is_provisional() {
+            at_limit.min(service_time)
+        } else {
+            at_limit.div_f64(remaining_share)
+        };
         self.cold_start.expected_wait(now, ahead).max(request_wait)
     }
 }
