Wait for a second at most for the response that confirms a remembered limit

After a second the limit counts like any other until a response ends it. The new test of the limiter fails on the code before; the tests of the limiter and of request_limits pass.

--- a/crates/scheduling/src/advertised_limit.rs
+++ b/crates/scheduling/src/advertised_limit.rs
@@ -1,9 +1,12 @@
 //! The request limit that a back end advertises in its responses.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use umberpond_model::RequestRate;
 
+/// Time for which a response that confirms or ends a remembered limit is awaited.
+const PROVISIONAL_TIME: Duration = Duration::from_secs(1);
+
 /// What one response says about the request limit of the back end that sent it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LimitReport {
@@ -33,14 +36,14 @@
         self.rate
     }
 
-    /// Whether only another node remembers the limit, which may have ended.
+    /// Whether only another node remembers the limit, which may have ended, and a response is expected soon.
     #[must_use]
-    pub const fn is_provisional(&self) -> bool {
-        self.rate.is_some() && !self.is_confirmed
+    pub fn is_provisional(&self, now: Instant) -> bool {
+        !self.is_confirmed && self.since.is_some_and(|since| now < since + PROVISIONAL_TIME)
     }
 
     /// Applies the report of a response to a request that was sent at `sent_at`. Returns whether the rate has
-    /// changed, or is no longer provisional.
+    /// changed, or is confirmed for the first time.
     ///
     /// A response without a limit to a request that was sent before the limit was known changes nothing: it may
     /// have been generated earlier than the response that advertised the limit.
@@ -50,9 +53,9 @@
             LimitReport::Unlimited if self.since.is_none_or(|since| since <= sent_at) => None,
             LimitReport::Unlimited | LimitReport::Unknown => return false,
         };
-        let was_provisional = self.is_provisional();
+        let was_remembered = self.rate.is_some() && !self.is_confirmed;
         self.is_confirmed = true;
-        self.set(now, rate) || was_provisional
+        self.set(now, rate) || was_remembered
     }
 
     /// Applies the limit that another node remembers from a response of the same process. Returns whether the
--- a/crates/scheduling/src/queue/rate_limits.rs
+++ b/crates/scheduling/src/queue/rate_limits.rs
@@ -21,7 +21,7 @@
     /// Removes the waiting requests that the request limit does not let start in time. Does nothing while the limit
     /// is provisional.
     pub fn take_unservable(&mut self, now: Instant) -> Vec<DisplacedRequest> {
-        if self.start_limits.request.is_provisional() {
+        if self.start_limits.request.is_provisional(now) {
             return Vec::new();
         }
         let mut unservable = Vec::new();
--- a/crates/scheduling/src/request_limiter.rs
+++ b/crates/scheduling/src/request_limiter.rs
@@ -33,14 +33,14 @@
         self.advertised.rate()
     }
 
-    /// Whether only another node remembers the limit, which may have ended.
+    /// Whether only another node remembers the limit, which may have ended, and a response is expected soon.
     #[must_use]
-    pub const fn is_provisional(&self) -> bool {
-        self.advertised.is_provisional()
+    pub fn is_provisional(&self, now: Instant) -> bool {
+        self.advertised.is_provisional(now)
     }
 
     /// Applies the report of a response to a request that was sent at `sent_at`. Returns whether the rate has
-    /// changed, or is no longer provisional.
+    /// changed, or is confirmed for the first time.
     pub fn on_response(&mut self, now: Instant, sent_at: Instant, report: LimitReport) -> bool {
         self.update(now, 0.0, |advertised| advertised.on_response(now, sent_at, report))
     }
--- a/crates/scheduling/src/start_limits.rs
+++ b/crates/scheduling/src/start_limits.rs
@@ -40,7 +40,7 @@
         service_time: Duration,
     ) -> Duration {
         let at_limit = self.request.expected_wait(now, ahead);
-        let request_wait = if self.request.is_provisional() {
+        let request_wait = if self.request.is_provisional(now) {
             at_limit.min(service_time)
         } else {
             at_limit.div_f64(remaining_share)
--- a/crates/scheduling/tests/request_limiter.rs
+++ b/crates/scheduling/tests/request_limiter.rs
@@ -173,6 +173,21 @@
     ));
 }
 
+#[test]
+fn requests_are_refused_at_once_if_no_response_confirms_a_remembered_limit() {
+    let now = Instant::now();
+    let mut queue = WorkQueue::new();
+    queue.set_slots(12);
+    queue.open();
+    queue.request_limiter().on_remembered(now, rate(0.1));
+    assert_eq!(queue.offer(now, item(now, millis(300))), Decision::Start);
+    let later = now + millis(1_000);
+    assert!(matches!(
+        queue.offer(later, item(later, millis(300))),
+        Decision::Refuse(Refusal::RequestLimit { .. })
+    ));
+}
+
 #[derive(Debug, Clone, Copy)]
 enum Step {
     Wait { millis: u64 },
