review: the memory of the reading nodes goes over the limit after some tens of changes

Each node keeps up to 64 earlier versions of the configuration; on the two nodes that read the store each is a complete copy. With 2,200 routes (one big_config) and config_storm at the site's own doses both go over 78 MB after about 46 versions, are killed, start again and are killed again. Without the limit they level off at 108 MB.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# The store comes back from a copy some seconds old, and the operator's next change is never applied.
-exec bash "$(dirname "$0")/../case.sh" restored-store review/2
+# The configuration grows and changes often, and the memory of the reading nodes goes over the limit.
+exec bash "$(dirname "$0")/../case.sh" many-changes review/2
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -5,6 +5,7 @@
 mod evacuated_zone;
 mod http;
 mod json;
+mod many_changes;
 mod mesh;
 mod popular_request;
 mod record;
@@ -73,6 +74,7 @@
         match name {
             "restored-store" => restored_store::run(&record, &temporary, trouble),
             "evacuated-zone" => evacuated_zone::run(&record, &temporary, trouble),
+            "many-changes" => many_changes::run(&record, &temporary, trouble),
             "popular-request" => popular_request::run(&record, &temporary, trouble),
             _ => Ok(Verdict::NotRun),
         }
--- a/review/standins/src/mesh.rs
+++ b/review/standins/src/mesh.rs
@@ -146,6 +146,15 @@
         end(&mut self.machines[number].upstream);
     }
 
+    /// Resident memory of a node process in bytes; 0 if it doesn't run.
+    pub fn resident_memory(&self, number: usize) -> u64 {
+        let Some(node) = &self.machines[number].node else { return 0 };
+        let status = std::fs::read_to_string(format!("/proc/{}/status", node.id())).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap_or_default();
+        let kilobytes = line.trim().trim_end_matches(" kB").trim().parse::<u64>().unwrap_or(0);
+        kilobytes * 1024
+    }
+
     /// File to which all upstreams write their runs.
     pub fn runs_file(&self) -> PathBuf {
         self.folder.join("runs.txt")
