--- a/review/case.sh
+++ b/review/case.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Runs the script NAME of a case in the folder FOLDER, and ends every process that it started.
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# Runs the script NAME of a case, writes what was sent, answered and run to RECORD, and ends every process that
+# it started. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 set -um
 cd "$(dirname "$0")/.."
 standins=target/review/release/review-standins
--- a/review/platform/src/main.rs
+++ b/review/platform/src/main.rs
@@ -1,5 +1,5 @@
-//! Stand-ins and scripts of the review. `standins upstream ...` runs one upstream; `standins case NUMBER FOLDER`
-//! runs the script of a case and writes `record.txt` into the folder.
+//! Stand-ins and scripts of the review. `standins upstream ...` runs one upstream; `standins case NAME RECORD`
+//! runs the script of a case and writes what was sent, answered and run to the file RECORD (`record.txt`).
 
 mod client;
 mod evacuated_zone;
@@ -38,7 +38,7 @@
         },
         Some("case") if arguments.len() == 3 => run_case(&arguments[1], Path::new(&arguments[2])),
         _ => {
-            eprintln!("usage: standins case NAME FOLDER");
+            eprintln!("usage: standins case NAME RECORD");
             ExitCode::from(2)
         }
     }
@@ -65,12 +65,12 @@
     }
 }
 
-fn run_case(name: &str, folder: &Path) -> ExitCode {
+fn run_case(name: &str, record: &Path) -> ExitCode {
     let trouble = Trouble::read();
     let temporary = std::env::temp_dir().join(format!("umberpond-review-{}", std::process::id()));
     let verdict = (|| {
         std::fs::create_dir_all(&temporary)?;
-        let record = Record::create(&folder.join("record.txt"))?;
+        let record = Record::create(record)?;
         match name {
             "restored-store" => restored_store::run(&record, &temporary, trouble),
             "evacuated-zone" => evacuated_zone::run(&record, &temporary, trouble),
