--- a/review/platform/src/restored_store.rs
+++ b/review/platform/src/restored_store.rs
@@ -11,6 +11,8 @@
 use crate::store::Store;
 use crate::{Trouble, Verdict};
 
+/// Time from the copy to the first change that it lacks.
+const COPY_DELAY: Duration = Duration::from_millis(2_500);
 /// Time between two changes of the operator in quick succession.
 const CHANGE_GAP: Duration = Duration::from_millis(250);
 /// Time between the last of these changes and the drill.
@@ -99,7 +101,7 @@
 
     let copy = store.copy();
     record.line(&format!("the store's copy is made at revision {}", store.revision()));
-    sleep(CHANGE_GAP);
+    sleep(COPY_DELAY);
     operator_writes(13);
     sleep(CHANGE_GAP);
     operator_writes(17);
