Keep the names of changed entries for deltas, not complete earlier versions

What callers saw: with a large configuration that changed several times a second, requests in progress got no response.

Cause: each node kept its last 64 versions to compute deltas from.

Fix: of an earlier version only the names of the entries are kept that the next version changed; the delta takes their values from the current configuration. Three gauges show what is kept.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -4,6 +4,7 @@
 //! and compiled into one closed [`Snapshot`]; a node holds the part of it that its [`Scope`] covers.
 
 mod bundle;
+mod changed_names;
 mod check;
 mod closure;
 mod content_hasher;
@@ -30,6 +31,7 @@
 mod touched;
 
 pub use bundle::Bundle;
+pub use changed_names::ChangedNames;
 pub use check::{CheckReport, EntryKind, EntryName, Fault, FaultKind, join};
 pub use closure::ClosureError;
 pub use delta::Delta;
--- a/crates/config/src/snapshot.rs
+++ b/crates/config/src/snapshot.rs
@@ -43,6 +43,12 @@
         hasher.finish()
     }
 
+    /// Number of entries of all kinds.
+    #[must_use]
+    pub fn entry_count(&self) -> usize {
+        self.services.len() + self.routes.len() + self.secrets.len() + self.tenants.len()
+    }
+
     /// Returns the part of this snapshot that `scope` covers. It is closed if this snapshot is closed.
     ///
     /// A secret keeps only the sealed values of services in the scope; a route keeps all its callers. All
--- a/crates/daemon/src/configuration/activation.rs
+++ b/crates/daemon/src/configuration/activation.rs
@@ -77,6 +77,7 @@
         }
         let is_first = active.replace(offered.clone()).is_none();
         self.telemetry.metrics().set_version(VersionStage::Active, offered.version);
+        self.telemetry.metrics().set_configuration_entries(offered.snapshot.entry_count());
         self.telemetry.emit(Event::VersionActivated {
             version: offered.version,
             content: offered.hash,
--- a/crates/daemon/src/configuration/actor.rs
+++ b/crates/daemon/src/configuration/actor.rs
@@ -162,6 +162,8 @@
         }
         let version = offered.version;
         self.history.offer(offered);
+        let kept = self.history.size();
+        self.telemetry.metrics().set_history(kept.versions, kept.names);
         self.newer_peers.on_own_version(version);
         let _ = self.membership.send_message(MembershipMessage::Version(version));
         true
--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -10,7 +10,7 @@
 mod readers;
 mod transfer;
 
-pub use history::{ConfigurationHistory, VersionedConfiguration};
+pub use history::{ConfigurationHistory, HistorySize, VersionedConfiguration};
 pub use newer_peers::NewerPeers;
 pub use readers::{ReaderContext, ReaderRole, ReaderSettings, reader_role};
 pub use transfer::{ConfigurationId, Transfer, TransferError};
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -193,6 +193,9 @@
     reported_slowdowns: Family<SlowdownLabels, Counter>,
     response_time_ratios: Family<CauseLabels, Histogram, fn() -> Histogram>,
     versions: Family<StageLabels, Gauge>,
+    configuration_entries: Gauge,
+    history_versions: Gauge,
+    history_names: Gauge,
     roles: Family<RoleLabels, Gauge>,
     platform_requests: Family<PlatformLabels, Counter>,
     endpoints: Gauge,
@@ -222,6 +225,9 @@
             reported_slowdowns: Family::default(),
             response_time_ratios: Family::new_with_constructor(ratio_histogram),
             versions: Family::default(),
+            configuration_entries: Gauge::default(),
+            history_versions: Gauge::default(),
+            history_names: Gauge::default(),
             roles: Family::default(),
             platform_requests: Family::default(),
             endpoints: Gauge::default(),
@@ -236,6 +242,7 @@
             invalid_request_limits: Counter::default(),
         };
         metrics.register_control();
+        metrics.register_configuration();
         metrics.register_requests();
         metrics.register_quotas();
         metrics.register_shares();
@@ -271,7 +278,6 @@
             "Open control connections",
             self.control_connections.clone(),
         );
-        registry.register("version", "Configuration version by stage", self.versions.clone());
         registry.register("role", "1 while the node holds the control role", self.roles.clone());
         registry.register(
             "platform_requests",
@@ -280,6 +286,26 @@
         );
     }
 
+    fn register_configuration(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("version", "Configuration version by stage", self.versions.clone());
+        registry.register(
+            "configuration_entries",
+            "Entries of the active configuration",
+            self.configuration_entries.clone(),
+        );
+        registry.register(
+            "history_versions",
+            "Earlier versions from which other nodes can get a delta",
+            self.history_versions.clone(),
+        );
+        registry.register(
+            "history_names",
+            "Names of changed entries kept for these deltas",
+            self.history_names.clone(),
+        );
+    }
+
     fn register_requests(&mut self) {
         let registry = &mut self.registry;
         registry.register(
@@ -443,6 +469,17 @@
         self.versions.get_or_create(&StageLabels { stage: stage.name() }).set(value);
     }
 
+    /// Sets the number of entries of the active configuration.
+    pub fn set_configuration_entries(&self, count: usize) {
+        self.configuration_entries.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
+    /// Sets how many earlier versions deltas can start from, and how many names are kept for them.
+    pub fn set_history(&self, versions: usize, names: usize) {
+        self.history_versions.set(i64::try_from(versions).unwrap_or(i64::MAX));
+        self.history_names.set(i64::try_from(names).unwrap_or(i64::MAX));
+    }
+
     /// Sets whether the node holds `role`.
     pub fn set_role(&self, role: &'static str, held: bool) {
         self.roles.get_or_create(&RoleLabels { role }).set(i64::from(held));
