Send a quarantined request again in two trial runs, claimed in the store

What callers saw: all four back ends of a service crashed at once, for a reason outside of them, while each ran the request that nine of ten callers send.

Cause: a request that ran at three crashes is quarantined, and only a response clears it. A quarantined request is never sent, so a wrong quarantine removes the only evidence that could end it. Four crashes within 2 ms, each with `requests=1` and the same fingerprint, were attributed to it (3012, 4028, 4030 in the nodes' logs). Ruled out: the store as the cause (it was refused before the restart too), and ignoring crashes that are close together (a popular request that is the cause looks the same).

Fix: a quarantined request is sent again alone among suspects, 4 s after its last crash and once more 30 s later. A trial run is claimed by a conditional write to the entry of the request, so all nodes together start two at most, also across partitions and restarts; the users allow three later arrivals. A response clears the request at all nodes, a crash confirms the quarantine. Its callers are told when the next trial run is due.

--- a/crates/daemon/src/quarantine/store.rs
+++ b/crates/daemon/src/quarantine/store.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use umberpond_quarantine::{RequestFingerprint, SuspectRecord};
+use umberpond_quarantine::{ClaimedTrials, RequestFingerprint, SuspectRecord};
 
 use crate::configuration::SourceError;
 use crate::rollouts::WriteError;
@@ -26,6 +26,15 @@
     pub age: Duration,
 }
 
+/// Trial runs recorded in the entry of a quarantined request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StoredTrials {
+    /// The trial runs claimed so far, if there are any.
+    pub claimed: Option<ClaimedTrials>,
+    /// Revision of the entry, on which the next claim depends.
+    pub revision: u64,
+}
+
 /// Stores the quarantined requests.
 #[async_trait]
 pub trait QuarantineStore: Send + Sync + 'static {
@@ -41,6 +50,24 @@
     /// Returns [`WriteError`] when the write is not confirmed.
     async fn add(&self, record: &SuspectRecord) -> Result<(), WriteError>;
 
+    /// Reads the trial runs of a request; absent if the request has no entry.
+    ///
+    /// # Errors
+    /// Returns [`SourceError`] when they can't be read.
+    async fn trials(&self, fingerprint: &RequestFingerprint) -> Result<Option<StoredTrials>, SourceError>;
+
+    /// Records that `count` trial runs are claimed, if the entry was not changed since `revision`. Of several
+    /// nodes that claim the same trial run, at most one succeeds.
+    ///
+    /// # Errors
+    /// Returns [`WriteError`] when the claim is not confirmed; the trial run must not be started then.
+    async fn claim_trial(
+        &self,
+        fingerprint: &RequestFingerprint,
+        count: u32,
+        revision: u64,
+    ) -> Result<(), WriteError>;
+
     /// Removes an entry if it exists.
     ///
     /// # Errors
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -36,7 +36,9 @@
 use crate::evacuations::{EvacuationStore, EvacuationTask, follow_evacuations};
 use crate::listeners::Listeners;
 use crate::membership::{MembershipActor, MembershipArguments, MembershipMessage, receive_datagrams};
-use crate::quarantine::{QuarantineStore, QuarantineTask, broadcast_findings, sync_quarantine};
+use crate::quarantine::{
+    ClaimTask, QuarantineStore, QuarantineTask, broadcast_findings, claim_trials, sync_quarantine,
+};
 use crate::readiness::Unready;
 use crate::rollouts::{RolloutStore, RolloutTask, run_rollouts};
 use crate::settings::{BackEndConfig, NodeConfig};
@@ -338,6 +340,11 @@
                 membership: self.membership.clone(),
                 telemetry: telemetry.clone(),
             }));
+            tasks.spawn(claim_trials(ClaimTask {
+                store: Arc::clone(store),
+                quarantine: Arc::clone(self.inbound.quarantine()),
+                telemetry: telemetry.clone(),
+            }));
         }
         if let (Some(store), Some(settings)) = (&self.extensions.rollouts, self.config.rollouts) {
             tasks.spawn(run_rollouts(RolloutTask {
--- a/crates/forwarding/src/hop/protocol.rs
+++ b/crates/forwarding/src/hop/protocol.rs
@@ -84,6 +84,7 @@
     is_caller_retry: bool,
     is_retry: bool,
     call: Option<HopCall>,
+    is_trial: bool,
     limit: Option<HopLimit>,
     pub(crate) body: HopBody,
 }
@@ -172,6 +173,7 @@
             is_caller_retry: attempt.is_caller_retry,
             is_retry: attempt.is_retry,
             call: attempt.call.as_ref().map(HopCall::of),
+            is_trial: attempt.is_trial,
             limit: attempt.remembered_limit.as_ref().map(HopLimit::of),
             body,
         }
@@ -204,6 +206,7 @@
             is_caller_retry: self.is_caller_retry,
             is_retry: self.is_retry,
             call: self.call.map(HopCall::into_call),
+            is_trial: self.is_trial,
             remembered_limit: self.limit.map(HopLimit::into_limit),
         }
     }
--- a/crates/forwarding/src/inbound/serving.rs
+++ b/crates/forwarding/src/inbound/serving.rs
@@ -15,7 +15,7 @@
 use super::back_end::{BackEnd, BackEndFinding, Inbound, millis};
 use super::crash_watch::{CrashWatch, Liveness};
 use super::response_observer::{ResponseObserver, limit_text};
-use super::suspect_limiter::SuspectPlace;
+use super::suspect_limiter::{SuspectPlace, SuspectRequest};
 use crate::clock::now;
 use crate::message::{Attempt, AttemptResult, NotRun, RequestBody, Response, ResponseBody, id_text};
 use crate::outcome::{NotRunReason, UnknownReason};
@@ -86,7 +86,7 @@
         let waits_until = attempt.queue_deadline.min(attempt.deadline);
         let slots = target.back_end.slots;
         let place =
-            self.suspect_limiter.acquire(&target.watch, &attempt.request_key, slots, waits_until).await?;
+            self.suspect_limiter.acquire(&target.watch, suspect_request(attempt), slots, waits_until).await?;
         self.register_once(attempt)?;
         let grant = self.wait_for_slot(attempt, target, place, &arrived).await;
         grant.map_err(|not_run| {
@@ -126,11 +126,13 @@
         target: &Target,
         place: Option<SuspectPlace>,
     ) -> Result<Option<SuspectPlace>, NotRun> {
-        let key = &attempt.request_key;
-        if place.is_some() && self.quarantine.suspicion_level(key) <= SuspicionLevel::Isolated {
+        let request = suspect_request(attempt);
+        let may_run =
+            request.is_trial || self.quarantine.suspicion_level(request.key) <= SuspicionLevel::Isolated;
+        if place.is_some() && may_run {
             return Ok(place);
         }
-        self.suspect_limiter.try_acquire(&target.watch, key, target.back_end.slots)
+        self.suspect_limiter.try_acquire(&target.watch, request, target.back_end.slots)
     }
 
     /// Rejects a retried run if the retry budget does not cover its calls. Without them the run would fail,
@@ -454,6 +456,10 @@
     }
 }
 
+const fn suspect_request(attempt: &Attempt) -> SuspectRequest<'_> {
+    SuspectRequest { key: &attempt.request_key, is_trial: attempt.is_trial }
+}
+
 fn refusal_to_not_run(refusal: Refusal) -> NotRun {
     match refusal {
         Refusal::Closed => NotRun::before_back_end(NotRunReason::Draining),
--- a/crates/forwarding/src/inbound/suspect_limiter.rs
+++ b/crates/forwarding/src/inbound/suspect_limiter.rs
@@ -18,6 +18,14 @@
 /// slots crashed for another reason.
 const SLOTS_PER_PLACE: u32 = 4;
 
+/// A request that may be suspect.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct SuspectRequest<'a> {
+    pub(super) key: &'a RequestKey,
+    /// Whether it is sent as a trial run, although it is quarantined.
+    pub(super) is_trial: bool,
+}
+
 #[derive(Debug, Default)]
 struct State {
     last_number: u64,
@@ -45,7 +53,7 @@
     pub(super) async fn acquire(
         self: &Arc<Self>,
         watch: &CrashWatch,
-        key: &RequestKey,
+        request: SuspectRequest<'_>,
         slots: u32,
         until: Instant,
     ) -> Result<Option<SuspectPlace>, NotRun> {
@@ -54,7 +62,7 @@
             tokio::pin!(changed);
             // Registers for notifications before the check, so that no change is missed.
             changed.as_mut().enable();
-            match self.try_acquire(watch, key, slots) {
+            match self.try_acquire(watch, request, slots) {
                 Err(NotRun { reason: NotRunReason::SuspectBusy, .. }) => {}
                 other => return other,
             }
@@ -71,9 +79,10 @@
     pub(super) fn try_acquire(
         self: &Arc<Self>,
         watch: &CrashWatch,
-        key: &RequestKey,
+        request: SuspectRequest<'_>,
         slots: u32,
     ) -> Result<Option<SuspectPlace>, NotRun> {
+        let key = request.key;
         let places = match self.quarantine.suspicion_level(key) {
             SuspicionLevel::Clear => return Ok(None),
             SuspicionLevel::Suspected => (slots / SLOTS_PER_PLACE).max(1) as usize,
@@ -82,6 +91,7 @@
                 let not_run = NotRun::before_back_end(NotRunReason::SuspectPaused);
                 return Err(NotRun { retry_after: Some(left), ..not_run });
             }
+            SuspicionLevel::Quarantined if request.is_trial => 1,
             SuspicionLevel::Quarantined => return Err(NotRun::before_back_end(NotRunReason::Quarantined)),
         };
         let place = self.take_place(watch, key, places);
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -31,7 +31,7 @@
 pub use inbound::{BackEnd, BackEndFinding, Inbound, InboundSettings};
 pub use outbound::{Outbound, OutboundIdentity, OutboundSettings, StaleVersion};
 pub use outcome::{NotRunReason, UnknownReason};
-pub use quarantine::{FindingSource, Quarantine};
+pub use quarantine::{FindingSource, Quarantine, TrialClaim};
 pub use quotas::QuotaGate;
 pub use routing::{
     CompileError, CompiledRoute, NoRoute, NoTenant, OpenedSecrets, RoutingTable, SplitSequences, TenantTable,
--- a/crates/forwarding/src/message.rs
+++ b/crates/forwarding/src/message.rs
@@ -114,6 +114,8 @@
     pub is_retry: bool,
     /// Data about the run at the caller's back end that depends on the response, if the request is a call.
     pub call: Option<RunCall>,
+    /// Whether the request is sent as a trial run, although it is quarantined.
+    pub is_trial: bool,
     /// Request limit of the back end, if the caller's node has forwarded a response that advertised one.
     pub remembered_limit: Option<RememberedLimit>,
 }
--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -19,6 +19,7 @@
 use super::state::Outbound;
 use crate::message::{Attempt, AttemptResult, NotRun, RequestBody, Response};
 use crate::outcome::{NotRunReason, UnknownReason};
+use crate::quarantine::TrialPermit;
 use crate::retries::{CallOrigin, RetryPermit, TrackedCall};
 
 /// Number of attempts that ended before they reached a back end, after which only nodes with a free slot are
@@ -57,6 +58,8 @@
     retry_permit: Option<RetryPermit>,
     /// Whether a back end crashed while it ran the request.
     has_crashed: bool,
+    /// The trial run that the request is sent as, until it has reached a back end.
+    trial: Option<TrialPermit>,
     /// Last failure response of a back end, returned if no later attempt does better.
     failure: Option<FailedResponse>,
 }
@@ -83,6 +86,7 @@
             may_have_run: None,
             retry_permit: None,
             has_crashed: false,
+            trial: None,
             failure: None,
         }
     }
@@ -111,7 +115,7 @@
         }
         let mut last = NotRun::before_back_end(self.no_endpoint_reason());
         loop {
-            if let Some(not_run) = self.quarantine_refusal() {
+            if let Some(not_run) = self.quarantine_refusal().await {
                 return self.not_run(not_run);
             }
             let Some(choice) = self.choose_endpoint() else { return self.not_run(last) };
@@ -120,6 +124,7 @@
             }
             let Some(body) = self.request.body.for_attempt() else { return self.not_run(last) };
             self.service_time = choice.service;
+            self.on_trial_sent(&choice);
             let result = self.send(&choice, body).await;
             if let AttemptResult::NotRun(not_run) = &result {
                 self.await_other_calls(not_run).await;
@@ -177,6 +182,7 @@
             is_caller_retry: request.is_caller_retry,
             is_retry: self.arrivals > 0 || request.origin == CallOrigin::RetriedRun,
             call: request.call(),
+            is_trial: self.trial.is_some(),
             remembered_limit: self.outbound.remembered_limit(choice),
         }
     }
@@ -213,6 +219,7 @@
     fn on_arrival(&mut self) {
         self.arrivals += 1;
         self.retry_permit = None;
+        self.trial = None;
     }
 
     fn on_response(&mut self, choice: &Choice, response: Response) -> NextStep {
@@ -232,6 +239,9 @@
             self.on_arrival();
         } else {
             self.undelivered_attempts += 1;
+            if let Some(trial) = &mut self.trial {
+                trial.set_sent(false);
+            }
         }
         let is_allowed = if not_run.reached_back_end {
             self.may_reach_another()
--- a/crates/forwarding/src/outbound/attempts/endpoint_choice.rs
+++ b/crates/forwarding/src/outbound/attempts/endpoint_choice.rs
@@ -3,9 +3,10 @@
 use tokio::time::Instant;
 use umberpond_quarantine::SuspicionLevel;
 use umberpond_selection::{Choice, Query, ReleaseGroup};
+use umberpond_telemetry::Event;
 
 use super::Attempts;
-use crate::message::NotRun;
+use crate::message::{NotRun, id_text};
 use crate::outcome::NotRunReason;
 
 impl Attempts<'_> {
@@ -14,18 +15,46 @@
         if self.request.homes.are_anywhere() { NotRunReason::NoEndpoint } else { NotRunReason::NoHomeRegion }
     }
 
-    /// Why the request is withheld from all back ends, if it is suspected of crashing them.
-    pub(super) fn quarantine_refusal(&self) -> Option<NotRun> {
+    /// Why the request is withheld from all back ends, if it is suspected of crashing them. A quarantined one
+    /// may become a trial run.
+    pub(super) async fn quarantine_refusal(&mut self) -> Option<NotRun> {
         match self.outbound.quarantine().suspicion_level(&self.request.request_key) {
             SuspicionLevel::Clear | SuspicionLevel::Suspected | SuspicionLevel::Isolated => None,
             SuspicionLevel::Paused(left) => Some(NotRun {
                 retry_after: Some(left),
                 ..NotRun::before_back_end(NotRunReason::SuspectPaused)
             }),
-            SuspicionLevel::Quarantined => Some(NotRun::before_back_end(NotRunReason::Quarantined)),
+            SuspicionLevel::Quarantined => self.start_trial().await.err(),
         }
     }
 
+    async fn start_trial(&mut self) -> Result<(), NotRun> {
+        if self.trial.is_some() {
+            return Ok(());
+        }
+        match self.outbound.quarantine().start_trial(&self.request.request_key).await {
+            Ok(permit) => {
+                self.trial = Some(permit);
+                Ok(())
+            }
+            Err(retry_after) => {
+                Err(NotRun { retry_after, ..NotRun::before_back_end(NotRunReason::Quarantined) })
+            }
+        }
+    }
+
+    /// Records that a trial run, if the request is one, is about to be sent to `choice`.
+    pub(super) fn on_trial_sent(&mut self, choice: &Choice) {
+        let Some(trial) = &mut self.trial else { return };
+        trial.set_sent(true);
+        self.outbound.telemetry.emit(Event::TrialStarted {
+            request: id_text(&self.request.id),
+            fingerprint: trial.fingerprint().to_string(),
+            trial: u64::from(trial.number()),
+            node: choice.node.clone(),
+        });
+    }
+
     /// Chooses an untried endpoint. Falls back to the other releases if the assigned release has none.
     pub(super) fn choose_endpoint(&mut self) -> Option<Choice> {
         if let Some(choice) = self.choose() {
--- a/crates/forwarding/src/outbound/retry_delay.rs
+++ b/crates/forwarding/src/outbound/retry_delay.rs
@@ -11,7 +11,8 @@
 
 /// Delay if nothing better is known.
 const DEFAULT_DELAY: Duration = Duration::from_millis(200);
-/// Delay for a request that has crashed back ends: an earlier retry is pointless before the fault is fixed.
+/// Delay for a request that has crashed back ends and has no trial runs left: an earlier retry is pointless
+/// before the fault is fixed.
 const QUARANTINE_DELAY: Duration = Duration::from_secs(60);
 
 /// Share of the caller's remaining time after which it retries at a service without room. The caller has few
@@ -57,7 +58,7 @@
     pub(super) fn retry_delay(&self, random: &mut impl Rng) -> Duration {
         let soonest = self.retry_after.unwrap_or(DEFAULT_DELAY);
         match self.reason {
-            NotRunReason::Quarantined => QUARANTINE_DELAY,
+            NotRunReason::Quarantined => self.retry_after.unwrap_or(QUARANTINE_DELAY),
             NotRunReason::Overloaded | NotRunReason::CallsOverloaded => self.delay_for_queue(random),
             NotRunReason::RequestLimit => self.delay_for_limit(random),
             NotRunReason::BackEndFull => {
--- a/crates/forwarding/src/outbound/state.rs
+++ b/crates/forwarding/src/outbound/state.rs
@@ -344,7 +344,7 @@
     }
 
     /// Requests that are suspected of crashing back ends.
-    pub(super) fn quarantine(&self) -> &Quarantine {
+    pub(super) fn quarantine(&self) -> &Arc<Quarantine> {
         self.inbound.quarantine()
     }
 
--- a/crates/forwarding/src/retries/tests.rs
+++ b/crates/forwarding/src/retries/tests.rs
@@ -51,6 +51,7 @@
         is_caller_retry: false,
         is_retry,
         call: None,
+        is_trial: false,
         remembered_limit: None,
     }
 }
--- a/crates/quarantine/src/ledger.rs
+++ b/crates/quarantine/src/ledger.rs
@@ -75,6 +75,22 @@
         if left.is_zero() { SuspicionLevel::Isolated } else { SuspicionLevel::Paused(left) }
     }
 
+    /// The fingerprint for which a request is quarantined; absent if it is not.
+    #[must_use]
+    pub fn quarantined_fingerprint(&self, now: Instant, key: &RequestKey) -> Option<RequestFingerprint> {
+        let is_quarantined = |fingerprint: &RequestFingerprint| {
+            self.fingerprint_suspicion_level(now, fingerprint) == SuspicionLevel::Quarantined
+        };
+        key.fingerprints().into_iter().find(is_quarantined)
+    }
+
+    /// Time since the last crash that requests with this fingerprint are blamed for; zero if there is none.
+    #[must_use]
+    pub fn since_crash(&self, now: Instant, fingerprint: &RequestFingerprint) -> Duration {
+        let suspect = self.suspects.get(fingerprint);
+        suspect.map_or(Duration::ZERO, |suspect| now.saturating_duration_since(suspect.blamed_at))
+    }
+
     /// Number of crashes that a request is blamed for.
     #[must_use]
     pub fn crash_count(&self, key: &RequestKey) -> usize {
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -4,7 +4,8 @@
 //! and at every node. The node of a back end that crashes blames the requests that ran there. A response that
 //! is not a failure clears a request of the crashes it was blamed for before. Every node holds all findings
 //! in its [`SuspectLedger`]. Findings can be merged in any order and repeatedly with the same result, so
-//! every node derives the same [`SuspicionLevel`] for a request.
+//! every node derives the same [`SuspicionLevel`] for a request. A quarantined request is sent again in a few
+//! trial runs, which end the quarantine if it was wrong.
 //!
 //! This crate does no I/O and reads no clock.
 
@@ -14,6 +15,7 @@
 mod settings;
 mod suspect;
 mod suspicion_level;
+mod trial;
 
 pub use finding::{CrashId, Finding, SuspectRecord};
 pub use fingerprint::{
@@ -22,3 +24,4 @@
 pub use ledger::{MergeOutcome, SuspectLedger};
 pub use settings::QuarantineSettings;
 pub use suspicion_level::SuspicionLevel;
+pub use trial::{ClaimedTrials, TrialDecision, next_trial};
--- a/crates/quarantine/tests/ledger.rs
+++ b/crates/quarantine/tests/ledger.rs
@@ -11,6 +11,7 @@
 const SETTINGS: QuarantineSettings = QuarantineSettings {
     crashes: 3,
     pause: Duration::from_secs(4),
+    trial_delays: [Duration::from_secs(4), Duration::from_secs(30)],
     lifetime: Duration::from_secs(600),
     capacity: 64,
 };
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -163,6 +163,10 @@
         = 4037, Info, "slow-back-end-avoided", "The node beside the back end refused a request, which has not run: requests take `slowdown_percent` percent of the usual time there, the response was expected in `expected_millis`, and its objective ends in `left_millis`. Another back end may still respond in time.";
     QuotaRefusalsCounted { tenant: String, refused: u64, next_token_millis: u64, period_millis: u64 }
         = 4039, Info, "quota-refusals-counted", "Requests of the tenant that this node has refused over its quota in the period. `next_token_millis` is the time after which it requests tokens again, 0 if it requests them for each arriving request.";
+    TrialClaimed { fingerprint: String, trial: u64, outcome: &'static str }
+        = 4040, Info, "trial-claimed", "This node has asked the store for the next trial run of a quarantined request. `claimed`: it may send the request once, as the trial run with this number over all nodes; `not-due`: another trial run was claimed a short time ago; `exhausted`: no trial runs are left; `failed`: the store did not confirm the claim.";
+    TrialStarted { request: String, fingerprint: String, trial: u64, node: NodeName }
+        = 4041, Info, "trial-started", "A quarantined request is sent as a trial run, to the back end beside this node. A response clears it (4029); a crash confirms the quarantine (3012, 4030).";
 
     // Store
     PlatformUnavailable { operation: &'static str, reason: String }
