Keep the store's era beside each position in its history

What callers saw: the store came back from a copy some seconds old, the operator wrote the lost change and the next one, both were acknowledged, and no node ever applied the next one.

Cause: revisions are given out again after a restore. The readers asked for changes after revision 8 of the first era, which the store had again, so it reported none, and the check for missed changes compared 8 with 8. Nothing read the header `Store-Era`. Ruled out by the nodes' logs: a lost reader role (no 2012), and a watch that reports nothing at all (with the second write 125 ms later the case passes).

Fix: a position is a StoreRevision, an era and a number, so the compiler refuses to compare a bare number with one, and a later era is later. A wait whose response is of another era than its position counts as lost, and the whole configuration is read. A response of an earlier era than the latest one known is a failed call. 5010 store-era-changed and the gauge umberpond_store_era tell on-call.

--- a/crates/daemon/src/configuration/mod.rs
+++ b/crates/daemon/src/configuration/mod.rs
@@ -13,4 +13,4 @@
 pub(crate) use message::ConfigurationMessage;
 pub(crate) use peers::serve_peers;
 pub(crate) use reader::{ReaderTask, is_store_reader, read_store};
-pub use source::{ConfigurationSource, Position, SourceError, Sourced, Waited};
+pub use source::{ConfigurationSource, SourceError, Sourced, Waited};
--- a/crates/daemon/src/configuration/reader.rs
+++ b/crates/daemon/src/configuration/reader.rs
@@ -9,11 +9,11 @@
 use rand::{RngExt, SeedableRng};
 use tokio::time::{Instant, sleep};
 use umberpond_distribution::{ReaderContext, ReaderRole, ReaderSettings, reader_role};
-use umberpond_model::NodeName;
+use umberpond_model::{NodeName, StoreRevision};
 use umberpond_telemetry::{Event, Telemetry};
 
 use super::message::ConfigurationMessage;
-use super::source::{ConfigurationSource, Position, SourceError, Waited};
+use super::source::{ConfigurationSource, SourceError, Waited};
 use crate::membership::{MembershipMessage, StoreView};
 
 /// Interval at which a node determines its reader role.
@@ -62,7 +62,7 @@
     task: ReaderTask,
     random: SmallRng,
     /// Position in the store's history up to which this node has read.
-    position: Option<Position>,
+    position: Option<StoreRevision>,
     is_reader: bool,
     started_at: Instant,
     /// When the last call failed, and the backoff after it for a reader whose backoff factor is 1; absent
@@ -133,7 +133,7 @@
                 self.check_for_missed_change(position).await
             }
             Waited::Lost => {
-                self.task.telemetry.emit(Event::WatchLost { position: position.0 });
+                self.task.telemetry.emit(Event::WatchLost { position: position.number });
                 self.read_full().await
             }
         }
@@ -141,7 +141,7 @@
 
     /// Reads the whole configuration again if the store's position has advanced, because the wait may have
     /// missed a change.
-    async fn check_for_missed_change(&mut self, position: Position) -> Result<(), SourceError> {
+    async fn check_for_missed_change(&mut self, position: StoreRevision) -> Result<(), SourceError> {
         let current = self.task.source.position().await;
         let current = self.count_call("position", current)?;
         if current > position {
--- a/crates/daemon/src/configuration/source.rs
+++ b/crates/daemon/src/configuration/source.rs
@@ -5,11 +5,7 @@
 use async_trait::async_trait;
 use thiserror::Error;
 use umberpond_config::Snapshot;
-use umberpond_model::Version;
-
-/// A position in the store's history.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Position(pub u64);
+use umberpond_model::{StoreRevision, Version};
 
 /// A whole configuration as the store holds it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -24,10 +20,11 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Waited {
     /// A newer configuration.
-    Changed(Box<Sourced>, Position),
+    Changed(Box<Sourced>, StoreRevision),
     /// There was no change up to this position.
-    Unchanged(Position),
-    /// The store no longer has the changes since that position; the whole configuration has to be read.
+    Unchanged(StoreRevision),
+    /// The store no longer has the changes since that position, or has been restored since; the whole
+    /// configuration has to be read.
     Lost,
 }
 
@@ -55,18 +52,18 @@
     ///
     /// # Errors
     /// Returns [`SourceError`] when it can't be read.
-    async fn read(&self) -> Result<(Option<Sourced>, Position), SourceError>;
+    async fn read(&self) -> Result<(Option<Sourced>, StoreRevision), SourceError>;
 
     /// Waits up to `longest` for a configuration that is newer than the one read at `after`.
     ///
     /// # Errors
     /// Returns [`SourceError`] when the store is unavailable or the configuration can't be decoded.
-    async fn wait(&self, after: Position, longest: Duration) -> Result<Waited, SourceError>;
+    async fn wait(&self, after: StoreRevision, longest: Duration) -> Result<Waited, SourceError>;
 
     /// The current position in the history, read by a cheap call. If it has advanced, a wait may have missed
     /// a change.
     ///
     /// # Errors
     /// Returns [`SourceError`] when the store is unavailable.
-    async fn position(&self) -> Result<Position, SourceError>;
+    async fn position(&self) -> Result<StoreRevision, SourceError>;
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -12,6 +12,7 @@
 mod names;
 mod rate;
 mod record;
+mod store_revision;
 mod tenant_id;
 mod time;
 mod version;
@@ -28,6 +29,7 @@
 };
 pub use rate::{InvalidRate, RequestRate};
 pub use record::{Head, VersionRecord};
+pub use store_revision::{StoreEra, StoreRevision};
 pub use tenant_id::TenantId;
 pub use time::Millis;
 pub use version::{SubmissionId, Version};
--- a/crates/operator/src/chain_source.rs
+++ b/crates/operator/src/chain_source.rs
@@ -10,8 +10,8 @@
 use umberpond_acceptance::ChainError;
 use umberpond_acceptance::chain::{ChainReader, HeadSeen, decode_head};
 use umberpond_config::Snapshot;
-use umberpond_daemon::configuration::{ConfigurationSource, Position, SourceError, Sourced, Waited};
-use umberpond_model::{ContentHash, Head, Version};
+use umberpond_daemon::configuration::{ConfigurationSource, SourceError, Sourced, Waited};
+use umberpond_model::{ContentHash, Head, StoreEra, StoreRevision, Version};
 use umberpond_store::{ObjectKind, ObjectStore, Revision, WatchError, WatchEvent, WatchStream};
 
 /// Maximum number of versions read as deltas; for a larger gap the whole snapshot is read.
@@ -27,7 +27,7 @@
 /// A watch that is kept open between two calls of `wait`.
 struct OpenWatch {
     /// Position of the last event that was returned.
-    position: Position,
+    position: StoreRevision,
     events: WatchStream,
 }
 
@@ -86,15 +86,15 @@
         (expected_hash == Some(snapshot.content_hash())).then_some(snapshot)
     }
 
-    async fn open_watch(&self, after: Position) -> Result<OpenWatch, WatchError> {
-        let events = self.store.watch(ObjectKind::Head, Revision(after.0)).await?;
+    async fn open_watch(&self, after: StoreRevision) -> Result<OpenWatch, WatchError> {
+        let events = self.store.watch(ObjectKind::Head, Revision(after.number)).await?;
         Ok(OpenWatch { position: after, events })
     }
 
     /// Waits up to `max_wait` for the next change of the head; `None` if there is none.
     async fn next_event(
         &self,
-        after: Position,
+        after: StoreRevision,
         max_wait: Duration,
     ) -> Result<Option<WatchEvent>, WatchError> {
         let deadline = Instant::now() + max_wait;
@@ -109,7 +109,7 @@
                 Ok(None)
             }
             Ok(Some(Ok(event))) => {
-                open.position = Position(event.revision.0);
+                open.position = store_revision(event.revision);
                 *watch = Some(open);
                 Ok(Some(event))
             }
@@ -119,34 +119,39 @@
     }
 }
 
+/// This store has one history: it reports no eras.
+const fn store_revision(revision: Revision) -> StoreRevision {
+    StoreRevision::new(StoreEra(0), revision.0)
+}
+
 #[async_trait]
 impl ConfigurationSource for ChainSource {
-    async fn read(&self) -> Result<(Option<Sourced>, Position), SourceError> {
+    async fn read(&self) -> Result<(Option<Sourced>, StoreRevision), SourceError> {
         let Some(HeadSeen { head, object_version }) = self.chain.read_head().await.map_err(source_error)?
         else {
-            return Ok((None, Position(0)));
+            return Ok((None, StoreRevision::default()));
         };
         let sourced = self.configuration(&head).await?;
-        Ok((Some(sourced), Position(object_version.revision().0)))
+        Ok((Some(sourced), store_revision(object_version.revision())))
     }
 
-    async fn wait(&self, after: Position, max_wait: Duration) -> Result<Waited, SourceError> {
+    async fn wait(&self, after: StoreRevision, max_wait: Duration) -> Result<Waited, SourceError> {
         let event = match self.next_event(after, max_wait).await {
             Ok(Some(event)) => event,
             Ok(None) => return Ok(Waited::Unchanged(after)),
             Err(WatchError::TooOld { .. }) => return Ok(Waited::Lost),
             Err(error) => return Err(SourceError::Unavailable { reason: error.to_string() }),
         };
-        let position = Position(event.revision.0);
+        let position = store_revision(event.revision);
         let Some(value) = event.value else { return Ok(Waited::Unchanged(position)) };
         let head = decode_head(&value).map_err(source_error)?;
         let sourced = self.configuration(&head).await?;
         Ok(Waited::Changed(Box::new(sourced), position))
     }
 
-    async fn position(&self) -> Result<Position, SourceError> {
+    async fn position(&self) -> Result<StoreRevision, SourceError> {
         let seen = self.chain.read_head().await.map_err(source_error)?;
-        Ok(Position(seen.map_or(0, |seen| seen.object_version.revision().0)))
+        Ok(seen.map_or_else(StoreRevision::default, |seen| store_revision(seen.object_version.revision())))
     }
 }
 
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -179,4 +179,6 @@
         = 5008, Info, "objects-collected", "Objects of versions that are no longer kept were deleted from the platform.";
     WatchLost { position: u64 }
         = 5009, Info, "watch-lost", "The store no longer has the changes after this position; the full state is read instead.";
+    StoreEraChanged { era: u64, before: u64 }
+        = 5010, Warn, "store-era-changed", "The store was restored from a copy: what was written to it after the copy is lost, and revisions are given out again. What this system keeps there is read and written again.";
 }
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -9,7 +9,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
-use umberpond_model::RequestRate;
+use umberpond_model::{RequestRate, StoreEra};
 
 /// Upper bound of the first bucket of the request histogram, in seconds.
 const FIRST_BUCKET_BOUND_SECONDS: f64 = 0.000_25;
@@ -198,6 +198,7 @@
     history_names: Gauge,
     roles: Family<RoleLabels, Gauge>,
     platform_requests: Family<PlatformLabels, Counter>,
+    store_era: Gauge,
     endpoints: Gauge,
     evacuated_zones: Gauge,
     quota_refusals: Counter,
@@ -230,6 +231,7 @@
             history_names: Gauge::default(),
             roles: Family::default(),
             platform_requests: Family::default(),
+            store_era: Gauge::default(),
             endpoints: Gauge::default(),
             evacuated_zones: Gauge::default(),
             quota_refusals: Counter::default(),
@@ -284,6 +286,11 @@
             "Requests to the platform by operation and outcome",
             self.platform_requests.clone(),
         );
+        registry.register(
+            "store_era",
+            "Number of the store's history, which rises each time it is restored from a copy",
+            self.store_era.clone(),
+        );
     }
 
     fn register_configuration(&mut self) {
@@ -490,6 +497,11 @@
         self.platform_requests.get_or_create(&PlatformLabels { operation, outcome }).inc();
     }
 
+    /// Sets the number of the store's history.
+    pub fn set_store_era(&self, era: StoreEra) {
+        self.store_era.set(i64::try_from(era.0).unwrap_or(i64::MAX));
+    }
+
     /// Sets the number of endpoint records in use.
     pub fn set_endpoints(&self, count: usize) {
         self.endpoints.set(i64::try_from(count).unwrap_or(i64::MAX));
