Order evacuations by the store's era, and keep lost ones in force until they are written again

With the later era winning, an evacuation that was ordered since the copy would end for the moment in which the restored store lacks it.

Cause: the evacuations that nodes publish are ordered by the bare revision at which a node read them. After a restore revisions are lower, so what was read from the restored store was dropped until it had given out as many revisions as before.

Fix: they are ordered by StoreRevision.

--- a/crates/daemon/src/membership/actor.rs
+++ b/crates/daemon/src/membership/actor.rs
@@ -127,6 +127,9 @@
         match message {
             MembershipMessage::Tick => {
                 self.detect_suspension(now);
+                if self.evacuations.is_carrying() {
+                    self.follow_evacuations(now);
+                }
                 self.membership.set_load(self.inbound.load());
                 let mut outgoing = self.membership.on_tick(now);
                 outgoing.extend(self.suspects.on_tick(now, &mut self.membership));
@@ -171,7 +174,7 @@
             MembershipMessage::Evacuations(listed) => {
                 let published = self.evacuations.to_publish(listed);
                 let outgoing = self.membership.set_evacuations(now, published);
-                self.follow_evacuations();
+                self.follow_evacuations(now);
                 outgoing
             }
             MembershipMessage::ReportEvidence(evidence) => self.report(evidence),
@@ -253,8 +256,8 @@
     }
 
     /// Applies the latest evacuations that any node publishes.
-    fn follow_evacuations(&mut self) {
-        self.evacuations.follow(&self.membership, &self.outbound, &self.telemetry);
+    fn follow_evacuations(&mut self, now: std::time::Instant) {
+        self.evacuations.follow(now, &self.membership, &self.outbound, &self.telemetry);
     }
 
     fn store_view(&self, now: std::time::Instant) -> StoreView {
@@ -299,10 +302,11 @@
         if !is_due {
             return;
         }
-        self.follow_plans(Instant::now().into_std());
+        let now = Instant::now().into_std();
+        self.follow_plans(now);
         // Applied before the endpoints are published, so that no endpoint of an evacuated zone is chosen
         // meanwhile.
-        self.follow_evacuations();
+        self.follow_evacuations(now);
         self.update_sharing_nodes();
         self.pools.on_changed();
         let endpoints = self.published.update(&self.membership, &self.outbound);
--- a/crates/model/src/evacuations.rs
+++ b/crates/model/src/evacuations.rs
@@ -4,13 +4,13 @@
 
 use bitcode::{Decode, Encode};
 
-use crate::ZoneName;
+use crate::{StoreRevision, ZoneName};
 
 /// The zones whose back ends receive no new requests, as read from the store at one revision.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Encode, Decode)]
 pub struct Evacuations {
     /// Store revision at which the zones were read.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The zones.
     pub zones: BTreeSet<ZoneName>,
 }
@@ -18,14 +18,7 @@
 impl Evacuations {
     /// Whether this was read at a later revision than `other`.
     #[must_use]
-    pub const fn supersedes(&self, other: &Self) -> bool {
+    pub fn supersedes(&self, other: &Self) -> bool {
         self.revision > other.revision
     }
-
-    /// Comma-separated zone names, for logs.
-    #[must_use]
-    pub fn zone_list(&self) -> String {
-        let zones: Vec<&str> = self.zones.iter().map(ZoneName::as_str).collect();
-        zones.join(",")
-    }
 }
