Rollouts: continue over a restore of the store, and write a lost end again

What callers would see: after a restore of the store a finished rollout starts again with a small share, or a reverted release gets requests again, since the order that is written again has other revisions and its state is lost.

Cause: orders and plans are ordered by bare revisions of the store, and a coordinator takes the state in the store as the whole truth.

Fix: revisions carry their era. For 5 s after a restore, while operators write lost orders again, an order with the target of the plan in force is the same order: the stage goes on, nodes learn its new revision, and an end that callers have seen is written to the store again. An order with another target, or a missing one, changes nothing in that time. Later orders are new ones.

--- a/crates/daemon/src/quarantine/store.rs
+++ b/crates/daemon/src/quarantine/store.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use umberpond_model::StoreRevision;
 use umberpond_quarantine::{ClaimedTrials, RequestFingerprint, SuspectRecord};
 
 use crate::configuration::SourceError;
@@ -32,7 +33,7 @@
     /// The trial runs claimed so far, if there are any.
     pub claimed: Option<ClaimedTrials>,
     /// Revision of the entry, on which the next claim depends.
-    pub revision: u64,
+    pub revision: StoreRevision,
 }
 
 /// Stores the quarantined requests.
@@ -65,7 +66,7 @@
         &self,
         fingerprint: &RequestFingerprint,
         count: u32,
-        revision: u64,
+        revision: StoreRevision,
     ) -> Result<(), WriteError>;
 
     /// Removes an entry if it exists.
--- a/crates/daemon/src/rollouts/store.rs
+++ b/crates/daemon/src/rollouts/store.rs
@@ -3,8 +3,8 @@
 
 use async_trait::async_trait;
 use thiserror::Error;
-use umberpond_model::{ReleaseName, ServiceName};
-use umberpond_rollouts::{RolloutState, StoredRollout};
+use umberpond_model::{ReleaseName, ServiceName, StoreRevision};
+use umberpond_rollouts::{ListedRollouts, RolloutState};
 
 use crate::configuration::SourceError;
 
@@ -29,7 +29,7 @@
     ///
     /// # Errors
     /// Returns [`SourceError`] when they can't be read.
-    async fn list(&self) -> Result<Vec<StoredRollout>, SourceError>;
+    async fn list(&self) -> Result<ListedRollouts, SourceError>;
 
     /// Writes the state of the rollout of `service` to `target`, if it was not changed since `revision`;
     /// returns its new revision.
@@ -40,7 +40,7 @@
         &self,
         service: &ServiceName,
         target: &ReleaseName,
-        revision: u64,
+        revision: StoreRevision,
         state: RolloutState,
-    ) -> Result<u64, WriteError>;
+    ) -> Result<StoreRevision, WriteError>;
 }
--- a/crates/daemon/src/rollouts/task.rs
+++ b/crates/daemon/src/rollouts/task.rs
@@ -11,10 +11,10 @@
 use tokio::time::{Instant, sleep};
 use umberpond_distribution::ReaderSettings;
 use umberpond_forwarding::Inbound;
-use umberpond_model::{NodeName, ReleaseName, ServiceName};
+use umberpond_model::{NodeName, ReleaseName, ServiceName, StoreRevision};
 use umberpond_rollouts::{
-    CoordinatorAction, EndpointCounts, HeldPlans, ReleaseEvidence, RolloutCoordinator, RolloutPlan,
-    RolloutSettings, RolloutState, StoredRollout, Verdict,
+    CoordinatorAction, EndpointCounts, HeldPlans, ListedRollouts, ReleaseEvidence, RolloutCoordinator,
+    RolloutPlan, RolloutSettings, RolloutState, Verdict,
 };
 use umberpond_telemetry::{Event, Telemetry};
 
@@ -83,13 +83,13 @@
 /// Result of a call to the store. Calls run concurrently with the steps, so that an unresponsive store delays
 /// no report and no decision.
 enum StoreOutcome {
-    Listed(Result<Vec<StoredRollout>, SourceError>),
+    Listed(Result<ListedRollouts, SourceError>),
     Written {
         service: ServiceName,
         target: ReleaseName,
-        revision: u64,
+        revision: StoreRevision,
         state: RolloutState,
-        written: Result<u64, WriteError>,
+        written: Result<StoreRevision, WriteError>,
     },
 }
 
@@ -208,7 +208,7 @@
         }
     }
 
-    fn on_listed(&mut self, held: &HeldPlans, listed: Result<Vec<StoredRollout>, SourceError>) {
+    fn on_listed(&mut self, held: &HeldPlans, listed: Result<ListedRollouts, SourceError>) {
         let outcome = if listed.is_ok() { "answered" } else { "unavailable" };
         self.task.telemetry.metrics().platform_request("rollouts", outcome);
         let now = Instant::now();
@@ -230,9 +230,9 @@
         &mut self,
         service: ServiceName,
         target: &ReleaseName,
-        revision: u64,
+        revision: StoreRevision,
         state: RolloutState,
-        written: Result<u64, WriteError>,
+        written: Result<StoreRevision, WriteError>,
     ) {
         let outcome = match &written {
             Ok(_) => "written",
@@ -244,7 +244,7 @@
             service: service.clone(),
             target: target.to_string(),
             state: state.as_str(),
-            revision,
+            revision: revision.number,
             outcome,
         });
         if let Ok(revision) = written {
@@ -270,7 +270,13 @@
         }
     }
 
-    fn write(&mut self, service: ServiceName, target: ReleaseName, revision: u64, state: RolloutState) {
+    fn write(
+        &mut self,
+        service: ServiceName,
+        target: ReleaseName,
+        revision: StoreRevision,
+        state: RolloutState,
+    ) {
         if !self.writing.insert(service.clone()) {
             return;
         }
--- a/crates/rollouts/src/coordinator.rs
+++ b/crates/rollouts/src/coordinator.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use umberpond_model::{NodeName, ReleaseName, ServiceName};
+use umberpond_model::{NodeName, ReleaseName, ServiceName, StoreEra, StoreRevision};
 
 use crate::evidence::ReleaseEvidence;
 use crate::held::HeldPlans;
 use crate::judge::{ReleaseJudge, Verdict};
-use crate::order::{RolloutState, StoredRollout};
+use crate::order::{ListedRollouts, RolloutState, StoredRollout};
 use crate::plan::{ALL_PERMILLE, PlanStage, RolloutPlan};
 use crate::schedule::{Progress, RolloutSettings, is_over, step, step_of};
 
@@ -24,6 +24,8 @@
 /// Minimum time between the last change of stage and the final state. Within it the plan reaches all nodes,
 /// and requests that were sent under the previous plan arrive.
 const SETTLING_TIME: Duration = Duration::from_millis(800);
+/// Time after a restore of the store within which operators have written lost orders again.
+const REWRITE_TIME: Duration = Duration::from_secs(5);
 /// Slots that the target needs before it gets all requests, as a fraction of the slots of the other releases.
 const CAPACITY_SHARE: f64 = 0.7;
 
@@ -67,7 +69,7 @@
         /// The target.
         target: ReleaseName,
         /// Expected revision of the object.
-        revision: u64,
+        revision: StoreRevision,
         /// The state.
         state: RolloutState,
     },
@@ -78,7 +80,9 @@
 struct ActiveRollout {
     stored: StoredRollout,
     /// Store revision at which a coordinator first read this target.
-    target_revision: u64,
+    target_revision: StoreRevision,
+    /// Whether the order was read again after a restore of the store, which may have lost its state.
+    is_restored: bool,
     /// When this coordinator took the rollout over, and the known or estimated time from the order until
     /// then.
     taken_over_at: Instant,
@@ -99,19 +103,25 @@
     active: BTreeMap<ServiceName, ActiveRollout>,
     /// When the orders were last read from the store; an order that is new since then was given later.
     read_at: Option<Instant>,
+    /// Era of the store when the orders were last read.
+    era: Option<StoreEra>,
+    /// When the orders were first read after a restore of the store.
+    restored_at: Option<Instant>,
 }
 
 impl RolloutCoordinator {
     /// Creates a coordinator without rollouts.
     #[must_use]
     pub const fn new(settings: RolloutSettings) -> Self {
-        Self { settings, active: BTreeMap::new(), read_at: None }
+        Self { settings, active: BTreeMap::new(), read_at: None, era: None, restored_at: None }
     }
 
     /// Discards all rollouts, when the node stops coordinating.
     pub fn clear(&mut self) {
         self.active.clear();
         self.read_at = None;
+        self.era = None;
+        self.restored_at = None;
     }
 
     /// Whether no rollout is in progress.
@@ -121,29 +131,51 @@
     }
 
     /// Processes the rollouts read from the store. Returns the plans that need no further evaluation: those
-    /// of finished rollouts and of withdrawn orders.
+    /// of finished rollouts, of withdrawn orders and of orders that are known under another revision now.
+    ///
+    /// After a restore of the store, lost orders are missing or have an earlier target until they are written
+    /// again. For that time the plans in force stay, and an order with the same target counts as the same
+    /// order.
     pub fn on_stored(
         &mut self,
         now: Instant,
         held: &HeldPlans,
-        stored: Vec<StoredRollout>,
+        listed: ListedRollouts,
     ) -> Vec<CoordinatorAction> {
-        let mut actions = self.remove_withdrawn(now, &stored);
+        let is_rewritten = self.is_being_rewritten(now, held, listed.era);
+        let stored = listed.rollouts;
+        let mut actions = if is_rewritten { Vec::new() } else { self.remove_withdrawn(now, &stored) };
         let since_last_read = self.read_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         self.read_at = Some(now);
         for rollout in stored {
             let service = rollout.order.service.clone();
+            let earlier = held
+                .get(&service)
+                .filter(|plan| is_rewritten && plan.created_revision.era < rollout.created_revision.era);
+            if earlier.is_some_and(|plan| plan.target != rollout.order.target) {
+                continue;
+            }
             match rollout.state.filter(|state| state.is_final()) {
                 Some(state) => {
                     self.active.remove(&service);
                     actions.extend(final_plan(held, &rollout, state));
                 }
-                None => self.on_running(now, held, rollout, since_last_read),
+                None => actions.extend(self.on_running(now, held, rollout, since_last_read, earlier)),
             }
         }
         actions
     }
 
+    /// Whether operators may still be writing orders again that a restore of the store has lost.
+    fn is_being_rewritten(&mut self, now: Instant, held: &HeldPlans, era: StoreEra) -> bool {
+        let known = self.era.replace(era);
+        let of_plans = held.iter().map(|plan| plan.created_revision.era).max();
+        if known.or(of_plans).is_some_and(|known| era > known) {
+            self.restored_at = Some(now);
+        }
+        self.restored_at.is_some_and(|at| now.saturating_duration_since(at) < REWRITE_TIME)
+    }
+
     /// Processes the report of a node.
     pub fn on_evidence(&mut self, evidence: ReleaseEvidence) {
         if let Some(rollout) = self.active.get_mut(&evidence.service) {
@@ -153,7 +185,7 @@
     }
 
     /// Records that the store now holds `state` for `service` at `revision`.
-    pub fn on_written(&mut self, service: &ServiceName, state: RolloutState, revision: u64) {
+    pub fn on_written(&mut self, service: &ServiceName, state: RolloutState, revision: StoreRevision) {
         if let Some(rollout) = self.active.get_mut(service) {
             rollout.stored.state = Some(state);
             rollout.stored.revision = revision;
@@ -183,16 +215,24 @@
         held: &HeldPlans,
         stored: StoredRollout,
         since_last_read: Duration,
-    ) {
+        earlier: Option<&RolloutPlan>,
+    ) -> Option<CoordinatorAction> {
+        let is_restored = earlier.is_some();
         let service = stored.order.service.clone();
         if let Some(rollout) = self.active.get_mut(&service)
             && rollout.stored.order.target == stored.order.target
-            && rollout.stored.created_revision == stored.created_revision
+            && (is_restored || rollout.stored.created_revision == stored.created_revision)
         {
             rollout.stored = stored;
-            return;
+            rollout.is_restored |= is_restored;
+        } else {
+            let rollout = ActiveRollout::new(now, held, stored, since_last_read, is_restored);
+            self.active.insert(service.clone(), rollout);
         }
-        self.active.insert(service, ActiveRollout::new(now, held, stored, since_last_read));
+        let (Some(rollout), Some(plan)) = (self.active.get_mut(&service), earlier) else { return None };
+        rollout.adopt_stage_of(now, plan);
+        // All nodes learn the revision that the order has now.
+        Some(rollout.publish(now, "store-was-restored", Verdict::Sound))
     }
 
     /// Removes rollouts whose order is no longer in the store, and stops sending requests to their targets.
@@ -210,14 +250,19 @@
 }
 
 impl ActiveRollout {
-    fn new(now: Instant, held: &HeldPlans, stored: StoredRollout, since_last_read: Duration) -> Self {
+    fn new(
+        now: Instant,
+        held: &HeldPlans,
+        stored: StoredRollout,
+        since_last_read: Duration,
+        is_restored: bool,
+    ) -> Self {
         let service = &stored.order.service;
-        let known = held
-            .get(service)
-            .filter(|plan| {
-                plan.created_revision == stored.created_revision && plan.target == stored.order.target
-            })
-            .cloned();
+        let is_same = |plan: &&RolloutPlan| {
+            plan.target == stored.order.target
+                && (is_restored || plan.created_revision == stored.created_revision)
+        };
+        let known = held.get(service).filter(is_same).cloned();
         let is_taken_over = stored.state.is_some();
         let elapsed = match (&known, is_taken_over) {
             (Some(_), _) => held.elapsed(now, service).unwrap_or_default(),
@@ -227,6 +272,7 @@
         };
         Self {
             target_revision: known.as_ref().map_or(stored.revision, |plan| plan.target_revision),
+            is_restored,
             taken_over_at: now,
             elapsed_at_takeover: elapsed,
             stage: known.map_or(PlanStage::Share(0), |plan| plan.stage),
@@ -251,9 +297,13 @@
     /// Continues from a later stage that another coordinator published.
     fn adopt_later_stage(&mut self, now: Instant, held: &HeldPlans) {
         let Some(plan) = held.get(&self.stored.order.service) else { return };
-        let is_same =
-            plan.created_revision == self.stored.created_revision && plan.target == self.stored.order.target;
-        if is_same && plan.stage > self.stage {
+        if plan.created_revision == self.stored.created_revision {
+            self.adopt_stage_of(now, plan);
+        }
+    }
+
+    fn adopt_stage_of(&mut self, now: Instant, plan: &RolloutPlan) {
+        if plan.target == self.stored.order.target && plan.stage > self.stage {
             self.stage = plan.stage;
             self.stage_since = now;
             self.responses_before = self.judge.responses();
@@ -282,6 +332,9 @@
                     actions.push(self.write(RolloutState::Reverted));
                 }
             }
+            // The store had this end before it was restored.
+            PlanStage::Reverted if self.is_restored => actions.push(self.write(RolloutState::Reverted)),
+            PlanStage::Complete if self.is_restored => actions.push(self.write(RolloutState::Complete)),
             PlanStage::Reverted | PlanStage::Complete => {}
         }
         actions
@@ -357,6 +410,10 @@
         self.stage = stage;
         self.stage_since = now;
         self.responses_before = self.judge.responses();
+        self.publish(now, reason, verdict)
+    }
+
+    fn publish(&self, now: Instant, reason: &'static str, verdict: Verdict) -> CoordinatorAction {
         let elapsed = self.elapsed(now);
         CoordinatorAction::Publish {
             plan: RolloutPlan {
@@ -365,7 +422,7 @@
                 created_revision: self.stored.created_revision,
                 target_revision: self.target_revision,
                 elapsed_millis: u32::try_from(elapsed.as_millis()).unwrap_or(u32::MAX),
-                stage,
+                stage: self.stage,
             },
             reason,
             verdict,
--- a/crates/rollouts/src/lib.rs
+++ b/crates/rollouts/src/lib.rs
@@ -22,6 +22,6 @@
 pub use evidence::{ReleaseEvidence, ResponseTally, RouteTally};
 pub use held::HeldPlans;
 pub use judge::{ReleaseJudge, Verdict};
-pub use order::{RolloutOrder, RolloutState, StoredRollout};
+pub use order::{ListedRollouts, RolloutOrder, RolloutState, StoredRollout};
 pub use plan::{PlanStage, RolloutPlan};
 pub use schedule::RolloutSettings;
--- a/crates/rollouts/src/order.rs
+++ b/crates/rollouts/src/order.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use umberpond_model::{ReleaseName, ServiceName};
+use umberpond_model::{ReleaseName, ServiceName, StoreEra, StoreRevision};
 
 /// An operator's order to roll out a release.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -53,8 +53,17 @@
     pub state: Option<RolloutState>,
     /// Store revision of the last change of the object. A write conditional on it fails if the object was
     /// changed since.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Store revision at which the object was created. It differs if the object was removed and created
-    /// again.
-    pub created_revision: u64,
+    /// again, and after a restore of the store.
+    pub created_revision: StoreRevision,
+}
+
+/// All orders that the store lists.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListedRollouts {
+    /// The orders with their states, including ended ones.
+    pub rollouts: Vec<StoredRollout>,
+    /// Era of the store when it listed them.
+    pub era: StoreEra,
 }
--- a/crates/rollouts/src/plan.rs
+++ b/crates/rollouts/src/plan.rs
@@ -1,7 +1,7 @@
 //! One step of a rollout, as nodes send it to each other.
 
 use bitcode::{Decode, Encode};
-use umberpond_model::{ReleaseName, ServiceName};
+use umberpond_model::{ReleaseName, ServiceName, StoreRevision};
 
 /// All requests, in thousandths.
 pub(crate) const ALL_PERMILLE: u16 = 1000;
@@ -70,10 +70,10 @@
     pub target: ReleaseName,
     /// Store revision at which the order was created. A plan for a later order supersedes one for an earlier
     /// order.
-    pub created_revision: u64,
+    pub created_revision: StoreRevision,
     /// Store revision at which the coordinator first read this target, to compare orders that were changed in
     /// place.
-    pub target_revision: u64,
+    pub target_revision: StoreRevision,
     /// Milliseconds from the order until the plan was published.
     pub elapsed_millis: u32,
     /// Which release gets the requests.
--- a/crates/rollouts/tests/rollouts.rs
+++ b/crates/rollouts/tests/rollouts.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use quickcheck::quickcheck;
-use support::{Behaviour, FAILURE_BURST, SOUND, World, name};
+use support::{Behaviour, FAILURE_BURST, SOUND, World, name, revision};
 use umberpond_rollouts::{
     HeldPlans, PlanStage, RolloutCoordinator, RolloutPlan, RolloutSettings, RolloutState,
 };
@@ -148,7 +148,7 @@
     if let Some(rollout) = &mut world.store.rollout {
         rollout.order.target = name("v3");
         rollout.state = None;
-        rollout.revision += 1;
+        rollout.revision.number += 1;
     }
     assert!(world.run_until(Duration::from_secs(2), |world| world.stage() == Some(PlanStage::Share(50))));
     let plan = world.held.get(&world.service).unwrap();
@@ -199,8 +199,8 @@
     RolloutPlan {
         service: name("archive"),
         target: name("v2"),
-        created_revision,
-        target_revision: created_revision,
+        created_revision: revision(created_revision),
+        target_revision: revision(created_revision),
         elapsed_millis: 0,
         stage,
     }
--- a/crates/rollouts/tests/support/mod.rs
+++ b/crates/rollouts/tests/support/mod.rs
@@ -6,9 +6,9 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use umberpond_model::{NodeName, ReleaseName, ServiceName};
+use umberpond_model::{NodeName, ReleaseName, ServiceName, StoreEra, StoreRevision};
 use umberpond_rollouts::{
-    CoordinatorAction, EndpointCounts, HeldPlans, PlanStage, ReleaseEvidence, ResponseTally,
+    CoordinatorAction, EndpointCounts, HeldPlans, ListedRollouts, PlanStage, ReleaseEvidence, ResponseTally,
     RolloutCoordinator, RolloutOrder, RolloutSettings, RolloutState, StoredRollout,
 };
 
@@ -44,18 +44,34 @@
     in_flight: u32,
 }
 
+/// The revision `number` of the store before any restore.
+pub const fn revision(number: u64) -> StoreRevision {
+    StoreRevision::new(StoreEra(1), number)
+}
+
 /// A store that holds one rollout.
 pub struct Store {
     pub rollout: Option<StoredRollout>,
+    pub era: StoreEra,
     pub is_up: bool,
     pub writes: Vec<RolloutState>,
 }
 
 impl Store {
-    fn write(&mut self, revision: u64, state: RolloutState) -> Option<u64> {
+    /// Restores the store from a copy that has `rollout`, which keeps its revisions in the new era.
+    pub fn restore(&mut self, rollout: Option<StoredRollout>) {
+        self.era = StoreEra(self.era.0 + 1);
+        self.rollout = rollout.map(|rollout| StoredRollout {
+            revision: StoreRevision::new(self.era, rollout.revision.number),
+            created_revision: StoreRevision::new(self.era, rollout.created_revision.number),
+            ..rollout
+        });
+    }
+
+    fn write(&mut self, revision: StoreRevision, state: RolloutState) -> Option<StoreRevision> {
         let rollout = self.rollout.as_mut().filter(|rollout| self.is_up && rollout.revision == revision)?;
         rollout.state = Some(state);
-        rollout.revision += 1;
+        rollout.revision.number += 1;
         self.writes.push(state);
         Some(rollout.revision)
     }
@@ -96,7 +112,13 @@
             target,
             held: HeldPlans::default(),
             store: Store {
-                rollout: Some(StoredRollout { order, state: None, revision: 10, created_revision: 10 }),
+                rollout: Some(StoredRollout {
+                    order,
+                    state: None,
+                    revision: revision(10),
+                    created_revision: revision(10),
+                }),
+                era: StoreEra(1),
                 is_up: true,
                 writes: Vec::new(),
             },
@@ -209,8 +231,9 @@
         }
         if self.store.is_up {
             let is_ordered = self.now >= self.ordered_at;
-            let stored = self.store.rollout.clone().into_iter().filter(|_| is_ordered).collect();
-            let actions = coordinator.on_stored(self.now, &self.held, stored);
+            let rollouts = self.store.rollout.clone().into_iter().filter(|_| is_ordered).collect();
+            let listed = ListedRollouts { rollouts, era: self.store.era };
+            let actions = coordinator.on_stored(self.now, &self.held, listed);
             self.execute_actions(&mut coordinator, actions);
         }
         let actions = coordinator.on_tick(self.now, &self.held, &endpoints);
