Quarantine: write entries again that a restore of the store has lost, instead of lifting them

What callers would see: up to ten seconds after a restore of the store a quarantined request reaches back ends again, and crashes them.

Cause: a store reader takes an entry that it knows and the store doesn't list any more for one that an operator has removed, and lifts the quarantine at all nodes.

Fix: the store readers note the era in which they read the entries. In another era they read them again at once, lift nothing because of it, and write the missing ones.

--- a/crates/daemon/src/quarantine/store.rs
+++ b/crates/daemon/src/quarantine/store.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use umberpond_model::StoreRevision;
+use umberpond_model::{StoreEra, StoreRevision};
 use umberpond_quarantine::{ClaimedTrials, RequestFingerprint, SuspectRecord};
 
 use crate::configuration::SourceError;
@@ -39,6 +39,9 @@
 /// Stores the quarantined requests.
 #[async_trait]
 pub trait QuarantineStore: Send + Sync + 'static {
+    /// Latest era of the store in any response that this process has received.
+    fn era(&self) -> StoreEra;
+
     /// Lists all entries. One that can't be decoded is skipped and logged.
     ///
     /// # Errors
--- a/crates/daemon/src/quarantine/task.rs
+++ b/crates/daemon/src/quarantine/task.rs
@@ -8,6 +8,7 @@
 use tokio::time::{Instant, sleep};
 use umberpond_distribution::ReaderSettings;
 use umberpond_forwarding::{FindingSource, Quarantine};
+use umberpond_model::StoreEra;
 use umberpond_quarantine::{RequestFingerprint, SuspectRecord};
 use umberpond_telemetry::{Event, Telemetry};
 
@@ -45,9 +46,11 @@
 
 /// Synchronizes the quarantine with the store until the task is aborted. Each node reads the stored entries
 /// once at its start, with the cheaper freshness. A node that becomes a store reader reads them once more
-/// with the latest state, so that no recent entry is missed, and writes the missing ones.
+/// with the latest state, so that no recent entry is missed, and writes the missing ones. So does a store reader
+/// after a restore of the store, which may have lost entries.
 pub(crate) async fn sync_quarantine(task: QuarantineTask) {
-    let mut sync = QuarantineSync { task, has_read: false, stored: None, read_at: Instant::now() };
+    let era = task.store.era();
+    let mut sync = QuarantineSync { task, has_read: false, stored: None, era, read_at: Instant::now() };
     loop {
         sync.step().await;
         sleep(INTERVAL).await;
@@ -60,6 +63,8 @@
     has_read: bool,
     /// Entries that the store is known to have; absent unless this node is a store reader.
     stored: Option<BTreeSet<RequestFingerprint>>,
+    /// Era of the store when it had them.
+    era: StoreEra,
     /// When the entries were last read.
     read_at: Instant,
 }
@@ -73,20 +78,34 @@
             self.stored = None;
             return;
         }
-        if self.stored.is_none() {
-            self.stored = self.read(QuarantineFreshness::Latest).await;
-            self.read_at = Instant::now();
+        if self.stored.is_none() || self.is_restored() {
+            self.read_again().await;
         }
         self.lift_removed().await;
         self.write().await;
     }
 
+    /// Whether the store was restored since its entries were read.
+    fn is_restored(&self) -> bool {
+        self.task.store.era() != self.era
+    }
+
+    async fn read_again(&mut self) {
+        self.stored = self.read(QuarantineFreshness::Latest).await;
+        self.era = self.task.store.era();
+        self.read_at = Instant::now();
+    }
+
     /// Lifts the quarantine of requests whose entries were removed from the store.
     async fn lift_removed(&mut self) {
         let is_due = self.read_at.elapsed() >= LIFT_INTERVAL;
         let Some(known) = self.stored.clone().filter(|stored| is_due && !stored.is_empty()) else { return };
         self.read_at = Instant::now();
         let Some(stored) = self.read(QuarantineFreshness::Latest).await else { return };
+        if self.is_restored() {
+            // The restore has removed the missing entries, and no operator.
+            return;
+        }
         let lifted: Vec<RequestFingerprint> = known.difference(&stored).copied().collect();
         self.task.quarantine.clear_fingerprint(&lifted);
         self.stored = Some(stored);
