Nodes write their entries again after a restore of the store

What callers would see: after a restore from a copy that is older than the start of the nodes, a node that starts finds no entries of others and stays alone: it has no configuration from them, and its callers reach none of their back ends.

Cause: a node writes its entry once, when it joins.

Fix: the store readers publish the era in which they have read the store with their record. A node that hears of a later era than the one in which it wrote its entry writes it again, spread over 1.5 s, with backoff when refused.

--- a/crates/daemon/src/configuration/reader.rs
+++ b/crates/daemon/src/configuration/reader.rs
@@ -13,7 +13,7 @@
 use umberpond_telemetry::{Event, Telemetry};
 
 use super::message::ConfigurationMessage;
-use super::source::{ConfigurationSource, SourceError, Waited};
+use super::source::{ConfigurationSource, SourceError, Sourced, Waited};
 use crate::membership::{MembershipMessage, StoreView};
 
 /// Interval at which a node determines its reader role.
@@ -125,11 +125,11 @@
         match self.count_call("wait", waited)? {
             Waited::Changed(sourced, position) => {
                 self.position = Some(position);
-                self.forward_update(Some(*sourced));
+                self.forward_update(position, Some(*sourced));
                 Ok(())
             }
             Waited::Unchanged(position) => {
-                self.forward_update(None);
+                self.forward_update(position, None);
                 self.check_for_missed_change(position).await
             }
             Waited::Lost => {
@@ -155,7 +155,7 @@
         let read = self.task.source.read().await;
         let (sourced, position) = self.count_call("read", read)?;
         self.position = Some(position);
-        self.forward_update(sourced);
+        self.forward_update(position, sourced);
         Ok(())
     }
 
@@ -174,8 +174,8 @@
         result
     }
 
-    fn forward_update(&self, sourced: Option<super::source::Sourced>) {
-        let _ = self.task.membership.send_message(MembershipMessage::StoreResponded);
+    fn forward_update(&self, position: StoreRevision, sourced: Option<Sourced>) {
+        let _ = self.task.membership.send_message(MembershipMessage::StoreResponded(position.era));
         if let Some(sourced) = sourced {
             let _ = self.task.configuration.send_message(ConfigurationMessage::Sourced(Box::new(sourced)));
         }
--- a/crates/daemon/src/directory.rs
+++ b/crates/daemon/src/directory.rs
@@ -3,7 +3,7 @@
 //! Hundreds of nodes that start together must not overload the store. The list may therefore come from a copy
 //! that is some seconds old, provided that it contains this node's own entry, since it then contains all
 //! entries written before that one. An entry that an earlier process of this node has written is not written
-//! again.
+//! again, unless a restore of the store may have lost it.
 
 #[cfg(test)]
 mod tests;
@@ -16,8 +16,10 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use thiserror::Error;
+use tokio::sync::watch;
 use tokio::time::sleep;
 use umberpond_membership::DirectoryEntry;
+use umberpond_model::StoreEra;
 use umberpond_telemetry::{Event, Telemetry};
 
 use crate::membership::MembershipMessage;
@@ -26,6 +28,8 @@
 const INITIAL_BACKOFF: Duration = Duration::from_millis(200);
 /// Lower bound of the random factor on the backoff.
 const MIN_BACKOFF_FACTOR: f64 = 0.5;
+/// Time over which the nodes spread the calls by which they write their entries again after a restore.
+const REWRITE_SPREAD: Duration = Duration::from_millis(1_500);
 /// Maximum backoff.
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 
@@ -49,6 +53,9 @@
 /// The directory in which the store keeps the entries of all nodes.
 #[async_trait]
 pub trait MemberDirectory: Send + Sync + 'static {
+    /// Latest era of the store in any response that this process has received.
+    fn era(&self) -> StoreEra;
+
     /// Writes this node's entry. The call is idempotent.
     ///
     /// # Errors
@@ -73,6 +80,8 @@
     pub(crate) directory: Arc<dyn MemberDirectory>,
     pub(crate) own: DirectoryEntry,
     pub(crate) membership: ActorRef<MembershipMessage>,
+    /// Latest era of the store that any reachable node has seen.
+    pub(crate) store_eras: watch::Receiver<StoreEra>,
     /// Whether this is the first process of this node.
     pub(crate) is_first_start: bool,
     pub(crate) seed: u64,
@@ -90,9 +99,23 @@
     Written,
 }
 
+/// Joins, and writes this node's entry again after each restore of the store, until the task is aborted. A node
+/// that starts later finds the others only by their entries.
+pub(crate) async fn keep_entry(mut task: JoinTask) {
+    let mut random = SmallRng::seed_from_u64(task.seed.wrapping_add(1));
+    join(&task).await;
+    let mut written_in = task.directory.era();
+    while let Ok(era) = task.store_eras.wait_for(|era| *era > written_in).await.map(|era| *era) {
+        written_in = era;
+        sleep(REWRITE_SPREAD.mul_f64(random.random_range(0.0..=1.0))).await;
+        task.write_again(&mut random).await;
+        task.telemetry.emit(Event::DirectoryEntryRewritten { era: era.0 });
+    }
+}
+
 /// Ensures that this node's entry exists, and reads the others. Of two nodes that start at the same time, at
 /// least one sees the other.
-pub(crate) async fn join(task: JoinTask) {
+async fn join(task: &JoinTask) {
     let mut random = SmallRng::seed_from_u64(task.seed);
     let mut backoff = INITIAL_BACKOFF;
     let mut entry = if task.is_first_start { OwnEntry::Missing } else { OwnEntry::Unknown };
@@ -116,6 +139,14 @@
 }
 
 impl JoinTask {
+    async fn write_again(&self, random: &mut SmallRng) {
+        let mut backoff = INITIAL_BACKOFF;
+        while self.count_call("announce", self.directory.announce(&self.own).await).is_err() {
+            sleep(backoff.mul_f64(random.random_range(MIN_BACKOFF_FACTOR..=1.0))).await;
+            backoff = (backoff * 2).min(MAX_BACKOFF);
+        }
+    }
+
     /// Writes the entry if it is missing and reads the list; returns whether the join is complete.
     async fn step(&self, entry: &mut OwnEntry) -> Result<bool, DirectoryError> {
         if *entry == OwnEntry::Missing {
--- a/crates/daemon/src/directory/tests.rs
+++ b/crates/daemon/src/directory/tests.rs
@@ -4,8 +4,10 @@
 use async_trait::async_trait;
 use parking_lot::Mutex;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
+use tokio::sync::watch;
 use tokio::time::{Duration, timeout};
 use umberpond_membership::DirectoryEntry;
+use umberpond_model::StoreEra;
 use umberpond_telemetry::Telemetry;
 
 use super::{DirectoryError, JoinTask, Listing, MemberDirectory, join};
@@ -41,6 +43,10 @@
 
 #[async_trait]
 impl MemberDirectory for StaleDirectory {
+    fn era(&self) -> StoreEra {
+        StoreEra::default()
+    }
+
     async fn announce(&self, directory_entry: &DirectoryEntry) -> Result<(), DirectoryError> {
         self.refuse()?;
         self.announced.fetch_add(1, Ordering::Relaxed);
@@ -84,11 +90,12 @@
         directory,
         own: directory_entry("own", 7),
         membership,
+        store_eras: watch::channel(StoreEra::default()).1,
         is_first_start,
         seed: 1,
         telemetry: Telemetry::silent(),
     };
-    timeout(Duration::from_secs(60), join(task)).await.expect("the node joins");
+    timeout(Duration::from_secs(60), join(&task)).await.expect("the node joins");
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/daemon/src/membership/actor.rs
+++ b/crates/daemon/src/membership/actor.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use ractor::{Actor, ActorProcessingErr, ActorRef};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, MissedTickBehavior, interval};
 use umberpond_forwarding::{Inbound, Outbound};
 use umberpond_membership::{Datagram, MemberPhase, MemberRecord, Membership, MembershipEvent, Outgoing};
+use umberpond_model::StoreEra;
 use umberpond_net::BoxDatagrams;
 use umberpond_rollouts::ReleaseEvidence;
 use umberpond_telemetry::{Event, Telemetry};
@@ -42,6 +43,8 @@
     pub(crate) boot_clock: Arc<dyn BootClock>,
     /// Channel for reports on releases to the task that coordinates rollouts.
     pub(crate) evidence: mpsc::UnboundedSender<ReleaseEvidence>,
+    /// Channel for the latest era of the store that any reachable node has seen.
+    pub(crate) store_era: watch::Sender<StoreEra>,
 }
 
 pub(crate) struct MembershipState {
@@ -57,6 +60,7 @@
     suspects: SuspectSync,
     suspension: SuspensionWatch,
     evidence: mpsc::UnboundedSender<ReleaseEvidence>,
+    store_era: watch::Sender<StoreEra>,
     configuration: Option<ActorRef<ConfigurationMessage>>,
     started_at: std::time::Instant,
     has_joined: bool,
@@ -89,6 +93,7 @@
             plans: PlansInForce::default(),
             evacuations: EvacuationsInForce::default(),
             evidence: arguments.evidence,
+            store_era: arguments.store_era,
             configuration: None,
             started_at: Instant::now().into_std(),
             has_joined: false,
@@ -154,9 +159,11 @@
             MembershipMessage::BackEnd(back_end) => self.membership.set_back_end(now, back_end),
             MembershipMessage::Phase(phase) => self.membership.set_phase(now, phase),
             MembershipMessage::Version(version) => self.membership.set_version(now, version),
-            MembershipMessage::StoreResponded => {
+            MembershipMessage::StoreResponded(era) => {
                 self.membership.on_store_response(now);
-                Vec::new()
+                let outgoing = self.membership.set_store_era(now, era);
+                self.publish_store_era();
+                outgoing
             }
             MembershipMessage::StoreView(reply) => {
                 let _ = reply.send(self.store_view(now));
@@ -260,6 +267,16 @@
         self.evacuations.follow(now, &self.membership, &self.outbound, &self.telemetry);
     }
 
+    /// Informs the tasks of this node that the store was restored.
+    fn publish_store_era(&self) {
+        let latest = self.membership.latest_store_era();
+        self.store_era.send_if_modified(|known| {
+            let is_later = latest > *known;
+            *known = latest.max(*known);
+            is_later
+        });
+    }
+
     fn store_view(&self, now: std::time::Instant) -> StoreView {
         let running = |record: &&MemberRecord| record.phase == MemberPhase::Running;
         let reachable = self.membership.reachable().filter(running).map(|record| record.node.clone());
@@ -307,6 +324,7 @@
         // Applied before the endpoints are published, so that no endpoint of an evacuated zone is chosen
         // meanwhile.
         self.follow_evacuations(now);
+        self.publish_store_era();
         self.update_sharing_nodes();
         self.pools.on_changed();
         let endpoints = self.published.update(&self.membership, &self.outbound);
--- a/crates/daemon/src/membership/message.rs
+++ b/crates/daemon/src/membership/message.rs
@@ -5,7 +5,7 @@
 
 use ractor::{ActorRef, RpcReplyPort};
 use umberpond_membership::{BackEndRecord, Datagram, DirectoryEntry, MemberPhase, MemberView};
-use umberpond_model::{Evacuations, NodeName, Version};
+use umberpond_model::{Evacuations, NodeName, StoreEra, Version};
 use umberpond_quarantine::SuspectRecord;
 use umberpond_rollouts::{ReleaseEvidence, RolloutPlan};
 
@@ -28,8 +28,8 @@
     Phase(MemberPhase),
     /// The configuration version that is active on this node.
     Version(Version),
-    /// The store has responded to this node.
-    StoreResponded,
+    /// The store has responded to this node, in this era.
+    StoreResponded(StoreEra),
     /// The actor that fetches configurations.
     ConfigurationActor(ActorRef<ConfigurationMessage>),
     /// The plans that this node publishes as a coordinator of rollouts; empty if it is none.
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -6,7 +6,7 @@
 
 use parking_lot::Mutex;
 use ractor::{Actor, ActorRef};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use umberpond_distribution::ReaderSettings;
 use umberpond_forwarding::{
@@ -16,7 +16,7 @@
 use umberpond_membership::{
     DirectoryEntry, MemberPhase, MemberRecord, MemberView, Membership, MembershipSettings,
 };
-use umberpond_model::{Evacuations, Incarnation};
+use umberpond_model::{Evacuations, Incarnation, StoreEra};
 use umberpond_rollouts::ReleaseEvidence;
 use umberpond_scheduling::LoadReport;
 use umberpond_selection::{SamplingSettings, SelectorSettings};
@@ -30,7 +30,7 @@
     Activation, ConfigurationActor, ConfigurationArguments, ConfigurationMessage, ConfigurationSource,
     ReaderTask, is_store_reader, read_store, serve_peers,
 };
-use crate::directory::{JoinTask, MemberDirectory, join};
+use crate::directory::{JoinTask, MemberDirectory, keep_entry};
 use crate::environment::{Environment, SeedUse};
 use crate::error::StartError;
 use crate::evacuations::{EvacuationStore, EvacuationTask, follow_evacuations};
@@ -113,6 +113,7 @@
             locality: Some(own.locality.clone()),
         };
         let (evidence, reports) = mpsc::unbounded_channel();
+        let (store_era, store_eras) = watch::channel(StoreEra::default());
         let arguments = MembershipArguments {
             membership: Membership::new(MembershipSettings::default(), own),
             socket: Arc::clone(&listeners.datagrams),
@@ -121,6 +122,7 @@
             telemetry: telemetry.clone(),
             boot_clock: Arc::clone(&environment.boot_clock),
             evidence,
+            store_era,
         };
         let (membership, _) = Actor::spawn(None, MembershipActor, arguments).await?;
         let arguments = ConfigurationArguments {
@@ -152,6 +154,7 @@
             back_end,
             control: ServerControl::default(),
             unready_responses: AtomicU32::new(0),
+            store_eras,
             tasks: Mutex::default(),
         };
         daemon.start_tasks(listeners, reports);
@@ -173,6 +176,7 @@
         back_end: None,
         rollouts: Vec::new(),
         evacuations: Evacuations::default(),
+        store_era: StoreEra::default(),
     }
 }
 
@@ -218,6 +222,8 @@
     pub(crate) control: ServerControl,
     /// Number of readiness requests that got an unready response since the stop request.
     pub(crate) unready_responses: AtomicU32,
+    /// Latest era of the store that any reachable node has seen.
+    store_eras: watch::Receiver<StoreEra>,
     pub(crate) tasks: Mutex<JoinSet<()>>,
 }
 
@@ -323,10 +329,11 @@
             telemetry: telemetry.clone(),
             seed: self.environment.seed_for(SeedUse::Store),
         }));
-        tasks.spawn(join(JoinTask {
+        tasks.spawn(keep_entry(JoinTask {
             directory: Arc::clone(&self.extensions.directory),
             own: self.directory_entry.clone(),
             membership: self.membership.clone(),
+            store_eras: self.store_eras.clone(),
             is_first_start: self.config.is_first_start,
             seed: self.environment.seed_for(SeedUse::Store).wrapping_add(1),
             telemetry: telemetry.clone(),
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -11,7 +11,7 @@
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use umberpond_model::{Evacuations, Incarnation, Locality, NodeName, ServiceName, Version};
+use umberpond_model::{Evacuations, Incarnation, Locality, NodeName, ServiceName, StoreEra, Version};
 use umberpond_rollouts::RolloutPlan;
 use umberpond_scheduling::LoadReport;
 
@@ -262,6 +262,22 @@
         self.change_own(now)
     }
 
+    /// Sets the era of the store in which this node has read a configuration, and publishes it immediately.
+    pub fn set_store_era(&mut self, now: Instant, era: StoreEra) -> Vec<Outgoing> {
+        if era <= self.own.store_era {
+            return Vec::new();
+        }
+        self.own.store_era = era;
+        self.change_own(now)
+    }
+
+    /// Latest era of the store that this node or a reachable one has seen.
+    #[must_use]
+    pub fn latest_store_era(&self) -> StoreEra {
+        let eras = self.reachable().map(|record| record.store_era);
+        eras.fold(self.own.store_era, StoreEra::max)
+    }
+
     /// Control addresses of the other nodes that coordinate the rollout of `service`.
     #[must_use]
     pub fn coordinators_of(&self, service: &ServiceName) -> Vec<SocketAddr> {
--- a/crates/membership/src/record.rs
+++ b/crates/membership/src/record.rs
@@ -4,7 +4,9 @@
 
 use bitcode::{Decode, Encode};
 use serde::{Deserialize, Serialize};
-use umberpond_model::{Evacuations, Incarnation, Locality, NodeName, ReleaseName, RequestRate, ServiceName};
+use umberpond_model::{
+    Evacuations, Incarnation, Locality, NodeName, ReleaseName, RequestRate, ServiceName, StoreEra,
+};
 use umberpond_rollouts::RolloutPlan;
 
 /// Lifecycle phase of a node's process.
@@ -74,6 +76,8 @@
     pub rollouts: Vec<RolloutPlan>,
     /// The evacuated zones, if the node has read them from the store; otherwise revision 0 with no zones.
     pub evacuations: Evacuations,
+    /// Latest era of the store in which the node has read a configuration; 0 if it has read none.
+    pub store_era: StoreEra,
 }
 
 /// Version of a node's record: its place in the order of all records of the node. The highest one wins.
--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -13,7 +13,7 @@
     BackEndRecord, BackEndState, Datagram, DirectoryEntry, MemberPhase, MemberRecord, MemberView, Membership,
     MembershipEvent, MembershipSettings, Outgoing,
 };
-use umberpond_model::{Evacuations, Incarnation, Locality, NodeName, Version};
+use umberpond_model::{Evacuations, Incarnation, Locality, NodeName, StoreEra, Version};
 
 const TICK: Duration = Duration::from_millis(50);
 const STEP: Duration = Duration::from_millis(10);
@@ -56,6 +56,7 @@
         back_end: None,
         rollouts: Vec::new(),
         evacuations: Evacuations::default(),
+        store_era: StoreEra::default(),
     }
 }
 
--- a/crates/operator/src/directory.rs
+++ b/crates/operator/src/directory.rs
@@ -7,6 +7,7 @@
 use futures_util::stream::{self, StreamExt};
 use umberpond_daemon::{DirectoryError, Listing, MemberDirectory};
 use umberpond_membership::DirectoryEntry;
+use umberpond_model::StoreEra;
 use umberpond_store::{ObjectKind, ObjectStore, PlatformError};
 
 /// Maximum number of entries read at a start. Nodes learn of the others through membership messages.
@@ -43,6 +44,11 @@
 
 #[async_trait]
 impl MemberDirectory for StoreDirectory {
+    /// This store has one history: it reports no eras.
+    fn era(&self) -> StoreEra {
+        StoreEra::default()
+    }
+
     async fn announce(&self, entry: &DirectoryEntry) -> Result<(), DirectoryError> {
         let value = Bytes::from(serde_json::to_vec(entry).unwrap_or_default());
         self.replace(entry.node.as_str(), value).await.map_err(directory_error)
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -108,6 +108,8 @@
         = 2056, Warn, "evacuation-in-force", "From now on this node sends no new requests to the back ends of these zones, and does to those of all other zones; `zones` is empty when no zone is evacuated. `revision` is that of the store when it was read.";
     EvacuationsUnread { reason: String }
         = 2057, Warn, "evacuations-unread", "The orders to evacuate zones could not be read; the known ones stay in effect.";
+    DirectoryEntryRewritten { era: u64 }
+        = 2058, Info, "directory-entry-rewritten", "The node has written its entry to the store again, which was restored from a copy.";
 
     // Back ends
     BackEndUnhealthy { reason: String }
