Store readers read the whole configuration after a failed call

What callers would see: while the configuration is large and changes often, a change is not applied for as long as that goes on.

Cause: each change that a watch reports contains the whole configuration. A reader that was away for some seconds asks for all changes since its position; with 60 changes of 2,200 routes that is 27 MB, more than the 16 MB of a response that the client accepts, and each further change makes it more. With two nodes, both readers, none applies any of them.

Fix: after a failed call a reader forgets its position and reads the configuration as a whole, which is one object.

Evidence: change_is_applied_after_many_large_changes_while_the_store_was_away left both nodes at version 1 before and passes. Since that also hides the missing era after a failed call, change_after_a_restore_that_breaks_no_call_is_applied guards the era itself: it fails with the header ignored.

--- a/crates/daemon/src/configuration/reader.rs
+++ b/crates/daemon/src/configuration/reader.rs
@@ -118,7 +118,7 @@
         });
     }
 
-    /// Reads the whole configuration the first time, and waits for changes after that.
+    /// Reads the whole configuration the first time and after a failed call, and waits for changes after that.
     async fn read_next(&mut self) -> Result<(), SourceError> {
         let Some(position) = self.position else { return self.read_full().await };
         let waited = self.task.source.wait(position, MAX_WAIT).await;
@@ -191,6 +191,8 @@
     }
 
     fn on_failed(&mut self, error: SourceError) {
+        // The changes since this position may have become more than one response can contain.
+        self.position = None;
         match error {
             SourceError::Unavailable { reason } => {
                 if self.is_available {
