Keep quarantined requests in the product's own store

There are no entries there, and without an entry no trial run can be claimed.

Change: `umberpond node` keeps entries in its store as the sidecar does in the platform's, one object of the kind `quarantine` for each fingerprint. A claim of a trial run is a compare-and-swap of the entry.

Evidence: operator/tests/quarantine.rs on the in-memory store: of two nodes that claim the same trial run one succeeds, and claims end with their entry. What follows from entries is tested on whole nodes with the platform's store (platform/tests/popular_request.rs).

--- a/crates/store/src/object.rs
+++ b/crates/store/src/object.rs
@@ -34,6 +34,8 @@
     Status,
     /// The directory entry that each node writes so that other nodes can discover it.
     Nodes,
+    /// The requests that are refused because they crash back ends, named by their fingerprint.
+    Quarantine,
 }
 
 impl ObjectKind {
@@ -45,6 +47,7 @@
             Self::Content => "content",
             Self::Status => "status",
             Self::Nodes => "nodes",
+            Self::Quarantine => "quarantine",
         }
     }
 }
--- a/crates/umberpond/src/cli/node.rs
+++ b/crates/umberpond/src/cli/node.rs
@@ -12,7 +12,7 @@
 use umberpond_forwarding::HeaderProfile;
 use umberpond_net::{Network, TcpNetwork};
 use umberpond_operator::admin::ADMIN_BODY_BYTES;
-use umberpond_operator::{AdminHandler, ChainSource, StoreDirectory, collect_now_and_then};
+use umberpond_operator::{AdminHandler, ChainSource, StoreDirectory, StoreQuarantine, collect_now_and_then};
 use umberpond_store::{ClientSettings, GateLimits, ObjectStore, PlatformClient, PlatformGate};
 use umberpond_telemetry::{Event, Telemetry};
 
@@ -146,7 +146,7 @@
         source: Arc::new(ChainSource::new(Arc::clone(&store))),
         directory: Arc::new(StoreDirectory::new(Arc::clone(&store))),
         rollouts: None,
-        quarantine: None,
+        quarantine: Some(Arc::new(StoreQuarantine::new(Arc::clone(&store)))),
         evacuations: None,
         header_profile: HeaderProfile::DEFAULT,
     };
