A replaced back-end process returns when the one that replaced it was announced late

Cause: an announcement of another process ends the current one, and an ended process could return only if start times showed that it is the later one. A 421 had no effect on which process counts as current.

Fix: a 421 closes the gate and asks a health check for the identity. While the current process can't be reached or is silent for 6 s, one that it replaced, and that sends newer announcements, returns once a health check confirms its identity; known start times decide without one. What has drained or withdrawn itself never returns.

The properties that a closed process never reopens hold as before.

--- a/crates/daemon/src/back_end/tracker.rs
+++ b/crates/daemon/src/back_end/tracker.rs
@@ -97,7 +97,7 @@
     /// Handles an announcement.
     pub fn on_announcement(&mut self, now: Instant, announcement: &Announcement) -> Effect {
         let Some(process) = &mut self.current else {
-            return if self.has_ended(announcement) {
+            return if self.has_ended(now, announcement) {
                 Effect::None
             } else {
                 self.on_new_process(now, announcement)
@@ -105,7 +105,7 @@
         };
         if !process.may_have_sent(now, announcement) {
             let is_late =
-                self.has_ended(announcement) || !self.may_be_succeeded_by(now, &announcement.process);
+                self.has_ended(now, announcement) || !self.may_be_succeeded_by(now, &announcement.process);
             return if is_late { Effect::None } else { self.on_new_process(now, announcement) };
         }
         if !process.is_reconfirmed && process.sequence.is_some_and(|known| known >= announcement.sequence) {
@@ -276,11 +276,13 @@
     }
 
     fn on_new_process(&mut self, now: Instant, announcement: &Announcement) -> Effect {
+        let is_in_doubt = self.is_in_doubt(&announcement.process);
         if self.end_current() {
             self.may_be_draining = false;
         }
         let is_ready = announcement.state == AnnouncedState::Ready;
-        let state = match (is_ready, self.may_be_draining) {
+        let needs_confirmation = self.may_be_draining || is_in_doubt;
+        let state = match (is_ready, needs_confirmation) {
             (false, _) => BackEndState::Draining,
             (true, true) => BackEndState::Unreachable,
             (true, false) => BackEndState::Ready,
@@ -301,25 +303,36 @@
         }
     }
 
+    /// Whether `process` was replaced by the current one, and start times don't show that this was an error. A
+    /// health check, which tells the identity of the back end, has to confirm it.
+    fn is_in_doubt(&self, process: &BackEndProcess) -> bool {
+        let was_replaced = self.ended.iter().any(|ended| ended.process == *process);
+        let started_after =
+            self.current.as_ref().is_some_and(|current| current.back_end.process.started_before(process));
+        was_replaced && !started_after
+    }
+
     /// Whether `process`, which differs from the current process, may be its successor: it didn't start
     /// earlier, or the current process is unreachable, or that one has been silent for longer than an
     /// announcement of an earlier process is delayed.
     fn may_be_succeeded_by(&self, now: Instant, process: &BackEndProcess) -> bool {
         let Some(current) = &self.current else { return true };
-        let is_silent = now.saturating_duration_since(current.last_seen_at) > MAX_ANNOUNCEMENT_DELAY;
-        let is_over = current.state == BackEndState::Unreachable || is_silent;
-        is_over || !process.started_before(&current.back_end.process)
+        current.may_be_over(now) || !process.started_before(&current.back_end.process)
     }
 
-    /// Whether an announcement is a delayed one of an ended process. A process that was only replaced,
-    /// started after the current one and sends further announcements is not considered ended.
-    fn has_ended(&self, announcement: &Announcement) -> bool {
+    /// Whether an announcement is a delayed one of an ended process. A process that was only replaced and
+    /// sends further announcements is not considered ended if the current one can't be its successor: that one
+    /// started earlier, or it was announced late and the back end has another identity.
+    fn has_ended(&self, now: Instant, announcement: &Announcement) -> bool {
         let is_same_process = |ended: &&EndedProcess| ended.process == announcement.process;
         let Some(ended) = self.ended.iter().find(is_same_process) else { return false };
-        let current = self.current.as_ref().map(|current| &current.back_end.process);
-        let started_after = current.is_some_and(|current| current.started_before(&ended.process));
+        let is_replaced_in_error = |current: &TrackedProcess| {
+            let known = &current.back_end.process;
+            let is_other = known.instance != ended.process.instance;
+            known.started_before(&ended.process) || (is_other && current.may_be_over(now))
+        };
         let is_newer = ended.sequence.is_some_and(|known| announcement.sequence > known);
-        ended.has_left || !started_after || !is_newer
+        ended.has_left || !is_newer || !self.current.as_ref().is_some_and(is_replaced_in_error)
     }
 
     /// Moves the current process to the ended ones; `false` if there is none.
@@ -353,6 +366,13 @@
         (known.may_equal(reported) || may_have_changed) && !self.must_have_ended(now, reported)
     }
 
+    /// Whether this process may have ended: it can't be reached, or it has been silent for longer than an
+    /// announcement is delayed.
+    fn may_be_over(&self, now: Instant) -> bool {
+        let is_silent = now.saturating_duration_since(self.last_seen_at) > MAX_ANNOUNCEMENT_DELAY;
+        self.state == BackEndState::Unreachable || is_silent
+    }
+
     /// Whether this process, whose start time is unknown, has been draining and silent for so long that an
     /// announcement with a start time must come from its successor.
     fn must_have_ended(&self, now: Instant, reported: &BackEndProcess) -> bool {
--- a/crates/daemon/tests/back_end_tracker.rs
+++ b/crates/daemon/tests/back_end_tracker.rs
@@ -269,7 +269,88 @@
     assert_eq!(tracker.on_announcement(now, &ready_announcement(&second, 1)), open_effect(&second));
 }
 
+/// Hands a request to the back end, whose process is `instance`, if the gate is open, and answers the health
+/// check that `effect` asks for.
+fn meet_back_end(tracker: &mut BackEndTracker, now: Instant, instance: &str, effect: &Effect) {
+    let next = match effect {
+        // It rejects requests for another process.
+        Effect::Open(opened) if opened.process.instance != instance => {
+            tracker.on_unreachable(&opened.process)
+        }
+        Effect::Confirm(asked) if asked.process.instance == instance => {
+            tracker.on_confirmed(now, asked.clone())
+        }
+        _ => return,
+    };
+    meet_back_end(tracker, now, instance, &next);
+}
+
+/// Announcements of earlier processes arrive seconds late, and a node that was restarted doesn't know that these
+/// have ended. The present process was then refused for as long as it ran.
+#[test]
+fn late_announcement_of_an_earlier_process_does_not_lock_out_the_present_one() {
+    for is_restarted in [true, false] {
+        for late_at in 0..4 {
+            let now = Instant::now();
+            let mut tracker = BackEndTracker::new(is_restarted);
+            for sequence in 5..9 {
+                if sequence == 5 + late_at {
+                    let effect = tracker.on_announcement(now, &ready_for("earlier", 70));
+                    meet_back_end(&mut tracker, now, "present", &effect);
+                }
+                let effect = tracker.on_announcement(now, &ready_for("present", sequence));
+                meet_back_end(&mut tracker, now, "present", &effect);
+            }
+            let (current, _) = tracker.current().unwrap();
+            let seen = (current.process.instance.as_str(), state(&tracker));
+            assert_eq!(seen, ("present", Some(BackEndState::Ready)), "late before announcement {late_at}");
+        }
+    }
+}
+
+/// Without requests nothing shows that another process answers; the earlier one is silent.
+#[test]
+fn present_process_returns_when_the_earlier_one_stays_silent() {
+    let now = Instant::now();
+    let mut tracker = BackEndTracker::new(false);
+    tracker.on_announcement(now, &ready_for("present", 5));
+    assert_eq!(tracker.on_announcement(now, &ready_for("earlier", 70)), Effect::Open(back_end("earlier")));
+    assert_eq!(tracker.on_announcement(now, &ready_for("present", 6)), Effect::None);
+    let later = now + Duration::from_secs(7);
+    assert_eq!(
+        tracker.on_announcement(later, &ready_for("present", 7)),
+        Effect::Confirm(back_end("present"))
+    );
+    assert_eq!(tracker.on_confirmed(later, back_end("present")), Effect::Open(back_end("present")));
+    assert_eq!(tracker.on_announcement(later, &ready_for("earlier", 71)), Effect::None);
+}
+
 quickcheck! {
+    /// Whatever announcements of earlier processes arrive late, in any order and with any numbers, the present
+    /// process accepts requests after two further announcements of its own.
+    fn present_process_is_ready_after_two_announcements(late: Vec<(u8, u8, bool)>, is_restarted: bool) -> bool {
+        let now = Instant::now();
+        let mut tracker = BackEndTracker::new(is_restarted);
+        let mut own_sequence = 1;
+        let announce = |tracker: &mut BackEndTracker, own_sequence: &mut u64| {
+            *own_sequence += 1;
+            let effect = tracker.on_announcement(now, &ready_for("present", *own_sequence));
+            meet_back_end(tracker, now, "present", &effect);
+        };
+        for (which, sequence, is_own_next) in late {
+            let instance = ["a", "b", "c"][usize::from(which % 3)];
+            let effect = tracker.on_announcement(now, &ready_for(instance, u64::from(sequence)));
+            meet_back_end(&mut tracker, now, "present", &effect);
+            if is_own_next {
+                announce(&mut tracker, &mut own_sequence);
+            }
+        }
+        announce(&mut tracker, &mut own_sequence);
+        announce(&mut tracker, &mut own_sequence);
+        let (current, _) = tracker.current().unwrap();
+        current.process.instance == "present" && state(&tracker) == Some(BackEndState::Ready)
+    }
+
     /// Announcements of several processes with one identity may arrive late, twice and in any order: a
     /// process that has closed never accepts requests again.
     fn a_closed_process_never_reopens_under_a_shared_identity(events: Vec<(u8, u8, u8, u8)>) -> bool {
--- a/crates/forwarding/src/inbound/back_end.rs
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -107,7 +107,7 @@
 /// What the request path has found out about the state of the back end.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum BackEndFinding {
-    /// This process can't be reached.
+    /// This process can't be reached, or another one answers at its address.
     Unreachable(BackEndProcess),
     /// This process has said in a response that it is about to shut down.
     Leaving(BackEndProcess),
--- a/crates/forwarding/src/inbound/serving.rs
+++ b/crates/forwarding/src/inbound/serving.rs
@@ -332,6 +332,9 @@
                 run_watch.on_response();
                 self.unregister(&attempt);
                 let reason = self.rejection_reason(status);
+                if reason == NotRunReason::WrongInstance {
+                    self.report_finding(BackEndFinding::Unreachable(back_end.process.clone()));
+                }
                 // A rejection while slots are free is not caused by load, so the slot is freed before the
                 // load is reported. If the back end is full, the slot is held until the load is reported.
                 let full_slot = (reason == NotRunReason::BackEndFull).then_some(permit);
