Discard what a caller sends after the last reply instead of buffering it

Cause: waiting for the end of a connection buffers up to a limit, and the limit was the largest number.

Evidence: discarded_input_is_not_buffered failed with the buffering wait, and passes.

--- a/crates/forwarding/src/server/caller.rs
+++ b/crates/forwarding/src/server/caller.rs
@@ -187,7 +187,7 @@
     /// would reset it, and the caller would lose the last reply.
     async fn linger(&mut self) {
         let _ = self.writer.shutdown().await;
-        let _ = timeout(LINGER_TIME, self.reader.peer_gone(usize::MAX)).await;
+        let _ = timeout(LINGER_TIME, self.reader.discard_until_gone()).await;
     }
 }
 
--- a/crates/http1/src/reader.rs
+++ b/crates/http1/src/reader.rs
@@ -148,6 +148,16 @@
         std::future::pending::<()>().await;
     }
 
+    /// Waits until the peer closes the connection, discarding what arrives meanwhile.
+    pub async fn discard_until_gone(&mut self) {
+        loop {
+            self.buffer.clear();
+            if matches!(self.fill_buffer().await, Ok(0) | Err(_)) {
+                return;
+            }
+        }
+    }
+
     fn buffered_head<H: Head>(&mut self, head_bytes: usize) -> Result<Option<H>, HeadError> {
         self.skip_blank_lines();
         if self.buffer.is_empty() {
--- a/crates/http1/tests/messages.rs
+++ b/crates/http1/tests/messages.rs
@@ -203,3 +203,16 @@
     write_request_head(&mut get, b"GET", b"/", &fields, Framing::Length(0));
     assert_eq!(&get[..], b"GET / HTTP/1.1\r\nA: b\r\n\r\n");
 }
+
+/// A caller that goes on sending its body after the reply would otherwise fill the memory of the node.
+#[tokio::test]
+async fn discarded_input_is_not_buffered() {
+    const UPLOAD_BYTES: usize = 8 * 1024 * 1024;
+    let (mut sender, receiver) = tokio::io::duplex(64 * 1024);
+    let mut reader = MessageReader::new(receiver);
+    let discarding = tokio::time::timeout(Duration::from_millis(500), reader.discard_until_gone());
+    let sending = sender.write_all(&[7; UPLOAD_BYTES]);
+    let (still_open, sent) = tokio::join!(discarding, sending);
+    assert!(still_open.is_err() && sent.is_ok());
+    assert!(reader.is_empty());
+}
