Limit the header fields of a message by the size of its head only

Fix: a head with more than 100 fields is parsed again with a slot for each of its lines; the size of the head bounds them.

Evidence: number_of_fields_is_limited_by_the_size_of_the_head_only failed before at 101 fields and passes.

--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -5,8 +5,9 @@
 use crate::error::HeadError;
 use crate::fields::{Field, Fields};
 
-/// Maximum number of header fields of one message.
-const MAX_FIELDS: usize = 100;
+/// Number of header fields up to which parsing a head allocates no memory for them. More are limited by the size
+/// of the head only.
+const USUAL_FIELDS: usize = 100;
 
 /// HTTP version of a message.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -62,32 +63,48 @@
 
 impl Head for RequestHead {
     fn parse(bytes: &[u8]) -> Parsed<Self> {
-        let mut slots = [httparse::EMPTY_HEADER; MAX_FIELDS];
-        let mut request = httparse::Request::new(&mut slots);
-        let Some(length) = parsed_length(request.parse(bytes))? else { return Ok(None) };
-        let shared = SharedBytes::new(bytes, length);
-        let head = Self {
-            method: shared.slice(request.method.unwrap_or_default().as_bytes()),
-            target: shared.slice(request.path.unwrap_or_default().as_bytes()),
-            version: HttpVersion::of(request.version),
-            fields: shared.fields(request.headers),
-        };
-        Ok(Some((head, length)))
+        with_field_slots(bytes, |slots| {
+            let mut request = httparse::Request::new(slots);
+            let Some(length) = parsed_length(request.parse(bytes))? else { return Ok(None) };
+            let shared = SharedBytes::new(bytes, length);
+            let head = Self {
+                method: shared.slice(request.method.unwrap_or_default().as_bytes()),
+                target: shared.slice(request.path.unwrap_or_default().as_bytes()),
+                version: HttpVersion::of(request.version),
+                fields: shared.fields(request.headers),
+            };
+            Ok(Some((head, length)))
+        })
     }
 }
 
 impl Head for ResponseHead {
     fn parse(bytes: &[u8]) -> Parsed<Self> {
-        let mut slots = [httparse::EMPTY_HEADER; MAX_FIELDS];
-        let mut response = httparse::Response::new(&mut slots);
-        let Some(length) = parsed_length(response.parse(bytes))? else { return Ok(None) };
-        let shared = SharedBytes::new(bytes, length);
-        let head = Self {
-            status: response.code.unwrap_or_default(),
-            version: HttpVersion::of(response.version),
-            fields: shared.fields(response.headers),
-        };
-        Ok(Some((head, length)))
+        with_field_slots(bytes, |slots| {
+            let mut response = httparse::Response::new(slots);
+            let Some(length) = parsed_length(response.parse(bytes))? else { return Ok(None) };
+            let shared = SharedBytes::new(bytes, length);
+            let head = Self {
+                status: response.code.unwrap_or_default(),
+                version: HttpVersion::of(response.version),
+                fields: shared.fields(response.headers),
+            };
+            Ok(Some((head, length)))
+        })
+    }
+}
+
+/// Calls `parse` with a slot for each header field that `bytes` may contain.
+fn with_field_slots<'a, T>(
+    bytes: &'a [u8],
+    parse: impl Fn(&mut [httparse::Header<'a>]) -> Parsed<T>,
+) -> Parsed<T> {
+    match parse(&mut [httparse::EMPTY_HEADER; USUAL_FIELDS]) {
+        Err(HeadError::TooLarge) => {
+            let lines = bytes.iter().filter(|byte| **byte == b'\n').count();
+            parse(&mut vec![httparse::EMPTY_HEADER; lines])
+        }
+        parsed => parsed,
     }
 }
 
--- a/crates/http1/tests/messages.rs
+++ b/crates/http1/tests/messages.rs
@@ -216,3 +216,21 @@
     assert!(still_open.is_err() && sent.is_ok());
     assert!(reader.is_empty());
 }
+
+/// Only the size of a head is limited: callers that keep within it got 431 for their 101st field.
+#[tokio::test]
+async fn number_of_fields_is_limited_by_the_size_of_the_head_only() {
+    let request = |count: usize| {
+        let fields: String = (0..count).map(|number| format!("a{number}: 1\r\n")).collect();
+        format!("GET / HTTP/1.1\r\n{fields}\r\n")
+    };
+    let limits = ReadLimits { head_bytes: 16 * 1024, head_time: Duration::from_secs(1) };
+    for count in [100, 101, 1_000] {
+        let request = request(count);
+        let head = MessageReader::new(request.as_bytes()).request_head(limits).await.unwrap().unwrap();
+        assert_eq!(head.fields.iter().count(), count);
+    }
+    let request = request(3_000);
+    let refused = MessageReader::new(request.as_bytes()).request_head(limits).await;
+    assert!(matches!(refused, Err(HeadError::TooLarge)), "{refused:?}");
+}
