--- a/crates/rollouts/src/lib.rs
+++ b/crates/rollouts/src/lib.rs
@@ -9,6 +9,7 @@
 //!
 //! This crate does no I/O and reads no clock.
 
+mod active_rollout;
 mod coordinator;
 mod evidence;
 mod held;
@@ -18,7 +19,8 @@
 mod schedule;
 mod windows;
 
-pub use coordinator::{CoordinatorAction, EndpointCounts, RolloutCoordinator};
+pub use active_rollout::EndpointCounts;
+pub use coordinator::{CoordinatorAction, RolloutCoordinator};
 pub use evidence::{ReleaseEvidence, ResponseTally, RouteTally};
 pub use held::HeldPlans;
 pub use judge::{ReleaseJudge, Verdict};
