--- a/crates/daemon/src/evacuations/held.rs
+++ b/crates/daemon/src/evacuations/held.rs
@@ -5,16 +5,13 @@
 //! that time.
 
 use std::collections::BTreeSet;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use umberpond_model::{Evacuations, ZoneName};
+use umberpond_model::{Evacuations, ORDER_REWRITE_TIME, ZoneName};
 
 #[cfg(test)]
 mod tests;
 
-/// Time after a restore within which operators have written lost orders again.
-const REWRITE_TIME: Duration = Duration::from_secs(5);
-
 /// The evacuations in force on a node.
 #[derive(Debug, Default)]
 pub(crate) struct HeldEvacuations {
@@ -48,7 +45,7 @@
         if published.supersedes(&self.latest) {
             if published.revision.era > self.latest.revision.era {
                 self.carried.clone_from(&before);
-                self.carried_until = Some(now + REWRITE_TIME);
+                self.carried_until = Some(now + ORDER_REWRITE_TIME);
             }
             self.latest = published.clone();
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -23,6 +23,7 @@
 mod start;
 mod stop;
 mod suspension;
+pub mod wall_clock;
 
 pub use directory::{DirectoryError, Listing, MemberDirectory};
 pub use environment::Environment;
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -29,7 +29,7 @@
 };
 pub use rate::{InvalidRate, RequestRate};
 pub use record::{Head, VersionRecord};
-pub use store_revision::{StoreEra, StoreRevision};
+pub use store_revision::{ORDER_REWRITE_TIME, StoreEra, StoreRevision};
 pub use tenant_id::TenantId;
 pub use time::Millis;
 pub use version::{SubmissionId, Version};
--- a/crates/model/src/store_revision.rs
+++ b/crates/model/src/store_revision.rs
@@ -1,9 +1,13 @@
 //! Revisions of the store, over all of its histories.
 
 use std::fmt;
+use std::time::Duration;
 
 use bitcode::{Decode, Encode};
 
+/// Time after a restore of the store within which operators have written lost orders again.
+pub const ORDER_REWRITE_TIME: Duration = Duration::from_secs(5);
+
 /// Number of a history of the store. Each time the store is restored from an older copy a new history begins,
 /// which shares its revisions with the one before up to the copy and gives out later ones again.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
--- a/crates/operator/src/quarantine.rs
+++ b/crates/operator/src/quarantine.rs
@@ -1,7 +1,7 @@
 //! Quarantined requests in the umberpond store.
 
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime};
 
 use async_trait::async_trait;
 use bitcode::{Decode, Encode};
@@ -9,6 +9,7 @@
 use umberpond_daemon::configuration::SourceError;
 use umberpond_daemon::quarantine::{QuarantineFreshness, QuarantineStore, StoredQuarantine, StoredTrials};
 use umberpond_daemon::rollouts::WriteError;
+use umberpond_daemon::wall_clock::{elapsed_since, unix_millis};
 use umberpond_model::{StoreEra, StoreRevision};
 use umberpond_quarantine::{ClaimedTrials, CrashId, Finding, RequestFingerprint, SuspectRecord};
 use umberpond_store::{Object, ObjectKind, ObjectStore, ObjectVersion, PlatformError};
@@ -53,13 +54,13 @@
         let findings = self.crashes.into_iter().map(|crash| (crash, Finding::Blamed)).collect();
         StoredQuarantine {
             record: SuspectRecord { fingerprint, findings, age_millis: 0 },
-            age: time_since(self.blamed_at),
+            age: elapsed_since(self.blamed_at),
         }
     }
 
     fn claimed(&self) -> Option<ClaimedTrials> {
         (self.trials > 0)
-            .then(|| ClaimedTrials { count: self.trials, since_last: time_since(self.claimed_at) })
+            .then(|| ClaimedTrials { count: self.trials, since_last: elapsed_since(self.claimed_at) })
     }
 }
 
@@ -177,13 +178,3 @@
 const fn store_revision(version: ObjectVersion) -> StoreRevision {
     StoreRevision::new(StoreEra(0), version.revision().0)
 }
-
-/// Time since a time in Unix milliseconds; zero if the clock was set back.
-fn time_since(millis: u64) -> Duration {
-    Duration::from_millis(unix_millis(SystemTime::now()).saturating_sub(millis))
-}
-
-fn unix_millis(time: SystemTime) -> u64 {
-    let since = time.duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/rollouts/src/coordinator.rs
+++ b/crates/rollouts/src/coordinator.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use umberpond_model::{ReleaseName, ServiceName, StoreEra, StoreRevision};
+use umberpond_model::{ORDER_REWRITE_TIME, ReleaseName, ServiceName, StoreEra, StoreRevision};
 
 use crate::active_rollout::{ActiveRollout, EndpointCounts};
 use crate::evidence::ReleaseEvidence;
@@ -13,9 +13,6 @@
 use crate::plan::{PlanStage, RolloutPlan};
 use crate::schedule::RolloutSettings;
 
-/// Time after a restore of the store within which operators have written lost orders again.
-const REWRITE_TIME: Duration = Duration::from_secs(5);
-
 /// An action that the caller of [`RolloutCoordinator`] has to carry out.
 #[derive(Debug, Clone, PartialEq)]
 pub enum CoordinatorAction {
@@ -122,7 +119,7 @@
         if known.or(of_plans).is_some_and(|known| era > known) {
             self.restored_at = Some(now);
         }
-        self.restored_at.is_some_and(|at| now.saturating_duration_since(at) < REWRITE_TIME)
+        self.restored_at.is_some_and(|at| now.saturating_duration_since(at) < ORDER_REWRITE_TIME)
     }
 
     /// Processes the report of a node.
--- a/crates/umberpond/src/cli/node.rs
+++ b/crates/umberpond/src/cli/node.rs
@@ -2,10 +2,11 @@
 
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::SystemTime;
 
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use umberpond_daemon::settings::{NodeConfig, SettingsOverride, load};
+use umberpond_daemon::wall_clock::unix_millis;
 use umberpond_daemon::{
     Daemon, Environment, Extensions, MachineClock, RunningDaemon, StartError, listen, serve_http,
 };
@@ -152,20 +153,18 @@
     };
     let admin = config.listen.admin;
     let daemon = Arc::new(Daemon::start(config, environment.clone(), extensions).await?);
-    let handler =
-        AdminHandler::new(Arc::clone(&daemon), Arc::clone(&store), Arc::new(unix_millis), rand::random());
+    let handler = AdminHandler::new(
+        Arc::clone(&daemon),
+        Arc::clone(&store),
+        Arc::new(|| unix_millis(SystemTime::now())),
+        rand::random(),
+    );
     let listener = listen(&environment, "admin", admin).await?;
     tokio::spawn(serve_http(listener, Arc::new(handler), ADMIN_BODY_BYTES));
     tokio::spawn(collect_now_and_then(Arc::clone(&daemon), store, rand::random()));
     Ok(daemon)
 }
 
-/// Returns the milliseconds since the Unix epoch by this machine's clock.
-fn unix_millis() -> u64 {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Applies changed settings. Invalid settings have no effect.
 fn reload(daemon: &RunningDaemon, settings: &NodeSettings) {
     match load(settings.file.as_deref(), &settings.overrides) {
