--- a/review/standins-2/case_4.rs
+++ b/review/standins-2/case_4.rs
@@ -1,4 +1,5 @@
-//! TWICE and REFUSED: a surplus rejection of a faulty back end arrives in the place of the next answer.
+//! TWICE and REFUSED: a faulty back end sends a rejection twice, and the second copy arrives in the place of the
+//! next answer.
 
 use std::io::Write;
 use std::sync::Arc;
@@ -15,16 +16,19 @@
 
 const CONFIGURATION: &str = r#"{"version":1,"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"},"listeners":[{"host":"shop.example","rules":[{"name":"r-renewal","kind":"non_idempotent","slo":"400ms","priority":1,"match":{"pathPrefix":"/renewal/"},"action":{"service":"billing","timeout":"1500ms","attempts":2}}]}],"clusters":[{"name":"archive","healthPath":"/healthz","maxConns":120},{"name":"billing","healthPath":"/healthz","maxConns":120}]}"#;
 
-/// Part of the traffic in which one back end is faulty, in seconds since the first request.
-const TROUBLE_SECONDS: (f64, f64) = (3.0, 8.0);
+/// Part of the traffic in which one back end is faulty, since the first request.
+const TROUBLE: (Duration, Duration) = (Duration::from_secs(3), Duration::from_secs(8));
 const TRAFFIC: Duration = Duration::from_secs(12);
-/// One in this many answers of the faulty back end is followed by a surplus one.
-const SURPLUS_ONE_IN: u32 = 50;
+/// One in this many requests finds the back end full, and is shed.
+const SHED_ONE_IN: u32 = 25;
+/// One in this many shed requests of the faulty back end is answered twice, so one answer in 50 is followed by a
+/// surplus one.
+const TWICE_ONE_IN: u32 = 2;
 const CLIENTS: u32 = 6;
 const DEADLINE: Duration = Duration::from_millis(1_500);
 const WORK: Duration = Duration::from_millis(30);
 /// What an upstream sends when it sheds a request, as the pages show it.
-const SURPLUS: &[u8] =
+const SHED: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nUmberpond-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 
 pub fn run(setting: &Setting) -> Vec<String> {
@@ -39,18 +43,18 @@
     ];
     machines.iter_mut().for_each(Machine::start);
     machines.iter().for_each(Machine::wait_until_ready);
-    let answers = Arc::new(AtomicU32::new(0));
     let traffic_at = record.elapsed() + Duration::from_secs(3);
     let has_trouble = setting.has_trouble;
-    let sound = |exchange: Exchange<'_>| serve(exchange, false);
-    let faulty = move |exchange: Exchange<'_>| {
-        let at = exchange.back_end.record.elapsed().as_secs_f64() - traffic_at.as_secs_f64();
-        let is_faulty = has_trouble && (TROUBLE_SECONDS.0..TROUBLE_SECONDS.1).contains(&at);
-        let is_due = is_faulty && answers.fetch_add(1, Ordering::SeqCst) % SURPLUS_ONE_IN == 0;
-        serve(exchange, is_due)
-    };
+    let sound = sheds(|_number| false);
+    let faulty_from = traffic_at + TROUBLE.0;
+    let faulty_until = traffic_at + TROUBLE.1;
+    let clock = record.clone();
+    let faulty = sheds(move |number| {
+        let is_faulty = has_trouble && (faulty_from..faulty_until).contains(&clock.elapsed());
+        is_faulty && number % TWICE_ONE_IN == 0
+    });
     let _back_ends = [
-        BackEnd::start("i-archive", &machines[0], record, Arc::new(sound)),
+        BackEnd::start("i-archive", &machines[0], record, Arc::new(serve)),
         BackEnd::start("i-billing-1", &machines[1], record, Arc::new(faulty)),
         BackEnd::start("i-billing-2", &machines[2], record, Arc::new(sound)),
     ];
@@ -79,23 +83,37 @@
     traces.iter().filter_map(|(id, trace)| broken_rule(id, trace)).collect()
 }
 
-/// Runs a request. Sends a surplus answer first if one is due on this connection; `is_followed` tells whether the
-/// answer to this request is followed by one, which arrives late.
-fn serve(mut exchange: Exchange<'_>, is_followed: bool) -> bool {
+/// A back end that sheds some requests. `is_twice` tells by the number of a shed request whether its answer is sent
+/// a second time, which arrives late.
+fn sheds(is_twice: impl Fn(u32) -> bool + Send + Sync) -> impl Fn(Exchange<'_>) -> bool + Send + Sync {
+    let requests = AtomicU32::new(0);
+    move |exchange| {
+        let number = requests.fetch_add(1, Ordering::SeqCst) + 1;
+        if number % SHED_ONE_IN != 0 || !exchange.surplus.is_empty() {
+            return serve(exchange);
+        }
+        let is_twice = is_twice(number / SHED_ONE_IN);
+        let id = exchange.id;
+        exchange.back_end.record.note(&format!("{id} is shed at {}", exchange.back_end.instance));
+        if is_twice {
+            exchange.surplus.extend_from_slice(SHED);
+        }
+        exchange.writer.write_all(SHED).is_ok()
+    }
+}
+
+/// Runs a request. If a surplus answer is still due on this connection, it is sent first.
+fn serve(mut exchange: Exchange<'_>) -> bool {
     let surplus = std::mem::take(exchange.surplus);
     if !surplus.is_empty() {
-        exchange.back_end.record.note("a surplus answer follows an earlier answer, late");
+        exchange.back_end.record.note("the second copy of the last answer on this connection arrives, late");
         if exchange.writer.write_all(&surplus).is_err() {
             return false;
         }
     }
     exchange.back_end.record.run(exchange.id, &exchange.back_end.instance);
     thread::sleep(WORK);
-    let stays_open = exchange.answer();
-    if is_followed {
-        exchange.surplus.extend_from_slice(SURPLUS);
-    }
-    stays_open
+    exchange.answer()
 }
 
 fn broken_rule(id: &str, trace: &Trace) -> Option<String> {
