review: case 5 becomes case 8, records, stand-ins that tell their start time

Rule of case 8: DRAIN. The stand-ins move to a folder called platform, where the platform's words are allowed, and their heartbeats and withdrawals tell born.

--- a/review/5/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-target/review-2/standins 5 review/5/record.txt "$folder"
+target/review-2/standins 8 review/8/record.txt "$folder"
--- a/review/standins-2/back_end.rs
+++ b/review/standins-2/platform/back_end.rs
@@ -1,10 +1,10 @@
 //! Stand-in for the application upstream of a machine.
 
 use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use crate::http::{Head, call, read_body, read_head};
 use crate::machine::Machine;
@@ -13,7 +13,7 @@
 /// Number of requests that a back end works on at once.
 pub const CAPACITY: u32 = 9;
 /// Interval between two heartbeats.
-const HEARTBEAT: Duration = Duration::from_millis(1_500);
+pub const HEARTBEAT: Duration = Duration::from_millis(1_500);
 
 /// One request and the connection on which it arrived.
 pub struct Exchange<'a> {
@@ -59,6 +59,8 @@
     address: SocketAddr,
     control: SocketAddr,
     pub record: Record,
+    /// Unix milliseconds of its start.
+    born: u128,
     sequence: AtomicU64,
     /// Whether its health check tells that it is well.
     pub is_well: AtomicBool,
@@ -66,52 +68,83 @@
     pub fails: AtomicBool,
     pub sends_heartbeats: AtomicBool,
     /// Whether it has ended and accepts nothing.
-    pub has_ended: AtomicBool,
+    has_ended: AtomicBool,
+    connections: Mutex<Vec<TcpStream>>,
 }
 
 impl BackEnd {
-    /// Starts the back end of `machine`.
-    pub fn start(instance: &str, machine: &Machine, record: &Record, serve: Arc<Serve>) -> Arc<Self> {
+    /// Starts the back end of `machine`. Its first heartbeat arrives after `first_heartbeat`.
+    pub fn start(
+        instance: &str,
+        machine: &Machine,
+        record: &Record,
+        first_heartbeat: Duration,
+        serve: Arc<Serve>,
+    ) -> Arc<Self> {
         let back_end = Arc::new(Self {
             instance: instance.to_owned(),
             service: machine.service,
             address: machine.application(),
             control: machine.control(),
             record: record.clone(),
+            born: SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis()),
             sequence: AtomicU64::new(0),
             is_well: AtomicBool::new(true),
             fails: AtomicBool::new(false),
             sends_heartbeats: AtomicBool::new(true),
             has_ended: AtomicBool::new(false),
+            connections: Mutex::default(),
         });
         let listener = TcpListener::bind(back_end.address);
         let listener = listener.unwrap_or_else(|_| crate::give_up("a back end can't listen"));
+        let _ = listener.set_nonblocking(true);
         let server = Arc::clone(&back_end);
         std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                if server.has_ended.load(Ordering::SeqCst) {
-                    return;
-                }
+            while !server.has_ended.load(Ordering::SeqCst) {
+                let Ok((stream, _peer)) = listener.accept() else {
+                    std::thread::sleep(Duration::from_millis(1));
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
+                server.connections.lock().unwrap().extend(stream.try_clone());
                 let (back_end, serve) = (Arc::clone(&server), Arc::clone(&serve));
                 std::thread::spawn(move || back_end.serve(stream, &*serve));
             }
         });
         let sender = Arc::clone(&back_end);
         std::thread::spawn(move || {
-            while sender.sends_heartbeats.load(Ordering::SeqCst) {
+            std::thread::sleep(first_heartbeat);
+            while !sender.has_ended.load(Ordering::SeqCst) {
                 sender.send_heartbeat("ready");
+                if !sender.sends_heartbeats.load(Ordering::SeqCst) {
+                    return;
+                }
                 std::thread::sleep(HEARTBEAT);
+                if !sender.sends_heartbeats.load(Ordering::SeqCst) {
+                    return;
+                }
             }
         });
         back_end
     }
 
+    /// Ends: refuses new connections and closes the open ones.
+    pub fn end(&self) {
+        self.sends_heartbeats.store(false, Ordering::SeqCst);
+        self.has_ended.store(true, Ordering::SeqCst);
+        // The listener closes first, as it does at the latest with the connections when a process ends.
+        std::thread::sleep(Duration::from_millis(10));
+        for connection in self.connections.lock().unwrap().drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+
     /// Sends a heartbeat; returns whether it was acknowledged.
     pub fn send_heartbeat(&self, state: &str) -> bool {
-        let Self { instance, service, address, .. } = self;
+        let Self { instance, service, address, born, .. } = self;
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         let body = format!(
-            r#"{{"address":"{address}","info":{{"service":"{service}","version":"v1","zone":"a","capacity":{CAPACITY}}},"status":{{"state":"{state}","seq":{sequence},"warmupLeft":"0ms"}}}}"#
+            r#"{{"born":{born},"address":"{address}","info":{{"service":"{service}","version":"v1","zone":"a","capacity":{CAPACITY}}},"status":{{"state":"{state}","seq":{sequence},"warmupLeft":"0ms"}}}}"#
         );
         let path = format!("/api/Instances.Heartbeat/{instance}");
         matches!(call(self.control, "POST", &path, &body), Ok(200..=299))
@@ -120,7 +153,8 @@
     /// Withdraws the back end; returns whether that was acknowledged.
     pub fn deregister(&self) -> bool {
         let path = format!("/api/Instances.Deregister/{}", self.instance);
-        matches!(call(self.control, "POST", &path, ""), Ok(200..=299))
+        let body = format!(r#"{{"born":{}}}"#, self.born);
+        matches!(call(self.control, "POST", &path, &body), Ok(200..=299))
     }
 
     fn serve(&self, stream: TcpStream, serve: &Serve) {
--- a/review/standins-2/case_4.rs
+++ b/review/standins-2/platform/case_4.rs
@@ -54,9 +54,9 @@
         is_faulty && number % TWICE_ONE_IN == 0
     });
     let _back_ends = [
-        BackEnd::start("i-archive", &machines[0], record, Arc::new(serve)),
-        BackEnd::start("i-billing-1", &machines[1], record, Arc::new(faulty)),
-        BackEnd::start("i-billing-2", &machines[2], record, Arc::new(sound)),
+        BackEnd::start("i-archive", &machines[0], record, Duration::ZERO, Arc::new(serve)),
+        BackEnd::start("i-billing-1", &machines[1], record, Duration::ZERO, Arc::new(faulty)),
+        BackEnd::start("i-billing-2", &machines[2], record, Duration::ZERO, Arc::new(sound)),
     ];
     thread::sleep(traffic_at.saturating_sub(record.elapsed()));
     let outbound = machines[0].outbound();
--- a/review/standins-2/case_5.rs
+++ b/review/standins-2/platform/case_8.rs
@@ -41,9 +41,9 @@
     ];
     machines.iter_mut().for_each(Machine::start);
     machines.iter().for_each(Machine::wait_until_ready);
-    let _archive = BackEnd::start("i-archive", &machines[0], record, Arc::new(serve));
-    let _billing = BackEnd::start("i-billing-1", &machines[1], record, Arc::new(serve));
-    let leaving = BackEnd::start("i-billing-2", &machines[2], record, Arc::new(serve));
+    let _archive = BackEnd::start("i-archive", &machines[0], record, Duration::ZERO, Arc::new(serve));
+    let _billing = BackEnd::start("i-billing-1", &machines[1], record, Duration::ZERO, Arc::new(serve));
+    let leaving = BackEnd::start("i-billing-2", &machines[2], record, Duration::ZERO, Arc::new(serve));
     thread::sleep(Duration::from_secs(3));
     let end = record.elapsed() + LEAVES_AFTER + LINGERS;
     let outbound = machines[0].outbound();
@@ -81,7 +81,7 @@
     }
     leaving.is_well.store(false, Ordering::SeqCst);
     clients.into_iter().for_each(|client| client.join().unwrap());
-    leaving.has_ended.store(true, Ordering::SeqCst);
+    leaving.end();
     let bound = in_touch_at.max(acknowledged_at + DRAIN);
     let traces = record.traces();
     println!("{} requests", traces.len());
--- a/review/standins-2/machine.rs
+++ b/review/standins-2/platform/machine.rs
@@ -87,7 +87,7 @@
         let log = File::options().create(true).append(true).open(log);
         let log = log.unwrap_or_else(|_| crate::give_up("log can't be written"));
         let mut command = Command::new("target/release/umberpond-sidecar");
-        command.arg("--config").arg(&file).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        command.arg("--config").arg(&file).stdin(Stdio::null()).stdout(log).stderr(Stdio::null());
         let process = command.spawn().unwrap_or_else(|_| crate::give_up("the program can't be started"));
         crate::PROCESSES.lock().unwrap().push(process.id());
         self.process = Some(process);
