review: case 7, foreign heartbeats keep a service out after a final fault

Rule: RECOVER, fewer than a quarter of the requests sent more than recover after the start are served.

After all processes were killed and started again, another writer sends heartbeats for a service that nobody knows to the nodes beside both upstreams of a service. Each of these nodes takes the stranger for its back end and ignores the heartbeats of the upstream itself.

--- a/review/standins-2/platform/main.rs
+++ b/review/standins-2/platform/main.rs
@@ -8,6 +8,7 @@
 mod case_4;
 mod case_5;
 mod case_6;
+mod case_7;
 mod case_8;
 mod client;
 mod http;
@@ -67,6 +68,7 @@
         "4" => case_4::run(&setting),
         "5" => case_5::run(&setting),
         "6" => case_6::run(&setting),
+        "7" => case_7::run(&setting),
         "8" => case_8::run(&setting),
         _ => give_up("there is no such case"),
     };
