--- a/review/standins-2/platform/case_6.rs
+++ b/review/standins-2/platform/case_6.rs
@@ -1,4 +1,4 @@
-//! DRAIN: after a heartbeat of another writer, the node ignores that its back end is draining.
+//! DRAIN: a back end that has just started again under its id withdraws itself before its first heartbeat arrives.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -6,9 +6,8 @@
 use std::time::Duration;
 
 use crate::Setting;
-use crate::back_end::{BackEnd, CAPACITY, Exchange, HEARTBEAT};
+use crate::back_end::{BackEnd, Exchange};
 use crate::client::Client;
-use crate::http::call;
 use crate::machine::{Machine, Ports};
 use crate::store::Store;
 
@@ -16,15 +15,17 @@
 
 /// Bound of the site.
 const DRAIN: Duration = Duration::from_millis(2_000);
-/// Time from the start of traffic to the heartbeat of the other writer, and from that to the end of the back end's
-/// ready state.
-const STRANGER_AFTER: Duration = Duration::from_secs(2);
-const DRAINS_AFTER: Duration = Duration::from_secs(4);
-/// Time for which the draining back end goes on serving after the acknowledgement.
+/// Time from the start of traffic to the crash, from the crash to the next start, and from that to the withdrawal.
+const CRASHES_AFTER: Duration = Duration::from_secs(3);
+const DOWN: Duration = Duration::from_millis(1_500);
+const LEAVES_AFTER: Duration = Duration::from_millis(1_200);
+/// How late the first heartbeat after the restart arrives.
+const LATE: Duration = Duration::from_millis(2_000);
+/// Time for which the leaving back end goes on serving after the acknowledgement.
 const LINGERS: Duration = Duration::from_secs(8);
-const CLIENTS: u32 = 4;
+const CLIENTS: u32 = 16;
 const DEADLINE: Duration = Duration::from_millis(1_500);
-const WORK: Duration = Duration::from_millis(30);
+const WORK: Duration = Duration::from_millis(100);
 
 pub fn run(setting: &Setting) -> Vec<String> {
     let record = &setting.record;
@@ -38,13 +39,12 @@
     ];
     machines.iter_mut().for_each(Machine::start);
     machines.iter().for_each(Machine::wait_until_ready);
-    let start =
-        |instance, machine| BackEnd::start(instance, machine, record, Duration::ZERO, Arc::new(serve));
-    let _status_desk = start("i-status-desk", &machines[0]);
-    let _activator = start("i-activator-1", &machines[1]);
-    let draining = start("i-activator-2", &machines[2]);
+    let start = |instance, machine, late| BackEnd::start(instance, machine, record, late, Arc::new(serve));
+    let _status_desk = start("i-status-desk", &machines[0], Duration::ZERO);
+    let _activator = start("i-activator-1", &machines[1], Duration::ZERO);
+    let mut leaving = start("i-activator-2", &machines[2], Duration::ZERO);
     thread::sleep(Duration::from_secs(3));
-    let end = record.elapsed() + STRANGER_AFTER + DRAINS_AFTER + LINGERS;
+    let end = record.elapsed() + CRASHES_AFTER + DOWN + LEAVES_AFTER + LINGERS;
     let outbound = machines[0].outbound();
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
@@ -58,33 +58,26 @@
             })
         })
         .collect();
-    thread::sleep(STRANGER_AFTER);
+    thread::sleep(CRASHES_AFTER);
     if setting.has_trouble {
-        // Its fields `born`, `info.version`, `info.zone` and `status.warmupLeft` are missing.
-        let address = machines[2].application();
-        let body = format!(
-            r#"{{"address":"{address}","info":{{"service":"activator","capacity":{CAPACITY}}},"status":{{"state":"ready","seq":100000}}}}"#
-        );
-        let answer = call(machines[2].control(), "POST", "/api/Instances.Heartbeat/i-activator-2", &body);
-        record.note(&format!(
-            "a heartbeat of another writer to machine 3 was answered {}",
-            answer.unwrap_or(0)
-        ));
+        leaving.end();
+        record.note("i-activator-2 has crashed");
+        thread::sleep(DOWN);
+        leaving = start("i-activator-2", &machines[2], LATE);
+        record.note("i-activator-2 has started again under its id");
+    } else {
+        thread::sleep(DOWN);
     }
-    thread::sleep(DRAINS_AFTER);
-    draining.is_well.store(false, Ordering::SeqCst);
-    draining.sends_heartbeats.store(false, Ordering::SeqCst);
-    if !draining.send_heartbeat("draining") {
-        crate::give_up("the heartbeat that says `draining` is not acknowledged");
+    thread::sleep(LEAVES_AFTER);
+    leaving.is_well.store(false, Ordering::SeqCst);
+    leaving.sends_heartbeats.store(false, Ordering::SeqCst);
+    if !leaving.deregister() {
+        crate::give_up("the withdrawal is not acknowledged");
     }
     let acknowledged_at = record.elapsed();
-    record.note("i-activator-2 says that it is draining, and machine 3 has acknowledged it");
-    while record.elapsed() + HEARTBEAT < end {
-        thread::sleep(HEARTBEAT);
-        draining.send_heartbeat("draining");
-    }
+    record.note("i-activator-2 has withdrawn itself, and machine 3 has acknowledged it");
     clients.into_iter().for_each(|client| client.join().unwrap());
-    draining.end();
+    leaving.end();
     let traces = record.traces();
     println!("{} requests", traces.len());
     let late = traces.iter().flat_map(|(id, trace)| trace.runs.iter().map(move |run| (id, run)));
--- a/review/standins-2/platform/client.rs
+++ b/review/standins-2/platform/client.rs
@@ -24,10 +24,15 @@
         Self { address, record: record.clone(), connection: None, name: name.to_owned(), count: 0 }
     }
 
+    /// Id of the request that was sent last.
+    pub fn last_id(&self) -> String {
+        format!("{}-{:05}", self.name, self.count)
+    }
+
     /// Sends a request with an id of its own; returns the status of the answer, or 0 if there is none.
     pub fn send(&mut self, method: &str, path: &str, deadline: Duration) -> u16 {
         self.count += 1;
-        let id = format!("{}-{:05}", self.name, self.count);
+        let id = self.last_id();
         if self.connection.is_none() {
             self.connection = connect(self.address);
         }
