--- a/review/standins-2/platform/case_6.rs
+++ b/review/standins-2/platform/case_6.rs
@@ -23,26 +23,32 @@
 const LATE: Duration = Duration::from_millis(2_000);
 /// Time for which the leaving back end goes on serving after the acknowledgement.
 const LINGERS: Duration = Duration::from_secs(8);
-const CLIENTS: u32 = 16;
+/// Upstreams of the service; one of them is struck.
+const UPSTREAMS: u8 = 8;
+const CLIENTS: u32 = 84;
 const DEADLINE: Duration = Duration::from_millis(1_500);
 const WORK: Duration = Duration::from_millis(100);
 
 pub fn run(setting: &Setting) -> Vec<String> {
     let record = &setting.record;
-    let ports = Ports::find(3);
+    let ports = Ports::find(1 + UPSTREAMS);
     let store = Store::start(ports.store()).unwrap_or_else(|_| crate::give_up("the store can't listen"));
     store.put_configuration(CONFIGURATION);
-    let mut machines = vec![
-        Machine::new(1, "status-desk", "a", ports, &setting.folder),
-        Machine::new(2, "activator", "a", ports, &setting.folder),
-        Machine::new(3, "activator", "a", ports, &setting.folder),
-    ];
+    let mut machines = vec![Machine::new(1, "status-desk", "a", ports, &setting.folder)];
+    let upstreams =
+        (2..=1 + UPSTREAMS).map(|number| Machine::new(number, "activator", "a", ports, &setting.folder));
+    machines.extend(upstreams);
+    let last = machines.len() - 1;
     machines.iter_mut().for_each(Machine::start);
     machines.iter().for_each(Machine::wait_until_ready);
-    let start = |instance, machine, late| BackEnd::start(instance, machine, record, late, Arc::new(serve));
+    let start =
+        |instance: &str, machine, late| BackEnd::start(instance, machine, record, late, Arc::new(serve));
     let _status_desk = start("i-status-desk", &machines[0], Duration::ZERO);
-    let _activator = start("i-activator-1", &machines[1], Duration::ZERO);
-    let mut leaving = start("i-activator-2", &machines[2], Duration::ZERO);
+    let others = machines[1..last].iter().enumerate();
+    let _others: Vec<_> = others
+        .map(|(number, machine)| start(&format!("i-activator-{}", number + 3), machine, Duration::ZERO))
+        .collect();
+    let mut leaving = start("i-activator-2", &machines[last], Duration::ZERO);
     thread::sleep(Duration::from_secs(3));
     let end = record.elapsed() + CRASHES_AFTER + DOWN + LEAVES_AFTER + LINGERS;
     let outbound = machines[0].outbound();
@@ -63,7 +69,7 @@
         leaving.end();
         record.note("i-activator-2 has crashed");
         thread::sleep(DOWN);
-        leaving = start("i-activator-2", &machines[2], LATE);
+        leaving = start("i-activator-2", &machines[last], LATE);
         record.note("i-activator-2 has started again under its id");
     } else {
         thread::sleep(DOWN);
@@ -75,7 +81,7 @@
         crate::give_up("the withdrawal is not acknowledged");
     }
     let acknowledged_at = record.elapsed();
-    record.note("i-activator-2 has withdrawn itself, and machine 3 has acknowledged it");
+    record.note("i-activator-2 has withdrawn itself, and its machine has acknowledged it");
     clients.into_iter().for_each(|client| client.join().unwrap());
     leaving.end();
     let traces = record.traces();
--- a/review/standins-2/platform/case_8.rs
+++ b/review/standins-2/platform/case_8.rs
@@ -25,25 +25,33 @@
 /// Times from the acknowledgement to the kill, and from the kill to the next start.
 const KILLED_AFTER: Duration = Duration::from_millis(300);
 const DOWN: Duration = Duration::from_millis(500);
-const CLIENTS: u32 = 4;
+/// Upstreams of the service; one of them is struck.
+const UPSTREAMS: u8 = 10;
+const CLIENTS: u32 = 12;
 const DEADLINE: Duration = Duration::from_millis(1_500);
 const WORK: Duration = Duration::from_millis(30);
 
 pub fn run(setting: &Setting) -> Vec<String> {
     let record = &setting.record;
-    let ports = Ports::find(3);
+    let ports = Ports::find(1 + UPSTREAMS);
     let store = Store::start(ports.store()).unwrap_or_else(|_| crate::give_up("the store can't listen"));
     store.put_configuration(CONFIGURATION);
-    let mut machines = vec![
-        Machine::new(1, "archive", "a", ports, &setting.folder),
-        Machine::new(2, "billing", "a", ports, &setting.folder),
-        Machine::new(3, "billing", "a", ports, &setting.folder),
-    ];
+    let mut machines = vec![Machine::new(1, "archive", "a", ports, &setting.folder)];
+    let upstreams =
+        (2..=1 + UPSTREAMS).map(|number| Machine::new(number, "billing", "a", ports, &setting.folder));
+    machines.extend(upstreams);
+    let last = machines.len() - 1;
     machines.iter_mut().for_each(Machine::start);
     machines.iter().for_each(Machine::wait_until_ready);
     let _archive = BackEnd::start("i-archive", &machines[0], record, Duration::ZERO, Arc::new(serve));
-    let _billing = BackEnd::start("i-billing-1", &machines[1], record, Duration::ZERO, Arc::new(serve));
-    let leaving = BackEnd::start("i-billing-2", &machines[2], record, Duration::ZERO, Arc::new(serve));
+    let others = machines[1..last].iter().enumerate();
+    let _others: Vec<_> = others
+        .map(|(number, machine)| {
+            let instance = format!("i-billing-{}", number + 3);
+            BackEnd::start(&instance, machine, record, Duration::ZERO, Arc::new(serve))
+        })
+        .collect();
+    let leaving = BackEnd::start("i-billing-2", &machines[last], record, Duration::ZERO, Arc::new(serve));
     thread::sleep(Duration::from_secs(3));
     let end = record.elapsed() + LEAVES_AFTER + LINGERS;
     let outbound = machines[0].outbound();
@@ -65,17 +73,17 @@
         crate::give_up("the withdrawal is not acknowledged");
     }
     let acknowledged_at = record.elapsed();
-    record.note("i-billing-2 has withdrawn itself, and machine 3 has acknowledged it");
+    record.note("i-billing-2 has withdrawn itself, and its machine has acknowledged it");
     let mut in_touch_at = acknowledged_at;
     if setting.has_trouble {
         leaving.fails.store(true, Ordering::SeqCst);
         thread::sleep(KILLED_AFTER);
-        machines[2].kill();
-        record.note("the process of machine 3 was killed");
+        machines[last].kill();
+        record.note("the process of its machine was killed");
         thread::sleep(DOWN);
         in_touch_at = record.elapsed() + CONTACT;
-        machines[2].start();
-        record.note("the process of machine 3 was started again");
+        machines[last].start();
+        record.note("the process of its machine was started again");
         thread::sleep((acknowledged_at + LIES).saturating_sub(record.elapsed()));
         leaving.fails.store(false, Ordering::SeqCst);
     }
