A response with a status outside 100 to 599 is malformed

What callers saw: an upstream in trouble answered with status 000. The caller got `HTTP/1.1 0 ` with the upstream's signature and body, bytes that no client reads as an answer; 600 and 999 arrived as they were.

Cause: the parser of heads takes any three digits, and nothing after it looked at the range (RFC 9110, section 15: 100 to 599).

Evidence: status_outside_the_valid_range_is_not_forwarded fails on (the caller reads no response for 000) and passes with it. 001, 099, 600 and 999 are in the same test.

Why this works: a head with such a status isn't a head any more, wherever one is read: on the request path the outcome is unknown, so an idempotent request is tried elsewhere and any other gets 502; the connection isn't reused; a health check that answers so counts as failed.

Ruled out: the writer of heads as the place of the fix. It would hide the status from callers only, and the response would still count as one in the retry decision and the tallies.

--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -1,5 +1,7 @@
 //! Heads of requests and responses.
 
+use std::ops::RangeInclusive;
+
 use bytes::Bytes;
 
 use crate::error::HeadError;
@@ -9,6 +11,9 @@
 /// of the head only.
 const USUAL_FIELDS: usize = 100;
 
+/// Valid status codes (RFC 9110, section 15).
+const VALID_STATUSES: RangeInclusive<u16> = 100..=599;
+
 /// HTTP version of a message.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum HttpVersion {
@@ -43,7 +48,7 @@
 /// Head of a response.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ResponseHead {
-    /// Status code.
+    /// Status code, from 100 to 599.
     pub status: u16,
     /// Version.
     pub version: HttpVersion,
@@ -83,9 +88,10 @@
         with_field_slots(bytes, |slots| {
             let mut response = httparse::Response::new(slots);
             let Some(length) = parsed_length(response.parse(bytes))? else { return Ok(None) };
+            let status = response.code.filter(|status| VALID_STATUSES.contains(status));
             let shared = SharedBytes::new(bytes, length);
             let head = Self {
-                status: response.code.unwrap_or_default(),
+                status: status.ok_or(HeadError::Malformed)?,
                 version: HttpVersion::of(response.version),
                 fields: shared.fields(response.headers),
             };
