A response without a length is truncated if the upload failed before it

What callers saw: an upstream answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The caller got the part as a complete answer.

Cause: a transport reports the error of a connection once. If the writer of the upload is the one who gets it, the reader then sees an orderly end, and for a body without a length an orderly end is its end. The exchange kept of the failed write only that the connection can't be reused.

Why this works: a failed write leaves no proof of an orderly end, so such a response has an unknown outcome, whatever the transport reports to the reader. A length or a last chunk proves the end by itself, and a rejection says by its head that the request has not run; both are read as before. A response that ends before the upload does is still complete, which the second test shows.

Two ways weighed: to distrust only ECONNRESET, since Linux reports EPIPE where the end came before the reset, or any failed write. The first would keep a few early responses, but hangs on what one kernel reports; a wrong 200 costs a caller more than a 502.

Ruled out: the connection between two nodes, where the end of a body is a message of its own.

--- a/crates/forwarding/src/upstream/exchange.rs
+++ b/crates/forwarding/src/upstream/exchange.rs
@@ -73,6 +73,17 @@
     fn on_response_head(&self, sent_at: Instant, head: &ResponseHead, is_trusted: bool);
 }
 
+/// How far a request had been sent when the head of its response was read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum SendProgress {
+    /// Not completely.
+    Partial,
+    /// Completely.
+    Whole,
+    /// Not completely, because the connection failed.
+    Failed,
+}
+
 /// Why no response head was received.
 enum HeadFailure {
     /// Nothing was written; another connection may be tried.
@@ -120,10 +131,10 @@
         body: RequestBody,
     ) -> Result<ExchangeEnd, HeadFailure> {
         let sent_at = Instant::now();
-        let (head, is_sent_whole) = match body {
+        let (head, progress) = match body {
             RequestBody::Whole(whole) => {
-                let is_sent_whole = write_whole(&mut connection, request, &whole).await?;
-                (self.read_own_head(&mut connection, request).await?, is_sent_whole)
+                let progress = write_whole(&mut connection, request, &whole).await?;
+                (self.read_own_head(&mut connection, request).await?, progress)
             }
             RequestBody::Pending(pending) => {
                 self.exchange_pending(&mut connection, request, &pending).await?
@@ -131,17 +142,17 @@
             RequestBody::Consumed => return Ok(ExchangeEnd::NotSent(NotRunReason::BodyBroken)),
         };
         self.listener.on_response_head(sent_at, &head, self.is_trusted(&head));
-        self.read_response(connection, request, head, is_sent_whole).await
+        self.read_response(connection, request, head, progress).await
     }
 
     /// Starts a body, sends it while it arrives, and reads the response, which may arrive before the body is
-    /// sent. Also returns whether the whole body was sent; if not, the connection cannot be reused.
+    /// sent.
     async fn exchange_pending(
         &self,
         connection: &mut UpstreamConnection,
         request: &ExchangeRequest<'_>,
         pending: &PendingBody,
-    ) -> Result<(ResponseHead, bool), HeadFailure> {
+    ) -> Result<(ResponseHead, SendProgress), HeadFailure> {
         let framing = pending.length().map_or(Framing::Chunked, Framing::Length);
         let mut head = BytesMut::new();
         write_request_head(&mut head, request.method, request.target, request.fields, framing);
@@ -150,7 +161,7 @@
             return Err(HeadFailure::Unknown(UnknownReason::BodyBroken));
         };
         let UpstreamConnection { reader, writer, .. } = connection;
-        let (mut is_sending, mut is_sent_whole) = (true, false);
+        let mut progress = SendProgress::Partial;
         let mut surplus = 0;
         let sending = send_stream(writer, &mut stream, framing);
         tokio::pin!(sending);
@@ -163,19 +174,16 @@
                         continue;
                     }
                     if self.is_own(&head, request.id) {
-                        return Ok((head, is_sent_whole));
+                        return Ok((head, progress));
                     }
                     self.skip_surplus(reader, &head, request.method, &mut surplus).await?;
                 }
-                sent = &mut sending, if is_sending => {
-                    is_sending = false;
-                    match sent {
-                        Ok(()) => is_sent_whole = true,
-                        Err(StreamFailure::Caller) => return Err(HeadFailure::Unknown(UnknownReason::BodyBroken)),
-                        // The back end may have responded before it read the whole body, so its response is
-                        // still read.
-                        Err(StreamFailure::BackEnd) => {}
-                    }
+                sent = &mut sending, if progress == SendProgress::Partial => progress = match sent {
+                    Ok(()) => SendProgress::Whole,
+                    Err(StreamFailure::Caller) => return Err(HeadFailure::Unknown(UnknownReason::BodyBroken)),
+                    // The back end may have responded before it read the whole body, so its response is
+                    // still read.
+                    Err(StreamFailure::BackEnd) => SendProgress::Failed,
                 }
             }
         }
@@ -235,12 +243,13 @@
         mut connection: UpstreamConnection,
         request: &ExchangeRequest<'_>,
         head: ResponseHead,
-        is_sent_whole: bool,
+        progress: SendProgress,
     ) -> Result<ExchangeEnd, HeadFailure> {
         let invalid = Ok(ExchangeEnd::Unknown(UnknownReason::InvalidResponse));
         let Ok(framing) = response_framing(&head, request.method) else { return invalid };
-        let is_kept =
-            connection.update_keep_alive(&head.fields) && is_sent_whole && framing != Framing::UntilClose;
+        let is_kept = connection.update_keep_alive(&head.fields)
+            && progress == SendProgress::Whole
+            && framing != Framing::UntilClose;
         if self.is_rejection(&head) {
             self.discard(connection, framing, is_kept).await;
             return Ok(ExchangeEnd::Rejected { status: head.status });
@@ -248,6 +257,11 @@
         if !self.is_trusted(&head) {
             return invalid;
         }
+        // The transport reports an error once. The writer has received it, so the reader can't tell an orderly
+        // end of the body from a reset.
+        if framing == Framing::UntilClose && progress == SendProgress::Failed {
+            return Ok(ExchangeEnd::Unknown(UnknownReason::TruncatedResponse));
+        }
         let mut decoder = BodyDecoder::new(framing);
         let mut buffered = BytesMut::new();
         let buffer_until = Instant::now() + BUFFERING_TIME;
@@ -323,20 +337,20 @@
     })
 }
 
-/// Writes the whole request; returns `false` if only a part of it was written. The back end may have
-/// responded before it read everything, so its response is still read in that case.
+/// Writes the whole request. If the connection fails after a part of it, the back end may have responded before
+/// it read everything, so its response is still read.
 async fn write_whole(
     connection: &mut UpstreamConnection,
     request: &ExchangeRequest<'_>,
     body: &Bytes,
-) -> Result<bool, HeadFailure> {
+) -> Result<SendProgress, HeadFailure> {
     let mut bytes = BytesMut::with_capacity(512 + body.len());
     let framing = Framing::Length(body.len() as u64);
     write_request_head(&mut bytes, request.method, request.target, request.fields, framing);
     bytes.extend_from_slice(body);
     match connection.write(&bytes).await {
-        Ok(()) => Ok(true),
-        Err(failure) if failure.has_written => Ok(false),
+        Ok(()) => Ok(SendProgress::Whole),
+        Err(failure) if failure.has_written => Ok(SendProgress::Failed),
         Err(_) => Err(HeadFailure::NothingWritten),
     }
 }
--- a/crates/forwarding/tests/broken_responses.rs
+++ b/crates/forwarding/tests/broken_responses.rs
@@ -4,6 +4,8 @@
 
 use support::TestCluster;
 use support::back_end::{ScriptedResponse, ok};
+use support::caller::ReceivedResponse;
+use support::transport::{NextWrite, ScriptedConnection};
 
 /// Header fields and body of a valid response.
 const VALID_REST: &str = "umberpond-request: {id}\r\nx-proof: p\r\nContent-Length: 2\r\n\r\nno";
@@ -27,3 +29,39 @@
         assert_not_forwarded(format!("HTTP/1.1 {status} Said\r\n{VALID_REST}")).await;
     }
 }
+
+/// Part of a response that ends with its connection.
+const UNFRAMED: &str = "HTTP/1.1 200 OK\r\numberpond-request: r1\r\nx-proof: p\r\n\r\npart of it";
+
+/// The reply to an upload of `body_bytes` on a connection to the back end that acts as given.
+async fn reply_to_upload(body_bytes: usize, connection: ScriptedConnection) -> ReceivedResponse {
+    let world = TestCluster::with_connection(connection).await;
+    let mut caller = world.caller().await;
+    let head = "POST /write/a HTTP/1.1\r\nHost: x.example\r\numberpond-request: r1\r\n";
+    caller.write(format!("{head}Content-Length: {body_bytes}\r\n\r\n")).await;
+    caller.write(vec![b'x'; body_bytes]).await;
+    caller.read().await.unwrap()
+}
+
+/// A back end responded to a long upload at once, without a length, and reset the connection. The node was
+/// still writing, so its writer received the error of the reset, and its reader saw an orderly end: the caller
+/// received the part of the body as a complete response.
+#[tokio::test(start_paused = true)]
+async fn response_without_length_is_truncated_if_the_upload_was_reset() {
+    const SHORT_BODY: usize = 8_000;
+    const LONG_BODY: usize = 300_000;
+    for body_bytes in [SHORT_BODY, LONG_BODY] {
+        let connection =
+            ScriptedConnection { accepted_bytes: 4_000, next_write: NextWrite::Reset, response: UNFRAMED };
+        let reply = reply_to_upload(body_bytes, connection).await;
+        assert_eq!(reply.status, 502, "{body_bytes} bytes: {reply:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn response_without_length_is_complete_if_it_ends_before_the_upload() {
+    let connection =
+        ScriptedConnection { accepted_bytes: 4_000, next_write: NextWrite::Blocked, response: UNFRAMED };
+    let reply = reply_to_upload(300_000, connection).await;
+    assert_eq!((reply.status, reply.text()), (200, "part of it"));
+}
--- a/crates/forwarding/tests/support/mod.rs
+++ b/crates/forwarding/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod caller;
 pub mod chain;
 pub mod fleet;
+pub mod transport;
 
 use std::collections::BTreeSet;
 use std::net::{IpAddr, SocketAddr};
@@ -25,8 +26,9 @@
 use umberpond_telemetry::{MemoryRecorder, Telemetry};
 use umberpond_virtual_network::SimNetwork;
 
-use back_end::{Script, ScriptedBackEnd};
+use back_end::{Script, ScriptedBackEnd, ScriptedResponse};
 use caller::Caller;
+use transport::{ScriptedConnection, ScriptedTransport};
 
 /// Header names like those of a platform with signatures.
 pub const DIALECT: HeaderProfile = HeaderProfile {
@@ -84,6 +86,8 @@
     pub served: Vec<BackEndNode>,
     callers: Arc<dyn Network>,
     link_rate: Option<f64>,
+    /// What nodes added from now on see on their connections to their back ends, if that is scripted.
+    connection: Option<ScriptedConnection>,
 }
 
 /// The routes of every test: two from the host `x.example` to `archive`.
@@ -186,6 +190,7 @@
             served: Vec::new(),
             callers,
             link_rate,
+            connection: None,
         };
         for script in scripts {
             world.add_node(script, &telemetry).await;
@@ -201,6 +206,16 @@
         world
     }
 
+    /// As [`TestCluster::with_routes`], with one node whose connections to its back end act as `connection` says.
+    pub async fn with_connection(connection: ScriptedConnection) -> Self {
+        let mut world = Self::with_routes(Vec::new()).await;
+        world.connection = Some(connection);
+        let telemetry = world.telemetry.clone();
+        world.add_node(vec![ScriptedResponse::NoResponse], &telemetry).await;
+        world.publish_endpoints();
+        world
+    }
+
     pub fn activate(&self, version: u64, snapshot: &Snapshot) {
         let caller = name("storefront");
         let table =
@@ -211,9 +226,9 @@
     async fn add_node(&mut self, script: Script, telemetry: &Telemetry) {
         let number = 10 + u8::try_from(self.served.len()).unwrap();
         let network = self.network.host(host(number));
-        let inbound = inbound(&network, telemetry, self.link_rate);
-        let instance = format!("life-{number}");
         let at = SocketAddr::new(host(number), BACK_END_PORT);
+        let inbound = inbound(&self.transport(&network, at), telemetry, self.link_rate);
+        let instance = format!("life-{number}");
         let back_end = ScriptedBackEnd::start(&network, at, &instance, script).await;
         inbound.open(BackEnd {
             process: BackEndProcess::of(&instance),
@@ -238,6 +253,17 @@
         self.served.push(BackEndNode { inbound, back_end, endpoint });
     }
 
+    /// The network on which a node reaches its back end at `back_end`.
+    fn transport(&self, network: &Arc<dyn Network>, back_end: SocketAddr) -> Arc<dyn Network> {
+        let network = Arc::clone(network);
+        match self.connection {
+            Some(connection) => {
+                Arc::new(ScriptedTransport { network, scripted_address: back_end, connection })
+            }
+            None => network,
+        }
+    }
+
     /// Sends all endpoints to the callers' node.
     pub fn publish_endpoints(&self) {
         let endpoints = self.served.iter().map(|served| served.endpoint.clone()).collect();
