Tests: responses with an invalid field name are not forwarded

Already handled: an upstream in trouble sends a head in which the name of a field holds a blank or a control byte. On such a head is malformed, so a caller of a non-idempotent route gets 502, the next request uses another connection, and neither the line nor a body framed without it is passed on. Both tests pass on the code as it was; nothing else is changed.

--- a/crates/forwarding/tests/broken_responses.rs
+++ b/crates/forwarding/tests/broken_responses.rs
@@ -30,6 +30,33 @@
     }
 }
 
+/// The line must be neither forwarded nor skipped: a skipped length would give the caller another body.
+#[tokio::test(start_paused = true)]
+async fn response_with_an_invalid_field_name_is_not_forwarded() {
+    for line in [
+        "X Y: 1",
+        "X\tY: 1",
+        "X\u{1}Y: 1",
+        "X\0Y: 1",
+        "X\rY: 1",
+        "X\u{7f}: 1",
+        "X : 1",
+        " X: 1",
+        "\tX: 1",
+        ": 1",
+        "X",
+        " ",
+    ] {
+        assert_not_forwarded(format!("HTTP/1.1 200 Said\r\n{line}\r\n{VALID_REST}")).await;
+        assert_not_forwarded(format!("HTTP/1.1 200 Said\r\nA: 1\r\n{line}\r\n{VALID_REST}")).await;
+    }
+    for length in ["Content-Length : 2", "Content Length: 2", "Content-Length\u{b}: 2", " Content-Length: 2"]
+    {
+        let rest = VALID_REST.replace("Content-Length: 2", length);
+        assert_not_forwarded(format!("HTTP/1.1 200 Said\r\n{rest}")).await;
+    }
+}
+
 /// Part of a response that ends with its connection.
 const UNFRAMED: &str = "HTTP/1.1 200 OK\r\numberpond-request: r1\r\nx-proof: p\r\n\r\npart of it";
 
--- a/crates/http1/tests/messages.rs
+++ b/crates/http1/tests/messages.rs
@@ -234,3 +234,25 @@
     let refused = MessageReader::new(request.as_bytes()).request_head(limits).await;
     assert!(matches!(refused, Err(HeadError::TooLarge)), "{refused:?}");
 }
+
+/// Whether a byte may be part of a field name (RFC 9110, section 5.6.2).
+fn is_token_byte(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
+}
+
+/// The parser compares several bytes at a time, so every position of a long name counts.
+#[tokio::test]
+async fn field_names_contain_token_bytes_only() {
+    const NAME_LENGTHS: [usize; 7] = [1, 7, 8, 15, 17, 33, 70];
+    for length in NAME_LENGTHS {
+        for position in 0..length {
+            for byte in (0..=u8::MAX).filter(|byte| !is_token_byte(*byte) && !b":\r\n".contains(byte)) {
+                let mut name = vec![b'n'; length];
+                name[position] = byte;
+                let head = [&b"HTTP/1.1 200 OK\r\nA: 1\r\n"[..], &name, b": 2\r\nB: 3\r\n\r\n"].concat();
+                let read = MessageReader::new(&head[..]).response_head(1024).await;
+                assert!(matches!(read, Err(HeadError::Malformed)), "{name:?}: {read:?}");
+            }
+        }
+    }
+}
