A chunk header without a size is malformed

What callers saw: not reported; found by looking for the cause of the reported cases wherever responses are read. A back end that sends an empty line where a chunk size is due gets the part before it forwarded as the complete body, with status 200.

Cause: the parser of chunk headers reads a line without digits (empty, or an extension only) as size 0, which is the last chunk.

Evidence: chunked_response_without_a_chunk_size_is_not_forwarded gets 200 with 'part' without the change in body.rs and 502 with it; the test of the decoder plays more of such headers.

Why this works: a chunk header starts with a hexadecimal digit (RFC 9112, section 7.1), so a line that starts with anything else isn't one. The same decoder reads the bodies of callers, whose chunked requests can't be cut short that way any more either.

--- a/crates/forwarding/tests/broken_responses.rs
+++ b/crates/forwarding/tests/broken_responses.rs
@@ -57,6 +57,16 @@
     }
 }
 
+/// A line without a size was taken for the last chunk, so the caller received a part of the body as all of it.
+#[tokio::test(start_paused = true)]
+async fn chunked_response_without_a_chunk_size_is_not_forwarded() {
+    const CHUNKED_HEAD: &str =
+        "HTTP/1.1 200 OK\r\numberpond-request: {id}\r\nx-proof: p\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for size in ["", ";", ";extension=1", " ", "\t;"] {
+        assert_not_forwarded(format!("{CHUNKED_HEAD}4\r\npart\r\n{size}\r\n\r\n")).await;
+    }
+}
+
 /// Part of a response that ends with its connection.
 const UNFRAMED: &str = "HTTP/1.1 200 OK\r\numberpond-request: r1\r\nx-proof: p\r\n\r\npart of it";
 
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -123,6 +123,10 @@
 
 /// Takes a chunk header and returns the chunk's length; `None` until the header is complete.
 fn take_chunk_header(buffer: &mut BytesMut) -> Result<Option<u64>, BodyError> {
+    // `httparse` reads a line without digits as size 0, which would end the body.
+    if buffer.first().is_some_and(|first| !first.is_ascii_hexdigit()) {
+        return Err(BodyError::Malformed);
+    }
     match httparse::parse_chunk_size(buffer) {
         Ok(httparse::Status::Complete((head, length))) => {
             buffer.advance(head);
--- a/crates/http1/tests/messages.rs
+++ b/crates/http1/tests/messages.rs
@@ -106,6 +106,11 @@
     assert_eq!(read_body(Framing::Chunked, chunked).await.unwrap(), Some(b"abcde".to_vec()));
     assert!(matches!(read_body(Framing::Chunked, b"3\r\nabc\r\n").await, Err(BodyError::Truncated)));
     assert!(matches!(read_body(Framing::Chunked, b"zz\r\nabc\r\n").await, Err(BodyError::Malformed)));
+    for size in ["zz", "", ";x", " 3", "-3", "+3", "0x3", "3 3", "11111111111111111"] {
+        let chunked = format!("3\r\nabc\r\n{size}\r\nabc\r\n0\r\n\r\n");
+        let read = read_body(Framing::Chunked, chunked.as_bytes()).await;
+        assert!(matches!(read, Err(BodyError::Malformed)), "size {size:?}: {read:?}");
+    }
     assert!(matches!(
         read_body(Framing::Chunked, b"3\r\nabcd\r\n0\r\n\r\n").await,
         Err(BodyError::Malformed)
