Empty lines before a head count towards its size limit

A back end that sends empty lines for ever held a request until its timeout, 504 after 2.0 s of the route's 2 s in the test, and the node read all of it.

Cause: empty lines before a head are skipped without a limit, so the head never began and its limit of 64 KiB never applied.

Evidence: endless_blank_lines_before_a_head_are_given_up fails with 504 after 2.012 s without the change in reader.rs; with it the caller gets 502 within the objective and the connection is closed. endless_head_is_given_up (a reason, fields, a value, other bytes without end) passes on: already handled, test kept.

Why this works: what was skipped counts, so the limit holds whatever the bytes are. The head of a request is read by the same code.

--- /dev/null
+++ b/crates/forwarding/tests/endless_responses.rs
@@ -0,0 +1,48 @@
+//! Back ends that send bytes without end until the node closes the connection.
+
+mod support;
+
+use std::time::Duration;
+
+use support::back_end::{ScriptedResponse, ok};
+use support::caller::ReceivedResponse;
+use support::{TestCluster, pause};
+use tokio::time::Instant;
+
+/// Objective of the routes. A response that can't become valid any more has to be given up within it.
+const OBJECTIVE: Duration = Duration::from_millis(500);
+
+/// The reply to a non-idempotent request whose back end writes `first`, and then `repeated` without end. The
+/// node has to reply within the objective and to close the connection.
+async fn reply_to(first: &'static str, repeated: &'static str) -> ReceivedResponse {
+    let endless = ScriptedResponse::Endless { first, repeated };
+    let world = TestCluster::with_routes(vec![vec![endless, ok("next")]]).await;
+    let began = Instant::now();
+    let reply = world.caller().await.ask("/write/a", "r1").await;
+    let taken = began.elapsed();
+    assert!(taken <= OBJECTIVE, "{first:?} and then {repeated:?}: {} after {taken:?}", reply.status);
+    pause(50).await;
+    assert_eq!(world.served[0].back_end.closed().len(), 1, "the node has not closed the connection");
+    assert_eq!(world.caller().await.ask("/write/a", "r2").await.text(), "next");
+    reply
+}
+
+#[tokio::test(start_paused = true)]
+async fn endless_head_is_given_up() {
+    for (first, repeated) in [
+        ("HTTP/1.1 200 ", "reason "),
+        ("HTTP/1.1 200 OK\r\numberpond-request: {id}\r\n", "X-More: yes\r\n"),
+        ("HTTP/1.1 200 OK\r\nX-More: ", "more and "),
+        ("", "\u{7}"),
+        ("", "no answer at all\r\n"),
+    ] {
+        assert_eq!(reply_to(first, repeated).await.status, 502);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn endless_blank_lines_before_a_head_are_given_up() {
+    for blank in ["\r\n", "\n"] {
+        assert_eq!(reply_to("", blank).await.status, 502);
+    }
+}
--- a/crates/forwarding/tests/support/back_end.rs
+++ b/crates/forwarding/tests/support/back_end.rs
@@ -22,6 +22,8 @@
     RawThenClose(&'static str),
     /// Writes the first part immediately, and the second after some milliseconds.
     InTwoParts { first: &'static str, second: &'static str, after: u64 },
+    /// Writes the first part, and then the other one again and again until the node closes the connection.
+    Endless { first: &'static str, repeated: &'static str },
     /// Sends no response and keeps the connection open.
     NoResponse,
     /// Responds before it has read the body, and reads nothing more.
@@ -51,6 +53,11 @@
     }
 }
 
+/// Size of the blocks in which an endless response is written, in bytes.
+const ENDLESS_BLOCK_BYTES: usize = 4_096;
+/// Time between two such blocks.
+const ENDLESS_BLOCK_INTERVAL: Duration = Duration::from_millis(2);
+
 /// Default load in health responses.
 const HEALTH_LOAD: &str = "1,0,7";
 
@@ -171,6 +178,14 @@
                 writer.write_all(raw.replace("{id}", &id).as_bytes()).await.unwrap();
                 return;
             }
+            ScriptedResponse::Endless { first, repeated } => {
+                writer.write_all(first.replace("{id}", &id).as_bytes()).await.unwrap();
+                let block = repeated.repeat(ENDLESS_BLOCK_BYTES.div_ceil(repeated.len()));
+                while writer.write_all(block.as_bytes()).await.is_ok() {
+                    sleep(ENDLESS_BLOCK_INTERVAL).await;
+                }
+                return;
+            }
             ScriptedResponse::NoResponse => {
                 reader.peer_gone(usize::MAX).await;
                 return;
--- a/crates/http1/src/error.rs
+++ b/crates/http1/src/error.rs
@@ -10,7 +10,7 @@
     /// The bytes are not a valid HTTP/1 head.
     #[error("the bytes are not a valid HTTP/1 head")]
     Malformed,
-    /// The head exceeds the size limit or has too many fields.
+    /// The head, or the empty lines before it, exceed the size limit, or it has too many fields.
     #[error("the head exceeds the limit")]
     TooLarge,
     /// The head was not complete within the time limit after its first byte.
--- a/crates/http1/src/reader.rs
+++ b/crates/http1/src/reader.rs
@@ -35,12 +35,20 @@
     space: usize,
     /// When the first byte of the head being read arrived.
     head_started_at: Option<Instant>,
+    /// Number of bytes of empty lines skipped before the head being read.
+    blank_bytes: usize,
 }
 
 impl<R: AsyncRead + Unpin> MessageReader<R> {
     /// Creates a reader at the start of a connection.
     pub fn new(stream: R) -> Self {
-        Self { stream, buffer: BytesMut::new(), space: INITIAL_READ_BYTES, head_started_at: None }
+        Self {
+            stream,
+            buffer: BytesMut::new(),
+            space: INITIAL_READ_BYTES,
+            head_started_at: None,
+            blank_bytes: 0,
+        }
     }
 
     /// Whether the buffer is empty.
@@ -160,6 +168,9 @@
 
     fn buffered_head<H: Head>(&mut self, head_bytes: usize) -> Result<Option<H>, HeadError> {
         self.skip_blank_lines();
+        if self.blank_bytes > head_bytes {
+            return Err(HeadError::TooLarge);
+        }
         if self.buffer.is_empty() {
             return Ok(None);
         }
@@ -170,6 +181,7 @@
         }
         Ok(parsed.map(|(head, length)| {
             self.buffer.advance(length);
+            self.blank_bytes = 0;
             head
         }))
     }
@@ -178,6 +190,7 @@
     fn skip_blank_lines(&mut self) {
         let blank = self.buffer.iter().take_while(|byte| matches!(byte, b'\r' | b'\n')).count();
         self.buffer.advance(blank);
+        self.blank_bytes += blank;
     }
 
     async fn fill_buffer(&mut self) -> std::io::Result<usize> {
