Limit the interim responses before a response

A back end that sends 1xx responses for ever held a request until its timeout (504 after 2.0 s in the test).

Cause: interim responses were skipped without a limit, surplus ones with one.

Evidence: endless_interim_responses_are_given_up fails with 504 after 2.012 s without the change in exchange.rs; with it the caller gets 502 within the objective and the connection is closed.

Why this works: at most 16 are skipped. The two places that read heads, beside an upload and after a whole request, now share the code that skips.

--- a/crates/forwarding/src/upstream/exchange.rs
+++ b/crates/forwarding/src/upstream/exchange.rs
@@ -27,8 +27,10 @@
 const MAX_BUFFERED_BODY: usize = 1024 * 1024;
 /// Time after the head for which a body is buffered. A body that takes longer is forwarded as it arrives.
 const BUFFERING_TIME: Duration = Duration::from_millis(150);
-/// Maximum number of responses to earlier requests that are skipped on one connection.
+/// Maximum number of responses to earlier requests that are skipped before the own one.
 const MAX_SURPLUS: u32 = 4;
+/// Maximum number of interim responses that are skipped before the own one.
+const MAX_INTERIM: u32 = 16;
 
 /// Status with which a back end reports that the request was meant for another one. It does not run the
 /// request.
@@ -84,6 +86,13 @@
     Failed,
 }
 
+/// Numbers of responses that were skipped before the own one.
+#[derive(Debug, Default)]
+struct SkippedResponses {
+    interim: u32,
+    surplus: u32,
+}
+
 /// Why no response head was received.
 enum HeadFailure {
     /// Nothing was written; another connection may be tried.
@@ -162,7 +171,7 @@
         };
         let UpstreamConnection { reader, writer, .. } = connection;
         let mut progress = SendProgress::Partial;
-        let mut surplus = 0;
+        let mut skipped = SkippedResponses::default();
         let sending = send_stream(writer, &mut stream, framing);
         tokio::pin!(sending);
         loop {
@@ -170,13 +179,10 @@
                 biased;
                 head = reader.response_head(MAX_HEAD_BYTES) => {
                     let head = head.map_err(head_failure)?;
-                    if is_interim(&head) {
-                        continue;
-                    }
                     if self.is_own(&head, request.id) {
                         return Ok((head, progress));
                     }
-                    self.skip_surplus(reader, &head, request.method, &mut surplus).await?;
+                    self.skip(reader, &head, request.method, &mut skipped).await?;
                 }
                 sent = &mut sending, if progress == SendProgress::Partial => progress = match sent {
                     Ok(()) => SendProgress::Whole,
@@ -189,44 +195,47 @@
         }
     }
 
-    /// Reads heads until one belongs to this request. A surplus response to an earlier request of the
-    /// connection may precede it.
+    /// Reads heads until one belongs to this request. Interim responses, and surplus responses to earlier
+    /// requests of the connection, may precede it.
     async fn read_own_head(
         &self,
         connection: &mut UpstreamConnection,
         request: &ExchangeRequest<'_>,
     ) -> Result<ResponseHead, HeadFailure> {
-        let mut surplus = 0;
+        let mut skipped = SkippedResponses::default();
         loop {
             let head = connection.reader.response_head(MAX_HEAD_BYTES).await.map_err(head_failure)?;
-            if is_interim(&head) {
-                continue;
-            }
             if self.is_own(&head, request.id) {
                 return Ok(head);
             }
-            self.skip_surplus(&mut connection.reader, &head, request.method, &mut surplus).await?;
+            self.skip(&mut connection.reader, &head, request.method, &mut skipped).await?;
         }
     }
 
-    /// Skips the response that starts with `head` and belongs to an earlier request.
-    async fn skip_surplus(
+    /// Skips the response that starts with `head`: an interim one, or one to an earlier request.
+    async fn skip(
         &self,
         reader: &mut MessageReader<ReadHalf<BoxStream>>,
         head: &ResponseHead,
         method: &[u8],
-        surplus: &mut u32,
+        skipped: &mut SkippedResponses,
     ) -> Result<(), HeadFailure> {
-        *surplus += 1;
-        let names_another = head.fields.get(self.header_profile.request_id).is_some();
-        if names_another && *surplus <= MAX_SURPLUS && skip_body(reader, head, method).await {
-            return Ok(());
-        }
-        Err(HeadFailure::Unknown(UnknownReason::InvalidResponse))
+        let is_skipped = if is_interim(head) {
+            skipped.interim += 1;
+            skipped.interim <= MAX_INTERIM
+        } else {
+            skipped.surplus += 1;
+            let names_another = head.fields.get(self.header_profile.request_id).is_some();
+            names_another && skipped.surplus <= MAX_SURPLUS && skip_body(reader, head, method).await
+        };
+        if is_skipped { Ok(()) } else { Err(HeadFailure::Unknown(UnknownReason::InvalidResponse)) }
     }
 
-    /// Whether a response belongs to the request `id`. A rejection need not name the request.
+    /// Whether a head is that of the final response to the request `id`. A rejection need not name the request.
     fn is_own(&self, head: &ResponseHead, id: &[u8]) -> bool {
+        if is_interim(head) {
+            return false;
+        }
         match head.fields.get(self.header_profile.request_id) {
             Some(echoed) => echoed == id,
             None => !self.header_profile.echoes_request_id || self.is_rejection(head),
--- a/crates/forwarding/tests/endless_responses.rs
+++ b/crates/forwarding/tests/endless_responses.rs
@@ -46,3 +46,10 @@
         assert_eq!(reply_to("", blank).await.status, 502);
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn endless_interim_responses_are_given_up() {
+    for status_line in ["HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"] {
+        assert_eq!(reply_to("", status_line).await.status, 502);
+    }
+}
