A 101 response is invalid

What callers saw: not reported; found with the reported cases. After 101 a connection carries another protocol; the bytes that follow were read as an HTTP response and forwarded with status 200.

Cause: 101 was skipped as an interim response. Requests never ask for another protocol, since Upgrade is removed from them.

Evidence: switch_to_another_protocol_is_not_forwarded gets 200 without the change and 502 with it.

Why this works: the exchange ends as invalid before the bytes are read.

--- a/crates/forwarding/src/upstream/exchange.rs
+++ b/crates/forwarding/src/upstream/exchange.rs
@@ -32,6 +32,9 @@
 /// Maximum number of interim responses that are skipped before the own one.
 const MAX_INTERIM: u32 = 16;
 
+/// Status after which a connection carries another protocol. Requests never ask for that.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 /// Status with which a back end reports that the request was meant for another one. It does not run the
 /// request.
 pub(crate) const MISDIRECTED: u16 = 421;
@@ -222,7 +225,7 @@
     ) -> Result<(), HeadFailure> {
         let is_skipped = if is_interim(head) {
             skipped.interim += 1;
-            skipped.interim <= MAX_INTERIM
+            skipped.interim <= MAX_INTERIM && head.status != SWITCHING_PROTOCOLS
         } else {
             skipped.surplus += 1;
             let names_another = head.fields.get(self.header_profile.request_id).is_some();
--- a/crates/forwarding/tests/broken_responses.rs
+++ b/crates/forwarding/tests/broken_responses.rs
@@ -30,6 +30,14 @@
     }
 }
 
+/// No request asks for another protocol, so what follows such a response isn't HTTP.
+#[tokio::test(start_paused = true)]
+async fn switch_to_another_protocol_is_not_forwarded() {
+    assert_not_forwarded(format!("HTTP/1.1 101 Switching Protocols\r\n{VALID_REST}")).await;
+    let switched = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\nConnection: upgrade\r\n\r\n";
+    assert_not_forwarded(format!("{switched}HTTP/1.1 200 OK\r\n{VALID_REST}")).await;
+}
+
 /// The line must be neither forwarded nor skipped: a skipped length would give the caller another body.
 #[tokio::test(start_paused = true)]
 async fn response_with_an_invalid_field_name_is_not_forwarded() {
