A signature that Connection lists doesn't sign a response

A success whose Connection field lists the signature reached the caller without it.

Cause: the signature was looked for in the head as received, and fields that Connection lists are removed later, before the response is forwarded.

Evidence: success_whose_signature_is_a_connection_field_is_not_forwarded gets 200 without a signature without the change and 502 with it.

Why this works: the check now asks for the signature that the caller will receive. A signature in Connection is never meant, so nothing valid is lost.

--- a/crates/forwarding/src/upstream/exchange.rs
+++ b/crates/forwarding/src/upstream/exchange.rs
@@ -312,11 +312,14 @@
         Ok(answered(head, ResponseBody::Upstream(Box::new(body))))
     }
 
-    /// Whether a successful response carries the back end's signature and no content encoding, since none was
-    /// requested. Other responses need neither.
+    /// Whether a successful response carries the back end's signature to the caller and has no content encoding,
+    /// since none was requested. Other responses need neither.
     fn is_trusted(&self, head: &ResponseHead) -> bool {
         let is_success = (200..300).contains(&head.status);
-        let is_signed = self.header_profile.signature.is_none_or(|name| head.fields.contains(name));
+        let is_signed = self
+            .header_profile
+            .signature
+            .is_none_or(|name| head.fields.contains(name) && !head.fields.lists("connection", name));
         !is_success || (is_signed && !head.fields.contains("content-encoding"))
     }
 
--- a/crates/forwarding/tests/broken_responses.rs
+++ b/crates/forwarding/tests/broken_responses.rs
@@ -38,6 +38,14 @@
     assert_not_forwarded(format!("{switched}HTTP/1.1 200 OK\r\n{VALID_REST}")).await;
 }
 
+/// Fields that `Connection` lists aren't forwarded, so the caller received a success without a signature.
+#[tokio::test(start_paused = true)]
+async fn success_whose_signature_is_a_connection_field_is_not_forwarded() {
+    for listed in ["x-proof", "keep-alive, X-Proof"] {
+        assert_not_forwarded(format!("HTTP/1.1 200 OK\r\nConnection: {listed}\r\n{VALID_REST}")).await;
+    }
+}
+
 /// The line must be neither forwarded nor skipped: a skipped length would give the caller another body.
 #[tokio::test(start_paused = true)]
 async fn response_with_an_invalid_field_name_is_not_forwarded() {
