Bound the keep-alive time that a back end specifies

What callers saw: not reported; found while looking at each field that is read from a response. A response with 'Keep-Alive: timeout=' ended the task that read it: the request ran and its caller got 502, or a closed connection on the node beside the back end.

Cause: the time was added to the present without a bound, and the addition panics if the sum can't be represented.

Evidence: response_with_too_large_numbers_is_forwarded panics with 'overflow when adding duration to instant' without the change in connection.rs and passes with it. The other fields with numbers (request limit, load, warm-up time) are in the test and were handled already.

Why this works: no idle connection is kept for more than an hour, so the sum is always near the present.

--- a/crates/forwarding/src/upstream/connection.rs
+++ b/crates/forwarding/src/upstream/connection.rs
@@ -11,6 +11,9 @@
 
 /// How long a connection is kept for reuse if the back end does not specify it.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
+/// Maximum time for which a connection is kept for reuse, whatever the back end specifies. A point in time that
+/// is much later can't be represented.
+const MAX_KEEP_ALIVE: Duration = Duration::from_secs(3_600);
 /// A connection is discarded this long before the back end closes it, so that no request races with the
 /// close.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_000);
@@ -44,7 +47,7 @@
         if fields.lists("connection", "close") {
             return false;
         }
-        let keep_alive = parse_keep_alive(fields).unwrap_or(DEFAULT_KEEP_ALIVE);
+        let keep_alive = parse_keep_alive(fields).unwrap_or(DEFAULT_KEEP_ALIVE).min(MAX_KEEP_ALIVE);
         self.usable_until = Instant::now() + keep_alive.saturating_sub(KEEP_ALIVE_MARGIN);
         true
     }
--- a/crates/forwarding/tests/broken_responses.rs
+++ b/crates/forwarding/tests/broken_responses.rs
@@ -83,6 +83,27 @@
     }
 }
 
+/// Numbers in the fields of a response that are larger than any that makes sense.
+#[tokio::test(start_paused = true)]
+async fn response_with_too_large_numbers_is_forwarded() {
+    for field in [
+        "Keep-Alive: timeout=18446744073709551615",
+        "Keep-Alive: timeout=99999999999999999999999",
+        "umberpond-request-limit: 1e400",
+        "umberpond-request-limit: 179769313486231570000000000000000000000000000000000000000000000000000000",
+        "umberpond-load: 4294967295,4294967295,4294967295,4294967295",
+        "umberpond-load: 99999999999,0,99999999999,-1",
+        "umberpond-cold: 18446744073709551615",
+    ] {
+        let raw = format!("HTTP/1.1 200 OK\r\n{field}\r\n{VALID_REST}");
+        let world = TestCluster::with_routes(vec![vec![ScriptedResponse::Raw(raw.leak())]]).await;
+        for number in 0..3 {
+            let reply = world.caller().await.ask("/write/a", &format!("r{number}")).await;
+            assert_eq!((reply.status, reply.text()), (200, "no"), "{field}");
+        }
+    }
+}
+
 /// Part of a response that ends with its connection.
 const UNFRAMED: &str = "HTTP/1.1 200 OK\r\numberpond-request: r1\r\nx-proof: p\r\n\r\npart of it";
 
