Check the trailer section of a chunked body, and bound it

Lines of any kind were skipped as trailer fields, so a response with an invalid field name there was forwarded as valid; and a trailer section without end held a request until its timeout, after the whole body had come.

Cause: the trailer section was skipped line by line, with a limit on each line only.

A valid trailer section is still skipped and the connection reused.

Why this works: the section is parsed as the fields of a head are, and 16 KiB or 100 fields without an end are malformed. The bodies of callers are read by the same decoder.

--- a/crates/forwarding/tests/broken_responses.rs
+++ b/crates/forwarding/tests/broken_responses.rs
@@ -9,6 +9,9 @@
 
 /// Header fields and body of a valid response.
 const VALID_REST: &str = "umberpond-request: {id}\r\nx-proof: p\r\nContent-Length: 2\r\n\r\nno";
+/// Head of a valid response in chunks.
+const CHUNKED_HEAD: &str =
+    "HTTP/1.1 200 OK\r\numberpond-request: {id}\r\nx-proof: p\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 /// Checks that a caller of a non-idempotent route gets 502 if the back end responds with `broken`.
 async fn assert_not_forwarded(broken: String) {
@@ -76,13 +79,25 @@
 /// A line without a size was taken for the last chunk, so the caller received a part of the body as all of it.
 #[tokio::test(start_paused = true)]
 async fn chunked_response_without_a_chunk_size_is_not_forwarded() {
-    const CHUNKED_HEAD: &str =
-        "HTTP/1.1 200 OK\r\numberpond-request: {id}\r\nx-proof: p\r\nTransfer-Encoding: chunked\r\n\r\n";
     for size in ["", ";", ";extension=1", " ", "\t;"] {
         assert_not_forwarded(format!("{CHUNKED_HEAD}4\r\npart\r\n{size}\r\n\r\n")).await;
     }
 }
 
+/// The name of a field in the trailer section is as much a part of the message as one in the head.
+#[tokio::test(start_paused = true)]
+async fn chunked_response_with_an_invalid_trailer_is_not_forwarded() {
+    for line in ["X Y: 1", "X\u{1}Y: 1", "X : 1", " X: 1", ": 1", "X", "HTTP/1.1 200 OK", "X: \u{1}"] {
+        assert_not_forwarded(format!("{CHUNKED_HEAD}2\r\nno\r\n0\r\n{line}\r\n\r\n")).await;
+    }
+    let valid = format!("{CHUNKED_HEAD}2\r\nno\r\n0\r\nX-Sum: 1\r\nX-More: yes\r\n\r\n");
+    let world = TestCluster::with_routes(vec![vec![ScriptedResponse::Raw(valid.leak())]]).await;
+    for number in 0..2 {
+        assert_eq!(world.caller().await.ask("/write/a", &format!("r{number}")).await.text(), "no");
+    }
+    assert_eq!(world.served[0].back_end.connections(), 1, "the connection is reused");
+}
+
 /// Numbers in the fields of a response that are larger than any that makes sense.
 #[tokio::test(start_paused = true)]
 async fn response_with_too_large_numbers_is_forwarded() {
--- a/crates/forwarding/tests/endless_responses.rs
+++ b/crates/forwarding/tests/endless_responses.rs
@@ -53,3 +53,12 @@
         assert_eq!(reply_to("", status_line).await.status, 502);
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn endless_trailer_section_is_given_up() {
+    const CHUNKED: &str = "HTTP/1.1 200 OK\r\numberpond-request: {id}\r\nx-proof: p\r\n\
+                           Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n";
+    for repeated in ["X-More: yes\r\n", "no field at all\r\n"] {
+        reply_to(CHUNKED, repeated).await;
+    }
+}
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -5,8 +5,12 @@
 use crate::error::BodyError;
 use crate::framing::Framing;
 
-/// Longest accepted chunk header or trailer line, in bytes.
+/// Longest accepted chunk header, in bytes.
 const MAX_CHUNK_LINE: usize = 4096;
+/// Longest accepted trailer section, in bytes.
+const MAX_TRAILER_BYTES: usize = 16 * 1024;
+/// Maximum number of fields in a trailer section.
+const MAX_TRAILER_FIELDS: usize = 100;
 
 /// Result of a decoding step.
 pub(crate) enum Decoded {
@@ -89,10 +93,9 @@
                     Some(line) if line.is_empty() => self.position = Position::ChunkHead,
                     Some(_) => return Err(BodyError::Malformed),
                 },
-                Position::Trailer => match take_line(buffer)? {
+                Position::Trailer => match skip_trailer(buffer)? {
                     None => return Ok(Decoded::NeedsMore),
-                    Some(line) if line.is_empty() => self.position = Position::Done,
-                    Some(_trailer_field) => {}
+                    Some(()) => self.position = Position::Done,
                 },
             }
         }
@@ -137,6 +140,18 @@
     }
 }
 
+/// Skips the trailer section; `None` until it is complete.
+fn skip_trailer(buffer: &mut BytesMut) -> Result<Option<()>, BodyError> {
+    match httparse::parse_headers(buffer, &mut [httparse::EMPTY_HEADER; MAX_TRAILER_FIELDS]) {
+        Ok(httparse::Status::Complete((length, _fields))) => {
+            buffer.advance(length);
+            Ok(Some(()))
+        }
+        Ok(httparse::Status::Partial) if buffer.len() <= MAX_TRAILER_BYTES => Ok(None),
+        Ok(httparse::Status::Partial) | Err(_) => Err(BodyError::Malformed),
+    }
+}
+
 /// Takes the next line and returns it without CRLF; `None` until the line is complete.
 fn take_line(buffer: &mut BytesMut) -> Result<Option<Bytes>, BodyError> {
     let Some(end) = memchr::memchr(b'\n', buffer) else {
