A rejection doesn't wait for the end of its body

What callers saw: not reported; bytes without end. A back end said by its head that it had not run a request, and sent a body without end, or one that stopped early. The caller was told after 0.5 s or, where the body stopped, got 504 at its timeout in place of a 503 that promises that the request has not run.

Cause: the body of a rejection was read to its end before the rejection was reported, up to 1 MiB and up to the deadline, even if the connection could not be reused.

Why this works: the head decides. The body is read only to reuse the connection, for at most 20 ms; otherwise the connection is closed.

Two ways weighed: to read the body in a task of its own, which reports at once in every case, or to wait for a short time. A rejection usually comes in one piece with its head, so the second costs nothing there and leaves no task that reads on after its request.

--- a/crates/forwarding/src/upstream/exchange.rs
+++ b/crates/forwarding/src/upstream/exchange.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use tokio::io::ReadHalf;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 use umberpond_http1::{
     BodyDecoder, Fields, Framing, MessageReader, ResponseHead, response_framing, write_chunk,
     write_last_chunk, write_request_head,
@@ -27,6 +27,9 @@
 const MAX_BUFFERED_BODY: usize = 1024 * 1024;
 /// Time after the head for which a body is buffered. A body that takes longer is forwarded as it arrives.
 const BUFFERING_TIME: Duration = Duration::from_millis(150);
+/// Time for which the rest of a rejection is awaited so that its connection can be reused. The request waits
+/// meanwhile, although another back end may take it.
+const DISCARD_TIME: Duration = Duration::from_millis(20);
 /// Maximum number of responses to earlier requests that are skipped before the own one.
 const MAX_SURPLUS: u32 = 4;
 /// Maximum number of interim responses that are skipped before the own one.
@@ -323,10 +326,14 @@
         !is_success || (is_signed && !head.fields.contains("content-encoding"))
     }
 
+    /// Discards the body of a rejection and keeps the connection if the body ends soon.
     async fn discard(&self, mut connection: UpstreamConnection, framing: Framing, is_kept: bool) {
+        if !is_kept {
+            return;
+        }
         let mut decoder = BodyDecoder::new(framing);
-        let rest = connection.reader.whole_body(&mut decoder, MAX_BUFFERED_BODY).await;
-        if is_kept && matches!(rest, Ok(Some(_))) {
+        let reading = connection.reader.whole_body(&mut decoder, MAX_BUFFERED_BODY);
+        if matches!(timeout(DISCARD_TIME, reading).await, Ok(Ok(Some(_)))) {
             self.pool.put_back(connection);
         }
     }
--- a/crates/forwarding/tests/endless_responses.rs
+++ b/crates/forwarding/tests/endless_responses.rs
@@ -62,3 +62,28 @@
         reply_to(CHUNKED, repeated).await;
     }
 }
+
+/// The head says that the request has not run, so the caller learns that at once and may repeat the request.
+#[tokio::test(start_paused = true)]
+async fn rejection_with_an_endless_body_is_reported_at_once() {
+    const UNFRAMED: &str = "HTTP/1.1 503 Full\r\numberpond-rejected: 1\r\n\r\n";
+    const CHUNKED: &str = "HTTP/1.1 503 Full\r\numberpond-rejected: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const LONG: &str = "HTTP/1.1 503 Full\r\numberpond-rejected: 1\r\nContent-Length: 9999999999\r\n\r\n";
+    for (head, repeated) in [(UNFRAMED, "more"), (CHUNKED, "4\r\nmore\r\n"), (LONG, "more")] {
+        let reply = reply_to(head, repeated).await;
+        assert_eq!(reply.status, 503);
+        assert!(reply.fields.contains("retry-after"));
+    }
+}
+
+/// As above, with a body that stops after its first bytes.
+#[tokio::test(start_paused = true)]
+async fn rejection_with_an_unfinished_body_is_reported_at_once() {
+    const UNFINISHED: ScriptedResponse =
+        ScriptedResponse::Raw("HTTP/1.1 503 Full\r\numberpond-rejected: 1\r\nContent-Length: 9\r\n\r\nFull");
+    let world = TestCluster::with_routes(vec![vec![UNFINISHED, ok("next")]]).await;
+    let began = Instant::now();
+    assert_eq!(world.caller().await.ask("/write/a", "r1").await.status, 503);
+    assert!(began.elapsed() <= OBJECTIVE, "{:?}", began.elapsed());
+    assert_eq!(world.caller().await.ask("/write/a", "r2").await.text(), "next");
+}
