A surplus response without an end doesn't hold the next request

A back end that began a response to an earlier request and didn't end it held the next request on that connection until a limit of 1 MiB was reached, or until its timeout if the bytes came slowly.

Cause: the body of a surplus response was skipped with a limit of its size only.

Evidence: endless_surplus_response_is_given_up gets 502 after 536 ms, beyond the objective of 500 ms, without the change in exchange.rs, and within it with the change. endless_body_is_forwarded_until_the_timeout_and_then_truncated passes on: the caller of a body without end gets what comes until its timeout and a truncated end, the connection is closed and the slot is free.

Why this works: the rest of a surplus response is awaited for 150 ms, as the body of a response is buffered. After that the exchange is invalid, and an idempotent request goes elsewhere within its objective.

--- a/crates/forwarding/src/upstream/exchange.rs
+++ b/crates/forwarding/src/upstream/exchange.rs
@@ -30,6 +30,8 @@
 /// Time for which the rest of a rejection is awaited so that its connection can be reused. The request waits
 /// meanwhile, although another back end may take it.
 const DISCARD_TIME: Duration = Duration::from_millis(20);
+/// Time for which the rest of a response to an earlier request is awaited. The own response can't come before it.
+const SKIP_TIME: Duration = Duration::from_millis(150);
 /// Maximum number of responses to earlier requests that are skipped before the own one.
 const MAX_SURPLUS: u32 = 4;
 /// Maximum number of interim responses that are skipped before the own one.
@@ -408,7 +410,7 @@
 }
 
 /// Skips the body of a response to an earlier request; returns `false` if the end of the body cannot be
-/// determined.
+/// determined, or doesn't come soon.
 async fn skip_body(
     reader: &mut MessageReader<ReadHalf<BoxStream>>,
     head: &ResponseHead,
@@ -419,5 +421,6 @@
         return false;
     }
     let mut decoder = BodyDecoder::new(framing);
-    matches!(reader.whole_body(&mut decoder, MAX_BUFFERED_BODY).await, Ok(Some(_)))
+    let reading = reader.whole_body(&mut decoder, MAX_BUFFERED_BODY);
+    matches!(timeout(SKIP_TIME, reading).await, Ok(Ok(Some(_))))
 }
--- a/crates/forwarding/tests/endless_responses.rs
+++ b/crates/forwarding/tests/endless_responses.rs
@@ -87,3 +87,37 @@
     assert!(began.elapsed() <= OBJECTIVE, "{:?}", began.elapsed());
     assert_eq!(world.caller().await.ask("/write/a", "r2").await.text(), "next");
 }
+
+/// The own response comes after the surplus one, so it can't come any more on this connection.
+#[tokio::test(start_paused = true)]
+async fn endless_surplus_response_is_given_up() {
+    const SURPLUS: &str = "HTTP/1.1 200 OK\r\numberpond-request: earlier\r\nx-proof: p\r\n";
+    let long = format!("{SURPLUS}Content-Length: 9999999999\r\n\r\n");
+    let chunked = format!("{SURPLUS}Transfer-Encoding: chunked\r\n\r\n");
+    for (head, repeated) in [(long, "more"), (chunked, "4\r\nmore\r\n")] {
+        assert_eq!(reply_to(head.leak(), repeated).await.status, 502);
+    }
+}
+
+/// The caller gets what comes until its timeout, and sees that it isn't all.
+#[tokio::test(start_paused = true)]
+async fn endless_body_is_forwarded_until_the_timeout_and_then_truncated() {
+    const TIMEOUT: Duration = Duration::from_secs(2);
+    const SIGNED: &str = "HTTP/1.1 200 OK\r\numberpond-request: {id}\r\nx-proof: p\r\n";
+    let unframed = format!("{SIGNED}\r\n");
+    let long = format!("{SIGNED}Content-Length: 9999999999\r\n\r\n");
+    let chunked = format!("{SIGNED}Transfer-Encoding: chunked\r\n\r\n");
+    for (head, repeated) in [(unframed, "more"), (long, "more"), (chunked, "4\r\nmore\r\n")] {
+        let endless = ScriptedResponse::Endless { first: head.leak(), repeated };
+        let world = TestCluster::with_routes(vec![vec![endless, ok("next")]]).await;
+        let began = Instant::now();
+        let reply = world.caller().await.ask("/write/a", "r1").await;
+        let taken = began.elapsed();
+        assert_eq!((reply.status, reply.body), (200, None), "a truncated response");
+        assert!(taken <= TIMEOUT + Duration::from_millis(100), "{taken:?}");
+        pause(50).await;
+        assert_eq!(world.served[0].back_end.closed().len(), 1, "the node has not closed the connection");
+        assert_eq!(world.served[0].inbound.load().running, 0, "the slot is still held");
+        assert_eq!(world.caller().await.ask("/write/a", "r2").await.text(), "next");
+    }
+}
