A response body ends at its deadline even if it never pauses

What callers saw: not reported; bytes without end. On the node beside the back end a caller that reads as fast as the bytes come got them beyond its timeout, and the request kept its slot as long.

Cause: the deadline was watched only while a read waited. A read that finds bytes returns them without a look at the time.

Between two nodes the other node ends such a body: endless_body_that_never_pauses_ends_at_the_timeout passes without the change.

Why this works: the time is compared before each part.

--- a/crates/forwarding/src/upstream/body.rs
+++ b/crates/forwarding/src/upstream/body.rs
@@ -39,8 +39,13 @@
             return Ok(Some(first));
         }
         let Some(connection) = &mut self.connection else { return Ok(None) };
-        let reading = timeout_at(self.deadline, connection.reader.body_part(&mut self.decoder));
-        let read = reading.await.ok().and_then(Result::ok);
+        // The timeout alone does not end a body whose next part is always there already.
+        let read = if Instant::now() < self.deadline {
+            let reading = timeout_at(self.deadline, connection.reader.body_part(&mut self.decoder));
+            reading.await.ok().and_then(Result::ok)
+        } else {
+            None
+        };
         let Some(part) = read else {
             self.connection = None;
             self.permit = None;
@@ -61,3 +66,6 @@
         self.permit = None;
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/forwarding/tests/broken_responses.rs
+++ b/crates/forwarding/tests/broken_responses.rs
@@ -140,8 +140,12 @@
     const SHORT_BODY: usize = 8_000;
     const LONG_BODY: usize = 300_000;
     for body_bytes in [SHORT_BODY, LONG_BODY] {
-        let connection =
-            ScriptedConnection { accepted_bytes: 4_000, next_write: NextWrite::Reset, response: UNFRAMED };
+        let connection = ScriptedConnection {
+            accepted_bytes: 4_000,
+            next_write: NextWrite::Reset,
+            response: UNFRAMED,
+            repeated: "",
+        };
         let reply = reply_to_upload(body_bytes, connection).await;
         assert_eq!(reply.status, 502, "{body_bytes} bytes: {reply:?}");
     }
@@ -149,8 +153,12 @@
 
 #[tokio::test(start_paused = true)]
 async fn response_without_length_is_complete_if_it_ends_before_the_upload() {
-    let connection =
-        ScriptedConnection { accepted_bytes: 4_000, next_write: NextWrite::Blocked, response: UNFRAMED };
+    let connection = ScriptedConnection {
+        accepted_bytes: 4_000,
+        next_write: NextWrite::Blocked,
+        response: UNFRAMED,
+        repeated: "",
+    };
     let reply = reply_to_upload(300_000, connection).await;
     assert_eq!((reply.status, reply.text()), (200, "part of it"));
 }
--- a/crates/forwarding/tests/endless_responses.rs
+++ b/crates/forwarding/tests/endless_responses.rs
@@ -6,11 +6,14 @@
 
 use support::back_end::{ScriptedResponse, ok};
 use support::caller::ReceivedResponse;
-use support::{TestCluster, pause};
-use tokio::time::Instant;
+use support::transport::{NextWrite, ScriptedConnection};
+use support::{TestCluster, host, pause};
+use tokio::time::{Instant, timeout};
 
 /// Objective of the routes. A response that can't become valid any more has to be given up within it.
 const OBJECTIVE: Duration = Duration::from_millis(500);
+/// Timeout of the routes.
+const TIMEOUT: Duration = Duration::from_secs(2);
 
 /// The reply to a non-idempotent request whose back end writes `first`, and then `repeated` without end. The
 /// node has to reply within the objective and to close the connection.
@@ -102,7 +105,6 @@
 /// The caller gets what comes until its timeout, and sees that it isn't all.
 #[tokio::test(start_paused = true)]
 async fn endless_body_is_forwarded_until_the_timeout_and_then_truncated() {
-    const TIMEOUT: Duration = Duration::from_secs(2);
     const SIGNED: &str = "HTTP/1.1 200 OK\r\numberpond-request: {id}\r\nx-proof: p\r\n";
     let unframed = format!("{SIGNED}\r\n");
     let long = format!("{SIGNED}Content-Length: 9999999999\r\n\r\n");
@@ -121,3 +123,30 @@
         assert_eq!(world.caller().await.ask("/write/a", "r2").await.text(), "next");
     }
 }
+
+/// Each read of the node finds more bytes, so the node never waits for the next part.
+#[tokio::test(start_paused = true)]
+async fn endless_body_that_never_pauses_ends_at_the_timeout() {
+    const BODY_BYTES: usize = 100_000;
+    /// Bandwidth of the link between the two nodes in bytes per second. It is slower than the back end.
+    const LINK_RATE: u32 = 1_000_000;
+    let world = TestCluster::with_connection(ScriptedConnection {
+        accepted_bytes: 4_000,
+        next_write: NextWrite::Blocked,
+        response: "HTTP/1.1 200 OK\r\numberpond-request: r1\r\nx-proof: p\r\n\r\n",
+        repeated: "more and more and more",
+    })
+    .await;
+    world.network.limit_bandwidth(host(10), LINK_RATE);
+    let mut caller = world.caller().await;
+    let head = "POST /write/a HTTP/1.1\r\nHost: x.example\r\numberpond-request: r1\r\n";
+    caller.write(format!("{head}Content-Length: {BODY_BYTES}\r\n\r\n")).await;
+    caller.write(vec![b'x'; BODY_BYTES]).await;
+    let began = Instant::now();
+    let head = caller.read_head().await;
+    assert_eq!(head.status, 200);
+    let end = timeout(TIMEOUT * 2, caller.discard()).await;
+    assert!(end.is_ok(), "bytes still come after {:?}", began.elapsed());
+    assert!(began.elapsed() <= TIMEOUT + Duration::from_millis(100), "{:?}", began.elapsed());
+    assert_eq!(world.served[0].inbound.load().running, 0, "the slot is still held");
+}
--- a/crates/forwarding/tests/support/caller.rs
+++ b/crates/forwarding/tests/support/caller.rs
@@ -60,6 +60,11 @@
         self.reader.response_head(64 * 1024).await.expect("a response head")
     }
 
+    /// Discards what arrives until the connection ends.
+    pub async fn discard(&mut self) {
+        self.reader.discard_until_gone().await;
+    }
+
     /// Reads the body that follows `head`; `None` if it ends prematurely.
     pub async fn read_rest(&mut self, head: &ResponseHead) -> Option<Vec<u8>> {
         let mut decoder = BodyDecoder::new(response_framing(head, b"GET").unwrap());
--- a/crates/forwarding/tests/support/transport.rs
+++ b/crates/forwarding/tests/support/transport.rs
@@ -17,8 +17,10 @@
     pub accepted_bytes: usize,
     /// What happens to that write.
     pub next_write: NextWrite,
-    /// The bytes that arrive after it, followed by the end of the stream.
+    /// The bytes that arrive after it.
     pub response: &'static str,
+    /// The bytes that follow again and again, without a pause. If there are none, the stream ends.
+    pub repeated: &'static str,
 }
 
 /// What happens to a write.
@@ -55,8 +57,9 @@
 struct ScriptedStream {
     left_to_accept: usize,
     next_write: NextWrite,
-    /// The rest of the response.
+    /// The bytes that arrive next.
     response: &'static [u8],
+    repeated: &'static [u8],
     has_response: bool,
     reader: Option<Waker>,
 }
@@ -67,6 +70,7 @@
             left_to_accept: connection.accepted_bytes,
             next_write: connection.next_write,
             response: connection.response.as_bytes(),
+            repeated: connection.repeated.as_bytes(),
             has_response: false,
             reader: None,
         }
@@ -83,6 +87,9 @@
             self.reader = Some(context.waker().clone());
             return Poll::Pending;
         }
+        if self.response.is_empty() {
+            self.response = self.repeated;
+        }
         let (part, rest) = self.response.split_at(self.response.len().min(buffer.remaining()));
         buffer.put_slice(part);
         self.response = rest;
