A caller that stops reading a long response doesn't hold its slot

What callers saw: not reported; bytes without end. A caller that asked for a body without end and stopped reading, without closing, kept the slot of the back end for good, also beyond its own timeout: other callers lost that slot.

Cause: its node waits in a write, and so does the node beside the back end, so nobody watches the deadline of the body.

Evidence: endless_body_ends_at_the_timeout_if_the_caller_stops_reading finds the slot held 0.2 s after the timeout without the change, and free, both connections closed, with it.

Why this works: both writers of a long body, to the caller and to the other node, stop at the deadline of the body. A body that is complete is written as before.

--- a/crates/forwarding/src/hop/client.rs
+++ b/crates/forwarding/src/hop/client.rs
@@ -357,6 +357,10 @@
         self.length
     }
 
+    pub(crate) const fn deadline(&self) -> Instant {
+        self.deadline
+    }
+
     pub(crate) async fn next_part(&mut self) -> Result<Option<Bytes>, ResponseBodyError> {
         let Some(mut connection) = self.connection.take() else { return Ok(None) };
         let frame = timeout_at(self.deadline, connection.reader.next())
--- a/crates/forwarding/src/hop/server.rs
+++ b/crates/forwarding/src/hop/server.rs
@@ -1,11 +1,13 @@
 //! Server side of an exchange between nodes, on the back end's node.
 
 use std::collections::VecDeque;
+use std::io;
 use std::sync::Arc;
 
 use tokio::io::{ReadHalf, WriteHalf};
 use tokio::sync::mpsc;
-use umberpond_net::{BoxStream, FrameReader, FrameWriter};
+use tokio::time::timeout_at;
+use umberpond_net::{BoxStream, FrameError, FrameReader, FrameWriter};
 
 use super::protocol::{HopBody, HopRequest, HopResponse, HopResponseHead, OpenExchange};
 use crate::body::{BodyFlowControl, BodyPart, PendingBody};
@@ -104,7 +106,7 @@
     }
 }
 
-async fn send_result(writer: &mut Writer, result: AttemptResult) -> Result<(), umberpond_net::FrameError> {
+async fn send_result(writer: &mut Writer, result: AttemptResult) -> Result<(), FrameError> {
     match result {
         AttemptResult::Answered(response) => send_response(writer, response).await,
         AttemptResult::NotRun(not_run) => writer.send(&HopResponse::NotRun(not_run.into())).await.map(drop),
@@ -112,18 +114,32 @@
     }
 }
 
-async fn send_response(writer: &mut Writer, mut response: Response) -> Result<(), umberpond_net::FrameError> {
+async fn send_response(writer: &mut Writer, response: Response) -> Result<(), FrameError> {
     if let ResponseBody::Whole(whole) = &response.body {
         let message = HopResponseHead::of(&response, HopBody::Whole(whole.to_vec()));
         return writer.send(&HopResponse::Answered(Box::new(message))).await.map(drop);
     }
     let message = HopResponseHead::of(&response, HopBody::Parts(response.body.length()));
     writer.send(&HopResponse::Answered(Box::new(message))).await?;
+    let deadline = response.body.deadline();
+    let sending = send_body(writer, response.body);
+    match deadline {
+        // The other node may have stopped reading, so that no write returns.
+        Some(deadline) => timeout_at(deadline, sending).await.unwrap_or(Err(timed_out())),
+        None => sending.await,
+    }
+}
+
+async fn send_body(writer: &mut Writer, mut body: ResponseBody) -> Result<(), FrameError> {
     loop {
-        match response.body.next_part().await {
+        match body.next_part().await {
             Ok(Some(part)) => writer.send(&HopResponse::BodyPart(part.to_vec())).await?,
             Ok(None) => return writer.send(&HopResponse::BodyEnd).await.map(drop),
             Err(_broken) => return writer.send(&HopResponse::BodyBroken).await.map(drop),
         };
     }
 }
+
+fn timed_out() -> FrameError {
+    FrameError::Transport(io::ErrorKind::TimedOut.into())
+}
--- a/crates/forwarding/src/message.rs
+++ b/crates/forwarding/src/message.rs
@@ -237,6 +237,15 @@
         }
     }
 
+    /// Time after which no part of the body is of use; `None` if the body is complete.
+    pub(crate) const fn deadline(&self) -> Option<Instant> {
+        match self {
+            Self::Whole(_) => None,
+            Self::Upstream(body) => Some(body.deadline()),
+            Self::Hop(body) => Some(body.deadline()),
+        }
+    }
+
     /// Returns the next part, or `None` at the end of the complete body.
     ///
     /// # Errors
--- a/crates/forwarding/src/server/writer.rs
+++ b/crates/forwarding/src/server/writer.rs
@@ -4,6 +4,7 @@
 
 use bytes::BytesMut;
 use tokio::io::{AsyncWrite, AsyncWriteExt};
+use tokio::time::timeout_at;
 use umberpond_http1::{Framing, write_chunk, write_last_chunk, write_response_head};
 
 use crate::message::ResponseBody;
@@ -46,7 +47,13 @@
         return Ok(WriteOutcome::Whole);
     }
     writer.write_all(&buffer).await?;
-    write_body(writer, reply.body, framing).await
+    let deadline = reply.body.deadline();
+    let writing = write_body(writer, reply.body, framing);
+    match deadline {
+        // The caller may have stopped reading, so that no write returns.
+        Some(deadline) => timeout_at(deadline, writing).await.unwrap_or(Ok(WriteOutcome::Truncated)),
+        None => writing.await,
+    }
 }
 
 async fn write_body<W: AsyncWrite + Unpin>(
--- a/crates/forwarding/src/upstream/body.rs
+++ b/crates/forwarding/src/upstream/body.rs
@@ -29,6 +29,10 @@
         self.length
     }
 
+    pub(crate) const fn deadline(&self) -> Instant {
+        self.deadline
+    }
+
     /// Holds the slot of the request until the body has ended.
     pub(crate) fn hold(&mut self, permit: Permit) {
         self.permit = Some(permit);
--- a/crates/forwarding/tests/endless_responses.rs
+++ b/crates/forwarding/tests/endless_responses.rs
@@ -150,3 +150,21 @@
     assert!(began.elapsed() <= TIMEOUT + Duration::from_millis(100), "{:?}", began.elapsed());
     assert_eq!(world.served[0].inbound.load().running, 0, "the slot is still held");
 }
+
+/// A caller that stops reading must not keep the slot of the back end: its node can't write any more, so
+/// nobody waits for the next part of the body.
+#[tokio::test(start_paused = true)]
+async fn endless_body_ends_at_the_timeout_if_the_caller_stops_reading() {
+    const BODY: ScriptedResponse = ScriptedResponse::Endless {
+        first: "HTTP/1.1 200 OK\r\numberpond-request: {id}\r\nx-proof: p\r\n\r\n",
+        repeated: "more",
+    };
+    let world = TestCluster::with_routes(vec![vec![BODY, ok("next")]]).await;
+    let mut caller = world.caller().await;
+    caller.send("/write/a", "r1").await;
+    tokio::time::sleep(TIMEOUT + Duration::from_millis(200)).await;
+    assert_eq!(world.served[0].inbound.load().running, 0, "the slot is still held");
+    assert_eq!(world.served[0].back_end.closed().len(), 1, "the node has not closed the connection");
+    assert_eq!(world.control.open_requests(), 0, "the caller's node still holds the request");
+    drop(caller);
+}
