A stopping node withholds requests that it can't finish

In a planned stop requests that came late were passed on and cut at the end of the grace period. Here: with requests that take 3 s and a grace of 6 s, those sent from 2.1 s after the signal to the refusal of all at 2.75 s ran and got 504 at 5.1 s, also on a route whose requests may not be repeated. Requests that came later were refused at once and not passed on, before and after this change.

Cause: a request that arrives while the process shuts down got the end of the process as its timeout, and was sent however long its response was expected to take.

Evidence: each_request_is_served_or_refused_in_time (30 ms to 3 s a request, one each 50 ms from 4 s before the signal to the end) fails with 504 for a request sent at 2.1 s that had run; with the change each request is answered with 200, or with 503 and Retry-After within 50 ms, and has not run.

Why this works: before each attempt the expected time of the response is compared with the time left; more than three quarters of it, and the request is refused as not run, which its caller may repeat whatever its kind. The decision is shutdown_limit.rs, tested without a network. 4042 names both figures.

Two ways weighed: to refuse all requests earlier, which would refuse short ones that are served now, or to hold the process longer, which the grace period forbids.

--- a/crates/forwarding/src/outbound/attempts.rs
+++ b/crates/forwarding/src/outbound/attempts.rs
@@ -122,6 +122,9 @@
             if self.undelivered_attempts > MAX_UNGUIDED_ATTEMPTS && !choice.has_free_slot {
                 return self.not_run(last);
             }
+            if let Err(not_run) = self.check_shutdown(&choice) {
+                return self.not_run(not_run);
+            }
             let Some(body) = self.request.body.for_attempt() else { return self.not_run(last) };
             self.service_time = choice.service;
             self.on_trial_sent(&choice);
--- a/crates/forwarding/src/outbound/handler.rs
+++ b/crates/forwarding/src/outbound/handler.rs
@@ -32,7 +32,7 @@
 const MAX_TIMEOUT_AT_START: Duration = Duration::from_secs(3);
 
 /// Retry delay for a caller whose node is about to stop.
-const RETRY_AFTER_RESTART: Duration = Duration::from_millis(700);
+pub(super) const RETRY_AFTER_RESTART: Duration = Duration::from_millis(700);
 
 /// Part of the caller's timeout that is reserved for transferring the response to it.
 const RESPONSE_RESERVE: Duration = Duration::from_millis(15);
@@ -51,7 +51,7 @@
             Err(reply) => return reply,
         };
         if let Some(response_deadline) = control.response_deadline() {
-            request.timeout = request.timeout.min(response_deadline.saturating_duration_since(arrived));
+            request.limit_by_shutdown(response_deadline);
         }
         if let Err(reply) = self.take_quota(&mut request).await {
             return reply;
@@ -134,6 +134,7 @@
             arrived: SuspendAwareInstant::new(arrived, self.inbound.suspended()),
             timeout,
             caller_timeout,
+            shutdown_limit: None,
             is_caller_retry,
             origin: source.origin,
             run: source.run,
--- a/crates/forwarding/src/outbound/prepared.rs
+++ b/crates/forwarding/src/outbound/prepared.rs
@@ -11,6 +11,7 @@
 use umberpond_quarantine::RequestKey;
 use umberpond_scheduling::{Dependent, WaitBounds};
 
+use super::shutdown_limit::ShutdownLimit;
 use crate::message::{RequestBody, RunCall};
 use crate::quotas::QuotaPermit;
 use crate::retries::{CallOrigin, RunContext};
@@ -44,6 +45,8 @@
     pub(super) timeout: Duration,
     /// Timeout that the caller sent, or else that of the route.
     pub(super) caller_timeout: Duration,
+    /// The end of this process, if it shuts down before the request's timeout.
+    pub(super) shutdown_limit: Option<ShutdownLimit>,
     /// Whether the caller sent the request before and was refused.
     pub(super) is_caller_retry: bool,
     /// Whether a run at the local back end made the request, and whether that run is a retry.
@@ -53,6 +56,14 @@
 }
 
 impl PreparedRequest {
+    /// Ends the request by `response_deadline`, because the process shuts down.
+    pub(super) fn limit_by_shutdown(&mut self, response_deadline: Instant) {
+        if response_deadline < self.deadline() {
+            self.timeout = response_deadline.saturating_duration_since(self.arrived.at());
+            self.shutdown_limit = Some(ShutdownLimit { response_deadline });
+        }
+    }
+
     /// Data about the run that makes the request, if it is a call.
     pub(super) fn call(&self) -> Option<RunCall> {
         let run = self.run.as_ref()?;
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -169,6 +169,8 @@
         = 4040, Info, "trial-claimed", "This node has asked the store for the next trial run of a quarantined request. `claimed`: it may send the request once, as the trial run with this number over all nodes; `not-due`: another trial run was claimed a short time ago; `exhausted`: no trial runs are left; `failed`: the store did not confirm the claim.";
     TrialStarted { request: String, fingerprint: String, trial: u64, node: NodeName }
         = 4041, Info, "trial-started", "A quarantined request is sent as a trial run, to the back end beside this node. A response clears it (4029); a crash confirms the quarantine (3012, 4030).";
+    LateRequestWithheld { request: String, service: ServiceName, expected_millis: u64, left_millis: u64 }
+        = 4042, Info, "late-request-withheld", "This node is shutting down, and its process ends in `left_millis`, too soon for a response that is expected in `expected_millis`. The request was not sent to a back end; 4021 with `reason=stopping` follows.";
 
     // Store
     PlatformUnavailable { operation: &'static str, reason: String }
