The back end of a stopping node stays closed

An announcement that changes what it knows of the back end (other slots, another process) opened it again, so that a node that had not heard of the stop could still send requests until the process ended.

Cause: the shutdown used the same close as a back end that drains, which the next announcement may undo.

Why this works: the inbound half remembers that the process shuts down, and opening it then only records the back end.

--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -87,7 +87,7 @@
         self.wait_for_unready_responses(started_at, MAX_BACK_END_WAIT).await;
         let _ = self.membership.send_message(MembershipMessage::Phase(MemberPhase::Leaving));
         sleep(ARRIVAL_MARGIN).await;
-        self.inbound.close();
+        self.inbound.shut_down();
     }
 
     /// Serves the callers beside this node until they have left, and refuses late requests.
--- a/crates/forwarding/src/inbound/back_end.rs
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -132,6 +132,8 @@
     pub(super) access: ArcSwapOption<InboundAccess>,
     /// Whether operators have evacuated the zone of this node.
     pub(super) is_evacuated: AtomicBool,
+    /// Whether the process shuts down.
+    is_shutting_down: AtomicBool,
     /// Whether the rollout of the service routes any requests to the back end's release.
     is_release_open: AtomicBool,
     pub(super) response_tallies: Mutex<ResponseTally>,
@@ -175,6 +177,7 @@
             may_serve: AtomicBool::new(true),
             access: ArcSwapOption::empty(),
             is_evacuated: AtomicBool::new(false),
+            is_shutting_down: AtomicBool::new(false),
             is_release_open: AtomicBool::new(true),
             response_tallies: Mutex::default(),
             runs: Arc::new(ActiveRuns::new(header_profile.call_separator)),
@@ -194,7 +197,7 @@
         receiver
     }
 
-    /// Starts to accept requests for `back_end`.
+    /// Starts to accept requests for `back_end`, unless the process shuts down.
     pub fn open(&self, back_end: BackEnd) {
         let mut current = self.current.lock();
         let is_same = current.as_ref().is_some_and(|held| {
@@ -214,9 +217,12 @@
                 CurrentBackEnd::new(back_end.clone(), self.new_pool(back_end.address))
             }
         };
-        self.admission.open(back_end.slots);
-        self.transfers.open();
-        *current = Some(CurrentBackEnd { back_end, is_open: true, is_leaving: false, ..held });
+        let is_open = !self.is_shutting_down.load(Ordering::Relaxed);
+        if is_open {
+            self.admission.open(back_end.slots);
+            self.transfers.open();
+        }
+        *current = Some(CurrentBackEnd { back_end, is_open, is_leaving: false, ..held });
     }
 
     /// Handles the replacement of `before` by another process of the back end. If `before` was still
@@ -237,6 +243,12 @@
         self.transfers.close();
     }
 
+    /// Stops accepting requests for good, because the process shuts down.
+    pub fn shut_down(&self) {
+        self.is_shutting_down.store(true, Ordering::Relaxed);
+        self.close();
+    }
+
     /// Service of the back end, if one is known.
     #[must_use]
     pub fn service(&self) -> Option<ServiceName> {
--- a/crates/forwarding/tests/leaving.rs
+++ b/crates/forwarding/tests/leaving.rs
@@ -145,3 +145,25 @@
     assert_eq!(late.read().await.unwrap().status, 504);
     assert!(began.elapsed() < Duration::from_millis(800), "{:?}", began.elapsed());
 }
+
+/// A heartbeat that changes what is known of the back end opened it again, although its node was about to end.
+#[tokio::test(start_paused = true)]
+async fn back_end_of_a_stopping_node_stays_closed_whatever_it_announces() {
+    let world = TestCluster::with_routes(vec![vec![ok("a")]]).await;
+    let served = &world.served[0];
+    let back_end = |slots, instance: &str| BackEnd {
+        process: BackEndProcess::of(instance),
+        service: "archive".parse().unwrap(),
+        release: None,
+        address: "10.0.0.10:102".parse().unwrap(),
+        slots,
+    };
+    served.inbound.shut_down();
+    for (number, back_end) in
+        [back_end(5, &served.endpoint.instance), back_end(2, "next-life")].into_iter().enumerate()
+    {
+        served.inbound.open(back_end);
+        assert_eq!(world.caller().await.ask("/write/a", &format!("r{number}")).await.status, 503);
+    }
+    assert_eq!(world.arrivals(), 0);
+}
