A stopping node withholds requests of other nodes that it can't finish

A node that stops goes on serving its back end to other nodes for up to 1.9 s. Requests taken then whose response came after the end of the process were cut: callers of another node got 502 for requests that ran, also on a route whose requests may not be repeated.

Cause: the inbound half knew nothing of the end of the process.

Why this works: the same comparison of expected and remaining time, on arrival and again when a slot is free. The request is refused as not run, and the caller's node sends it to another back end.

--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -49,7 +49,9 @@
         telemetry.emit(Event::DrainStarted { timeout_millis: millis(self.config.grace) });
         telemetry.metrics().set_ready(false);
         telemetry.emit(Event::BecameUnready { reason: Unready::Stopping.to_string() });
-        self.control.start_drain(started_at + self.config.grace.saturating_sub(RESPONSE_RESERVE));
+        let response_deadline = started_at + self.config.grace.saturating_sub(RESPONSE_RESERVE);
+        self.control.start_drain(response_deadline);
+        self.inbound.start_drain(response_deadline);
         tokio::join!(self.drain_back_end(started_at), self.refuse_late_callers(started_at));
         let cut = self.wait_until_finished(started_at).await;
         let _ = self.membership.send_message(MembershipMessage::Phase(MemberPhase::Left));
--- a/crates/forwarding/src/inbound/back_end.rs
+++ b/crates/forwarding/src/inbound/back_end.rs
@@ -25,6 +25,7 @@
 use crate::quarantine::Quarantine;
 use crate::retries::{ActiveRuns, RetryLedger};
 use crate::routing::TenantTable;
+use crate::shutdown_limit::ShutdownLimit;
 use crate::suspended_time::SuspendedTime;
 use crate::upstream::{Health, ReportedSlowdown, UpstreamPool, UpstreamSettings, probe_health};
 
@@ -132,8 +133,10 @@
     pub(super) access: ArcSwapOption<InboundAccess>,
     /// Whether operators have evacuated the zone of this node.
     pub(super) is_evacuated: AtomicBool,
-    /// Whether the process shuts down.
+    /// Whether the process shuts down and accepts no more requests.
     is_shutting_down: AtomicBool,
+    /// Limit on the requests that arrive until then.
+    pub(super) shutdown_limit: OnceLock<ShutdownLimit>,
     /// Whether the rollout of the service routes any requests to the back end's release.
     is_release_open: AtomicBool,
     pub(super) response_tallies: Mutex<ResponseTally>,
@@ -178,6 +181,7 @@
             access: ArcSwapOption::empty(),
             is_evacuated: AtomicBool::new(false),
             is_shutting_down: AtomicBool::new(false),
+            shutdown_limit: OnceLock::new(),
             is_release_open: AtomicBool::new(true),
             response_tallies: Mutex::default(),
             runs: Arc::new(ActiveRuns::new(header_profile.call_separator)),
@@ -243,6 +247,12 @@
         self.transfers.close();
     }
 
+    /// Starts the shutdown of the process: requests are accepted only if their response is expected well before
+    /// `response_deadline`.
+    pub fn start_drain(&self, response_deadline: Instant) {
+        self.shutdown_limit.get_or_init(|| ShutdownLimit { response_deadline });
+    }
+
     /// Stops accepting requests for good, because the process shuts down.
     pub fn shut_down(&self) {
         self.is_shutting_down.store(true, Ordering::Relaxed);
--- a/crates/forwarding/src/inbound/serving.rs
+++ b/crates/forwarding/src/inbound/serving.rs
@@ -80,6 +80,7 @@
 
     /// Waits until the request may be sent to the back end.
     async fn wait_for_grant(&self, attempt: &mut Attempt, target: &Target) -> Result<Grant, Rejection> {
+        self.check_shutdown(attempt)?;
         self.check_calls(attempt)?;
         self.check_call_capacity(attempt)?;
         let arrived = SuspendAwareInstant::new(Instant::now(), &self.suspended);
@@ -112,6 +113,7 @@
             return Err(NotRun::before_back_end(NotRunReason::Evacuated));
         }
         count_suspension(attempt, arrived)?;
+        self.check_shutdown(attempt)?;
         // Other retried runs may have started while this one waited.
         self.check_calls(attempt)?;
         let place = self.check_place(attempt, target, place)?;
@@ -135,6 +137,22 @@
         self.suspect_limiter.try_acquire(&target.watch, request, target.back_end.slots)
     }
 
+    /// Rejects a request if the process shuts down before its response can be expected.
+    fn check_shutdown(&self, attempt: &Attempt) -> Result<(), NotRun> {
+        let Some(limit) = self.shutdown_limit.get() else { return Ok(()) };
+        let now = Instant::now();
+        if limit.allows(now, attempt.service_time) {
+            return Ok(());
+        }
+        self.telemetry.emit(Event::LateRequestWithheld {
+            request: id_text(&attempt.id),
+            service: attempt.service.clone(),
+            expected_millis: millis(attempt.service_time),
+            left_millis: millis(limit.left(now)),
+        });
+        Err(NotRun::before_back_end(NotRunReason::Stopping))
+    }
+
     /// Rejects a retried run if the retry budget does not cover its calls. Without them the run would fail,
     /// and hold a slot until then.
     fn check_calls(&self, attempt: &Attempt) -> Result<(), NotRun> {
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -24,6 +24,7 @@
 mod retries;
 mod routing;
 mod server;
+mod shutdown_limit;
 mod suspended_time;
 mod upstream;
 
--- a/crates/forwarding/src/outbound/attempts/observation.rs
+++ b/crates/forwarding/src/outbound/attempts/observation.rs
@@ -60,7 +60,9 @@
 fn not_run_observation(not_run: &NotRun) -> Observation {
     match (not_run.reason, not_run.load) {
         (NotRunReason::NodeUnreachable | NotRunReason::WrongInstance | NotRunReason::Draining, _)
-        | (NotRunReason::BackEndUnreachable | NotRunReason::Evacuated, _) => Observation::Unreachable,
+        | (NotRunReason::BackEndUnreachable | NotRunReason::Evacuated | NotRunReason::Stopping, _) => {
+            Observation::Unreachable
+        }
         // These say nothing about the load of the back end.
         (NotRunReason::RetryBudget | NotRunReason::CallsOverloaded | NotRunReason::Quarantined, _)
         | (NotRunReason::SuspectPaused | NotRunReason::SuspectBusy, _) => Observation::Abandoned,
--- a/crates/forwarding/src/outbound/mod.rs
+++ b/crates/forwarding/src/outbound/mod.rs
@@ -10,7 +10,6 @@
 mod prepared;
 mod reply;
 mod retry_delay;
-mod shutdown_limit;
 mod state;
 #[cfg(test)]
 mod tests;
--- a/crates/forwarding/src/outbound/prepared.rs
+++ b/crates/forwarding/src/outbound/prepared.rs
@@ -11,11 +11,11 @@
 use umberpond_quarantine::RequestKey;
 use umberpond_scheduling::{Dependent, WaitBounds};
 
-use super::shutdown_limit::ShutdownLimit;
 use crate::message::{RequestBody, RunCall};
 use crate::quotas::QuotaPermit;
 use crate::retries::{CallOrigin, RunContext};
 use crate::routing::CompiledRoute;
+use crate::shutdown_limit::ShutdownLimit;
 use crate::suspended_time::SuspendAwareInstant;
 
 /// A request that has been matched to a route.
--- a/crates/forwarding/src/outbound/shutdown_limit.rs
+++ b/crates/forwarding/src/shutdown_limit.rs
@@ -8,22 +8,22 @@
 /// expected.
 const EXPECTED_RESPONSE_SHARE: f64 = 0.75;
 
-/// The end of the process as a limit on a request that arrived during its shutdown.
+/// The end of the process as a limit on requests that arrive during its shutdown.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct ShutdownLimit {
-    /// Time by which the request must have its final reply.
-    pub(super) response_deadline: Instant,
+pub(crate) struct ShutdownLimit {
+    /// Time by which every request must have its final response.
+    pub(crate) response_deadline: Instant,
 }
 
 impl ShutdownLimit {
-    /// Time left at `now` until the request must have its final reply.
-    pub(super) fn left(&self, now: Instant) -> Duration {
+    /// Time left at `now` until every request must have its final response.
+    pub(crate) fn left(&self, now: Instant) -> Duration {
         self.response_deadline.saturating_duration_since(now)
     }
 
     /// Whether a request may be sent at `now` to a back end whose response is expected after `expected`. A
     /// request that is sent and then cut off may have run, so its caller may be unable to repeat it.
-    pub(super) fn allows(&self, now: Instant, expected: Duration) -> bool {
+    pub(crate) fn allows(&self, now: Instant, expected: Duration) -> bool {
         expected <= self.left(now).mul_f64(EXPECTED_RESPONSE_SHARE)
     }
 }
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -170,7 +170,7 @@
     TrialStarted { request: String, fingerprint: String, trial: u64, node: NodeName }
         = 4041, Info, "trial-started", "A quarantined request is sent as a trial run, to the back end beside this node. A response clears it (4029); a crash confirms the quarantine (3012, 4030).";
     LateRequestWithheld { request: String, service: ServiceName, expected_millis: u64, left_millis: u64 }
-        = 4042, Info, "late-request-withheld", "This node is shutting down, and its process ends in `left_millis`, too soon for a response that is expected in `expected_millis`. The request was not sent to a back end; 4021 with `reason=stopping` follows.";
+        = 4042, Info, "late-request-withheld", "This node is shutting down, and requests have to end within `left_millis`, too soon for a response that is expected in `expected_millis`. The request was not sent on: on its caller's node 4021 with `reason=stopping` follows, on the node beside the back end 4024, and another back end may take it.";
 
     // Store
     PlatformUnavailable { operation: &'static str, reason: String }
