A duration that can't be added to a point in time is invalid

Here: a heartbeat with 'warmupLeft' of 9999999999999999999s ended the task that read it; the caller of the control address got a closed connection, and the sequence number of the heartbeat was kept, so that later ones of the back end with lower numbers were ignored.

Cause: the text is a valid duration of Rust, and adding it to the present panics. The process itself goes on, since a panic ends one task only.

Why this works: every duration that is read from text is at most 100 years, so none can overflow, in heartbeats, rollout orders, configurations and settings alike.

--- a/crates/daemon/src/settings/duration.rs
+++ b/crates/daemon/src/settings/duration.rs
@@ -6,9 +6,12 @@
 
 /// A text that is not a valid duration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
-#[error("a duration is a number followed by `ms`, `s` or `m`")]
+#[error("a duration is a number followed by `ms`, `s` or `m`, and at most 100 years")]
 pub struct InvalidDuration;
 
+/// Maximum duration. The sum of a point in time and a much longer duration can't be represented.
+const MAX_DURATION: Duration = Duration::from_secs(100 * 365 * 24 * 3_600);
+
 /// Parses a duration.
 ///
 /// # Errors
@@ -25,5 +28,6 @@
         "m" => 60.0,
         _ => return Err(InvalidDuration),
     };
-    Duration::try_from_secs_f64(number * seconds_per_unit).map_err(|_| InvalidDuration)
+    let duration = Duration::try_from_secs_f64(number * seconds_per_unit).ok();
+    duration.filter(|duration| *duration <= MAX_DURATION).ok_or(InvalidDuration)
 }
