One odd name doesn't hide the other nodes in the product's own store

What callers saw: not reported; found with the report on odd entries, in the product's own directory. An entry under a name that no request path can hold made the whole list unreadable, so that no node could join.

Cause: each listed entry is read by its name, and any failed read fails the list.

Evidence: odd_entries_leave_the_others_readable gets no list without the change in directory.rs and the other entry with it.

Why this works: an entry is under the name of its node, so another name is none of ours and isn't read.

--- a/crates/operator/src/directory.rs
+++ b/crates/operator/src/directory.rs
@@ -7,7 +7,7 @@
 use futures_util::stream::{self, StreamExt};
 use umberpond_daemon::{DirectoryError, Listing, MemberDirectory};
 use umberpond_membership::DirectoryEntry;
-use umberpond_model::StoreEra;
+use umberpond_model::{NodeName, StoreEra};
 use umberpond_store::{ObjectKind, ObjectStore, PlatformError};
 
 /// Maximum number of entries read at a start. Nodes learn of the others through membership messages.
@@ -56,7 +56,8 @@
 
     async fn list(&self) -> Result<Listing, DirectoryError> {
         let page = self.store.list(ObjectKind::Nodes, None, MAX_ENTRIES).await.map_err(directory_error)?;
-        let names = page.items.into_iter().map(|item| item.name);
+        // No node has written an entry under another name.
+        let names = page.items.into_iter().map(|item| item.name).filter(|name| NodeName::new(name).is_ok());
         let read = stream::iter(names)
             .map(|name| async move { self.store.get(ObjectKind::Nodes, &name).await })
             .buffered(CONCURRENT_READS);
