Tests: a broken health response counts as none

The cause of the invalid status, looked for where health checks are read. Invalid field names and lines that are no head were handled before.

--- a/crates/forwarding/tests/broken_responses.rs
+++ b/crates/forwarding/tests/broken_responses.rs
@@ -2,10 +2,10 @@
 
 mod support;
 
-use support::TestCluster;
 use support::back_end::{ScriptedResponse, ok};
 use support::caller::ReceivedResponse;
 use support::transport::{NextWrite, ScriptedConnection};
+use support::{BACK_END_PORT, TestCluster, host};
 
 /// Header fields and body of a valid response.
 const VALID_REST: &str = "umberpond-request: {id}\r\nx-proof: p\r\nContent-Length: 2\r\n\r\nno";
@@ -119,6 +119,24 @@
     }
 }
 
+/// Neither the state of the back end nor its signals are read from such a response.
+#[tokio::test(start_paused = true)]
+async fn broken_health_response_counts_as_none() {
+    const FIELDS: &str = "umberpond-serving-instance: life-10\r\numberpond-leaving: 1\r\n\
+                          umberpond-request-limit: 0\r\nContent-Length: 0\r\n\r\n";
+    let heads =
+        ["HTTP/1.1 000 OK\r\n", "HTTP/1.1 999 OK\r\n", "HTTP/1.1 200 OK\r\nX Y: 1\r\n", "no response\r\n"];
+    for head in heads {
+        let world = TestCluster::with_routes(vec![vec![ok("next")]]).await;
+        let served = &world.served[0];
+        served.back_end.set_raw_health(format!("{head}{FIELDS}").leak());
+        let address = std::net::SocketAddr::new(host(10), BACK_END_PORT);
+        assert_eq!(served.inbound.probe_health(address, "/well").await, None, "{head:?}");
+        assert_eq!(served.inbound.request_limit(), None, "{head:?}");
+        assert_eq!(world.caller().await.ask("/write/a", "r1").await.text(), "next", "{head:?}");
+    }
+}
+
 /// Part of a response that ends with its connection.
 const UNFRAMED: &str = "HTTP/1.1 200 OK\r\numberpond-request: r1\r\nx-proof: p\r\n\r\npart of it";
 
--- a/crates/forwarding/tests/support/back_end.rs
+++ b/crates/forwarding/tests/support/back_end.rs
@@ -65,6 +65,8 @@
 struct State {
     /// Load in health responses; [`HEALTH_LOAD`] if `None`.
     health_load: Option<&'static str>,
+    /// Written in place of health responses, if set.
+    raw_health: Option<&'static str>,
     received: Vec<ReceivedRequest>,
     connections: usize,
     closed: Vec<(usize, Instant)>,
@@ -108,6 +110,11 @@
         self.state.lock().health_load = Some(load);
     }
 
+    /// Writes `raw` in place of all further health responses.
+    pub fn set_raw_health(&self, raw: &'static str) {
+        self.state.lock().raw_health = Some(raw);
+    }
+
     pub fn connections(&self) -> usize {
         self.state.lock().connections
     }
@@ -124,6 +131,11 @@
     let limits = ReadLimits { head_bytes: 64 * 1024, head_time: Duration::from_secs(60) };
     while let Ok(Some(head)) = reader.request_head(limits).await {
         if &head.target[..] == b"/well" {
+            let raw = state.lock().raw_health;
+            if let Some(raw) = raw {
+                writer.write_all(raw.as_bytes()).await.unwrap();
+                continue;
+            }
             let load = state.lock().health_load.unwrap_or(HEALTH_LOAD);
             let response = format!(
                 "HTTP/1.1 200 OK\r\numberpond-serving-instance: {instance}\r\numberpond-load: {load}\r\n\
