A broken response counts as a failure of its release

Cause: rollouts compare the responses of two releases, and only valid responses were counted, so a release without any had no failures.

Why this works: an invalid or truncated response is one of the back end, and a failed one. A connection that ends without a response isn't counted, since full back ends may reset connections. The selection of back ends counted such responses as failures already.

--- a/crates/forwarding/src/inbound/serving.rs
+++ b/crates/forwarding/src/inbound/serving.rs
@@ -363,6 +363,9 @@
             }
             ExchangeEnd::Unknown(reason) => {
                 self.admission.record_response(false);
+                if reason.is_broken_response() {
+                    self.response_tallies.lock().record(attempt.route, false, permit.elapsed());
+                }
                 drop(run_watch);
                 let has_crashed = reason.is_broken_connection() && self.check_crash(target).await;
                 let reason = if has_crashed { UnknownReason::BackEndCrashed } else { reason };
--- a/crates/forwarding/src/outcome.rs
+++ b/crates/forwarding/src/outcome.rs
@@ -116,6 +116,11 @@
         matches!(self, Self::BackEndClosed | Self::TruncatedResponse)
     }
 
+    /// Whether the back end responded, and the response is not usable.
+    pub(crate) const fn is_broken_response(self) -> bool {
+        matches!(self, Self::InvalidResponse | Self::TruncatedResponse)
+    }
+
     /// The reason as an identifier for logs, metrics and callers.
     #[must_use]
     pub const fn as_str(self) -> &'static str {
