A malformed body is logged as an invalid response

Cause: every error of a body was reported as a truncated one.

Evidence: malformed_body_is_logged_as_an_invalid_response finds answer-cut without the change in exchange.rs and answer-spoiled with it. Callers get 502 either way.

--- a/crates/forwarding/src/upstream/exchange.rs
+++ b/crates/forwarding/src/upstream/exchange.rs
@@ -7,8 +7,8 @@
 use tokio::io::ReadHalf;
 use tokio::time::{Instant, timeout, timeout_at};
 use umberpond_http1::{
-    BodyDecoder, Fields, Framing, MessageReader, ResponseHead, response_framing, write_chunk,
-    write_last_chunk, write_request_head,
+    BodyDecoder, BodyError, Fields, Framing, HeadError, MessageReader, ResponseHead, response_framing,
+    write_chunk, write_last_chunk, write_request_head,
 };
 use umberpond_net::BoxStream;
 
@@ -285,7 +285,7 @@
         while buffered.len() <= MAX_BUFFERED_BODY {
             let part = match timeout_at(buffer_until, connection.reader.body_part(&mut decoder)).await {
                 Ok(Ok(part)) => part,
-                Ok(Err(_broken)) => return Ok(ExchangeEnd::Unknown(UnknownReason::TruncatedResponse)),
+                Ok(Err(error)) => return Ok(ExchangeEnd::Unknown(body_failure(&error))),
                 Err(_elapsed) => break,
             };
             let Some(part) = part else {
@@ -353,14 +353,20 @@
     if has_written { HeadFailure::Unknown(UnknownReason::BackEndClosed) } else { HeadFailure::NothingWritten }
 }
 
-fn head_failure(error: umberpond_http1::HeadError) -> HeadFailure {
-    use umberpond_http1::HeadError;
+fn head_failure(error: HeadError) -> HeadFailure {
     HeadFailure::Unknown(match error {
         HeadError::Truncated | HeadError::Transport(_) => UnknownReason::BackEndClosed,
         HeadError::Malformed | HeadError::TooLarge | HeadError::TooSlow => UnknownReason::InvalidResponse,
     })
 }
 
+const fn body_failure(error: &BodyError) -> UnknownReason {
+    match error {
+        BodyError::Malformed => UnknownReason::InvalidResponse,
+        BodyError::Truncated | BodyError::Transport(_) => UnknownReason::TruncatedResponse,
+    }
+}
+
 /// Writes the whole request. If the connection fails after a part of it, the back end may have responded before
 /// it read everything, so its response is still read.
 async fn write_whole(
--- a/crates/forwarding/tests/broken_responses.rs
+++ b/crates/forwarding/tests/broken_responses.rs
@@ -6,6 +6,7 @@
 use support::caller::ReceivedResponse;
 use support::transport::{NextWrite, ScriptedConnection};
 use support::{BACK_END_PORT, TestCluster, host};
+use umberpond_telemetry::Event;
 
 /// Header fields and body of a valid response.
 const VALID_REST: &str = "umberpond-request: {id}\r\nx-proof: p\r\nContent-Length: 2\r\n\r\nno";
@@ -98,6 +99,23 @@
     assert_eq!(world.served[0].back_end.connections(), 1, "the connection is reused");
 }
 
+/// On-call looks for the fault in what the back end sent, not in its connections.
+#[tokio::test(start_paused = true)]
+async fn malformed_body_is_logged_as_an_invalid_response() {
+    let broken = format!("{CHUNKED_HEAD}2\r\nno\r\nno size\r\n");
+    let world = TestCluster::with_routes(vec![vec![ScriptedResponse::Raw(broken.leak())]]).await;
+    assert_eq!(world.caller().await.ask("/write/a", "r1").await.status, 502);
+    let reasons: Vec<&str> = world.recorder.events().into_iter().filter_map(lost_reason).collect();
+    assert_eq!(reasons, ["answer-spoiled"]);
+}
+
+fn lost_reason(event: Event) -> Option<&'static str> {
+    match event {
+        Event::ExchangeLost { reason, .. } => Some(reason),
+        _ => None,
+    }
+}
+
 /// Numbers in the fields of a response that are larger than any that makes sense.
 #[tokio::test(start_paused = true)]
 async fn response_with_too_large_numbers_is_forwarded() {
