Check idle connections to the back end twice a second

What callers saw: nothing; from the users' findings. A back end that sent bytes without end after a whole response kept sending until the connection was used next or checked, up to 2 s later.

Cause: idle connections were checked together with those between nodes, every 2 s.

Requests never saw these bytes: a connection is checked before it is used, which is shown by bytes_after_a_complete_response_are_not_taken_for_the_next_response.

--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -45,6 +45,9 @@
 
 /// Interval at which connections that exceed the idle timeout are closed.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(2);
+/// Interval at which idle connections to the back end are checked. One on which bytes arrive that no request asked
+/// for is closed.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Timeout for the reply of an actor.
 const ACTOR_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -378,6 +381,7 @@
         tasks.spawn(publish_request_limits(Arc::clone(&self.back_end)));
         tasks.spawn(check_low_limits(Arc::clone(&self.back_end)));
         tasks.spawn(run_maintenance(Arc::clone(&self.inbound), Arc::clone(&self.outbound)));
+        tasks.spawn(check_idle_connections(Arc::clone(&self.inbound)));
         if let Some(back_end) = self.config.back_end {
             self.start_health_checks(&mut tasks, back_end);
         }
@@ -423,10 +427,16 @@
     }
 }
 
+async fn check_idle_connections(inbound: Arc<Inbound>) {
+    loop {
+        tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
+        inbound.close_expired();
+    }
+}
+
 async fn run_maintenance(inbound: Arc<Inbound>, outbound: Arc<Outbound>) {
     loop {
         tokio::time::sleep(EXPIRY_INTERVAL).await;
-        inbound.close_expired();
         inbound.report_tenant_shares();
         outbound.close_expired();
     }
