Tests: more responses whose end a failed upload leaves unproved

HTTP/1.0, an empty body and a failure status, each after a short and a long upload that was reset; and the connection of an invalid response is closed at once.

--- a/crates/forwarding/tests/broken_responses.rs
+++ b/crates/forwarding/tests/broken_responses.rs
@@ -5,7 +5,7 @@
 use support::back_end::{ScriptedResponse, ok};
 use support::caller::ReceivedResponse;
 use support::transport::{NextWrite, ScriptedConnection};
-use support::{BACK_END_PORT, TestCluster, host};
+use support::{BACK_END_PORT, TestCluster, host, pause};
 use umberpond_telemetry::Event;
 
 /// Header fields and body of a valid response.
@@ -22,6 +22,8 @@
     assert_eq!(reply.status, 502, "{broken:?} gave {reply:?}");
     assert!(!reply.fields.contains("x-proof"), "the signature of the back end belongs to its own response");
     assert_eq!(world.arrivals(), 1, "the outcome is unknown");
+    pause(5).await;
+    assert_eq!(world.served[0].back_end.closed().len(), 1, "the connection is closed at once");
     assert_eq!(world.caller().await.ask("/write/a", "r2").await.text(), "next");
     assert_eq!(world.served[0].back_end.connections(), 2, "the first connection must not be reused");
 }
@@ -175,15 +177,20 @@
 async fn response_without_length_is_truncated_if_the_upload_was_reset() {
     const SHORT_BODY: usize = 8_000;
     const LONG_BODY: usize = 300_000;
+    const OLD_VERSION: &str = "HTTP/1.0 200 OK\r\numberpond-request: r1\r\nx-proof: p\r\n\r\npart of it";
+    const NO_BODY: &str = "HTTP/1.1 200 OK\r\numberpond-request: r1\r\nx-proof: p\r\n\r\n";
+    const FAILURE: &str = "HTTP/1.1 413 Long\r\numberpond-request: r1\r\nx-proof: p\r\n\r\npart of it";
     for body_bytes in [SHORT_BODY, LONG_BODY] {
-        let connection = ScriptedConnection {
-            accepted_bytes: 4_000,
-            next_write: NextWrite::Reset,
-            response: UNFRAMED,
-            repeated: "",
-        };
-        let reply = reply_to_upload(body_bytes, connection).await;
-        assert_eq!(reply.status, 502, "{body_bytes} bytes: {reply:?}");
+        for response in [UNFRAMED, OLD_VERSION, NO_BODY, FAILURE] {
+            let connection = ScriptedConnection {
+                accepted_bytes: 4_000,
+                next_write: NextWrite::Reset,
+                response,
+                repeated: "",
+            };
+            let reply = reply_to_upload(body_bytes, connection).await;
+            assert_eq!(reply.status, 502, "{body_bytes} bytes, {response:?}: {reply:?}");
+        }
     }
 }
 
