--- a/crates/store/tests/client.rs
+++ b/crates/store/tests/client.rs
@@ -28,8 +28,13 @@
     Sends(&'static str),
     /// Sends the text and keeps the connection open.
     SendsAndHangs(&'static str),
+    /// Sends the first text, and then the second one until the client closes the connection.
+    SendsForEver(&'static str, &'static str),
 }
 
+/// Size of the blocks that a peer sends for ever, in bytes.
+const BLOCK_BYTES: usize = 64 * 1024;
+
 #[async_trait]
 impl Network for Peer {
     async fn connect(&self, _to: SocketAddr) -> io::Result<BoxStream> {
@@ -55,6 +60,14 @@
     if let Peer::Sends(text) | Peer::SendsAndHangs(text) = peer {
         let _ = stream.write_all(text.as_bytes()).await;
     }
+    if let Peer::SendsForEver(first, repeated) = peer {
+        let block = repeated.repeat(BLOCK_BYTES.div_ceil(repeated.len()));
+        let _ = stream.write_all(first.as_bytes()).await;
+        while stream.write_all(block.as_bytes()).await.is_ok() {
+            sleep(Duration::from_millis(1)).await;
+        }
+        return;
+    }
     if !matches!(peer, Peer::Sends(_)) {
         sleep(Duration::from_secs(3_600)).await;
     }
@@ -87,7 +100,17 @@
     let busy = "HTTP/1.1 429 Too Many Requests\r\nretry-after: 7\r\ncontent-length: 0\r\n\r\n";
     let failed = "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n";
     let rejected = "HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\n\r\n";
+    let without_status = "HTTP/1.1 000 OK\r\nobject-version: 4\r\ncontent-length: 0\r\n\r\n";
+    let invalid_name = "HTTP/1.1 200 OK\r\nobject version: 4\r\ncontent-length: 0\r\n\r\n";
+    let without_chunk_size =
+        "HTTP/1.1 200 OK\r\nobject-version: 4\r\ntransfer-encoding: chunked\r\n\r\n4\r\npart\r\n\r\n\r\n";
     let cases = [
+        (Peer::Sends(without_status), unknown(UnknownCause::ConnectionLost)),
+        (Peer::Sends(invalid_name), unknown(UnknownCause::ConnectionLost)),
+        (Peer::Sends(without_chunk_size), unknown(UnknownCause::ConnectionLost)),
+        (Peer::SendsForEver("HTTP/1.1 200 OK\r\nx: ", "more"), unknown(UnknownCause::ConnectionLost)),
+        (Peer::SendsForEver("HTTP/1.1 200 OK\r\n\r\n", "more"), unknown(UnknownCause::ResponseTooLarge)),
+        (Peer::SendsForEver("", "HTTP/1.1 100 Continue\r\n\r\n"), unknown(UnknownCause::Timeout)),
         (Peer::Refuses, not_sent(NotSentCause::ConnectionFailed)),
         (Peer::NeverConnects, not_sent(NotSentCause::ConnectTimeout)),
         (Peer::Hangs, unknown(UnknownCause::Timeout)),
