Inbound half: the shutdown limits only requests that would outlast it

A request whose own deadline comes before the end of the process isn't withheld because of the shutdown, as on the caller's node. Read in the diff; the tests of planned stops pass as before.

--- a/crates/forwarding/src/inbound/serving.rs
+++ b/crates/forwarding/src/inbound/serving.rs
@@ -141,7 +141,8 @@
     fn check_shutdown(&self, attempt: &Attempt) -> Result<(), NotRun> {
         let Some(limit) = self.shutdown_limit.get() else { return Ok(()) };
         let now = Instant::now();
-        if limit.allows(now, attempt.service_time) {
+        let ends_before = attempt.deadline < limit.response_deadline;
+        if ends_before || limit.allows(now, attempt.service_time) {
             return Ok(());
         }
         self.telemetry.emit(Event::LateRequestWithheld {
