One copy of the check for late requests, and request checks in a file of their own

Read in the diff: both halves of a node compared the expected time of a response with the time left, logged the same event and built the same rejection.

--- a/crates/forwarding/src/inbound/mod.rs
+++ b/crates/forwarding/src/inbound/mod.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod back_end;
 mod crash_watch;
+mod request_checks;
 mod response_observer;
 mod serving;
 mod suspect_limiter;
--- a/crates/forwarding/src/inbound/serving.rs
+++ b/crates/forwarding/src/inbound/serving.rs
@@ -1,4 +1,4 @@
-//! Serving of a request: checks, admission, and the exchange with the back end.
+//! Serving of a request: admission and the exchange with the back end.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 use umberpond_http1::Fields;
 use umberpond_quarantine::SuspicionLevel;
-use umberpond_scheduling::{PendingRun, Refusal, WorkItem};
+use umberpond_scheduling::{Refusal, WorkItem};
 use umberpond_telemetry::Event;
 
 use super::admission::Permit;
@@ -137,61 +137,6 @@
         self.suspect_limiter.try_acquire(&target.watch, request, target.back_end.slots)
     }
 
-    /// Rejects a request if the process shuts down before its response can be expected.
-    fn check_shutdown(&self, attempt: &Attempt) -> Result<(), NotRun> {
-        let Some(limit) = self.shutdown_limit.get() else { return Ok(()) };
-        let now = Instant::now();
-        let ends_before = attempt.deadline < limit.response_deadline;
-        if ends_before || limit.allows(now, attempt.service_time) {
-            return Ok(());
-        }
-        self.telemetry.emit(Event::LateRequestWithheld {
-            request: id_text(&attempt.id),
-            service: attempt.service.clone(),
-            expected_millis: millis(attempt.service_time),
-            left_millis: millis(limit.left(now)),
-        });
-        Err(NotRun::before_back_end(NotRunReason::Stopping))
-    }
-
-    /// Rejects a retried run if the retry budget does not cover its calls. Without them the run would fail,
-    /// and hold a slot until then.
-    fn check_calls(&self, attempt: &Attempt) -> Result<(), NotRun> {
-        if !attempt.is_retry {
-            return Ok(());
-        }
-        let Some(ledger) = self.ledger.get() else { return Ok(()) };
-        if ledger.can_afford_calls(attempt.route, self.runs.retried_runs(attempt.route) + 1) {
-            return Ok(());
-        }
-        Err(NotRun::before_back_end(NotRunReason::RetryBudget))
-    }
-
-    /// Rejects a run that would fail for lack of its calls, while other requests need its slot.
-    fn check_call_capacity(&self, attempt: &Attempt) -> Result<(), NotRun> {
-        let Some(ledger) = self.ledger.get() else { return Ok(()) };
-        let calls = ledger.expected_calls(attempt.route);
-        if calls.is_empty() || !self.admission.is_slot_wanted() {
-            return Ok(());
-        }
-        let plan = PendingRun {
-            route: attempt.route,
-            priority: attempt.priority,
-            level: attempt.level(),
-            calls: &calls,
-        };
-        let Err(refusal) = self.calls.begin_run(&plan) else { return Ok(()) };
-        self.telemetry.emit(Event::RunWithheld {
-            request: id_text(&attempt.id),
-            service: attempt.service.clone(),
-            called: refusal.called,
-            failing_percent: percent(refusal.failure_share),
-            come_back_millis: millis(refusal.retry_after),
-        });
-        let not_run = NotRun::before_back_end(NotRunReason::CallsOverloaded);
-        Err(NotRun { retry_after: Some(refusal.retry_after), ..not_run })
-    }
-
     /// Waits for a slot. A request whose body arrives over the link waits for the transfer to be admitted
     /// first, so that it holds no slot in the meantime.
     async fn admit(&self, attempt: &mut Attempt) -> Result<Permit, Refusal> {
@@ -259,16 +204,6 @@
         }
     }
 
-    /// Checks that the tenant is known here and that the request may be served in this node's region.
-    fn check_access(&self, attempt: &Attempt) -> Result<(), NotRunReason> {
-        let access = self.access.load();
-        let Some(access) = access.as_deref() else { return Ok(()) };
-        if attempt.tenant.as_ref().is_some_and(|tenant| !access.tenants.knows(tenant)) {
-            return Err(NotRunReason::UnknownTenant);
-        }
-        if attempt.homes.allow(&access.region) { Ok(()) } else { Err(NotRunReason::WrongLocality) }
-    }
-
     fn target(&self, attempt: &Attempt) -> Result<Target, NotRunReason> {
         self.check_access(attempt)?;
         let current = self.current.lock();
@@ -455,11 +390,6 @@
     Bytes::copy_from_slice(itoa::Buffer::new().format(value).as_bytes())
 }
 
-#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a share from 0 to 1")]
-fn percent(share: f64) -> u64 {
-    (share * 100.0).round() as u64
-}
-
 /// The caller's idempotency key as it is registered in the duplicate window. With another method or path the
 /// same key means another request; another query makes no difference.
 fn duplicate_key(key: &[u8], attempt: &Attempt) -> Vec<u8> {
--- a/crates/forwarding/src/outbound/attempts/endpoint_choice.rs
+++ b/crates/forwarding/src/outbound/attempts/endpoint_choice.rs
@@ -6,7 +6,6 @@
 use umberpond_telemetry::Event;
 
 use super::Attempts;
-use crate::inbound::millis;
 use crate::message::{NotRun, id_text};
 use crate::outbound::handler::RETRY_AFTER_RESTART;
 use crate::outcome::NotRunReason;
@@ -47,17 +46,10 @@
 
     /// Withholds the request if the process shuts down before the response of `choice` can be expected.
     pub(super) fn check_shutdown(&self, choice: &Choice) -> Result<(), NotRun> {
-        let now = Instant::now();
-        let limit = self.request.shutdown_limit.filter(|limit| !limit.allows(now, choice.total));
-        let Some(limit) = limit else { return Ok(()) };
-        self.outbound.telemetry.emit(Event::LateRequestWithheld {
-            request: id_text(&self.request.id),
-            service: self.request.service.clone(),
-            expected_millis: millis(choice.total),
-            left_millis: millis(limit.left(now)),
-        });
-        let not_run = NotRun::before_back_end(NotRunReason::Stopping);
-        Err(NotRun { retry_after: Some(RETRY_AFTER_RESTART), ..not_run })
+        let request = &self.request;
+        let Some(limit) = &request.shutdown_limit else { return Ok(()) };
+        let checked = limit.check(&self.outbound.telemetry, &request.id, &request.service, choice.total);
+        checked.map_err(|not_run| NotRun { retry_after: Some(RETRY_AFTER_RESTART), ..not_run })
     }
 
     /// Records that a trial run, if the request is one, is about to be sent to `choice`.
--- a/crates/forwarding/src/shutdown_limit.rs
+++ b/crates/forwarding/src/shutdown_limit.rs
@@ -3,6 +3,12 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
+use umberpond_model::ServiceName;
+use umberpond_telemetry::{Event, Telemetry};
+
+use crate::inbound::millis;
+use crate::message::{NotRun, id_text};
+use crate::outcome::NotRunReason;
 
 /// Share of the remaining time within which a response has to be expected. Many responses take longer than
 /// expected.
@@ -16,14 +22,35 @@
 }
 
 impl ShutdownLimit {
+    /// Withholds the request `id` if its response, which is expected after `expected`, would come too late.
+    pub(crate) fn check(
+        &self,
+        telemetry: &Telemetry,
+        id: &[u8],
+        service: &ServiceName,
+        expected: Duration,
+    ) -> Result<(), NotRun> {
+        let now = Instant::now();
+        if self.allows(now, expected) {
+            return Ok(());
+        }
+        telemetry.emit(Event::LateRequestWithheld {
+            request: id_text(id),
+            service: service.clone(),
+            expected_millis: millis(expected),
+            left_millis: millis(self.left(now)),
+        });
+        Err(NotRun::before_back_end(NotRunReason::Stopping))
+    }
+
     /// Time left at `now` until every request must have its final response.
-    pub(crate) fn left(&self, now: Instant) -> Duration {
+    fn left(&self, now: Instant) -> Duration {
         self.response_deadline.saturating_duration_since(now)
     }
 
     /// Whether a request may be sent at `now` to a back end whose response is expected after `expected`. A
     /// request that is sent and then cut off may have run, so its caller may be unable to repeat it.
-    pub(crate) fn allows(&self, now: Instant, expected: Duration) -> bool {
+    fn allows(&self, now: Instant, expected: Duration) -> bool {
         expected <= self.left(now).mul_f64(EXPECTED_RESPONSE_SHARE)
     }
 }
