Log announcements of a back end that have no effect

The tracker now decides in one function (`sender_of`) whose announcement it is, and says why one has no effect; 3015 `announcement-ignored` is written when process, current process or reason change.

The other tests were not run for this commit.

--- a/crates/daemon/src/back_end/mod.rs
+++ b/crates/daemon/src/back_end/mod.rs
@@ -14,5 +14,5 @@
 pub use monitor::BackEndMonitor;
 pub(crate) use probe::probe_at_start;
 pub(crate) use request_limits::{check_low_limits, publish_request_limits};
-pub use tracker::{BackEndTracker, CloseReason, Effect};
+pub use tracker::{BackEndTracker, CloseReason, Effect, IgnoreReason, IgnoredAnnouncement};
 pub(crate) use warmth::follow_warmth;
--- a/crates/daemon/src/back_end/monitor.rs
+++ b/crates/daemon/src/back_end/monitor.rs
@@ -13,7 +13,7 @@
 use umberpond_telemetry::{Event, Telemetry};
 
 use super::announcement::Announcement;
-use super::tracker::{BackEndTracker, Effect};
+use super::tracker::{BackEndTracker, Effect, IgnoredAnnouncement};
 use crate::configuration::Activation;
 use crate::membership::MembershipMessage;
 
@@ -33,6 +33,8 @@
     published_limit: Mutex<Option<RequestRate>>,
     /// Notified when the request limit of the back end has changed.
     request_limit_change: Notify,
+    /// The ignored announcement that was logged last.
+    logged_ignored: Mutex<Option<IgnoredAnnouncement>>,
 }
 
 impl std::fmt::Debug for BackEndMonitor {
@@ -58,6 +60,7 @@
             telemetry,
             published_limit: Mutex::default(),
             request_limit_change: Notify::new(),
+            logged_ignored: Mutex::default(),
         })
     }
 
@@ -65,6 +68,7 @@
     pub fn announce(self: &Arc<Self>, announcement: &Announcement) {
         let effect = self.tracker.lock().on_announcement(now(), announcement);
         self.apply(effect);
+        self.emit_ignored(announcement);
         self.update_cold_start_limiter();
         self.publish_record_when_warm();
     }
@@ -177,6 +181,23 @@
         self.publish_record();
     }
 
+    /// Logs that an announcement had no effect, unless the one before was ignored for the same reason.
+    fn emit_ignored(&self, announcement: &Announcement) {
+        let last_ignored = self.tracker.lock().last_ignored().cloned();
+        let mut logged = self.logged_ignored.lock();
+        if *logged == last_ignored {
+            return;
+        }
+        logged.clone_from(&last_ignored);
+        let Some(ignored) = last_ignored else { return };
+        self.telemetry.emit(Event::AnnouncementIgnored {
+            announced: ignored.process.to_string(),
+            sequence: announcement.sequence,
+            current: ignored.current.map_or_else(|| "none".to_owned(), |current| current.to_string()),
+            reason: ignored.reason.as_str(),
+        });
+    }
+
     fn emit_state_changed(&self, state: &'static str, reason: &'static str) {
         let tracker = self.tracker.lock();
         let Some((back_end, sequence)) = tracker.current() else { return };
--- a/crates/daemon/src/back_end/tracker.rs
+++ b/crates/daemon/src/back_end/tracker.rs
@@ -40,6 +40,32 @@
     }
 }
 
+/// Why an announcement has no effect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum IgnoreReason {
+    /// Its process has ended.
+    Ended,
+    /// Its process started before the current one, which is alive.
+    StartedEarlier,
+    /// A later announcement of the same process has arrived before.
+    Outdated,
+    /// Its process has announced before that it is leaving.
+    Leaving,
+}
+
+impl IgnoreReason {
+    /// The reason as text, for logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Ended => "its process has ended",
+            Self::StartedEarlier => "its process started before the current one",
+            Self::Outdated => "a later announcement has arrived before",
+            Self::Leaving => "its process is leaving",
+        }
+    }
+}
+
 /// Action that the caller has to take after an event of the back end.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Effect {
@@ -77,6 +103,27 @@
     has_left: bool,
 }
 
+/// An announcement that had no effect.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct IgnoredAnnouncement {
+    /// Its process.
+    pub process: BackEndProcess,
+    /// The process that counted as the current one.
+    pub current: Option<BackEndProcess>,
+    /// Why it had no effect.
+    pub reason: IgnoreReason,
+}
+
+/// Sender of an announcement.
+enum Sender {
+    /// The current process.
+    Current,
+    /// A process that replaces the current one.
+    NewProcess,
+    /// Another process, or an earlier announcement: what is known already outranks it.
+    Outranked(IgnoreReason),
+}
+
 /// Tracks the processes of the back end beside this node.
 #[derive(Debug)]
 pub struct BackEndTracker {
@@ -84,6 +131,7 @@
     ended: VecDeque<EndedProcess>,
     /// Whether an earlier process of this node may have acknowledged that the current process is draining.
     may_be_draining: bool,
+    last_ignored: Option<IgnoredAnnouncement>,
 }
 
 impl BackEndTracker {
@@ -91,30 +139,22 @@
     /// have acknowledged draining and ended before it could inform other nodes.
     #[must_use]
     pub const fn new(may_be_draining: bool) -> Self {
-        Self { current: None, ended: VecDeque::new(), may_be_draining }
+        Self { current: None, ended: VecDeque::new(), may_be_draining, last_ignored: None }
     }
 
     /// Handles an announcement.
     pub fn on_announcement(&mut self, now: Instant, announcement: &Announcement) -> Effect {
-        let Some(process) = &mut self.current else {
-            return if self.has_ended(now, announcement) {
-                Effect::None
-            } else {
-                self.on_new_process(now, announcement)
-            };
-        };
-        if !process.may_have_sent(now, announcement) {
-            let is_late =
-                self.has_ended(now, announcement) || !self.may_be_succeeded_by(now, &announcement.process);
-            return if is_late { Effect::None } else { self.on_new_process(now, announcement) };
-        }
-        if !process.is_reconfirmed && process.sequence.is_some_and(|known| known >= announcement.sequence) {
-            return Effect::None;
+        match self.sender_of(now, announcement) {
+            Sender::Current => self.on_current_announcement(now, announcement),
+            Sender::NewProcess => self.on_new_process(now, announcement),
+            Sender::Outranked(reason) => self.ignore(announcement, reason),
         }
-        process.sequence = Some(announcement.sequence);
-        process.cold_until = now + announcement.cold_for;
-        process.last_seen_at = now;
-        self.on_current_announcement(announcement)
+    }
+
+    /// The last announcement that had no effect.
+    #[must_use]
+    pub const fn last_ignored(&self) -> Option<&IgnoredAnnouncement> {
+        self.last_ignored.as_ref()
     }
 
     /// Handles the withdrawal of `process`.
@@ -254,8 +294,38 @@
             .map_or(Duration::ZERO, |process| process.cold_until.saturating_duration_since(now))
     }
 
-    fn on_current_announcement(&mut self, announcement: &Announcement) -> Effect {
+    /// Which process counts as the sender of an announcement, or why it has no effect.
+    fn sender_of(&self, now: Instant, announcement: &Announcement) -> Sender {
+        if let Some(current) =
+            self.current.as_ref().filter(|current| current.may_have_sent(now, announcement))
+        {
+            return if current.is_outdated(announcement) {
+                Sender::Outranked(IgnoreReason::Outdated)
+            } else {
+                Sender::Current
+            };
+        }
+        if self.has_ended(now, announcement) {
+            return Sender::Outranked(IgnoreReason::Ended);
+        }
+        if !self.may_be_succeeded_by(now, &announcement.process) {
+            return Sender::Outranked(IgnoreReason::StartedEarlier);
+        }
+        Sender::NewProcess
+    }
+
+    fn ignore(&mut self, announcement: &Announcement, reason: IgnoreReason) -> Effect {
+        let current = self.current.as_ref().map(|current| current.back_end.process.clone());
+        self.last_ignored =
+            Some(IgnoredAnnouncement { process: announcement.process.clone(), current, reason });
+        Effect::None
+    }
+
+    fn on_current_announcement(&mut self, now: Instant, announcement: &Announcement) -> Effect {
         let Some(process) = &mut self.current else { return Effect::None };
+        process.sequence = Some(announcement.sequence);
+        process.cold_until = now + announcement.cold_for;
+        process.last_seen_at = now;
         if announcement.state == AnnouncedState::Draining {
             let is_change = process.state != BackEndState::Draining;
             process.set_start(&announcement.process);
@@ -263,7 +333,7 @@
             return if is_change { Effect::Close(CloseReason::Draining) } else { Effect::None };
         }
         match process.state {
-            BackEndState::Draining => Effect::None,
+            BackEndState::Draining => self.ignore(announcement, IgnoreReason::Leaving),
             BackEndState::Unreachable => Effect::Confirm(process.back_end.clone()),
             BackEndState::Ready => {
                 let announced = back_end(announcement);
@@ -366,6 +436,11 @@
         (known.may_equal(reported) || may_have_changed) && !self.must_have_ended(now, reported)
     }
 
+    /// Whether a later announcement of this process has arrived before.
+    fn is_outdated(&self, announcement: &Announcement) -> bool {
+        !self.is_reconfirmed && self.sequence.is_some_and(|known| known >= announcement.sequence)
+    }
+
     /// Whether this process may have ended: it can't be reached, or it has been silent for longer than an
     /// announcement is delayed.
     fn may_be_over(&self, now: Instant) -> bool {
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -125,6 +125,9 @@
     BackEndLeaving { instance: String, service: ServiceName, source: &'static str, request: String }
         = 3014, Info, "back-end-leaving", "A response of the back end says that it is about to shut down: this node sends it no new requests. `source` is as in 3013.";
 
+    AnnouncementIgnored { announced: String, sequence: u64, current: String, reason: &'static str }
+        = 3015, Info, "announcement-ignored", "A valid announcement has no effect, since other reports outrank it; `current` is the process that counts as the current one. Logged again only when one of these changes, `sequence` excepted.";
+
     // Requests
     DuplicateRefused { request: String }
         = 4005, Info, "duplicate-refused", "A request that had been admitted before arrived again and was refused.";
