An announcement of another back end than the settings name is refused

Cause: an announcement decided by itself which service the back end beside the node has and where it listens; the settings, which say both, were not compared. The foreign process took the place of the real one, whose heartbeats were then ignored as those of an ended process (3015 in the log of machine 2, see the postmortem). Ruled out: lost or refused heartbeats (answered 200, and logged), the health check at the start (3010).

Settings that change at run time count.

--- a/crates/daemon/src/back_end/mod.rs
+++ b/crates/daemon/src/back_end/mod.rs
@@ -1,6 +1,7 @@
 //! Announcements and health checks of the back end beside this node, and the state derived from them.
 
 mod announcement;
+mod assignment;
 mod check;
 mod monitor;
 mod probe;
@@ -9,6 +10,7 @@
 mod warmth;
 
 pub use announcement::{AnnouncedState, Announcement};
+pub use assignment::{BackEndAssignment, ForeignAnnouncement};
 pub use check::CheckSettings;
 pub(crate) use check::check_periodically;
 pub use monitor::BackEndMonitor;
--- a/crates/daemon/src/back_end/monitor.rs
+++ b/crates/daemon/src/back_end/monitor.rs
@@ -13,6 +13,7 @@
 use umberpond_telemetry::{Event, Telemetry};
 
 use super::announcement::Announcement;
+use super::assignment::{BackEndAssignment, ForeignAnnouncement};
 use super::tracker::{BackEndTracker, Effect, IgnoredAnnouncement};
 use crate::configuration::Activation;
 use crate::membership::MembershipMessage;
@@ -45,13 +46,14 @@
 
 impl BackEndMonitor {
     pub(crate) fn new(
+        assignment: BackEndAssignment,
         may_be_draining: bool,
         inbound: Arc<Inbound>,
         activation: Arc<Activation>,
         membership: ActorRef<MembershipMessage>,
         telemetry: Telemetry,
     ) -> Arc<Self> {
-        let tracker = Mutex::new(BackEndTracker::new(may_be_draining));
+        let tracker = Mutex::new(BackEndTracker::new(assignment, may_be_draining));
         Arc::new(Self {
             tracker,
             inbound,
@@ -64,13 +66,22 @@
         })
     }
 
+    /// Follows changed settings.
+    pub(crate) fn assign(&self, assignment: BackEndAssignment) {
+        self.tracker.lock().assign(assignment);
+    }
+
     /// Handles an announcement. If it announces draining, this node sends no new requests once this returns.
-    pub fn announce(self: &Arc<Self>, announcement: &Announcement) {
-        let effect = self.tracker.lock().on_announcement(now(), announcement);
+    ///
+    /// # Errors
+    /// Returns [`ForeignAnnouncement`] if it is not of the back end beside this node; it then has no effect.
+    pub fn announce(self: &Arc<Self>, announcement: &Announcement) -> Result<(), ForeignAnnouncement> {
+        let effect = self.tracker.lock().on_announcement(now(), announcement)?;
         self.apply(effect);
         self.emit_ignored(announcement);
         self.update_cold_start_limiter();
         self.publish_record_when_warm();
+        Ok(())
     }
 
     /// Handles the withdrawal of `process`. This node sends it no new requests once this returns.
--- a/crates/daemon/src/back_end/tracker.rs
+++ b/crates/daemon/src/back_end/tracker.rs
@@ -9,6 +9,7 @@
 use umberpond_model::BackEndProcess;
 
 use super::announcement::{AnnouncedState, Announcement};
+use super::assignment::{BackEndAssignment, ForeignAnnouncement};
 
 /// Number of ended processes that are remembered, so that a delayed announcement doesn't reopen one of them.
 const MAX_ENDED_PROCESSES: usize = 32;
@@ -127,6 +128,7 @@
 /// Tracks the processes of the back end beside this node.
 #[derive(Debug)]
 pub struct BackEndTracker {
+    assignment: BackEndAssignment,
     current: Option<TrackedProcess>,
     ended: VecDeque<EndedProcess>,
     /// Whether an earlier process of this node may have acknowledged that the current process is draining.
@@ -138,17 +140,30 @@
     /// Creates a tracker that knows no process yet. `may_be_draining`: an earlier process of this node may
     /// have acknowledged draining and ended before it could inform other nodes.
     #[must_use]
-    pub const fn new(may_be_draining: bool) -> Self {
-        Self { current: None, ended: VecDeque::new(), may_be_draining, last_ignored: None }
+    pub const fn new(assignment: BackEndAssignment, may_be_draining: bool) -> Self {
+        Self { assignment, current: None, ended: VecDeque::new(), may_be_draining, last_ignored: None }
+    }
+
+    /// Replaces the assignment, because the settings have changed.
+    pub fn assign(&mut self, assignment: BackEndAssignment) {
+        self.assignment = assignment;
     }
 
     /// Handles an announcement.
-    pub fn on_announcement(&mut self, now: Instant, announcement: &Announcement) -> Effect {
-        match self.sender_of(now, announcement) {
+    ///
+    /// # Errors
+    /// Returns [`ForeignAnnouncement`] if it is not of the back end that the settings place beside this node.
+    pub fn on_announcement(
+        &mut self,
+        now: Instant,
+        announcement: &Announcement,
+    ) -> Result<Effect, ForeignAnnouncement> {
+        self.assignment.check(announcement)?;
+        Ok(match self.sender_of(now, announcement) {
             Sender::Current => self.on_current_announcement(now, announcement),
             Sender::NewProcess => self.on_new_process(now, announcement),
             Sender::Outranked(reason) => self.ignore(announcement, reason),
-        }
+        })
     }
 
     /// The last announcement that had no effect.
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -23,8 +23,8 @@
 use umberpond_telemetry::{Event, Telemetry};
 
 use crate::back_end::{
-    BackEndMonitor, CheckSettings, check_low_limits, check_periodically, follow_warmth, probe_at_start,
-    publish_request_limits,
+    BackEndAssignment, BackEndMonitor, CheckSettings, check_low_limits, check_periodically, follow_warmth,
+    probe_at_start, publish_request_limits,
 };
 use crate::configuration::{
     Activation, ConfigurationActor, ConfigurationArguments, ConfigurationMessage, ConfigurationSource,
@@ -138,6 +138,7 @@
         let (configuration, _) = Actor::spawn(None, ConfigurationActor, arguments).await?;
         let _ = membership.send_message(MembershipMessage::ConfigurationActor(configuration.clone()));
         let back_end = BackEndMonitor::new(
+            BackEndAssignment::of(&config),
             !config.is_first_start,
             Arc::clone(&inbound),
             Arc::clone(&activation),
@@ -299,6 +300,7 @@
     /// Applies the settings that may change at run time; all others need a restart.
     pub fn reload(&self, config: &NodeConfig) {
         self.outbound.set_caller(config.service.clone());
+        self.back_end.assign(BackEndAssignment::of(config));
         let service = config.service.clone();
         self.environment.telemetry.emit(Event::SettingsReloaded { service });
     }
