A departure closes the back end whatever its start time or sequence number

Cause: who a report is about was decided anew for each kind of report. The health check confirms an identity without a start time; announcements allowed for that, withdrawals did not, so the current process was not recognized in its own withdrawal. The log has no 3010 `closed` at the acknowledgement, and two start times. Ruled out: a reopening by the late heartbeat, a lost withdrawal.

Change: `on_departure` judges withdrawals and announcements of draining in one place. Same cause on related paths, fixed with it: a late draining of the process before the crash locked its successor out for good, and an announcement with a higher sequence number hid that a back end drains.

--- a/crates/daemon/src/back_end/tracker.rs
+++ b/crates/daemon/src/back_end/tracker.rs
@@ -159,6 +159,9 @@
         announcement: &Announcement,
     ) -> Result<Effect, ForeignAnnouncement> {
         self.assignment.check(announcement)?;
+        if self.is_departure_of_current(announcement) {
+            return Ok(self.on_departure(&announcement.process, CloseReason::Draining));
+        }
         Ok(match self.sender_of(now, announcement) {
             Sender::Current => self.on_current_announcement(now, announcement),
             Sender::NewProcess => self.on_new_process(now, announcement),
@@ -174,36 +177,23 @@
 
     /// Handles the withdrawal of `process`.
     pub fn on_withdrawn(&mut self, process: &BackEndProcess) -> Effect {
-        let Some(current) =
-            self.current.as_mut().filter(|current| current.back_end.process.may_equal(process))
-        else {
-            self.remember_ended(EndedProcess { process: process.clone(), sequence: None, has_left: true });
-            return Effect::None;
-        };
-        current.state = BackEndState::Draining;
-        current.set_start(process);
-        let ended = EndedProcess {
-            process: current.back_end.process.clone(),
-            sequence: current.sequence,
-            has_left: true,
-        };
-        self.remember_ended(ended);
-        Effect::Close(CloseReason::Withdrawn)
+        self.on_departure(process, CloseReason::Withdrawn)
     }
 
     /// Handles a response of `process` that says that it is about to shut down. Its later announcements do not
     /// reopen it, whatever state they announce.
     pub fn on_leaving(&mut self, now: Instant, process: &BackEndProcess) -> Effect {
-        match &mut self.current {
-            Some(current)
-                if current.back_end.process.may_equal(process) && current.state != BackEndState::Draining =>
-            {
-                current.state = BackEndState::Draining;
-                current.last_seen_at = now;
-                Effect::Close(CloseReason::Leaving)
-            }
-            _ => Effect::None,
+        let Some(current) =
+            self.current.as_mut().filter(|current| current.back_end.process.may_equal(process))
+        else {
+            return Effect::None;
+        };
+        if current.state == BackEndState::Draining {
+            return Effect::None;
         }
+        current.state = BackEndState::Draining;
+        current.last_seen_at = now;
+        Effect::Close(CloseReason::Leaving)
     }
 
     /// Handles a successful health check of `back_end`. The response doesn't identify the process by its
@@ -309,6 +299,16 @@
             .map_or(Duration::ZERO, |process| process.cold_until.saturating_duration_since(now))
     }
 
+    /// Whether an announcement says that the current process leaves. That holds whatever was announced later.
+    fn is_departure_of_current(&self, announcement: &Announcement) -> bool {
+        let is_current = |current: &TrackedProcess| {
+            let known = &current.back_end.process;
+            let may_have_changed = current.is_reconfirmed && known.instance == announcement.process.instance;
+            known.may_equal(&announcement.process) || may_have_changed
+        };
+        announcement.state == AnnouncedState::Draining && self.current.as_ref().is_some_and(is_current)
+    }
+
     /// Which process counts as the sender of an announcement, or why it has no effect.
     fn sender_of(&self, now: Instant, announcement: &Announcement) -> Sender {
         if let Some(current) =
@@ -329,6 +329,36 @@
         Sender::NewProcess
     }
 
+    /// Handles the report that `process` leaves, which is final for it.
+    fn on_departure(&mut self, process: &BackEndProcess, reason: CloseReason) -> Effect {
+        let departed = EndedProcess { process: process.clone(), sequence: None, has_left: true };
+        let is_known = self.ended.iter().any(|ended| ended.process == *process);
+        let Some(current) = self.current.as_mut().filter(|current| current.must_close_for(process, is_known))
+        else {
+            self.remember_ended(departed);
+            return Effect::None;
+        };
+        let was_draining = current.state == BackEndState::Draining;
+        let before = current.back_end.process.clone();
+        let replaced = (!before.may_equal(process)).then(|| EndedProcess {
+            process: before.clone(),
+            sequence: current.sequence.take(),
+            has_left: was_draining,
+        });
+        current.state = BackEndState::Draining;
+        current.is_reconfirmed = false;
+        current.set_start(process);
+        let departed = EndedProcess {
+            process: current.back_end.process.clone(),
+            sequence: current.sequence,
+            has_left: true,
+        };
+        let is_change = !was_draining || departed.process != before;
+        replaced.into_iter().for_each(|replaced| self.remember_ended(replaced));
+        self.remember_ended(departed);
+        if is_change { Effect::Close(reason) } else { Effect::None }
+    }
+
     fn ignore(&mut self, announcement: &Announcement, reason: IgnoreReason) -> Effect {
         let current = self.current.as_ref().map(|current| current.back_end.process.clone());
         self.last_ignored =
@@ -341,12 +371,6 @@
         process.sequence = Some(announcement.sequence);
         process.cold_until = now + announcement.cold_for;
         process.last_seen_at = now;
-        if announcement.state == AnnouncedState::Draining {
-            let is_change = process.state != BackEndState::Draining;
-            process.set_start(&announcement.process);
-            process.state = BackEndState::Draining;
-            return if is_change { Effect::Close(CloseReason::Draining) } else { Effect::None };
-        }
         match process.state {
             BackEndState::Draining => self.ignore(announcement, IgnoreReason::Leaving),
             BackEndState::Unreachable => Effect::Confirm(process.back_end.clone()),
@@ -456,6 +480,16 @@
         !self.is_reconfirmed && self.sequence.is_some_and(|known| known >= announcement.sequence)
     }
 
+    /// Whether the departure of `departed` closes the back end: that is this process, or has taken its place under
+    /// the same identity. `is_known`: it is known to have ended before.
+    fn must_close_for(&self, departed: &BackEndProcess, is_known: bool) -> bool {
+        let known = &self.back_end.process;
+        // After a health check has confirmed the identity alone, a process that started earlier by the clock of its
+        // machine may be the current one too, since the clock may have been set back.
+        let may_be_this = !departed.started_before(known) || (self.is_reconfirmed && !is_known);
+        known.instance == departed.instance && may_be_this
+    }
+
     /// Whether this process may have ended: it can't be reached, or it has been silent for longer than an
     /// announcement is delayed.
     fn may_be_over(&self, now: Instant) -> bool {
--- a/crates/daemon/tests/back_end_tracker.rs
+++ b/crates/daemon/tests/back_end_tracker.rs
@@ -334,6 +334,84 @@
     assert_eq!(announce(&mut tracker, later, &ready_for("earlier", 71)), Effect::None);
 }
 
+/// The process `a` that started at 100 was unreachable, and a health check has found the identity `a` again.
+fn tracker_after_a_crash(now: Instant) -> BackEndTracker {
+    let mut tracker = new_tracker(false);
+    let first = process("a", 100);
+    announce(&mut tracker, now, &ready_announcement(&first, 70));
+    tracker.on_unreachable(&first);
+    assert_eq!(tracker.on_confirmed(now, back_end("a")), Effect::Open(back_end("a")));
+    tracker
+}
+
+/// The withdrawal of a process that had started again under its identity, and whose first announcement was still on
+/// its way, was acknowledged and closed nothing.
+#[test]
+fn withdrawal_before_the_first_announcement_closes_a_restarted_back_end() {
+    let now = Instant::now();
+    let second = process("a", 200);
+    let is_crash_noticed = [true, false];
+    for mut tracker in is_crash_noticed.map(|is_noticed| {
+        if is_noticed {
+            return tracker_after_a_crash(now);
+        }
+        let mut tracker = new_tracker(false);
+        announce(&mut tracker, now, &ready_announcement(&process("a", 100), 70));
+        tracker
+    }) {
+        assert_eq!(tracker.on_withdrawn(&second), Effect::Close(CloseReason::Withdrawn));
+        assert_eq!(announce(&mut tracker, now, &ready_announcement(&second, 1)), Effect::None, "delayed");
+        assert_eq!(
+            announce(&mut tracker, now, &ready_announcement(&process("a", 100), 71)),
+            Effect::None,
+            "delayed"
+        );
+        assert_eq!(tracker.on_confirmed(now, back_end("a")), Effect::None);
+        assert_eq!(tracker.current().map(|(current, _)| current.process.clone()), Some(second.clone()));
+        assert_eq!(state(&tracker), Some(BackEndState::Draining));
+        let third = process("a", 300);
+        assert_eq!(announce(&mut tracker, now, &ready_announcement(&third, 1)), open_effect(&third));
+    }
+}
+
+/// The clock of the machine was set back between the two processes, so the one that leaves seems to have started first.
+#[test]
+fn withdrawal_closes_a_restarted_back_end_whose_clock_was_set_back() {
+    let now = Instant::now();
+    let mut tracker = tracker_after_a_crash(now);
+    assert_eq!(tracker.on_withdrawn(&process("a", 50)), Effect::Close(CloseReason::Withdrawn));
+    let first = process("a", 100);
+    assert_eq!(
+        announce(&mut tracker, now, &ready_announcement(&first, 71)),
+        open_effect(&first),
+        "it was only unreachable"
+    );
+}
+
+/// A late report that the process before a crash was draining kept its successor out for good.
+#[test]
+fn late_draining_of_the_process_before_a_crash_does_not_lock_its_successor_out() {
+    let now = Instant::now();
+    let mut tracker = tracker_after_a_crash(now);
+    let late = Announcement { process: process("a", 100), ..draining("a", 71) };
+    assert_eq!(announce(&mut tracker, now, &late), Effect::Close(CloseReason::Draining));
+    let second = process("a", 200);
+    assert_eq!(announce(&mut tracker, now, &ready_announcement(&second, 1)), open_effect(&second));
+}
+
+/// An announcement with a high sequence number, of another writer, hid that the back end was draining.
+#[test]
+fn draining_counts_whatever_sequence_number_was_announced_before() {
+    let now = Instant::now();
+    let mut tracker = new_tracker(false);
+    let first = process("a", 100);
+    announce(&mut tracker, now, &ready_announcement(&first, 1));
+    announce(&mut tracker, now, &ready_for("a", 100_000));
+    let leaving = Announcement { process: first.clone(), ..draining("a", 2) };
+    assert_eq!(announce(&mut tracker, now, &leaving), Effect::Close(CloseReason::Draining));
+    assert_eq!(announce(&mut tracker, now, &ready_for("a", 100_001)), Effect::None);
+}
+
 /// An announcement for another service, or for a back end at another address, took the place of the back end
 /// beside the node: it got no requests as long as further ones followed.
 #[test]
@@ -421,6 +499,25 @@
         true
     }
 
+    /// Whatever has happened before, an acknowledged withdrawal leaves no process open that may be the withdrawn one.
+    fn no_process_stays_open_after_its_withdrawal(events: Vec<(u8, u8, u8)>, withdrawn: u8) -> bool {
+        let now = Instant::now();
+        let mut tracker = new_tracker(false);
+        for (which, kind, sequence) in events {
+            let process = process("a", 100 + u64::from(which % 3));
+            match kind % 4 {
+                0 => announce(&mut tracker, now, &ready_announcement(&process, u64::from(sequence))),
+                1 => tracker.on_unreachable(&process),
+                2 => tracker.on_confirmed(now, back_end("a")),
+                _ => tracker.on_withdrawn(&process),
+            };
+        }
+        let withdrawn = process("a", 100 + u64::from(withdrawn % 3));
+        tracker.on_withdrawn(&withdrawn);
+        let Some((current, _)) = tracker.current() else { return true };
+        state(&tracker) == Some(BackEndState::Draining) || withdrawn.started_before(&current.process)
+    }
+
     /// Announcements may arrive late, twice and in any order: a process that has closed never accepts
     /// requests again.
     fn a_closed_process_never_reopens(events: Vec<(u8, u8, u8)>) -> bool {
