A health check decides between two identities of a back end

What callers saw: heartbeats of another writer with the right service and address and an unknown identity took the place of the back end (`ready`), or closed it (`draining`); a back end that the node knew by a health check only was locked out for good once another identity had been announced.

Change: while the current process is in service, an announcement of another identity changes nothing until a health check finds that identity (`Effect::Identify`, one health check for each such announcement); its draining concerns that process alone. Start times order processes of one identity. A process without a sequence number counts as replaced in error like any other.

--- a/crates/daemon/src/back_end/monitor.rs
+++ b/crates/daemon/src/back_end/monitor.rs
@@ -10,7 +10,7 @@
 use umberpond_forwarding::{BackEnd, Inbound};
 use umberpond_membership::BackEndRecord;
 use umberpond_model::{BackEndProcess, RequestRate, ServiceName};
-use umberpond_telemetry::{Event, Telemetry};
+use umberpond_telemetry::{AnnouncementOutcome, Event, Telemetry};
 
 use super::announcement::Announcement;
 use super::assignment::{BackEndAssignment, ForeignAnnouncement};
@@ -76,9 +76,19 @@
     /// # Errors
     /// Returns [`ForeignAnnouncement`] if it is not of the back end beside this node; it then has no effect.
     pub fn announce(self: &Arc<Self>, announcement: &Announcement) -> Result<(), ForeignAnnouncement> {
-        let effect = self.tracker.lock().on_announcement(now(), announcement)?;
+        let (effect, ignored) = {
+            let mut tracker = self.tracker.lock();
+            (tracker.on_announcement(now(), announcement)?, tracker.take_ignored())
+        };
         self.apply(effect);
-        self.emit_ignored(announcement);
+        let metrics = self.telemetry.metrics();
+        match ignored {
+            Some(ignored) => {
+                metrics.announcement(AnnouncementOutcome::Ignored);
+                self.emit_ignored(announcement.sequence, ignored);
+            }
+            None => metrics.announcement(AnnouncementOutcome::Applied),
+        }
         self.update_cold_start_limiter();
         self.publish_record_when_warm();
         Ok(())
@@ -171,6 +181,10 @@
     fn apply(self: &Arc<Self>, effect: Effect) {
         match effect {
             Effect::None => return,
+            Effect::Identify(back_end) => {
+                tokio::spawn(Arc::clone(self).identify(back_end));
+                return;
+            }
             Effect::Open(back_end) => {
                 self.emit_state_changed("ready", "the back end reports that it is ready");
                 self.inbound.open(back_end);
@@ -192,21 +206,20 @@
         self.publish_record();
     }
 
-    /// Logs that an announcement had no effect, unless the one before was ignored for the same reason.
-    fn emit_ignored(&self, announcement: &Announcement) {
-        let last_ignored = self.tracker.lock().last_ignored().cloned();
+    /// Logs that an announcement had no effect, unless the ignored one before had the same sender and reason.
+    fn emit_ignored(&self, sequence: u64, ignored: IgnoredAnnouncement) {
         let mut logged = self.logged_ignored.lock();
-        if *logged == last_ignored {
+        if logged.as_ref() == Some(&ignored) {
             return;
         }
-        logged.clone_from(&last_ignored);
-        let Some(ignored) = last_ignored else { return };
+        let current = ignored.current.as_ref().map_or_else(|| "none".to_owned(), ToString::to_string);
         self.telemetry.emit(Event::AnnouncementIgnored {
             announced: ignored.process.to_string(),
-            sequence: announcement.sequence,
-            current: ignored.current.map_or_else(|| "none".to_owned(), |current| current.to_string()),
+            sequence,
+            current,
             reason: ignored.reason.as_str(),
         });
+        *logged = Some(ignored);
     }
 
     fn emit_state_changed(&self, state: &'static str, reason: &'static str) {
@@ -239,23 +252,40 @@
     /// Sends health checks until the back end reports that it is healthy or the attempts are used up.
     async fn probe_until_confirmed(self: Arc<Self>, back_end: BackEnd) {
         for _attempt in 0..MAX_CONFIRM_ATTEMPTS {
-            if let Some(path) = self.health_path(&back_end.service) {
-                let health = self.inbound.probe_health(back_end.address, &path).await;
-                match health.and_then(|health| health.instance.map(|instance| (instance, health.cold_for))) {
-                    Some((instance, cold_for)) if instance == back_end.process.instance => {
-                        let process = back_end.process.clone();
-                        self.confirm(back_end);
-                        self.on_cold(&process, cold_for);
-                        return;
-                    }
-                    // Another back end uses the address and will announce itself; this one has been replaced.
-                    Some(_another) => return,
-                    None => {}
+            match self.found_identity(&back_end).await {
+                Some((instance, cold_for)) if instance == back_end.process.instance => {
+                    self.on_found(back_end, cold_for);
+                    return;
                 }
+                // Another back end uses the address and will announce itself; this one has been replaced.
+                Some(_another) => return,
+                None => sleep(CONFIRM_INTERVAL).await,
             }
-            sleep(CONFIRM_INTERVAL).await;
         }
     }
+
+    /// Sends one health check to find out whether `back_end` has replaced the current one. Its next announcement
+    /// repeats that.
+    async fn identify(self: Arc<Self>, back_end: BackEnd) {
+        if let Some((instance, cold_for)) = self.found_identity(&back_end).await
+            && instance == back_end.process.instance
+        {
+            self.on_found(back_end, cold_for);
+        }
+    }
+
+    fn on_found(self: &Arc<Self>, back_end: BackEnd, cold_for: Duration) {
+        let process = back_end.process.clone();
+        self.confirm(back_end);
+        self.on_cold(&process, cold_for);
+    }
+
+    /// Identity and remaining warm-up time that a healthy back end at the address of `back_end` reports.
+    async fn found_identity(&self, back_end: &BackEnd) -> Option<(String, Duration)> {
+        let path = self.health_path(&back_end.service)?;
+        let health = self.inbound.probe_health(back_end.address, &path).await?;
+        health.instance.map(|instance| (instance, health.cold_for))
+    }
 }
 
 fn now() -> std::time::Instant {
--- a/crates/daemon/src/back_end/tracker.rs
+++ b/crates/daemon/src/back_end/tracker.rs
@@ -52,6 +52,8 @@
     Outdated,
     /// Its process has announced before that it is leaving.
     Leaving,
+    /// A process of another identity is in service; a health check has to find the announced one first.
+    OtherIdentity,
 }
 
 impl IgnoreReason {
@@ -63,6 +65,7 @@
             Self::StartedEarlier => "its process started before the current one",
             Self::Outdated => "a later announcement has arrived before",
             Self::Leaving => "its process is leaving",
+            Self::OtherIdentity => "a back end of another identity is in service",
         }
     }
 }
@@ -78,6 +81,8 @@
     Close(CloseReason),
     /// Check the health of the back end before accepting new requests.
     Confirm(BackEnd),
+    /// Check which back end answers, this one or the current one, which goes on accepting requests meanwhile.
+    Identify(BackEnd),
 }
 
 #[derive(Debug, Clone)]
@@ -121,6 +126,8 @@
     Current,
     /// A process that replaces the current one.
     NewProcess,
+    /// A process of another identity than the current one, which is in service.
+    Rival,
     /// Another process, or an earlier announcement: what is known already outranks it.
     Outranked(IgnoreReason),
 }
@@ -130,10 +137,12 @@
 pub struct BackEndTracker {
     assignment: BackEndAssignment,
     current: Option<TrackedProcess>,
+    /// The process that a health check is to identify, while the current one is in service.
+    rival: Option<TrackedProcess>,
     ended: VecDeque<EndedProcess>,
     /// Whether an earlier process of this node may have acknowledged that the current process is draining.
     may_be_draining: bool,
-    last_ignored: Option<IgnoredAnnouncement>,
+    ignored: Option<IgnoredAnnouncement>,
 }
 
 impl BackEndTracker {
@@ -141,7 +150,14 @@
     /// have acknowledged draining and ended before it could inform other nodes.
     #[must_use]
     pub const fn new(assignment: BackEndAssignment, may_be_draining: bool) -> Self {
-        Self { assignment, current: None, ended: VecDeque::new(), may_be_draining, last_ignored: None }
+        Self {
+            assignment,
+            current: None,
+            rival: None,
+            ended: VecDeque::new(),
+            may_be_draining,
+            ignored: None,
+        }
     }
 
     /// Replaces the assignment, because the settings have changed.
@@ -165,14 +181,14 @@
         Ok(match self.sender_of(now, announcement) {
             Sender::Current => self.on_current_announcement(now, announcement),
             Sender::NewProcess => self.on_new_process(now, announcement),
+            Sender::Rival => self.on_rival(now, announcement),
             Sender::Outranked(reason) => self.ignore(announcement, reason),
         })
     }
 
-    /// The last announcement that had no effect.
-    #[must_use]
-    pub const fn last_ignored(&self) -> Option<&IgnoredAnnouncement> {
-        self.last_ignored.as_ref()
+    /// Takes the announcement that has just had no effect, if there is one.
+    pub fn take_ignored(&mut self) -> Option<IgnoredAnnouncement> {
+        self.ignored.take()
     }
 
     /// Handles the withdrawal of `process`.
@@ -199,6 +215,9 @@
     /// Handles a successful health check of `back_end`. The response doesn't identify the process by its
     /// start time.
     pub fn on_confirmed(&mut self, now: Instant, back_end: BackEnd) -> Effect {
+        if let Some(rival) = self.rival.take_if(|rival| rival.back_end.process == back_end.process) {
+            return self.replace_by_rival(now, rival);
+        }
         self.current.take_if(|process| process.has_unnamed_successor(now));
         let is_current = self
             .current
@@ -320,9 +339,17 @@
                 Sender::Current
             };
         }
-        if self.has_ended(now, announcement) {
+        if self.has_ended(announcement) {
             return Sender::Outranked(IgnoreReason::Ended);
         }
+        let is_rival = |current: &TrackedProcess| {
+            let is_assigned = current.back_end.service == self.assignment.service;
+            let is_other = current.back_end.process.instance != announcement.process.instance;
+            is_assigned && is_other && current.is_in_service(now)
+        };
+        if self.current.as_ref().is_some_and(is_rival) {
+            return Sender::Rival;
+        }
         if !self.may_be_succeeded_by(now, &announcement.process) {
             return Sender::Outranked(IgnoreReason::StartedEarlier);
         }
@@ -361,8 +388,7 @@
 
     fn ignore(&mut self, announcement: &Announcement, reason: IgnoreReason) -> Effect {
         let current = self.current.as_ref().map(|current| current.back_end.process.clone());
-        self.last_ignored =
-            Some(IgnoredAnnouncement { process: announcement.process.clone(), current, reason });
+        self.ignored = Some(IgnoredAnnouncement { process: announcement.process.clone(), current, reason });
         Effect::None
     }
 
@@ -384,6 +410,32 @@
         }
     }
 
+    /// Handles an announcement of a back end with another identity than the current one, which is in service. There is
+    /// one back end at the address, and only a health check tells its identity.
+    fn on_rival(&mut self, now: Instant, announcement: &Announcement) -> Effect {
+        self.ignore(announcement, IgnoreReason::OtherIdentity);
+        if announcement.state == AnnouncedState::Draining {
+            return self.on_departure(&announcement.process, CloseReason::Draining);
+        }
+        let rival = TrackedProcess::new(now, announcement, BackEndState::Ready);
+        let back_end = rival.back_end.clone();
+        self.rival = Some(rival);
+        Effect::Identify(back_end)
+    }
+
+    /// Replaces the current process by `rival`, whose identity a health check has found.
+    fn replace_by_rival(&mut self, now: Instant, rival: TrackedProcess) -> Effect {
+        let has_left =
+            self.ended.iter().any(|ended| ended.has_left && ended.process == rival.back_end.process);
+        if has_left {
+            return Effect::None;
+        }
+        self.end_current();
+        let back_end = rival.back_end.clone();
+        self.current = Some(TrackedProcess { last_seen_at: now, ..rival });
+        Effect::Open(back_end)
+    }
+
     fn on_new_process(&mut self, now: Instant, announcement: &Announcement) -> Effect {
         let is_in_doubt = self.is_in_doubt(&announcement.process);
         if self.end_current() {
@@ -396,15 +448,9 @@
             (true, true) => BackEndState::Unreachable,
             (true, false) => BackEndState::Ready,
         };
-        let back_end = back_end(announcement);
-        self.current = Some(TrackedProcess {
-            back_end: back_end.clone(),
-            sequence: Some(announcement.sequence),
-            state,
-            cold_until: now + announcement.cold_for,
-            last_seen_at: now,
-            is_reconfirmed: false,
-        });
+        let process = TrackedProcess::new(now, announcement, state);
+        let back_end = process.back_end.clone();
+        self.current = Some(process);
         match state {
             BackEndState::Ready => Effect::Open(back_end),
             BackEndState::Unreachable => Effect::Confirm(back_end),
@@ -430,22 +476,23 @@
     }
 
     /// Whether an announcement is a delayed one of an ended process. A process that was only replaced and
-    /// sends further announcements is not considered ended if the current one can't be its successor: that one
-    /// started earlier, or it was announced late and the back end has another identity.
-    fn has_ended(&self, now: Instant, announcement: &Announcement) -> bool {
+    /// sends further announcements is not considered ended if the current one may not be its successor: that one
+    /// started earlier, or has another identity and may have been announced late.
+    fn has_ended(&self, announcement: &Announcement) -> bool {
         let is_same_process = |ended: &&EndedProcess| ended.process == announcement.process;
         let Some(ended) = self.ended.iter().find(is_same_process) else { return false };
         let is_replaced_in_error = |current: &TrackedProcess| {
             let known = &current.back_end.process;
             let is_other = known.instance != ended.process.instance;
-            known.started_before(&ended.process) || (is_other && current.may_be_over(now))
+            is_other || known.started_before(&ended.process)
         };
-        let is_newer = ended.sequence.is_some_and(|known| announcement.sequence > known);
+        let is_newer = ended.sequence.is_none_or(|known| announcement.sequence > known);
         ended.has_left || !is_newer || !self.current.as_ref().is_some_and(is_replaced_in_error)
     }
 
     /// Moves the current process to the ended ones; `false` if there is none.
     fn end_current(&mut self) -> bool {
+        self.rival = None;
         let Some(before) = self.current.take() else { return false };
         let has_left = before.state == BackEndState::Draining;
         self.remember_ended(EndedProcess {
@@ -466,6 +513,23 @@
 }
 
 impl TrackedProcess {
+    /// The process that sent `announcement`.
+    fn new(now: Instant, announcement: &Announcement, state: BackEndState) -> Self {
+        Self {
+            back_end: back_end(announcement),
+            sequence: Some(announcement.sequence),
+            state,
+            cold_until: now + announcement.cold_for,
+            last_seen_at: now,
+            is_reconfirmed: false,
+        }
+    }
+
+    /// Whether it accepts requests, and has been heard of recently.
+    fn is_in_service(&self, now: Instant) -> bool {
+        self.state == BackEndState::Ready && !self.may_be_over(now)
+    }
+
     /// Whether this process may have sent an announcement. If it was unreachable and then healthy again, the
     /// first announcement after that may come from any process of the back end that didn't start earlier.
     fn may_have_sent(&self, now: Instant, announcement: &Announcement) -> bool {
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -116,8 +116,8 @@
         = 3003, Warn, "back-end-unhealthy", "The back end failed its health check.";
     BackEndStateChanged { instance: String, service: String, state: &'static str, reason: &'static str, sequence: u64 }
         = 3010, Info, "back-end-state-changed", "The back end beside this node takes new requests, takes none, or has to be probed first; `sequence` counts its announcements, 0 if it made none to this process.";
-    AnnouncementRefused { reason: String }
-        = 3011, Warn, "announcement-refused", "An announcement is invalid, or of another back end than the settings place beside this node; it was ignored.";
+    AnnouncementRefused { announced: String, reason: String }
+        = 3011, Warn, "announcement-refused", "An announcement is invalid, or of another back end than the settings place beside this node; it was ignored. Logged once for each sender and reason.";
     BackEndCrashed { instance: String, service: ServiceName, found: &'static str, requests: u64, fingerprints: String }
         = 3012, Warn, "back-end-crashed", "The back end has terminated without announcing it: it refuses connections, or another process has taken its place (`replaced`). `fingerprints` are those of the requests that ran there.";
     RequestLimitChanged { instance: String, service: ServiceName, limit: String, before: String, source: &'static str, request: String }
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -16,6 +16,6 @@
 pub use catalogue::Event;
 pub use entry::{CatalogueEntry, Field, FieldValue, Severity};
 pub use logging::LogFormat;
-pub use metrics::{DelayCause, Direction, Metrics, RequestDetail, VersionStage};
+pub use metrics::{AnnouncementOutcome, DelayCause, Direction, Metrics, RequestDetail, VersionStage};
 pub use page::catalogue_page;
 pub use telemetry::{EventObserver, MemoryRecorder, Telemetry};
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -158,8 +158,29 @@
     reason: &'static str,
 }
 
+/// What became of an announcement of the back end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnnouncementOutcome {
+    /// It is of the process that it was expected from, or of its successor.
+    Applied,
+    /// Other reports outrank it.
+    Ignored,
+    /// It is invalid, or of another back end.
+    Refused,
+}
+
+impl AnnouncementOutcome {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Applied => "applied",
+            Self::Ignored => "ignored",
+            Self::Refused => "refused",
+        }
+    }
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct SlowdownLabels {
+struct OutcomeLabels {
     outcome: &'static str,
 }
 
@@ -190,7 +211,8 @@
     request_seconds: Histogram,
     cuts: Family<CutLabels, Counter>,
     attempts: Counter,
-    reported_slowdowns: Family<SlowdownLabels, Counter>,
+    reported_slowdowns: Family<OutcomeLabels, Counter>,
+    announcements: Family<OutcomeLabels, Counter>,
     response_time_ratios: Family<CauseLabels, Histogram, fn() -> Histogram>,
     versions: Family<StageLabels, Gauge>,
     configuration_entries: Gauge,
@@ -224,6 +246,7 @@
             cuts: Family::default(),
             attempts: Counter::default(),
             reported_slowdowns: Family::default(),
+            announcements: Family::default(),
             response_time_ratios: Family::new_with_constructor(ratio_histogram),
             versions: Family::default(),
             configuration_entries: Gauge::default(),
@@ -333,6 +356,11 @@
             "Figures by which the back end told how slow it is, by outcome: taken or invalid",
             self.reported_slowdowns.clone(),
         );
+        registry.register(
+            "announcements",
+            "Announcements of the back end, by outcome: applied, ignored or refused",
+            self.announcements.clone(),
+        );
         registry.register_with_unit(
             "answer_expected",
             "Time of an answered attempt as a multiple of that expected, by what made up most of the difference",
@@ -467,7 +495,12 @@
     /// Counts a slowdown value reported by the back end.
     pub fn slowdown_word(&self, is_valid: bool) {
         let outcome = if is_valid { "taken" } else { "invalid" };
-        self.reported_slowdowns.get_or_create(&SlowdownLabels { outcome }).inc();
+        self.reported_slowdowns.get_or_create(&OutcomeLabels { outcome }).inc();
+    }
+
+    /// Counts an announcement that arrived at this node.
+    pub fn announcement(&self, outcome: AnnouncementOutcome) {
+        self.announcements.get_or_create(&OutcomeLabels { outcome: outcome.name() }).inc();
     }
 
     /// Sets the newest version at `stage`.
