Other nodes remember the departure of a back end over restarts of its node

Change: a health check introduces no back end that announces itself. Each node remembers what earlier processes of another node published about its back end, leaves a departed one out by itself, and tells the restarted node in its heartbeats; so the node opens it, after a health check, only if its earlier process held it as accepting. The acknowledgement waits until two other nodes hold the departure, 400 ms at most (3016).

One test of the tracker, which had a health check alone open the back end after a restart, expected the fault; it now needs what another node remembers, and a new one asserts that the health check alone opens nothing.

--- a/crates/daemon/src/back_end/assignment.rs
+++ b/crates/daemon/src/back_end/assignment.rs
@@ -15,6 +15,8 @@
     pub service: ServiceName,
     /// Address at which it listens for requests; absent if the settings have none.
     pub address: Option<SocketAddr>,
+    /// Whether it announces itself; otherwise health checks find it.
+    pub announces_itself: bool,
 }
 
 /// An announcement is not of the back end beside this node, and has no effect.
@@ -45,7 +47,8 @@
     #[must_use]
     pub fn of(config: &NodeConfig) -> Self {
         let address = config.back_end.map(|back_end| back_end.address);
-        Self { service: config.service.clone(), address }
+        let announces_itself = config.listen.registration.is_some();
+        Self { service: config.service.clone(), address, announces_itself }
     }
 
     /// Checks that `announcement` is of this back end.
--- a/crates/daemon/src/back_end/monitor.rs
+++ b/crates/daemon/src/back_end/monitor.rs
@@ -5,6 +5,7 @@
 
 use parking_lot::Mutex;
 use ractor::ActorRef;
+use ractor::rpc::CallResult;
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep};
 use umberpond_forwarding::{BackEnd, Inbound};
@@ -12,14 +13,17 @@
 use umberpond_model::{BackEndProcess, RequestRate, ServiceName};
 use umberpond_telemetry::{AnnouncementOutcome, Event, Telemetry};
 
-use super::announcement::Announcement;
+use super::announcement::{AnnouncedState, Announcement};
 use super::assignment::{BackEndAssignment, ForeignAnnouncement};
 use super::tracker::{BackEndTracker, Effect, IgnoredAnnouncement};
 use crate::configuration::Activation;
+use crate::duration::millis;
 use crate::membership::MembershipMessage;
 
 /// Time between two health checks of a back end that has to be confirmed.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(200);
+/// Timeout for other nodes to hold the departure of the back end before it is acknowledged.
+const HOLD_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum number of these health checks; after that the next announcement is awaited.
 const MAX_CONFIRM_ATTEMPTS: u32 = 40;
 
@@ -71,11 +75,12 @@
         self.tracker.lock().assign(assignment);
     }
 
-    /// Handles an announcement. If it announces draining, this node sends no new requests once this returns.
+    /// Handles an announcement. If it announces draining, this node sends no new requests once this returns, and
+    /// other nodes know that unless they could not be reached in time.
     ///
     /// # Errors
     /// Returns [`ForeignAnnouncement`] if it is not of the back end beside this node; it then has no effect.
-    pub fn announce(self: &Arc<Self>, announcement: &Announcement) -> Result<(), ForeignAnnouncement> {
+    pub async fn announce(self: &Arc<Self>, announcement: &Announcement) -> Result<(), ForeignAnnouncement> {
         let (effect, ignored) = {
             let mut tracker = self.tracker.lock();
             (tracker.on_announcement(now(), announcement)?, tracker.take_ignored())
@@ -91,13 +96,33 @@
         }
         self.update_cold_start_limiter();
         self.publish_record_when_warm();
+        if announcement.state == AnnouncedState::Draining {
+            self.wait_until_held().await;
+        }
         Ok(())
     }
 
-    /// Handles the withdrawal of `process`. This node sends it no new requests once this returns.
-    pub fn withdraw(self: &Arc<Self>, process: &BackEndProcess) {
+    /// Handles the withdrawal of `process`. This node sends it no new requests once this returns, and other nodes
+    /// know that unless they could not be reached in time.
+    pub async fn withdraw(self: &Arc<Self>, process: &BackEndProcess) {
         let effect = self.tracker.lock().on_withdrawn(process);
         self.apply(effect);
+        self.wait_until_held().await;
+    }
+
+    /// Waits until other nodes hold the record that was published last, so that the next process of this node
+    /// learns it from them.
+    async fn wait_until_held(&self) {
+        let reply = self.membership.call(MembershipMessage::AwaitHolders, Some(HOLD_TIMEOUT)).await;
+        if !matches!(reply, Ok(CallResult::Success(()))) {
+            self.telemetry.emit(Event::DepartureNotHeld { waited_millis: millis(HOLD_TIMEOUT) });
+        }
+    }
+
+    /// Handles what another node remembers of the back end that an earlier process of this node published.
+    pub(crate) fn on_earlier_record(self: &Arc<Self>, record: &BackEndRecord) {
+        let effect = self.tracker.lock().on_earlier_record(now(), record);
+        self.apply(effect);
     }
 
     /// The record of the back end that this node publishes to other nodes.
@@ -197,7 +222,7 @@
             Effect::Confirm(back_end) => {
                 self.emit_state_changed(
                     "to-be-confirmed",
-                    "the back end was unreachable, or an earlier process of this node may have closed it",
+                    "the back end was unreachable, or is known from an earlier process of this node",
                 );
                 self.inbound.close();
                 tokio::spawn(Arc::clone(self).probe_until_confirmed(back_end));
--- a/crates/daemon/src/back_end/tracker.rs
+++ b/crates/daemon/src/back_end/tracker.rs
@@ -27,6 +27,8 @@
     Withdrawn,
     /// It said in a response that it is about to shut down.
     Leaving,
+    /// An earlier process of this node has published that it is draining.
+    Remembered,
 }
 
 impl CloseReason {
@@ -37,6 +39,7 @@
             Self::Draining => "the back end announced that it is draining",
             Self::Withdrawn => "the back end withdrew itself",
             Self::Leaving => "a response says that the back end is about to shut down",
+            Self::Remembered => "an earlier process of this node has published that the back end is draining",
         }
     }
 }
@@ -212,6 +215,54 @@
         Effect::Close(CloseReason::Leaving)
     }
 
+    /// Handles what another node remembers of the back end that an earlier process of this node published.
+    pub fn on_earlier_record(&mut self, now: Instant, record: &BackEndRecord) -> Effect {
+        let process = record.process();
+        if !process.is_named() || record.service != self.assignment.service {
+            return Effect::None;
+        }
+        let is_departure = record.state == BackEndState::Draining;
+        match &self.current {
+            None => self.on_remembered(now, record),
+            Some(current) if is_departure && current.back_end.process.may_have_departed_as(&process) => {
+                self.on_departure(&process, CloseReason::Remembered)
+            }
+            Some(_) if is_departure => {
+                self.remember_ended(EndedProcess { process, sequence: None, has_left: true });
+                Effect::None
+            }
+            Some(_) => Effect::None,
+        }
+    }
+
+    /// Makes the back end of an earlier process of this node the current one: closed if it has departed, otherwise
+    /// to be confirmed.
+    fn on_remembered(&mut self, now: Instant, record: &BackEndRecord) -> Effect {
+        let process = record.process();
+        let has_left = self.ended.iter().any(|ended| ended.has_left && ended.process.may_equal(&process));
+        let is_departure = record.state == BackEndState::Draining;
+        let Some(address) = self.assignment.address.filter(|_| is_departure || !has_left) else {
+            return Effect::None;
+        };
+        let back_end = BackEnd {
+            process,
+            service: record.service.clone(),
+            release: record.release.clone(),
+            address,
+            slots: record.slots,
+        };
+        let state = if is_departure { BackEndState::Draining } else { BackEndState::Unreachable };
+        self.current = Some(TrackedProcess {
+            back_end: back_end.clone(),
+            sequence: None,
+            state,
+            cold_until: now,
+            last_seen_at: now,
+            is_reconfirmed: false,
+        });
+        if is_departure { Effect::Close(CloseReason::Remembered) } else { Effect::Confirm(back_end) }
+    }
+
     /// Handles a successful health check of `back_end`. The response doesn't identify the process by its
     /// start time.
     pub fn on_confirmed(&mut self, now: Instant, back_end: BackEnd) -> Effect {
@@ -226,9 +277,9 @@
         if !is_current && self.ended.iter().any(|ended| ended.process.may_equal(&back_end.process)) {
             return Effect::None;
         }
-        self.may_be_draining = false;
         match &mut self.current {
             Some(process) if is_current => {
+                self.may_be_draining = false;
                 let was_unreachable = process.state == BackEndState::Unreachable;
                 let is_change =
                     was_unreachable || (process.sequence.is_none() && process.back_end != back_end);
@@ -247,7 +298,10 @@
                 })
             }
             Some(process) if process.sequence.is_some() => Effect::None,
+            // It says that the back end is well, not that it takes new requests.
+            _ if self.assignment.announces_itself => Effect::None,
             _ => {
+                self.may_be_draining = false;
                 self.end_current();
                 self.current = Some(TrackedProcess {
                     back_end: back_end.clone(),
@@ -438,9 +492,7 @@
 
     fn on_new_process(&mut self, now: Instant, announcement: &Announcement) -> Effect {
         let is_in_doubt = self.is_in_doubt(&announcement.process);
-        if self.end_current() {
-            self.may_be_draining = false;
-        }
+        self.end_current();
         let is_ready = announcement.state == AnnouncedState::Ready;
         let needs_confirmation = self.may_be_draining || is_in_doubt;
         let state = match (is_ready, needs_confirmation) {
@@ -490,17 +542,16 @@
         ended.has_left || !is_newer || !self.current.as_ref().is_some_and(is_replaced_in_error)
     }
 
-    /// Moves the current process to the ended ones; `false` if there is none.
-    fn end_current(&mut self) -> bool {
+    /// Moves the current process to the ended ones.
+    fn end_current(&mut self) {
         self.rival = None;
-        let Some(before) = self.current.take() else { return false };
+        let Some(before) = self.current.take() else { return };
         let has_left = before.state == BackEndState::Draining;
         self.remember_ended(EndedProcess {
             process: before.back_end.process,
             sequence: before.sequence,
             has_left,
         });
-        true
     }
 
     fn remember_ended(&mut self, ended: EndedProcess) {
--- a/crates/daemon/src/membership/actor.rs
+++ b/crates/daemon/src/membership/actor.rs
@@ -4,11 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ractor::{Actor, ActorProcessingErr, ActorRef};
+use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, MissedTickBehavior, interval};
 use umberpond_forwarding::{Inbound, Outbound};
-use umberpond_membership::{Datagram, MemberPhase, MemberRecord, Membership, MembershipEvent, Outgoing};
+use umberpond_membership::{
+    BackEndRecord, Datagram, MemberPhase, MemberRecord, Membership, MembershipEvent, Outgoing, RecordOrder,
+};
 use umberpond_model::StoreEra;
 use umberpond_net::BoxDatagrams;
 use umberpond_rollouts::ReleaseEvidence;
@@ -43,6 +45,8 @@
     pub(crate) boot_clock: Arc<dyn BootClock>,
     /// Channel for reports on releases to the task that coordinates rollouts.
     pub(crate) evidence: mpsc::UnboundedSender<ReleaseEvidence>,
+    /// Channel for what other nodes remember of the back end of an earlier process of this node.
+    pub(crate) earlier_back_ends: mpsc::UnboundedSender<BackEndRecord>,
     /// Channel for the latest era of the store that any reachable node has seen.
     pub(crate) store_era: watch::Sender<StoreEra>,
 }
@@ -60,6 +64,9 @@
     suspects: SuspectSync,
     suspension: SuspensionWatch,
     evidence: mpsc::UnboundedSender<ReleaseEvidence>,
+    earlier_back_ends: mpsc::UnboundedSender<BackEndRecord>,
+    /// Replies to send once enough other nodes hold this version of this node's record.
+    holder_waiters: Vec<(RecordOrder, RpcReplyPort<()>)>,
     store_era: watch::Sender<StoreEra>,
     configuration: Option<ActorRef<ConfigurationMessage>>,
     started_at: std::time::Instant,
@@ -93,6 +100,8 @@
             plans: PlansInForce::default(),
             evacuations: EvacuationsInForce::default(),
             evidence: arguments.evidence,
+            earlier_back_ends: arguments.earlier_back_ends,
+            holder_waiters: Vec::new(),
             store_era: arguments.store_era,
             configuration: None,
             started_at: Instant::now().into_std(),
@@ -110,6 +119,7 @@
         let outgoing = state.on_message(message);
         send(&state.socket, &outgoing, state.telemetry.metrics());
         state.emit_events();
+        state.reply_to_holder_waiters();
         state.publish_changes(is_tick);
         Ok(())
     }
@@ -156,6 +166,10 @@
             MembershipMessage::BroadcastSuspects(records) => {
                 SuspectSync::broadcast(&mut self.membership, &records)
             }
+            MembershipMessage::AwaitHolders(reply) => {
+                self.holder_waiters.push((self.membership.own().order(), reply));
+                Vec::new()
+            }
             MembershipMessage::BackEnd(back_end) => self.membership.set_back_end(now, back_end),
             MembershipMessage::Phase(phase) => self.membership.set_phase(now, phase),
             MembershipMessage::Version(version) => self.membership.set_version(now, version),
@@ -229,6 +243,10 @@
             _ => {}
         }
         let outgoing = self.membership.on_datagram(now, from, datagram);
+        for back_end in self.membership.take_earlier_back_ends() {
+            // The task ends with the process.
+            let _ = self.earlier_back_ends.send(back_end);
+        }
         let Datagram::Heartbeat(heartbeat) = datagram else { return outgoing };
         if let Some((node, service)) = self.membership.back_end_of(heartbeat.sender.order()) {
             self.outbound.on_report(service, node, heartbeat.load);
@@ -246,6 +264,19 @@
         outgoing
     }
 
+    /// Replies to those who wait until enough other nodes hold this node's record.
+    fn reply_to_holder_waiters(&mut self) {
+        let waiters = std::mem::take(&mut self.holder_waiters);
+        let open = waiters.into_iter().filter(|(_, reply)| !reply.is_closed());
+        let (held, waiting) = open.partition(|(order, _)| self.membership.is_held_elsewhere(*order));
+        self.holder_waiters = waiting;
+        let held: Vec<(RecordOrder, RpcReplyPort<()>)> = held;
+        for (_, reply) in held {
+            // The caller may have stopped waiting.
+            let _ = reply.send(());
+        }
+    }
+
     /// Sends the response statistics of the local back end to the coordinators of its rollout.
     fn report(&self, evidence: Box<ReleaseEvidence>) -> Vec<Outgoing> {
         let coordinators = self.membership.coordinators_of(&evidence.service);
--- a/crates/daemon/src/membership/endpoints.rs
+++ b/crates/daemon/src/membership/endpoints.rs
@@ -37,7 +37,7 @@
 pub(super) fn count_by_release(membership: &Membership) -> BTreeMap<ServiceName, EndpointCounts> {
     let mut counts: BTreeMap<ServiceName, EndpointCounts> = BTreeMap::new();
     for record in membership.reachable().chain([membership.own()]) {
-        let Some(back_end) = usable_back_end(record) else { continue };
+        let Some(back_end) = usable_back_end(membership, record) else { continue };
         let Some(release) = &back_end.release else { continue };
         let of_service = counts.entry(back_end.service.clone()).or_default();
         let of_release = of_service.ready.entry(release.clone()).or_default();
@@ -49,7 +49,7 @@
 fn find(membership: &Membership) -> BTreeMap<ServiceName, Vec<Endpoint>> {
     let mut found: BTreeMap<ServiceName, Vec<Endpoint>> = BTreeMap::new();
     for record in membership.reachable().chain([membership.own()]) {
-        if let Some(back_end) = usable_back_end(record) {
+        if let Some(back_end) = usable_back_end(membership, record) {
             let endpoint = Endpoint {
                 node: record.node.clone(),
                 address: record.inbound,
@@ -66,8 +66,11 @@
     found
 }
 
-fn usable_back_end(record: &MemberRecord) -> Option<&BackEndRecord> {
+/// The back end in `record`, if it accepts new requests. Its node may have restarted and not know that it has
+/// departed.
+fn usable_back_end<'a>(membership: &Membership, record: &'a MemberRecord) -> Option<&'a BackEndRecord> {
     let back_end = record.back_end.as_ref()?;
-    let is_usable = record.phase == MemberPhase::Running && back_end.state == BackEndState::Ready;
+    let is_ready = record.phase == MemberPhase::Running && back_end.state == BackEndState::Ready;
+    let is_usable = is_ready && !membership.has_departed_before(record);
     is_usable.then_some(back_end)
 }
--- a/crates/daemon/src/membership/message.rs
+++ b/crates/daemon/src/membership/message.rs
@@ -24,6 +24,8 @@
     Joined,
     /// The current record of the local back end.
     BackEnd(Option<BackEndRecord>),
+    /// Requests a reply once enough other nodes hold the current record of this node.
+    AwaitHolders(RpcReplyPort<()>),
     /// This process enters another phase.
     Phase(MemberPhase),
     /// The configuration version that is active on this node.
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -14,7 +14,7 @@
     QuotaGate, ServerControl, ServerPhase, serve_inbound, serve_outbound,
 };
 use umberpond_membership::{
-    DirectoryEntry, MemberPhase, MemberRecord, MemberView, Membership, MembershipSettings,
+    BackEndRecord, DirectoryEntry, MemberPhase, MemberRecord, MemberView, Membership, MembershipSettings,
 };
 use umberpond_model::{Evacuations, Incarnation, StoreEra};
 use umberpond_rollouts::ReleaseEvidence;
@@ -24,7 +24,7 @@
 
 use crate::back_end::{
     BackEndAssignment, BackEndMonitor, CheckSettings, check_low_limits, check_periodically, follow_warmth,
-    probe_at_start, publish_request_limits,
+    publish_request_limits,
 };
 use crate::configuration::{
     Activation, ConfigurationActor, ConfigurationArguments, ConfigurationMessage, ConfigurationSource,
@@ -116,6 +116,7 @@
             locality: Some(own.locality.clone()),
         };
         let (evidence, reports) = mpsc::unbounded_channel();
+        let (earlier_back_ends, remembered) = mpsc::unbounded_channel();
         let (store_era, store_eras) = watch::channel(StoreEra::default());
         let arguments = MembershipArguments {
             membership: Membership::new(MembershipSettings::default(), own),
@@ -125,6 +126,7 @@
             telemetry: telemetry.clone(),
             boot_clock: Arc::clone(&environment.boot_clock),
             evidence,
+            earlier_back_ends,
             store_era,
         };
         let (membership, _) = Actor::spawn(None, MembershipActor, arguments).await?;
@@ -162,6 +164,7 @@
             tasks: Mutex::default(),
         };
         daemon.start_tasks(listeners, reports);
+        daemon.tasks.lock().spawn(follow_earlier_records(remembered, Arc::clone(&daemon.back_end)));
         Ok(daemon)
     }
 }
@@ -389,22 +392,18 @@
         }
     }
 
-    /// Starts the health checks of the back end. One that sends announcements is probed only after a restart
-    /// of the node; any other is checked periodically.
+    /// Starts the periodic health checks of a back end that does not announce itself.
     fn start_health_checks(&self, tasks: &mut JoinSet<()>, back_end: BackEndConfig) {
-        let monitor = Arc::clone(&self.back_end);
-        let service = self.config.service.clone();
-        if self.config.listen.registration.is_none() {
-            let settings = CheckSettings {
-                service,
-                address: back_end.address,
-                interval: back_end.check_interval,
-                failures: back_end.failures_to_unready,
-            };
-            tasks.spawn(check_periodically(monitor, settings));
-        } else if !self.config.is_first_start {
-            tasks.spawn(probe_at_start(monitor, service, back_end.address));
+        if self.config.listen.registration.is_some() {
+            return;
         }
+        let settings = CheckSettings {
+            service: self.config.service.clone(),
+            address: back_end.address,
+            interval: back_end.check_interval,
+            failures: back_end.failures_to_unready,
+        };
+        tasks.spawn(check_periodically(Arc::clone(&self.back_end), settings));
     }
 }
 
@@ -419,6 +418,16 @@
     }
 }
 
+/// Passes on what other nodes remember of the back end of an earlier process of this node.
+async fn follow_earlier_records(
+    mut remembered: mpsc::UnboundedReceiver<BackEndRecord>,
+    back_end: Arc<BackEndMonitor>,
+) {
+    while let Some(record) = remembered.recv().await {
+        back_end.on_earlier_record(&record);
+    }
+}
+
 /// Requests tokens whenever a request waits for one.
 async fn request_tokens(quotas: Arc<QuotaGate>, membership: ActorRef<MembershipMessage>) {
     loop {
--- a/crates/daemon/tests/back_end_tracker.rs
+++ b/crates/daemon/tests/back_end_tracker.rs
@@ -7,7 +7,7 @@
     AnnouncedState, Announcement, BackEndAssignment, BackEndTracker, CloseReason, Effect, ForeignAnnouncement,
 };
 use umberpond_forwarding::BackEnd;
-use umberpond_membership::BackEndState;
+use umberpond_membership::{BackEndRecord, BackEndState};
 use umberpond_model::BackEndProcess;
 
 fn announcement(instance: &str, state: AnnouncedState, sequence: u64) -> Announcement {
@@ -41,10 +41,41 @@
     }
 }
 
+fn assignment(service: &str, announces_itself: bool) -> BackEndAssignment {
+    let address = Some(back_end("a").address);
+    BackEndAssignment { service: service.parse().unwrap(), address, announces_itself }
+}
+
 fn new_tracker(is_restarted: bool) -> BackEndTracker {
-    let assigned = back_end("a");
-    let assignment = BackEndAssignment { service: assigned.service, address: Some(assigned.address) };
-    BackEndTracker::new(assignment, is_restarted)
+    BackEndTracker::new(assignment("archive", true), is_restarted)
+}
+
+/// Tracks a back end that sends no announcements, so that health checks find it.
+fn tracker_with_health_checks(is_restarted: bool) -> BackEndTracker {
+    BackEndTracker::new(assignment("archive", false), is_restarted)
+}
+
+/// The record that an earlier process of the node published.
+fn earlier_record(process: &BackEndProcess, state: BackEndState) -> BackEndRecord {
+    BackEndRecord {
+        instance: process.to_string(),
+        service: "archive".parse().unwrap(),
+        release: None,
+        slots: 9,
+        state,
+        is_cold: false,
+        request_limit: None,
+    }
+}
+
+/// The tracker of a node that has restarted, and has learned from another node that its back end is `a`, which a
+/// health check has confirmed. Neither tells the start time.
+fn restarted_tracker(now: Instant) -> BackEndTracker {
+    let mut tracker = new_tracker(true);
+    let record = earlier_record(&BackEndProcess::of("a"), BackEndState::Ready);
+    assert_eq!(tracker.on_earlier_record(now, &record), Effect::Confirm(back_end("a")));
+    assert_eq!(tracker.on_confirmed(now, back_end("a")), Effect::Open(back_end("a")));
+    tracker
 }
 
 fn announce(tracker: &mut BackEndTracker, now: Instant, announcement: &Announcement) -> Effect {
@@ -91,7 +122,7 @@
 #[test]
 fn back_end_without_identity_that_left_is_reopened_after_it_was_unreachable() {
     let now = Instant::now();
-    let mut tracker = new_tracker(false);
+    let mut tracker = tracker_with_health_checks(false);
     let unnamed = BackEnd { process: BackEndProcess::unnamed(), ..back_end("a") };
     assert_eq!(tracker.on_confirmed(now, unnamed.clone()), Effect::Open(unnamed.clone()));
     assert_eq!(tracker.on_leaving(now, &unnamed.process), Effect::Close(CloseReason::Leaving));
@@ -103,7 +134,7 @@
 #[test]
 fn back_end_without_identity_that_left_is_reopened_if_it_stays_healthy() {
     let now = Instant::now();
-    let mut tracker = new_tracker(false);
+    let mut tracker = tracker_with_health_checks(false);
     let unnamed = BackEnd { process: BackEndProcess::unnamed(), ..back_end("a") };
     tracker.on_confirmed(now, unnamed.clone());
     tracker.on_leaving(now, &unnamed.process);
@@ -159,15 +190,76 @@
     assert_eq!(state(&tracker), Some(BackEndState::Ready));
 }
 
+/// If another node remembers it from the earlier process.
 #[test]
 fn a_health_check_after_a_node_restart_needs_no_announcement() {
     let now = Instant::now();
-    let mut tracker = new_tracker(true);
-    assert_eq!(tracker.on_confirmed(now, back_end("a")), Effect::Open(back_end("a")));
+    let mut tracker = restarted_tracker(now);
+    assert_eq!(announce(&mut tracker, now, &ready_for("a", 3)), Effect::Open(back_end("a")));
     assert_eq!(announce(&mut tracker, now, &ready_for("a", 3)), Effect::None);
     assert_eq!(announce(&mut tracker, now, &draining("a", 4)), Effect::Close(CloseReason::Draining));
 }
 
+/// A false health check opened a back end that had been withdrawn, since the acknowledgement was known only to the
+/// process that had given it.
+#[test]
+fn health_check_alone_does_not_open_a_back_end_after_a_node_restart() {
+    let now = Instant::now();
+    let mut tracker = new_tracker(true);
+    assert_eq!(tracker.on_confirmed(now, back_end("a")), Effect::None);
+    assert_eq!(state(&tracker), None);
+    assert_eq!(announce(&mut tracker, now, &ready_for("a", 1)), Effect::Confirm(back_end("a")));
+    assert_eq!(tracker.on_confirmed(now, back_end("a")), Effect::Open(back_end("a")));
+}
+
+/// Whichever of them arrives first: what another node remembers, a false health check, a late announcement, a stale
+/// record of another node.
+#[test]
+fn departure_that_another_node_remembers_closes_the_back_end_for_good() {
+    let now = Instant::now();
+    let first = process("a", 100);
+    let departure = earlier_record(&first, BackEndState::Draining);
+    let stale = earlier_record(&first, BackEndState::Ready);
+    for departure_at in 0..4 {
+        let mut tracker = new_tracker(true);
+        for step in 0..4 {
+            if step == departure_at {
+                tracker.on_earlier_record(now, &departure);
+                assert_eq!(state(&tracker), Some(BackEndState::Draining), "{departure_at}");
+            }
+            let effect = match step {
+                0 => tracker.on_earlier_record(now, &stale),
+                1 => tracker.on_confirmed(now, back_end("a")),
+                2 => announce(&mut tracker, now, &ready_announcement(&first, 7)),
+                _ => tracker.on_unreachable(&first),
+            };
+            meet_back_end(&mut tracker, now, "a", &effect);
+            let is_open = state(&tracker) == Some(BackEndState::Ready);
+            assert!(!is_open || step < departure_at, "step {step}, departure {departure_at}");
+        }
+        let second = process("a", 200);
+        let effect = announce(&mut tracker, now, &ready_announcement(&second, 1));
+        meet_back_end(&mut tracker, now, "a", &effect);
+        assert_eq!(state(&tracker), Some(BackEndState::Ready), "the next process under the identity");
+        assert_eq!(tracker.on_earlier_record(now, &departure), Effect::None);
+        assert_eq!(
+            tracker.on_earlier_record(now, &earlier_record(&BackEndProcess::of("a"), BackEndState::Draining)),
+            Effect::None
+        );
+        assert_eq!(state(&tracker), Some(BackEndState::Ready));
+    }
+}
+
+#[test]
+fn earlier_record_of_another_service_is_ignored() {
+    let now = Instant::now();
+    let mut tracker = new_tracker(true);
+    let record = earlier_record(&BackEndProcess::of("a"), BackEndState::Ready);
+    let record = BackEndRecord { service: "billing".parse().unwrap(), ..record };
+    assert_eq!(tracker.on_earlier_record(now, &record), Effect::None);
+    assert_eq!(state(&tracker), None);
+}
+
 #[test]
 fn an_unreachable_back_end_stays_closed_until_it_is_confirmed() {
     let now = Instant::now();
@@ -267,8 +359,7 @@
     let now = Instant::now();
     let (first, second) = (process("a", 100), process("a", 200));
     for reports_start in [true, false] {
-        let mut tracker = new_tracker(true);
-        tracker.on_confirmed(now, back_end("a"));
+        let mut tracker = restarted_tracker(now);
         let leaving = if reports_start { first.clone() } else { BackEndProcess::of("a") };
         assert_eq!(tracker.on_withdrawn(&leaving), Effect::Close(CloseReason::Withdrawn));
         assert_eq!(
@@ -283,8 +374,7 @@
             "{reports_start}"
         );
     }
-    let mut tracker = new_tracker(true);
-    tracker.on_confirmed(now, back_end("a"));
+    let mut tracker = restarted_tracker(now);
     let leaving = Announcement { process: first.clone(), ..draining("a", 9) };
     assert_eq!(announce(&mut tracker, now, &leaving), Effect::Close(CloseReason::Draining));
     assert_eq!(announce(&mut tracker, now, &ready_announcement(&second, 1)), open_effect(&second));
@@ -378,14 +468,13 @@
 #[test]
 fn back_end_known_by_a_health_check_only_is_not_locked_out() {
     let now = Instant::now();
-    let mut tracker = new_tracker(true);
-    tracker.on_confirmed(now, back_end("present"));
-    tracker.on_unreachable(&BackEndProcess::of("present"));
+    let mut tracker = restarted_tracker(now);
+    tracker.on_unreachable(&BackEndProcess::of("a"));
     announce(&mut tracker, now, &ready_for("earlier", 70));
     tracker.on_unreachable(&BackEndProcess::of("earlier"));
-    let effect = announce(&mut tracker, now, &ready_for("present", 1));
-    meet_back_end(&mut tracker, now, "present", &effect);
-    assert_eq!(tracker.current().map(|(current, _)| current), Some(&back_end("present")));
+    let effect = announce(&mut tracker, now, &ready_for("a", 1));
+    meet_back_end(&mut tracker, now, "a", &effect);
+    assert_eq!(tracker.current().map(|(current, _)| current), Some(&back_end("a")));
     assert_eq!(state(&tracker), Some(BackEndState::Ready));
 }
 
@@ -508,7 +597,7 @@
     let now = Instant::now();
     let mut tracker = new_tracker(false);
     announce(&mut tracker, now, &ready_for("a", 1));
-    tracker.assign(BackEndAssignment { service: "billing".parse().unwrap(), address: None });
+    tracker.assign(assignment("billing", true));
     let of_new_service = Announcement { service: "billing".parse().unwrap(), ..ready_for("b", 1) };
     assert!(matches!(announce(&mut tracker, now, &of_new_service), Effect::Open(_)));
     assert!(tracker.on_announcement(now, &ready_for("a", 2)).is_err());
--- a/crates/membership/src/heartbeat.rs
+++ b/crates/membership/src/heartbeat.rs
@@ -8,7 +8,7 @@
 use umberpond_scheduling::LoadReport;
 
 use crate::digest::BucketDigest;
-use crate::record::{MemberRecord, RecordOrder};
+use crate::record::{BackEndRecord, MemberRecord, RecordOrder};
 
 /// Identifies the last heartbeat that the sender received from the receiver.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
@@ -72,6 +72,9 @@
     pub watch_millis: u16,
     /// Processes that accused the receiver, if the sender has excluded it.
     pub accusers: Vec<u64>,
+    /// Back end that an earlier process of the receiver's node published, if the receiver publishes none yet or
+    /// contradicts its departure.
+    pub earlier_back_end: Option<BackEndRecord>,
     /// Whether the receiver should respond immediately.
     pub wants_response: bool,
     /// Whether the receiver should send all records that it holds.
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -6,7 +6,7 @@
 
 use crate::digest::{contribution_of, rank_of};
 use crate::heartbeat::{Accusation, ConfigurationStatus, Echo, Heartbeat, SenderRecord};
-use crate::record::{MemberPhase, MemberRecord, RecordOrder};
+use crate::record::{BackEndRecord, BackEndState, MemberPhase, MemberRecord, RecordOrder};
 
 /// Whether a node is reachable from this node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -88,6 +88,8 @@
     is_retired: bool,
     /// Hash that the record currently adds to its bucket's digest.
     pub(crate) contribution: u64,
+    /// Back end that earlier processes of the node published.
+    earlier_back_end: Option<BackEndRecord>,
 }
 
 /// Minimum time before a heartbeat that is sent out of turn.
@@ -136,6 +138,7 @@
             excluded_at: None,
             is_retired: false,
             contribution: 0,
+            earlier_back_end: None,
         }
     }
 
@@ -143,7 +146,9 @@
     /// earlier process of the node is dropped.
     pub(crate) fn replace_record(&mut self, now: Instant, record: MemberRecord) {
         if record.process_id != self.record.process_id {
-            *self = Self { sent: self.sent, contribution: self.contribution, ..Self::new(now, record) };
+            let earlier_back_end = self.remembered_back_end().cloned();
+            let (sent, contribution) = (self.sent, self.contribution);
+            *self = Self { sent, contribution, earlier_back_end, ..Self::new(now, record) };
             return;
         }
         self.record = record;
@@ -152,6 +157,37 @@
         self.is_retired = false;
     }
 
+    /// Back end of the node, as its processes published it until now. No later record of a process outranks its
+    /// departure.
+    fn remembered_back_end(&self) -> Option<&BackEndRecord> {
+        let published = self.record.back_end.as_ref();
+        if self.has_departed_before() {
+            self.earlier_back_end.as_ref()
+        } else {
+            published.or(self.earlier_back_end.as_ref())
+        }
+    }
+
+    /// Whether the node publishes a back end whose departure an earlier process of the node has published.
+    pub(crate) fn has_departed_before(&self) -> bool {
+        let (Some(earlier), Some(published)) = (&self.earlier_back_end, &self.record.back_end) else {
+            return false;
+        };
+        published.state != BackEndState::Draining && earlier.is_departure_of(published)
+    }
+
+    /// What the node has to know of its earlier processes: their back end, until it publishes one itself, and
+    /// again if that one has departed before.
+    pub(crate) fn unknown_earlier_back_end(&self) -> Option<BackEndRecord> {
+        let is_unknown = self.record.back_end.is_none() || self.has_departed_before();
+        self.earlier_back_end.clone().filter(|_| is_unknown)
+    }
+
+    /// Whether the node holds this version of this node's record, or a later one.
+    pub(crate) fn holds(&self, order: RecordOrder) -> bool {
+        self.acknowledged_order.is_some_and(|held| held >= order)
+    }
+
     /// Marks the node as retired: another node has taken over its address.
     pub(crate) const fn retire(&mut self, now: Instant) {
         self.is_retired = true;
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -34,6 +34,10 @@
     pub datagram: Datagram,
 }
 
+/// Number of other nodes that should hold the departure of a back end before it is acknowledged.
+const HOLDERS_WANTED: usize = 2;
+/// Maximum number of records of earlier processes kept until they are taken.
+const MAX_EARLIER_BACK_ENDS: usize = 64;
 /// Maximum number of events kept until they are taken.
 const MAX_EVENTS: usize = 64;
 
@@ -78,6 +82,8 @@
     gossip_next_at: Option<Instant>,
     forget_next_at: Option<Instant>,
     events: Vec<MembershipEvent>,
+    /// Back ends that earlier processes of this node published, as other nodes remember them.
+    earlier_back_ends: Vec<BackEndRecord>,
     has_changed: bool,
     /// Whether a pending change affects the routing of new requests.
     is_urgent: bool,
@@ -115,6 +121,7 @@
             gossip_next_at: None,
             forget_next_at: None,
             events: Vec::new(),
+            earlier_back_ends: Vec::new(),
             has_changed: true,
             is_urgent: true,
         };
@@ -200,6 +207,30 @@
         std::mem::take(&mut self.events)
     }
 
+    /// Takes the back ends that earlier processes of this node published, as other nodes have told since the last
+    /// call.
+    pub fn take_earlier_back_ends(&mut self) -> Vec<BackEndRecord> {
+        std::mem::take(&mut self.earlier_back_ends)
+    }
+
+    /// Whether `record` is that of another node and names a back end whose departure an earlier process of that
+    /// node has published.
+    #[must_use]
+    pub fn has_departed_before(&self, record: &MemberRecord) -> bool {
+        self.members.get(&record.node).is_some_and(Member::has_departed_before)
+    }
+
+    /// Whether enough other nodes hold this node's record in this version or a later one: two, or all that are
+    /// reachable.
+    #[must_use]
+    pub fn is_held_elsewhere(&self, order: RecordOrder) -> bool {
+        let reachable = self.members.values().filter(|member| {
+            member.reachability == Reachability::Reachable && member.record.phase == MemberPhase::Running
+        });
+        let wanted = reachable.clone().take(HOLDERS_WANTED).count();
+        reachable.filter(|member| member.holds(order)).take(wanted).count() == wanted
+    }
+
     /// Sets the load that heartbeats report.
     pub const fn set_load(&mut self, load: LoadReport) {
         self.load = load;
@@ -240,8 +271,9 @@
         if self.own.back_end == back_end {
             return Vec::new();
         }
+        let is_departure = back_end.as_ref().is_some_and(|back_end| back_end.state == BackEndState::Draining);
         self.own.back_end = back_end;
-        self.change_own(now)
+        self.change_own_and(now, is_departure)
     }
 
     /// Sets the plans that this node publishes as a coordinator of rollouts, and publishes them immediately.
@@ -297,17 +329,22 @@
     }
 
     fn change_own(&mut self, now: Instant) -> Vec<Outgoing> {
+        self.change_own_and(now, false)
+    }
+
+    /// Publishes a change of the own record, and requests immediate responses to it if `wants_responses`.
+    fn change_own_and(&mut self, now: Instant, wants_responses: bool) -> Vec<Outgoing> {
         self.own.sequence += 1;
         self.refresh_own();
-        self.publish_own(now)
+        self.publish_own(now, wants_responses)
     }
 
     /// Sends the own record to the neighbours and gossips it.
-    fn publish_own(&mut self, now: Instant) -> Vec<Outgoing> {
+    fn publish_own(&mut self, now: Instant, wants_responses: bool) -> Vec<Outgoing> {
         let neighbours: Vec<NodeName> = self.active.iter().cloned().collect();
         let heartbeats = neighbours.into_iter();
         let mut outgoing: Vec<Outgoing> =
-            heartbeats.filter_map(|node| self.heartbeat_to(now, &node, None, false)).collect();
+            heartbeats.filter_map(|node| self.heartbeat_to(now, &node, None, wants_responses)).collect();
         self.pending.add_own();
         outgoing.extend(self.flush_updates(UpdateRole::Origin));
         outgoing
@@ -349,6 +386,13 @@
         }
     }
 
+    /// Records what another node remembers of the back end of an earlier process of this node.
+    fn record_earlier_back_end(&mut self, back_end: Option<&BackEndRecord>) {
+        if self.earlier_back_ends.len() < MAX_EARLIER_BACK_ENDS {
+            self.earlier_back_ends.extend(back_end.cloned());
+        }
+    }
+
     fn mark_changed(&mut self, is_urgent: bool) {
         self.has_changed = true;
         self.is_urgent |= is_urgent;
@@ -391,6 +435,7 @@
             digests,
             watch_millis: watch.map_or(0, |watch| millis(watch.interval)),
             accusers: member.excluding_accusers(),
+            earlier_back_end: member.unknown_earlier_back_end(),
             wants_response,
             wants_records: false,
         };
@@ -410,6 +455,7 @@
             digests: self.digests.take_next(),
             watch_millis: 0,
             accusers: Vec::new(),
+            earlier_back_end: None,
             wants_response: true,
             wants_records,
         };
--- a/crates/membership/src/membership/receive.rs
+++ b/crates/membership/src/membership/receive.rs
@@ -43,6 +43,10 @@
     /// Handles a heartbeat received from the address `from`.
     pub fn on_heartbeat(&mut self, now: Instant, from: SocketAddr, heartbeat: &Heartbeat) -> Vec<Outgoing> {
         let mut outgoing = Vec::new();
+        let is_for_this_process = heartbeat.held.is_some_and(|held| held.process_id == self.own.process_id);
+        if is_for_this_process {
+            self.record_earlier_back_end(heartbeat.earlier_back_end.as_ref());
+        }
         let node = match &heartbeat.sender {
             SenderRecord::Full(record) if record.node == self.own.node => {
                 return self.on_record_with_own_name(now, record);
@@ -143,11 +147,15 @@
     /// process, which is ignored, or a concurrent process of the same node, above whose start count this one
     /// rises.
     fn on_record_with_own_name(&mut self, now: Instant, record: &MemberRecord) -> Vec<Outgoing> {
-        if record.process_id == self.own.process_id || record.incarnation < self.own.incarnation {
+        if record.process_id == self.own.process_id {
+            return Vec::new();
+        }
+        self.record_earlier_back_end(record.back_end.as_ref());
+        if record.incarnation < self.own.incarnation {
             return Vec::new();
         }
         self.raise_incarnation(record.incarnation);
-        self.publish_own(now)
+        self.publish_own(now, false)
     }
 
     /// If the sender holds a record of an earlier process of this node, takes a higher start count.
@@ -157,12 +165,16 @@
             return Vec::new();
         }
         self.raise_incarnation(held.incarnation);
-        self.publish_own(now)
+        self.publish_own(now, false)
     }
 
     pub(super) fn on_record(&mut self, now: Instant, record: &MemberRecord) {
         if record.node == self.own.node {
-            if record.process_id != self.own.process_id && record.incarnation >= self.own.incarnation {
+            if record.process_id == self.own.process_id {
+                return;
+            }
+            self.record_earlier_back_end(record.back_end.as_ref());
+            if record.incarnation >= self.own.incarnation {
                 self.raise_incarnation(record.incarnation);
                 self.pending.add_own();
             }
--- a/crates/membership/src/record.rs
+++ b/crates/membership/src/record.rs
@@ -5,7 +5,8 @@
 use bitcode::{Decode, Encode};
 use serde::{Deserialize, Serialize};
 use umberpond_model::{
-    Evacuations, Incarnation, Locality, NodeName, ReleaseName, RequestRate, ServiceName, StoreEra,
+    BackEndProcess, Evacuations, Incarnation, Locality, NodeName, ReleaseName, RequestRate, ServiceName,
+    StoreEra,
 };
 use umberpond_rollouts::RolloutPlan;
 
@@ -50,6 +51,20 @@
     pub request_limit: Option<RequestRate>,
 }
 
+impl BackEndRecord {
+    /// The current process of the back end.
+    #[must_use]
+    pub fn process(&self) -> BackEndProcess {
+        BackEndProcess::parse(&self.instance)
+    }
+
+    /// Whether this record says that the process of `other` accepts no new requests any more.
+    #[must_use]
+    pub fn is_departure_of(&self, other: &Self) -> bool {
+        self.state == BackEndState::Draining && other.process().may_have_departed_as(&self.process())
+    }
+}
+
 /// What a node publishes about itself. Only the node itself writes it.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Encode, Decode)]
 pub struct MemberRecord {
--- a/crates/model/src/back_end_process.rs
+++ b/crates/model/src/back_end_process.rs
@@ -52,6 +52,14 @@
         self.instance == other.instance && (!both_known || self.started_at == other.started_at)
     }
 
+    /// Whether this process has to be treated as `departed`, which accepts no new requests any more: it is that
+    /// process, or its start time is unknown. A process without identity can't be recognized.
+    #[must_use]
+    pub fn may_have_departed_as(&self, departed: &Self) -> bool {
+        let is_known_later = self.started_at.is_some() && self.started_at != departed.started_at;
+        self.is_named() && self.instance == departed.instance && !is_known_later
+    }
+
     /// Whether this process started before `other`, by the clocks of their machines; `false` if either start
     /// time is unknown.
     #[must_use]
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -127,6 +127,8 @@
 
     AnnouncementIgnored { announced: String, sequence: u64, current: String, reason: &'static str }
         = 3015, Info, "announcement-ignored", "A valid announcement has no effect, since other reports outrank it; `current` is the process that counts as the current one. Logged again only when one of these changes, `sequence` excepted.";
+    DepartureNotHeld { waited_millis: u64 }
+        = 3016, Warn, "departure-not-held", "The back end leaves, and this node has acknowledged that before other nodes confirmed that they know it: if this process ends now, its successor may not learn it.";
 
     // Requests
     DuplicateRefused { request: String }
