The store holds the departure of a back end, so that no restart waits

Change: the store holds for each node which process departed last (`mesh-departures/NODE`). It is written with the departure, and again until it is confirmed, by the next process and after a restore of the store; the acknowledgement waits for it, 400 ms at most. A restarted node reads it with its first calls, and then a health check may introduce any other process. A withdrawal that a restarted node hears first is published and written too.

--- a/crates/daemon/src/back_end/monitor.rs
+++ b/crates/daemon/src/back_end/monitor.rs
@@ -6,8 +6,8 @@
 use parking_lot::Mutex;
 use ractor::ActorRef;
 use ractor::rpc::CallResult;
-use tokio::sync::Notify;
-use tokio::time::{Instant, sleep};
+use tokio::sync::{Notify, watch};
+use tokio::time::{Instant, sleep, timeout};
 use umberpond_forwarding::{BackEnd, Inbound};
 use umberpond_membership::BackEndRecord;
 use umberpond_model::{BackEndProcess, RequestRate, ServiceName};
@@ -15,6 +15,7 @@
 
 use super::announcement::{AnnouncedState, Announcement};
 use super::assignment::{BackEndAssignment, ForeignAnnouncement};
+use super::departures::DepartureLog;
 use super::tracker::{BackEndTracker, Effect, IgnoredAnnouncement};
 use crate::configuration::Activation;
 use crate::duration::millis;
@@ -22,14 +23,17 @@
 
 /// Time between two health checks of a back end that has to be confirmed.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(200);
-/// Timeout for other nodes to hold the departure of the back end before it is acknowledged.
-const HOLD_TIMEOUT: Duration = Duration::from_millis(400);
+/// Timeout for other nodes and the store to hold the departure of the back end before it is acknowledged.
+const DURABLE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum number of these health checks; after that the next announcement is awaited.
 const MAX_CONFIRM_ATTEMPTS: u32 = 40;
 
 /// Tracks the back end beside this node.
 pub struct BackEndMonitor {
     tracker: Mutex<BackEndTracker>,
+    departures: Option<DepartureLog>,
+    /// The departed process that the store is known to hold.
+    written_departure: watch::Sender<Option<BackEndProcess>>,
     inbound: Arc<Inbound>,
     activation: Arc<Activation>,
     membership: ActorRef<MembershipMessage>,
@@ -50,16 +54,17 @@
 
 impl BackEndMonitor {
     pub(crate) fn new(
-        assignment: BackEndAssignment,
-        may_be_draining: bool,
+        tracker: BackEndTracker,
+        departures: Option<DepartureLog>,
         inbound: Arc<Inbound>,
         activation: Arc<Activation>,
         membership: ActorRef<MembershipMessage>,
         telemetry: Telemetry,
     ) -> Arc<Self> {
-        let tracker = Mutex::new(BackEndTracker::new(assignment, may_be_draining));
         Arc::new(Self {
-            tracker,
+            tracker: Mutex::new(tracker),
+            departures,
+            written_departure: watch::Sender::new(None),
             inbound,
             activation,
             membership,
@@ -97,7 +102,7 @@
         self.update_cold_start_limiter();
         self.publish_record_when_warm();
         if announcement.state == AnnouncedState::Draining {
-            self.wait_until_held().await;
+            self.wait_until_durable().await;
         }
         Ok(())
     }
@@ -105,20 +110,75 @@
     /// Handles the withdrawal of `process`. This node sends it no new requests once this returns, and other nodes
     /// know that unless they could not be reached in time.
     pub async fn withdraw(self: &Arc<Self>, process: &BackEndProcess) {
-        let effect = self.tracker.lock().on_withdrawn(process);
+        let effect = self.tracker.lock().on_withdrawn(now(), process);
         self.apply(effect);
-        self.wait_until_held().await;
+        self.wait_until_durable().await;
     }
 
-    /// Waits until other nodes hold the record that was published last, so that the next process of this node
-    /// learns it from them.
-    async fn wait_until_held(&self) {
-        let reply = self.membership.call(MembershipMessage::AwaitHolders, Some(HOLD_TIMEOUT)).await;
-        if !matches!(reply, Ok(CallResult::Success(()))) {
-            self.telemetry.emit(Event::DepartureNotHeld { waited_millis: millis(HOLD_TIMEOUT) });
+    /// Waits until other nodes and the store hold the departure of the back end, so that the next process of this
+    /// node learns it, or until that has taken too long.
+    async fn wait_until_durable(&self) {
+        let (is_held, is_written) = tokio::join!(self.wait_until_held(), self.wait_until_written());
+        let missing = match (is_held, is_written) {
+            (true, true) => return,
+            (false, true) => "nodes",
+            (true, false) => "store",
+            (false, false) => "both",
+        };
+        let waited_millis = millis(DURABLE_TIMEOUT);
+        self.telemetry.emit(Event::DepartureNotDurable { waited_millis, missing });
+    }
+
+    /// Waits until other nodes hold the record that was published last.
+    async fn wait_until_held(&self) -> bool {
+        let reply = self.membership.call(MembershipMessage::AwaitHolders, Some(DURABLE_TIMEOUT)).await;
+        matches!(reply, Ok(CallResult::Success(())))
+    }
+
+    /// Waits until the store holds the departure of the current process, if it has departed.
+    async fn wait_until_written(&self) -> bool {
+        let departed = self.tracker.lock().departed();
+        if departed.is_none() || self.departures.is_none() {
+            return true;
+        }
+        let mut written = self.written_departure.subscribe();
+        timeout(DURABLE_TIMEOUT, written.wait_for(|written| *written == departed)).await.is_ok()
+    }
+
+    /// Writes the departure of the current process to the store, unless it holds it.
+    async fn write_departure(self: Arc<Self>) {
+        let (Some(departures), Some(process)) = (&self.departures, self.tracker.lock().departed()) else {
+            return;
+        };
+        let is_wanted = || {
+            let is_current = self.tracker.lock().departed().as_ref() == Some(&process);
+            is_current && self.written_departure.borrow().as_ref() != Some(&process)
+        };
+        if departures.write(&process, is_wanted).await {
+            self.written_departure.send_replace(Some(process));
         }
     }
 
+    /// Writes the departure of the current process to the store again, which may have lost it.
+    pub(crate) fn write_departure_again(self: &Arc<Self>) {
+        self.written_departure.send_replace(None);
+        tokio::spawn(Arc::clone(self).write_departure());
+    }
+
+    /// Reads from the store which process has departed last; `false` if there is no such store.
+    pub(super) async fn recall_departure(self: &Arc<Self>) -> bool {
+        let Some(departures) = &self.departures else { return false };
+        let departed = departures.read().await;
+        let effect = self.tracker.lock().on_departure_read(departed.as_ref());
+        self.apply(effect);
+        true
+    }
+
+    /// Whether any process of the back end is known.
+    pub(super) fn is_back_end_known(&self) -> bool {
+        self.tracker.lock().current().is_some()
+    }
+
     /// Handles what another node remembers of the back end that an earlier process of this node published.
     pub(crate) fn on_earlier_record(self: &Arc<Self>, record: &BackEndRecord) {
         let effect = self.tracker.lock().on_earlier_record(now(), record);
@@ -218,6 +278,7 @@
             Effect::Close(reason) => {
                 self.emit_state_changed("closed", reason.as_str());
                 self.inbound.close();
+                tokio::spawn(Arc::clone(self).write_departure());
             }
             Effect::Confirm(back_end) => {
                 self.emit_state_changed(
@@ -299,7 +360,8 @@
         }
     }
 
-    fn on_found(self: &Arc<Self>, back_end: BackEnd, cold_for: Duration) {
+    /// Handles a successful health check of `back_end`, which reported this remaining warm-up time.
+    pub(super) fn on_found(self: &Arc<Self>, back_end: BackEnd, cold_for: Duration) {
         let process = back_end.process.clone();
         self.confirm(back_end);
         self.on_cold(&process, cold_for);
--- a/crates/daemon/src/back_end/tracker.rs
+++ b/crates/daemon/src/back_end/tracker.rs
@@ -143,6 +143,8 @@
     /// The process that a health check is to identify, while the current one is in service.
     rival: Option<TrackedProcess>,
     ended: VecDeque<EndedProcess>,
+    /// Whether the store has told which process has departed last, so that a health check may introduce any other.
+    is_departure_read: bool,
     /// Whether an earlier process of this node may have acknowledged that the current process is draining.
     may_be_draining: bool,
     ignored: Option<IgnoredAnnouncement>,
@@ -158,6 +160,7 @@
             current: None,
             rival: None,
             ended: VecDeque::new(),
+            is_departure_read: false,
             may_be_draining,
             ignored: None,
         }
@@ -179,7 +182,7 @@
     ) -> Result<Effect, ForeignAnnouncement> {
         self.assignment.check(announcement)?;
         if self.is_departure_of_current(announcement) {
-            return Ok(self.on_departure(&announcement.process, CloseReason::Draining));
+            return Ok(self.on_departure(now, &announcement.process, CloseReason::Draining));
         }
         Ok(match self.sender_of(now, announcement) {
             Sender::Current => self.on_current_announcement(now, announcement),
@@ -195,8 +198,8 @@
     }
 
     /// Handles the withdrawal of `process`.
-    pub fn on_withdrawn(&mut self, process: &BackEndProcess) -> Effect {
-        self.on_departure(process, CloseReason::Withdrawn)
+    pub fn on_withdrawn(&mut self, now: Instant, process: &BackEndProcess) -> Effect {
+        self.on_departure(now, process, CloseReason::Withdrawn)
     }
 
     /// Handles a response of `process` that says that it is about to shut down. Its later announcements do not
@@ -215,52 +218,60 @@
         Effect::Close(CloseReason::Leaving)
     }
 
-    /// Handles what another node remembers of the back end that an earlier process of this node published.
-    pub fn on_earlier_record(&mut self, now: Instant, record: &BackEndRecord) -> Effect {
-        let process = record.process();
-        if !process.is_named() || record.service != self.assignment.service {
-            return Effect::None;
-        }
-        let is_departure = record.state == BackEndState::Draining;
+    /// Handles what the store says about the process that has departed last; `None`: none has.
+    pub fn on_departure_read(&mut self, departed: Option<&BackEndProcess>) -> Effect {
+        self.is_departure_read = true;
+        let Some(process) = departed else { return Effect::None };
         match &self.current {
-            None => self.on_remembered(now, record),
-            Some(current) if is_departure && current.back_end.process.may_have_departed_as(&process) => {
-                self.on_departure(&process, CloseReason::Remembered)
+            Some(current) if current.back_end.process.may_have_departed_as(process) => {
+                self.close_current(process, CloseReason::Remembered)
             }
-            Some(_) if is_departure => {
-                self.remember_ended(EndedProcess { process, sequence: None, has_left: true });
+            // A later process may be running: what has departed says nothing about it.
+            _ => {
+                self.remember_ended(EndedProcess {
+                    process: process.clone(),
+                    sequence: None,
+                    has_left: true,
+                });
                 Effect::None
             }
-            Some(_) => Effect::None,
         }
     }
 
-    /// Makes the back end of an earlier process of this node the current one: closed if it has departed, otherwise
-    /// to be confirmed.
-    fn on_remembered(&mut self, now: Instant, record: &BackEndRecord) -> Effect {
+    /// The current process, if it has departed.
+    #[must_use]
+    pub fn departed(&self) -> Option<BackEndProcess> {
+        let current = self.current.as_ref().filter(|current| current.state == BackEndState::Draining)?;
+        Some(current.back_end.process.clone())
+    }
+
+    /// Handles what another node remembers of the back end that an earlier process of this node published.
+    pub fn on_earlier_record(&mut self, now: Instant, record: &BackEndRecord) -> Effect {
         let process = record.process();
+        if !process.is_named() || record.service != self.assignment.service {
+            return Effect::None;
+        }
+        if record.state == BackEndState::Draining {
+            return self.on_remembered_departure(now, &process);
+        }
         let has_left = self.ended.iter().any(|ended| ended.has_left && ended.process.may_equal(&process));
-        let is_departure = record.state == BackEndState::Draining;
-        let Some(address) = self.assignment.address.filter(|_| is_departure || !has_left) else {
+        let Some(address) = self.assignment.address.filter(|_| self.current.is_none() && !has_left) else {
             return Effect::None;
         };
-        let back_end = BackEnd {
-            process,
-            service: record.service.clone(),
-            release: record.release.clone(),
-            address,
-            slots: record.slots,
-        };
-        let state = if is_departure { BackEndState::Draining } else { BackEndState::Unreachable };
-        self.current = Some(TrackedProcess {
-            back_end: back_end.clone(),
-            sequence: None,
-            state,
-            cold_until: now,
-            last_seen_at: now,
-            is_reconfirmed: false,
-        });
-        if is_departure { Effect::Close(CloseReason::Remembered) } else { Effect::Confirm(back_end) }
+        let (service, release) = (record.service.clone(), record.release.clone());
+        let back_end = BackEnd { process, service, release, address, slots: record.slots };
+        self.current = Some(TrackedProcess::found(now, back_end.clone(), BackEndState::Unreachable));
+        Effect::Confirm(back_end)
+    }
+
+    /// Handles a departure that an earlier process of this node has acknowledged.
+    fn on_remembered_departure(&mut self, now: Instant, process: &BackEndProcess) -> Effect {
+        let is_over = |current: &TrackedProcess| !current.back_end.process.may_have_departed_as(process);
+        if self.current.as_ref().is_some_and(is_over) {
+            self.remember_ended(EndedProcess { process: process.clone(), sequence: None, has_left: true });
+            return Effect::None;
+        }
+        self.on_departure(now, process, CloseReason::Remembered)
     }
 
     /// Handles a successful health check of `back_end`. The response doesn't identify the process by its
@@ -299,18 +310,11 @@
             }
             Some(process) if process.sequence.is_some() => Effect::None,
             // It says that the back end is well, not that it takes new requests.
-            _ if self.assignment.announces_itself => Effect::None,
+            _ if self.assignment.announces_itself && !self.is_departure_read => Effect::None,
             _ => {
                 self.may_be_draining = false;
                 self.end_current();
-                self.current = Some(TrackedProcess {
-                    back_end: back_end.clone(),
-                    sequence: None,
-                    state: BackEndState::Ready,
-                    cold_until: now,
-                    last_seen_at: now,
-                    is_reconfirmed: false,
-                });
+                self.current = Some(TrackedProcess::found(now, back_end.clone(), BackEndState::Ready));
                 Effect::Open(back_end)
             }
         }
@@ -411,21 +415,34 @@
     }
 
     /// Handles the report that `process` leaves, which is final for it.
-    fn on_departure(&mut self, process: &BackEndProcess, reason: CloseReason) -> Effect {
-        let departed = EndedProcess { process: process.clone(), sequence: None, has_left: true };
+    fn on_departure(&mut self, now: Instant, process: &BackEndProcess, reason: CloseReason) -> Effect {
         let is_known = self.ended.iter().any(|ended| ended.process == *process);
-        let Some(current) = self.current.as_mut().filter(|current| current.must_close_for(process, is_known))
-        else {
-            self.remember_ended(departed);
-            return Effect::None;
+        let departed = EndedProcess { process: process.clone(), sequence: None, has_left: true };
+        match &self.current {
+            Some(current) if current.must_close_for(process, is_known) => self.close_current(process, reason),
+            None if !is_known => {
+                self.remember_ended(departed);
+                self.introduce_departed(now, process, reason)
+            }
+            _ => {
+                self.remember_ended(departed);
+                Effect::None
+            }
+        }
+    }
+
+    /// Closes the current process, which departs as `process`.
+    fn close_current(&mut self, process: &BackEndProcess, reason: CloseReason) -> Effect {
+        let Some(current) = &mut self.current else { return Effect::None };
+        let before = EndedProcess {
+            process: current.back_end.process.clone(),
+            sequence: current.sequence,
+            has_left: current.state == BackEndState::Draining,
         };
-        let was_draining = current.state == BackEndState::Draining;
-        let before = current.back_end.process.clone();
-        let replaced = (!before.may_equal(process)).then(|| EndedProcess {
-            process: before.clone(),
-            sequence: current.sequence.take(),
-            has_left: was_draining,
-        });
+        let is_replaced = !before.process.may_equal(process);
+        if is_replaced {
+            current.sequence = None;
+        }
         current.state = BackEndState::Draining;
         current.is_reconfirmed = false;
         current.set_start(process);
@@ -434,12 +451,30 @@
             sequence: current.sequence,
             has_left: true,
         };
-        let is_change = !was_draining || departed.process != before;
-        replaced.into_iter().for_each(|replaced| self.remember_ended(replaced));
+        let is_change = !before.has_left || departed.process != before.process;
+        if is_replaced {
+            self.remember_ended(before);
+        }
         self.remember_ended(departed);
         if is_change { Effect::Close(reason) } else { Effect::None }
     }
 
+    /// Makes a departed process the current one, so that other nodes learn of its departure.
+    fn introduce_departed(&mut self, now: Instant, process: &BackEndProcess, reason: CloseReason) -> Effect {
+        let Some(address) = self.assignment.address.filter(|_| process.is_named()) else {
+            return Effect::None;
+        };
+        let back_end = BackEnd {
+            process: process.clone(),
+            service: self.assignment.service.clone(),
+            release: None,
+            address,
+            slots: 0,
+        };
+        self.current = Some(TrackedProcess::found(now, back_end, BackEndState::Draining));
+        Effect::Close(reason)
+    }
+
     fn ignore(&mut self, announcement: &Announcement, reason: IgnoreReason) -> Effect {
         let current = self.current.as_ref().map(|current| current.back_end.process.clone());
         self.ignored = Some(IgnoredAnnouncement { process: announcement.process.clone(), current, reason });
@@ -469,7 +504,7 @@
     fn on_rival(&mut self, now: Instant, announcement: &Announcement) -> Effect {
         self.ignore(announcement, IgnoreReason::OtherIdentity);
         if announcement.state == AnnouncedState::Draining {
-            return self.on_departure(&announcement.process, CloseReason::Draining);
+            return self.on_departure(now, &announcement.process, CloseReason::Draining);
         }
         let rival = TrackedProcess::new(now, announcement, BackEndState::Ready);
         let back_end = rival.back_end.clone();
@@ -576,6 +611,11 @@
         }
     }
 
+    /// A process that is known without an announcement.
+    const fn found(now: Instant, back_end: BackEnd, state: BackEndState) -> Self {
+        Self { back_end, sequence: None, state, cold_until: now, last_seen_at: now, is_reconfirmed: false }
+    }
+
     /// Whether it accepts requests, and has been heard of recently.
     fn is_in_service(&self, now: Instant) -> bool {
         self.state == BackEndState::Ready && !self.may_be_over(now)
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -23,8 +23,8 @@
 use umberpond_telemetry::{Event, Telemetry};
 
 use crate::back_end::{
-    BackEndAssignment, BackEndMonitor, CheckSettings, check_low_limits, check_periodically, follow_warmth,
-    publish_request_limits,
+    BackEndAssignment, BackEndMonitor, BackEndTracker, CheckSettings, DepartureLog, DepartureStore,
+    check_low_limits, check_periodically, find_at_restart, follow_warmth, publish_request_limits,
 };
 use crate::configuration::{
     Activation, ConfigurationActor, ConfigurationArguments, ConfigurationMessage, ConfigurationSource,
@@ -65,6 +65,8 @@
     pub quarantine: Option<Arc<dyn QuarantineStore>>,
     /// Store of zone evacuations; absent if the platform has none.
     pub evacuations: Option<Arc<dyn EvacuationStore>>,
+    /// Store of the departures of back ends; absent if the platform has none.
+    pub departures: Option<Arc<dyn DepartureStore>>,
     /// Names of the header fields.
     pub header_profile: HeaderProfile,
 }
@@ -139,9 +141,14 @@
         };
         let (configuration, _) = Actor::spawn(None, ConfigurationActor, arguments).await?;
         let _ = membership.send_message(MembershipMessage::ConfigurationActor(configuration.clone()));
+        let departures = extensions.departures.as_ref().map(|store| DepartureLog {
+            store: Arc::clone(store),
+            node: config.node.clone(),
+            telemetry: telemetry.clone(),
+        });
         let back_end = BackEndMonitor::new(
-            BackEndAssignment::of(&config),
-            !config.is_first_start,
+            BackEndTracker::new(BackEndAssignment::of(&config), !config.is_first_start),
+            departures,
             Arc::clone(&inbound),
             Arc::clone(&activation),
             membership.clone(),
@@ -392,18 +399,25 @@
         }
     }
 
-    /// Starts the periodic health checks of a back end that does not announce itself.
+    /// Starts the health checks of the back end. One that announces itself is probed only after a restart of the
+    /// node; any other is checked periodically.
     fn start_health_checks(&self, tasks: &mut JoinSet<()>, back_end: BackEndConfig) {
-        if self.config.listen.registration.is_some() {
+        let monitor = Arc::clone(&self.back_end);
+        let service = self.config.service.clone();
+        if self.config.listen.registration.is_none() {
+            let settings = CheckSettings {
+                service,
+                address: back_end.address,
+                interval: back_end.check_interval,
+                failures: back_end.failures_to_unready,
+            };
+            tasks.spawn(check_periodically(monitor, settings));
             return;
         }
-        let settings = CheckSettings {
-            service: self.config.service.clone(),
-            address: back_end.address,
-            interval: back_end.check_interval,
-            failures: back_end.failures_to_unready,
-        };
-        tasks.spawn(check_periodically(Arc::clone(&self.back_end), settings));
+        tasks.spawn(write_departures_again(Arc::clone(&monitor), self.store_eras.clone()));
+        if !self.config.is_first_start {
+            tasks.spawn(find_at_restart(monitor, service, back_end.address));
+        }
     }
 }
 
@@ -418,6 +432,13 @@
     }
 }
 
+/// Writes the departure of the back end again after each restore of the store, which may have lost it.
+async fn write_departures_again(back_end: Arc<BackEndMonitor>, mut store_eras: watch::Receiver<StoreEra>) {
+    while store_eras.changed().await.is_ok() {
+        back_end.write_departure_again();
+    }
+}
+
 /// Passes on what other nodes remember of the back end of an earlier process of this node.
 async fn follow_earlier_records(
     mut remembered: mpsc::UnboundedReceiver<BackEndRecord>,
--- a/crates/daemon/tests/back_end_tracker.rs
+++ b/crates/daemon/tests/back_end_tracker.rs
@@ -159,7 +159,7 @@
     let now = Instant::now();
     let mut tracker = new_tracker(false);
     announce(&mut tracker, now, &ready_for("a", 1));
-    assert_eq!(tracker.on_withdrawn(&BackEndProcess::of("a")), Effect::Close(CloseReason::Withdrawn));
+    assert_eq!(tracker.on_withdrawn(now, &BackEndProcess::of("a")), Effect::Close(CloseReason::Withdrawn));
     assert_eq!(announce(&mut tracker, now, &ready_for("a", 2)), Effect::None);
     assert_eq!(tracker.on_confirmed(now, back_end("a")), Effect::None);
     assert_eq!(state(&tracker), Some(BackEndState::Draining));
@@ -176,7 +176,7 @@
     let delayed = announce(&mut tracker, now, &ready_for("a", 8));
     meet_back_end(&mut tracker, now, "b", &delayed);
     assert_eq!(tracker.current().map(|(current, _)| current), Some(&back_end("b")));
-    assert_eq!(tracker.on_withdrawn(&BackEndProcess::of("a")), Effect::None);
+    assert_eq!(tracker.on_withdrawn(now, &BackEndProcess::of("a")), Effect::None);
     assert_eq!(state(&tracker), Some(BackEndState::Ready));
 }
 
@@ -250,6 +250,43 @@
     }
 }
 
+/// The node has restarted, and the withdrawal is the first that it hears of its back end. Other nodes remember that the
+/// back end accepts requests, and may have to tell that to another process of the node.
+#[test]
+fn withdrawal_of_an_unknown_process_is_published() {
+    let now = Instant::now();
+    let first = process("a", 100);
+    let mut tracker = new_tracker(true);
+    assert_eq!(tracker.on_withdrawn(now, &first), Effect::Close(CloseReason::Withdrawn));
+    assert_eq!(tracker.departed(), Some(first.clone()));
+    assert_eq!(tracker.on_earlier_record(now, &earlier_record(&first, BackEndState::Ready)), Effect::None);
+    assert_eq!(tracker.on_confirmed(now, back_end("a")), Effect::None);
+    assert_eq!(announce(&mut tracker, now, &ready_announcement(&first, 7)), Effect::None);
+    assert_eq!(state(&tracker), Some(BackEndState::Draining));
+}
+
+/// Once the store has told which process has departed last, a health check may introduce any other.
+#[test]
+fn health_check_introduces_a_back_end_that_has_not_departed() {
+    let now = Instant::now();
+    let (first, second) = (process("a", 100), process("a", 200));
+    let mut tracker = new_tracker(true);
+    assert_eq!(tracker.on_departure_read(None), Effect::None);
+    assert_eq!(tracker.on_confirmed(now, back_end("a")), Effect::Open(back_end("a")));
+    assert_eq!(tracker.on_departure_read(Some(&first)), Effect::Close(CloseReason::Remembered));
+
+    let mut tracker = new_tracker(true);
+    assert_eq!(tracker.on_departure_read(Some(&first)), Effect::None);
+    assert_eq!(tracker.on_confirmed(now, back_end("b")), Effect::Open(back_end("b")));
+
+    let mut tracker = new_tracker(true);
+    assert_eq!(tracker.on_departure_read(Some(&first)), Effect::None);
+    assert_eq!(tracker.on_confirmed(now, back_end("a")), Effect::None, "the start time is unknown");
+    let record = earlier_record(&second, BackEndState::Ready);
+    assert!(matches!(tracker.on_earlier_record(now, &record), Effect::Confirm(_)), "a later process");
+    assert_eq!(tracker.on_confirmed(now, back_end("a")), Effect::Open(back_end("a")));
+}
+
 #[test]
 fn earlier_record_of_another_service_is_ignored() {
     let now = Instant::now();
@@ -314,8 +351,8 @@
         Effect::None,
         "delayed announcement"
     );
-    assert_eq!(tracker.on_withdrawn(&first), Effect::None);
-    assert_eq!(tracker.on_withdrawn(&second), Effect::Close(CloseReason::Withdrawn));
+    assert_eq!(tracker.on_withdrawn(now, &first), Effect::None);
+    assert_eq!(tracker.on_withdrawn(now, &second), Effect::Close(CloseReason::Withdrawn));
     let third = process("a", 300);
     assert_eq!(announce(&mut tracker, now, &ready_announcement(&third, 1)), open_effect(&third));
 }
@@ -361,7 +398,7 @@
     for reports_start in [true, false] {
         let mut tracker = restarted_tracker(now);
         let leaving = if reports_start { first.clone() } else { BackEndProcess::of("a") };
-        assert_eq!(tracker.on_withdrawn(&leaving), Effect::Close(CloseReason::Withdrawn));
+        assert_eq!(tracker.on_withdrawn(now, &leaving), Effect::Close(CloseReason::Withdrawn));
         assert_eq!(
             announce(&mut tracker, now, &ready_announcement(&first, 7)),
             Effect::None,
@@ -503,7 +540,7 @@
         announce(&mut tracker, now, &ready_announcement(&process("a", 100), 70));
         tracker
     }) {
-        assert_eq!(tracker.on_withdrawn(&second), Effect::Close(CloseReason::Withdrawn));
+        assert_eq!(tracker.on_withdrawn(now, &second), Effect::Close(CloseReason::Withdrawn));
         assert_eq!(announce(&mut tracker, now, &ready_announcement(&second, 1)), Effect::None, "delayed");
         assert_eq!(
             announce(&mut tracker, now, &ready_announcement(&process("a", 100), 71)),
@@ -523,7 +560,7 @@
 fn withdrawal_closes_a_restarted_back_end_whose_clock_was_set_back() {
     let now = Instant::now();
     let mut tracker = tracker_after_a_crash(now);
-    assert_eq!(tracker.on_withdrawn(&process("a", 50)), Effect::Close(CloseReason::Withdrawn));
+    assert_eq!(tracker.on_withdrawn(now, &process("a", 50)), Effect::Close(CloseReason::Withdrawn));
     let first = process("a", 100);
     assert_eq!(
         announce(&mut tracker, now, &ready_announcement(&first, 71)),
@@ -538,9 +575,9 @@
     let now = Instant::now();
     let (first, second) = (process("a", 100), process("a", 200));
     let mut tracker = tracker_after_a_crash(now);
-    assert_eq!(tracker.on_withdrawn(&first), Effect::Close(CloseReason::Withdrawn));
+    assert_eq!(tracker.on_withdrawn(now, &first), Effect::Close(CloseReason::Withdrawn));
     assert_eq!(announce(&mut tracker, now, &ready_announcement(&second, 1)), open_effect(&second));
-    assert_eq!(tracker.on_withdrawn(&first), Effect::None);
+    assert_eq!(tracker.on_withdrawn(now, &first), Effect::None);
     assert_eq!(state(&tracker), Some(BackEndState::Ready));
 }
 
@@ -641,7 +678,7 @@
             let process = process("a", 100 + number as u64);
             let effect = match kind % 5 {
                 0 => announce(&mut tracker, now, &Announcement { process, ..draining("a", u64::from(sequence)) }),
-                1 => tracker.on_withdrawn(&process),
+                1 => tracker.on_withdrawn(now, &process),
                 2 => tracker.on_unreachable(&process),
                 _ => announce(&mut tracker, now, &ready_announcement(&process, u64::from(sequence))),
             };
@@ -665,11 +702,11 @@
                 0 => announce(&mut tracker, now, &ready_announcement(&process, u64::from(sequence))),
                 1 => tracker.on_unreachable(&process),
                 2 => tracker.on_confirmed(now, back_end("a")),
-                _ => tracker.on_withdrawn(&process),
+                _ => tracker.on_withdrawn(now, &process),
             };
         }
         let withdrawn = process("a", 100 + u64::from(withdrawn % 3));
-        tracker.on_withdrawn(&withdrawn);
+        tracker.on_withdrawn(now, &withdrawn);
         let Some((current, _)) = tracker.current() else { return true };
         state(&tracker) == Some(BackEndState::Draining) || withdrawn.started_before(&current.process)
     }
@@ -685,7 +722,7 @@
             let instance = ["a", "b", "c"][number];
             let effect = match kind % 5 {
                 0 => announce(&mut tracker, now, &draining(instance, u64::from(sequence))),
-                1 => tracker.on_withdrawn(&BackEndProcess::of(instance)),
+                1 => tracker.on_withdrawn(now, &BackEndProcess::of(instance)),
                 2 => tracker.on_confirmed(now, back_end(instance)),
                 3 => tracker.on_leaving(now, &BackEndProcess::of(instance)),
                 _ => announce(&mut tracker, now, &ready_for(instance, u64::from(sequence))),
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -89,7 +89,7 @@
     /// Hash that the record currently adds to its bucket's digest.
     pub(crate) contribution: u64,
     /// Back end that earlier processes of the node published.
-    earlier_back_end: Option<BackEndRecord>,
+    earlier_back_end: Option<Box<BackEndRecord>>,
 }
 
 /// Minimum time before a heartbeat that is sent out of turn.
@@ -146,7 +146,7 @@
     /// earlier process of the node is dropped.
     pub(crate) fn replace_record(&mut self, now: Instant, record: MemberRecord) {
         if record.process_id != self.record.process_id {
-            let earlier_back_end = self.remembered_back_end().cloned();
+            let earlier_back_end = self.remembered_back_end().cloned().map(Box::new);
             let (sent, contribution) = (self.sent, self.contribution);
             *self = Self { sent, contribution, earlier_back_end, ..Self::new(now, record) };
             return;
@@ -160,12 +160,8 @@
     /// Back end of the node, as its processes published it until now. No later record of a process outranks its
     /// departure.
     fn remembered_back_end(&self) -> Option<&BackEndRecord> {
-        let published = self.record.back_end.as_ref();
-        if self.has_departed_before() {
-            self.earlier_back_end.as_ref()
-        } else {
-            published.or(self.earlier_back_end.as_ref())
-        }
+        let earlier = self.earlier_back_end.as_deref();
+        if self.has_departed_before() { earlier } else { self.record.back_end.as_ref().or(earlier) }
     }
 
     /// Whether the node publishes a back end whose departure an earlier process of the node has published.
@@ -180,7 +176,7 @@
     /// again if that one has departed before.
     pub(crate) fn unknown_earlier_back_end(&self) -> Option<BackEndRecord> {
         let is_unknown = self.record.back_end.is_none() || self.has_departed_before();
-        self.earlier_back_end.clone().filter(|_| is_unknown)
+        self.earlier_back_end.as_deref().filter(|_| is_unknown).cloned()
     }
 
     /// Whether the node holds this version of this node's record, or a later one.
--- a/crates/telemetry/src/catalogue/mod.rs
+++ b/crates/telemetry/src/catalogue/mod.rs
@@ -127,8 +127,8 @@
 
     AnnouncementIgnored { announced: String, sequence: u64, current: String, reason: &'static str }
         = 3015, Info, "announcement-ignored", "A valid announcement has no effect, since other reports outrank it; `current` is the process that counts as the current one. Logged again only when one of these changes, `sequence` excepted.";
-    DepartureNotHeld { waited_millis: u64 }
-        = 3016, Warn, "departure-not-held", "The back end leaves, and this node has acknowledged that before other nodes confirmed that they know it: if this process ends now, its successor may not learn it.";
+    DepartureNotDurable { waited_millis: u64, missing: &'static str }
+        = 3016, Warn, "departure-not-durable", "The back end leaves, and this node has acknowledged that before the `missing` ones confirmed that they hold it: `nodes`, `store` or `both`. If this process, or all of them, end now, the next ones may not learn it.";
 
     // Requests
     DuplicateRefused { request: String }
--- a/crates/umberpond/src/cli/node.rs
+++ b/crates/umberpond/src/cli/node.rs
@@ -149,6 +149,7 @@
         rollouts: None,
         quarantine: Some(Arc::new(StoreQuarantine::new(Arc::clone(&store)))),
         evacuations: None,
+        departures: None,
         header_profile: HeaderProfile::DEFAULT,
     };
     let admin = config.listen.admin;
--- a/testing/sim/src/cluster/process.rs
+++ b/testing/sim/src/cluster/process.rs
@@ -219,6 +219,7 @@
             rollouts: None,
             quarantine: None,
             evacuations: None,
+            departures: None,
             header_profile: HeaderProfile::DEFAULT,
         };
         let daemon = Arc::new(Daemon::start(self.config(), environment.clone(), extensions).await?);
