Tests: a response head that stops at any byte is not forwarded

Reported from other systems: an upstream stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body. Played here for each byte of a head: bodies with a length, without bytes, in chunks and up to the end of the connection; an orderly end on a fresh and on a reused connection, and a reset that the write of an upload reports. Each gives 502, without the signature, and runs once.

--- a/crates/forwarding/tests/broken_responses.rs
+++ b/crates/forwarding/tests/broken_responses.rs
@@ -205,3 +205,55 @@
     let reply = reply_to_upload(300_000, connection).await;
     assert_eq!((reply.status, reply.text()), (200, "part of it"));
 }
+
+/// Responses with each framing of a body; every prefix of them is a head that stops in the middle, or a part of a body.
+const WHOLE_RESPONSES: [&str; 4] = [
+    "HTTP/1.1 200 OK\r\numberpond-request: {id}\r\nx-proof: p\r\nContent-Length: 4\r\n\r\nwell",
+    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\numberpond-request: {id}\r\nx-proof: p\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\numberpond-request: {id}\r\nx-proof: p\r\n\r\n4\r\nwell\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\numberpond-request: {id}\r\nx-proof: p\r\nConnection: close\r\n\r\nwell",
+];
+
+/// On other systems callers received a 200 with an empty or short body, framed as complete, after a back end had
+/// stopped in the middle of its head and closed the connection.
+#[tokio::test(start_paused = true)]
+async fn head_that_stops_in_the_middle_is_not_forwarded() {
+    for whole in WHOLE_RESPONSES {
+        let head_bytes = whole.find("\r\n\r\n").unwrap() + "\r\n\r\n".len();
+        for end in 0..head_bytes {
+            let part = ScriptedResponse::RawThenClose(&whole[..end]);
+            for script in [vec![part.clone()], vec![ok("before"), part]] {
+                let is_reused = script.len() > 1;
+                let world = TestCluster::with_routes(vec![script]).await;
+                if is_reused {
+                    assert_eq!(world.caller().await.ask("/write/a", "r0").await.text(), "before");
+                }
+                let reply = world.caller().await.ask("/write/a", "r1").await;
+                assert_eq!(reply.status, 502, "{:?}, reused: {is_reused}: {reply:?}", &whole[..end]);
+                assert!(!reply.fields.contains("x-proof"), "{:?}", &whole[..end]);
+                assert_eq!(world.arrivals(), 1 + usize::from(is_reused), "the outcome is unknown");
+            }
+        }
+    }
+}
+
+/// As [`head_that_stops_in_the_middle_is_not_forwarded`], with a reset in place of an orderly end. The reset is reported
+/// to the write of a long upload, so that the reader sees an orderly end.
+#[tokio::test(start_paused = true)]
+async fn head_that_is_reset_in_the_middle_is_not_forwarded() {
+    for whole in WHOLE_RESPONSES {
+        let whole: &'static str = whole.replace("{id}", "r1").leak();
+        let head_bytes = whole.find("\r\n\r\n").unwrap() + "\r\n\r\n".len();
+        for end in 0..head_bytes {
+            let connection = ScriptedConnection {
+                accepted_bytes: 4_000,
+                next_write: NextWrite::Reset,
+                response: &whole[..end],
+                repeated: "",
+            };
+            let reply = reply_to_upload(8_000, connection).await;
+            assert_eq!(reply.status, 502, "{:?}: {reply:?}", &whole[..end]);
+            assert!(!reply.fields.contains("x-proof"), "{:?}", &whole[..end]);
+        }
+    }
+}
