A malformed departure in the store isn't read without end

Cause: a restarted node read the entry until that succeeded, also when the back end had been opened by its next announcement. An entry of another writer can never be read: a call every two seconds, for as long as the node ran.

Change: it is read until the back end is known. It introduces nothing: the next announcement opens the back end, after a health check.

Test: malformed_departure_does_not_keep_the_back_end_out failed before in the number of calls.

--- a/crates/daemon/src/back_end/departures.rs
+++ b/crates/daemon/src/back_end/departures.rs
@@ -47,10 +47,10 @@
 }
 
 impl DepartureLog {
-    /// Writes the departure of `process`, until that is confirmed or `is_current` returns `false`.
-    pub(super) async fn write(&self, process: &BackEndProcess, is_current: impl Fn() -> bool + Send) -> bool {
+    /// Writes the departure of `process`, until that is confirmed; `false` once `is_wanted` returns `false`.
+    pub(super) async fn write(&self, process: &BackEndProcess, is_wanted: impl Fn() -> bool + Send) -> bool {
         let mut backoff = INITIAL_BACKOFF;
-        while is_current() {
+        while is_wanted() {
             let written = self.store.write(&self.node, process).await;
             if self.count_call("write-departure", written).is_some() {
                 return true;
@@ -61,17 +61,18 @@
         false
     }
 
-    /// Reads the last departure, until that succeeds.
-    pub(super) async fn read(&self) -> Option<BackEndProcess> {
+    /// Reads the last departure, until that succeeds; `None` once `is_wanted` returns `false`.
+    pub(super) async fn read(&self, is_wanted: impl Fn() -> bool + Send) -> Option<Option<BackEndProcess>> {
         let mut backoff = INITIAL_BACKOFF;
-        loop {
+        while is_wanted() {
             let read = self.store.read(&self.node).await;
             if let Some(departed) = self.count_call("read-departure", read) {
-                return departed;
+                return Some(departed);
             }
             sleep(backoff).await;
             backoff = (backoff * 2).min(MAX_BACKOFF);
         }
+        None
     }
 
     /// Counts a call by its outcome and logs its failure.
--- a/crates/daemon/src/back_end/monitor.rs
+++ b/crates/daemon/src/back_end/monitor.rs
@@ -165,10 +165,11 @@
         tokio::spawn(Arc::clone(self).write_departure());
     }
 
-    /// Reads from the store which process has departed last; `false` if there is no such store.
+    /// Reads from the store which process has departed last; `false` if there is no such store, or if the back end
+    /// became known in another way before.
     pub(super) async fn recall_departure(self: &Arc<Self>) -> bool {
         let Some(departures) = &self.departures else { return false };
-        let departed = departures.read().await;
+        let Some(departed) = departures.read(|| !self.is_back_end_known()).await else { return false };
         let effect = self.tracker.lock().on_departure_read(departed.as_ref());
         self.apply(effect);
         true
