A departed process of unknown start doesn't lock its successor out

Cause: the node knew the back end by its identity only, and a response said that it was leaving. Every announcement under that identity then counted as one of the departed process and renewed the time for which it is waited for, so a successor that announced itself every 1.5 s stayed out for good.

Change: the first announcement that has a start time tells which process has departed; the record and the store get it. The tracker's effects and processes have files of their own, and a departure is never replaced by a later, weaker memory of the same process.

Test: departed_process_of_unknown_start_does_not_lock_its_successor_out failed before. A test that expected no effect of a delayed announcement now expects that it identifies the departed process, and that this one stays departed, which is stricter.

--- a/crates/daemon/src/back_end/tracker.rs
+++ b/crates/daemon/src/back_end/tracker.rs
@@ -1,5 +1,8 @@
 //! Tracks which process of the back end is the current one and whether it accepts new requests. Performs no
 //! I/O; the time is an argument.
+//!
+//! This is the one place where reports about the back end are weighed: of its node's settings, itself, health checks,
+//! failed connections, other nodes and the store. `docs/design/0121-who-may-say-what-about-a-back-end.md` has the table.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -10,118 +13,11 @@
 
 use super::announcement::{AnnouncedState, Announcement};
 use super::assignment::{BackEndAssignment, ForeignAnnouncement};
+use super::effect::{CloseReason, Effect, IgnoreReason, IgnoredAnnouncement};
+use super::process::{EndedProcess, TrackedProcess, back_end};
 
 /// Number of ended processes that are remembered, so that a delayed announcement doesn't reopen one of them.
 const MAX_ENDED_PROCESSES: usize = 32;
-/// Silence of the current process after which a process with an earlier start time is accepted as its
-/// successor. Longer than any announcement is delayed. The start times may be in the wrong order, because the
-/// clock of the back end's machine may have been set back between the two processes.
-const MAX_ANNOUNCEMENT_DELAY: Duration = Duration::from_secs(6);
-
-/// Why a back end accepts no new requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CloseReason {
-    /// It announced that it is draining.
-    Draining,
-    /// It withdrew itself because it is shutting down.
-    Withdrawn,
-    /// It said in a response that it is about to shut down.
-    Leaving,
-    /// An earlier process of this node has published that it is draining.
-    Remembered,
-}
-
-impl CloseReason {
-    /// The reason as text, for logs.
-    #[must_use]
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Draining => "the back end announced that it is draining",
-            Self::Withdrawn => "the back end withdrew itself",
-            Self::Leaving => "a response says that the back end is about to shut down",
-            Self::Remembered => "an earlier process of this node has published that the back end is draining",
-        }
-    }
-}
-
-/// Why an announcement has no effect.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum IgnoreReason {
-    /// Its process has ended.
-    Ended,
-    /// Its process started before the current one, which is alive.
-    StartedEarlier,
-    /// A later announcement of the same process has arrived before.
-    Outdated,
-    /// Its process has announced before that it is leaving.
-    Leaving,
-    /// A process of another identity is in service; a health check has to find the announced one first.
-    OtherIdentity,
-}
-
-impl IgnoreReason {
-    /// The reason as text, for logs.
-    #[must_use]
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Ended => "its process has ended",
-            Self::StartedEarlier => "its process started before the current one",
-            Self::Outdated => "a later announcement has arrived before",
-            Self::Leaving => "its process is leaving",
-            Self::OtherIdentity => "a back end of another identity is in service",
-        }
-    }
-}
-
-/// Action that the caller has to take after an event of the back end.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Effect {
-    /// No action.
-    None,
-    /// Accept new requests for this back end.
-    Open(BackEnd),
-    /// Accept no new requests, for this reason.
-    Close(CloseReason),
-    /// Check the health of the back end before accepting new requests.
-    Confirm(BackEnd),
-    /// Check which back end answers, this one or the current one, which goes on accepting requests meanwhile.
-    Identify(BackEnd),
-}
-
-#[derive(Debug, Clone)]
-struct TrackedProcess {
-    back_end: BackEnd,
-    /// Sequence number of the last announcement; absent if this node process has received none.
-    sequence: Option<u64>,
-    state: BackEndState,
-    cold_until: Instant,
-    /// When the last announcement, or the last response to a health check that was recorded, arrived.
-    last_seen_at: Instant,
-    /// Whether it was unreachable and then healthy again. Until the next announcement it may be another
-    /// process of the same back end.
-    is_reconfirmed: bool,
-}
-
-/// A process that has ended.
-#[derive(Debug, Clone)]
-struct EndedProcess {
-    process: BackEndProcess,
-    /// Sequence number of its last announcement.
-    sequence: Option<u64>,
-    /// Whether it announced draining or withdrew itself; otherwise another process has replaced it.
-    has_left: bool,
-}
-
-/// An announcement that had no effect.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct IgnoredAnnouncement {
-    /// Its process.
-    pub process: BackEndProcess,
-    /// The process that counted as the current one.
-    pub current: Option<BackEndProcess>,
-    /// Why it had no effect.
-    pub reason: IgnoreReason,
-}
 
 /// Sender of an announcement.
 enum Sender {
@@ -487,7 +383,10 @@
         process.cold_until = now + announcement.cold_for;
         process.last_seen_at = now;
         match process.state {
-            BackEndState::Draining => self.ignore(announcement, IgnoreReason::Leaving),
+            BackEndState::Draining => {
+                self.ignore(announcement, IgnoreReason::Leaving);
+                self.close_current(&announcement.process, CloseReason::Identified)
+            }
             BackEndState::Unreachable => Effect::Confirm(process.back_end.clone()),
             BackEndState::Ready => {
                 let announced = back_end(announcement);
@@ -589,7 +488,9 @@
         });
     }
 
-    fn remember_ended(&mut self, ended: EndedProcess) {
+    fn remember_ended(&mut self, mut ended: EndedProcess) {
+        // A departure is final.
+        ended.has_left |= self.ended.iter().any(|known| known.has_left && known.process == ended.process);
         self.ended.retain(|known| known.process != ended.process);
         if self.ended.len() >= MAX_ENDED_PROCESSES {
             self.ended.pop_front();
@@ -597,89 +498,3 @@
         self.ended.push_back(ended);
     }
 }
-
-impl TrackedProcess {
-    /// The process that sent `announcement`.
-    fn new(now: Instant, announcement: &Announcement, state: BackEndState) -> Self {
-        Self {
-            back_end: back_end(announcement),
-            sequence: Some(announcement.sequence),
-            state,
-            cold_until: now + announcement.cold_for,
-            last_seen_at: now,
-            is_reconfirmed: false,
-        }
-    }
-
-    /// A process that is known without an announcement.
-    const fn found(now: Instant, back_end: BackEnd, state: BackEndState) -> Self {
-        Self { back_end, sequence: None, state, cold_until: now, last_seen_at: now, is_reconfirmed: false }
-    }
-
-    /// Whether it accepts requests, and has been heard of recently.
-    fn is_in_service(&self, now: Instant) -> bool {
-        self.state == BackEndState::Ready && !self.may_be_over(now)
-    }
-
-    /// Whether this process may have sent an announcement. If it was unreachable and then healthy again, the
-    /// first announcement after that may come from any process of the back end that didn't start earlier.
-    fn may_have_sent(&self, now: Instant, announcement: &Announcement) -> bool {
-        let (known, reported) = (&self.back_end.process, &announcement.process);
-        let may_have_changed =
-            self.is_reconfirmed && known.instance == reported.instance && !reported.started_before(known);
-        (known.may_equal(reported) || may_have_changed) && !self.must_have_ended(now, reported)
-    }
-
-    /// Whether a later announcement of this process has arrived before.
-    fn is_outdated(&self, announcement: &Announcement) -> bool {
-        !self.is_reconfirmed && self.sequence.is_some_and(|known| known >= announcement.sequence)
-    }
-
-    /// Whether the departure of `departed` closes the back end: that is this process, or has taken its place under
-    /// the same identity. `is_known`: it is known to have ended before.
-    fn must_close_for(&self, departed: &BackEndProcess, is_known: bool) -> bool {
-        let known = &self.back_end.process;
-        // After a health check has confirmed the identity alone, a process that started earlier by the clock of its
-        // machine may be the current one too, since the clock may have been set back.
-        let may_be_this = !departed.started_before(known) || (self.is_reconfirmed && !is_known);
-        known.instance == departed.instance && may_be_this
-    }
-
-    /// Whether this process may have ended: it can't be reached, or it has been silent for longer than an
-    /// announcement is delayed.
-    fn may_be_over(&self, now: Instant) -> bool {
-        let is_silent = now.saturating_duration_since(self.last_seen_at) > MAX_ANNOUNCEMENT_DELAY;
-        self.state == BackEndState::Unreachable || is_silent
-    }
-
-    /// Whether this process, whose start time is unknown, has been draining and silent for so long that an
-    /// announcement with a start time must come from its successor.
-    fn must_have_ended(&self, now: Instant, reported: &BackEndProcess) -> bool {
-        let is_silent = now.saturating_duration_since(self.last_seen_at) > MAX_ANNOUNCEMENT_DELAY;
-        let adds_start = self.back_end.process.started_at.is_none() && reported.started_at.is_some();
-        self.state == BackEndState::Draining && adds_start && is_silent
-    }
-
-    /// Whether this process has no identity and left so long ago that a healthy back end is the next process.
-    fn has_unnamed_successor(&self, now: Instant) -> bool {
-        let has_left = self.state == BackEndState::Draining && !self.back_end.process.is_named();
-        has_left && now.saturating_duration_since(self.last_seen_at) > MAX_ANNOUNCEMENT_DELAY
-    }
-
-    /// Records the start time of this process, if `reported` has one.
-    fn set_start(&mut self, reported: &BackEndProcess) {
-        if reported.started_at.is_some() {
-            self.back_end.process = reported.clone();
-        }
-    }
-}
-
-fn back_end(announcement: &Announcement) -> BackEnd {
-    BackEnd {
-        process: announcement.process.clone(),
-        service: announcement.service.clone(),
-        release: announcement.release.clone(),
-        address: announcement.address,
-        slots: announcement.slots,
-    }
-}
