Tests: a link between two nodes that breaks at any byte of a response

The caller gets the whole response, one whose body visibly ends early, 502, or a refusal that has not run.

--- a/crates/forwarding/tests/broken_responses.rs
+++ b/crates/forwarding/tests/broken_responses.rs
@@ -2,10 +2,15 @@
 
 mod support;
 
+use std::net::SocketAddr;
+use std::sync::Arc;
+
 use support::back_end::{ScriptedResponse, ok};
 use support::caller::ReceivedResponse;
 use support::transport::{NextWrite, ScriptedConnection};
 use support::{BACK_END_PORT, TestCluster, host, pause};
+use tokio::io::AsyncReadExt;
+use umberpond_net::Network;
 use umberpond_telemetry::Event;
 
 /// Header fields and body of a valid response.
@@ -150,7 +155,7 @@
         let world = TestCluster::with_routes(vec![vec![ok("next")]]).await;
         let served = &world.served[0];
         served.back_end.set_raw_health(format!("{head}{FIELDS}").leak());
-        let address = std::net::SocketAddr::new(host(10), BACK_END_PORT);
+        let address = SocketAddr::new(host(10), BACK_END_PORT);
         assert_eq!(served.inbound.probe_health(address, "/well").await, None, "{head:?}");
         assert_eq!(served.inbound.request_limit(), None, "{head:?}");
         assert_eq!(world.caller().await.ask("/write/a", "r1").await.text(), "next", "{head:?}");
@@ -257,3 +262,55 @@
         }
     }
 }
+
+/// Listens at `at` and forwards each connection to `to`, and closes it after `bytes` bytes of what comes back.
+async fn start_cutting_proxy(network: Arc<dyn Network>, at: SocketAddr, to: SocketAddr, bytes: u64) {
+    let mut listener = network.listen(at).await.unwrap();
+    tokio::spawn(async move {
+        while let Ok((near, _peer)) = listener.accept().await {
+            let far = network.connect(to).await.unwrap();
+            let (mut near_reader, mut near_writer) = tokio::io::split(near);
+            let (far_reader, mut far_writer) = tokio::io::split(far);
+            let forward =
+                tokio::spawn(async move { tokio::io::copy(&mut near_reader, &mut far_writer).await });
+            let _ = tokio::io::copy(&mut far_reader.take(bytes), &mut near_writer).await;
+            forward.abort();
+        }
+    });
+}
+
+/// As [`head_that_stops_in_the_middle_is_not_forwarded`], with a link between two nodes that breaks after any number of
+/// bytes, at a first and at a second request on it.
+#[tokio::test(start_paused = true)]
+async fn response_cut_between_two_nodes_is_not_forwarded_as_complete() {
+    const PROXY_PORT: u16 = 110;
+    let mut whole_replies = 0;
+    for bytes in 0..400 {
+        let mut world = TestCluster::with_routes(vec![vec![ok("well")]]).await;
+        let node = &mut world.served[0].endpoint;
+        let proxy = SocketAddr::new(node.address.ip(), PROXY_PORT);
+        let network = world.network.host(node.address.ip());
+        start_cutting_proxy(network, proxy, std::mem::replace(&mut node.address, proxy), bytes).await;
+        world.publish_endpoints();
+        for id in ["r1", "r2"] {
+            let reply = world.caller().await.ask("/write/a", id).await;
+            match (reply.status, &reply.body) {
+                (200, Some(body)) => {
+                    assert_eq!(body, b"well", "cut after {bytes} bytes");
+                    whole_replies += 1;
+                }
+                // The caller sees that the body ends early.
+                (200, None) => {}
+                (status, _) => {
+                    let received = world.served[0].back_end.received();
+                    let has_arrived =
+                        received.iter().any(|request| request.text("umberpond-request") == Some(id));
+                    let is_true = status == 502 || (status == 503 && !has_arrived);
+                    assert!(is_true, "cut after {bytes} bytes: {reply:?}, has arrived: {has_arrived}");
+                    assert!(!reply.fields.contains("x-proof"), "cut after {bytes} bytes");
+                }
+            }
+        }
+    }
+    assert!((1..800).contains(&whole_replies), "{whole_replies} of 800 are whole");
+}
