--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -273,7 +273,7 @@
         }
         let is_departure = back_end.as_ref().is_some_and(|back_end| back_end.state == BackEndState::Draining);
         self.own.back_end = back_end;
-        self.change_own_and(now, is_departure)
+        self.publish_change(now, is_departure)
     }
 
     /// Sets the plans that this node publishes as a coordinator of rollouts, and publishes them immediately.
@@ -329,11 +329,11 @@
     }
 
     fn change_own(&mut self, now: Instant) -> Vec<Outgoing> {
-        self.change_own_and(now, false)
+        self.publish_change(now, false)
     }
 
     /// Publishes a change of the own record, and requests immediate responses to it if `wants_responses`.
-    fn change_own_and(&mut self, now: Instant, wants_responses: bool) -> Vec<Outgoing> {
+    fn publish_change(&mut self, now: Instant, wants_responses: bool) -> Vec<Outgoing> {
         self.own.sequence += 1;
         self.refresh_own();
         self.publish_own(now, wants_responses)
